feat: thin whole path as separate processes

A caller's statement goes through any VM's daemon to a VM that holds the group's connections, and over the PostgreSQL protocol to a member; a write is acknowledged once a majority of members hold its position. Stand-ins of the platform (etcd v3 subset) and of a member run as processes of their own.

Ruled out: the PostgreSQL wire towards callers (extended-query parsing would be ours to write).

--- /dev/null
+++ b/packages/auburngrade/src/commands/runCommand.ts
@@ -0,0 +1,25 @@
+import { readFileSync } from 'node:fs';
+import { Command, Flags } from '@oclif/core';
+import startDaemon from '../daemon/startDaemon';
+import parseSettings from '../settings/parseSettings';
+
+/** Runs a VM's daemon until it is told to stop. */
+class RunCommand extends Command {
+  static override description = 'Run the daemon of one VM.';
+
+  static override flags = {
+    settings: Flags.string({ char: 's', required: true, description: 'JSON settings file' }),
+  };
+
+  override async run(): Promise<void> {
+    const { flags } = await this.parse(RunCommand);
+    const stop = await startDaemon(parseSettings(readFileSync(flags.settings, 'utf8')));
+    await new Promise<void>((resolve) => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+    });
+    await stop();
+  }
+}
+
+export default RunCommand;
--- /dev/null
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -0,0 +1,35 @@
+import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import type AddressBook from '../settings/addressBook';
+import createGroupHolder from './createGroupHolder';
+import type GroupHolder from './groupHolder';
+
+/** Creates group holders on first use and replaces them when the group's document changes. */
+const createGroupRegistry = (
+  configuration: ConfigurationState,
+  vm: string,
+  addresses: AddressBook,
+  nowMs: () => number,
+) => {
+  const holders = new Map<string, GroupHolder>();
+
+  return {
+    /** @throws RefusalError `unknownGroup`. */
+    get: (name: string): GroupHolder => {
+      const group = configuration.get('group', name);
+      if (!group) throw notRun('unknownGroup', `no group ${name}`);
+      const existing = holders.get(name);
+      if (existing && existing.group === group) return existing;
+      existing?.close();
+      const created = createGroupHolder(name, group, configuration, vm, addresses, nowMs);
+      holders.set(name, created);
+      return created;
+    },
+    held: (): GroupHolder[] => [...holders.values()],
+    close: (): void => {
+      holders.forEach((holder) => holder.close());
+      holders.clear();
+    },
+  };
+};
+
+export default createGroupRegistry;
--- /dev/null
+++ b/packages/auburngrade/src/index.ts
@@ -0,0 +1,3 @@
+export { default as settingsSchema } from './settings/settingsSchema';
+export { default as parseSettings } from './settings/parseSettings';
+export { default as startDaemon } from './daemon/startDaemon';
--- /dev/null
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -0,0 +1,72 @@
+import {
+  decodeSessionToken,
+  toRefusal,
+  type StatementOutcome,
+  type StatementRequest,
+} from '@auburngrade/coordination';
+import {
+  PeerHandler,
+  type ForwardedOutcome,
+  type ForwardedStatement,
+  type PeerMessage,
+} from '@auburngrade/vm';
+
+type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
+
+interface PeerHandlerOptions {
+  vm: string;
+  incarnation: number;
+  executeLocally(request: StatementRequest): Promise<StatementOutcome>;
+  /** Handlers of messages between VMs by their registered kind. */
+  messageHandlers: ReadonlyMap<string, MessageHandler>;
+  nowMs(): number;
+}
+
+class DaemonPeerHandler extends PeerHandler {
+  constructor(private readonly options: PeerHandlerOptions) {
+    super();
+  }
+
+  override async execute(statement: ForwardedStatement): Promise<ForwardedOutcome> {
+    try {
+      const outcome = await this.options.executeLocally({
+        requestId: statement.requestId,
+        account: statement.account || undefined,
+        profile: statement.profile,
+        group: statement.group,
+        write: statement.write,
+        sql: statement.sql,
+        parameters: statement.parameters.map(({ text }) => text ?? null),
+        sessionToken: decodeSessionToken(statement.sessionToken),
+        deadlineAtMs: this.options.nowMs() + statement.timeoutMs,
+      });
+      return { verdict: 'ran', bodyJson: JSON.stringify(outcome) };
+    } catch (error) {
+      const refusal = toRefusal(error);
+      return { verdict: refusal.verdict, bodyJson: JSON.stringify(refusal) };
+    }
+  }
+
+  override follow(): () => void {
+    return () => {};
+  }
+
+  override async exchange(message: PeerMessage): Promise<PeerMessage> {
+    const handler = this.options.messageHandlers.get(message.kind);
+    const reply = handler
+      ? await handler(message.fromVm, JSON.parse(message.bodyJson))
+      : { error: 'unknown kind' };
+    return {
+      fromVm: this.options.vm,
+      incarnation: this.options.incarnation,
+      kind: message.kind,
+      bodyJson: JSON.stringify(reply),
+    };
+  }
+}
+
+/** Creates what the VM does for other VMs. */
+const createPeerHandler = (options: PeerHandlerOptions): PeerHandler =>
+  new DaemonPeerHandler(options);
+
+export default createPeerHandler;
--- /dev/null
+++ b/packages/caller/src/createCallerClient.ts
@@ -0,0 +1,67 @@
+import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
+import {
+  ProxyClient,
+  Statement,
+  type Outcome,
+  type TransactionReply,
+  type TransactionStep,
+} from './generated/auburngrade/caller/v1/caller';
+
+/** Added to a statement's own timeout so that the VM answers first. */
+const ANSWER_MARGIN_MS = 1_000;
+
+const metadataWith = (key: string | undefined): Metadata => {
+  const metadata = new Metadata();
+  if (key !== undefined) metadata.set('authorization', `Bearer ${key}`);
+  return metadata;
+};
+
+/** Creates a client of a VM's service for callers at `host:port`. */
+const createCallerClient = (
+  address: string,
+  key?: string,
+  channelCredentials: ChannelCredentials = credentials.createInsecure(),
+) => {
+  const client = new ProxyClient(address, channelCredentials);
+  return {
+    /** Runs one statement. Rejects with a gRPC status when no outcome arrives. */
+    execute: (statement: Partial<Statement>): Promise<Outcome> =>
+      new Promise((resolve, reject) => {
+        const request = Statement.fromPartial(statement);
+        const deadline = Date.now() + Math.max(request.timeoutMs, 0) + ANSWER_MARGIN_MS;
+        client.execute(request, metadataWith(key), { deadline }, (error, outcome) => {
+          if (error) reject(error);
+          else resolve(outcome);
+        });
+      }),
+    /** Opens a transaction; `step` resolves with the reply of the same number. */
+    transact: () => {
+      const stream = client.transact(metadataWith(key));
+      const waiting = new Map<number, (reply: TransactionReply) => void>();
+      const failures = new Set<(error: Error) => void>();
+      let next = 1;
+      stream.on('data', (reply: TransactionReply) => {
+        waiting.get(reply.step)?.(reply);
+        waiting.delete(reply.step);
+      });
+      stream.on('error', (error: Error) => failures.forEach((fail) => fail(error)));
+      return {
+        step: (body: NonNullable<TransactionStep['body']>): Promise<TransactionReply> =>
+          new Promise((resolve, reject) => {
+            const step = next;
+            next += 1;
+            failures.add(reject);
+            waiting.set(step, resolve);
+            stream.write({ step, body });
+          }),
+        end: (): void => {
+          stream.end();
+        },
+        cancel: (): void => stream.cancel(),
+      };
+    },
+    close: (): void => client.close(),
+  };
+};
+
+export default createCallerClient;
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,5 @@
+export { default as CallerHandler } from './callerHandler';
+export type { default as TransactionHandler } from './transactionHandler';
+export { default as createCallerService } from './createCallerService';
+export { default as createCallerClient } from './createCallerClient';
+export * from './generated/auburngrade/caller/v1/caller';
--- /dev/null
+++ b/packages/coordination/src/configuration/termSchema.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod';
+import nameSchema from './nameSchema';
+
+/**
+ * A group's current term, agreed by compare-and-swap. `history` lists for each
+ * completed term the log position at which it started.
+ */
+const termSchema = z.strictObject({
+  term: z.number().int().positive(),
+  state: z.enum(['promoting', 'active']),
+  primary: nameSchema.optional(),
+  promoter: z.string().optional(),
+  history: z.array(
+    z.strictObject({
+      term: z.number().int().positive(),
+      startPosition: z.number().int().nonnegative(),
+    }),
+  ),
+});
+
+export default termSchema;
--- /dev/null
+++ b/packages/coordination/src/configuration/vmSchema.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod';
+import nameSchema from './nameSchema';
+
+/** An entry of the platform's list of VMs, which lags behind the truth. */
+const vmSchema = z.strictObject({
+  dataCentre: nameSchema,
+  host: z.string().min(1),
+  vmPort: z.number().int().min(1).max(65_535),
+  callerPort: z.number().int().min(1).max(65_535),
+  state: z.enum(['live', 'leaving']).default('live'),
+});
+
+export default vmSchema;
--- /dev/null
+++ b/packages/coordination/src/request/statementRequest.ts
@@ -0,0 +1,18 @@
+import type SessionToken from '../session/sessionToken';
+
+/** One admitted statement on its way to an endpoint. */
+interface StatementRequest {
+  requestId: string;
+  /** The authenticated client account; undefined on a route open to all. */
+  account: string | undefined;
+  profile: string;
+  group: string;
+  write: boolean;
+  sql: string;
+  parameters: (string | null)[];
+  sessionToken: SessionToken;
+  /** On this process's monotonic clock, in milliseconds. */
+  deadlineAtMs: number;
+}
+
+export default StatementRequest;
--- /dev/null
+++ b/packages/coordination/src/verdict/refusalError.ts
@@ -0,0 +1,14 @@
+import type Refusal from './refusal';
+
+/** Carries a Refusal through promise rejections. */
+class RefusalError extends Error {
+  readonly refusal: Refusal;
+
+  constructor(refusal: Refusal) {
+    super(`${refusal.code}: ${refusal.message}`);
+    this.name = 'RefusalError';
+    this.refusal = refusal;
+  }
+}
+
+export default RefusalError;
--- /dev/null
+++ b/packages/endpoint/src/messageOf.ts
@@ -0,0 +1,5 @@
+/** The text of any thrown value. */
+const messageOf = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
+
+export default messageOf;
--- /dev/null
+++ b/packages/endpoint/src/pgConnection.ts
@@ -0,0 +1,102 @@
+import type { Client, QueryArrayResult } from 'pg';
+import EndpointConnection from './endpointConnection';
+import EndpointError from './endpointError';
+import messageOf from './messageOf';
+import type QueryResult from './queryResult';
+import sqlStateOf from './sqlStateOf';
+
+const toResult = (result: QueryArrayResult): QueryResult => ({
+  columns: result.fields.map(({ name }) => name),
+  rows: result.rows as (string | null)[][],
+  command: result.command ?? '',
+  rowCount: result.rowCount ?? 0,
+});
+
+const TEXT_TYPES = { getTypeParser: () => (value: string) => value };
+
+/** A connection over the PostgreSQL protocol; a lost or late answer ends it. */
+class PgConnection extends EndpointConnection {
+  private usable = true;
+
+  private busy = false;
+
+  constructor(private readonly client: Client) {
+    super();
+    const lose = (): void => {
+      this.usable = false;
+    };
+    client.on('error', lose);
+    client.on('end', lose);
+  }
+
+  override async query(
+    sql: string,
+    parameters: (string | null)[],
+    timeoutMs: number,
+  ): Promise<QueryResult> {
+    const [result] = await this.run(sql, parameters, timeoutMs);
+    return result ?? { columns: [], rows: [], command: '', rowCount: 0 };
+  }
+
+  override script(sql: string, timeoutMs: number): Promise<QueryResult[]> {
+    return this.run(sql, undefined, timeoutMs);
+  }
+
+  override isUsable(): boolean {
+    return this.usable && !this.busy;
+  }
+
+  override close(): void {
+    this.usable = false;
+    this.client.end().catch(() => {});
+    (
+      this.client as unknown as { connection: { stream: { destroy(): void } } }
+    ).connection.stream.destroy();
+  }
+
+  private async run(
+    sql: string,
+    parameters: (string | null)[] | undefined,
+    timeoutMs: number,
+  ): Promise<QueryResult[]> {
+    if (!this.isUsable()) throw new EndpointError('notSent', 'connection is not usable');
+    this.busy = true;
+    try {
+      const outcome = await this.withTimeout(sql, parameters, timeoutMs);
+      this.busy = false;
+      return outcome;
+    } catch (error) {
+      throw this.classify(error);
+    }
+  }
+
+  private withTimeout(
+    sql: string,
+    parameters: (string | null)[] | undefined,
+    timeoutMs: number,
+  ): Promise<QueryResult[]> {
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.close();
+        reject(new EndpointError('timeout', `no answer within ${timeoutMs} ms`));
+      }, timeoutMs);
+      this.client
+        .query({ text: sql, values: parameters, rowMode: 'array', types: TEXT_TYPES })
+        .then((result) => resolve([result].flat().map(toResult)), reject)
+        .finally(() => clearTimeout(timer));
+    });
+  }
+
+  private classify(error: unknown): EndpointError {
+    if (error instanceof EndpointError) return error;
+    const sqlState = sqlStateOf(error);
+    if (sqlState !== undefined && this.usable) {
+      this.busy = false;
+      return new EndpointError('statementFailed', messageOf(error), sqlState);
+    }
+    this.close();
+    return new EndpointError('connectionLost', messageOf(error), sqlState);
+  }
+}
+
+export default PgConnection;
--- /dev/null
+++ b/packages/endpoint/src/queryResult.ts
@@ -0,0 +1,9 @@
+/** Rows of one statement; values are text or SQL NULL. */
+interface QueryResult {
+  columns: string[];
+  rows: (string | null)[][];
+  command: string;
+  rowCount: number;
+}
+
+export default QueryResult;
--- /dev/null
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -0,0 +1,17 @@
+/** The deployment that a test or a measurement runs. */
+interface FleetOptions {
+  dataCentres: string[];
+  vmsPerDataCentre: number;
+  groups: string[];
+  membersPerGroup: number;
+  connectionBudget: number;
+  /** Puts a fault proxy on each link from a VM to a member, to a VM and to the platform. */
+  hasFaultLinks: boolean;
+  /** One-way delay in milliseconds of a link between two data centres, with fault links. */
+  betweenDataCentresDelayMs: number;
+  replicationLagMs: number;
+  /** Settings added to each VM's own. */
+  vmSettings: Record<string, unknown>;
+}
+
+export default FleetOptions;
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,13 @@
+export { default as createFaultProxy } from './faultProxy/createFaultProxy';
+export type { default as FaultProxy } from './faultProxy/faultProxy';
+export type { default as FaultMode } from './faultProxy/faultMode';
+export { default as startProcess } from './process/startProcess';
+export type { default as RunningProcess } from './process/runningProcess';
+export { default as freePort } from './process/freePort';
+export { default as waitFor } from './process/waitFor';
+export { default as programPath } from './fleet/programPath';
+export { default as startPlatform } from './fleet/startPlatform';
+export { default as startMember } from './fleet/startMember';
+export { default as startVm } from './fleet/startVm';
+export { default as startFleet } from './fleet/startFleet';
+export type { default as Fleet } from './fleet/fleet';
