fix: settle waits for the VM list; a pending wait no longer delays shutdown

Cause: the fleet's settle returned before the platform's lagging list showed all VMs ('no VM holds connections'); an acknowledgement's deadline timer kept a stopped process alive 4.7 s.

--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -19,7 +19,8 @@
 
 const sleep = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
+    // A pending wait must not keep a stopped process alive.
+    setTimeout(resolve, delayMs).unref();
   });
 
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -182,14 +182,18 @@
       if (!found) throw new Error(`no link ${vm}>${target}`);
       return found;
     },
-    /** Waits until every running VM knows the platform's present revision. */
+    /** Waits until every running VM knows the present revision and lists all started VMs. */
     settle: async (): Promise<void> => {
       const { revision } = await platform.counts();
       await Promise.all(
         [...vms.keys()].map((vm) =>
           waitFor(`${vm} at revision ${revision}`, async () => {
             const status = await statusOf(vm);
-            return Number(status.revision) >= (revision ?? 0);
+            const listed = status.liveVms as string[];
+            return (
+              Number(status.revision) >= (revision ?? 0) &&
+              [...vms.keys()].every((other) => listed.includes(other))
+            );
           }),
         ),
       );
