--- a/packages/auburngrade/src/commands/runCommand.ts
+++ b/packages/auburngrade/src/commands/runCommand.ts
@@ -2,6 +2,7 @@
 import { Command, Flags } from '@oclif/core';
 import startDaemon from '../daemon/startDaemon';
 import parseSettings from '../settings/parseSettings';
+import exitCodes from './exitCodes';
 
 /** Runs a VM's daemon until it is told to stop. */
 class RunCommand extends Command {
@@ -19,6 +20,8 @@
       process.once('SIGINT', resolve);
     });
     await stop();
+    // Whatever is still pending was given up by the shutdown.
+    process.exit(exitCodes.ok);
   }
 }
 
