feat: VMs replace a lost primary themselves

Cause: a killed primary left its group without one for good: nobody ordered a promotion. Change: suspicion from this VM's polls and the other holders' views, a term won by compare-and-swap, fence of a majority, choice by log, promotion, publication. Voters are part of the term record, so a changed group document never moves a majority under a write.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -17,6 +17,8 @@
 import createLogger from '../log/createLogger';
 import createMembership from '../membership/createMembership';
 import createMetrics from '../metrics/createMetrics';
+import createFailoverMetrics from '../promotion/createFailoverMetrics';
+import createPromotionService from '../promotion/createPromotionService';
 import createPeerRegistry from '../routing/createPeerRegistry';
 import createRouter from '../routing/createRouter';
 import createCallerHandler from '../serving/createCallerHandler';
@@ -44,6 +46,23 @@
   const writes = createWriteExecutor(settings.vm, nowMs);
   const peers = createPeerRegistry(configuration, addresses);
 
+  const incarnation = Date.now();
+  const promotions = createPromotionService({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    membership,
+    groups,
+    terms,
+    peers,
+    timings: settings.failover,
+    metrics: createFailoverMetrics(metrics.registry),
+    logger,
+    nowMs,
+  });
+
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
@@ -78,13 +97,14 @@
   });
   const peerHandler = createPeerHandler({
     vm: settings.vm,
-    incarnation: Date.now(),
+    incarnation,
     executeLocally,
-    messageHandlers: new Map(),
+    messageHandlers: new Map([['suspicion', promotions.answerSuspicion]]),
     nowMs,
   });
 
   follower.start();
+  promotions.start();
   const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
@@ -108,6 +128,7 @@
           }),
       ),
     );
+    promotions.stop();
     follower.stop();
     groups.close();
     peers.close();
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -1,13 +1,14 @@
-import {
-  isMajorityAcknowledged,
-  type ConfigurationState,
-  type Group,
-  type Member,
-  type MemberStatus,
-  type TermRecord,
+import type {
+  ConfigurationState,
+  Group,
+  Member,
+  MemberStatus,
+  MemberView,
+  TermRecord,
 } from '@auburngrade/coordination';
 import { createPgEndpoint } from '@auburngrade/endpoint';
 import type AddressBook from '../settings/addressBook';
+import createAcknowledger from './createAcknowledger';
 import createConnectionPool from './createConnectionPool';
 import createStatusPoller from './createStatusPoller';
 import type PooledConnection from './pooledConnection';
@@ -15,13 +16,7 @@
 /** Connections of one VM to one member that only status polls and promotions use. */
 const CONTROL_CONNECTIONS = 1;
 const POLL_INTERVAL_MS = 500;
-const ACKNOWLEDGEMENT_POLL_DELAY_MS = 1;
-
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    // A pending wait must not keep a stopped process alive.
-    setTimeout(resolve, delayMs).unref();
-  });
+const RETRY_INTERVAL_MS = 100;
 
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
 const createGroupHolder = (
@@ -49,53 +44,77 @@
   };
 
   const handles = new Map(group.members.map((member) => [member.name, createMemberHandle(member)]));
+  const pollers = new Map([...handles].map(([member, { poller }]) => [member, poller]));
+  const record = (): TermRecord | undefined => configuration.get('term', name);
+  const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
+  const acknowledger = createAcknowledger(pollers, voters, nowMs);
+
+  const handleOf = (member: string) => {
+    const handle = handles.get(member);
+    if (!handle) throw new Error(`group ${name} has no member ${member}`);
+    return handle;
+  };
 
   const statuses = (): MemberStatus[] =>
     [...handles.values()].flatMap(({ poller }) => poller.latest() ?? []);
 
   const poll = async (): Promise<void> => {
-    await Promise.all([...handles.values()].map(({ poller }) => poller.poll()));
+    await Promise.all([...pollers.values()].map((poller) => poller.poll()));
   };
 
-  const timer = setInterval(() => poll(), POLL_INTERVAL_MS);
+  const pollUnanswered = (): void =>
+    pollers.forEach((poller) => {
+      if (poller.unansweredSinceMs() !== undefined) poller.poll();
+    });
+
+  const timer = setInterval(poll, POLL_INTERVAL_MS);
+  const retryTimer = setInterval(pollUnanswered, RETRY_INTERVAL_MS);
   poll();
 
   return {
     name,
     group,
-    record: (): TermRecord | undefined => configuration.get('term', name),
+    record,
+    voters,
     statuses,
     poll,
+    /** What the polls of this VM tell of each member. */
+    views: (): MemberView[] =>
+      [...pollers].map(([member, poller]) => ({
+        member,
+        status: poller.latest(),
+        unansweredSinceMs: poller.unansweredSinceMs(),
+      })),
+    pollMember: async (member: string): Promise<MemberStatus | undefined> => {
+      const { poller } = handleOf(member);
+      await poller.poll();
+      return poller.unansweredSinceMs() === undefined ? poller.latest() : undefined;
+    },
+    /** Takes in a status that came with the answer to another statement. */
+    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
+    /** A connection to a member for control statements. @throws RefusalError */
+    acquireControl: (member: string, deadlineAtMs: number): Promise<PooledConnection> =>
+      handleOf(member).control.acquire(undefined, deadlineAtMs),
     /** @throws RefusalError when no connection can be had before the deadline. */
     acquire: (
       member: string,
       account: string | undefined,
       deadlineAtMs: number,
-    ): Promise<PooledConnection> => {
-      const handle = handles.get(member);
-      if (!handle) throw new Error(`group ${name} has no member ${member}`);
-      return handle.data.acquire(account, deadlineAtMs);
-    },
-    /** Resolves with whether a majority came to hold the position before the deadline. */
-    waitAcknowledged: async (
+    ): Promise<PooledConnection> => handleOf(member).data.acquire(account, deadlineAtMs),
+    /**
+     * Resolves with whether a majority came to hold the position before the deadline;
+     * only polls that began after `committedAtMs` count.
+     */
+    waitAcknowledged: (
       term: number,
       position: number,
       deadlineAtMs: number,
-    ): Promise<boolean> => {
-      const isHeld = () => isMajorityAcknowledged(statuses(), handles.size, term, position);
-      while (nowMs() < deadlineAtMs) {
-        // A member that does not answer must not delay what the others can confirm.
-        await Promise.race([
-          ...[...handles.values()].map(({ poller }) => poller.poll()),
-          sleep(deadlineAtMs - nowMs()),
-        ]);
-        if (isHeld()) return true;
-        await sleep(ACKNOWLEDGEMENT_POLL_DELAY_MS);
-      }
-      return isHeld();
-    },
+      committedAtMs = nowMs(),
+    ): Promise<boolean> => acknowledger.wait(term, position, committedAtMs, deadlineAtMs),
     close: (): void => {
       clearInterval(timer);
+      clearInterval(retryTimer);
+      acknowledger.close();
       handles.forEach(({ control, data }) => {
         control.close();
         data.close();
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -12,23 +12,28 @@
 ) => {
   const holders = new Map<string, GroupHolder>();
 
+  const release = (name: string): void => {
+    holders.get(name)?.close();
+    holders.delete(name);
+  };
+
+  /** @throws RefusalError `unknownGroup`. */
+  const get = (name: string): GroupHolder => {
+    const group = configuration.get('group', name);
+    if (!group) throw notRun('unknownGroup', `no group ${name}`);
+    const existing = holders.get(name);
+    if (existing && existing.group === group) return existing;
+    existing?.close();
+    const created = createGroupHolder(name, group, configuration, vm, addresses, nowMs);
+    holders.set(name, created);
+    return created;
+  };
+
   return {
-    /** @throws RefusalError `unknownGroup`. */
-    get: (name: string): GroupHolder => {
-      const group = configuration.get('group', name);
-      if (!group) throw notRun('unknownGroup', `no group ${name}`);
-      const existing = holders.get(name);
-      if (existing && existing.group === group) return existing;
-      existing?.close();
-      const created = createGroupHolder(name, group, configuration, vm, addresses, nowMs);
-      holders.set(name, created);
-      return created;
-    },
+    get,
+    release,
     held: (): GroupHolder[] => [...holders.values()],
-    close: (): void => {
-      holders.forEach((holder) => holder.close());
-      holders.clear();
-    },
+    close: (): void => [...holders.keys()].forEach(release),
   };
 };
 
--- a/packages/auburngrade/src/groups/createStatusPoller.ts
+++ b/packages/auburngrade/src/groups/createStatusPoller.ts
@@ -2,18 +2,27 @@
 import { readMemberStatus } from '@auburngrade/endpoint';
 import type ConnectionPool from './connectionPool';
 
-const POLL_TIMEOUT_MS = 1_000;
+/** Shorter than a suspicion takes, so that a stuck connection is replaced before it raises one. */
+const POLL_TIMEOUT_MS = 350;
 
 /** Polls one member's status; callers that ask while a poll is queued share the next one. */
 const createStatusPoller = (member: string, pool: ConnectionPool, nowMs: () => number) => {
   let latest: MemberStatus | undefined;
   let running: Promise<void> | undefined;
   let next: Promise<void> | undefined;
+  let unansweredSinceMs: number | undefined;
+
+  const note = (status: MemberStatus): void => {
+    if (latest && latest.askedAtMs > status.askedAtMs) return;
+    latest = status;
+  };
 
   const pollOnce = async (): Promise<void> => {
+    unansweredSinceMs ??= nowMs();
     const { connection, release } = await pool.acquire(undefined, nowMs() + POLL_TIMEOUT_MS);
     try {
-      latest = await readMemberStatus(connection, member, POLL_TIMEOUT_MS, nowMs);
+      note(await readMemberStatus(connection, member, POLL_TIMEOUT_MS, nowMs));
+      unansweredSinceMs = undefined;
     } finally {
       release();
     }
@@ -30,6 +39,10 @@
 
   return {
     latest: () => latest,
+    /** When the first poll began that has had no answer since the last one. */
+    unansweredSinceMs: () => unansweredSinceMs,
+    /** Takes in a status that came with the answer to another statement. */
+    note,
     /** Resolves after a poll that began after this call, also when the poll failed. */
     poll: (): Promise<void> => {
       if (!running) return start();
--- a/packages/auburngrade/src/groups/createTermKeeper.ts
+++ b/packages/auburngrade/src/groups/createTermKeeper.ts
@@ -16,10 +16,12 @@
     const primaries = holder.statuses().filter(({ role }) => role === 'primary');
     const [primary] = primaries;
     if (!primary || primaries.length > 1) return;
+    if (configuration.get('term', holder.name)) return;
     const record: TermRecord = {
       term: primary.fencedTerm,
       state: 'active',
       primary: primary.member,
+      voters: holder.group.members.map(({ name }) => name),
       history: [{ term: primary.fencedTerm, startPosition: 0 }],
     };
     const key = documentKinds.term.prefix + holder.name;
--- /dev/null
+++ b/packages/auburngrade/src/groups/statusPoller.ts
@@ -0,0 +1,6 @@
+import type createStatusPoller from './createStatusPoller';
+
+/** Polls one member's status. */
+type StatusPoller = ReturnType<typeof createStatusPoller>;
+
+export default StatusPoller;
--- /dev/null
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -0,0 +1,216 @@
+import {
+  createFollowRepair,
+  createPrimaryJudge,
+  createPromotion,
+  isReplacementAgreed,
+  type ConfigurationState,
+  type FailoverTimings,
+  type PrimaryView,
+  type Promotion,
+  type TermRecord,
+} from '@auburngrade/coordination';
+import type { Platform } from '@auburngrade/platform';
+import type GroupHolder from '../groups/groupHolder';
+import type Logger from '../log/logger';
+import createMemberControl from './createMemberControl';
+import type createPeerOpinions from './createPeerOpinions';
+import createPlan from './createPlan';
+import createPromotionDriver from './createPromotionDriver';
+import createRecordWriter from './createRecordWriter';
+import createTimeline from './createTimeline';
+import type FailoverMetrics from './failoverMetrics';
+import plannedReason from './plannedReason';
+import type PromotionReason from './promotionReason';
+
+interface PromoterOptions {
+  holder: GroupHolder;
+  /** Names this start of this VM. */
+  promoter: string;
+  platform: Platform;
+  configuration: ConfigurationState;
+  platformTimeoutMs: number;
+  timings: FailoverTimings;
+  opinions: ReturnType<typeof createPeerOpinions>;
+  /** This VM's place among the holders of the group: lower ones act first. */
+  rank(): number;
+  metrics: FailoverMetrics;
+  logger: Logger;
+  nowMs(): number;
+}
+
+const RANK_DELAY_MS = 150;
+const PLANNED_RANK_DELAY_MS = 1_000;
+const RETRY_DELAY_MS = 200;
+const PLANNED_RETRY_DELAY_MS = 3_000;
+
+/** Watches one group's primary and members, and orders its promotions. */
+const createGroupPromoter = (options: PromoterOptions) => {
+  const { holder, promoter, configuration, timings, logger, nowMs } = options;
+  const judge = createPrimaryJudge(timings);
+  const repair = createFollowRepair();
+  const control = createMemberControl(holder, nowMs);
+  const writer = createRecordWriter(
+    options.platform,
+    configuration,
+    holder.name,
+    options.platformTimeoutMs,
+  );
+  let current: { promotion: Promotion; driver: ReturnType<typeof createPromotionDriver> };
+  let view: PrimaryView = 'unknown';
+  let wantedSinceMs: number | undefined;
+  let wantedFor = '';
+  let nextTryAtMs = 0;
+  let isAsking = false;
+
+  const isMajorityAnswering = (record: TermRecord): boolean => {
+    const voters = holder.voters();
+    const answering = holder
+      .views()
+      .filter((member) => voters.includes(member.member))
+      .filter((member) => member.member !== record.primary || view !== 'gone')
+      .filter((member) => judge.isAnswering(member, nowMs()));
+    return answering.length > voters.length / 2;
+  };
+
+  const start = (record: TermRecord, reason: PromotionReason, sinceMs: number): void => {
+    const revision = configuration.revisionOf('term', holder.name) ?? 0;
+    const plan = createPlan(holder, record, revision, promoter, reason);
+    const promotion = createPromotion(plan);
+    const timeline = createTimeline(sinceMs);
+    const labels = { group: holder.name, reason };
+    const onOver = (phase: string): void => {
+      options.metrics.promotions.inc({ ...labels, result: phase });
+      nextTryAtMs = nowMs() + RETRY_DELAY_MS;
+      const partsMs = timeline.partsMs();
+      const fields = { ...labels, term: plan.term, primary: promotion.chosen(), partsMs };
+      if (phase !== 'done') {
+        logger.warn('failover.abandoned', fields);
+        return;
+      }
+      logger.info('failover.completed', fields);
+      Object.entries(partsMs).forEach(([part, valueMs]) =>
+        options.metrics.partMs.observe({ group: holder.name, part }, valueMs),
+      );
+    };
+    logger.info('failover.started', { ...labels, term: plan.term, previous: record.primary });
+    if (reason === 'unconfirmed') judge.noteStallReplacement();
+    const driver = createPromotionDriver({
+      holder,
+      promotion,
+      control,
+      writer,
+      timeline,
+      nowMs,
+      onOver,
+    });
+    current = { promotion, driver };
+    driver.dispatch({ kind: 'start' });
+  };
+
+  const startWhenAgreed = async (
+    record: TermRecord,
+    reason: PromotionReason,
+    sinceMs: number,
+  ): Promise<void> => {
+    isAsking = true;
+    try {
+      const views = await options.opinions.collect(holder.name, record.term);
+      nextTryAtMs = nowMs() + RETRY_DELAY_MS;
+      if (holder.record() === record && isReplacementAgreed(views)) start(record, reason, sinceMs);
+      else logger.info('failover.notAgreed', { group: holder.name, views });
+    } finally {
+      isAsking = false;
+    }
+  };
+
+  /** How long the present state of the record or the primary has asked for a change. */
+  const wantedForMs = (key: string): number => {
+    if (wantedFor !== key) {
+      wantedFor = key;
+      wantedSinceMs = nowMs();
+    }
+    return nowMs() - (wantedSinceMs ?? nowMs());
+  };
+
+  const sinceMsOf = (record: TermRecord): number =>
+    holder.views().find(({ member }) => member === record.primary)?.unansweredSinceMs ??
+    wantedSinceMs ??
+    nowMs();
+
+  const considerTakeOver = (record: TermRecord): void => {
+    const elapsedMs = wantedForMs(`promoting/${record.term}`);
+    // Nobody else acts under a claim of this very process that it has given up.
+    const waitMs =
+      record.promoter === promoter ? 0 : timings.takeOverAfterMs + options.rank() * RANK_DELAY_MS;
+    if (elapsedMs < waitMs || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
+    start(record, 'takeOver', wantedSinceMs ?? nowMs());
+  };
+
+  const considerPlanned = (record: TermRecord): void => {
+    const reason = plannedReason(holder, record);
+    if (!reason) {
+      wantedForMs('nothing');
+      return;
+    }
+    const elapsedMs = wantedForMs(`${reason}/${record.term}`);
+    if (elapsedMs < options.rank() * PLANNED_RANK_DELAY_MS || nowMs() < nextTryAtMs) return;
+    if (!isMajorityAnswering(record)) return;
+    nextTryAtMs = nowMs() + PLANNED_RETRY_DELAY_MS;
+    start(record, reason, nowMs());
+  };
+
+  const considerReplacement = (record: TermRecord): void => {
+    const judgement = judge.judge(record, holder.views(), nowMs());
+    view = judgement.view;
+    if (!judgement.reason) {
+      considerPlanned(record);
+      return;
+    }
+    const elapsedMs = wantedForMs(`gone/${record.term}`);
+    if (elapsedMs < options.rank() * RANK_DELAY_MS) return;
+    if (isAsking || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
+    startWhenAgreed(record, judgement.reason, sinceMsOf(record));
+  };
+
+  const repairFollowers = (record: TermRecord): void => {
+    const upstream = holder.group.members.find(({ name }) => name === record.primary);
+    if (!upstream) return;
+    repair.due(record, holder.views(), nowMs()).forEach((member) => {
+      logger.info('member.followAgain', { group: holder.name, member, term: record.term });
+      control.follow(member, record.term, upstream).catch(() => {});
+    });
+  };
+
+  const isOvertaken = (record: TermRecord): boolean =>
+    record.term > current.promotion.term ||
+    (record.term === current.promotion.term && record.promoter !== promoter);
+
+  const isBusy = (): boolean => current !== undefined && !current.promotion.isOver();
+
+  return {
+    holder,
+    view: (term: number): PrimaryView => {
+      const record = holder.record();
+      if (!record || record.term < term) return 'unknown';
+      return record.term > term ? 'present' : view;
+    },
+    tick: (): void => {
+      const record = holder.record();
+      if (!record) return;
+      if (isBusy()) {
+        current.driver.dispatch(isOvertaken(record) ? { kind: 'lost' } : { kind: 'tick' });
+        return;
+      }
+      if (record.state === 'promoting') {
+        view = 'gone';
+        considerTakeOver(record);
+        return;
+      }
+      considerReplacement(record);
+      if (options.rank() === 0 || view === 'present') repairFollowers(record);
+    },
+    close: (): void => current?.driver.close(),
+  };
+};
+
+export default createGroupPromoter;
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -18,6 +18,14 @@
   }),
   /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
   addresses: z.record(z.string(), z.string()).default({}),
+  /** When a group's primary is replaced. */
+  failover: z
+    .strictObject({
+      suspectAfterMs: z.number().int().min(100).max(60_000).default(600),
+      stallAfterMs: z.number().int().min(500).max(60_000).default(3_000),
+      takeOverAfterMs: z.number().int().min(500).max(60_000).default(2_000),
+    })
+    .default({ suspectAfterMs: 600, stallAfterMs: 3_000, takeOverAfterMs: 2_000 }),
   log: z
     .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
     .default({ level: 'info' }),
--- a/packages/coordination/src/configuration/termSchema.ts
+++ b/packages/coordination/src/configuration/termSchema.ts
@@ -3,13 +3,15 @@
 
 /**
  * A group's current term, agreed by compare-and-swap. `history` lists for each
- * completed term the log position at which it started.
+ * completed term the log position at which it started. `voters` are the members
+ * whose majority acknowledges writes of the term.
  */
 const termSchema = z.strictObject({
   term: z.number().int().positive(),
   state: z.enum(['promoting', 'active']),
   primary: nameSchema.optional(),
   promoter: z.string().optional(),
+  voters: z.array(nameSchema).optional(),
   history: z.array(
     z.strictObject({
       term: z.number().int().positive(),
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -5,3 +5,5 @@
 export type { default as EndpointAddress } from './endpointAddress';
 export { default as createPgEndpoint } from './createPgEndpoint';
 export { default as readMemberStatus } from './readMemberStatus';
+export { default as MEMBER_STATUS_SQL } from './memberStatusSql';
+export { default as toMemberStatus } from './toMemberStatus';
--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -7,6 +7,8 @@
   connectionBudget: number;
   /** Puts a fault proxy on each link from a VM to a member, to a VM and to the platform. */
   hasFaultLinks: boolean;
+  /** Puts a fault proxy before each member's replication port. */
+  hasReplicationLinks: boolean;
   /** One-way delay in milliseconds of a link between two data centres, with fault links. */
   betweenDataCentresDelayMs: number;
   replicationLagMs: number;
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -22,6 +22,7 @@
   membersPerGroup: 3,
   connectionBudget: 20,
   hasFaultLinks: false,
+  hasReplicationLinks: false,
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
   vmSettings: {},
@@ -39,6 +40,7 @@
   const options = { ...DEFAULTS, ...chosen };
   const knownAddresses = new Map<string, Record<string, string>>();
   const links = new Map<string, FaultProxy>();
+  const replicationLinks = new Map<string, FaultProxy>();
   const members: FleetMember[] = [];
   const vms = new Map<string, FleetVm>();
   const vmPorts = new Map<string, Awaited<ReturnType<typeof allocatePorts>>>();
@@ -46,15 +48,27 @@
   const dataCentreAt = (index: number): string =>
     options.dataCentres[index % options.dataCentres.length] ?? '';
 
+  /** The port at which the other members reach a member's replication. */
+  const replicationPortOf = async (member: {
+    name: string;
+    replicationPort: number;
+  }): Promise<number> => {
+    if (!options.hasReplicationLinks) return member.replicationPort;
+    const proxy = await createFaultProxy(HOST, member.replicationPort);
+    replicationLinks.set(member.name, proxy);
+    return proxy.port;
+  };
+
   const startGroup = async (group: string, groupIndex: number): Promise<void> => {
     let upstream: { host: string; port: number } | undefined;
     for (let index = 0; index < options.membersPerGroup; index += 1) {
-      const member = await startMember({
+      const started = await startMember({
         name: `${group}-m${index + 1}`,
         dataCentre: dataCentreAt(groupIndex + index),
         upstream,
         replicationLagMs: options.replicationLagMs,
       });
+      const member = { ...started, replicationPort: await replicationPortOf(started) };
       upstream ??= { host: HOST, port: member.replicationPort };
       members.push({ ...member, group });
     }
@@ -182,6 +196,12 @@
       if (!found) throw new Error(`no link ${vm}>${target}`);
       return found;
     },
+    /** The link over which the other members replicate from a member. */
+    replicationLink: (member: string): FaultProxy => {
+      const found = replicationLinks.get(member);
+      if (!found) throw new Error(`no replication link of ${member}`);
+      return found;
+    },
     /** Waits until every running VM knows the present revision and lists all started VMs. */
     settle: async (): Promise<void> => {
       const { revision } = await platform.counts();
@@ -208,6 +228,7 @@
       await Promise.all([...vms.values()].map((vm) => vm.stop()));
       await Promise.all([...members, platform].map((child) => child.kill()));
       links.forEach((proxy) => proxy.close());
+      replicationLinks.forEach((proxy) => proxy.close());
     },
   };
 };
--- a/packages/testkit/src/memberStandIn/createReplication.ts
+++ b/packages/testkit/src/memberStandIn/createReplication.ts
@@ -13,6 +13,13 @@
 
 const RECONNECT_DELAY_MS = 50;
 
+/** Reads lines; the reader repeats the socket's errors, which the socket's own listener handles. */
+const readLines = (socket: Socket, onLine: (line: string) => void): void => {
+  const lines = createInterface({ input: socket });
+  lines.on('line', onLine);
+  lines.on('error', () => {});
+};
+
 const serveFollower = (socket: Socket, log: MemberLog): void => {
   let sent = 0;
   let stop = (): void => {};
@@ -25,7 +32,7 @@
       sent = entry.position;
     });
   };
-  createInterface({ input: socket }).on('line', (line) => {
+  readLines(socket, (line) => {
     sent = log.commonPosition((JSON.parse(line) as Hello).termEnds);
     send({ truncateTo: sent });
     sendNew();
@@ -55,7 +62,7 @@
       socket.write(`${JSON.stringify({ termEnds: log.termEnds() } satisfies Hello)}\n`);
     });
     upstream = socket;
-    createInterface({ input: socket }).on('line', (line) => {
+    readLines(socket, (line) => {
       applyLater(JSON.parse(line) as Frame, generation);
     });
     socket.on('error', () => socket.destroy());
