--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -30,6 +30,7 @@
   const byKind = new Map<DocumentKind, Map<string, unknown>>();
   const listeners = new Set<(changed: readonly ConfigurationEntry[]) => void>();
   let knownRevision = 0;
+  let snapshotRevision = 0;
 
   const documentsOf = (kind: DocumentKind): Map<string, unknown> => {
     const existing = byKind.get(kind);
@@ -61,7 +62,10 @@
   return {
     revision: () => knownRevision,
     applyChanges: (revision, entries) => {
-      const changed = entries.filter(store);
+      // A snapshot is complete: an older change of a key that it lacks is of a deleted key.
+      const changed = entries
+        .filter(({ modRevision }) => modRevision > snapshotRevision)
+        .filter(store);
       knownRevision = Math.max(knownRevision, revision);
       publish(changed);
     },
@@ -73,6 +77,7 @@
         .map(({ entry }) => ({ key: entry.key, valueJson: undefined, modRevision: revision }));
       const changed = [...entries, ...removed].filter(store);
       knownRevision = revision;
+      snapshotRevision = revision;
       publish(changed);
     },
     get: <Kind extends DocumentKind>(kind: Kind, name: string) =>
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -11,3 +11,5 @@
 export { default as startVm } from './fleet/startVm';
 export { default as startFleet } from './fleet/startFleet';
 export type { default as Fleet } from './fleet/fleet';
+export { default as TraceDriver } from './trace/traceDriver';
+export { default as replayTrace } from './trace/replayTrace';
