--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,6 +42,19 @@
       'class-methods-use-this': 'off',
     },
   },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['packages/*/src/index.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportNamedDeclaration, ExportAllDeclaration',
+          message: 'A file has one export, its default; index.ts registers public items.',
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.spec.ts', 'scripts/**', 'packages/testkit/**', '*.mjs'],
     rules: {
