--- a/packages/auburngrade/src/commands/commandRegistry.ts
+++ b/packages/auburngrade/src/commands/commandRegistry.ts
@@ -1,23 +1,41 @@
 import type { Command } from '@oclif/core';
+import ConfigCheckCommand from './configCheckCommand';
+import createDocumentDeleteCommand from './createDocumentDeleteCommand';
+import createDocumentListCommand from './createDocumentListCommand';
 import createDocumentPutCommand from './createDocumentPutCommand';
+import createDocumentShowCommand from './createDocumentShowCommand';
+import EndpointDrainCommand from './endpointDrainCommand';
+import EndpointJoinCommand from './endpointJoinCommand';
 import KeyIssueCommand from './keyIssueCommand';
+import KeyListCommand from './keyListCommand';
 import KeyWithdrawCommand from './keyWithdrawCommand';
 import QueryCommand from './queryCommand';
 import RunCommand from './runCommand';
 import StatusCommand from './statusCommand';
 
-type CommandClass = new (...args: never[]) => Command;
+type CommandClass = (new (...args: never[]) => Command) & typeof Command;
+
+const documentCommands = (kind: string): Record<string, CommandClass> => ({
+  [`${kind} put`]: createDocumentPutCommand(kind),
+  [`${kind} delete`]: createDocumentDeleteCommand(kind),
+  [`${kind} list`]: createDocumentListCommand(kind),
+  [`${kind} show`]: createDocumentShowCommand(kind),
+});
 
 /** Registers each command under its words. */
-const commandRegistry: Record<string, CommandClass & typeof Command> = {
+const commandRegistry: Record<string, CommandClass> = {
   run: RunCommand,
-  'profile put': createDocumentPutCommand('profile'),
-  'account put': createDocumentPutCommand('account'),
-  'group put': createDocumentPutCommand('group'),
+  ...documentCommands('profile'),
+  ...documentCommands('account'),
+  ...documentCommands('group'),
   'key issue': KeyIssueCommand,
   'key withdraw': KeyWithdrawCommand,
+  'key list': KeyListCommand,
+  'endpoint join': EndpointJoinCommand,
+  'endpoint drain': EndpointDrainCommand,
   status: StatusCommand,
   query: QueryCommand,
+  'config check': ConfigCheckCommand,
 };
 
 export default commandRegistry;
--- a/packages/auburngrade/src/commands/keyIssueCommand.ts
+++ b/packages/auburngrade/src/commands/keyIssueCommand.ts
@@ -1,23 +1,29 @@
-import { Args, Command } from '@oclif/core';
-import { createOperatorClient } from '@auburngrade/operator';
-import exitCodes from './exitCodes';
-import operatorFlags from './operatorFlags';
+import { randomUUID } from 'node:crypto';
+import { Args } from '@oclif/core';
+import changeFlags from './changeFlags';
+import ProgramCommand from './programCommand';
+import reportChange from './reportChange';
+import withOperatorClient from './withOperatorClient';
 
 /** Issues a key for a client account; the key is printed once. */
-class KeyIssueCommand extends Command {
-  static override description = 'Issue a key for a client account.';
+class KeyIssueCommand extends ProgramCommand {
+  static override description = 'Issue a key for a client account; the key is printed only here.';
 
-  static override args = { account: Args.string({ required: true }) };
+  static override args = {
+    account: Args.string({ required: true, description: 'the client account' }),
+  };
 
-  static override flags = operatorFlags;
+  static override flags = changeFlags;
 
-  override async run(): Promise<void> {
+  override async run(): Promise<object> {
     const { args, flags } = await this.parse(KeyIssueCommand);
-    const client = createOperatorClient(flags.address, flags.timeoutMs);
-    const reply = await client.issueKey({ account: args.account, changeId: '' });
-    client.close();
-    this.log(JSON.stringify({ key: reply.key, keyId: reply.keyId, ...reply.change }));
-    if (reply.change?.verdict !== 'ran') this.exit(exitCodes.refused);
+    const changeId = flags['change-id'] ?? randomUUID();
+    const reply = await withOperatorClient(flags, (client) =>
+      client.issueKey({ account: args.account, changeId }),
+    );
+    const { key, keyId, change } = reply;
+    const issued = change?.verdict === 'notRun' ? {} : { key, keyId };
+    return reportChange(this, change, changeId, { account: args.account, ...issued });
   }
 }
 
--- a/packages/auburngrade/src/commands/operatorFlags.ts
+++ b/packages/auburngrade/src/commands/operatorFlags.ts
@@ -1,4 +1,7 @@
 import { Flags } from '@oclif/core';
+import tlsFlags from './tlsFlags';
+
+const DEFAULT_TIMEOUT_MS = 5_000;
 
 /** Flags of every command that speaks to a VM as an operator. */
 const operatorFlags = {
@@ -8,7 +11,12 @@
     env: 'AUBURNGRADE_ADDRESS',
     description: "a VM's operator address, host:port",
   }),
-  timeoutMs: Flags.integer({ default: 5_000 }),
+  'timeout-ms': Flags.integer({
+    default: DEFAULT_TIMEOUT_MS,
+    min: 1,
+    description: 'how long to wait for the VM',
+  }),
+  ...tlsFlags,
 };
 
 export default operatorFlags;
--- a/packages/auburngrade/src/commands/reportChange.ts
+++ b/packages/auburngrade/src/commands/reportChange.ts
@@ -1,12 +1,25 @@
-import type { Command } from '@oclif/core';
 import type { Change } from '@auburngrade/operator';
 import exitCodes from './exitCodes';
+import formatFields from './output/formatFields';
+import type ProgramCommand from './programCommand';
 
-/** Prints what became of a change and ends with the matching exit code. */
-const reportChange = (command: Command, change: Change): void => {
-  command.log(JSON.stringify(change));
-  if (change.verdict === 'ran') return;
-  command.exit(change.verdict === 'notRun' ? exitCodes.refused : exitCodes.failure);
+interface ChangeReport extends Change {
+  changeId: string;
+}
+
+/** Prints what became of a change and sets the matching exit code. */
+const reportChange = <Extra extends object>(
+  command: ProgramCommand,
+  change: Change | undefined,
+  changeId: string,
+  extra: Extra,
+): ChangeReport & Extra => {
+  const known = change ?? { verdict: 'mayHaveRun', revision: 0, refusalCode: '', message: '' };
+  const report = { ...extra, ...known, changeId };
+  command.log(formatFields(report));
+  if (known.verdict === 'notRun') process.exitCode = exitCodes.refused;
+  else if (known.verdict !== 'ran') process.exitCode = exitCodes.failure;
+  return report;
 };
 
 export default reportChange;
--- a/packages/auburngrade/src/commands/runCommand.ts
+++ b/packages/auburngrade/src/commands/runCommand.ts
@@ -1,12 +1,16 @@
 import { readFileSync } from 'node:fs';
-import { Command, Flags } from '@oclif/core';
+import { Flags } from '@oclif/core';
 import startDaemon from '../daemon/startDaemon';
 import parseSettings from '../settings/parseSettings';
 import exitCodes from './exitCodes';
+import ProgramCommand from './programCommand';
 
 /** Runs a VM's daemon until it is told to stop. */
-class RunCommand extends Command {
-  static override description = 'Run the daemon of one VM.';
+class RunCommand extends ProgramCommand {
+  static override enableJsonFlag = false;
+
+  static override description =
+    'Run the daemon of one VM until SIGTERM or SIGINT; log lines go to standard error.';
 
   static override flags = {
     settings: Flags.string({ char: 's', required: true, description: 'JSON settings file' }),
--- a/packages/auburngrade/src/commands/statusCommand.ts
+++ b/packages/auburngrade/src/commands/statusCommand.ts
@@ -1,19 +1,20 @@
-import { Command } from '@oclif/core';
-import { createOperatorClient } from '@auburngrade/operator';
+import formatFields from './output/formatFields';
 import operatorFlags from './operatorFlags';
+import ProgramCommand from './programCommand';
+import withOperatorClient from './withOperatorClient';
 
-/** Prints the state of a VM. */
-class StatusCommand extends Command {
+/** Shows the state of a VM. */
+class StatusCommand extends ProgramCommand {
   static override description = 'Show the state of a VM.';
 
   static override flags = operatorFlags;
 
-  override async run(): Promise<void> {
+  override async run(): Promise<object> {
     const { flags } = await this.parse(StatusCommand);
-    const client = createOperatorClient(flags.address, flags.timeoutMs);
-    const { bodyJson } = await client.status();
-    client.close();
-    this.log(bodyJson);
+    const { bodyJson } = await withOperatorClient(flags, (client) => client.status());
+    const status = JSON.parse(bodyJson) as object;
+    this.log(formatFields(status));
+    return status;
   }
 }
 
--- /dev/null
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -0,0 +1,132 @@
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { programPath, startFleet, type Fleet } from '@auburngrade/testkit';
+import { expect } from 'chai';
+import commandRegistry from '../commands/commandRegistry';
+import exitCodes from '../commands/exitCodes';
+
+const run = (...words: string[]) =>
+  spawnSync(programPath('auburngrade'), words, { encoding: 'utf8', timeout: 20_000 });
+
+describe('the built binary', () => {
+  describe('help', () => {
+    it('names every command and leaves standard error empty', () => {
+      const { stdout, stderr, status } = run('--help');
+      expect(status).to.equal(exitCodes.ok);
+      expect(stderr).to.equal('');
+      Object.keys(commandRegistry).forEach((words) => expect(stdout).to.include(`  ${words}`));
+    });
+
+    it('of a command shows its arguments and flags', () => {
+      const { stdout, stderr, status } = run('key', 'issue', '--help');
+      expect([status, stderr]).to.deep.equal([exitCodes.ok, '']);
+      expect(stdout).to.include('usage: auburngrade key issue ACCOUNT').and.to.include('--address');
+    });
+  });
+
+  describe('version', () => {
+    it('is printed', () => {
+      expect(run('--version').stdout).to.match(/^auburngrade \d+\.\d+\.\d+\n$/);
+    });
+  });
+
+  describe('wrong usage', () => {
+    it('ends with the usage code', () => {
+      expect(run('status', '--no-such-flag').status).to.equal(exitCodes.usage);
+      expect(run('no-such-command').status).to.equal(exitCodes.usage);
+      expect(run('status').status).to.equal(exitCodes.usage);
+    });
+  });
+
+  describe('a VM that cannot be reached', () => {
+    it('ends with the failure code, also with --json', () => {
+      const { status, stdout } = run('status', '-a', '127.0.0.1:1', '--json');
+      expect(status).to.equal(exitCodes.failure);
+      expect(JSON.parse(stdout)).to.have.nested.property('error.message');
+    });
+  });
+
+  describe('wrong settings', () => {
+    it('are refused by the check and by the daemon', () => {
+      const folder = mkdtempSync(join(tmpdir(), 'auburngrade-'));
+      const file = join(folder, 'settings.json');
+      writeFileSync(file, JSON.stringify({ vm: 'waco-1', colour: 'red' }));
+      const checked = run('config', 'check', file);
+      const started = run('run', '--settings', file);
+      rmSync(folder, { recursive: true });
+      expect([checked.status, started.status]).to.deep.equal([
+        exitCodes.refused,
+        exitCodes.refused,
+      ]);
+      expect(checked.stderr).to.include('colour: unknown field');
+    });
+  });
+
+  describe('an operator', () => {
+    let fleet: Fleet;
+    let address: string;
+
+    before(async () => {
+      fleet = await startFleet({ dataCentres: ['waco'] });
+      address = `127.0.0.1:${fleet.vms.get('waco-1')?.ports.operatorPort}`;
+    });
+
+    after(async () => {
+      await fleet.stop();
+    });
+
+    it('writes, lists, shows and deletes a document; a wrong one is refused', async () => {
+      const body = JSON.stringify({ limit: { ratePerS: 10, burst: 10 } });
+      const put = run('account', 'put', 'ranch', '-a', address, '--json', '-b', body);
+      expect([put.status, put.stderr]).to.deep.equal([exitCodes.ok, '']);
+      expect(JSON.parse(put.stdout)).to.include({ verdict: 'ran', name: 'ranch' });
+      await fleet.settle();
+      expect(run('account', 'list', '-a', address).stdout).to.include('ranch');
+      expect(run('account', 'show', 'ranch', '-a', address).stdout).to.include('ratePerS');
+      const wrong = run('account', 'put', 'other', '-a', address, '-b', '{"limit":1}');
+      expect(wrong.status).to.equal(exitCodes.refused);
+      const raced = run('account', 'put', 'ranch', '-a', address, '--revision', '1', '-b', body);
+      expect(raced.status).to.equal(exitCodes.refused);
+      expect(run('account', 'delete', 'ranch', '-a', address).status).to.equal(exitCodes.ok);
+    });
+
+    it('issues, lists and withdraws a key', async () => {
+      const issued = JSON.parse(
+        run('key', 'issue', 'ranch', '-a', address, '--json').stdout,
+      ) as Record<'key' | 'keyId', string>;
+      await fleet.settle();
+      const listed = run('key', 'list', '-a', address).stdout;
+      expect(listed).to.include(issued.keyId).and.not.to.include(issued.key);
+      expect(run('key', 'withdraw', issued.keyId, '-a', address).status).to.equal(exitCodes.ok);
+    });
+
+    it('drains an endpoint and takes it back', async () => {
+      const drain = run('endpoint', 'drain', 'auctions', 'auctions-m3', '-a', address);
+      expect(drain.status, drain.stderr).to.equal(exitCodes.ok);
+      await fleet.settle();
+      const show = () => run('group', 'show', 'auctions', '-a', address, '--json').stdout;
+      expect(show()).to.include('"leaving"');
+      const member = fleet.member('auctions-m3');
+      const place = ['--data-centre', member.dataCentre, '--host', '127.0.0.1'];
+      const ports = ['--port', `${member.port}`, '--replication-port', `${member.replicationPort}`];
+      const joined = run(
+        'endpoint',
+        'join',
+        'auctions',
+        'auctions-m3',
+        '-a',
+        address,
+        ...place,
+        ...ports,
+      );
+      expect(joined.status, joined.stderr).to.equal(exitCodes.ok);
+      await fleet.settle();
+      expect(show()).not.to.include('"leaving"');
+      expect(run('endpoint', 'drain', 'auctions', 'none', '-a', address).status).to.equal(
+        exitCodes.refused,
+      );
+    });
+  });
+});
--- a/packages/auburngrade/src/settings/parseSettings.ts
+++ b/packages/auburngrade/src/settings/parseSettings.ts
@@ -1,14 +1,21 @@
+import listSettingsProblems from './listSettingsProblems';
 import type Settings from './settings';
+import SettingsError from './settingsError';
 import settingsSchema from './settingsSchema';
 
-/** Parses settings. @throws Error that names each wrong field with its path. */
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new SettingsError([`(settings): ${error instanceof Error ? error.message : error}`]);
+  }
+};
+
+/** Parses settings. @throws SettingsError that names each wrong field with its path. */
 const parseSettings = (text: string): Settings => {
-  const parsed = settingsSchema.safeParse(JSON.parse(text));
+  const parsed = settingsSchema.safeParse(parseJson(text));
   if (parsed.success) return parsed.data;
-  const problems = parsed.error.issues.map(
-    ({ path, message }) => `${path.join('.') || '(settings)'}: ${message}`,
-  );
-  throw new Error(problems.join('\n'));
+  throw new SettingsError(listSettingsProblems(parsed.error));
 };
 
 export default parseSettings;
--- /dev/null
+++ b/packages/auburngrade/src/settings/renderSettingsReference.ts
@@ -0,0 +1,32 @@
+import describeSettings from './describeSettings';
+
+const HEADER = `# Settings
+
+Settings of one VM's daemon, a JSON object in the file that \`auburngrade run --settings\` reads.
+Unknown fields, wrong types and clashes are refused with their path before anything starts;
+\`auburngrade config check FILE\` shows the effective settings. Made from the schema by
+\`npm run settings-reference\`.
+`;
+
+const cell = (text: string): string => text.replaceAll('|', String.raw`\|`);
+
+/** Renders the settings reference page. */
+const renderSettingsReference = (): string => {
+  const rows = describeSettings().map(
+    ({ path, type, limits, defaultJson, isRequired, description }) => {
+      const fallback = defaultJson === undefined ? '' : `\`${defaultJson}\``;
+      const shown = isRequired ? 'required' : fallback;
+      const notes = [limits && `\`${limits}\``, description].filter(Boolean).join('; ');
+      return `| \`${path}\` | ${cell(type)} | ${cell(shown)} | ${cell(notes)} |`;
+    },
+  );
+  return [
+    HEADER,
+    '| field | type | default | limits and notes |',
+    '| --- | --- | --- | --- |',
+    ...rows,
+    '',
+  ].join('\n');
+};
+
+export default renderSettingsReference;
