--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -10,6 +10,8 @@
   /** One-way delay in milliseconds of a link between two data centres, with fault links. */
   betweenDataCentresDelayMs: number;
   replicationLagMs: number;
+  /** Runs VMs as the one binary instead of the bundle on Node. */
+  isBinary: boolean;
   /** Settings added to each VM's own. */
   vmSettings: Record<string, unknown>;
 }
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -24,6 +24,7 @@
   hasFaultLinks: false,
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
+  isBinary: false,
   vmSettings: {},
 };
 
@@ -106,6 +107,7 @@
       vm,
       dataCentre,
       platformAddress,
+      isBinary: options.isBinary,
       settings: {
         ...(options.hasFaultLinks ? { addresses: previous } : {}),
         ...options.vmSettings,
--- a/packages/testkit/src/fleet/startVm.ts
+++ b/packages/testkit/src/fleet/startVm.ts
@@ -11,6 +11,7 @@
   platformAddress: string;
   settings: Record<string, unknown>;
   ports?: VmPorts;
+  isBinary?: boolean;
 }
 
 interface VmPorts {
@@ -21,7 +22,14 @@
 }
 
 /** Starts a VM's daemon, the built program, as a process. */
-const startVm = async ({ vm, dataCentre, platformAddress, settings, ports }: VmOptions) => {
+const startVm = async ({
+  vm,
+  dataCentre,
+  platformAddress,
+  settings,
+  ports,
+  isBinary,
+}: VmOptions) => {
   const usedPorts = ports ?? {
     callerPort: await freePort(),
     vmPort: await freePort(),
@@ -33,8 +41,8 @@
   const file = join(mkdtempSync(join(tmpdir(), 'auburngrade-')), `${vm}.json`);
   writeFileSync(file, JSON.stringify(all));
   const child = await startProcess({
-    command: process.execPath,
-    args: [programPath('auburngrade.cjs'), 'run', '--settings', file],
+    command: isBinary ? programPath('auburngrade') : process.execPath,
+    args: [...(isBinary ? [] : [programPath('auburngrade.cjs')]), 'run', '--settings', file],
     readyText: 'daemon.started',
   });
   return { ...child, vm, dataCentre, ports: usedPorts };
