--- /dev/null
+++ b/scripts/measurement/sleep.ts
@@ -0,0 +1,7 @@
+/** Waits for a time. */
+const sleep = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+export default sleep;
