--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -5,6 +5,8 @@
   groups: string[];
   membersPerGroup: number;
   connectionBudget: number;
+  /** Connections that each member accepts. */
+  memberConnectionLimit: number;
   /** Puts a fault proxy on each link from a VM to a member, to a VM and to the platform. */
   hasFaultLinks: boolean;
   /** One-way delay in milliseconds of a link between two data centres, with fault links. */
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -21,6 +21,7 @@
   groups: ['auctions'],
   membersPerGroup: 3,
   connectionBudget: 20,
+  memberConnectionLimit: 100,
   hasFaultLinks: false,
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
@@ -55,6 +56,7 @@
         dataCentre: dataCentreAt(groupIndex + index),
         upstream,
         replicationLagMs: options.replicationLagMs,
+        connectionLimit: options.memberConnectionLimit,
       });
       upstream ??= { host: HOST, port: member.replicationPort };
       members.push({ ...member, group });
--- a/scripts/slopes/startMeasuredFleet.ts
+++ b/scripts/slopes/startMeasuredFleet.ts
@@ -15,6 +15,8 @@
 const DATA_CENTRES = ['waco', 'temple'];
 const LIMIT = { ratePerS: 1_000_000, burst: 1_000_000 };
 const CONNECTION_BUDGET = 20;
+/** Groups share members, so a member accepts what all its groups may open. */
+const MEMBER_CONNECTION_LIMIT = 10_000;
 const BATCH = 32;
 
 /** Runs tasks a batch at a time. */
@@ -45,6 +47,7 @@
     dataCentres,
     vmsPerDataCentre: Math.ceil(options.vms / dataCentres.length),
     groups: ['group-0'],
+    memberConnectionLimit: MEMBER_CONNECTION_LIMIT,
   });
   await putGroups(fleet, options.groups);
   await inBatches(options.accounts, (index) =>
