--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -21,10 +21,12 @@
   groups: ['auctions'],
   membersPerGroup: 3,
   connectionBudget: 20,
+  memberConnectionLimit: 100,
   hasFaultLinks: false,
   hasReplicationLinks: false,
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
+  isBinary: false,
   vmSettings: {},
 };
 
@@ -67,6 +69,7 @@
         dataCentre: dataCentreAt(groupIndex + index),
         upstream,
         replicationLagMs: options.replicationLagMs,
+        connectionLimit: options.memberConnectionLimit,
       });
       const member = { ...started, replicationPort: await replicationPortOf(started) };
       upstream ??= { host: HOST, port: member.replicationPort };
@@ -120,6 +123,7 @@
       vm,
       dataCentre,
       platformAddress,
+      isBinary: options.isBinary,
       settings: {
         ...(options.hasFaultLinks ? { addresses: previous } : {}),
         ...options.vmSettings,
