feat: session-consistent read routing, retries at one layer, holders by health

Cause: reads took any replica by a poll of unknown age, a failed forward was not repeated, and freshness profiles were ignored. Change: chooseEndpoint (token, stated age, history, fence), watermarks for ages without comparing clocks, decideRetry with budget and jitter, holders ordered by data centre and recent failure.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -18,7 +18,9 @@
 import createMembership from '../membership/createMembership';
 import createMetrics from '../metrics/createMetrics';
 import createPeerRegistry from '../routing/createPeerRegistry';
+import createPrimaryWaiter from '../routing/createPrimaryWaiter';
 import createRouter from '../routing/createRouter';
+import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
@@ -40,13 +42,21 @@
   const membership = createMembership(configuration);
   const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
-  const reads = createReadExecutor(settings.vm, nowMs);
+  const reads = createReadExecutor({
+    ...settings,
+    ...settings.reads,
+    configuration,
+    held: groups.held,
+    nowMs,
+  });
+  const primaries = createPrimaryWaiter(configuration, nowMs);
   const writes = createWriteExecutor(settings.vm, nowMs);
   const peers = createPeerRegistry(configuration, addresses);
 
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
+    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
     const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
@@ -54,7 +64,15 @@
     return outcome;
   };
 
-  const router = createRouter({ vm: settings.vm, membership, peers, executeLocally, nowMs });
+  const router = createRouter({
+    ...settings,
+    membership,
+    peers,
+    leaving: () => new Set(),
+    executeLocally,
+    metrics: createRoutingMetrics(metrics.registry),
+    nowMs,
+  });
   const callerHandler = createCallerHandler({
     settings,
     authenticator: createAuthenticator(configuration),
@@ -109,6 +127,7 @@
       ),
     );
     follower.stop();
+    reads.close();
     groups.close();
     peers.close();
     platform.close();
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -1,64 +1,126 @@
 import {
-  isFreshForToken,
   mayHaveRun,
   notRun,
-  type MemberStatus,
+  toRefusal,
+  type ConfigurationState,
+  type RefusalError,
   type StatementOutcome,
   type StatementRequest,
-  type TermRecord,
 } from '@auburngrade/coordination';
 import { EndpointError, type QueryResult } from '@auburngrade/endpoint';
 import type GroupHolder from '../groups/groupHolder';
+import createFreshnessTracker from '../routing/createFreshnessTracker';
+import createReadPlanner from '../routing/createReadPlanner';
+import createRecentFailures from '../routing/createRecentFailures';
+import type ReadPlan from '../routing/readPlan';
+import sleep from '../routing/sleep';
 
-const isReplicaFresh = (
-  status: MemberStatus,
-  request: StatementRequest,
-  record: TermRecord,
-): boolean =>
-  status.member !== record.primary &&
-  isFreshForToken(status, request.sessionToken[request.group], record);
+interface ReadExecutorOptions {
+  vm: string;
+  dataCentre: string;
+  catchUpWaitMs: number;
+  configuration: ConfigurationState;
+  held(): GroupHolder[];
+  nowMs(): number;
+}
 
-/** Runs reads on a replica that has applied what the session wrote, else on the primary. */
-const createReadExecutor = (vm: string, nowMs: () => number) => {
-  const choose = (holder: GroupHolder, request: StatementRequest, record: TermRecord): string => {
-    const fresh = holder.statuses().filter((status) => isReplicaFresh(status, request, record));
-    const replica = fresh[Math.floor(Math.random() * fresh.length)];
-    const member = replica?.member ?? record.primary;
-    if (member === undefined) throw notRun('noPrimary', `group ${holder.name} has no primary`);
-    return member;
-  };
+const STALE_TERM_STATE = 'AG001';
+const AVOID_MS = 2_000;
+const CONFIRM_STEP_MS = 5;
+const RETRY_AFTER_MS = 200;
+
+const toRefusalError = (error: EndpointError): RefusalError => {
+  if (error.sqlState === STALE_TERM_STATE) {
+    return notRun('noPrimary', error.message, RETRY_AFTER_MS);
+  }
+  if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
+  if (error.kind === 'notSent') return notRun('noConnection', error.message, RETRY_AFTER_MS);
+  return mayHaveRun('connectionLost', error.message);
+};
+
+/** Runs reads on an endpoint that is as fresh as the session and the profile ask. */
+const createReadExecutor = (options: ReadExecutorOptions) => {
+  const { vm, nowMs } = options;
+  const failures = createRecentFailures(AVOID_MS, nowMs);
+  const tracker = createFreshnessTracker(options.held);
+  const planner = createReadPlanner({ ...options, tracker, avoided: failures.names });
 
   const run = async (
     holder: GroupHolder,
     request: StatementRequest,
-    member: string,
-    term: number,
+    { member, term }: ReadPlan,
   ): Promise<QueryResult> => {
     const pooled = await holder.acquire(member, request.account, request.deadlineAtMs);
     try {
       const sql = `/*term=${term}*/${request.sql}`;
       const timeoutMs = request.deadlineAtMs - nowMs();
       return await pooled.connection.query(sql, request.parameters, timeoutMs);
-    } catch (error) {
-      if (!(error instanceof EndpointError)) throw error;
-      if (error.kind === 'statementFailed') throw notRun('statementFailed', error.message);
-      if (error.kind === 'notSent') throw notRun('noConnection', error.message);
-      throw mayHaveRun('connectionLost', error.message);
     } finally {
       pooled.release();
     }
   };
 
+  const runOrAvoid = async (
+    holder: GroupHolder,
+    request: StatementRequest,
+    plan: ReadPlan,
+  ): Promise<QueryResult> => {
+    try {
+      return await run(holder, request, plan);
+    } catch (error) {
+      if (!(error instanceof EndpointError)) {
+        if (toRefusal(error).code === 'noConnection') failures.add(plan.member);
+        throw error;
+      }
+      if (error.kind !== 'statementFailed') failures.add(plan.member);
+      throw toRefusalError(error);
+    }
+  };
+
+  /** Waits until a majority has answered, since the read was sent, without a later fence. */
+  const confirmPrimary = async (
+    holder: GroupHolder,
+    request: StatementRequest,
+    sentAtMs: number,
+  ): Promise<void> => {
+    while (nowMs() < request.deadlineAtMs) {
+      const confirmedAtMs = tracker.observe(holder).at(-1)?.askedAtMs;
+      if (confirmedAtMs !== undefined && confirmedAtMs >= sentAtMs) return;
+      await Promise.race([holder.poll(), sleep(CONFIRM_STEP_MS)]);
+    }
+    throw mayHaveRun('noFreshEndpoint', 'no majority confirmed the primary in time');
+  };
+
+  const attempt = async (
+    holder: GroupHolder,
+    request: StatementRequest,
+    plan: ReadPlan,
+  ): Promise<QueryResult | undefined> => {
+    const sentAtMs = nowMs();
+    const rows = await runOrAvoid(holder, request, plan);
+    if (plan.isConfirmed) {
+      await confirmPrimary(holder, request, sentAtMs);
+      if (holder.record()?.term !== plan.term) return undefined;
+    }
+    const isTooOld = plan.freshUntilMs !== undefined && nowMs() > plan.freshUntilMs;
+    return isTooOld ? undefined : rows;
+  };
+
   return {
     /** @throws RefusalError */
     execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
-      const record = holder.record();
-      if (!record) throw notRun('noPrimary', `group ${holder.name} has no term yet`);
-      const member = choose(holder, request, record);
-      const rows = await run(holder, request, member, record.term);
-      const role = member === record.primary ? 'primary' : 'replica';
-      return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint: member, role } };
+      let plan = await planner.plan(holder, request, false);
+      let rows = await attempt(holder, request, plan);
+      if (!rows) {
+        // The answer took too long to vouch for its age: the primary is always young enough.
+        plan = await planner.plan(holder, request, true);
+        rows = await attempt(holder, request, plan);
+      }
+      if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
+      const { member: endpoint, role } = plan;
+      return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
     },
+    close: tracker.close,
   };
 };
 
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -27,6 +27,12 @@
       maxTimeoutMs: z.number().int().min(1).max(600_000).default(30_000),
     })
     .default({ maxStatementBytes: 1_048_576, maxTimeoutMs: 30_000 }),
+  reads: z
+    .strictObject({
+      /** How long a read waits for a replica to catch up before it loads the primary. */
+      catchUpWaitMs: z.number().int().min(0).max(10_000).default(20),
+    })
+    .default({ catchUpWaitMs: 20 }),
 });
 
 export default settingsSchema;
--- a/packages/coordination/src/routing/isFreshForToken.ts
+++ b/packages/coordination/src/routing/isFreshForToken.ts
@@ -1,31 +1,25 @@
 import type MemberStatus from '../acknowledgement/memberStatus';
 import type TermRecord from '../configuration/termRecord';
-
-interface TokenEntry {
-  term: number;
-  position: number;
-}
-
-const requiredPosition = (entry: TokenEntry, record: TermRecord): number => {
-  const next = record.history.find(({ term }) => term > entry.term);
-  return next ? Math.min(entry.position, next.startPosition) : entry.position;
-};
+import type SessionToken from '../session/sessionToken';
+import earliestLaterStart from './earliestLaterStart';
+import isInHistory from './isInHistory';
+import servingTerm from './servingTerm';
 
 /**
  * Whether a member has applied all that a session wrote. A position of an earlier
- * term is bounded by the start of the term that followed it: what lies beyond was
+ * term is bounded by the start of the terms that followed it: what lies beyond was
  * never acknowledged.
  */
 const isFreshForToken = (
   status: MemberStatus,
-  entry: TokenEntry | undefined,
+  entry: SessionToken[string] | undefined,
   record: TermRecord,
 ): boolean => {
-  if (status.logTerm > record.term) return false;
+  if (!isInHistory(status, record)) return false;
   if (!entry) return true;
-  if (entry.term > record.term) return false;
-  if (status.logTerm < entry.term) return false;
-  return status.position >= requiredPosition(entry, record);
+  if (entry.term > servingTerm(record)) return false;
+  const required = Math.min(entry.position, earliestLaterStart(entry.term, record));
+  return status.position >= required;
 };
 
 export default isFreshForToken;
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -10,8 +10,9 @@
 } from './generated/auburngrade/vm/v1/vm';
 
 const CHANNEL_OPTIONS = {
-  'grpc.keepalive_time_ms': 5_000,
-  'grpc.keepalive_timeout_ms': 2_000,
+  // Pings go out only while calls are open: a silent link fails them within two seconds.
+  'grpc.keepalive_time_ms': 1_000,
+  'grpc.keepalive_timeout_ms': 1_000,
   'grpc.max_reconnect_backoff_ms': 1_000,
 };
 
