feat: spread configuration through relays; resolve lost answers of operators' changes

Cause: every VM watched the platform itself, an older store answer could bring a deleted key back, and a lost compare-and-swap answer was reported as mayHaveRun. Ruled out: accepting changes below the known revision to repair a gap (the property found a deleted key coming back by it).

Two relays a data centre, chosen by rendezvous hashing, watch the platform; the others follow in a tree with a fan-out of 8 over a two-way Follow stream, whose pings date each confirmation by the receiver's clock. A fresh VM asks its peers first. A stored document carries the ids of its latest changes. Test ports are taken below the range of outgoing connections: EADDRINUSE was seen while other runs shared the machine.

--- a/packages/auburngrade/src/configuration/createPlatformFollower.ts
+++ b/packages/auburngrade/src/configuration/createPlatformFollower.ts
@@ -2,81 +2,151 @@
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 
+interface PlatformFollowerOptions {
+  platform: Platform;
+  state: ConfigurationState;
+  timeoutMs: number;
+  /** Whether this VM is to watch the platform itself. */
+  isNeeded(): boolean;
+  nowMs(): number;
+  logger: Logger;
+}
+
 const PREFIXES = ['/auburngrade/', '/platform/vms/'];
-const RETRY_DELAY_MS = 300;
+/** A prefix without keys: reading it gives the platform's present revision. */
+const PROBE_PREFIX = '/auburngrade-revision/';
+const PROBE_INTERVAL_MS = 1_000;
+/** A watch that stays behind the platform's revision for longer is replaced. */
+const WATCH_LAG_TIMEOUT_MS = 2_000;
+const IDLE_DELAY_MS = 100;
+const FIRST_RETRY_DELAY_MS = 200;
+const MAX_RETRY_DELAY_MS = 2_000;
+
+const sleep = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
 
 /** Keeps a configuration state up to date from the platform: a read, then a watch, again after each end. */
-const createPlatformFollower = (
-  platform: Platform,
-  state: ConfigurationState,
-  timeoutMs: number,
-  logger: Logger,
-) => {
-  const stops = new Set<() => void>();
+const createPlatformFollower = (options: PlatformFollowerOptions) => {
+  const { platform, state, timeoutMs, nowMs, logger } = options;
   let isStopped = false;
+  let endCurrent = (): void => {};
   let confirmedAtMs = Number.NEGATIVE_INFINITY;
+  let reachedAtMs = Number.NEGATIVE_INFINITY;
+  let retryDelayMs = FIRST_RETRY_DELAY_MS;
+  let probes: { askedAtMs: number; revision: number }[] = [];
+
+  const reached = (): void => {
+    reachedAtMs = nowMs();
+    retryDelayMs = FIRST_RETRY_DELAY_MS;
+  };
 
-  const confirm = (): void => {
-    confirmedAtMs = performance.now();
+  /** A probe confirms the state as of its asking once every change up to its revision is known. */
+  const confirmProbes = (): void => {
+    const known = probes.filter(({ revision }) => revision <= state.revision());
+    probes = probes.filter(({ revision }) => revision > state.revision());
+    confirmedAtMs = Math.max(confirmedAtMs, ...known.map(({ askedAtMs }) => askedAtMs));
   };
 
   const readAll = async (): Promise<number> => {
+    const askedAtMs = nowMs();
     const ranges = await Promise.all(PREFIXES.map((prefix) => platform.range(prefix, timeoutMs)));
+    reached();
     const revision = Math.min(...ranges.map((range) => range.revision));
-    state.applySnapshot(
-      revision,
-      ranges.flatMap((range) => range.entries),
-    );
-    return revision;
+    const entries = ranges.flatMap((range) => range.entries);
+    if (revision < state.revision()) {
+      logger.warn('platform.wentBack', { revision, knownRevision: state.revision() });
+    }
+    state.applySnapshot(revision, entries);
+    probes = [{ askedAtMs, revision: Math.max(...ranges.map((range) => range.revision)) }];
+    if (revision >= state.revision()) confirmProbes();
+    return Math.max(revision, state.revision());
+  };
+
+  const probe = async (): Promise<void> => {
+    const askedAtMs = nowMs();
+    const { revision } = await platform.range(PROBE_PREFIX, timeoutMs);
+    reached();
+    if (revision < state.revision()) throw new Error(`platform went back to revision ${revision}`);
+    probes.push({ askedAtMs, revision });
+    confirmProbes();
+    const [oldest] = probes;
+    if (oldest && nowMs() - oldest.askedAtMs > WATCH_LAG_TIMEOUT_MS) {
+      throw new Error('the watch is behind the platform');
+    }
   };
 
-  const watchOnce = (prefix: string, fromRevision: number): Promise<string> =>
+  /** Follows both prefixes; the state is complete up to the lower of their revisions. */
+  const watchAll = (fromRevision: number): Promise<string> =>
     new Promise((resolve) => {
-      const stop = platform.watch(prefix, fromRevision, {
-        onChanges: (revision, entries) => {
-          state.applyChanges(revision, entries);
-          confirm();
-        },
-        onProgress: confirm,
-        onEnd: (reason) => {
-          stops.delete(stop);
-          resolve(reason);
-        },
+      const revisions = new Map(PREFIXES.map((prefix) => [prefix, fromRevision]));
+      const stops: (() => void)[] = [];
+      let timer: NodeJS.Timeout | undefined;
+
+      const end = (reason: string): void => {
+        clearTimeout(timer);
+        stops.forEach((stop) => stop());
+        resolve(reason);
+      };
+      const advance = (prefix: string, revision: number): number => {
+        revisions.set(prefix, Math.max(revision, revisions.get(prefix) ?? 0));
+        return Math.min(...revisions.values());
+      };
+      const probeLater = (): void => {
+        timer = setTimeout(() => {
+          if (!options.isNeeded()) end('no longer a relay');
+          else probe().then(probeLater, (error: Error) => end(error.message));
+        }, PROBE_INTERVAL_MS);
+      };
+
+      endCurrent = () => end('stopped');
+      PREFIXES.forEach((prefix) => {
+        const stop = platform.watch(prefix, fromRevision, {
+          onChanges: (revision, entries) => {
+            state.applyChanges(advance(prefix, revision), entries);
+            confirmProbes();
+          },
+          onProgress: (revision) => {
+            state.applyChanges(advance(prefix, revision), []);
+            confirmProbes();
+          },
+          onEnd: end,
+        });
+        stops.push(stop);
       });
-      stops.add(stop);
+      probeLater();
     });
 
   const followOnce = async (): Promise<void> => {
-    const revision = await readAll();
-    confirm();
-    const reason = await Promise.race(PREFIXES.map((prefix) => watchOnce(prefix, revision)));
-    stops.forEach((stop) => stop());
-    stops.clear();
-    logger.warn('platform.watchEnded', { reason });
+    const reason = await watchAll(await readAll());
+    logger.info('platform.watchEnded', { reason });
+    if (!isStopped) platform.reconnect();
   };
 
   const run = async (): Promise<void> => {
     while (!isStopped) {
-      await followOnce().catch((error: Error) => {
-        logger.warn('platform.unavailable', { message: error.message });
-      });
-      await new Promise((resolve) => {
-        setTimeout(resolve, RETRY_DELAY_MS);
-      });
+      if (options.isNeeded()) {
+        await followOnce().catch((error: Error) => {
+          logger.warn('platform.unavailable', { message: error.message });
+        });
+        retryDelayMs = Math.min(retryDelayMs * 2, MAX_RETRY_DELAY_MS);
+        await sleep(retryDelayMs * (0.5 + Math.random() / 2));
+      } else await sleep(IDLE_DELAY_MS);
     }
   };
 
   return {
     start: (): void => {
-      run().catch((error: Error) =>
-        logger.error('platform.followerFailed', { message: error.message }),
-      );
+      run();
     },
-    /** Monotonic time at which the platform last confirmed the known revision. */
+    /** Monotonic time at which the platform confirmed the known revision. */
     confirmedAtMs: () => confirmedAtMs,
+    /** Monotonic time of the last answer of the platform. */
+    reachedAtMs: () => reachedAtMs,
     stop: (): void => {
       isStopped = true;
-      stops.forEach((stop) => stop());
+      endCurrent();
     },
   };
 };
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -9,7 +9,8 @@
 import { addPeerServices } from '@auburngrade/vm';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
-import createPlatformFollower from '../configuration/createPlatformFollower';
+import createConfigurationSpread from '../configuration/createConfigurationSpread';
+import createDocumentWriter from '../configuration/createDocumentWriter';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
 import createGroupRegistry from '../groups/createGroupRegistry';
@@ -35,8 +36,17 @@
   const configuration = createConfigurationState();
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
-  const follower = createPlatformFollower(platform, configuration, timeoutMs, logger);
   const addresses = createAddressBook(settings);
+  const follower = createConfigurationSpread({
+    settings,
+    platform,
+    configuration,
+    addresses,
+    outageAgeMs: () => -1,
+    onOutage: () => {},
+    nowMs,
+    logger,
+  });
   const membership = createMembership(configuration);
   const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
@@ -64,14 +74,15 @@
     nowMs,
   });
   const operatorHandler = createOperatorHandler({
-    platform,
     configuration,
-    timeoutMs,
+    writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
+    announceWithdrawal: async () => '',
     describe: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
+      configuration: follower.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -81,6 +92,7 @@
     incarnation: Date.now(),
     executeLocally,
     messageHandlers: new Map(),
+    openFollowSession: follower.openFollowSession,
     nowMs,
   });
 
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -1,6 +1,8 @@
 import { createHash, randomBytes } from 'node:crypto';
 import {
   documentKinds,
+  nameSchema,
+  toRefusal,
   type ConfigurationState,
   type DocumentKind,
 } from '@auburngrade/coordination';
@@ -16,53 +18,82 @@
   type StatusReply,
   type WithdrawKeyRequest,
 } from '@auburngrade/operator';
-import type { Platform } from '@auburngrade/platform';
+import type createDocumentWriter from '../configuration/createDocumentWriter';
+import refusedChange from '../configuration/refusedChange';
+import unknownReferences from '../configuration/unknownReferences';
 
 interface OperatorHandlerOptions {
-  platform: Platform;
   configuration: ConfigurationState;
-  timeoutMs: number;
+  writer: ReturnType<typeof createDocumentWriter>;
+  /** Makes a confirmed withdrawal known; resolves with what is to be told about when it is in force. */
+  announceWithdrawal(): Promise<string>;
   /** Describes this VM's state for `status`. */
   describe(): Record<string, unknown>;
 }
 
 const KEY_BYTES = 32;
 const KEY_ID_CHARS = 16;
-const ANY_REVISION = -1;
-
-const refused = (code: string, message: string): Change => ({
-  verdict: 'notRun',
-  revision: 0,
-  refusalCode: code,
-  message,
-});
+const KEY_ID = /^[0-9a-f]{16,64}$/;
+const MAX_CHANGE_ID_CHARS = 64;
 
 const isKind = (kind: string): kind is DocumentKind => Object.hasOwn(documentKinds, kind);
 
+const isWritable = (kind: string): kind is DocumentKind =>
+  isKind(kind) && documentKinds[kind].writable;
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+/** Turns a refusal that was thrown into the reply. */
+const toChange = async (run: () => Promise<Change>): Promise<Change> => {
+  try {
+    return await run();
+  } catch (error) {
+    const { verdict, code, message } = toRefusal(error);
+    return { ...refusedChange(code, message), verdict };
+  }
+};
+
 class DaemonOperatorHandler extends OperatorHandler {
   constructor(private readonly options: OperatorHandlerOptions) {
     super();
   }
 
-  override async put({ kind, name, bodyJson, expectedRevision }: PutDocument): Promise<Change> {
-    if (!isKind(kind) || !documentKinds[kind].writable) {
-      return refused('badRequest', `no documents of kind ${kind}`);
+  override async put(request: PutDocument): Promise<Change> {
+    const { kind, name, bodyJson, expectedRevision, changeId } = request;
+    if (!isWritable(kind)) return refusedChange('badRequest', `no documents of kind ${kind}`);
+    if (!nameSchema.safeParse(name).success || changeId.length > MAX_CHANGE_ID_CHARS) {
+      return refusedChange('badRequest', 'the name or the change id is malformed');
     }
-    const parsed = documentKinds[kind].schema.safeParse(JSON.parse(bodyJson));
+    const parsed = documentKinds[kind].schema.safeParse(parseJson(bodyJson));
     if (!parsed.success) {
       const problems = parsed.error.issues.map(
-        ({ path, message }) => `${path.join('.')}: ${message}`,
+        ({ path, message }) => `${path.join('.') || '(document)'}: ${message}`,
       );
-      return refused('badRequest', problems.join('; '));
+      return refusedChange('badRequest', problems.join('; '));
     }
-    return this.write(kind, name, JSON.stringify(parsed.data), expectedRevision);
+    const document = parsed.data;
+    const { configuration, writer } = this.options;
+    const change = await toChange(() =>
+      writer.write({ kind, name, document, expectedRevision, changeId }),
+    );
+    const missing = unknownReferences(configuration, kind, document);
+    if (change.verdict !== 'ran' || missing.length === 0) return change;
+    return { ...change, message: `not known yet: ${missing.join(', ')}` };
   }
 
-  override async delete({ kind, name, expectedRevision }: DeleteDocument): Promise<Change> {
-    if (!isKind(kind) || !documentKinds[kind].writable) {
-      return refused('badRequest', `no documents of kind ${kind}`);
-    }
-    return this.write(kind, name, undefined, expectedRevision);
+  override async delete(request: DeleteDocument): Promise<Change> {
+    const { kind, name, expectedRevision, changeId } = request;
+    if (!isWritable(kind)) return refusedChange('badRequest', `no documents of kind ${kind}`);
+    const { writer } = this.options;
+    return toChange(() =>
+      writer.write({ kind, name, document: undefined, expectedRevision, changeId }),
+    );
   }
 
   override async list({ kind }: ListDocuments): Promise<DocumentList> {
@@ -78,49 +109,45 @@
     return { revision: configuration.revision(), documents };
   }
 
-  override async issueKey({ account }: IssueKeyRequest): Promise<IssueKeyReply> {
+  override async issueKey({ account, changeId }: IssueKeyRequest): Promise<IssueKeyReply> {
     const key = randomBytes(KEY_BYTES).toString('base64url');
-    const hash = createHash('sha256').update(key).digest('hex');
-    const change = await this.write('key', hash, JSON.stringify({ account, withdrawn: false }), 0);
-    return { change, key, keyId: hash.slice(0, KEY_ID_CHARS) };
+    const name = createHash('sha256').update(key).digest('hex');
+    const { writer } = this.options;
+    const change = await toChange(async () => {
+      if (!(await writer.read('account', account))) {
+        return refusedChange('badRequest', `no client account ${account}`);
+      }
+      const document = { account, withdrawn: false };
+      return writer.write({ kind: 'key', name, document, expectedRevision: 0, changeId });
+    });
+    const isIssued = change.verdict !== 'notRun';
+    return {
+      change,
+      key: isIssued ? key : '',
+      keyId: isIssued ? name.slice(0, KEY_ID_CHARS) : '',
+    };
   }
 
-  override async withdrawKey({ keyId }: WithdrawKeyRequest): Promise<Change> {
-    const { configuration } = this.options;
-    const found = [...configuration.list('key')].find(([hash]) => hash.startsWith(keyId));
-    if (!found) return refused('badRequest', `no key ${keyId}`);
-    const [hash, document] = found;
-    return this.write('key', hash, JSON.stringify({ ...document, withdrawn: true }), ANY_REVISION);
+  override async withdrawKey({ keyId, changeId }: WithdrawKeyRequest): Promise<Change> {
+    if (!KEY_ID.test(keyId)) return refusedChange('badRequest', 'the key id is malformed');
+    const { writer, announceWithdrawal } = this.options;
+    const change = await toChange(async () => {
+      const { hash, document, revision } = await writer.findKey(keyId);
+      return writer.write({
+        kind: 'key',
+        name: hash,
+        document: { ...(document as Record<string, unknown>), withdrawn: true },
+        expectedRevision: revision,
+        changeId,
+      });
+    });
+    if (change.verdict !== 'ran') return change;
+    return { ...change, message: await announceWithdrawal() };
   }
 
   override async status(): Promise<StatusReply> {
     return { bodyJson: JSON.stringify(this.options.describe()) };
   }
-
-  private async write(
-    kind: DocumentKind,
-    name: string,
-    valueJson: string | undefined,
-    expected: number,
-  ): Promise<Change> {
-    const { configuration, platform, timeoutMs } = this.options;
-    const expectedRevision =
-      expected === ANY_REVISION ? (configuration.revisionOf(kind, name) ?? 0) : expected;
-    const key = documentKinds[kind].prefix + name;
-    const outcome = await platform.compareAndSwap(
-      [{ key, valueJson, expectedRevision }],
-      timeoutMs,
-    );
-    if (outcome.kind === 'applied') {
-      return { verdict: 'ran', revision: outcome.revision, refusalCode: '', message: '' };
-    }
-    if (outcome.kind === 'conflict') {
-      const current = outcome.current[0]?.modRevision ?? 0;
-      return { ...refused('conflict', `document is at revision ${current}`), revision: current };
-    }
-    const verdict = outcome.kind === 'unknown' ? 'mayHaveRun' : 'notRun';
-    return { ...refused('platformUnavailable', outcome.message), verdict };
-  }
 }
 
 /** Creates what the VM does for operators. */
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -6,6 +6,8 @@
 } from '@auburngrade/coordination';
 import {
   PeerHandler,
+  type ConfigurationUpdate,
+  type FollowSession,
   type ForwardedOutcome,
   type ForwardedStatement,
   type PeerMessage,
@@ -19,6 +21,8 @@
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
   /** Handlers of messages between VMs by their registered kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
+  /** Serves configuration to another VM. */
+  openFollowSession(send: (update: ConfigurationUpdate) => void): FollowSession;
   nowMs(): number;
 }
 
@@ -47,8 +51,8 @@
     }
   }
 
-  override follow(): () => void {
-    return () => {};
+  override follow(send: (update: ConfigurationUpdate) => void): FollowSession {
+    return this.options.openFollowSession(send);
   }
 
   override async exchange(message: PeerMessage): Promise<PeerMessage> {
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -16,6 +16,11 @@
     address: z.string().min(1),
     timeoutMs: z.number().int().min(10).max(60_000).default(1_000),
   }),
+  /** VMs (`host:vmPort`) that a fresh VM asks for configuration first. */
+  peers: z
+    .array(z.string().regex(/^.+:\d+$/, 'host:port'))
+    .max(64)
+    .default([]),
   /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
   addresses: z.record(z.string(), z.string()).default({}),
   log: z
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -1,3 +1,4 @@
+import type ConfigurationDifference from './configurationDifference';
 import type ConfigurationEntry from './configurationEntry';
 import type DocumentKind from './documentKind';
 import type DocumentOf from './documentOf';
@@ -8,12 +9,14 @@
   revision(): number;
   /** Applies changes that are complete up to `revision`; older ones are ignored. */
   applyChanges(revision: number, entries: readonly ConfigurationEntry[]): void;
-  /** Replaces the whole state when `revision` is not older than the known one. */
+  /** Replaces the whole state unless `revision` is older than the known one; no key goes back. */
   applySnapshot(revision: number, entries: readonly ConfigurationEntry[]): void;
   get<Kind extends DocumentKind>(kind: Kind, name: string): DocumentOf<Kind> | undefined;
   revisionOf(kind: DocumentKind, name: string): number | undefined;
   list<Kind extends DocumentKind>(kind: Kind): Map<string, DocumentOf<Kind>>;
   entries(): ConfigurationEntry[];
+  /** What someone who knows every change up to `revision` lacks. */
+  since(revision: number): ConfigurationDifference;
   /** Calls the listener after each change; returns the function that removes it. */
   onChange(listener: (changed: readonly ConfigurationEntry[]) => void): () => void;
 }
--- a/packages/platform/src/createEtcdPlatform.ts
+++ b/packages/platform/src/createEtcdPlatform.ts
@@ -13,6 +13,7 @@
   Compare_CompareTarget,
   KVClient,
   RangeRequest,
+  type RangeResponse,
   RequestOp,
   WatchClient,
   WatchRequest,
@@ -29,6 +30,15 @@
 /** Statuses after which a write certainly had no effect. */
 const NOT_SENT_STATUSES = new Set([status.INVALID_ARGUMENT, status.UNIMPLEMENTED]);
 
+const KEYS_PER_PAGE = 500;
+
+/** A client's connections are its own, so that silent ones are left with it. */
+const CHANNEL_OPTIONS = {
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.max_receive_message_length': 67_108_864,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+};
+
 const toCompare = (put: ConditionalPut): Compare =>
   Compare.fromPartial({
     result: Compare_CompareResult.EQUAL,
@@ -76,34 +86,42 @@
 });
 
 class EtcdPlatform extends Platform {
-  private readonly kv: KVClient;
+  private kv: KVClient;
 
-  private readonly watcher: WatchClient;
+  private watcher: WatchClient;
 
-  constructor(address: string, channelCredentials: ChannelCredentials) {
+  constructor(
+    private readonly address: string,
+    private readonly channelCredentials: ChannelCredentials,
+  ) {
     super();
-    this.kv = new KVClient(address, channelCredentials);
-    this.watcher = new WatchClient(address, channelCredentials);
+    this.kv = new KVClient(address, channelCredentials, CHANNEL_OPTIONS);
+    this.watcher = new WatchClient(address, channelCredentials, CHANNEL_OPTIONS);
   }
 
-  override range(prefix: string, timeoutMs: number): Promise<RangeOutcome> {
-    const request = RangeRequest.fromPartial({
-      key: Buffer.from(prefix),
-      rangeEnd: prefixEnd(prefix),
-    });
+  override async range(prefix: string, timeoutMs: number): Promise<RangeOutcome> {
+    const deadline = Date.now() + timeoutMs;
+    const rangeEnd = prefixEnd(prefix);
+    const entries: ConfigurationEntry[] = [];
+    let key: Buffer = Buffer.from(prefix);
+    let revision = 0;
+    for (;;) {
+      const request = RangeRequest.fromPartial({ key, rangeEnd, revision, limit: KEYS_PER_PAGE });
+      const page = await this.rangePage(request, deadline);
+      revision ||= page.header?.revision ?? 0;
+      entries.push(...page.kvs.map(toEntry));
+      const last = page.kvs.at(-1);
+      if (!page.more || !last) return { revision, entries };
+      key = Buffer.concat([last.key, Buffer.from([0])]);
+    }
+  }
+
+  private rangePage(request: RangeRequest, deadline: number): Promise<RangeResponse> {
     return new Promise((resolve, reject) => {
-      this.kv.range(
-        request,
-        new Metadata(),
-        { deadline: Date.now() + timeoutMs },
-        (error, response) => {
-          if (error) {
-            reject(notRun('platformUnavailable', error.details));
-            return;
-          }
-          resolve({ revision: response.header?.revision ?? 0, entries: response.kvs.map(toEntry) });
-        },
-      );
+      this.kv.range(request, new Metadata(), { deadline }, (error, response) => {
+        if (error) reject(notRun('platformUnavailable', error.details));
+        else resolve(response);
+      });
     });
   }
 
@@ -161,6 +179,12 @@
     };
   }
 
+  override reconnect(): void {
+    this.close();
+    this.kv = new KVClient(this.address, this.channelCredentials, CHANNEL_OPTIONS);
+    this.watcher = new WatchClient(this.address, this.channelCredentials, CHANNEL_OPTIONS);
+  }
+
   override close(): void {
     this.kv.close();
     this.watcher.close();
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -14,6 +14,9 @@
   /** Follows changes below the prefix after `fromRevision`; returns the function that ends it. */
   abstract watch(prefix: string, fromRevision: number, listener: WatchListener): () => void;
 
+  /** Replaces connections that no longer answer; open watches end. */
+  reconnect(): void {}
+
   abstract close(): void;
 }
 
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -107,6 +107,11 @@
       dataCentre,
       platformAddress,
       settings: {
+        peers: names
+          .filter(
+            (name, index) => names.findIndex((n) => n.dataCentre === name.dataCentre) === index,
+          )
+          .map((name) => `${HOST}:${vmPorts.get(name.vm)?.vmPort}`),
         ...(options.hasFaultLinks ? { addresses: previous } : {}),
         ...options.vmSettings,
       },
--- a/packages/testkit/src/fleet/startPlatform.ts
+++ b/packages/testkit/src/fleet/startPlatform.ts
@@ -2,7 +2,7 @@
 import startProcess from '../process/startProcess';
 import programPath from './programPath';
 
-type Fault = 'isDown' | 'delayMs' | 'loseAnswers';
+type Fault = 'isDown' | 'delayMs' | 'loseAnswers' | 'loseWriteAnswers';
 
 /** Starts the platform's stand-in as a process. */
 const startPlatform = async () => {
--- a/packages/testkit/src/platformStandIn/main.ts
+++ b/packages/testkit/src/platformStandIn/main.ts
@@ -25,8 +25,8 @@
 const store = createStore();
 const PROGRESS_INTERVAL_MS = 500;
 const MS_PER_S = 1000;
-/** `isDown` refuses calls; `loseAnswers` takes effect and then reports an error. */
-const faults = { isDown: 0, delayMs: settings.delayMs, loseAnswers: 0 };
+/** `isDown` refuses calls; `loseAnswers` and `loseWriteAnswers` take effect and then report an error. */
+const faults = { isDown: 0, delayMs: settings.delayMs, loseAnswers: 0, loseWriteAnswers: 0 };
 const counts = { range: 0, txn: 0, watch: 0, lease: 0, watchesOpen: 0 };
 const watches = new Set<ServerDuplexStream<WatchRequest, WatchResponse>>();
 const leases = new Map<number, NodeJS.Timeout>();
@@ -49,7 +49,8 @@
       return;
     }
     const reply = run();
-    if (faults.loseAnswers) callback({ code: status.UNAVAILABLE, details: 'answer lost' });
+    const isLost = faults.loseAnswers || (kind === 'txn' && faults.loseWriteAnswers);
+    if (isLost) callback({ code: status.UNAVAILABLE, details: 'answer lost' });
     else callback(null, reply);
   });
 };
--- a/packages/testkit/src/process/freePort.ts
+++ b/packages/testkit/src/process/freePort.ts
@@ -1,23 +1,29 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+
+/** Below the range from which the system takes the ports of outgoing connections. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
 
 const given = new Set<number>();
 
-/** Finds a TCP port of the loopback address that nothing listens on. */
-const freePort = (): Promise<number> =>
-  new Promise((resolve, reject) => {
+const isFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
     const server = createServer();
-    server.on('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => {
-        if (given.has(port)) {
-          freePort().then(resolve, reject);
-          return;
-        }
-        given.add(port);
-        resolve(port);
-      });
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
     });
   });
 
+/** Finds a TCP port of the loopback address that nothing listens on and no connection is given. */
+const freePort = async (): Promise<number> => {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (!given.has(port) && (await isFree(port))) {
+      given.add(port);
+      return port;
+    }
+  }
+};
+
 export default freePort;
--- a/packages/vm/src/addPeerServices.ts
+++ b/packages/vm/src/addPeerServices.ts
@@ -4,11 +4,15 @@
   ForwardService,
   PeerService,
   type ConfigurationServer,
+  type FollowRequest,
   type ForwardServer,
   type PeerServer,
 } from './generated/auburngrade/vm/v1/vm';
 import type PeerHandler from './peerHandler';
 
+/** Updates that wait for a slow follower before its stream is ended; it asks again from its revision. */
+const MAX_UNSENT_UPDATES = 1_000;
+
 /** Registers the services that VMs offer each other. */
 const addPeerServices = (server: Server, handler: PeerHandler): void => {
   const forward: ForwardServer = {
@@ -18,10 +22,13 @@
   };
   const configuration: ConfigurationServer = {
     follow: (stream) => {
-      const stop = handler.follow(stream.request, (update) => stream.write(update));
-      stream.on('cancelled', stop);
-      stream.on('error', stop);
-      stream.on('close', stop);
+      const session = handler.follow((update) => {
+        if (stream.writableLength > MAX_UNSENT_UPDATES) stream.destroy();
+        else stream.write(update);
+      });
+      stream.on('data', (request: FollowRequest) => session.onRequest(request));
+      stream.on('end', () => stream.end());
+      ['cancelled', 'error', 'close'].forEach((event) => stream.on(event, session.close));
     },
   };
   const peer: PeerServer = {
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -1,9 +1,7 @@
 import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
 import {
-  ConfigurationClient,
   ForwardClient,
   PeerClient,
-  type ConfigurationUpdate,
   type ForwardedOutcome,
   type ForwardedStatement,
   type PeerMessage,
@@ -21,7 +19,6 @@
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
 ) => {
   const forward = new ForwardClient(address, channelCredentials, CHANNEL_OPTIONS);
-  const configuration = new ConfigurationClient(address, channelCredentials, CHANNEL_OPTIONS);
   const peer = new PeerClient(address, channelCredentials, CHANNEL_OPTIONS);
   return {
     execute: (statement: ForwardedStatement): Promise<ForwardedOutcome> =>
@@ -44,19 +41,7 @@
           },
         );
       }),
-    follow: (
-      vm: string,
-      fromRevision: number,
-      onUpdate: (update: ConfigurationUpdate) => void,
-      onEnd: (reason: string) => void,
-    ): (() => void) => {
-      const stream = configuration.follow({ vm, fromRevision });
-      stream.on('data', onUpdate);
-      stream.on('error', (error) => onEnd(error.message));
-      stream.on('end', () => onEnd('stream ended'));
-      return () => stream.cancel();
-    },
-    close: (): void => [forward, configuration, peer].forEach((client) => client.close()),
+    close: (): void => [forward, peer].forEach((client) => client.close()),
   };
 };
 
--- a/packages/vm/src/index.ts
+++ b/packages/vm/src/index.ts
@@ -1,5 +1,7 @@
 export { default as PeerHandler } from './peerHandler';
 export { default as addPeerServices } from './addPeerServices';
 export { default as createPeerClient } from './createPeerClient';
+export { default as createFollowClient } from './createFollowClient';
+export type { default as FollowSession } from './followSession';
 export type { default as RemoteVm } from './remoteVm';
 export * from './generated/auburngrade/vm/v1/vm';
--- a/packages/vm/src/peerHandler.ts
+++ b/packages/vm/src/peerHandler.ts
@@ -1,18 +1,18 @@
 import type {
   ConfigurationUpdate,
-  FollowRequest,
   ForwardedOutcome,
   ForwardedStatement,
   PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
+import type FollowSession from './followSession';
 
 /** What a VM does for other VMs. */
 abstract class PeerHandler {
   /** Runs a statement that another VM admitted; never rejects. */
   abstract execute(statement: ForwardedStatement): Promise<ForwardedOutcome>;
 
-  /** Sends configuration updates until the returned function is called. */
-  abstract follow(request: FollowRequest, send: (update: ConfigurationUpdate) => void): () => void;
+  /** Serves configuration to one VM until its session is closed. */
+  abstract follow(send: (update: ConfigurationUpdate) => void): FollowSession;
 
   /** Answers one message of a registered kind. */
   abstract exchange(message: PeerMessage): Promise<PeerMessage>;
