--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -92,7 +92,11 @@
       expect(run('account', 'delete', 'ranch', '-a', address).status).to.equal(exitCodes.ok);
     });
 
-    it('issues, lists and withdraws a key', async () => {
+    it('issues, lists and withdraws a key, for a known client account only', async () => {
+      const stranger = run('key', 'issue', 'stranger', '-a', address, '--json');
+      expect(stranger.status).to.equal(exitCodes.refused);
+      const body = JSON.stringify({ limit: { ratePerS: 10, burst: 10 } });
+      expect(run('account', 'put', 'ranch', '-a', address, '-b', body).status).to.equal(0);
       const issued = JSON.parse(
         run('key', 'issue', 'ranch', '-a', address, '--json').stdout,
       ) as Record<'key' | 'keyId', string>;
