feat: interactive transactions over streams, on this VM or forwarded; drain on shutdown

Change: Forward.Transact, numbered steps matched by number, key checked again at each step and on key changes, request id recorded in the transaction, session control refused, work tracker and leaving notices for shutdown. Red first: a commit after the holder's death was reported as may have run although it never left (transactions.spec, MAY_HAVE_RUN outcomeUnknown); a step on a lost stream is now known not to be sent. After: transactions.spec 5 passing.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,8 +1,10 @@
 import { ProxyService, createCallerService } from '@auburngrade/caller';
 import {
   createConfigurationState,
+  createWorkTracker,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
@@ -16,6 +18,7 @@
 import createTermKeeper from '../groups/createTermKeeper';
 import createLogger from '../log/createLogger';
 import createMembership from '../membership/createMembership';
+import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
 import createPeerRegistry from '../routing/createPeerRegistry';
 import createPrimaryWaiter from '../routing/createPrimaryWaiter';
@@ -27,8 +30,16 @@
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
 import createAddressBook from '../settings/createAddressBook';
+import createLeavingNotices from '../shutdown/createLeavingNotices';
+import drainWork from '../shutdown/drainWork';
+import stopServer from '../shutdown/stopServer';
+import createKeyWatch from '../transactions/createKeyWatch';
+import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
 
+/** Time for the last answers to leave once all work has ended. */
+const SERVER_GRACE_MS = 500;
+
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
@@ -53,10 +64,26 @@
   const writes = createWriteExecutor(settings.vm, nowMs);
   const peers = createPeerRegistry(configuration, addresses);
 
-  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const work = createWorkTracker();
+  const incarnation = Date.now();
+  const notices = createLeavingNotices({
+    vm: settings.vm,
+    incarnation,
+    membership,
+    peers,
+    nowMs,
+  });
+
+  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    return holder;
+  };
+  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
+
+  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const holder = await holderOf(request);
     const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
@@ -68,8 +95,10 @@
     ...settings,
     membership,
     peers,
-    leaving: () => new Set(),
+    leaving: notices.leaving,
+    markLeaving: notices.add,
     executeLocally,
+    beginLocally: transactions.begin,
     metrics: createRoutingMetrics(metrics.registry),
     nowMs,
   });
@@ -78,6 +107,9 @@
     authenticator: createAuthenticator(configuration),
     admission: createAdmission(configuration, () => membership.live().length, nowMs),
     execute: router.execute,
+    begin: router.begin,
+    enter: work.enter,
+    onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
   });
@@ -96,14 +128,21 @@
   });
   const peerHandler = createPeerHandler({
     vm: settings.vm,
-    incarnation: Date.now(),
+    incarnation,
     executeLocally,
-    messageHandlers: new Map(),
+    beginLocally: transactions.begin,
+    enter: work.enter,
+    messageHandlers: new Map([[notices.kind, notices.receive]]),
     nowMs,
   });
 
   follower.start();
-  const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
+  const http = startHttpServer(
+    settings.host,
+    settings.httpPort,
+    metrics.registry,
+    () => work.phase() === 'serving',
+  );
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
@@ -118,14 +157,13 @@
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
-    await Promise.all(
-      servers.map(
-        (server) =>
-          new Promise<void>((resolve) => {
-            server.tryShutdown(() => resolve());
-          }),
-      ),
-    );
+    await drainWork({
+      tracker: work,
+      timings: settings.shutdown,
+      announce: notices.announce,
+      abortAll: transactions.abortAll,
+    });
+    await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     follower.stop();
     reads.close();
     groups.close();
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -6,6 +6,7 @@
   type RefusalError,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { EndpointError, type QueryResult } from '@auburngrade/endpoint';
 import type GroupHolder from '../groups/groupHolder';
@@ -80,7 +81,7 @@
   /** Waits until a majority has answered, since the read was sent, without a later fence. */
   const confirmPrimary = async (
     holder: GroupHolder,
-    request: StatementRequest,
+    request: Pick<StatementRequest, 'deadlineAtMs'>,
     sentAtMs: number,
   ): Promise<void> => {
     while (nowMs() < request.deadlineAtMs) {
@@ -120,6 +121,24 @@
       const { member: endpoint, role } = plan;
       return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
     },
+    /** The member for a read-only transaction. @throws RefusalError */
+    plan: async (holder: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
+      const freshness = options.configuration.get('profile', request.profile)?.freshness;
+      // A stated age would run out while the transaction is open.
+      return planner.plan(holder, request, freshness?.kind !== 'session');
+    },
+    /** Waits for what has to hold once an answer of a read-only transaction is there. */
+    confirm: async (
+      holder: GroupHolder,
+      request: Pick<StatementRequest, 'deadlineAtMs'>,
+      plan: ReadPlan,
+      sentAtMs: number,
+    ): Promise<void> => {
+      if (!plan.isConfirmed) return;
+      await confirmPrimary(holder, request, sentAtMs);
+      if (holder.record()?.term === plan.term) return;
+      throw notRun('transactionAborted', 'the primary has been replaced');
+    },
     close: tracker.close,
   };
 };
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -7,7 +7,7 @@
   type Profile,
   type ReadState,
   type ReadTarget,
-  type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import type GroupHolder from '../groups/groupHolder';
 import type FreshnessTracker from './freshnessTracker';
@@ -44,7 +44,7 @@
 
   const stateOf = (
     holder: GroupHolder,
-    request: StatementRequest,
+    request: TransactionRequest,
     { freshness, endpoints }: ReadPolicy,
   ): ReadState => {
     const record = holder.record();
@@ -66,7 +66,7 @@
 
   const awaitTarget = async (
     holder: GroupHolder,
-    request: StatementRequest,
+    request: TransactionRequest,
     policy: ReadPolicy,
   ): Promise<{ target: ReadTarget; state: ReadState }> => {
     const startedAtMs = nowMs();
@@ -111,7 +111,7 @@
     /** @throws RefusalError `noFreshEndpoint` or `noPrimary`. */
     plan: async (
       holder: GroupHolder,
-      request: StatementRequest,
+      request: TransactionRequest,
       isPrimaryOnly: boolean,
     ): Promise<ReadPlan> => {
       const profile = configuration.get('profile', request.profile) ?? UNKNOWN_PROFILE;
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -13,9 +13,12 @@
   type Refusal,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { isNeverSent, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
 import type Membership from '../membership/membership';
+import createRemoteTransaction from '../transactions/createRemoteTransaction';
+import type Transaction from '../transactions/transaction';
 import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
 import type RoutingMetrics from './routingMetrics';
@@ -28,12 +31,15 @@
   peers: PeerRegistry;
   /** VMs that said they are shutting down. */
   leaving(): ReadonlySet<string>;
+  markLeaving(vm: string): void;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
+  beginLocally(request: TransactionRequest): Promise<Transaction>;
   metrics: RoutingMetrics;
   nowMs(): number;
 }
 
 const AVOID_MS = 1_000;
+const RETRY_AFTER_MS = 500;
 /** Refusals after which another holder may do better. */
 const ELSEWHERE_CODES: ReadonlySet<Refusal['code']> = new Set([
   'noConnection',
@@ -81,57 +87,69 @@
       random: Math.random(),
     });
 
+  const refuseUnreachable = (target: string, error: Error): RefusalError => {
+    unreachable.add(target);
+    const refuse = isNeverSent(error) ? notRun : mayHaveRun;
+    return refuse('peerUnreachable', error.message);
+  };
+
   const forward = async (request: StatementRequest, target: string): Promise<StatementOutcome> => {
     const client = peers.get(target);
     const outcome = await client.execute(toForwarded(request, nowMs())).catch((error: Error) => {
-      unreachable.add(target);
-      const refuse = isNeverSent(error) ? notRun : mayHaveRun;
-      throw refuse('peerUnreachable', error.message);
+      throw refuseUnreachable(target, error);
     });
     return fromForwarded(outcome);
   };
 
-  const attempt = async (request: StatementRequest, target: string): Promise<StatementOutcome> => {
-    if (target === vm) return options.executeLocally(request);
-    metrics.forwards.inc({ group: request.group });
-    return forward(request, target);
+  /** Makes attempts at the holders of the request's group until one succeeds or no more may be made. */
+  const withRetries = async <Result>(
+    { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
+    attempt: (target: string) => Promise<Result>,
+  ): Promise<Result> => {
+    const failed = new Set<string>();
+    let refusal: Refusal | undefined;
+    budget.deposit();
+    for (let attempts = 1; ; attempts += 1) {
+      const holders = candidates(group, failed);
+      const [target] = holders;
+      if (target === undefined) {
+        throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
+      }
+      try {
+        if (target !== vm) metrics.forwards.inc({ group });
+        return await attempt(target);
+      } catch (error) {
+        const latest = toRefusal(error);
+        refusal = mergeRefusals(refusal, latest);
+        if (latest.code === 'shuttingDown') options.markLeaving(target);
+        if (ELSEWHERE_CODES.has(latest.code)) failed.add(target);
+        if (failed.size >= holders.length) failed.clear();
+        const random = Math.random();
+        const state = { refusal: latest, attempts, nowMs: nowMs(), deadlineAtMs, random };
+        const decision = decideRetry(state);
+        if (decision.kind === 'giveUp' || !budget.withdraw()) throw new RefusalError(refusal);
+        metrics.retries.inc({ group, code: latest.code });
+        await sleep(decision.delayMs);
+      }
+    }
   };
 
   return {
-    candidates,
-    /** Marks a VM that could not be reached, so that others are tried first for a while. */
-    markUnreachable: unreachable.add,
     /** @throws RefusalError */
-    execute: async (request: StatementRequest): Promise<StatementOutcome> => {
-      const failed = new Set<string>();
-      let refusal: Refusal | undefined;
-      budget.deposit();
-      for (let attempts = 1; ; attempts += 1) {
-        const holders = candidates(request.group, failed);
-        const [target] = holders;
-        if (target === undefined) {
-          throw notRun('noConnection', `no VM holds connections to ${request.group}`);
-        }
-        try {
-          return await attempt(request, target);
-        } catch (error) {
-          const latest = toRefusal(error);
-          refusal = mergeRefusals(refusal, latest);
-          if (ELSEWHERE_CODES.has(latest.code)) failed.add(target);
-          if (failed.size >= holders.length) failed.clear();
-          const decision = decideRetry({
-            refusal: latest,
-            attempts,
-            nowMs: nowMs(),
-            deadlineAtMs: request.deadlineAtMs,
-            random: Math.random(),
-          });
-          if (decision.kind === 'giveUp' || !budget.withdraw()) throw new RefusalError(refusal);
-          metrics.retries.inc({ group: request.group, code: latest.code });
-          await sleep(decision.delayMs);
-        }
-      }
-    },
+    execute: (request: StatementRequest): Promise<StatementOutcome> =>
+      withRetries(request, (target) =>
+        target === vm ? options.executeLocally(request) : forward(request, target),
+      ),
+    /** Begins a transaction on this VM or another. @throws RefusalError */
+    begin: (request: TransactionRequest): Promise<Transaction> =>
+      withRetries(request, (target) =>
+        target === vm
+          ? options.beginLocally(request)
+          : createRemoteTransaction(peers.get(target), request, nowMs()).catch((error) => {
+              if (toRefusal(error).code === 'peerUnreachable') unreachable.add(target);
+              throw error;
+            }),
+      ),
   };
 };
 
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -8,15 +8,19 @@
 } from '@auburngrade/caller';
 import {
   decodeSessionToken,
-  notRun,
   toRefusal,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import type createAdmission from '../admission/createAdmission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
 import type Settings from '../settings/settings';
+import createTransactionHandler from '../transactions/createTransactionHandler';
+import type Transaction from '../transactions/transaction';
+import checkRequest from './checkRequest';
+import checkSql from './checkSql';
 import toOutcome from './toOutcome';
 
 interface CallerHandlerOptions {
@@ -24,30 +28,17 @@
   authenticator: ReturnType<typeof createAuthenticator>;
   admission: ReturnType<typeof createAdmission>;
   execute(request: StatementRequest): Promise<StatementOutcome>;
+  begin(request: TransactionRequest): Promise<Transaction>;
+  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  enter(): () => void;
+  /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
+  onKeysChanged(recheck: () => void): () => void;
   metrics: Metrics;
   nowMs(): number;
 }
 
-const REQUEST_ID = /^[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}$/;
 const MS_PER_S = 1_000;
 
-const checkStatement = (statement: Statement, settings: Settings): void => {
-  const { maxStatementBytes, maxTimeoutMs } = settings.requests;
-  if (statement.accessMode !== AccessMode.READ && statement.accessMode !== AccessMode.WRITE) {
-    throw notRun('badRequest', 'access_mode must be READ or WRITE');
-  }
-  if (statement.timeoutMs < 1 || statement.timeoutMs > maxTimeoutMs) {
-    throw notRun('badDeadline', `timeout_ms must lie between 1 and ${maxTimeoutMs}`);
-  }
-  if (statement.requestId !== '' && !REQUEST_ID.test(statement.requestId)) {
-    throw notRun('badRequest', 'request_id must be a lower-case UUID');
-  }
-  if (statement.sql.trim() === '') throw notRun('badRequest', 'sql is empty');
-  if (Buffer.byteLength(statement.sql) > maxStatementBytes) {
-    throw notRun('statementTooLarge', `sql is longer than ${maxStatementBytes} bytes`);
-  }
-};
-
 class DaemonCallerHandler extends CallerHandler {
   constructor(private readonly options: CallerHandlerOptions) {
     super();
@@ -61,8 +52,11 @@
       account: 'none',
       mode: statement.accessMode === AccessMode.WRITE ? 'write' : 'read',
     };
+    let leave = (): void => {};
     try {
-      checkStatement(statement, this.options.settings);
+      leave = this.options.enter();
+      checkRequest(statement, this.options.settings);
+      checkSql(statement.sql, this.options.settings);
       const sessionToken = decodeSessionToken(statement.sessionToken);
       const caller = this.options.authenticator.authenticate(key, statement.profile);
       labels.profile = statement.profile;
@@ -88,18 +82,13 @@
       const { verdict, code } = refusal;
       this.options.metrics.requests.inc({ ...labels, verdict, code });
       return toOutcome(requestId, statement.sessionToken, { kind: 'refused', refusal });
+    } finally {
+      leave();
     }
   }
 
-  override openTransaction(): TransactionHandler {
-    const refusal = toRefusal(notRun('badRequest', 'transactions are not served yet'));
-    return {
-      step: async ({ step }) => ({
-        step,
-        outcome: toOutcome('', '', { kind: 'refused', refusal }),
-      }),
-      abort: () => {},
-    };
+  override openTransaction(key: string | undefined): TransactionHandler {
+    return createTransactionHandler(this.options, key);
   }
 }
 
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -3,13 +3,19 @@
   toRefusal,
   type StatementOutcome,
   type StatementRequest,
+  type StepHandler,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import {
   PeerHandler,
   type ForwardedOutcome,
+  type ForwardedReply,
   type ForwardedStatement,
+  type ForwardedStep,
   type PeerMessage,
 } from '@auburngrade/vm';
+import createForwardedTransaction from '../transactions/createForwardedTransaction';
+import type Transaction from '../transactions/transaction';
 
 type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
 
@@ -17,6 +23,9 @@
   vm: string;
   incarnation: number;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
+  beginLocally(request: TransactionRequest): Promise<Transaction>;
+  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  enter(): () => void;
   /** Handlers of messages between VMs by their registered kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
   nowMs(): number;
@@ -28,7 +37,9 @@
   }
 
   override async execute(statement: ForwardedStatement): Promise<ForwardedOutcome> {
+    let leave = (): void => {};
     try {
+      leave = this.options.enter();
       const outcome = await this.options.executeLocally({
         requestId: statement.requestId,
         account: statement.account || undefined,
@@ -44,9 +55,15 @@
     } catch (error) {
       const refusal = toRefusal(error);
       return { verdict: refusal.verdict, bodyJson: JSON.stringify(refusal) };
+    } finally {
+      leave();
     }
   }
 
+  override openTransaction(): StepHandler<ForwardedStep, ForwardedReply> {
+    return createForwardedTransaction({ ...this.options, begin: this.options.beginLocally });
+  }
+
   override follow(): () => void {
     return () => {};
   }
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -33,6 +33,14 @@
       catchUpWaitMs: z.number().int().min(0).max(10_000).default(20),
     })
     .default({ catchUpWaitMs: 20 }),
+  shutdown: z
+    .strictObject({
+      /** How long a VM that shuts down goes on refusing requests, so that none finds a closed port. */
+      noticeMs: z.number().int().min(0).max(60_000).default(300),
+      /** How long running requests and open transactions may take to end. */
+      drainTimeoutMs: z.number().int().min(0).max(600_000).default(10_000),
+    })
+    .default({ noticeMs: 300, drainTimeoutMs: 10_000 }),
 });
 
 export default settingsSchema;
--- /dev/null
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -0,0 +1,85 @@
+import {
+  checkStep,
+  decodeSessionToken,
+  toRefusal,
+  type StatementOutcome,
+  type StepHandler,
+  type TransactionProgress,
+  type TransactionRequest,
+} from '@auburngrade/coordination';
+import type { ForwardedBegin, ForwardedReply, ForwardedStep } from '@auburngrade/vm';
+import type Transaction from './transaction';
+
+interface ForwardedTransactionOptions {
+  begin(request: TransactionRequest): Promise<Transaction>;
+  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  enter(): () => void;
+  vm: string;
+  nowMs(): number;
+}
+
+const toRequest = (begin: ForwardedBegin, nowMs: number): TransactionRequest => ({
+  requestId: begin.requestId,
+  account: begin.account || undefined,
+  profile: begin.profile,
+  group: begin.group,
+  write: begin.write,
+  sessionToken: decodeSessionToken(begin.sessionToken),
+  deadlineAtMs: nowMs + begin.timeoutMs,
+});
+
+/** Serves one transaction that another VM admitted and forwards step by step. */
+const createForwardedTransaction = ({
+  begin,
+  enter,
+  vm,
+  nowMs,
+}: ForwardedTransactionOptions): StepHandler<ForwardedStep, ForwardedReply> => {
+  let progress: TransactionProgress = { phase: 'new', lastStep: 0 };
+  let transaction: Transaction | undefined;
+  let isLost = false;
+  let leave = (): void => {};
+
+  const open = async (request: TransactionRequest): Promise<StatementOutcome> => {
+    leave = enter();
+    transaction = await begin(request);
+    if (isLost) transaction.abort();
+    const rows = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
+    const servedBy = { vm, endpoint: '', role: 'primary' as const };
+    return { rows, sessionToken: request.sessionToken, servedBy };
+  };
+
+  const run = async ({ step, body }: ForwardedStep): Promise<StatementOutcome> => {
+    progress = checkStep(progress, step, body?.$case);
+    if (body?.$case === 'begin') return open(toRequest(body.begin, nowMs()));
+    if (!transaction) throw new Error('no transaction is open');
+    if (body?.$case === 'commit') return transaction.commit();
+    if (body?.$case === 'rollback') return transaction.rollback();
+    const { sql, parameters } = body!.statement;
+    const texts = parameters.map(({ text }) => text ?? null);
+    return transaction.run(sql, texts);
+  };
+
+  return {
+    step: async (step) => {
+      try {
+        const body = await run(step);
+        return { step: step.step, outcome: { verdict: 'ran', bodyJson: JSON.stringify(body) } };
+      } catch (error) {
+        const refusal = toRefusal(error);
+        if (!transaction) progress = { ...progress, phase: 'ended' };
+        const bodyJson = JSON.stringify(refusal);
+        return { step: step.step, outcome: { verdict: refusal.verdict, bodyJson } };
+      } finally {
+        if (progress.phase === 'ended') leave();
+      }
+    },
+    abort: () => {
+      isLost = true;
+      transaction?.abort();
+      leave();
+    },
+  };
+};
+
+export default createForwardedTransaction;
--- /dev/null
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -0,0 +1,94 @@
+import {
+  RefusalError,
+  encodeSessionToken,
+  mayHaveRun,
+  notRun,
+  refusalSchema,
+  statementOutcomeSchema,
+  type StatementOutcome,
+  type TransactionRequest,
+} from '@auburngrade/coordination';
+import { isNeverSent, type ForwardedStep, type RemoteVm } from '@auburngrade/vm';
+import Transaction from './transaction';
+
+type RemoteStream = ReturnType<RemoteVm['transact']>;
+type StepBody = NonNullable<ForwardedStep['body']>;
+
+const lostBeforeCommit = (error: Error): RefusalError =>
+  notRun('transactionAborted', `the stream to the holder was lost: ${error.message}`);
+
+class RemoteTransaction extends Transaction {
+  constructor(private readonly stream: RemoteStream) {
+    super();
+  }
+
+  /** A lost begin has no effect: without its stream the other VM rolls back. */
+  begin(request: TransactionRequest, timeoutMs: number): Promise<StatementOutcome> {
+    const begin = {
+      account: request.account ?? '',
+      profile: request.profile,
+      group: request.group,
+      write: request.write,
+      sessionToken: encodeSessionToken(request.sessionToken),
+      requestId: request.requestId,
+      timeoutMs,
+    };
+    return this.step({ $case: 'begin', begin }, (error) =>
+      notRun('peerUnreachable', error.message),
+    );
+  }
+
+  override run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
+    const texts = parameters.map((text) => ({ text: text ?? undefined }));
+    const statement = { sql, parameters: texts };
+    return this.step({ $case: 'statement', statement }, lostBeforeCommit);
+  }
+
+  override async commit(): Promise<StatementOutcome> {
+    const isSent = !this.stream.isLost();
+    const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
+      !isSent || isNeverSent(error)
+        ? lostBeforeCommit(error)
+        : mayHaveRun('outcomeUnknown', error.message),
+    );
+    this.stream.end();
+    return outcome;
+  }
+
+  override async rollback(): Promise<StatementOutcome> {
+    const outcome = await this.step({ $case: 'rollback', rollback: {} }, lostBeforeCommit);
+    this.stream.end();
+    return outcome;
+  }
+
+  override abort(): void {
+    this.stream.cancel();
+  }
+
+  private async step(
+    body: StepBody,
+    refuse: (error: Error) => RefusalError,
+  ): Promise<StatementOutcome> {
+    const { outcome } = await this.stream.step(body).catch((error: Error) => {
+      this.stream.cancel();
+      throw refuse(error);
+    });
+    const reply: unknown = JSON.parse(outcome?.bodyJson ?? '{}');
+    if (outcome?.verdict === 'ran') return statementOutcomeSchema.parse(reply);
+    throw new RefusalError(refusalSchema.parse(reply));
+  }
+}
+
+/** Begins a transaction on another VM. @throws RefusalError */
+const createRemoteTransaction = async (
+  client: RemoteVm,
+  request: TransactionRequest,
+  nowMs: number,
+): Promise<Transaction> => {
+  const timeoutMs = Math.max(1, Math.floor(request.deadlineAtMs - nowMs));
+  const transaction = new RemoteTransaction(client.transact(timeoutMs));
+  await transaction.begin(request, timeoutMs);
+  return transaction;
+};
+
+export default createRemoteTransaction;
--- a/packages/caller/src/createCallerClient.ts
+++ b/packages/caller/src/createCallerClient.ts
@@ -1,3 +1,4 @@
+import { createReplyMatcher } from '@auburngrade/coordination';
 import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
 import {
   ProxyClient,
@@ -37,23 +38,16 @@
     /** Opens a transaction; `step` resolves with the reply of the same number. */
     transact: () => {
       const stream = client.transact(metadataWith(key));
-      const waiting = new Map<number, (reply: TransactionReply) => void>();
-      const failures = new Set<(error: Error) => void>();
-      let next = 1;
-      stream.on('data', (reply: TransactionReply) => {
-        waiting.get(reply.step)?.(reply);
-        waiting.delete(reply.step);
-      });
-      stream.on('error', (error: Error) => failures.forEach((fail) => fail(error)));
+      const matcher = createReplyMatcher<TransactionReply>();
+      stream.on('data', matcher.receive);
+      stream.on('error', matcher.fail);
+      stream.on('end', () => matcher.fail(new Error('the stream has ended')));
       return {
-        step: (body: NonNullable<TransactionStep['body']>): Promise<TransactionReply> =>
-          new Promise((resolve, reject) => {
-            const step = next;
-            next += 1;
-            failures.add(reject);
-            waiting.set(step, resolve);
-            stream.write({ step, body });
-          }),
+        step: (body: NonNullable<TransactionStep['body']>): Promise<TransactionReply> => {
+          const { step, reply } = matcher.next();
+          stream.write({ step, body });
+          return reply;
+        },
         end: (): void => {
           stream.end();
         },
--- a/packages/caller/src/createCallerService.ts
+++ b/packages/caller/src/createCallerService.ts
@@ -1,3 +1,4 @@
+import { serveSteps } from '@auburngrade/coordination';
 import type { UntypedServiceImplementation } from '@grpc/grpc-js';
 import type CallerHandler from './callerHandler';
 import type { ProxyServer } from './generated/auburngrade/caller/v1/caller';
@@ -12,24 +13,7 @@
         .then((outcome) => callback(null, outcome), callback);
     },
     transact: (stream) => {
-      const transaction = handler.openTransaction(keyOfMetadata(stream.metadata));
-      let previous = Promise.resolve();
-      const abort = (): void => transaction.abort();
-      stream.on('data', (step) => {
-        previous = previous
-          .then(async () => {
-            stream.write(await transaction.step(step));
-          })
-          .catch(abort);
-      });
-      stream.on('end', () => {
-        previous.finally(() => {
-          abort();
-          stream.end();
-        });
-      });
-      stream.on('cancelled', abort);
-      stream.on('error', abort);
+      serveSteps(stream, handler.openTransaction(keyOfMetadata(stream.metadata)));
     },
   };
   return service;
--- a/packages/vm/src/addPeerServices.ts
+++ b/packages/vm/src/addPeerServices.ts
@@ -1,3 +1,4 @@
+import { serveSteps } from '@auburngrade/coordination';
 import type { Server } from '@grpc/grpc-js';
 import {
   ConfigurationService,
@@ -15,6 +16,7 @@
     execute: (call, callback) => {
       handler.execute(call.request).then((outcome) => callback(null, outcome), callback);
     },
+    transact: (stream) => serveSteps(stream, handler.openTransaction()),
   };
   const configuration: ConfigurationServer = {
     follow: (stream) => {
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -1,3 +1,4 @@
+import { createReplyMatcher } from '@auburngrade/coordination';
 import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
 import {
   ConfigurationClient,
@@ -5,7 +6,9 @@
   PeerClient,
   type ConfigurationUpdate,
   type ForwardedOutcome,
+  type ForwardedReply,
   type ForwardedStatement,
+  type ForwardedStep,
   type PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
 
@@ -33,6 +36,26 @@
           else resolve(outcome);
         });
       }),
+    /** Opens a transaction; `step` resolves with the reply of the same number. */
+    transact: (timeoutMs: number) => {
+      const stream = forward.transact(new Metadata(), { deadline: Date.now() + timeoutMs });
+      const matcher = createReplyMatcher<ForwardedReply>();
+      stream.on('data', matcher.receive);
+      stream.on('error', matcher.fail);
+      stream.on('end', () => matcher.fail(new Error('the stream has ended')));
+      return {
+        step: (body: NonNullable<ForwardedStep['body']>): Promise<ForwardedReply> => {
+          const { step, reply } = matcher.next();
+          if (!matcher.isLost()) stream.write({ step, body });
+          return reply;
+        },
+        isLost: matcher.isLost,
+        end: (): void => {
+          stream.end();
+        },
+        cancel: (): void => stream.cancel(),
+      };
+    },
     exchange: (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> =>
       new Promise((resolve, reject) => {
         peer.exchange(
