--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -20,6 +20,8 @@
 import createMembership from '../membership/createMembership';
 import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
+import createFailoverMetrics from '../promotion/createFailoverMetrics';
+import createPromotionService from '../promotion/createPromotionService';
 import createPeerRegistry from '../routing/createPeerRegistry';
 import createPrimaryWaiter from '../routing/createPrimaryWaiter';
 import createRouter from '../routing/createRouter';
@@ -74,6 +76,22 @@
     nowMs,
   });
 
+  const promotions = createPromotionService({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    membership,
+    groups,
+    terms,
+    peers,
+    timings: settings.failover,
+    metrics: createFailoverMetrics(metrics.registry),
+    logger,
+    nowMs,
+  });
+
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
@@ -132,11 +150,15 @@
     executeLocally,
     beginLocally: transactions.begin,
     enter: work.enter,
-    messageHandlers: new Map([[notices.kind, notices.receive]]),
+    messageHandlers: new Map([
+      ['suspicion', promotions.answerSuspicion],
+      [notices.kind, notices.receive],
+    ]),
     nowMs,
   });
 
   follower.start();
+  promotions.start();
   const http = startHttpServer(
     settings.host,
     settings.httpPort,
@@ -164,6 +186,7 @@
       abortAll: transactions.abortAll,
     });
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
+    promotions.stop();
     follower.stop();
     reads.close();
     groups.close();
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -1,18 +1,28 @@
 import {
-  RefusalError,
+  type RefusalError,
   advanceSessionToken,
   isSessionControl,
   mayHaveRun,
   notRun,
   type StatementOutcome,
+  type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import { EndpointError, type QueryResult } from '@auburngrade/endpoint';
+import {
+  EndpointError,
+  MEMBER_STATUS_SQL,
+  toMemberStatus,
+  type QueryResult,
+} from '@auburngrade/endpoint';
 import type GroupHolder from '../groups/groupHolder';
+import type createOutcomeLookup from '../outcome/createOutcomeLookup';
+import insertRequestSql from '../outcome/insertRequestSql';
+import joinStatements from '../outcome/joinStatements';
+import quoteLiteral from '../outcome/quoteLiteral';
+import requestRecordId from '../outcome/requestRecordId';
 import type PooledConnection from '../groups/pooledConnection';
 import type ReadPlan from '../routing/readPlan';
 import Transaction from './transaction';
-import transactionSql from './transactionSql';
 
 interface LocalTransactionOptions {
   vm: string;
@@ -22,6 +32,7 @@
   pooled: PooledConnection;
   /** Resolves once an answer to what was sent at this time may be given. */
   confirm(sentAtMs: number): Promise<void>;
+  lookup: ReturnType<typeof createOutcomeLookup>;
   onEnd(): void;
   nowMs(): number;
 }
@@ -31,7 +42,15 @@
 const STALE_TERM_STATE = 'AG001';
 const UNIQUE_STATE = '23505';
 const RETRY_AFTER_MS = 200;
-const NO_ROWS: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
+const ROLLED_BACK: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
+const COMMITTED: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
+
+/** A transaction's id is recorded like that of a statement; its text is the same for all. */
+const asStatement = (request: TransactionRequest): StatementRequest => ({
+  ...request,
+  sql: 'COMMIT',
+  parameters: [],
+});
 
 class LocalTransaction extends Transaction {
   private hasEnded = false;
@@ -40,16 +59,25 @@
 
   private isCommitting = false;
 
+  private stopWatching = (): void => {};
+
   constructor(private readonly options: LocalTransactionOptions) {
     super();
   }
 
   async begin(): Promise<void> {
-    const { request, plan } = this.options;
+    const { request, plan, holder } = this.options;
+    this.stopWatching = holder.onTermOver(plan.term, () => this.abort());
+    const statements = request.write
+      ? ['BEGIN READ WRITE', insertRequestSql(asStatement(request), 'run')]
+      : ['BEGIN READ ONLY'];
     try {
-      await this.script(transactionSql.begin(request, plan.term));
+      await this.script(joinStatements(plan.term, statements));
     } catch (error) {
       this.abort();
+      if (error instanceof EndpointError && error.sqlState === UNIQUE_STATE) {
+        await this.refuseRepeat();
+      }
       throw this.refusalOf(error, true);
     }
   }
@@ -77,33 +105,32 @@
 
   override async commit(): Promise<StatementOutcome> {
     this.checkOpen();
-    const { request, plan, holder } = this.options;
-    let position: number;
-    let rows: QueryResult | undefined;
+    const { request, plan, holder, lookup, nowMs } = this.options;
+    const askedAtMs = nowMs();
     this.isCommitting = true;
+    let position: number;
     try {
-      const results = await this.script(transactionSql.commit(request, plan.term));
-      rows = results.at(-2);
-      position = Number(results.at(-1)?.rows[0]?.[3]);
+      const results = await this.script(this.commitSql());
+      position = this.notePosition(results.at(-1), askedAtMs);
       this.end();
     } catch (error) {
-      const refusal = this.commitRefusalOf(error);
       this.isCommitting = false;
       this.abort();
-      throw refusal;
+      if (!request.write || this.isRefused(error)) throw this.commitRefusalOf(error);
+      return lookup.resolve(holder, asStatement(request));
     }
-    if (!request.write) return this.outcome(rows ?? NO_ROWS);
-    const isHeld = await holder.waitAcknowledged(plan.term, position, request.deadlineAtMs);
-    if (!isHeld) throw mayHaveRun('notAcknowledged', 'no majority held the commit in time');
-    const { sessionToken, group } = request;
+    if (!request.write) return this.outcome(COMMITTED);
+    const { sessionToken, group, deadlineAtMs } = request;
+    const isHeld = await holder.waitAcknowledged(plan.term, position, deadlineAtMs, askedAtMs);
+    if (!isHeld) return lookup.resolve(holder, asStatement(request));
     const token = advanceSessionToken(sessionToken, group, plan.term, position);
-    return { ...this.outcome(rows ?? NO_ROWS), sessionToken: token };
+    return { ...this.outcome(COMMITTED), sessionToken: token };
   }
 
   override async rollback(): Promise<StatementOutcome> {
     this.checkOpen();
     this.abort();
-    return this.outcome(NO_ROWS);
+    return this.outcome(ROLLED_BACK);
   }
 
   /**
@@ -114,6 +141,7 @@
     if (this.hasEnded || this.isCommitting) return;
     const { pooled, onEnd } = this.options;
     this.hasEnded = true;
+    this.stopWatching();
     const finish = (): void => {
       pooled.release();
       onEnd();
@@ -131,6 +159,7 @@
 
   private end(): void {
     this.hasEnded = true;
+    this.stopWatching();
     this.options.pooled.release();
     this.options.onEnd();
   }
@@ -169,26 +198,46 @@
     if (error.sqlState === STALE_TERM_STATE) {
       return notRun('noPrimary', error.message, RETRY_AFTER_MS);
     }
-    if (isBegin && error.sqlState === UNIQUE_STATE) {
-      return mayHaveRun('duplicateRequest', 'a request of this id was recorded before');
-    }
     if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
     if (isBegin) return notRun('noConnection', error.message, RETRY_AFTER_MS);
     return notRun('transactionAborted', error.message);
   }
 
-  private commitRefusalOf(error: unknown): unknown {
-    if (error instanceof RefusalError) return error;
-    const { request } = this.options;
-    const message = error instanceof Error ? error.message : String(error);
-    const isRefused =
+  /** Whether the endpoint certainly did not commit: it answered so, or was never asked. */
+  private isRefused(error: unknown): boolean {
+    return (
       error instanceof EndpointError &&
-      (error.kind === 'notSent' || error.kind === 'statementFailed');
-    if (!request.write || isRefused) {
-      const isFailed = error instanceof EndpointError && error.sqlState === ABORTED_STATE;
-      return notRun('transactionAborted', isFailed ? 'a statement had failed' : message);
-    }
-    return mayHaveRun('outcomeUnknown', message);
+      (error.kind === 'notSent' || error.kind === 'statementFailed')
+    );
+  }
+
+  private commitRefusalOf(error: unknown): RefusalError {
+    const isFailed = error instanceof EndpointError && error.sqlState === ABORTED_STATE;
+    const message = error instanceof Error ? error.message : String(error);
+    return notRun('transactionAborted', isFailed ? 'a statement had failed' : message);
+  }
+
+  /** The status comes without a term, so that a fence after the commit can't hide its success. */
+  private commitSql(): string {
+    const { request, plan } = this.options;
+    const result = quoteLiteral(JSON.stringify(COMMITTED));
+    const id = quoteLiteral(requestRecordId(request));
+    const update = `UPDATE auburngrade_request SET result = ${result} WHERE id = ${id}`;
+    const statements = request.write ? [update, 'COMMIT'] : ['COMMIT'];
+    return `${joinStatements(plan.term, statements)};${MEMBER_STATUS_SQL}`;
+  }
+
+  private notePosition(result: QueryResult | undefined, askedAtMs: number): number {
+    const status = toMemberStatus(this.options.plan.member, result, askedAtMs);
+    this.options.holder.noteStatus(status);
+    return status.position;
+  }
+
+  /** Says what became of an earlier transaction with the same request id. */
+  private async refuseRepeat(): Promise<never> {
+    const { lookup, holder, request } = this.options;
+    await lookup.resolve(holder, asStatement(request));
+    throw mayHaveRun('duplicateRequest', 'a transaction of this request id has committed');
   }
 }
 
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -1,6 +1,7 @@
 import { notRun, type TransactionRequest } from '@auburngrade/coordination';
 import type createReadExecutor from '../execution/createReadExecutor';
 import type GroupHolder from '../groups/groupHolder';
+import createOutcomeLookup from '../outcome/createOutcomeLookup';
 import type ReadPlan from '../routing/readPlan';
 import createLocalTransaction from './createLocalTransaction';
 import type Transaction from './transaction';
@@ -30,6 +31,7 @@
 /** The interactive transactions that run on this VM's own connections. */
 const createLocalTransactions = ({ vm, holderOf, reads, nowMs }: LocalTransactionsOptions) => {
   const open = new Set<Transaction>();
+  const lookup = createOutcomeLookup(vm, nowMs);
 
   return {
     /** @throws RefusalError */
@@ -44,6 +46,7 @@
         request,
         plan,
         pooled,
+        lookup,
         confirm: (sentAtMs) => reads.confirm(holder, request, plan, sentAtMs),
         onEnd: () => forget(),
         nowMs,
