--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,8 +1,10 @@
 import { ProxyService, createCallerService } from '@auburngrade/caller';
 import {
   createConfigurationState,
+  createWorkTracker,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
@@ -17,6 +19,7 @@
 import createTermKeeper from '../groups/createTermKeeper';
 import createLogger from '../log/createLogger';
 import createMembership from '../membership/createMembership';
+import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
 import createFailoverMetrics from '../promotion/createFailoverMetrics';
 import createPromotionService from '../promotion/createPromotionService';
@@ -30,8 +33,16 @@
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
 import createAddressBook from '../settings/createAddressBook';
+import createLeavingNotices from '../shutdown/createLeavingNotices';
+import drainWork from '../shutdown/drainWork';
+import stopServer from '../shutdown/stopServer';
+import createKeyWatch from '../transactions/createKeyWatch';
+import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
 
+/** Time for the last answers to leave once all work has ended. */
+const SERVER_GRACE_MS = 500;
+
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
@@ -65,7 +76,16 @@
   const writes = createWriteExecutor(settings.vm, nowMs);
   const peers = createPeerRegistry(configuration, addresses);
 
+  const work = createWorkTracker();
   const incarnation = Date.now();
+  const notices = createLeavingNotices({
+    vm: settings.vm,
+    incarnation,
+    membership,
+    peers,
+    nowMs,
+  });
+
   const promotions = createPromotionService({
     vm: settings.vm,
     incarnation,
@@ -82,10 +102,16 @@
     nowMs,
   });
 
-  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    return holder;
+  };
+  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
+
+  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const holder = await holderOf(request);
     const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
@@ -97,8 +123,10 @@
     ...settings,
     membership,
     peers,
-    leaving: () => new Set(),
+    leaving: notices.leaving,
+    markLeaving: notices.add,
     executeLocally,
+    beginLocally: transactions.begin,
     metrics: createRoutingMetrics(metrics.registry),
     nowMs,
   });
@@ -107,6 +135,9 @@
     authenticator: createAuthenticator(configuration),
     admission: createAdmission(configuration, () => membership.live().length, nowMs),
     execute: router.execute,
+    begin: router.begin,
+    enter: work.enter,
+    onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
   });
@@ -128,14 +159,24 @@
     vm: settings.vm,
     incarnation,
     executeLocally,
-    messageHandlers: new Map([['suspicion', promotions.answerSuspicion]]),
     openFollowSession: follower.openFollowSession,
+    beginLocally: transactions.begin,
+    enter: work.enter,
+    messageHandlers: new Map([
+      ['suspicion', promotions.answerSuspicion],
+      [notices.kind, notices.receive],
+    ]),
     nowMs,
   });
 
   follower.start();
   promotions.start();
-  const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
+  const http = startHttpServer(
+    settings.host,
+    settings.httpPort,
+    metrics.registry,
+    () => work.phase() === 'serving',
+  );
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
@@ -150,14 +191,13 @@
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
-    await Promise.all(
-      servers.map(
-        (server) =>
-          new Promise<void>((resolve) => {
-            server.tryShutdown(() => resolve());
-          }),
-      ),
-    );
+    await drainWork({
+      tracker: work,
+      timings: settings.shutdown,
+      announce: notices.announce,
+      abortAll: transactions.abortAll,
+    });
+    await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
     follower.stop();
     reads.close();
--- a/packages/coordination/src/retry/decideRetry.spec.ts
+++ b/packages/coordination/src/retry/decideRetry.spec.ts
@@ -55,10 +55,12 @@
   });
 
   describe('the verdict after several attempts', () => {
-    it('stays "may have run" when a later attempt did not run', () => {
+    it('stays "may have run" when a later attempt did not run and proves nothing', () => {
       const lost = refusal({ verdict: 'mayHaveRun', code: 'peerUnreachable' });
       expect(mergeRefusals(lost, refusal({})).verdict).to.equal('mayHaveRun');
       expect(mergeRefusals(refusal({}), refusal({})).verdict).to.equal('notRun');
+      const looked = refusal({ code: 'transactionAborted' });
+      expect(mergeRefusals(lost, looked).verdict).to.equal('notRun');
     });
   });
 });
--- a/packages/coordination/src/routing/chooseEndpoint.spec.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.spec.ts
@@ -26,6 +26,7 @@
 }
 
 const MEMBERS = [0, 1, 2, 3, 4];
+const MEMBER_NAMES = MEMBERS.map((index) => `m${index}`);
 const MAJORITY = 3;
 
 /** A group that replicates, fences, promotes and cuts logs back, and a VM that lags behind it. */
@@ -145,7 +146,7 @@
 
   const poll = (index: number): void => {
     statuses.set(index, statusOf(index));
-    const next = confirmWatermark([...statuses.values()], MEMBERS.length, record);
+    const next = confirmWatermark([...statuses.values()], MEMBER_NAMES, record);
     if (next) watermarks = addWatermark(watermarks, next);
   };
 
