--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -11,3 +11,7 @@
 export { default as startVm } from './fleet/startVm';
 export { default as startFleet } from './fleet/startFleet';
 export type { default as Fleet } from './fleet/fleet';
+export { default as createLoad } from './load/createLoad';
+export type { default as Load } from './load/load';
+export type { default as LoadAccount } from './load/loadAccount';
+export type { default as LoadRecord } from './load/loadRecord';
--- /dev/null
+++ b/packages/testkit/src/load/load.ts
@@ -0,0 +1,6 @@
+import type createLoad from './createLoad';
+
+/** A running load. */
+type Load = ReturnType<typeof createLoad>;
+
+export default Load;
--- /dev/null
+++ b/scripts/measure/deployments.ts
@@ -0,0 +1,21 @@
+import type Deployment from './deployment';
+
+/** The deployments that are measured. Latency to clients is not injected. */
+const deployments: Deployment[] = [
+  {
+    name: 'brazos',
+    dataCentres: ['waco', 'temple', 'bryan', 'belton'],
+    vmsPerDataCentre: 2,
+    connectionBudget: 20,
+    betweenDataCentresDelayMs: 0.5,
+  },
+  {
+    name: 'kettleby',
+    dataCentres: ['northmere-a', 'northmere-b', 'northmere-c'],
+    vmsPerDataCentre: 2,
+    connectionBudget: 40,
+    betweenDataCentresDelayMs: 1.5,
+  },
+];
+
+export default deployments;
--- /dev/null
+++ b/scripts/measure/scenario.ts
@@ -0,0 +1,11 @@
+import type ScenarioContext from './scenarioContext';
+
+/** A fault, or none, that is caused while the load runs. */
+interface Scenario {
+  name: string;
+  /** The first account sends this many times its rate. */
+  firstAccountFactor: number;
+  run(context: ScenarioContext): Promise<void>;
+}
+
+export default Scenario;
--- /dev/null
+++ b/scripts/measure/scenarioContext.ts
@@ -0,0 +1,13 @@
+import type { Fleet, Load } from '@auburngrade/testkit';
+
+/** What a scenario acts on while the load runs. */
+interface ScenarioContext {
+  fleet: Fleet;
+  load: Load;
+  /** How long the fault lasts. */
+  faultMs: number;
+  /** Notes when the fault began and which group lost its primary, for the failover gap. */
+  noteFault(group?: string): void;
+}
+
+export default ScenarioContext;
--- /dev/null
+++ b/scripts/measure/scenarios/quiet.ts
@@ -0,0 +1,11 @@
+import sleep from '../../measurement/sleep';
+import type Scenario from '../scenario';
+
+/** Nothing fails. */
+const quiet: Scenario = {
+  name: 'quiet',
+  firstAccountFactor: 1,
+  run: ({ faultMs }) => sleep(faultMs),
+};
+
+export default quiet;
--- /dev/null
+++ b/scripts/measure/startDeployment.ts
@@ -0,0 +1,44 @@
+import { startFleet, type Fleet } from '@auburngrade/testkit';
+import type Deployment from './deployment';
+import type MeasuredAccount from './measuredAccount';
+import type Variant from './variant';
+
+const GROUPS = ['group-0', 'group-1', 'group-2'];
+const LARGE_RATE_PER_S = 60;
+const SMALL_RATE_PER_S = 10;
+const LARGE_ACCOUNTS = 3;
+const ACCOUNTS = 8;
+
+interface RunningDeployment {
+  fleet: Fleet;
+  groups: string[];
+  profile: string;
+  accounts: MeasuredAccount[];
+}
+
+/** Starts a deployment with 3 groups, a profile and 8 client accounts, 3 of them large. */
+const startDeployment = async (
+  deployment: Deployment,
+  variant: Variant,
+): Promise<RunningDeployment> => {
+  const fleet = await startFleet({
+    ...deployment,
+    groups: GROUPS,
+    hasFaultLinks: true,
+    vmSettings: variant.vmSettings,
+  });
+  const names = Array.from({ length: ACCOUNTS }, (_, index) => `account-${index}`);
+  const accounts: MeasuredAccount[] = [];
+  for (const [index, name] of names.entries()) {
+    const ratePerS = index < LARGE_ACCOUNTS ? LARGE_RATE_PER_S : SMALL_RATE_PER_S;
+    await fleet.put('account', name, { limit: { ratePerS, burst: ratePerS } });
+    const { key } = await fleet.issueKey(name);
+    accounts.push({ name, key, ratePerS, burst: ratePerS });
+  }
+  const { freshness } = variant;
+  await fleet.put('profile', 'measured', { accounts: names, groups: GROUPS, freshness });
+  await fleet.settle();
+  return { fleet, groups: GROUPS, profile: 'measured', accounts };
+};
+
+export default startDeployment;
--- /dev/null
+++ b/scripts/measure/variants.ts
@@ -0,0 +1,9 @@
+import type Variant from './variant';
+
+/** The product, and a baseline as far as settings allow: reads only from primaries. */
+const variants: { product: Variant; baseline: Variant } = {
+  product: { name: 'auburngrade', freshness: { kind: 'session' }, vmSettings: {} },
+  baseline: { name: 'baseline', freshness: { kind: 'primary' }, vmSettings: {} },
+};
+
+export default variants;
