--- a/packages/auburngrade/src/settings/parseSettings.ts
+++ b/packages/auburngrade/src/settings/parseSettings.ts
@@ -1,3 +1,4 @@
+import checkClashes from './checkClashes';
 import listSettingsProblems from './listSettingsProblems';
 import type Settings from './settings';
 import SettingsError from './settingsError';
@@ -14,8 +15,10 @@
 /** Parses settings. @throws SettingsError that names each wrong field with its path. */
 const parseSettings = (text: string): Settings => {
   const parsed = settingsSchema.safeParse(parseJson(text));
-  if (parsed.success) return parsed.data;
-  throw new SettingsError(listSettingsProblems(parsed.error));
+  if (!parsed.success) throw new SettingsError(listSettingsProblems(parsed.error));
+  const clashes = checkClashes(parsed.data).map(({ path, message }) => `${path}: ${message}`);
+  if (clashes.length > 0) throw new SettingsError(clashes);
+  return parsed.data;
 };
 
 export default parseSettings;
--- a/packages/testkit/src/process/freePort.ts
+++ b/packages/testkit/src/process/freePort.ts
@@ -1,14 +1,11 @@
 import { createServer } from 'node:net';
 
-/** Below the range from which the system takes ports of outgoing connections. */
-const LOWEST_PORT = 10_000;
+/** Below the range from which the system takes ports of outgoing connections and of port 0. */
+const LOWEST_PORT = 12_000;
 const HIGHEST_PORT = 32_000;
 
 const given = new Set<number>();
 
-const candidate = (): number =>
-  LOWEST_PORT + Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT));
-
 const isFree = (port: number): Promise<boolean> =>
   new Promise((resolve) => {
     const server = createServer();
@@ -18,10 +15,10 @@
 
 /** Finds a TCP port of the loopback address that nothing listens on. */
 const freePort = async (): Promise<number> => {
-  let port = candidate();
-  while (given.has(port) || !(await isFree(port))) port = candidate();
+  const port = LOWEST_PORT + Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT));
+  if (given.has(port)) return freePort();
   given.add(port);
-  return port;
+  return (await isFree(port)) ? port : freePort();
 };
 
 export default freePort;
