--- a/packages/auburngrade/src/settings/parseSettings.ts
+++ b/packages/auburngrade/src/settings/parseSettings.ts
@@ -1,4 +1,3 @@
-import checkClashes from './checkClashes';
 import listSettingsProblems from './listSettingsProblems';
 import type Settings from './settings';
 import SettingsError from './settingsError';
@@ -15,10 +14,8 @@
 /** Parses settings. @throws SettingsError that names each wrong field with its path. */
 const parseSettings = (text: string): Settings => {
   const parsed = settingsSchema.safeParse(parseJson(text));
-  if (!parsed.success) throw new SettingsError(listSettingsProblems(parsed.error));
-  const clashes = checkClashes(parsed.data).map(({ path, message }) => `${path}: ${message}`);
-  if (clashes.length > 0) throw new SettingsError(clashes);
-  return parsed.data;
+  if (parsed.success) return parsed.data;
+  throw new SettingsError(listSettingsProblems(parsed.error));
 };
 
 export default parseSettings;
