--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -1,7 +1,7 @@
 import { spawnSync } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 import { programPath, startFleet, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import commandRegistry from '../commands/commandRegistry';
@@ -132,5 +132,19 @@
         exitCodes.refused,
       );
     });
+
+    it('reports service-level burn and names a VM that cannot be reached', async () => {
+      await fleet.put('profile', 'bids', { accounts: ['ranch'], groups: ['auctions'] });
+      const http = `127.0.0.1:${fleet.vms.get('waco-1')?.ports.httpPort}`;
+      const html = join(mkdtempSync(join(tmpdir(), 'auburngrade-')), 'report.html');
+      const reached = run('report', '-a', address, '--vm', http, '--html', html, '--json');
+      expect(reached.status, reached.stderr).to.equal(exitCodes.ok);
+      expect(JSON.parse(reached.stdout)).to.include.keys('windows', 'burning', 'unreachable');
+      expect(readFileSync(html, 'utf8')).to.include('Service-level burn');
+      rmSync(dirname(html), { recursive: true });
+      const missing = run('report', '-a', address, '--vm', http, '--vm', '127.0.0.1:1');
+      expect(missing.status).to.equal(exitCodes.failure);
+      expect(missing.stdout).to.include('127.0.0.1:1');
+    });
   });
 });
