--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -21,10 +21,12 @@
   groups: ['auctions'],
   membersPerGroup: 3,
   connectionBudget: 20,
+  memberConnectionLimit: 100,
   hasFaultLinks: false,
   hasReplicationLinks: false,
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
+  isBinary: false,
   vmSettings: {},
 };
 
@@ -67,6 +69,7 @@
         dataCentre: dataCentreAt(groupIndex + index),
         upstream,
         replicationLagMs: options.replicationLagMs,
+        connectionLimit: options.memberConnectionLimit,
       });
       const member = { ...started, replicationPort: await replicationPortOf(started) };
       upstream ??= { host: HOST, port: member.replicationPort };
@@ -120,7 +123,13 @@
       vm,
       dataCentre,
       platformAddress,
+      isBinary: options.isBinary,
       settings: {
+        peers: names
+          .filter(
+            (name, index) => names.findIndex((n) => n.dataCentre === name.dataCentre) === index,
+          )
+          .map((name) => `${HOST}:${vmPorts.get(name.vm)?.vmPort}`),
         ...(options.hasFaultLinks ? { addresses: previous } : {}),
         ...options.vmSettings,
       },
