--- a/packages/auburngrade/src/promotion/createRecordWriter.ts
+++ b/packages/auburngrade/src/promotion/createRecordWriter.ts
@@ -9,7 +9,11 @@
 
 type Written = { kind: 'written'; revision: number } | { kind: 'lost' };
 
-const RETRY_DELAY_MS = 50;
+const FIRST_RETRY_DELAY_MS = 50;
+const MAX_RETRY_DELAY_MS = 500;
+
+const isSameRecord = (found: Partial<TermRecord>, record: TermRecord): boolean =>
+  found.term === record.term && found.promoter === record.promoter && found.state === record.state;
 
 /** Writes a group's term record; a lost answer is resolved by reading the record again. */
 const createRecordWriter = (
@@ -24,12 +28,13 @@
 
   const isSame = (entry: ConfigurationEntry | undefined, record: TermRecord): boolean => {
     if (entry?.valueJson === undefined) return false;
-    const found = JSON.parse(entry.valueJson) as Partial<TermRecord>;
-    return (
-      found.term === record.term &&
-      found.promoter === record.promoter &&
-      found.state === record.state
-    );
+    return isSameRecord(JSON.parse(entry.valueJson) as Partial<TermRecord>, record);
+  };
+
+  /** Whether the platform's watch has shown the record already. */
+  const isSeen = (record: TermRecord): boolean => {
+    const known = configuration.get('term', group);
+    return known !== undefined && isSameRecord(known, record);
   };
 
   const settle = (entry: ConfigurationEntry | undefined, record: TermRecord): Written => {
@@ -56,6 +61,9 @@
       return settle({ key, valueJson, modRevision: outcome.revision }, record);
     }
     if (outcome.kind === 'conflict') return settle(outcome.current[0], record);
+    if (isSeen(record)) {
+      return { kind: 'written', revision: configuration.revisionOf('term', group) ?? 0 };
+    }
     const found = await read().catch(() => undefined);
     if (!found || found.modRevision === expectedRevision) return undefined;
     return settle(found, record);
@@ -68,10 +76,12 @@
       expectedRevision: number,
       isWanted: () => boolean,
     ): Promise<Written> => {
+      let delayMs = FIRST_RETRY_DELAY_MS;
       while (isWanted()) {
         const written = await attempt(record, expectedRevision);
         if (written) return written;
-        await sleepMs(RETRY_DELAY_MS);
+        await sleepMs(delayMs);
+        delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
       }
       return { kind: 'lost' };
     },
--- a/packages/coordination/src/promotion/createFollowRepair.ts
+++ b/packages/coordination/src/promotion/createFollowRepair.ts
@@ -50,6 +50,7 @@
     due: (record: TermRecord, views: readonly MemberView[], nowMs: number): string[] => {
       const primary = views.find(({ member }) => member === record.primary);
       if (record.state !== 'active' || primary?.status?.role !== 'primary') return [];
+      if (primary.unansweredSinceMs !== undefined) return [];
       return views
         .filter((view) => view !== primary && view.unansweredSinceMs === undefined)
         .filter((view) => {
