--- a/packages/auburngrade/src/integration/promoterLost.spec.ts
+++ b/packages/auburngrade/src/integration/promoterLost.spec.ts
@@ -12,6 +12,8 @@
 const GAP_CEILING_MS = 13_000;
 /** Leaves the record in state promoting for long enough to be seen. */
 const SLOW_PLATFORM_MS = 300;
+/** One way; the promotion is then still under way when its claim is seen. */
+const SLOW_MEMBER_MS = 100;
 
 describe('a promotion under faults', () => {
   let fleet: Fleet;
@@ -28,6 +30,11 @@
     fleet.replicationLink(member).setMode(mode);
   };
 
+  const setMemberDelay = (delayMs: number): void =>
+    VMS.forEach((vm) =>
+      fleet.members.forEach(({ name }) => fleet.link(vm, name).setDelayMs(delayMs)),
+    );
+
   const startWrites = async () => {
     const stream = createWriteStream({ fleet, key, group: GROUP, vms: VMS, timeoutMs: 6_000 });
     await waitFor('writes', () => stream.ranCount() > 30);
@@ -146,4 +153,19 @@
       await bringBack(previous.primary ?? '');
     });
   });
+
+  describe('the promoter is killed with the platform and the members slow', () => {
+    it('is taken over by another VM', async () => {
+      const previous = await activeRecord();
+      const stream = await startWrites();
+      setMemberDelay(SLOW_MEMBER_MS);
+      await fleet.platform.setFault('delayMs', SLOW_PLATFORM_MS);
+      const promoter = await cutPrimary(previous);
+      await fleet.vms.get(promoter)?.kill();
+      fleet.vms.delete(promoter);
+      setMemberDelay(0);
+      await expectRecovery(stream);
+      expect((await activeRecord()).term).to.be.above(previous.term + 1);
+    });
+  });
 });
