fix: a caller's text is one statement, whatever it holds

Cause: a statement without parameters went by the simple query protocol, which runs several statements of one text; a caller could end the proxy's transaction and run outside of its term, its request id and its verdict. Ruled out: splitting or parsing the text (no parser of ours). Change: statements of callers go by the extended protocol, which takes one a message; COPY and DECLARE join the statements that are refused. Before: 'expected RAN to equal NOT_RUN', the item at 4; after: 7 of 7 refused without effect, and the next write on the connection runs once.

--- a/packages/coordination/src/transaction/isSessionControl.ts
+++ b/packages/coordination/src/transaction/isSessionControl.ts
@@ -1,7 +1,7 @@
 import skipComments from './skipComments';
 
 const CONTROL_WORDS =
-  /^(begin|start|commit|end|rollback|abort|prepare|execute|deallocate|discard|set|reset|listen|unlisten|notify|load|savepoint|release)\b/i;
+  /^(begin|start|commit|end|rollback|abort|prepare|execute|deallocate|discard|set|reset|listen|unlisten|notify|load|savepoint|release|copy|declare)\b/i;
 
 /**
  * Whether a statement would change the state of its connection beyond its own transaction, or
--- a/packages/endpoint/src/pgConnection.ts
+++ b/packages/endpoint/src/pgConnection.ts
@@ -14,6 +14,15 @@
 
 const TEXT_TYPES = { getTypeParser: () => (value: string) => value };
 
+/** A statement with parameters goes by the extended protocol, which takes one statement a message. */
+const toQuery = (text: string, values: (string | null)[] | undefined) => ({
+  text,
+  values,
+  queryMode: values ? 'extended' : undefined,
+  rowMode: 'array' as const,
+  types: TEXT_TYPES,
+});
+
 /** A connection over the PostgreSQL protocol; a lost or late answer ends it. */
 class PgConnection extends EndpointConnection {
   private usable = true;
@@ -81,7 +90,7 @@
         reject(new EndpointError('timeout', `no answer within ${timeoutMs} ms`));
       }, timeoutMs);
       this.client
-        .query({ text: sql, values: parameters, rowMode: 'array', types: TEXT_TYPES })
+        .query(toQuery(sql, parameters))
         .then((result) => resolve([result].flat().map(toResult)), reject)
         .finally(() => clearTimeout(timer));
     });
