feat: accept keys only while the configuration is known to be recent

Cause: a VM that lost the platform went on accepting withdrawn keys, and a connection of the platform client that went silent was used for ever (seen: no key could be issued through a VM after a cut healed).

A VM accepts keys by a configuration that the platform confirmed within keys.maxUnconfirmedMs (4.5 s), or that is known to miss no withdrawal because a majority of the witnesses of each data centre hears nothing of the platform. Withdrawals are told to a majority of the writer's witnesses before they are confirmed. Times count from the asking, so answers read after a pause prove nothing recent.

--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -146,6 +146,7 @@
     confirmedAtMs,
     /** Monotonic time of the platform's last answer to this VM. */
     reachedAtMs: platformFollower.reachedAtMs,
+    isRelay: isPlatformNeeded,
     openFollowSession: feed.open,
     describe: () => ({
       isRelay: isPlatformNeeded(),
--- a/packages/auburngrade/src/configuration/createRelayFollower.ts
+++ b/packages/auburngrade/src/configuration/createRelayFollower.ts
@@ -28,7 +28,7 @@
   nowMs(): number;
 }
 
-const PING_INTERVAL_MS = 600;
+const PING_INTERVAL_MS = 500;
 const SILENCE_TIMEOUT_MS = 1_500;
 const STALE_AGE_MS = 2_500;
 const IDLE_DELAY_MS = 100;
@@ -95,7 +95,10 @@
         if (update.revision === 0) return;
         apply(update);
         const confirmedAtMs = provenAtMs(update, update.more ? -1 : update.confirmedAgeMs);
-        options.onConfirmed(confirmedAtMs, provenAtMs(update, update.outageAgeMs));
+        options.onConfirmed(
+          confirmedAtMs,
+          provenAtMs(update, update.more ? -1 : update.outageAgeMs),
+        );
         if (nowMs() - confirmedAtMs < STALE_AGE_MS) freshAtMs = nowMs();
         options.onSuccess(id);
       };
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -15,7 +15,9 @@
 import createWriteExecutor from '../execution/createWriteExecutor';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermKeeper from '../groups/createTermKeeper';
+import createVouching from '../keys/createVouching';
 import createLogger from '../log/createLogger';
+import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
 import createMetrics from '../metrics/createMetrics';
 import createPeerRegistry from '../routing/createPeerRegistry';
@@ -37,13 +39,17 @@
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
+  const peers = createPeerRegistry(configuration, addresses);
+  const incarnation = Date.now();
+  const exchange = createExchange(settings.vm, incarnation, peers);
+  const vouching = createVouching({ settings, configuration, exchange, nowMs });
   const follower = createConfigurationSpread({
     settings,
     platform,
     configuration,
     addresses,
-    outageAgeMs: () => -1,
-    onOutage: () => {},
+    outageAgeMs: vouching.outageAgeMs,
+    onOutage: vouching.hearOutage,
     nowMs,
     logger,
   });
@@ -52,7 +58,6 @@
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
   const reads = createReadExecutor(settings.vm, nowMs);
   const writes = createWriteExecutor(settings.vm, nowMs);
-  const peers = createPeerRegistry(configuration, addresses);
 
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
     const holder = groups.get(request.group);
@@ -67,7 +72,7 @@
   const router = createRouter({ vm: settings.vm, membership, peers, executeLocally, nowMs });
   const callerHandler = createCallerHandler({
     settings,
-    authenticator: createAuthenticator(configuration),
+    authenticator: createAuthenticator(configuration, vouching.isVouched),
     admission: createAdmission(configuration, () => membership.live().length, nowMs),
     execute: router.execute,
     metrics,
@@ -76,27 +81,30 @@
   const operatorHandler = createOperatorHandler({
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
-    announceWithdrawal: async () => '',
+    announceWithdrawal: vouching.announceWithdrawal,
     describe: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
       configuration: follower.describe(),
+      areKeysVouched: vouching.isVouched(),
+      outageAgeMs: vouching.outageAgeMs(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
   });
   const peerHandler = createPeerHandler({
     vm: settings.vm,
-    incarnation: Date.now(),
+    incarnation,
     executeLocally,
-    messageHandlers: new Map(),
+    messageHandlers: new Map(vouching.messageHandlers),
     openFollowSession: follower.openFollowSession,
     nowMs,
   });
 
   follower.start();
+  vouching.start(follower);
   const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
@@ -121,6 +129,7 @@
       ),
     );
     follower.stop();
+    vouching.stop();
     groups.close();
     peers.close();
     platform.close();
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -26,7 +26,7 @@
   configuration: ConfigurationState;
   writer: ReturnType<typeof createDocumentWriter>;
   /** Makes a confirmed withdrawal known; resolves with what is to be told about when it is in force. */
-  announceWithdrawal(): Promise<string>;
+  announceWithdrawal(revision: number): Promise<string>;
   /** Describes this VM's state for `status`. */
   describe(): Record<string, unknown>;
 }
@@ -142,7 +142,7 @@
       });
     });
     if (change.verdict !== 'ran') return change;
-    return { ...change, message: await announceWithdrawal() };
+    return { ...change, message: await announceWithdrawal(change.revision) };
   }
 
   override async status(): Promise<StatusReply> {
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -1,5 +1,6 @@
 import { nameSchema } from '@auburngrade/coordination';
 import { z } from 'zod';
+import keysSettingsSchema from './keysSettingsSchema';
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -23,6 +24,7 @@
     .default([]),
   /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
   addresses: z.record(z.string(), z.string()).default({}),
+  keys: keysSettingsSchema.default(keysSettingsSchema.parse({})),
   log: z
     .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
     .default({ level: 'info' }),
--- a/packages/platform/src/createEtcdPlatform.ts
+++ b/packages/platform/src/createEtcdPlatform.ts
@@ -31,6 +31,8 @@
 const NOT_SENT_STATUSES = new Set([status.INVALID_ARGUMENT, status.UNIMPLEMENTED]);
 
 const KEYS_PER_PAGE = 500;
+/** Time left to calls under way on a replaced connection. */
+const CLOSE_DELAY_MS = 10_000;
 
 /** A client's connections are its own, so that silent ones are left with it. */
 const CHANNEL_OPTIONS = {
@@ -117,8 +119,10 @@
   }
 
   private rangePage(request: RangeRequest, deadline: number): Promise<RangeResponse> {
+    const { kv } = this;
     return new Promise((resolve, reject) => {
-      this.kv.range(request, new Metadata(), { deadline }, (error, response) => {
+      kv.range(request, new Metadata(), { deadline }, (error, response) => {
+        if (error) this.replaceIfSilent(kv, error);
         if (error) reject(notRun('platformUnavailable', error.details));
         else resolve(response);
       });
@@ -131,15 +135,12 @@
       success: puts.map(toOperation),
       failure: puts.map(toRead),
     };
+    const { kv } = this;
     return new Promise((resolve) => {
-      this.kv.txn(
-        request,
-        new Metadata(),
-        { deadline: Date.now() + timeoutMs },
-        (error, response) => {
-          resolve(error ? toFailure(error) : toWriteOutcome(response));
-        },
-      );
+      kv.txn(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, response) => {
+        if (error) this.replaceIfSilent(kv, error);
+        resolve(error ? toFailure(error) : toWriteOutcome(response));
+      });
     });
   }
 
@@ -179,9 +180,20 @@
     };
   }
 
-  override reconnect(): void {
-    this.close();
+  /** A connection on which a call timed out may stay silent for good; later calls get a new one. */
+  private replaceIfSilent(kv: KVClient, error: ServiceError): void {
+    if (error.code === status.DEADLINE_EXCEEDED && kv === this.kv) this.replaceKv();
+  }
+
+  private replaceKv(): void {
+    const { kv } = this;
     this.kv = new KVClient(this.address, this.channelCredentials, CHANNEL_OPTIONS);
+    setTimeout(() => kv.close(), CLOSE_DELAY_MS).unref();
+  }
+
+  override reconnect(): void {
+    this.replaceKv();
+    this.watcher.close();
     this.watcher = new WatchClient(this.address, this.channelCredentials, CHANNEL_OPTIONS);
   }
 
