--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -1,5 +1,5 @@
 import {
-  createSourceHealth,
+  createPeerHealth,
   isRelay,
   relayRank,
   sourcesElsewhere,
@@ -40,7 +40,7 @@
  */
 const createConfigurationSpread = (options: ConfigurationSpreadOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
-  const health = createSourceHealth();
+  const health = createPeerHealth();
   const startedAtMs = nowMs();
   const askPeersMs = FIRST_ASK_PEERS_MS * (1 + Math.random());
   const isSeed = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
