--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -3,7 +3,6 @@
 import type Caller from './caller';
 
 const RETRY_AFTER_MS = 1_000;
-const RECHECK_INTERVAL_MS = 250;
 
 const hashOf = (key: string): string => createHash('sha256').update(key).digest('hex');
 
@@ -12,9 +11,6 @@
   configuration: ConfigurationState,
   isVouched: () => boolean = () => true,
 ) => {
-  const watched = new Map<Caller, Set<() => void>>();
-  let timer: NodeJS.Timeout | undefined;
-
   const check = (keyHash: string | undefined, profileName: string): Caller => {
     const profile = configuration.get('profile', profileName);
     if (!profile) throw notRun('unknownProfile', `no profile ${profileName}`);
@@ -41,36 +37,12 @@
     }
   };
 
-  const recheck = (): void => {
-    [...watched].forEach(([caller, listeners]) => {
-      if (isStillAllowed(caller)) return;
-      watched.delete(caller);
-      listeners.forEach((listener) => listener());
-    });
-    if (watched.size === 0) {
-      clearInterval(timer);
-      timer = undefined;
-    }
-  };
-  configuration.onChange(recheck);
-
   return {
     /** @throws RefusalError `unknownProfile`, `unauthenticated`, `accountNotAllowed` or `keyNotVouched`. */
     authenticate: (key: string | undefined, profileName: string): Caller =>
       check(key === undefined ? undefined : hashOf(key), profileName),
     /** Whether the caller may still act now; asked again right before each step of its work. */
     isStillAllowed,
-    /** Calls the listener once when the caller may no longer act; returns the function that ends this. */
-    onDisallowed: (caller: Caller, listener: () => void): (() => void) => {
-      const listeners = watched.get(caller) ?? new Set();
-      listeners.add(listener);
-      watched.set(caller, listeners);
-      timer ??= setInterval(recheck, RECHECK_INTERVAL_MS);
-      return () => {
-        listeners.delete(listener);
-        if (listeners.size === 0) watched.delete(caller);
-      };
-    },
   };
 };
 
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,8 +1,10 @@
 import { ProxyService, createCallerService } from '@auburngrade/caller';
 import {
   createConfigurationState,
+  createWorkTracker,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
@@ -19,17 +21,30 @@
 import createLogger from '../log/createLogger';
 import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
+import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
+import createFailoverMetrics from '../promotion/createFailoverMetrics';
+import createPromotionService from '../promotion/createPromotionService';
 import createPeerRegistry from '../routing/createPeerRegistry';
+import createPrimaryWaiter from '../routing/createPrimaryWaiter';
 import createRouter from '../routing/createRouter';
+import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
 import createAddressBook from '../settings/createAddressBook';
+import createLeavingNotices from '../shutdown/createLeavingNotices';
+import drainWork from '../shutdown/drainWork';
+import stopServer from '../shutdown/stopServer';
+import createKeyWatch from '../transactions/createKeyWatch';
+import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
 
+/** Time for the last answers to leave once all work has ended. */
+const SERVER_GRACE_MS = 500;
+
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
@@ -56,12 +71,51 @@
   const membership = createMembership(configuration);
   const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
-  const reads = createReadExecutor(settings.vm, nowMs);
+  const reads = createReadExecutor({
+    ...settings,
+    ...settings.reads,
+    configuration,
+    held: groups.held,
+    nowMs,
+  });
+  const primaries = createPrimaryWaiter(configuration, nowMs);
   const writes = createWriteExecutor(settings.vm, nowMs);
 
-  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const work = createWorkTracker();
+  const notices = createLeavingNotices({
+    vm: settings.vm,
+    incarnation,
+    membership,
+    peers,
+    nowMs,
+  });
+
+  const promotions = createPromotionService({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    membership,
+    groups,
+    terms,
+    peers,
+    timings: settings.failover,
+    metrics: createFailoverMetrics(metrics.registry),
+    logger,
+    nowMs,
+  });
+
+  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
+    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    return holder;
+  };
+  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
+
+  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const holder = await holderOf(request);
     const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
@@ -69,12 +123,25 @@
     return outcome;
   };
 
-  const router = createRouter({ vm: settings.vm, membership, peers, executeLocally, nowMs });
+  const router = createRouter({
+    ...settings,
+    membership,
+    peers,
+    leaving: notices.leaving,
+    markLeaving: notices.add,
+    executeLocally,
+    beginLocally: transactions.begin,
+    metrics: createRoutingMetrics(metrics.registry),
+    nowMs,
+  });
   const callerHandler = createCallerHandler({
     settings,
     authenticator: createAuthenticator(configuration, vouching.isVouched),
     admission: createAdmission(configuration, () => membership.live().length, nowMs),
     execute: router.execute,
+    begin: router.begin,
+    enter: work.enter,
+    onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
   });
@@ -98,14 +165,26 @@
     vm: settings.vm,
     incarnation,
     executeLocally,
-    messageHandlers: new Map(vouching.messageHandlers),
     openFollowSession: follower.openFollowSession,
+    beginLocally: transactions.begin,
+    enter: work.enter,
+    messageHandlers: new Map([
+      ['suspicion', promotions.answerSuspicion],
+      [notices.kind, notices.receive],
+      ...vouching.messageHandlers,
+    ]),
     nowMs,
   });
 
   follower.start();
   vouching.start(follower);
-  const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
+  promotions.start();
+  const http = startHttpServer(
+    settings.host,
+    settings.httpPort,
+    metrics.registry,
+    () => work.phase() === 'serving',
+  );
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
@@ -120,16 +199,17 @@
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
-    await Promise.all(
-      servers.map(
-        (server) =>
-          new Promise<void>((resolve) => {
-            server.tryShutdown(() => resolve());
-          }),
-      ),
-    );
+    await drainWork({
+      tracker: work,
+      timings: settings.shutdown,
+      announce: notices.announce,
+      abortAll: transactions.abortAll,
+    });
+    await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
+    promotions.stop();
     follower.stop();
     vouching.stop();
+    reads.close();
     groups.close();
     peers.close();
     platform.close();
--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -1,6 +1,5 @@
 import {
   chooseHolders,
-  createPeerHealth,
   hashText,
   type ConfigurationState,
   type Vm,
@@ -15,14 +14,9 @@
 
 /**
  * Which VMs are live by the platform's list, and which of them hold a group's connections.
- * Holders follow from the list alone, so that every VM names the same ones; VMs that
- * failed this one directly come last among them.
+ * Holders follow from the list alone, so that every VM names the same ones.
  */
-const createMembership = (
-  configuration: ConfigurationState,
-  nowMs: () => number = () => performance.now(),
-) => {
-  const health = createPeerHealth();
+const createMembership = (configuration: ConfigurationState) => {
   const holdersByGroup = new Map<string, ListedVm[]>();
   let listed: ListedVm[] | undefined;
   let hashes: Map<string, { id: string; hash: number }[]> | undefined;
@@ -69,19 +63,10 @@
   const holders = (group: string): ListedVm[] => {
     const known = holdersByGroup.get(group) ?? choose(group);
     holdersByGroup.set(group, known);
-    const isAvoided = ({ id }: ListedVm): boolean => health.isAvoided(id, nowMs());
-    if (!known.some(isAvoided)) return known;
-    return [...known.filter((vm) => !isAvoided(vm)), ...known.filter(isAvoided)];
+    return known;
   };
 
-  return {
-    live,
-    holders,
-    /** Puts a VM that could not be reached last for a while, longer with each failure in a row. */
-    reportFailure: (vm: string): void => health.fail(vm, 'unreachable', nowMs()),
-    reportSuccess: (vm: string): void => health.succeed(vm),
-    isAvoided: (vm: string): boolean => health.isAvoided(vm, nowMs()),
-  };
+  return { live, holders };
 };
 
 export default createMembership;
--- a/packages/coordination/src/membership/createPeerHealth.ts
+++ b/packages/coordination/src/membership/createPeerHealth.ts
@@ -23,8 +23,6 @@
     succeed: (id: string): void => {
       marks.delete(id);
     },
-    isAvoided: (id: string, nowMs: number): boolean => (marks.get(id)?.avoidUntilMs ?? 0) > nowMs,
-    avoidUntilMs: (id: string): number => marks.get(id)?.avoidUntilMs ?? 0,
     /** The first VM that is not avoided, or else the one avoided for the shortest time. */
     choose: (ids: readonly string[], nowMs: number): string | undefined => {
       const untilMs = (id: string): number => marks.get(id)?.avoidUntilMs ?? 0;
--- a/packages/testkit/src/process/freePort.ts
+++ b/packages/testkit/src/process/freePort.ts
@@ -1,29 +1,27 @@
 import { createServer } from 'node:net';
 
-/** Below the range from which the system takes the ports of outgoing connections. */
-const FIRST_PORT = 10_000;
-const LAST_PORT = 32_000;
+/** Below the range from which the system takes ports of outgoing connections. */
+const LOWEST_PORT = 10_000;
+const HIGHEST_PORT = 32_000;
 
 const given = new Set<number>();
 
+const candidate = (): number =>
+  LOWEST_PORT + Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT));
+
 const isFree = (port: number): Promise<boolean> =>
   new Promise((resolve) => {
     const server = createServer();
     server.on('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => resolve(true));
-    });
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
-/** Finds a TCP port of the loopback address that nothing listens on and no connection is given. */
+/** Finds a TCP port of the loopback address that nothing listens on. */
 const freePort = async (): Promise<number> => {
-  for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
-    if (!given.has(port) && (await isFree(port))) {
-      given.add(port);
-      return port;
-    }
-  }
+  let port = candidate();
+  while (given.has(port) || !(await isFree(port))) port = candidate();
+  given.add(port);
+  return port;
 };
 
 export default freePort;
