feat: TLS for callers, operators and VM to VM, plain only when set so

Files are named in the settings (tls.callers, tls.operators, tls.vms) and read before anything starts; between VMs both sides show a certificate. tls is required: a side without TLS says 'plain', and the daemon logs tls.plain. VALID in parseSettings.spec and the settings of test fleets name tls, as the schema now asks.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -9,6 +9,7 @@
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
 import { addPeerServices } from '@auburngrade/vm';
+import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
@@ -38,6 +39,7 @@
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
 import stopServer from '../shutdown/stopServer';
+import loadTls from '../tls/loadTls';
 import createKeyWatch from '../transactions/createKeyWatch';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
@@ -49,12 +51,13 @@
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
   const logger = createLogger(settings);
+  const tls = loadTls(settings, logger);
   const metrics = createMetrics();
   const configuration = createConfigurationState();
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
-  const peers = createPeerRegistry(configuration, addresses);
+  const peers = createPeerRegistry(configuration, addresses, tls.vmClients);
   const incarnation = Date.now();
   const exchange = createExchange(settings.vm, incarnation, peers);
   const vouching = createVouching({ settings, configuration, exchange, nowMs });
@@ -63,6 +66,7 @@
     platform,
     configuration,
     addresses,
+    vmCredentials: tls.vmClients,
     outageAgeMs: vouching.outageAgeMs,
     onOutage: vouching.hearOutage,
     nowMs,
@@ -185,14 +189,16 @@
     metrics.registry,
     () => work.phase() === 'serving',
   );
+  const listen = (port: number, credentials: ServerCredentials, register: (to: Server) => void) =>
+    startGrpcServer(`${settings.host}:${port}`, register, credentials);
   const servers = await Promise.all([
-    startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
+    listen(settings.callerPort, tls.callers, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
     }),
-    startGrpcServer(`${settings.host}:${settings.vmPort}`, (server) => {
+    listen(settings.vmPort, tls.vms, (server) => {
       addPeerServices(server, peerHandler);
     }),
-    startGrpcServer(`${settings.host}:${settings.operatorPort}`, (server) => {
+    listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
   ]);
--- a/packages/auburngrade/src/routing/createPeerRegistry.ts
+++ b/packages/auburngrade/src/routing/createPeerRegistry.ts
@@ -1,9 +1,14 @@
 import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import { createPeerClient, type RemoteVm } from '@auburngrade/vm';
+import type { ChannelCredentials } from '@grpc/grpc-js';
 import type AddressBook from '../settings/addressBook';
 
 /** Clients of other VMs, opened on first use and replaced when an address changes. */
-const createPeerRegistry = (configuration: ConfigurationState, addresses: AddressBook) => {
+const createPeerRegistry = (
+  configuration: ConfigurationState,
+  addresses: AddressBook,
+  credentials?: ChannelCredentials,
+) => {
   const clients = new Map<string, { address: string; client: RemoteVm }>();
 
   return {
@@ -16,7 +21,7 @@
       const existing = clients.get(id);
       if (existing?.address === address) return existing.client;
       existing?.client.close();
-      const client = createPeerClient(address);
+      const client = createPeerClient(address, credentials);
       clients.set(id, { address, client });
       return client;
     },
--- a/packages/auburngrade/src/settings/parseSettings.spec.ts
+++ b/packages/auburngrade/src/settings/parseSettings.spec.ts
@@ -14,6 +14,7 @@
   operatorPort: 7003,
   httpPort: 7004,
   platform: { address: '127.0.0.1:2379' },
+  tls: { callers: 'plain', operators: 'plain', vms: 'plain' },
 };
 
 const parse = (changes: object) => () => parseSettings(JSON.stringify({ ...VALID, ...changes }));
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import checkClashes from './checkClashes';
 import keysSettingsSchema from './keysSettingsSchema';
+import tlsSettingsSchema from './tlsSettingsSchema';
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -26,6 +27,7 @@
       .default([]),
     /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
     addresses: z.record(z.string(), z.string()).default({}),
+    tls: tlsSettingsSchema,
     keys: keysSettingsSchema.default(keysSettingsSchema.parse({})),
     /** When a group's primary is replaced. */
     failover: z
--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -1,3 +1,5 @@
+import type { ChannelCredentials } from '@grpc/grpc-js';
+
 /** The deployment that a test or a measurement runs. */
 interface FleetOptions {
   dataCentres: string[];
@@ -16,6 +18,8 @@
   replicationLagMs: number;
   /** Runs VMs as the one binary instead of the bundle on Node. */
   isBinary: boolean;
+  /** Credentials of the clients of callers and operators; plain without them. */
+  clientCredentials: ChannelCredentials | undefined;
   /** Settings added to each VM's own. */
   vmSettings: Record<string, unknown>;
 }
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -27,6 +27,7 @@
   betweenDataCentresDelayMs: 0,
   replicationLagMs: 1,
   isBinary: false,
+  clientCredentials: undefined,
   vmSettings: {},
 };
 
@@ -141,7 +142,11 @@
   };
 
   const operator = (vm: string) =>
-    createOperatorClient(`${HOST}:${vmPorts.get(vm)?.operatorPort}`, OPERATOR_TIMEOUT_MS);
+    createOperatorClient(
+      `${HOST}:${vmPorts.get(vm)?.operatorPort}`,
+      OPERATOR_TIMEOUT_MS,
+      options.clientCredentials,
+    );
 
   const put = async (kind: string, name: string, body: unknown): Promise<void> => {
     const client = operator(names[0]?.vm ?? '');
@@ -198,7 +203,7 @@
     },
     /** A caller of one VM. */
     caller: (vm: string, key?: string) =>
-      createCallerClient(`${HOST}:${vmPorts.get(vm)?.callerPort}`, key),
+      createCallerClient(`${HOST}:${vmPorts.get(vm)?.callerPort}`, key, options.clientCredentials),
     /** The link from a VM to a member, a VM or `platform`. */
     link: (vm: string, target: string): FaultProxy => {
       const found = links.get(`${vm}>${target}`);
--- a/packages/testkit/src/fleet/startVm.ts
+++ b/packages/testkit/src/fleet/startVm.ts
@@ -37,7 +37,8 @@
     httpPort: await freePort(),
   };
   const platform = { address: platformAddress };
-  const all = { vm, dataCentre, ...usedPorts, platform, ...settings };
+  const tls = { callers: 'plain', operators: 'plain', vms: 'plain' };
+  const all = { vm, dataCentre, ...usedPorts, platform, tls, ...settings };
   const file = join(mkdtempSync(join(tmpdir(), 'auburngrade-')), `${vm}.json`);
   writeFileSync(file, JSON.stringify(all));
   const child = await startProcess({
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -17,3 +17,4 @@
 export type { default as LoadRecord } from './load/loadRecord';
 export { default as TraceDriver } from './trace/traceDriver';
 export { default as replayTrace } from './trace/replayTrace';
+export { default as certificatePath } from './certificates/certificatePath';
