--- a/packages/testkit/src/load/createLoad.ts
+++ b/packages/testkit/src/load/createLoad.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { AccessMode, Verdict, type Outcome } from '@auburngrade/caller';
 import type Fleet from '../fleet/fleet';
+import waitFor from '../process/waitFor';
 import createLoadSession from './createLoadSession';
 import type LoadAccount from './loadAccount';
 import type LoadRecord from './loadRecord';
@@ -27,6 +28,7 @@
 const TIMEOUT_MS = 2_000;
 const SESSIONS_PER_GROUP = 4;
 const LOAD_ID_CHARS = 8;
+const PREPARE_TIMEOUT_MS = 20_000;
 const UPSERT =
   'INSERT INTO items (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value';
 const ADD = 'UPDATE items SET value = value + $1 WHERE key = $2';
@@ -73,6 +75,26 @@
     return known;
   };
 
+  const prepareCounter = async (account: LoadAccount, group: string): Promise<void> => {
+    const item = counterOf(account.name, group);
+    await waitFor(
+      `counter of ${account.name} in ${group}`,
+      async () => {
+        const outcome = await callerOf(pick(balancedVms), account).execute({
+          profile,
+          group,
+          accessMode: AccessMode.WRITE,
+          sql: UPSERT,
+          parameters: [{ text: item }, { text: '0' }],
+          requestId: randomUUID(),
+          timeoutMs: TIMEOUT_MS,
+        });
+        return outcome.verdict === Verdict.RAN;
+      },
+      PREPARE_TIMEOUT_MS,
+    );
+  };
+
   const planRead = (session: LoadSession): Plan => ({
     kind: 'read',
     group: session.group,
@@ -153,25 +175,11 @@
   };
 
   return {
-    /** Writes the counters that the load adds to. */
+    /** Writes the counters that the load adds to, within the accounts' rates. */
     prepare: async (): Promise<void> => {
-      for (const account of accounts) {
-        for (const group of groups) {
-          const [vm = ''] = balancedVms;
-          const outcome = await callerOf(vm, account).execute({
-            profile,
-            group,
-            accessMode: AccessMode.WRITE,
-            sql: UPSERT,
-            parameters: [{ text: counterOf(account.name, group) }, { text: '0' }],
-            requestId: randomUUID(),
-            timeoutMs: TIMEOUT_MS,
-          });
-          if (outcome.verdict !== Verdict.RAN) {
-            throw new Error(`load of ${account.name} not ready: ${outcome.refusal?.message}`);
-          }
-        }
-      }
+      await Promise.all(
+        accounts.flatMap((account) => groups.map((group) => prepareCounter(account, group))),
+      );
     },
     start: (): void => {
       startedAtMs = performance.now();
--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -17,6 +17,7 @@
 /** The quick run of the second deployment and the baseline take only these. */
 const FEW = ['quiet', 'one account at 10 times its rate', 'primary killed'];
 
+process.setMaxListeners(0);
 setTimeout(() => {
   console.error('the measures took too long');
   process.exit(1);
--- a/scripts/measure/runScenario.ts
+++ b/scripts/measure/runScenario.ts
@@ -23,7 +23,6 @@
 /** Requests whose outcome is not known may still take effect for this long. */
 const REST_MS = 1_500;
 const PRIMARY_WAIT_MS = 15_000;
-const PREPARE_WAIT_MS = 20_000;
 
 /** Reads what the present primaries hold. */
 const readItems = async (fleet: Fleet, groups: string[]): Promise<Record<string, string>> => {
@@ -57,14 +56,7 @@
           : ratePerS * USUAL_RATIO,
     })),
   });
-  await waitFor(
-    'the load is ready',
-    async () => {
-      await load.prepare();
-      return true;
-    },
-    PREPARE_WAIT_MS,
-  );
+  await load.prepare();
   const fault: { atMs: number; group?: string } = { atMs: 0 };
   load.start();
   await sleep(LEAD_MS);
--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -60,6 +60,7 @@
   return { name, unit, rows, slopes, failures };
 };
 
+process.setMaxListeners(0);
 setTimeout(() => {
   console.error('slopes took too long');
   process.exit(1);
