--- a/packages/auburngrade/src/routing/createFreshnessTracker.ts
+++ b/packages/auburngrade/src/routing/createFreshnessTracker.ts
@@ -10,7 +10,8 @@
   const observe = (holder: GroupHolder): readonly Watermark[] => {
     const known = byGroup.get(holder.name) ?? [];
     const record = holder.record();
-    const next = record && confirmWatermark(holder.statuses(), holder.group.members.length, record);
+    const names = holder.group.members.map(({ name }) => name);
+    const next = record && confirmWatermark(holder.statuses(), names, record);
     if (!next) return known;
     const watermarks = addWatermark(known, next);
     byGroup.set(holder.name, watermarks);
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -3,13 +3,21 @@
   toRefusal,
   type StatementOutcome,
   type StatementRequest,
+  type StepHandler,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import {
   PeerHandler,
+  type ConfigurationUpdate,
+  type FollowSession,
   type ForwardedOutcome,
+  type ForwardedReply,
   type ForwardedStatement,
+  type ForwardedStep,
   type PeerMessage,
 } from '@auburngrade/vm';
+import createForwardedTransaction from '../transactions/createForwardedTransaction';
+import type Transaction from '../transactions/transaction';
 
 type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
 
@@ -17,8 +25,13 @@
   vm: string;
   incarnation: number;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
+  beginLocally(request: TransactionRequest): Promise<Transaction>;
+  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  enter(): () => void;
   /** Handlers of messages between VMs by their registered kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
+  /** Serves configuration to another VM. */
+  openFollowSession(send: (update: ConfigurationUpdate) => void): FollowSession;
   nowMs(): number;
 }
 
@@ -28,7 +41,9 @@
   }
 
   override async execute(statement: ForwardedStatement): Promise<ForwardedOutcome> {
+    let leave = (): void => {};
     try {
+      leave = this.options.enter();
       const outcome = await this.options.executeLocally({
         requestId: statement.requestId,
         account: statement.account || undefined,
@@ -44,11 +59,17 @@
     } catch (error) {
       const refusal = toRefusal(error);
       return { verdict: refusal.verdict, bodyJson: JSON.stringify(refusal) };
+    } finally {
+      leave();
     }
   }
 
-  override follow(): () => void {
-    return () => {};
+  override openTransaction(): StepHandler<ForwardedStep, ForwardedReply> {
+    return createForwardedTransaction({ ...this.options, begin: this.options.beginLocally });
+  }
+
+  override follow(send: (update: ConfigurationUpdate) => void): FollowSession {
+    return this.options.openFollowSession(send);
   }
 
   override async exchange(message: PeerMessage): Promise<PeerMessage> {
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -18,6 +18,11 @@
       address: z.string().min(1),
       timeoutMs: z.number().int().min(10).max(60_000).default(1_000),
     }),
+    /** VMs (`host:vmPort`) that a fresh VM asks for configuration first. */
+    peers: z
+      .array(z.string().regex(/^.+:\d+$/, 'host:port'))
+      .max(64)
+      .default([]),
     /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
     addresses: z.record(z.string(), z.string()).default({}),
     /** When a group's primary is replaced. */
@@ -43,6 +48,14 @@
         catchUpWaitMs: z.number().int().min(0).max(10_000).default(20),
       })
       .default({ catchUpWaitMs: 20 }),
+    shutdown: z
+      .strictObject({
+        /** How long a VM that shuts down goes on refusing requests, so that none finds a closed port. */
+        noticeMs: z.number().int().min(0).max(60_000).default(300),
+        /** How long running requests and open transactions may take to end. */
+        drainTimeoutMs: z.number().int().min(0).max(600_000).default(10_000),
+      })
+      .default({ noticeMs: 300, drainTimeoutMs: 10_000 }),
   })
   .superRefine((settings, context) => {
     checkClashes(settings).forEach(({ path, message }) => {
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -125,6 +125,11 @@
       platformAddress,
       isBinary: options.isBinary,
       settings: {
+        peers: names
+          .filter(
+            (name, index) => names.findIndex((n) => n.dataCentre === name.dataCentre) === index,
+          )
+          .map((name) => `${HOST}:${vmPorts.get(name.vm)?.vmPort}`),
         ...(options.hasFaultLinks ? { addresses: previous } : {}),
         ...options.vmSettings,
       },
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -1,11 +1,12 @@
+import { createReplyMatcher } from '@auburngrade/coordination';
 import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
 import {
-  ConfigurationClient,
   ForwardClient,
   PeerClient,
-  type ConfigurationUpdate,
   type ForwardedOutcome,
+  type ForwardedReply,
   type ForwardedStatement,
+  type ForwardedStep,
   type PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
 
@@ -22,7 +23,6 @@
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
 ) => {
   const forward = new ForwardClient(address, channelCredentials, CHANNEL_OPTIONS);
-  const configuration = new ConfigurationClient(address, channelCredentials, CHANNEL_OPTIONS);
   const peer = new PeerClient(address, channelCredentials, CHANNEL_OPTIONS);
   return {
     execute: (statement: ForwardedStatement): Promise<ForwardedOutcome> =>
@@ -33,6 +33,26 @@
           else resolve(outcome);
         });
       }),
+    /** Opens a transaction; `step` resolves with the reply of the same number. */
+    transact: (timeoutMs: number) => {
+      const stream = forward.transact(new Metadata(), { deadline: Date.now() + timeoutMs });
+      const matcher = createReplyMatcher<ForwardedReply>();
+      stream.on('data', matcher.receive);
+      stream.on('error', matcher.fail);
+      stream.on('end', () => matcher.fail(new Error('the stream has ended')));
+      return {
+        step: (body: NonNullable<ForwardedStep['body']>): Promise<ForwardedReply> => {
+          const { step, reply } = matcher.next();
+          if (!matcher.isLost()) stream.write({ step, body });
+          return reply;
+        },
+        isLost: matcher.isLost,
+        end: (): void => {
+          stream.end();
+        },
+        cancel: (): void => stream.cancel(),
+      };
+    },
     exchange: (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> =>
       new Promise((resolve, reject) => {
         peer.exchange(
@@ -45,19 +65,7 @@
           },
         );
       }),
-    follow: (
-      vm: string,
-      fromRevision: number,
-      onUpdate: (update: ConfigurationUpdate) => void,
-      onEnd: (reason: string) => void,
-    ): (() => void) => {
-      const stream = configuration.follow({ vm, fromRevision });
-      stream.on('data', onUpdate);
-      stream.on('error', (error) => onEnd(error.message));
-      stream.on('end', () => onEnd('stream ended'));
-      return () => stream.cancel();
-    },
-    close: (): void => [forward, configuration, peer].forEach((client) => client.close()),
+    close: (): void => [forward, peer].forEach((client) => client.close()),
   };
 };
 
