--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -69,8 +69,11 @@
 const wanted = process.argv.slice(2);
 const chosen = DIMENSIONS.filter(({ name }) => wanted.length === 0 || wanted.includes(name));
 const info = runInfo();
+const name = wanted.length === 0 ? 'slopes' : `slopes-${wanted.join('-')}`;
 const results = [];
-for (const dimension of chosen) results.push(await run(dimension));
-writeResult(wanted.length === 0 ? 'slopes' : `slopes-${wanted.join('-')}`, { ...info, results });
+for (const dimension of chosen) {
+  results.push(await run(dimension));
+  writeResult(name, { ...info, results });
+}
 console.log(JSON.stringify(info));
 process.exit(results.some(({ failures }) => failures.length > 0) ? 1 : 0);
