--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -8,6 +8,8 @@
 } from '@auburngrade/coordination';
 import {
   PeerHandler,
+  type ConfigurationUpdate,
+  type FollowSession,
   type ForwardedOutcome,
   type ForwardedReply,
   type ForwardedStatement,
@@ -28,6 +30,8 @@
   enter(): () => void;
   /** Handlers of messages between VMs by their registered kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
+  /** Serves configuration to another VM. */
+  openFollowSession(send: (update: ConfigurationUpdate) => void): FollowSession;
   nowMs(): number;
 }
 
@@ -64,8 +68,8 @@
     return createForwardedTransaction({ ...this.options, begin: this.options.beginLocally });
   }
 
-  override follow(): () => void {
-    return () => {};
+  override follow(send: (update: ConfigurationUpdate) => void): FollowSession {
+    return this.options.openFollowSession(send);
   }
 
   override async exchange(message: PeerMessage): Promise<PeerMessage> {
--- a/packages/vm/src/peerHandler.ts
+++ b/packages/vm/src/peerHandler.ts
@@ -1,13 +1,13 @@
 import type { StepHandler } from '@auburngrade/coordination';
 import type {
   ConfigurationUpdate,
-  FollowRequest,
   ForwardedOutcome,
   ForwardedReply,
   ForwardedStatement,
   ForwardedStep,
   PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
+import type FollowSession from './followSession';
 
 /** What a VM does for other VMs. */
 abstract class PeerHandler {
@@ -17,8 +17,8 @@
   /** Opens a transaction whose steps another VM admitted. */
   abstract openTransaction(): StepHandler<ForwardedStep, ForwardedReply>;
 
-  /** Sends configuration updates until the returned function is called. */
-  abstract follow(request: FollowRequest, send: (update: ConfigurationUpdate) => void): () => void;
+  /** Serves configuration to one VM until its session is closed. */
+  abstract follow(send: (update: ConfigurationUpdate) => void): FollowSession;
 
   /** Answers one message of a registered kind. */
   abstract exchange(message: PeerMessage): Promise<PeerMessage>;
