--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -13,6 +13,7 @@
   const idle: EndpointConnection[] = [];
   const waiters: Waiter[] = [];
   let openCount = 0;
+  let isClosed = false;
 
   const drop = (connection: EndpointConnection): void => {
     openCount -= 1;
@@ -20,7 +21,7 @@
   };
 
   const release = (connection: EndpointConnection): void => {
-    if (!connection.isUsable()) {
+    if (isClosed || !connection.isUsable()) {
       drop(connection);
       return;
     }
@@ -89,7 +90,9 @@
       if (openCount < maxConnections) return pooled(await open(deadlineAtMs));
       return pooled(await wait(deadlineAtMs));
     },
+    /** Closes the idle connections now and the others when they are given back. */
     close: (): void => {
+      isClosed = true;
       idle.splice(0).forEach(drop);
     },
   };
