--- a/packages/coordination/src/membership/chooseHolders.ts
+++ b/packages/coordination/src/membership/chooseHolders.ts
@@ -13,10 +13,8 @@
 const isBefore = (a: Ranked, b: Ranked): boolean =>
   a.score > b.score || (a.score === b.score && a.id < b.id);
 
-/** Keeps the best `count` of the ranked VMs, best first. */
+/** Inserts a ranked VM in its place and keeps the best `count`. */
 const insert = (best: Ranked[], next: Ranked, count: number): void => {
-  const last = best[best.length - 1];
-  if (best.length === count && last && !isBefore(next, last)) return;
   let at = best.length;
   while (at > 0 && isBefore(next, best[at - 1] as Ranked)) at -= 1;
   best.splice(at, 0, next);
@@ -25,9 +23,15 @@
 
 const bestIn = (vms: VmHashes, dataCentre: string, groupHash: number, count: number): Ranked[] => {
   const best: Ranked[] = [];
-  vms.get(dataCentre)?.forEach(({ id, hash }) => {
-    insert(best, { id, dataCentre, score: rendezvousScore(hash, groupHash) }, count);
-  });
+  let leastScore = -1;
+  for (const { id, hash } of vms.get(dataCentre) ?? []) {
+    const score = rendezvousScore(hash, groupHash);
+    // Most candidates end here, so nothing is allocated before.
+    if (score >= leastScore) {
+      insert(best, { id, dataCentre, score }, count);
+      if (best.length === count) leastScore = best[count - 1]?.score ?? -1;
+    }
+  }
   return best;
 };
 
