--- a/scripts/measure/countBreaks.ts
+++ b/scripts/measure/countBreaks.ts
@@ -37,10 +37,12 @@
   items: Items,
   accounts: MeasuredAccount[],
   elapsedMs: number,
+  isPlanned: boolean,
 ): PromiseBreaks => {
   const once = records.filter(({ kind }) => kind === 'once');
   const counters = compareCounters(records, items);
   const lostOnce = once.filter(({ verdict, item }) => verdict === 'ran' && !(item in items));
+  const open = records.filter(({ verdict }) => verdict === 'mayHaveRun' || verdict === 'noAnswer');
   const untrue = once.filter(({ verdict, item }) => verdict === 'notRun' && item in items);
   return {
     staleSessionReads: records.filter(({ isStale }) => isStale).length,
@@ -48,6 +50,7 @@
     doubledWrites: counters.doubled,
     untrueRefusals: untrue.length,
     overRate: countOverRate(records, accounts, elapsedMs),
+    cutByPlannedStop: isPlanned ? open.length : 0,
   };
 };
 
--- a/scripts/measure/promiseBreaks.ts
+++ b/scripts/measure/promiseBreaks.ts
@@ -7,6 +7,8 @@
   untrueRefusals: number;
   /** Requests that ran beyond an account's rate and burst. */
   overRate: number;
+  /** Requests without an answer, or with one that leaves the outcome open, while only planned stops ran. */
+  cutByPlannedStop: number;
 }
 
 export default PromiseBreaks;
--- a/scripts/measure/scenario.ts
+++ b/scripts/measure/scenario.ts
@@ -5,6 +5,8 @@
   name: string;
   /** The first account sends this many times its rate. */
   firstAccountFactor: number;
+  /** Nothing fails: only planned stops, which may cut no request. */
+  isPlanned: boolean;
   run(context: ScenarioContext): Promise<void>;
 }
 
--- a/scripts/measure/scenarios/accountOverRate.ts
+++ b/scripts/measure/scenarios/accountOverRate.ts
@@ -5,6 +5,7 @@
 const accountOverRate: Scenario = {
   name: 'one account at 10 times its rate',
   firstAccountFactor: 10,
+  isPlanned: true,
   run: ({ faultMs }) => sleep(faultMs),
 };
 
--- a/scripts/measure/scenarios/dataCentreCut.ts
+++ b/scripts/measure/scenarios/dataCentreCut.ts
@@ -6,6 +6,7 @@
 const dataCentreCut: Scenario = {
   name: 'data centre cut',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, faultMs, noteFault }) => {
     const cut = fleet.names.at(-1)?.dataCentre ?? '';
     const isAcross = (from: string, to: string): boolean => (from === cut) !== (to === cut);
--- a/scripts/measure/scenarios/platformDown.ts
+++ b/scripts/measure/scenarios/platformDown.ts
@@ -5,6 +5,7 @@
 const platformDown: Scenario = {
   name: 'platform down',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, faultMs, noteFault }) => {
     noteFault();
     await fleet.platform.setFault('isDown', 1);
--- a/scripts/measure/scenarios/primaryCut.ts
+++ b/scripts/measure/scenarios/primaryCut.ts
@@ -9,6 +9,7 @@
 const primaryCut: Scenario = {
   name: 'primary cut',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, faultMs, noteFault }) => {
     const primary = await primaryOf(fleet, GROUP);
     const isToPrimary = (_from: string, _to: string, target: string): boolean =>
--- a/scripts/measure/scenarios/primaryKilled.ts
+++ b/scripts/measure/scenarios/primaryKilled.ts
@@ -8,6 +8,7 @@
 const primaryKilled: Scenario = {
   name: 'primary killed',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, faultMs, noteFault }) => {
     const primary = await primaryOf(fleet, GROUP);
     noteFault(GROUP);
--- a/scripts/measure/scenarios/quiet.ts
+++ b/scripts/measure/scenarios/quiet.ts
@@ -5,6 +5,7 @@
 const quiet: Scenario = {
   name: 'quiet',
   firstAccountFactor: 1,
+  isPlanned: true,
   run: ({ faultMs }) => sleep(faultMs),
 };
 
--- a/scripts/measure/scenarios/vmKilled.ts
+++ b/scripts/measure/scenarios/vmKilled.ts
@@ -8,6 +8,7 @@
 const vmKilled: Scenario = {
   name: 'VM killed',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, load, faultMs, noteFault }) => {
     const vms = [...fleet.vms.keys()];
     const killed = fleet.names[0];
--- a/scripts/measure/scenarios/vmPaused.ts
+++ b/scripts/measure/scenarios/vmPaused.ts
@@ -8,6 +8,7 @@
 const vmPaused: Scenario = {
   name: 'VM paused',
   firstAccountFactor: 1,
+  isPlanned: false,
   run: async ({ fleet, load, faultMs, noteFault }) => {
     const vms = [...fleet.vms.keys()];
     const paused = vms[1] ?? '';
