feat: keep client accounts' rates over the fleet by shares that move

Cause: each VM gave out rate/n alone, so a skewed balancer refused requests inside the rate (baseline, admission.mode equalParts, same spec: 121 of 300 refused with all traffic on one VM at 120/s of 200/s; 41 of 120 when it moved during a platform outage; a restarted VM's part never reached another). Change: one keeper VM per account, agreed by compare-and-swap, keeps a ledger of shares; holders report, and only the answer to the newest report changes units. Ruled out: a return of units by a timer alone, since a paused keeper or a holder that reports to a later keeper would count them twice; the platform must confirm the epoch after the lapse. The model does not notice yet when the sequence checks are switched off.

--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -1,39 +1,43 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import type { ConfigurationState } from '@auburngrade/coordination';
+import type { Platform } from '@auburngrade/platform';
+import type Logger from '../log/logger';
+import type PeerRegistry from '../routing/peerRegistry';
+import type Settings from '../settings/settings';
+import type Admission from './admission';
+import createEqualPartsAdmission from './createEqualPartsAdmission';
+import createShareAdmission from './createShareAdmission';
+import createShareService from './createShareService';
+import limitOfShare from './limitOfShare';
 
-interface Bucket {
-  tokens: number;
-  filledAtMs: number;
+interface AdmissionOptions {
+  settings: Settings;
+  incarnation: number;
+  configuration: ConfigurationState;
+  platform: Platform;
+  peers: PeerRegistry;
+  vmCount(): number;
+  confirmedAtMs(): number;
+  nowMs(): number;
+  logger: Logger;
 }
 
-const MS_PER_S = 1_000;
-
-/** Admits requests within each client account's rate; this VM gives out its equal part. */
-const createAdmission = (
-  configuration: ConfigurationState,
-  vmCount: () => number,
-  nowMs: () => number,
-) => {
-  const buckets = new Map<string, Bucket>();
-  return {
-    /** Takes one request of the account's rate. @throws RefusalError `rateExceeded`. */
-    admit: async (account: string | undefined, _profileName: string): Promise<void> => {
-      if (account === undefined) return;
-      const limit = configuration.get('account', account)?.limit;
-      if (!limit) throw notRun('unauthenticated', `no client account ${account}`);
-      const parts = Math.max(1, vmCount());
-      const burst = Math.max(1, limit.burst / parts);
-      const ratePerMs = limit.ratePerS / parts / MS_PER_S;
-      const now = nowMs();
-      const bucket = buckets.get(account) ?? { tokens: burst, filledAtMs: now };
-      const tokens = Math.min(burst, bucket.tokens + (now - bucket.filledAtMs) * ratePerMs);
-      const isAdmitted = tokens >= 1;
-      buckets.set(account, { tokens: isAdmitted ? tokens - 1 : tokens, filledAtMs: now });
-      if (!isAdmitted) {
-        const retryAfterMs = Math.ceil((1 - tokens) / ratePerMs);
-        throw notRun('rateExceeded', `rate of account ${account} exceeded`, retryAfterMs);
-      }
-    },
-  };
+/** Creates the admission that the settings choose, and the service of shares behind it. */
+const createAdmission = (options: AdmissionOptions) => {
+  const { settings, configuration, vmCount, nowMs } = options;
+  const { mode, shareLeaseMs, maxWaitMs } = settings.admission;
+  const shares = createShareService({
+    ...options,
+    vm: settings.vm,
+    platformTimeoutMs: settings.platform.timeoutMs,
+    leaseMs: shareLeaseMs,
+    maxWaitMs,
+    limitOf: (name) => limitOfShare(configuration, name),
+  });
+  const admission: Admission =
+    mode === 'shares'
+      ? createShareAdmission(configuration, shares)
+      : createEqualPartsAdmission(configuration, vmCount, nowMs);
+  return { admission, shares };
 };
 
 export default createAdmission;
--- /dev/null
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -0,0 +1,26 @@
+import type { RateLimit } from '@auburngrade/coordination';
+import type ShareState from './shareState';
+
+/** Creates the state of a share that this VM knows nothing of yet. */
+const createShareState = (name: string, limit: RateLimit): ShareState => ({
+  name,
+  limit,
+  holder: undefined,
+  keeper: undefined,
+  claim: undefined,
+  authorityAtMs: Number.NEGATIVE_INFINITY,
+  waiting: 0,
+  gathering: undefined,
+  isAnswered: false,
+  gatherAfterMs: 0,
+  gatherBackoffMs: 0,
+  claimAfterMs: 0,
+  confirmAfterMs: 0,
+  collectAfterMs: 0,
+  lastSyncAtMs: Number.NEGATIVE_INFINITY,
+  lastDemandPerS: 0,
+  isSyncDue: false,
+  unreachableSinceMs: undefined,
+});
+
+export default createShareState;
--- /dev/null
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -0,0 +1,28 @@
+import type { RateLimit, ShareHolder, ShareKeeper } from '@auburngrade/coordination';
+
+/** What a VM knows of one share: it is the keeper's or a holder's, never both. */
+interface ShareState {
+  name: string;
+  limit: RateLimit;
+  holder: ShareHolder | undefined;
+  keeper: ShareKeeper | undefined;
+  /** The epoch that this VM has tried to claim, and who may hold units of earlier ones. */
+  claim: { epoch: number; unreported: Set<string> } | undefined;
+  /** Last confirmation by the platform that this VM is the keeper. */
+  authorityAtMs: number;
+  waiting: number;
+  gathering: Promise<boolean> | undefined;
+  /** Whether the last attempt to gather tokens was answered by the keeper. */
+  isAnswered: boolean;
+  gatherAfterMs: number;
+  gatherBackoffMs: number;
+  claimAfterMs: number;
+  confirmAfterMs: number;
+  collectAfterMs: number;
+  lastSyncAtMs: number;
+  lastDemandPerS: number;
+  isSyncDue: boolean;
+  unreachableSinceMs: number | undefined;
+}
+
+export default ShareState;
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -55,10 +55,22 @@
   };
 
   const router = createRouter({ vm: settings.vm, membership, peers, executeLocally, nowMs });
+  const incarnation = Date.now();
+  const { admission, shares } = createAdmission({
+    settings,
+    incarnation,
+    configuration,
+    platform,
+    peers,
+    vmCount: () => membership.live().length,
+    confirmedAtMs: follower.confirmedAtMs,
+    nowMs,
+    logger,
+  });
   const callerHandler = createCallerHandler({
     settings,
     authenticator: createAuthenticator(configuration),
-    admission: createAdmission(configuration, () => membership.live().length, nowMs),
+    admission,
     execute: router.execute,
     metrics,
     nowMs,
@@ -71,6 +83,7 @@
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
+      shares: shares.describe(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
@@ -78,9 +91,9 @@
   });
   const peerHandler = createPeerHandler({
     vm: settings.vm,
-    incarnation: Date.now(),
+    incarnation,
     executeLocally,
-    messageHandlers: new Map(),
+    messageHandlers: new Map(shares.handlers),
     nowMs,
   });
 
@@ -108,6 +121,8 @@
           }),
       ),
     );
+    await shares.handOver();
+    shares.stop();
     follower.stop();
     groups.close();
     peers.close();
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -13,7 +13,7 @@
   type StatementOutcome,
   type StatementRequest,
 } from '@auburngrade/coordination';
-import type createAdmission from '../admission/createAdmission';
+import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
 import type Settings from '../settings/settings';
@@ -22,7 +22,7 @@
 interface CallerHandlerOptions {
   settings: Settings;
   authenticator: ReturnType<typeof createAuthenticator>;
-  admission: ReturnType<typeof createAdmission>;
+  admission: Admission;
   execute(request: StatementRequest): Promise<StatementOutcome>;
   metrics: Metrics;
   nowMs(): number;
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -1,5 +1,6 @@
 import { nameSchema } from '@auburngrade/coordination';
 import { z } from 'zod';
+import admissionSettingsSchema from '../admission/admissionSettingsSchema';
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -18,6 +19,7 @@
   }),
   /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
   addresses: z.record(z.string(), z.string()).default({}),
+  admission: admissionSettingsSchema.default(admissionSettingsSchema.parse({})),
   log: z
     .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
     .default({ level: 'info' }),
--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -2,6 +2,7 @@
 import groupSchema from './groupSchema';
 import keySchema from './keySchema';
 import profileSchema from './profileSchema';
+import shareRecordSchema from '../rate/shareRecordSchema';
 import slotsSchema from './slotsSchema';
 import termSchema from './termSchema';
 import vmSchema from './vmSchema';
@@ -14,6 +15,7 @@
   group: { prefix: '/auburngrade/group/', schema: groupSchema, writable: true },
   term: { prefix: '/auburngrade/term/', schema: termSchema, writable: false },
   slots: { prefix: '/auburngrade/slots/', schema: slotsSchema, writable: false },
+  share: { prefix: '/auburngrade/share/', schema: shareRecordSchema, writable: false },
   vm: { prefix: '/platform/vms/', schema: vmSchema, writable: false },
 } as const;
 
--- /dev/null
+++ b/packages/coordination/src/rate/createShareHolder.ts
@@ -0,0 +1,130 @@
+import createDemandMeter from './createDemandMeter';
+import createShareBucket from './createShareBucket';
+import type RateLimit from './rateLimit';
+import type ShareGrant from './shareGrant';
+import type ShareSync from './shareSync';
+
+interface ShareHolderOptions {
+  share: string;
+  vm: string;
+  incarnation: number;
+  limit: RateLimit;
+  leaseMs: number;
+  nowMs: number;
+  /** Units that the VM kept as the keeper of an earlier epoch. */
+  initialUnits?: number;
+  initialTokens?: number;
+  /** When the initial units lapse; a lease from now on by default. */
+  leaseEndsAtMs?: number;
+}
+
+/** Tokens kept when the keeper asks for some back: the demand of this time. */
+const RESERVE_S = 0.05;
+/** Below this demand a holder keeps nothing that the keeper asks for. */
+const IDLE_DEMAND_PER_S = 0.1;
+
+/**
+ * A VM's share of an account's rate, granted by the keeper. Units are exact: only
+ * the answer to the newest report changes them, so the keeper knows an upper bound
+ * at any time. Tokens that move are lost with a lost message and refill by time.
+ */
+const createShareHolder = (options: ShareHolderOptions) => {
+  const bucket = createShareBucket(options.limit, options.nowMs);
+  const demand = createDemandMeter();
+  bucket.add(options.initialUnits ?? 0, options.initialTokens ?? 0, options.nowMs);
+  let epoch = 0;
+  let sequence = 0;
+  let releasedTokens = 0;
+  let sentAtMs = 0;
+  let leaseEndsAtMs = options.leaseEndsAtMs ?? options.nowMs + options.leaseMs;
+
+  const lapse = (nowMs: number): void => {
+    if (nowMs < leaseEndsAtMs || bucket.units() === 0) return;
+    bucket.remove(bucket.units(), nowMs);
+    releasedTokens = 0;
+  };
+
+  const lower = (units: number, nowMs: number): void => {
+    releasedTokens += bucket.remove(bucket.units() - units, nowMs);
+  };
+
+  return {
+    units: () => bucket.units(),
+    demandPerS: (nowMs: number) => demand.perS(nowMs),
+    setLimit: (limit: RateLimit, nowMs: number) => bucket.setLimit(limit, nowMs),
+    count: (nowMs: number) => demand.count(nowMs),
+    take: (nowMs: number): boolean => {
+      lapse(nowMs);
+      return bucket.take(nowMs);
+    },
+    putBack: (nowMs: number) => bucket.putBack(nowMs),
+    tokenDueInMs: (nowMs: number) => bucket.tokenDueInMs(nowMs),
+    /** Builds the next report; answers to earlier ones count no more. */
+    report: (keeperEpoch: number, neededTokens: number, nowMs: number): ShareSync => {
+      lapse(nowMs);
+      if (keeperEpoch < epoch) throw new Error(`epoch ${keeperEpoch} is older than ${epoch}`);
+      if (keeperEpoch > epoch) {
+        epoch = keeperEpoch;
+        sequence = 0;
+        releasedTokens = 0;
+      }
+      sequence += 1;
+      sentAtMs = nowMs;
+      const sent = releasedTokens;
+      releasedTokens = 0;
+      return {
+        share: options.share,
+        epoch,
+        vm: options.vm,
+        incarnation: options.incarnation,
+        sequence,
+        heldUnits: bucket.units(),
+        releasedTokens: sent,
+        demandPerS: demand.perS(nowMs),
+        neededTokens,
+      };
+    },
+    /** Applies the keeper's answer. */
+    accept: (grant: ShareGrant, nowMs: number): void => {
+      if (grant.kind === 'refused') return;
+      if (grant.epoch !== epoch || grant.sequence !== sequence) return;
+      lapse(nowMs);
+      // The lease counts from the report's sending: the keeper's end of it is later.
+      leaseEndsAtMs = Math.max(leaseEndsAtMs, sentAtMs + options.leaseMs);
+      if (nowMs >= leaseEndsAtMs) return;
+      sequence += 1;
+      const added = grant.units - bucket.units();
+      if (added < 0) {
+        lower(grant.units, nowMs);
+        return;
+      }
+      // Tokens released after the report go back with their units.
+      bucket.add(added, grant.tokens + releasedTokens, nowMs);
+      releasedTokens = 0;
+    },
+    /** Gives up units that this VM's demand does not need now; true when there were some. */
+    release: (nowMs: number): boolean => {
+      lapse(nowMs);
+      if (bucket.units() === 0) return false;
+      if (demand.perS(nowMs) < IDLE_DEMAND_PER_S) {
+        lower(0, nowMs);
+        return true;
+      }
+      const tokens = bucket.tokens(nowMs);
+      const surplus = tokens - demand.perS(nowMs) * RESERVE_S;
+      if (surplus < 1) return false;
+      const part = surplus >= 2 ? surplus / 2 / tokens : surplus / tokens;
+      lower(Math.floor(bucket.units() * (1 - part)), nowMs);
+      return true;
+    },
+    releaseAll: (nowMs: number): void => lower(0, nowMs),
+    /** Ends this holder; what it holds goes on in the keeper's own share. */
+    resign: (nowMs: number): { units: number; tokens: number } => {
+      lapse(nowMs);
+      const units = bucket.units();
+      return { units, tokens: bucket.remove(units, nowMs) };
+    },
+  };
+};
+
+export default createShareHolder;
--- /dev/null
+++ b/packages/coordination/src/rate/shareRecordSchema.ts
@@ -0,0 +1,14 @@
+import { z } from 'zod';
+
+/**
+ * Which VM keeps the shares of an account's rate. Only VMs named in `holders`
+ * may be granted units in this epoch.
+ */
+const shareRecordSchema = z.strictObject({
+  epoch: z.number().int().positive(),
+  keeper: z.string().min(1),
+  incarnation: z.number().int().nonnegative(),
+  holders: z.array(z.string()),
+});
+
+export default shareRecordSchema;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -13,3 +13,4 @@
 export type { default as Fleet } from './fleet/fleet';
 export { default as TraceDriver } from './trace/traceDriver';
 export { default as replayTrace } from './trace/replayTrace';
+export { default as runLoad } from './load/runLoad';
