--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,32 +1,48 @@
 import { ProxyService, createCallerService } from '@auburngrade/caller';
 import {
   createConfigurationState,
+  createWorkTracker,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
 import { addPeerServices } from '@auburngrade/vm';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
-import createPlatformFollower from '../configuration/createPlatformFollower';
+import createConfigurationSpread from '../configuration/createConfigurationSpread';
+import createDocumentWriter from '../configuration/createDocumentWriter';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermKeeper from '../groups/createTermKeeper';
 import createLogger from '../log/createLogger';
 import createMembership from '../membership/createMembership';
+import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
+import createFailoverMetrics from '../promotion/createFailoverMetrics';
+import createPromotionService from '../promotion/createPromotionService';
 import createPeerRegistry from '../routing/createPeerRegistry';
+import createPrimaryWaiter from '../routing/createPrimaryWaiter';
 import createRouter from '../routing/createRouter';
+import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
 import createAddressBook from '../settings/createAddressBook';
+import createLeavingNotices from '../shutdown/createLeavingNotices';
+import drainWork from '../shutdown/drainWork';
+import stopServer from '../shutdown/stopServer';
+import createKeyWatch from '../transactions/createKeyWatch';
+import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
 
+/** Time for the last answers to leave once all work has ended. */
+const SERVER_GRACE_MS = 500;
+
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
@@ -35,18 +51,67 @@
   const configuration = createConfigurationState();
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
-  const follower = createPlatformFollower(platform, configuration, timeoutMs, logger);
   const addresses = createAddressBook(settings);
+  const follower = createConfigurationSpread({
+    settings,
+    platform,
+    configuration,
+    addresses,
+    outageAgeMs: () => -1,
+    onOutage: () => {},
+    nowMs,
+    logger,
+  });
   const membership = createMembership(configuration);
-  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs);
+  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
-  const reads = createReadExecutor(settings.vm, nowMs);
+  const reads = createReadExecutor({
+    ...settings,
+    ...settings.reads,
+    configuration,
+    held: groups.held,
+    nowMs,
+  });
+  const primaries = createPrimaryWaiter(configuration, nowMs);
   const writes = createWriteExecutor(settings.vm, nowMs);
   const peers = createPeerRegistry(configuration, addresses);
 
-  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const work = createWorkTracker();
+  const incarnation = Date.now();
+  const notices = createLeavingNotices({
+    vm: settings.vm,
+    incarnation,
+    membership,
+    peers,
+    nowMs,
+  });
+
+  const promotions = createPromotionService({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    membership,
+    groups,
+    terms,
+    peers,
+    timings: settings.failover,
+    metrics: createFailoverMetrics(metrics.registry),
+    logger,
+    nowMs,
+  });
+
+  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
+    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    return holder;
+  };
+  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
+
+  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const holder = await holderOf(request);
     const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
@@ -54,8 +119,17 @@
     return outcome;
   };
 
-  const router = createRouter({ vm: settings.vm, membership, peers, executeLocally, nowMs });
-  const incarnation = Date.now();
+  const router = createRouter({
+    ...settings,
+    membership,
+    peers,
+    leaving: notices.leaving,
+    markLeaving: notices.add,
+    executeLocally,
+    beginLocally: transactions.begin,
+    metrics: createRoutingMetrics(metrics.registry),
+    nowMs,
+  });
   const { admission, shares } = createAdmission({
     settings,
     incarnation,
@@ -72,19 +146,23 @@
     authenticator: createAuthenticator(configuration),
     admission,
     execute: router.execute,
+    begin: router.begin,
+    enter: work.enter,
+    onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
   });
   const operatorHandler = createOperatorHandler({
-    platform,
     configuration,
-    timeoutMs,
+    writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
+    announceWithdrawal: async () => '',
     describe: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
       shares: shares.describe(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
+      configuration: follower.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -93,12 +171,25 @@
     vm: settings.vm,
     incarnation,
     executeLocally,
-    messageHandlers: new Map(shares.handlers),
+    openFollowSession: follower.openFollowSession,
+    beginLocally: transactions.begin,
+    enter: work.enter,
+    messageHandlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
+      ...shares.handlers,
+      ['suspicion', promotions.answerSuspicion],
+      [notices.kind, notices.receive],
+    ]),
     nowMs,
   });
 
   follower.start();
-  const http = startHttpServer(settings.host, settings.httpPort, metrics.registry, () => true);
+  promotions.start();
+  const http = startHttpServer(
+    settings.host,
+    settings.httpPort,
+    metrics.registry,
+    () => work.phase() === 'serving',
+  );
   const servers = await Promise.all([
     startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
@@ -113,17 +204,18 @@
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
-    await Promise.all(
-      servers.map(
-        (server) =>
-          new Promise<void>((resolve) => {
-            server.tryShutdown(() => resolve());
-          }),
-      ),
-    );
+    await drainWork({
+      tracker: work,
+      timings: settings.shutdown,
+      announce: notices.announce,
+      abortAll: transactions.abortAll,
+    });
+    await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
+    promotions.stop();
     await shares.handOver();
     shares.stop();
     follower.stop();
+    reads.close();
     groups.close();
     peers.close();
     platform.close();
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -1,25 +1,54 @@
 import {
   RefusalError,
+  createRetryBudget,
+  decideRetry,
   encodeSessionToken,
   mayHaveRun,
+  mergeRefusals,
   notRun,
+  orderHolders,
   refusalSchema,
   statementOutcomeSchema,
+  toRefusal,
+  type Refusal,
   type StatementOutcome,
   type StatementRequest,
+  type TransactionRequest,
 } from '@auburngrade/coordination';
-import type { ForwardedOutcome, ForwardedStatement } from '@auburngrade/vm';
+import { isNeverSent, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
 import type Membership from '../membership/membership';
+import createRemoteTransaction from '../transactions/createRemoteTransaction';
+import type Transaction from '../transactions/transaction';
+import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
+import type RoutingMetrics from './routingMetrics';
+import sleep from './sleep';
 
 interface RouterOptions {
   vm: string;
+  dataCentre: string;
   membership: Membership;
   peers: PeerRegistry;
+  /** VMs that said they are shutting down. */
+  leaving(): ReadonlySet<string>;
+  markLeaving(vm: string): void;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
+  beginLocally(request: TransactionRequest): Promise<Transaction>;
+  metrics: RoutingMetrics;
   nowMs(): number;
 }
 
+const AVOID_MS = 1_000;
+const RETRY_AFTER_MS = 500;
+/** Refusals after which another holder may do better. */
+const ELSEWHERE_CODES: ReadonlySet<Refusal['code']> = new Set([
+  'noConnection',
+  'connectionLost',
+  'peerUnreachable',
+  'shuttingDown',
+  'noFreshEndpoint',
+]);
+
 const toForwarded = (request: StatementRequest, nowMs: number): ForwardedStatement => ({
   account: request.account ?? '',
   profile: request.profile,
@@ -38,27 +67,89 @@
   throw new RefusalError(refusalSchema.parse(body));
 };
 
-/** Sends a statement to a VM that holds connections to its group: this one if it can. */
-const createRouter = ({ vm, membership, peers, executeLocally, nowMs }: RouterOptions) => {
+/**
+ * Sends a statement to a VM that holds connections to its group: this one if it can. It is the
+ * one place that repeats a failed request.
+ */
+const createRouter = (options: RouterOptions) => {
+  const { vm, dataCentre, membership, peers, metrics, nowMs } = options;
+  const unreachable = createRecentFailures(AVOID_MS, nowMs);
+  const budget = createRetryBudget();
+
+  /** The holders of a group in the order in which they are tried. */
+  const candidates = (group: string, failed: ReadonlySet<string>): string[] =>
+    orderHolders({
+      holders: membership.holders(group),
+      vm,
+      dataCentre,
+      leaving: options.leaving(),
+      failed: new Set([...unreachable.names(), ...failed]),
+      random: Math.random(),
+    });
+
+  const refuseUnreachable = (target: string, error: Error): RefusalError => {
+    unreachable.add(target);
+    const refuse = isNeverSent(error) ? notRun : mayHaveRun;
+    return refuse('peerUnreachable', error.message);
+  };
+
   const forward = async (request: StatementRequest, target: string): Promise<StatementOutcome> => {
-    const outcome = await peers
-      .get(target)
-      .execute(toForwarded(request, nowMs()))
-      .catch((error: Error) => {
-        throw mayHaveRun('peerUnreachable', error.message);
-      });
+    const client = peers.get(target);
+    const outcome = await client.execute(toForwarded(request, nowMs())).catch((error: Error) => {
+      throw refuseUnreachable(target, error);
+    });
     return fromForwarded(outcome);
   };
 
+  /** Makes attempts at the holders of the request's group until one succeeds or no more may be made. */
+  const withRetries = async <Result>(
+    { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
+    attempt: (target: string) => Promise<Result>,
+  ): Promise<Result> => {
+    const failed = new Set<string>();
+    let refusal: Refusal | undefined;
+    budget.deposit();
+    for (let attempts = 1; ; attempts += 1) {
+      const holders = candidates(group, failed);
+      const [target] = holders;
+      if (target === undefined) {
+        throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
+      }
+      try {
+        if (target !== vm) metrics.forwards.inc({ group });
+        return await attempt(target);
+      } catch (error) {
+        const latest = toRefusal(error);
+        refusal = mergeRefusals(refusal, latest);
+        if (latest.code === 'shuttingDown') options.markLeaving(target);
+        if (ELSEWHERE_CODES.has(latest.code)) failed.add(target);
+        if (failed.size >= holders.length) failed.clear();
+        const random = Math.random();
+        const state = { refusal: latest, attempts, nowMs: nowMs(), deadlineAtMs, random };
+        const decision = decideRetry(state);
+        if (decision.kind === 'giveUp' || !budget.withdraw()) throw new RefusalError(refusal);
+        metrics.retries.inc({ group, code: latest.code });
+        await sleep(decision.delayMs);
+      }
+    }
+  };
+
   return {
     /** @throws RefusalError */
-    execute: async (request: StatementRequest): Promise<StatementOutcome> => {
-      const holders = membership.holders(request.group);
-      if (holders.some(({ id }) => id === vm)) return executeLocally(request);
-      const [target] = holders;
-      if (!target) throw notRun('noConnection', `no VM holds connections to ${request.group}`);
-      return forward(request, target.id);
-    },
+    execute: (request: StatementRequest): Promise<StatementOutcome> =>
+      withRetries(request, (target) =>
+        target === vm ? options.executeLocally(request) : forward(request, target),
+      ),
+    /** Begins a transaction on this VM or another. @throws RefusalError */
+    begin: (request: TransactionRequest): Promise<Transaction> =>
+      withRetries(request, (target) =>
+        target === vm
+          ? options.beginLocally(request)
+          : createRemoteTransaction(peers.get(target), request, nowMs()).catch((error) => {
+              if (toRefusal(error).code === 'peerUnreachable') unreachable.add(target);
+              throw error;
+            }),
+      ),
   };
 };
 
--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -5,11 +5,17 @@
   groups: string[];
   membersPerGroup: number;
   connectionBudget: number;
+  /** Connections that each member accepts. */
+  memberConnectionLimit: number;
   /** Puts a fault proxy on each link from a VM to a member, to a VM and to the platform. */
   hasFaultLinks: boolean;
+  /** Puts a fault proxy before each member's replication port. */
+  hasReplicationLinks: boolean;
   /** One-way delay in milliseconds of a link between two data centres, with fault links. */
   betweenDataCentresDelayMs: number;
   replicationLagMs: number;
+  /** Runs VMs as the one binary instead of the bundle on Node. */
+  isBinary: boolean;
   /** Settings added to each VM's own. */
   vmSettings: Record<string, unknown>;
 }
