--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -73,7 +73,7 @@
     logger,
   });
   const membership = createMembership(configuration);
-  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs);
+  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
   const reads = createReadExecutor({
     ...settings,
@@ -138,10 +138,21 @@
     metrics: createRoutingMetrics(metrics.registry),
     nowMs,
   });
+  const { admission, shares } = createAdmission({
+    settings,
+    incarnation,
+    configuration,
+    platform,
+    peers,
+    vmCount: () => membership.live().length,
+    confirmedAtMs: follower.confirmedAtMs,
+    nowMs,
+    logger,
+  });
   const callerHandler = createCallerHandler({
     settings,
     authenticator: createAuthenticator(configuration, vouching.isVouched),
-    admission: createAdmission(configuration, () => membership.live().length, nowMs),
+    admission,
     execute: router.execute,
     begin: router.begin,
     enter: work.enter,
@@ -157,6 +168,7 @@
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
+      shares: shares.describe(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
       configuration: follower.describe(),
       areKeysVouched: vouching.isVouched(),
@@ -172,7 +184,8 @@
     openFollowSession: follower.openFollowSession,
     beginLocally: transactions.begin,
     enter: work.enter,
-    messageHandlers: new Map([
+    messageHandlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
+      ...shares.handlers,
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
@@ -213,6 +226,8 @@
     });
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
+    await shares.handOver();
+    shares.stop();
     follower.stop();
     vouching.stop();
     reads.close();
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -13,7 +13,7 @@
   type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import type createAdmission from '../admission/createAdmission';
+import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
 import type Settings from '../settings/settings';
@@ -26,7 +26,7 @@
 interface CallerHandlerOptions {
   settings: Settings;
   authenticator: ReturnType<typeof createAuthenticator>;
-  admission: ReturnType<typeof createAdmission>;
+  admission: Admission;
   execute(request: StatementRequest): Promise<StatementOutcome>;
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; refuses it while the VM shuts down. */
