--- a/packages/auburngrade/src/commands/runCommand.ts
+++ b/packages/auburngrade/src/commands/runCommand.ts
@@ -2,7 +2,6 @@
 import { Flags } from '@oclif/core';
 import startDaemon from '../daemon/startDaemon';
 import parseSettings from '../settings/parseSettings';
-import exitCodes from './exitCodes';
 import ProgramCommand from './programCommand';
 
 /** Runs a VM's daemon until it is told to stop. */
@@ -24,8 +23,6 @@
       process.once('SIGINT', resolve);
     });
     await stop();
-    // Whatever is still pending was given up by the shutdown.
-    process.exit(exitCodes.ok);
   }
 }
 
--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -1,5 +1,5 @@
 import {
-  createSourceHealth,
+  createPeerHealth,
   isRelay,
   relayRank,
   sourcesElsewhere,
@@ -40,7 +40,7 @@
  */
 const createConfigurationSpread = (options: ConfigurationSpreadOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
-  const health = createSourceHealth();
+  const health = createPeerHealth();
   const startedAtMs = nowMs();
   const askPeersMs = FIRST_ASK_PEERS_MS * (1 + Math.random());
   const isSeed = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
@@ -146,6 +146,7 @@
     confirmedAtMs,
     /** Monotonic time of the platform's last answer to this VM. */
     reachedAtMs: platformFollower.reachedAtMs,
+    isRelay: isPlatformNeeded,
     openFollowSession: feed.open,
     describe: () => ({
       isRelay: isPlatformNeeded(),
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -11,6 +11,8 @@
 import createAcknowledger from './createAcknowledger';
 import createConnectionPool from './createConnectionPool';
 import createStatusPoller from './createStatusPoller';
+import type PoolSettings from './poolSettings';
+import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
 import sleepMs from './sleepMs';
 
@@ -28,7 +30,12 @@
   vm: string,
   addresses: AddressBook,
   nowMs: () => number,
+  poolSettings: PoolSettings = poolSettingsSchema.parse({}),
 ) => {
+  const poolOptions = {
+    ...poolSettings,
+    weightOf: (account: string): number => configuration.get('account', account)?.weight ?? 1,
+  };
   const perMember = Math.floor(group.connectionBudget / group.slots / group.members.length);
   const dataConnections = Math.max(1, perMember - CONTROL_CONNECTIONS);
 
@@ -41,7 +48,7 @@
         applicationName: `auburngrade/${vm}/${purpose}`,
       });
     const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs);
-    const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs);
+    const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
     return { member, control, data, poller: createStatusPoller(member.name, control, nowMs) };
   };
 
--- /dev/null
+++ b/packages/auburngrade/src/groups/poolOptions.ts
@@ -0,0 +1,9 @@
+import type PoolSettings from './poolSettings';
+
+/** How a connection pool treats client accounts. */
+interface PoolOptions extends PoolSettings {
+  /** The weight of a client account. */
+  weightOf(account: string): number;
+}
+
+export default PoolOptions;
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -1,6 +1,10 @@
 import { nameSchema } from '@auburngrade/coordination';
 import { z } from 'zod';
+import admissionSettingsSchema from '../admission/admissionSettingsSchema';
+import poolSettingsSchema from '../groups/poolSettingsSchema';
 import checkClashes from './checkClashes';
+import keysSettingsSchema from './keysSettingsSchema';
+import tlsSettingsSchema from './tlsSettingsSchema';
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -25,6 +29,10 @@
       .default([]),
     /** Replaces addresses (`host:port`) of endpoints and VMs as this VM reaches them. */
     addresses: z.record(z.string(), z.string()).default({}),
+    tls: tlsSettingsSchema,
+    keys: keysSettingsSchema.default(keysSettingsSchema.parse({})),
+    admission: admissionSettingsSchema.default(admissionSettingsSchema.parse({})),
+    pools: poolSettingsSchema.default(poolSettingsSchema.parse({})),
     /** When a group's primary is replaced. */
     failover: z
       .strictObject({
