--- a/packages/testkit/src/platformStandIn/main.ts
+++ b/packages/testkit/src/platformStandIn/main.ts
@@ -59,7 +59,9 @@
   stream: ServerDuplexStream<WatchRequest, WatchResponse>,
   created: boolean,
 ): void => {
-  stream.write(WatchResponse.fromPartial({ header: store.header(), created }));
+  // Delayed like changes: progress that overtakes them would claim what was not sent yet.
+  const response = WatchResponse.fromPartial({ header: store.header(), created });
+  later(() => stream.write(response));
 };
 
 const serveWatch = (stream: ServerDuplexStream<WatchRequest, WatchResponse>): void => {
