--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -147,6 +147,7 @@
     /** Monotonic time of the platform's last answer to this VM. */
     reachedAtMs: platformFollower.reachedAtMs,
     isRelay: isPlatformNeeded,
+    followerCount: feed.followerCount,
     openFollowSession: feed.open,
     describe: () => ({
       isRelay: isPlatformNeeded(),
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -12,6 +12,7 @@
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
+import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createReadExecutor from '../execution/createReadExecutor';
@@ -182,6 +183,12 @@
 
   follower.start();
   vouching.start(follower);
+  createConfigurationMetrics(metrics.registry, {
+    ...configuration,
+    ...follower,
+    areKeysVouched: vouching.isVouched,
+    nowMs,
+  });
   promotions.start();
   const http = startHttpServer(
     settings.host,
--- a/packages/auburngrade/src/integration/configurationSpread.spec.ts
+++ b/packages/auburngrade/src/integration/configurationSpread.spec.ts
@@ -151,6 +151,10 @@
   });
 
   it('reaches a data centre that is cut off from the platform', async () => {
+    await waitFor('the relays to follow the platform alone', async () => {
+      const described = await Promise.all((await relays(wacoVms())).map(describeVm));
+      return described.every(({ configuration }) => configuration.source === null);
+    });
     wacoVms().forEach((vm) => fleet.link(vm, 'platform').setMode('silent'));
     await change('temple-1', 'cut', 50);
     await awaitInForce(all(), 'cut', 50);
