--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -2,6 +2,7 @@
 import type AddressBook from '../settings/addressBook';
 import createGroupHolder from './createGroupHolder';
 import type GroupHolder from './groupHolder';
+import type PoolSettings from './poolSettings';
 
 /** Creates group holders on first use and replaces them when the group's document changes. */
 const createGroupRegistry = (
@@ -9,6 +10,7 @@
   vm: string,
   addresses: AddressBook,
   nowMs: () => number,
+  poolSettings?: PoolSettings,
 ) => {
   const holders = new Map<string, GroupHolder>();
 
@@ -24,7 +26,15 @@
     const existing = holders.get(name);
     if (existing && existing.group === group) return existing;
     existing?.close();
-    const created = createGroupHolder(name, group, configuration, vm, addresses, nowMs);
+    const created = createGroupHolder(
+      name,
+      group,
+      configuration,
+      vm,
+      addresses,
+      nowMs,
+      poolSettings,
+    );
     holders.set(name, created);
     return created;
   };
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -16,7 +16,7 @@
   type TransactionProgress,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import type createAdmission from '../admission/createAdmission';
+import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import checkRequest from '../serving/checkRequest';
 import checkSql from '../serving/checkSql';
@@ -27,7 +27,7 @@
 interface TransactionHandlerOptions {
   settings: Settings;
   authenticator: ReturnType<typeof createAuthenticator>;
-  admission: ReturnType<typeof createAdmission>;
+  admission: Admission;
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Refuses new transactions while the VM shuts down; else the work counts until `leave`. */
   enter(): () => void;
