--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -26,6 +26,8 @@
 }
 
 const STALE_TERM_STATE = 'AG001';
+/** A read that is not answered by then is sent a second time, over another connection. */
+const HEDGE_AFTER_MS = 1_000;
 const AVOID_MS = 2_000;
 const CONFIRM_STEP_MS = 5;
 const RETRY_AFTER_MS = 200;
@@ -107,19 +109,42 @@
     return isTooOld ? undefined : rows;
   };
 
+  const executeOnce = async (
+    holder: GroupHolder,
+    request: StatementRequest,
+    onPlanned: (member: string) => void,
+  ): Promise<StatementOutcome> => {
+    let plan = await planner.plan(holder, request, false);
+    onPlanned(plan.member);
+    let rows = await attempt(holder, request, plan);
+    if (!rows) {
+      // The answer took too long to vouch for its age: the primary is always young enough.
+      plan = await planner.plan(holder, request, true);
+      rows = await attempt(holder, request, plan);
+    }
+    if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
+    const { member: endpoint, role } = plan;
+    return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
+  };
+
   return {
     /** @throws RefusalError */
     execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
-      let plan = await planner.plan(holder, request, false);
-      let rows = await attempt(holder, request, plan);
-      if (!rows) {
-        // The answer took too long to vouch for its age: the primary is always young enough.
-        plan = await planner.plan(holder, request, true);
-        rows = await attempt(holder, request, plan);
-      }
-      if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
-      const { member: endpoint, role } = plan;
-      return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
+      let first = '';
+      const answer = executeOnce(holder, request, (member) => {
+        first = member;
+      });
+      const timeLeftMs = request.deadlineAtMs - nowMs();
+      const isAnswered = answer.then(
+        () => true,
+        () => true,
+      );
+      const hedgeAfterMs = Math.min(HEDGE_AFTER_MS, timeLeftMs / 2);
+      if (await Promise.race([isAnswered, sleep(hedgeAfterMs)])) return answer;
+      // Its connection may have gone silent for good; whichever answer comes first is taken.
+      failures.add(first);
+      const second = executeOnce(holder, request, () => {});
+      return Promise.any([answer, second]).catch(() => answer);
     },
     /** The member for a read-only transaction. @throws RefusalError */
     plan: async (holder: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -29,6 +29,8 @@
 /** The member obeys a later term, or takes no writes. */
 const NOT_PRIMARY_STATES = new Set(['AG001', '25006']);
 const ROLLBACK_TIMEOUT_MS = 1_000;
+/** A connection that went silent is given up so early that the write can begin on another. */
+const BEGIN_TIMEOUT_MS = 1_000;
 
 /** Runs writes on the primary; the request id is written in the same transaction as the effect. */
 const createWriteExecutor = (vm: string, nowMs: () => number) => {
@@ -49,7 +51,8 @@
     const insert = insertRequestSql(request, 'run');
     const script = joinStatements(term, ['BEGIN READ WRITE', insert]);
     try {
-      await connection.script(script, request.deadlineAtMs - nowMs());
+      const timeoutMs = Math.min(BEGIN_TIMEOUT_MS, request.deadlineAtMs - nowMs());
+      await connection.script(script, timeoutMs);
       return true;
     } catch (error) {
       if (error instanceof EndpointError && error.sqlState === UNIQUE_VIOLATION) return false;
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -31,6 +31,9 @@
 /** How long a read waits for a term record that its session already knows. */
 const RECORD_WAIT_MS = 1_000;
 const RETRY_AFTER_MS = 500;
+/** How many watermarks a stated age spans, so that a lagging replica has one to date it by. */
+const WATERMARKS_PER_AGE = 5;
+const MIN_SPACING_MS = 20;
 
 /** Without the profile's document the strictest freshness holds. */
 const UNKNOWN_PROFILE: ReadPolicy = {
@@ -107,6 +110,14 @@
     };
   };
 
+  /** Keeps watermarks closely spaced while reads of a stated age come in. */
+  const refreshAhead = (holder: GroupHolder, state: ReadState): void => {
+    if (state.freshness.kind !== 'maxAge') return;
+    const lastAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
+    const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_AGE;
+    if (lastAgeMs > Math.max(MIN_SPACING_MS, spacingMs)) holder.poll();
+  };
+
   return {
     /** @throws RefusalError `noFreshEndpoint` or `noPrimary`. */
     plan: async (
@@ -119,6 +130,7 @@
         ? { ...profile, freshness: { kind: 'primary' } }
         : profile;
       const { target, state } = await awaitTarget(holder, request, policy);
+      refreshAhead(holder, state);
       if (target.kind === 'recordBehind') {
         throw notRun('noFreshEndpoint', 'the session is ahead of the known term', RETRY_AFTER_MS);
       }
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -37,6 +37,8 @@
   nowMs(): number;
 }
 
+/** A connection that went silent is given up so early that another can be tried. */
+const BEGIN_TIMEOUT_MS = 1_000;
 const ROLLBACK_TIMEOUT_MS = 1_000;
 const ABORTED_STATE = '25P02';
 const STALE_TERM_STATE = 'AG001';
@@ -72,7 +74,7 @@
       ? ['BEGIN READ WRITE', insertRequestSql(asStatement(request), 'run')]
       : ['BEGIN READ ONLY'];
     try {
-      await this.script(joinStatements(plan.term, statements));
+      await this.script(joinStatements(plan.term, statements), BEGIN_TIMEOUT_MS);
     } catch (error) {
       this.abort();
       if (error instanceof EndpointError && error.sqlState === UNIQUE_STATE) {
@@ -164,9 +166,10 @@
     this.options.onEnd();
   }
 
-  private script(sql: string): Promise<QueryResult[]> {
+  private script(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
     const { connection } = this.options.pooled;
-    return this.exclusively(() => connection.script(sql, this.timeLeftMs()));
+    const timeoutMs = Math.min(limitMs, this.timeLeftMs());
+    return this.exclusively(() => connection.script(sql, timeoutMs));
   }
 
   private async exclusively<Result>(work: () => Promise<Result>): Promise<Result> {
--- a/packages/endpoint/src/pgConnection.ts
+++ b/packages/endpoint/src/pgConnection.ts
@@ -14,12 +14,27 @@
 
 const TEXT_TYPES = { getTypeParser: () => (value: string) => value };
 
+/** A statement with parameters goes by the extended protocol, which takes one statement only. */
+const toQuery = (sql: string, parameters: (string | null)[] | undefined) => ({
+  text: sql,
+  values: parameters,
+  rowMode: 'array' as const,
+  types: TEXT_TYPES,
+  queryMode: parameters === undefined ? undefined : 'extended',
+});
+
+/** A connection that was idle for longer is probed before its next statement. */
+const PROBE_AFTER_IDLE_MS = 1_000;
+const PROBE_TIMEOUT_MS = 300;
+
 /** A connection over the PostgreSQL protocol; a lost or late answer ends it. */
 class PgConnection extends EndpointConnection {
   private usable = true;
 
   private busy = false;
 
+  private answeredAtMs = performance.now();
+
   constructor(private readonly client: Client) {
     super();
     const lose = (): void => {
@@ -61,15 +76,31 @@
   ): Promise<QueryResult[]> {
     if (!this.isUsable()) throw new EndpointError('notSent', 'connection is not usable');
     this.busy = true;
+    await this.probeAfterIdle();
     try {
       const outcome = await this.withTimeout(sql, parameters, timeoutMs);
       this.busy = false;
+      this.answeredAtMs = performance.now();
       return outcome;
     } catch (error) {
       throw this.classify(error);
     }
   }
 
+  /**
+   * Something between the two ends may have lost track of an idle connection: an empty query
+   * tells before a statement is entrusted to it.
+   */
+  private async probeAfterIdle(): Promise<void> {
+    if (performance.now() - this.answeredAtMs < PROBE_AFTER_IDLE_MS) return;
+    try {
+      await this.withTimeout('', undefined, PROBE_TIMEOUT_MS);
+    } catch (error) {
+      this.close();
+      throw new EndpointError('notSent', `idle connection is dead: ${messageOf(error)}`);
+    }
+  }
+
   private withTimeout(
     sql: string,
     parameters: (string | null)[] | undefined,
@@ -81,7 +112,7 @@
         reject(new EndpointError('timeout', `no answer within ${timeoutMs} ms`));
       }, timeoutMs);
       this.client
-        .query({ text: sql, values: parameters, rowMode: 'array', types: TEXT_TYPES })
+        .query(toQuery(sql, parameters))
         .then((result) => resolve([result].flat().map(toResult)), reject)
         .finally(() => clearTimeout(timer));
     });
