--- a/packages/auburngrade/src/integration/sessions.spec.ts
+++ b/packages/auburngrade/src/integration/sessions.spec.ts
@@ -14,6 +14,22 @@
   let fleet: Fleet;
   let key: string;
 
+  /** A VM that has just started may still wait for its share of the account's rate. */
+  const isServedEverywhere = async (): Promise<boolean> => {
+    const outcomes = await Promise.all(
+      fleet.names.map(async ({ vm }) => {
+        const caller = fleet.caller(vm, key);
+        const parameters = [{ text: 'none' }];
+        const common = { profile: 'session', group: GROUP, timeoutMs: 2_000 };
+        const read = { ...common, accessMode: AccessMode.READ, sql: SELECT, parameters };
+        const outcome = await caller.execute(read);
+        caller.close();
+        return outcome.verdict;
+      }),
+    );
+    return outcomes.every((verdict) => verdict === Verdict.RAN);
+  };
+
   before(async () => {
     fleet = await startFleet({ vmsPerDataCentre: 2, hasFaultLinks: true, connectionBudget: 60 });
     await fleet.put('account', 'ranch', { limit: { ratePerS: 100_000, burst: 100_000 } });
@@ -24,6 +40,7 @@
     await fleet.put('profile', 'aged', { ...common, freshness });
     ({ key } = await fleet.issueKey('ranch'));
     await fleet.settle();
+    await waitFor('a share of the rate on every VM', isServedEverywhere);
   });
 
   after(async () => {
--- a/packages/endpoint/src/pgConnection.ts
+++ b/packages/endpoint/src/pgConnection.ts
@@ -14,13 +14,13 @@
 
 const TEXT_TYPES = { getTypeParser: () => (value: string) => value };
 
-/** A statement with parameters goes by the extended protocol, which takes one statement only. */
-const toQuery = (sql: string, parameters: (string | null)[] | undefined) => ({
-  text: sql,
-  values: parameters,
+/** A statement with parameters goes by the extended protocol, which takes one statement a message. */
+const toQuery = (text: string, values: (string | null)[] | undefined) => ({
+  text,
+  values,
+  queryMode: values ? 'extended' : undefined,
   rowMode: 'array' as const,
   types: TEXT_TYPES,
-  queryMode: parameters === undefined ? undefined : 'extended',
 });
 
 /** A connection that was idle for longer is probed before its next statement. */
