--- a/packages/endpoint/src/pgConnection.ts
+++ b/packages/endpoint/src/pgConnection.ts
@@ -23,12 +23,18 @@
   types: TEXT_TYPES,
 });
 
+/** A connection that was idle for longer is probed before its next statement. */
+const PROBE_AFTER_IDLE_MS = 1_000;
+const PROBE_TIMEOUT_MS = 300;
+
 /** A connection over the PostgreSQL protocol; a lost or late answer ends it. */
 class PgConnection extends EndpointConnection {
   private usable = true;
 
   private busy = false;
 
+  private answeredAtMs = performance.now();
+
   constructor(private readonly client: Client) {
     super();
     const lose = (): void => {
@@ -70,15 +76,31 @@
   ): Promise<QueryResult[]> {
     if (!this.isUsable()) throw new EndpointError('notSent', 'connection is not usable');
     this.busy = true;
+    await this.probeAfterIdle();
     try {
       const outcome = await this.withTimeout(sql, parameters, timeoutMs);
       this.busy = false;
+      this.answeredAtMs = performance.now();
       return outcome;
     } catch (error) {
       throw this.classify(error);
     }
   }
 
+  /**
+   * Something between the two ends may have lost track of an idle connection: an empty query
+   * tells before a statement is entrusted to it.
+   */
+  private async probeAfterIdle(): Promise<void> {
+    if (performance.now() - this.answeredAtMs < PROBE_AFTER_IDLE_MS) return;
+    try {
+      await this.withTimeout('', undefined, PROBE_TIMEOUT_MS);
+    } catch (error) {
+      this.close();
+      throw new EndpointError('notSent', `idle connection is dead: ${messageOf(error)}`);
+    }
+  }
+
   private withTimeout(
     sql: string,
     parameters: (string | null)[] | undefined,
