--- a/scripts/capacity/capacityRows.ts
+++ b/scripts/capacity/capacityRows.ts
@@ -9,6 +9,13 @@
   bytesPerS: number;
 }
 
+/** Relays of the runs of `vms`: two in each of two data centres. */
+const MEASURED_RELAYS = 4;
+/** Two relays in each of 12 data centres. */
+const FUTURE_RELAYS = 24;
+/** The runs of `changes` have 8 VMs behind 4 relays. */
+const FOLLOWERS_MEASURED = 2;
+
 type SlopeReader = ReturnType<typeof createSlopeReader>;
 type FleetSize = (typeof sizes)['future'];
 
@@ -44,6 +51,17 @@
     memoryMb: idle.memoryMb + holder.memoryMb + configuration.memoryMb,
     bytesPerS: idle.bytesPerS + holder.bytesPerS + configuration.bytesPerS,
   };
+  const relay: CapacityRow = {
+    role: 'relays the configuration (some VMs, on top)',
+    formula: 'followers a relay x slope of the costliest VM of vms x relays measured',
+    cpuPercent:
+      (size.vms / FUTURE_RELAYS) * slopes.slope('vms', 'vmCpuPercentMax') * MEASURED_RELAYS,
+    memoryMb: (size.vms / FUTURE_RELAYS) * slopes.slope('vms', 'vmResidentMbMax') * MEASURED_RELAYS,
+    bytesPerS:
+      size.changesPerS *
+      slopes.slope('changes', 'vmBytesPerSMax') *
+      (size.vms / FUTURE_RELAYS / FOLLOWERS_MEASURED),
+  };
   const serving: CapacityRow = {
     role: 'serves callers (data, each VM holds what it is asked)',
     formula: 'statements x slope of statements; connections x slope of connections',
@@ -60,7 +78,7 @@
     memoryMb: size.connectionsPerVm * slopes.slope('connections', 'vmResidentMb'),
     bytesPerS: size.statementsPerSPerVm * slopes.slope('forwarded', 'vmBytesPerS'),
   };
-  return [idle, holder, configuration, control, serving, forwarding];
+  return [idle, holder, configuration, control, relay, serving, forwarding];
 };
 
 export default capacityRows;
