--- a/scripts/capacity/capacityRows.ts
+++ b/scripts/capacity/capacityRows.ts
@@ -9,11 +9,8 @@
   bytesPerS: number;
 }
 
-/** Relays of the runs of `vms`: two in each of two data centres. */
-const MEASURED_RELAYS = 4;
-/** Two relays in each of 12 data centres. */
-const FUTURE_RELAYS = 24;
-/** The runs of `changes` have 8 VMs behind 4 relays. */
+/** Followers of one VM in the tree that spreads the configuration, and in the runs of `changes`. */
+const FOLLOWERS = 8;
 const FOLLOWERS_MEASURED = 2;
 
 type SlopeReader = ReturnType<typeof createSlopeReader>;
@@ -51,16 +48,14 @@
     memoryMb: idle.memoryMb + holder.memoryMb + configuration.memoryMb,
     bytesPerS: idle.bytesPerS + holder.bytesPerS + configuration.bytesPerS,
   };
+  const fanOut = FOLLOWERS / FOLLOWERS_MEASURED;
   const relay: CapacityRow = {
-    role: 'relays the configuration (some VMs, on top)',
-    formula: 'followers a relay x slope of the costliest VM of vms x relays measured',
-    cpuPercent:
-      (size.vms / FUTURE_RELAYS) * slopes.slope('vms', 'vmCpuPercentMax') * MEASURED_RELAYS,
-    memoryMb: (size.vms / FUTURE_RELAYS) * slopes.slope('vms', 'vmResidentMbMax') * MEASURED_RELAYS,
-    bytesPerS:
-      size.changesPerS *
-      slopes.slope('changes', 'vmBytesPerSMax') *
-      (size.vms / FUTURE_RELAYS / FOLLOWERS_MEASURED),
+    role: 'relays the configuration (on top)',
+    formula:
+      'changes a second x slope of the costliest VM of changes x followers / followers measured',
+    cpuPercent: size.changesPerS * slopes.slope('changes', 'vmCpuPercentMax') * fanOut,
+    memoryMb: size.changesPerS * slopes.slope('changes', 'vmResidentMbMax') * fanOut,
+    bytesPerS: size.changesPerS * slopes.slope('changes', 'vmBytesPerSMax') * fanOut,
   };
   const serving: CapacityRow = {
     role: 'serves callers (data, each VM holds what it is asked)',
--- a/scripts/capacity/platformRow.ts
+++ b/scripts/capacity/platformRow.ts
@@ -10,12 +10,11 @@
   size: (typeof sizes)['future'],
 ) => ({
   vms: size.vms,
-  waitingWatches:
-    slopes.base('vms', 'platformWatchesOpen') +
-    size.vms * slopes.slope('vms', 'platformWatchesOpen'),
+  relays: size.relays,
+  waitingWatches: size.relays * slopes.base('connections', 'platformWatchesOpen'),
   readsPerS:
-    size.vms * slopes.slope('vms', 'platformReadsPerS') +
-    size.heldGroupsPerVm * size.vms * slopes.slope('groups', 'platformReadsPerS'),
+    size.relays * slopes.base('connections', 'platformReadsPerS') +
+    size.changesPerS * slopes.slope('changes', 'platformReadsPerS'),
   leaseCallsPerS: size.vms * slopes.slope('vms', 'platformLeaseCallsPerS'),
   writesPerS:
     size.vms * slopes.slope('vms', 'platformWritesPerS') +
