--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { AccessMode, Verdict, createCallerClient } from '@auburngrade/caller';
 import { startFleet, type Fleet } from '@auburngrade/testkit';
 import pg from 'pg';
@@ -24,6 +25,11 @@
 const TIMEOUT_MS = 5_000;
 const MAX_RUN_MS = 5 * 60_000;
 const SELECT = 'SELECT value FROM items WHERE key = $1';
+/** Every round checks that it reads this. */
+const ITEM = 'bale';
+const VALUE = '42';
+const UPSERT =
+  'INSERT INTO items (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value';
 const LIMIT = { ratePerS: 1_000_000, burst: 1_000_000 };
 
 type Execute = () => Promise<boolean>;
@@ -41,10 +47,10 @@
       group: 'auctions',
       accessMode: AccessMode.READ,
       sql: SELECT,
-      parameters: [{ text: 'none' }],
+      parameters: [{ text: ITEM }],
       timeoutMs: TIMEOUT_MS,
     });
-    return outcome.verdict === Verdict.RAN;
+    return outcome.verdict === Verdict.RAN && outcome.rows?.rows[0]?.cells[0]?.text === VALUE;
   };
 };
 
@@ -59,8 +65,8 @@
     max: DIRECT_CONNECTIONS,
   });
   return async () => {
-    await pool.query(SELECT, ['none']);
-    return true;
+    const { rows } = await pool.query<{ value: string }>(SELECT, [ITEM]);
+    return rows[0]?.value === VALUE;
   };
 };
 
@@ -93,6 +99,19 @@
 await sleep(IDLE_SETTLE_MS);
 const { forwarder, holder } = await findForwarder(fleet, key, 'auctions');
 
+const writer = fleet.caller(holder, key);
+const written = await writer.execute({
+  profile: 'measured',
+  group: 'auctions',
+  accessMode: AccessMode.WRITE,
+  sql: UPSERT,
+  parameters: [{ text: ITEM }, { text: VALUE }],
+  requestId: randomUUID(),
+  timeoutMs: TIMEOUT_MS,
+});
+writer.close();
+if (written.verdict !== Verdict.RAN) throw new Error(`write: ${written.refusal?.message}`);
+
 const paths: [string, Execute][] = [
   ['direct pg client', createDirectReader(fleet)],
   ['VM that holds the pool', createReader(fleet, holder, key)],
