--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -1,5 +1,7 @@
 import { nameSchema } from '@auburngrade/coordination';
 import { z } from 'zod';
+import admissionSettingsSchema from '../admission/admissionSettingsSchema';
+import poolSettingsSchema from '../groups/poolSettingsSchema';
 import checkClashes from './checkClashes';
 import keysSettingsSchema from './keysSettingsSchema';
 import tlsSettingsSchema from './tlsSettingsSchema';
@@ -29,6 +31,8 @@
     addresses: z.record(z.string(), z.string()).default({}),
     tls: tlsSettingsSchema,
     keys: keysSettingsSchema.default(keysSettingsSchema.parse({})),
+    admission: admissionSettingsSchema.default(admissionSettingsSchema.parse({})),
+    pools: poolSettingsSchema.default(poolSettingsSchema.parse({})),
     /** When a group's primary is replaced. */
     failover: z
       .strictObject({
