--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -17,6 +17,9 @@
   'grpc.max_reconnect_backoff_ms': 1_000,
 };
 
+/** The other VM's own refusal at the deadline says more than a call that ran out of time. */
+const ANSWER_MARGIN_MS = 300;
+
 /** Creates a client of another VM at `host:port`; calls reject with a gRPC status. */
 const createPeerClient = (
   address: string,
@@ -27,7 +30,7 @@
   return {
     execute: (statement: ForwardedStatement): Promise<ForwardedOutcome> =>
       new Promise((resolve, reject) => {
-        const deadline = Date.now() + statement.timeoutMs;
+        const deadline = Date.now() + statement.timeoutMs + ANSWER_MARGIN_MS;
         forward.execute(statement, new Metadata(), { deadline }, (error, outcome) => {
           if (error) reject(error);
           else resolve(outcome);
@@ -35,7 +38,9 @@
       }),
     /** Opens a transaction; `step` resolves with the reply of the same number. */
     transact: (timeoutMs: number) => {
-      const stream = forward.transact(new Metadata(), { deadline: Date.now() + timeoutMs });
+      const stream = forward.transact(new Metadata(), {
+        deadline: Date.now() + timeoutMs + ANSWER_MARGIN_MS,
+      });
       const matcher = createReplyMatcher<ForwardedReply>();
       stream.on('data', matcher.receive);
       stream.on('error', matcher.fail);
--- a/scripts/capacity/capacityRows.ts
+++ b/scripts/capacity/capacityRows.ts
@@ -9,6 +9,10 @@
   bytesPerS: number;
 }
 
+/** Followers of one VM in the tree that spreads the configuration, and in the runs of `changes`. */
+const FOLLOWERS = 8;
+const FOLLOWERS_MEASURED = 2;
+
 type SlopeReader = ReturnType<typeof createSlopeReader>;
 type FleetSize = (typeof sizes)['future'];
 
@@ -44,6 +48,15 @@
     memoryMb: idle.memoryMb + holder.memoryMb + configuration.memoryMb,
     bytesPerS: idle.bytesPerS + holder.bytesPerS + configuration.bytesPerS,
   };
+  const fanOut = FOLLOWERS / FOLLOWERS_MEASURED;
+  const relay: CapacityRow = {
+    role: 'relays the configuration (on top)',
+    formula:
+      'changes a second x slope of the costliest VM of changes x followers / followers measured',
+    cpuPercent: size.changesPerS * slopes.slope('changes', 'vmCpuPercentMax') * fanOut,
+    memoryMb: size.changesPerS * slopes.slope('changes', 'vmResidentMbMax') * fanOut,
+    bytesPerS: size.changesPerS * slopes.slope('changes', 'vmBytesPerSMax') * fanOut,
+  };
   const serving: CapacityRow = {
     role: 'serves callers (data, each VM holds what it is asked)',
     formula: 'statements x slope of statements; connections x slope of connections',
@@ -60,7 +73,7 @@
     memoryMb: size.connectionsPerVm * slopes.slope('connections', 'vmResidentMb'),
     bytesPerS: size.statementsPerSPerVm * slopes.slope('forwarded', 'vmBytesPerS'),
   };
-  return [idle, holder, configuration, control, serving, forwarding];
+  return [idle, holder, configuration, control, relay, serving, forwarding];
 };
 
 export default capacityRows;
