feat: hand shares over at a planned stop; one report under way at a time

Cause: a keeper that stopped took its ledger with it, so its account waited for two leases; a second report voided the first one's answer with its tokens. Change: the record passes to the holder with most units, or to nobody when the keeper holds all; reports are serialised; a short shortage is waited for; a token short by rounding counts as whole.

--- a/packages/auburngrade/src/admission/createKeeperClaims.ts
+++ b/packages/auburngrade/src/admission/createKeeperClaims.ts
@@ -5,6 +5,7 @@
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
+import NO_KEEPER from './noKeeper';
 import type ShareState from './shareState';
 import updateShareState from './updateShareState';
 
@@ -45,7 +46,8 @@
       if (nowMs() < state.claimAfterMs) return;
       updateShareState(state, { claimAfterMs: nowMs() + CLAIM_INTERVAL_MS });
       const record = configuration.get('share', state.name);
-      const earlier = record ? [...record.holders, record.keeper] : [];
+      const known = record ? [...record.holders, record.keeper] : [];
+      const earlier = known.filter((holder) => holder !== NO_KEEPER);
       const listed = [...configuration.list('vm').keys()].slice(0, MAX_LISTED_HOLDERS);
       const epoch = (record?.epoch ?? 0) + 1;
       // An earlier process of this VM is certainly gone; it holds nothing.
@@ -57,6 +59,23 @@
       if (outcome === 'applied') updateShareState(state, { authorityAtMs: sentAtMs });
       logger.info('share.claimed', { share: state.name, epoch, outcome });
     },
+    /**
+     * Names the next keeper before this VM stops; without one, all units are this
+     * VM's own and free for whoever claims the share next.
+     */
+    pass: async (
+      name: string,
+      successor: { vm: string; incarnation: number } | undefined,
+    ): Promise<boolean> => {
+      const record = configuration.get('share', name);
+      if (!record || record.keeper !== vm || record.incarnation !== incarnation) return false;
+      const epoch = record.epoch + 1;
+      const next = successor
+        ? { epoch, keeper: successor.vm, incarnation: successor.incarnation }
+        : { epoch, keeper: NO_KEEPER, incarnation: 0 };
+      const holders = successor ? [...new Set([...record.holders, vm])] : [];
+      return (await write(name, { ...next, holders })) === 'applied';
+    },
     /** Names another VM as holder; true when units may be granted to it. */
     addHolder: async (name: string, holder: string): Promise<boolean> => {
       const record = configuration.get('share', name);
--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -66,8 +66,7 @@
     updateShareState(state, { unreachableSinceMs: state.unreachableSinceMs ?? nowMs() });
   };
 
-  /** Reports to the keeper; resolves with whether the keeper and those it asked answered. */
-  const sync = async (state: ShareState, hasNeed: boolean): Promise<boolean> => {
+  const syncNow = async (state: ShareState, hasNeed: boolean): Promise<boolean> => {
     const record = roles.refresh(state);
     const { holder } = state;
     if (!record || !holder) return false;
@@ -95,6 +94,20 @@
     }
   };
 
+  /**
+   * Reports to the keeper; resolves with whether the keeper and those it asked
+   * answered. One report is under way at a time: a later one voids the answer, and
+   * the tokens in it, of an earlier one.
+   */
+  const sync = async (state: ShareState, hasNeed: boolean): Promise<boolean> => {
+    while (state.syncing) await state.syncing;
+    const syncing = syncNow(state, hasNeed).finally(() => {
+      updateShareState(state, { syncing: undefined });
+    });
+    updateShareState(state, { syncing });
+    return syncing;
+  };
+
   const recallOne = async (
     state: ShareState,
     target: string,
@@ -151,7 +164,9 @@
     if (!state) return { hasReleased: false };
     roles.refresh(state);
     const hasReleased = !mustReport && (state.holder?.release(nowMs()) ?? false);
-    if (hasReleased || mustReport) await sync(state, false);
+    // A report under way may wait for this very answer.
+    if (state.syncing) updateShareState(state, { isSyncDue: true });
+    else if (hasReleased || mustReport) await sync(state, false);
     return { hasReleased };
   };
 
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -52,6 +52,8 @@
 const LEASE_SYNC_RATIO = 0.25;
 const DEMAND_CHANGE_RATIO = 0.25;
 const MIN_DEMAND_CHANGE_PER_S = 0.5;
+const HAND_OVER_ATTEMPTS = 10;
+const HAND_OVER_RETRY_MS = 100;
 
 const sleep = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -129,14 +131,22 @@
       work.then(resolve, reject).finally(() => clearTimeout(timer));
     });
 
+  /** When to look again after other VMs had no token to give. */
+  const retryDelayMs = (state: ShareState): number => {
+    // Without an answer the keeper may be about to start or to change.
+    if (!state.isAnswered) return MIN_BACKOFF_MS;
+    const dueInMs = bucketOf(state)?.tokenDueInMs(nowMs()) ?? Number.POSITIVE_INFINITY;
+    return Math.max(1, dueInMs) * state.waiting;
+  };
+
   const takeOrWait = async (state: ShareState): Promise<boolean> => {
     const deadlineAtMs = nowMs() + options.maxWaitMs;
     while (nowMs() < deadlineAtMs) {
       if (bucketOf(state)?.take(nowMs())) return true;
       const hasToken = await waitAtMost(deadlineAtMs - nowMs(), gather(state));
-      if (!hasToken && state.isAnswered) break;
-      // Without an answer the keeper may be about to start or to change.
-      if (!hasToken) await sleep(Math.min(MIN_BACKOFF_MS, deadlineAtMs - nowMs()));
+      const delayMs = hasToken ? 0 : retryDelayMs(state);
+      if (nowMs() + delayMs > deadlineAtMs) break;
+      if (delayMs > 0) await sleep(delayMs);
     }
     return bucketOf(state)?.take(nowMs()) ?? false;
   };
@@ -211,6 +221,28 @@
     return { code: bucket ? 'rateExceeded' : 'shareUnavailable', retryAfterMs };
   };
 
+  const releaseAll = async (state: ShareState): Promise<void> => {
+    state.holder?.releaseAll(nowMs());
+    for (let attempt = 0; attempt < HAND_OVER_ATTEMPTS; attempt += 1) {
+      if (await exchange.sync(state, false)) return;
+      await sleep(HAND_OVER_RETRY_MS);
+    }
+    logger.warn('share.notHandedOver', { share: state.name });
+  };
+
+  const handOverOne = async (state: ShareState): Promise<void> => {
+    roles.refresh(state);
+    if (state.keeper) {
+      const successor = state.keeper.successor();
+      // Units that have not been reported yet are nobody's to give away.
+      if (!successor && !state.keeper.isMinted()) return;
+      const isPassed = await claims.pass(state.name, successor);
+      if (!isPassed || !successor) return;
+      roles.refresh(state);
+    }
+    if (state.holder && state.holder.units() > 0) await releaseAll(state);
+  };
+
   return {
     /** Takes one token; resolves with undefined when it was there. */
     take: async (name: string): Promise<Shortage | undefined> => {
@@ -232,11 +264,9 @@
     },
     /** Handlers of the messages between VMs. */
     handlers: exchange.handlers,
-    /** Hands the held units back to their keepers, before a shutdown. */
+    /** Hands units and ledgers over to other VMs, before a shutdown. */
     handOver: async (): Promise<void> => {
-      const held = [...states.values()].filter(({ holder }) => holder && holder.units() > 0);
-      held.forEach(({ holder }) => holder?.releaseAll(nowMs()));
-      await Promise.all(held.map((state) => exchange.sync(state, false)));
+      await Promise.all([...states.values()].map(handOverOne));
     },
     stop: (): void => {
       clearInterval(timer);
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -13,6 +13,7 @@
   gathering: undefined,
   isAnswered: false,
   gatherAfterMs: 0,
+  syncing: undefined,
   gatherBackoffMs: 0,
   claimAfterMs: 0,
   confirmAfterMs: 0,
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -15,6 +15,8 @@
   /** Whether the last attempt to gather tokens was answered by the keeper. */
   isAnswered: boolean;
   gatherAfterMs: number;
+  /** The report under way. */
+  syncing: Promise<boolean> | undefined;
   gatherBackoffMs: number;
   claimAfterMs: number;
   confirmAfterMs: number;
--- a/packages/auburngrade/src/integration/rateShares.spec.ts
+++ b/packages/auburngrade/src/integration/rateShares.spec.ts
@@ -122,6 +122,24 @@
     });
   });
 
+  describe('with a planned stop of the VM that had all the traffic', () => {
+    before(() => startWith(['moved', 'shared'], LONG_LEASE_MS));
+    after(() => fleet.stop());
+
+    it('gives the others its share at once', async () => {
+      expectNoWrongfulRefusals(await load('moved', ['bryan-1'], INSIDE_PER_S, 1_000));
+      expectNoWrongfulRefusals(await load('shared', ['bryan-1'], INSIDE_PER_S, 500));
+      expectNoWrongfulRefusals(await load('shared', ALL, INSIDE_PER_S, 1_500));
+      await fleet.vms.get('bryan-1')?.stop();
+      for (const account of ['moved', 'shared']) {
+        await waitFor(`the whole rate of ${account}`, async () => {
+          const report = await load(account, ['waco-1'], INSIDE_PER_S, 500);
+          return refusedByRate(report) === 0;
+        });
+      }
+    });
+  });
+
   describe('with a paused VM and a lease that lapses meanwhile', () => {
     before(() => startWith(['stopped'], SHORT_LEASE_MS));
     after(() => fleet.stop());
--- a/packages/coordination/src/rate/createShareBucket.ts
+++ b/packages/coordination/src/rate/createShareBucket.ts
@@ -2,6 +2,8 @@
 import WHOLE_UNITS from './wholeUnits';
 
 const MS_PER_S = 1_000;
+/** A token that misses this much by rounding counts as whole; the rest is owed. */
+const ROUNDING_TOKENS = 1e-6;
 
 /**
  * A token bucket that has a share, in units, of a limit's rate and burst. Tokens
@@ -51,7 +53,7 @@
     },
     take: (nowMs: number): boolean => {
       refill(nowMs);
-      if (tokens < 1) return false;
+      if (tokens < 1 - ROUNDING_TOKENS) return false;
       tokens -= 1;
       return true;
     },
@@ -63,8 +65,8 @@
     /** Time until one token is here; undefined when this share can never hold one. */
     tokenDueInMs: (nowMs: number): number | undefined => {
       refill(nowMs);
-      if (tokens >= 1) return 0;
-      return capacity() < 1 ? undefined : Math.ceil((1 - tokens) / ratePerMs());
+      if (tokens >= 1 - ROUNDING_TOKENS) return 0;
+      return capacity() < 1 - ROUNDING_TOKENS ? undefined : Math.ceil((1 - tokens) / ratePerMs());
     },
   };
 };
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -203,6 +203,13 @@
         .sort(([, a], [, b]) => b.units - a.units)
         .slice(0, MAX_RECALLS)
         .map(([vm]) => vm),
+    /** The holder with most units, to be the next keeper. */
+    successor: (): { vm: string; incarnation: number } | undefined => {
+      const [first] = [...ledger]
+        .filter(([, { units }]) => units > 0)
+        .sort(([, a], [, b]) => b.units - a.units);
+      return first && { vm: first[0], incarnation: first[1].incarnation };
+    },
     /** Ends the epoch here: what this VM goes on holding as an ordinary holder. */
     resign: (nowMs: number): { units: number; tokens: number } => {
       const units = bucket.units();
