--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -9,15 +9,19 @@
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
 import { addPeerServices } from '@auburngrade/vm';
+import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
+import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermKeeper from '../groups/createTermKeeper';
+import createVouching from '../keys/createVouching';
 import createLogger from '../log/createLogger';
+import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
 import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
@@ -36,6 +40,7 @@
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
 import stopServer from '../shutdown/stopServer';
+import loadTls from '../tls/loadTls';
 import createKeyWatch from '../transactions/createKeyWatch';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
@@ -47,18 +52,24 @@
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
   const logger = createLogger(settings);
+  const tls = loadTls(settings, logger);
   const metrics = createMetrics();
   const configuration = createConfigurationState();
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
+  const peers = createPeerRegistry(configuration, addresses, tls.vmClients);
+  const incarnation = Date.now();
+  const exchange = createExchange(settings.vm, incarnation, peers);
+  const vouching = createVouching({ settings, configuration, exchange, nowMs });
   const follower = createConfigurationSpread({
     settings,
     platform,
     configuration,
     addresses,
-    outageAgeMs: () => -1,
-    onOutage: () => {},
+    vmCredentials: tls.vmClients,
+    outageAgeMs: vouching.outageAgeMs,
+    onOutage: vouching.hearOutage,
     nowMs,
     logger,
   });
@@ -74,10 +85,8 @@
   });
   const primaries = createPrimaryWaiter(configuration, nowMs);
   const writes = createWriteExecutor(settings.vm, nowMs);
-  const peers = createPeerRegistry(configuration, addresses);
 
   const work = createWorkTracker();
-  const incarnation = Date.now();
   const notices = createLeavingNotices({
     vm: settings.vm,
     incarnation,
@@ -143,7 +152,7 @@
   });
   const callerHandler = createCallerHandler({
     settings,
-    authenticator: createAuthenticator(configuration),
+    authenticator: createAuthenticator(configuration, vouching.isVouched),
     admission,
     execute: router.execute,
     begin: router.begin,
@@ -155,7 +164,7 @@
   const operatorHandler = createOperatorHandler({
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
-    announceWithdrawal: async () => '',
+    announceWithdrawal: vouching.announceWithdrawal,
     describe: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
@@ -163,6 +172,8 @@
       shares: shares.describe(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
       configuration: follower.describe(),
+      areKeysVouched: vouching.isVouched(),
+      outageAgeMs: vouching.outageAgeMs(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -178,11 +189,19 @@
       ...shares.handlers,
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
+      ...vouching.messageHandlers,
     ]),
     nowMs,
   });
 
   follower.start();
+  vouching.start(follower);
+  createConfigurationMetrics(metrics.registry, {
+    ...configuration,
+    ...follower,
+    areKeysVouched: vouching.isVouched,
+    nowMs,
+  });
   promotions.start();
   const http = startHttpServer(
     settings.host,
@@ -190,14 +209,16 @@
     metrics.registry,
     () => work.phase() === 'serving',
   );
+  const listen = (port: number, credentials: ServerCredentials, register: (to: Server) => void) =>
+    startGrpcServer(`${settings.host}:${port}`, register, credentials);
   const servers = await Promise.all([
-    startGrpcServer(`${settings.host}:${settings.callerPort}`, (server) => {
+    listen(settings.callerPort, tls.callers, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
     }),
-    startGrpcServer(`${settings.host}:${settings.vmPort}`, (server) => {
+    listen(settings.vmPort, tls.vms, (server) => {
       addPeerServices(server, peerHandler);
     }),
-    startGrpcServer(`${settings.host}:${settings.operatorPort}`, (server) => {
+    listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
   ]);
@@ -215,6 +236,7 @@
     await shares.handOver();
     shares.stop();
     follower.stop();
+    vouching.stop();
     reads.close();
     groups.close();
     peers.close();
--- a/packages/auburngrade/src/groups/createAcknowledger.ts
+++ b/packages/auburngrade/src/groups/createAcknowledger.ts
@@ -53,10 +53,11 @@
       if (isNeeded(member)) {
         const before = poller.latest()?.position;
         await poller.poll();
-        settleHeld();
         const hasMoved = poller.latest()?.position !== before;
         delayMs = hasMoved ? POLL_DELAY_MS : Math.min(MAX_POLL_DELAY_MS, delayMs * 2);
       }
+      // Polls that others asked for count as well.
+      settleHeld();
       await sleepMs(delayMs);
     }
   };
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -37,6 +37,7 @@
   const queue = createFairQueue<Waiter>(limits, maxConnections);
   const idle: EndpointConnection[] = [];
   let openCount = 0;
+  let isClosed = false;
 
   /** The queue's name for an account. */
   const flowOf = (account: string | undefined): string =>
@@ -94,7 +95,7 @@
   };
 
   const release = (connection: EndpointConnection): void => {
-    if (connection.isUsable()) idle.push(connection);
+    if (!isClosed && connection.isUsable()) idle.push(connection);
     else drop(connection);
     serveQueue();
   };
@@ -165,7 +166,9 @@
       return wait(flowOf(account), weight, deadlineAtMs);
     },
     queued: () => queue.size(),
+    /** Closes the idle connections now and the others when they are given back. */
     close: (): void => {
+      isClosed = true;
       idle.splice(0).forEach(drop);
     },
   };
