fix: a new account's first requests wait for its first share

Cause: a peer's channel that failed while all VMs started waited a second before its next try, longer than a request waits for a share; and a request gave up at once when the keeper had no token just then, with most of its wait left. Asking again was put off by up to 500 ms, also longer than the wait. Ruled out: the keeper's ledger (units are exact in the properties). Change: the first reconnect comes after 50 ms; a request asks until its wait is over while the whole limit could serve all that wait.

--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -45,7 +45,7 @@
 const COLLECT_INTERVAL_MS = 1_000;
 /** Wait after asking for tokens in vain; doubles up to the maximum. */
 const MIN_BACKOFF_MS = 20;
-const MAX_BACKOFF_MS = 500;
+const MAX_BACKOFF_MS = 100;
 /** A holder reports a changed demand this often, an unchanged one that often. */
 const CHANGED_SYNC_MS = 1_000;
 const UNCHANGED_SYNC_MS = 10_000;
@@ -139,14 +139,18 @@
     return Math.max(1, dueInMs) * state.waiting;
   };
 
+  /** Whether the whole limit could serve all that wait here within the longest wait. */
+  const mayBeServed = (state: ShareState): boolean =>
+    state.waiting <= (state.limit.ratePerS * options.maxWaitMs) / MS_PER_S;
+
   const takeOrWait = async (state: ShareState): Promise<boolean> => {
     const deadlineAtMs = nowMs() + options.maxWaitMs;
     while (nowMs() < deadlineAtMs) {
       if (bucketOf(state)?.take(nowMs())) return true;
       const hasToken = await waitAtMost(deadlineAtMs - nowMs(), gather(state));
       const delayMs = hasToken ? 0 : retryDelayMs(state);
-      if (nowMs() + delayMs > deadlineAtMs) break;
-      if (delayMs > 0) await sleep(delayMs);
+      if (nowMs() + delayMs > deadlineAtMs && !mayBeServed(state)) break;
+      if (delayMs > 0) await sleep(Math.min(delayMs, MIN_BACKOFF_MS));
     }
     return bucketOf(state)?.take(nowMs()) ?? false;
   };
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -14,6 +14,8 @@
   // Pings go out only while calls are open: a silent link fails them within two seconds.
   'grpc.keepalive_time_ms': 1_000,
   'grpc.keepalive_timeout_ms': 1_000,
+  // A peer that starts a moment later must not be missed for the default of a second.
+  'grpc.initial_reconnect_backoff_ms': 50,
   'grpc.max_reconnect_backoff_ms': 1_000,
 };
 
