fix: the measure counts over rate at every answer, not at one moment

Ruled out, by this stricter count: an excess at any earlier moment. Change: at each answer, the requests answered so far are held against burst and rate up to that time.

--- a/scripts/measure/countBreaks.ts
+++ b/scripts/measure/countBreaks.ts
@@ -24,11 +24,20 @@
   );
 };
 
-const countOverRate = (records: LoadRecord[], accounts: MeasuredAccount[], elapsedMs: number) =>
+/**
+ * The most by which an account's answered requests exceed burst and rate at any time. A
+ * request is admitted before its answer, so those answered by a time were admitted by it.
+ */
+const countOverRate = (records: LoadRecord[], accounts: MeasuredAccount[]) =>
   accounts.reduce((sum, { name, ratePerS, burst }) => {
-    const ran = records.filter((record) => record.account === name && record.verdict === 'ran');
-    const allowed = burst + (ratePerS * elapsedMs) / MS_PER_S;
-    return sum + Math.max(0, Math.floor(ran.length - allowed));
+    const answeredAtMs = records
+      .filter((record) => record.account === name && record.verdict === 'ran')
+      .map(({ atMs, latencyMs }) => atMs + latencyMs)
+      .sort((first, second) => first - second);
+    const excess = answeredAtMs.map(
+      (atMs, index) => index + 1 - burst - (ratePerS * atMs) / MS_PER_S,
+    );
+    return sum + Math.max(0, Math.floor(Math.max(0, ...excess)));
   }, 0);
 
 /** Compares what callers were told with what the primaries hold after the load. */
@@ -36,7 +45,6 @@
   records: LoadRecord[],
   items: Items,
   accounts: MeasuredAccount[],
-  elapsedMs: number,
   isPlanned: boolean,
 ): PromiseBreaks => {
   const once = records.filter(({ kind }) => kind === 'once');
@@ -49,7 +57,7 @@
     lostWrites: lostOnce.length + counters.lost,
     doubledWrites: counters.doubled,
     untrueRefusals: untrue.length,
-    overRate: countOverRate(records, accounts, elapsedMs),
+    overRate: countOverRate(records, accounts),
     cutByPlannedStop: isPlanned ? open.length : 0,
   };
 };
--- a/scripts/measure/runScenario.ts
+++ b/scripts/measure/runScenario.ts
@@ -74,7 +74,7 @@
   return {
     scenario: scenario.name,
     ...summarizeScenario(records, accounts, fault, firstAccountFactor, elapsedMs),
-    breaks: countBreaks(records, items, accounts, elapsedMs, scenario.isPlanned),
+    breaks: countBreaks(records, items, accounts, scenario.isPlanned),
     timeline: timeline(records, elapsedMs),
   };
 };
