refactor: one sleep and one rollback; streams of configuration end at a shutdown

Streams between VMs that never end by themselves made each planned stop wait for the whole grace time and then cut what was open; they are ended first. Delays and rollbacks stood in seven and two places; each stands in one now.

--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -15,6 +15,7 @@
 import createShareState from './createShareState';
 import type ShareState from './shareState';
 import updateShareState from './updateShareState';
+import sleep from '../time/sleep';
 
 interface ShareServiceOptions {
   vm: string;
@@ -55,11 +56,6 @@
 const HAND_OVER_ATTEMPTS = 10;
 const HAND_OVER_RETRY_MS = 100;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, Math.max(0, delayMs)).unref();
-  });
-
 /** The shares of client accounts' rates that this VM keeps or holds. */
 const createShareService = (options: ShareServiceOptions) => {
   const { configuration, platform, platformTimeoutMs, leaseMs, limitOf, nowMs, logger } = options;
--- a/packages/auburngrade/src/commands/reportCommand.ts
+++ b/packages/auburngrade/src/commands/reportCommand.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { writeFileSync } from 'node:fs';
 import { profileSchema } from '@auburngrade/coordination';
 import { Flags } from '@oclif/core';
@@ -26,11 +27,6 @@
   );
 };
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Reports service-level burn by profile and client account. */
 class ReportCommand extends ProgramCommand {
   static override description =
--- a/packages/auburngrade/src/configuration/createPlatformFollower.ts
+++ b/packages/auburngrade/src/configuration/createPlatformFollower.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationState } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
+import sleep from '../time/sleep';
 
 interface PlatformFollowerOptions {
   platform: Platform;
@@ -22,11 +23,6 @@
 const FIRST_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2_000;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Keeps a configuration state up to date from the platform: a read, then a watch, again after each end. */
 const createPlatformFollower = (options: PlatformFollowerOptions) => {
   const { platform, state, timeoutMs, nowMs, logger } = options;
--- a/packages/auburngrade/src/configuration/createRelayFollower.ts
+++ b/packages/auburngrade/src/configuration/createRelayFollower.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationEntry, ConfigurationState } from '@auburngrade/coordination';
 import type { ConfigurationUpdate, FollowRequest } from '@auburngrade/vm';
+import sleep from '../time/sleep';
 
 type EndReason = 'unreachable' | 'stale' | 'notNeeded';
 
@@ -43,11 +44,6 @@
     valueJson: deleted ? undefined : valueJson,
   }));
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Keeps the configuration up to date from another VM, and from a further one when that fails. */
 const createRelayFollower = (options: RelayFollowerOptions) => {
   const { vm, state, nowMs } = options;
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -211,12 +211,13 @@
   );
   const listen = (port: number, credentials: ServerCredentials, register: (to: Server) => void) =>
     startGrpcServer(`${settings.host}:${port}`, register, credentials);
+  let endFollowing = (): void => {};
   const servers = await Promise.all([
     listen(settings.callerPort, tls.callers, (server) => {
       server.addService(ProxyService, createCallerService(callerHandler));
     }),
     listen(settings.vmPort, tls.vms, (server) => {
-      addPeerServices(server, peerHandler);
+      endFollowing = addPeerServices(server, peerHandler);
     }),
     listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
@@ -231,6 +232,7 @@
       announce: notices.announce,
       abortAll: transactions.abortAll,
     });
+    endFollowing();
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
     await shares.handOver();
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -14,7 +14,7 @@
 import createReadPlanner from '../routing/createReadPlanner';
 import createRecentFailures from '../routing/createRecentFailures';
 import type ReadPlan from '../routing/readPlan';
-import sleep from '../routing/sleep';
+import sleep from '../time/sleep';
 
 interface ReadExecutorOptions {
   vm: string;
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -18,6 +18,7 @@
 import joinStatements from '../outcome/joinStatements';
 import quoteLiteral from '../outcome/quoteLiteral';
 import requestRecordId from '../outcome/requestRecordId';
+import rollBack from './rollBack';
 
 interface Committed {
   rows: QueryResult;
@@ -28,7 +29,6 @@
 const UNIQUE_VIOLATION = '23505';
 /** The member obeys a later term, or takes no writes. */
 const NOT_PRIMARY_STATES = new Set(['AG001', '25006']);
-const ROLLBACK_TIMEOUT_MS = 1_000;
 /** A connection that went silent is given up so early that the write can begin on another. */
 const BEGIN_TIMEOUT_MS = 1_000;
 
@@ -36,12 +36,6 @@
 const createWriteExecutor = (vm: string, nowMs: () => number) => {
   const lookup = createOutcomeLookup(vm, nowMs);
 
-  const rollBack = async (connection: EndpointConnection): Promise<void> => {
-    if (connection.isUsable()) {
-      await connection.script('ROLLBACK', ROLLBACK_TIMEOUT_MS).catch(() => {});
-    }
-  };
-
   /** Resolves with false when the id has a row already. */
   const begin = async (
     connection: EndpointConnection,
--- a/packages/auburngrade/src/groups/createAcknowledger.ts
+++ b/packages/auburngrade/src/groups/createAcknowledger.ts
@@ -1,5 +1,5 @@
 import { isMajorityAcknowledged, type MemberStatus } from '@auburngrade/coordination';
-import sleepMs from './sleepMs';
+import sleep from '../time/sleep';
 import type StatusPoller from './statusPoller';
 
 interface Waiter {
@@ -58,7 +58,7 @@
       }
       // Polls that others asked for count as well.
       settleHeld();
-      await sleepMs(delayMs);
+      await sleep(delayMs);
     }
   };
 
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -14,7 +14,7 @@
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
-import sleepMs from './sleepMs';
+import sleep from '../time/sleep';
 
 /** Connections of one VM to one member that only status polls and promotions use. */
 const CONTROL_CONNECTIONS = 1;
@@ -70,7 +70,7 @@
   /** Waits for the record of a term that has a primary. */
   const awaitPrimary = async (deadlineAtMs: number): Promise<TermRecord | undefined> => {
     while (record()?.state !== 'active' && nowMs() < deadlineAtMs) {
-      await sleepMs(PRIMARY_WAIT_STEP_MS);
+      await sleep(PRIMARY_WAIT_STEP_MS);
     }
     return record()?.state === 'active' ? record() : undefined;
   };
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -17,12 +17,13 @@
   type QueryResult,
 } from '@auburngrade/endpoint';
 import type GroupHolder from '../groups/groupHolder';
-import sleepMs from '../groups/sleepMs';
+import sleep from '../time/sleep';
 import insertRequestSql from './insertRequestSql';
 import joinStatements from './joinStatements';
 import quoteLiteral from './quoteLiteral';
 import requestFingerprint from './requestFingerprint';
 import requestRecordId from './requestRecordId';
+import rollBack from '../execution/rollBack';
 
 interface Located {
   finding: RequestFinding;
@@ -31,7 +32,6 @@
 
 const UNIQUE_VIOLATION = '23505';
 const RETRY_DELAY_MS = 20;
-const ROLLBACK_TIMEOUT_MS = 1_000;
 const EMPTY_RESULT: QueryResult = { columns: [], rows: [], command: '', rowCount: 0 };
 
 const toRecord = (result: QueryResult | undefined): RequestRecord | undefined => {
@@ -56,12 +56,6 @@
     return { results, position: status.position, askedAtMs };
   };
 
-  const rollBack = async (connection: EndpointConnection): Promise<void> => {
-    if (connection.isUsable()) {
-      await connection.script('ROLLBACK', ROLLBACK_TIMEOUT_MS).catch(() => {});
-    }
-  };
-
   const find = async (
     holder: GroupHolder,
     request: StatementRequest,
@@ -150,7 +144,7 @@
       while (nowMs() < request.deadlineAtMs) {
         const outcome = await lookUpOnce(holder, request);
         if (outcome) return outcome;
-        await sleepMs(RETRY_DELAY_MS);
+        await sleep(RETRY_DELAY_MS);
       }
       throw mayHaveRun('outcomeUnknown', 'no proof of the outcome before the deadline');
     },
--- a/packages/auburngrade/src/promotion/createRecordWriter.ts
+++ b/packages/auburngrade/src/promotion/createRecordWriter.ts
@@ -5,7 +5,7 @@
   type TermRecord,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
-import sleepMs from '../groups/sleepMs';
+import sleep from '../time/sleep';
 
 type Written = { kind: 'written'; revision: number } | { kind: 'lost' };
 
@@ -80,7 +80,7 @@
       while (isWanted()) {
         const written = await attempt(record, expectedRevision);
         if (written) return written;
-        await sleepMs(delayMs);
+        await sleep(delayMs);
         delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
       }
       return { kind: 'lost' };
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -12,7 +12,7 @@
 import type GroupHolder from '../groups/groupHolder';
 import type FreshnessTracker from './freshnessTracker';
 import type ReadPlan from './readPlan';
-import sleep from './sleep';
+import sleep from '../time/sleep';
 
 interface ReadPlannerOptions {
   dataCentre: string;
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -22,7 +22,7 @@
 import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
 import type RoutingMetrics from './routingMetrics';
-import sleep from './sleep';
+import sleep from '../time/sleep';
 
 interface RouterOptions {
   vm: string;
--- a/packages/auburngrade/src/shutdown/drainWork.ts
+++ b/packages/auburngrade/src/shutdown/drainWork.ts
@@ -1,5 +1,6 @@
 import type Settings from '../settings/settings';
 import type WorkTracker from './workTracker';
+import sleep from '../time/sleep';
 
 interface DrainOptions {
   tracker: WorkTracker;
@@ -9,11 +10,6 @@
   abortAll(): void;
 }
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /**
  * Refuses new work, tells the other VMs, and resolves when what was running has ended. The
  * VM goes on answering for `noticeMs` at least, so that callers get a refusal and not a
--- a/packages/vm/src/addPeerServices.ts
+++ b/packages/vm/src/addPeerServices.ts
@@ -14,8 +14,12 @@
 /** Updates that wait for a slow follower before its stream is ended; it asks again from its revision. */
 const MAX_UNSENT_UPDATES = 1_000;
 
-/** Registers the services that VMs offer each other. */
-const addPeerServices = (server: Server, handler: PeerHandler): void => {
+/**
+ * Registers the services that VMs offer each other. Returns a function that ends the streams
+ * of configuration, which never end by themselves and would hold up a graceful shutdown.
+ */
+const addPeerServices = (server: Server, handler: PeerHandler): (() => void) => {
+  const followStreams = new Set<{ end(): void }>();
   const forward: ForwardServer = {
     execute: (call, callback) => {
       handler.execute(call.request).then((outcome) => callback(null, outcome), callback);
@@ -28,9 +32,14 @@
         if (stream.writableLength > MAX_UNSENT_UPDATES) stream.destroy();
         else stream.write(update);
       });
+      const close = (): void => {
+        followStreams.delete(stream);
+        session.close();
+      };
+      followStreams.add(stream);
       stream.on('data', (request: FollowRequest) => session.onRequest(request));
       stream.on('end', () => stream.end());
-      ['cancelled', 'error', 'close'].forEach((event) => stream.on(event, session.close));
+      ['cancelled', 'error', 'close'].forEach((event) => stream.on(event, close));
     },
   };
   const peer: PeerServer = {
@@ -41,6 +50,7 @@
   server.addService(ForwardService, forward);
   server.addService(ConfigurationService, configuration);
   server.addService(PeerService, peer);
+  return () => followStreams.forEach((stream) => stream.end());
 };
 
 export default addPeerServices;
