--- a/packages/coordination/src/rate/shareBucket.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-import type createShareBucket from './createShareBucket';
-
-/** The token bucket of one share of a rate. */
-type ShareBucket = ReturnType<typeof createShareBucket>;
-
-export default ShareBucket;
