fix: calls to silent VMs go elsewhere; connection attempts can't get stuck

Cause: the gRPC library sets no limit to a connection attempt. One that began while a link was silent lost its first bytes and stayed connecting for good; every later call to that VM waited for it until its deadline ("Waiting for LB pick"), and was told as mayHaveRun/peerUnreachable although it never left. A call on an open connection to a silent VM waited for two seconds of keepalive, the whole timeout of the load.

Ruled out: GOAWAY against forced shutdown, refused streams (the library repeats these itself), streams of configuration.

Change: a call waits 300 ms for a connection, then it was not sent; an attempt without an end after 1 s is replaced; VMs are pinged while a call waits, and a silent one's statements go to the next holder under their request id.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -8,7 +8,7 @@
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
-import { addPeerServices } from '@auburngrade/vm';
+import { PING_KIND, addPeerServices } from '@auburngrade/vm';
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
@@ -190,6 +190,7 @@
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
+      [PING_KIND, async () => ({})],
     ]),
     nowMs,
   });
--- a/packages/auburngrade/src/routing/createPeerRegistry.ts
+++ b/packages/auburngrade/src/routing/createPeerRegistry.ts
@@ -1,4 +1,4 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { documentKinds, notRun, type ConfigurationState } from '@auburngrade/coordination';
 import { createPeerClient, type RemoteVm } from '@auburngrade/vm';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type AddressBook from '../settings/addressBook';
@@ -11,6 +11,18 @@
 ) => {
   const clients = new Map<string, { address: string; client: RemoteVm }>();
 
+  // A silent VM is pinged until it answers; one that is gone for good must not be.
+  configuration.onChange((changed) => {
+    changed
+      .filter(({ key }) => key.startsWith(documentKinds.vm.prefix))
+      .map(({ key }) => key.slice(documentKinds.vm.prefix.length))
+      .filter((id) => !configuration.get('vm', id))
+      .forEach((id) => {
+        clients.get(id)?.client.close();
+        clients.delete(id);
+      });
+  });
+
   return {
     /** @throws RefusalError `peerUnreachable` when the VM is not listed. */
     get: (id: string): RemoteVm => {
@@ -25,6 +37,9 @@
       clients.set(id, { address, client });
       return client;
     },
+    /** VMs that do not answer; each is tried until it answers again. */
+    silent: (): string[] =>
+      [...clients].flatMap(([id, { client }]) => (client.isSilent() ? [id] : [])),
     close: (): void => clients.forEach(({ client }) => client.close()),
   };
 };
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -19,6 +19,7 @@
 import type Membership from '../membership/membership';
 import createRemoteTransaction from '../transactions/createRemoteTransaction';
 import type Transaction from '../transactions/transaction';
+import createAttempts from './createAttempts';
 import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
 import type RoutingMetrics from './routingMetrics';
@@ -83,7 +84,7 @@
       vm,
       dataCentre,
       leaving: options.leaving(),
-      failed: new Set([...unreachable.names(), ...failed]),
+      failed: new Set([...unreachable.names(), ...peers.silent(), ...failed]),
       random: Math.random(),
     });
 
@@ -93,9 +94,14 @@
     return refuse('peerUnreachable', error.message);
   };
 
-  const forward = async (request: StatementRequest, target: string): Promise<StatementOutcome> => {
+  const forward = async (
+    request: StatementRequest,
+    target: string,
+    onSilent: () => void,
+  ): Promise<StatementOutcome> => {
     const client = peers.get(target);
-    const outcome = await client.execute(toForwarded(request, nowMs())).catch((error: Error) => {
+    const statement = toForwarded(request, nowMs());
+    const outcome = await client.execute(statement, onSilent).catch((error: Error) => {
       throw refuseUnreachable(target, error);
     });
     return fromForwarded(outcome);
@@ -104,12 +110,13 @@
   /** Makes attempts at the holders of the request's group until one succeeds or no more may be made. */
   const withRetries = async <Result>(
     { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
-    attempt: (target: string) => Promise<Result>,
+    attempt: (target: string, onSilent: () => void) => Promise<Result>,
   ): Promise<Result> => {
     const failed = new Set<string>();
+    const attempts = createAttempts<Result>();
     let refusal: Refusal | undefined;
     budget.deposit();
-    for (let attempts = 1; ; attempts += 1) {
+    for (let count = 1; ; count += 1) {
       const holders = candidates(group, failed);
       const [target] = holders;
       if (target === undefined) {
@@ -117,7 +124,7 @@
       }
       try {
         if (target !== vm) metrics.forwards.inc({ group });
-        return await attempt(target);
+        return await attempts.make(target, (onSilent) => attempt(target, onSilent));
       } catch (error) {
         const latest = toRefusal(error);
         refusal = mergeRefusals(refusal, latest);
@@ -125,9 +132,11 @@
         if (ELSEWHERE_CODES.has(latest.code)) failed.add(target);
         if (failed.size >= holders.length) failed.clear();
         const random = Math.random();
-        const state = { refusal: latest, attempts, nowMs: nowMs(), deadlineAtMs, random };
+        const state = { refusal: latest, attempts: count, nowMs: nowMs(), deadlineAtMs, random };
         const decision = decideRetry(state);
-        if (decision.kind === 'giveUp' || !budget.withdraw()) throw new RefusalError(refusal);
+        if (decision.kind === 'giveUp' || !budget.withdraw()) {
+          return attempts.lateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
+        }
         metrics.retries.inc({ group, code: latest.code });
         await sleep(decision.delayMs);
       }
@@ -137,8 +146,8 @@
   return {
     /** @throws RefusalError */
     execute: (request: StatementRequest): Promise<StatementOutcome> =>
-      withRetries(request, (target) =>
-        target === vm ? options.executeLocally(request) : forward(request, target),
+      withRetries(request, (target, onSilent) =>
+        target === vm ? options.executeLocally(request) : forward(request, target, onSilent),
       ),
     /** Begins a transaction on this VM or another. @throws RefusalError */
     begin: (request: TransactionRequest): Promise<Transaction> =>
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -11,7 +11,7 @@
 import { isNeverSent, type ForwardedStep, type RemoteVm } from '@auburngrade/vm';
 import Transaction from './transaction';
 
-type RemoteStream = ReturnType<RemoteVm['transact']>;
+type RemoteStream = Awaited<ReturnType<RemoteVm['transact']>>;
 type StepBody = NonNullable<ForwardedStep['body']>;
 
 const lostBeforeCommit = (error: Error): RefusalError =>
@@ -33,9 +33,8 @@
       requestId: request.requestId,
       timeoutMs,
     };
-    return this.step({ $case: 'begin', begin }, (error) =>
-      notRun('peerUnreachable', error.message),
-    );
+    const refuse = (error: Error): RefusalError => notRun('peerUnreachable', error.message);
+    return this.step({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
   }
 
   override run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
@@ -68,8 +67,9 @@
   private async step(
     body: StepBody,
     refuse: (error: Error) => RefusalError,
+    onSilent?: () => void,
   ): Promise<StatementOutcome> {
-    const { outcome } = await this.stream.step(body).catch((error: Error) => {
+    const { outcome } = await this.stream.step(body, onSilent).catch((error: Error) => {
       this.stream.cancel();
       throw refuse(error);
     });
@@ -86,7 +86,10 @@
   nowMs: number,
 ): Promise<Transaction> => {
   const timeoutMs = Math.max(1, Math.floor(request.deadlineAtMs - nowMs));
-  const transaction = new RemoteTransaction(client.transact(timeoutMs));
+  const stream = await client.transact(timeoutMs).catch((error: Error) => {
+    throw notRun('peerUnreachable', error.message);
+  });
+  const transaction = new RemoteTransaction(stream);
   await transaction.begin(request, timeoutMs);
   return transaction;
 };
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -1,45 +1,70 @@
 import { createReplyMatcher } from '@auburngrade/coordination';
 import { credentials, Metadata, type ChannelCredentials } from '@grpc/grpc-js';
-import {
-  ForwardClient,
-  PeerClient,
-  type ForwardedOutcome,
-  type ForwardedReply,
-  type ForwardedStatement,
-  type ForwardedStep,
-  type PeerMessage,
+import createLivenessProbe from './createLivenessProbe';
+import createPeerChannel from './createPeerChannel';
+import PING_KIND from './pingKind';
+import type {
+  ForwardedOutcome,
+  ForwardedReply,
+  ForwardedStatement,
+  ForwardedStep,
+  PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
 
-const CHANNEL_OPTIONS = {
-  // Pings go out only while calls are open: a silent link fails them within two seconds.
-  'grpc.keepalive_time_ms': 1_000,
-  'grpc.keepalive_timeout_ms': 1_000,
-  // A peer that starts a moment later must not be missed for the default of a second.
-  'grpc.initial_reconnect_backoff_ms': 50,
-  'grpc.max_reconnect_backoff_ms': 1_000,
-};
-
 /** The other VM's own refusal at the deadline says more than a call that ran out of time. */
 const ANSWER_MARGIN_MS = 300;
+const PING: PeerMessage = { fromVm: '', incarnation: 0, kind: PING_KIND, bodyJson: '{}' };
+const PING_TIMEOUT_MS = 300;
 
-/** Creates a client of another VM at `host:port`; calls reject with a gRPC status. */
+/** Creates a client of another VM at `host:port`; calls reject with a gRPC status or NeverSentError. */
 const createPeerClient = (
   address: string,
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
 ) => {
-  const forward = new ForwardClient(address, channelCredentials, CHANNEL_OPTIONS);
-  const peer = new PeerClient(address, channelCredentials, CHANNEL_OPTIONS);
+  const channel = createPeerChannel(address, channelCredentials);
+
+  const exchange = async (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> => {
+    const { peer } = await channel.ready();
+    return new Promise((resolve, reject) => {
+      const options = { deadline: Date.now() + timeoutMs };
+      peer.exchange(message, new Metadata(), options, (error, reply) => {
+        if (error) reject(error);
+        else resolve(reply);
+      });
+    });
+  };
+
+  const liveness = createLivenessProbe({
+    ping: () => exchange(PING, PING_TIMEOUT_MS),
+    nowMs: () => performance.now(),
+  });
+
+  const ready = () =>
+    channel.ready().catch((error) => {
+      liveness.noteFailure();
+      throw error;
+    });
+
   return {
-    execute: (statement: ForwardedStatement): Promise<ForwardedOutcome> =>
-      new Promise((resolve, reject) => {
-        const deadline = Date.now() + statement.timeoutMs + ANSWER_MARGIN_MS;
-        forward.execute(statement, new Metadata(), { deadline }, (error, outcome) => {
-          if (error) reject(error);
-          else resolve(outcome);
+    /** Runs a statement; `onSilent` is called when the VM stops answering before the outcome is there. */
+    execute: async (
+      statement: ForwardedStatement,
+      onSilent?: () => void,
+    ): Promise<ForwardedOutcome> => {
+      const { forward } = await ready();
+      const call = (): Promise<ForwardedOutcome> =>
+        new Promise((resolve, reject) => {
+          const deadline = Date.now() + statement.timeoutMs + ANSWER_MARGIN_MS;
+          forward.execute(statement, new Metadata(), { deadline }, (error, outcome) => {
+            if (error) reject(error);
+            else resolve(outcome);
+          });
         });
-      }),
+      return liveness.track(call, onSilent);
+    },
     /** Opens a transaction; `step` resolves with the reply of the same number. */
-    transact: (timeoutMs: number) => {
+    transact: async (timeoutMs: number) => {
+      const { forward } = await ready();
       const stream = forward.transact(new Metadata(), {
         deadline: Date.now() + timeoutMs + ANSWER_MARGIN_MS,
       });
@@ -48,10 +73,14 @@
       stream.on('error', matcher.fail);
       stream.on('end', () => matcher.fail(new Error('the stream has ended')));
       return {
-        step: (body: NonNullable<ForwardedStep['body']>): Promise<ForwardedReply> => {
+        /** `onSilent` is called when the VM stops answering before the reply is there. */
+        step: (
+          body: NonNullable<ForwardedStep['body']>,
+          onSilent?: () => void,
+        ): Promise<ForwardedReply> => {
           const { step, reply } = matcher.next();
           if (!matcher.isLost()) stream.write({ step, body });
-          return reply;
+          return liveness.track(() => reply, onSilent);
         },
         isLost: matcher.isLost,
         end: (): void => {
@@ -60,19 +89,13 @@
         cancel: (): void => stream.cancel(),
       };
     },
-    exchange: (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> =>
-      new Promise((resolve, reject) => {
-        peer.exchange(
-          message,
-          new Metadata(),
-          { deadline: Date.now() + timeoutMs },
-          (error, reply) => {
-            if (error) reject(error);
-            else resolve(reply);
-          },
-        );
-      }),
-    close: (): void => [forward, peer].forEach((client) => client.close()),
+    exchange,
+    /** Whether the VM could not be reached or did not answer when it was last tried. */
+    isSilent: liveness.isSilent,
+    close: (): void => {
+      liveness.close();
+      channel.close();
+    },
   };
 };
 
