--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,4 +1,4 @@
-import { ProxyService, createCallerService } from '@auburngrade/caller';
+import { createCallerService, proxyDefinition } from '@auburngrade/caller';
 import {
   createConfigurationState,
   createWorkTracker,
@@ -32,6 +32,7 @@
 import createRouter from '../routing/createRouter';
 import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
+import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
@@ -47,6 +48,9 @@
 
 /** Time for the last answers to leave once all work has ended. */
 const SERVER_GRACE_MS = 500;
+/** Statements up to this much over the limit get a refusal that names it. */
+const MESSAGE_MARGIN_BYTES = 4_194_304;
+const UNLIMITED = -1;
 
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
@@ -111,7 +115,9 @@
     nowMs,
   });
 
+  const loading = createConfigurationWaiter(configuration, nowMs);
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
+    await loading.wait(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
@@ -132,6 +138,7 @@
     ...settings,
     membership,
     peers,
+    hasGroup: (name) => configuration.get('group', name) !== undefined,
     leaving: notices.leaving,
     markLeaving: notices.add,
     executeLocally,
@@ -157,6 +164,7 @@
     execute: router.execute,
     begin: router.begin,
     enter: work.enter,
+    awaitConfiguration: loading.wait,
     onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
@@ -208,18 +216,30 @@
     settings.host,
     settings.httpPort,
     metrics.registry,
-    () => work.phase() === 'serving',
+    () => work.phase() === 'serving' && loading.isLoaded(),
   );
-  const listen = (port: number, credentials: ServerCredentials, register: (to: Server) => void) =>
-    startGrpcServer(`${settings.host}:${port}`, register, credentials);
+  const listen = (
+    port: number,
+    credentials: ServerCredentials,
+    register: (to: Server) => void,
+    maxMessageBytes?: number,
+  ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, maxMessageBytes);
   let endFollowing = (): void => {};
   const servers = await Promise.all([
-    listen(settings.callerPort, tls.callers, (server) => {
-      server.addService(ProxyService, createCallerService(callerHandler));
-    }),
-    listen(settings.vmPort, tls.vms, (server) => {
-      endFollowing = addPeerServices(server, peerHandler);
-    }),
+    listen(
+      settings.callerPort,
+      tls.callers,
+      (server) => server.addService(proxyDefinition, createCallerService(callerHandler)),
+      settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
+    ),
+    listen(
+      settings.vmPort,
+      tls.vms,
+      (server) => {
+        endFollowing = addPeerServices(server, peerHandler);
+      },
+      UNLIMITED,
+    ),
     listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -30,6 +30,7 @@
   dataCentre: string;
   membership: Membership;
   peers: PeerRegistry;
+  hasGroup(group: string): boolean;
   /** VMs that said they are shutting down. */
   leaving(): ReadonlySet<string>;
   markLeaving(vm: string): void;
@@ -112,6 +113,7 @@
     { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
     attempt: (target: string, onSilent: () => void) => Promise<Result>,
   ): Promise<Result> => {
+    if (!options.hasGroup(group)) throw notRun('unknownGroup', `no group ${group}`);
     const failed = new Set<string>();
     const attempts = createAttempts<Result>();
     let refusal: Refusal | undefined;
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -20,7 +20,7 @@
 import createTransactionHandler from '../transactions/createTransactionHandler';
 import type Transaction from '../transactions/transaction';
 import checkRequest from './checkRequest';
-import checkSql from './checkSql';
+import checkStatement from './checkStatement';
 import toOutcome from './toOutcome';
 
 interface CallerHandlerOptions {
@@ -31,6 +31,8 @@
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; refuses it while the VM shuts down. */
   enter(): () => void;
+  /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
+  awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
   onKeysChanged(recheck: () => void): () => void;
   metrics: Metrics;
@@ -56,8 +58,9 @@
     try {
       leave = this.options.enter();
       checkRequest(statement, this.options.settings);
-      checkSql(statement.sql, this.options.settings);
+      checkStatement(statement, this.options.settings);
       const sessionToken = decodeSessionToken(statement.sessionToken);
+      await this.options.awaitConfiguration(startedAtMs + statement.timeoutMs);
       const caller = this.options.authenticator.authenticate(key, statement.profile);
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
--- a/packages/auburngrade/src/serving/startGrpcServer.ts
+++ b/packages/auburngrade/src/serving/startGrpcServer.ts
@@ -1,13 +1,16 @@
 import { Server, ServerCredentials } from '@grpc/grpc-js';
 
-/** Binds a gRPC server whose services `register` adds. */
+const DEFAULT_MAX_MESSAGE_BYTES = 4_194_304;
+
+/** Binds a gRPC server whose services `register` adds; longer messages are refused, -1 is no limit. */
 const startGrpcServer = (
   address: string,
   register: (server: Server) => void,
   credentials: ServerCredentials = ServerCredentials.createInsecure(),
+  maxMessageBytes: number = DEFAULT_MAX_MESSAGE_BYTES,
 ): Promise<Server> =>
   new Promise((resolve, reject) => {
-    const server = new Server();
+    const server = new Server({ 'grpc.max_receive_message_length': maxMessageBytes });
     register(server);
     server.bindAsync(address, credentials, (error) => {
       if (error) reject(error);
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -19,7 +19,7 @@
 import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import checkRequest from '../serving/checkRequest';
-import checkSql from '../serving/checkSql';
+import checkStatement from '../serving/checkStatement';
 import toOutcome from '../serving/toOutcome';
 import type Settings from '../settings/settings';
 import type Transaction from './transaction';
@@ -31,6 +31,8 @@
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Refuses new transactions while the VM shuts down; else the work counts until `leave`. */
   enter(): () => void;
+  /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
+  awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
   onKeysChanged(recheck: () => void): () => void;
   nowMs(): number;
@@ -114,6 +116,7 @@
   const begin = async (step: TransactionBegin): Promise<StatementOutcome> => {
     sessionToken = step.sessionToken;
     checkRequest(step, settings);
+    await options.awaitConfiguration(nowMs() + step.timeoutMs);
     const { account } = authenticator.authenticate(key, step.profile);
     const request = toRequest(step, account);
     requestId = request.requestId;
@@ -128,7 +131,7 @@
     { transaction, request }: Opened,
     statement: Extract<Body, { $case: 'statement' }>['statement'],
   ): Promise<StatementOutcome> => {
-    checkSql(statement.sql, settings);
+    checkStatement(statement, settings);
     // The first statement is covered by what was admitted at the begin.
     if (hasStatement) await admission.admit(request.account, request.profile);
     hasStatement = true;
