--- a/packages/testkit/src/faultProxy/createFaultProxy.ts
+++ b/packages/testkit/src/faultProxy/createFaultProxy.ts
@@ -12,6 +12,7 @@
 const createFaultProxy = async (targetHost: string, targetPort: number, initialDelayMs = 0) => {
   const pairs = new Set<Pair>();
   let mode: FaultMode = 'pass';
+  let recorded: Map<Socket, Buffer[]> | undefined;
   let delayMs = initialDelayMs;
 
   const destroy = (pair: Pair): void => {
@@ -20,8 +21,16 @@
     pairs.delete(pair);
   };
 
+  const keep = (from: Socket, data: Buffer): void => {
+    if (!recorded) return;
+    const parts = recorded.get(from) ?? [];
+    parts.push(data);
+    recorded.set(from, parts);
+  };
+
   const forward = (pair: Pair, from: Socket, to: Socket, droppedIn: FaultMode): void => {
     from.on('data', (data) => {
+      keep(from, data);
       if (pair.isStuck || mode === 'silent' || mode === droppedIn) return;
       if (delayMs === 0) to.write(data);
       else setTimeout(() => to.destroyed || to.write(data), delayMs);
@@ -62,6 +71,12 @@
       pairs.forEach((pair) => Object.assign(pair, { isStuck: true }));
     },
     connections: () => pairs.size,
+    /** Keeps all bytes that arrive from now on. */
+    record: (): void => {
+      recorded = new Map();
+    },
+    /** What was recorded, one buffer for each connection and direction. */
+    recorded: (): Buffer[] => [...(recorded?.values() ?? [])].map((parts) => Buffer.concat(parts)),
     close: (): void => {
       [...pairs].forEach(destroy);
       server.close();
