feat: record promotions as traces and replay them

Cause: the users ask for replay of recorded traces against stated outcomes; the one trace there was had been written by hand, and no daemon could record one. Ruled out: a recorder that writes files (VMs have no disks); recording at the wire (a replay would need the network's timing). Change: a promotion attempt is recorded in the log at level debug, event by event with its actions; the trace format's schema moves to coordination; npm run record-traces records a killed primary and a paused promoter from real processes. Conclusion: failures seen in a daemon's log can be kept as tests.

--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -12,6 +12,8 @@
 import type { Platform } from '@auburngrade/platform';
 import type GroupHolder from '../groups/groupHolder';
 import type Logger from '../log/logger';
+import createTraceRecorder from '../traces/createTraceRecorder';
+import recordPromotion from '../traces/recordPromotion';
 import createMemberControl from './createMemberControl';
 import type createPeerOpinions from './createPeerOpinions';
 import createPlan from './createPlan';
@@ -75,7 +77,10 @@
   const start = (record: TermRecord, reason: PromotionReason, sinceMs: number): void => {
     const revision = configuration.revisionOf('term', holder.name) ?? 0;
     const plan = createPlan(holder, record, revision, promoter, reason);
-    const promotion = createPromotion(plan);
+    const startedAtMs = nowMs();
+    const trace = `${holder.name}/${plan.term}/${promoter}`;
+    const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
+    const promotion = recordPromotion(createPromotion(plan), plan, recorder, startedAtMs);
     const timeline = createTimeline(sinceMs);
     const labels = { group: holder.name, reason };
     const onOver = (phase: string): void => {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -111,3 +111,5 @@
 export type { default as FairQueue } from './fairQueue/fairQueue';
 export type { default as FairQueueLimits } from './fairQueue/fairQueueLimits';
 export type { default as QueueRefusal } from './fairQueue/queueRefusal';
+export { default as traceLineSchema } from './trace/traceLineSchema';
+export type { default as TraceLine } from './trace/traceLine';
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -15,6 +15,8 @@
 export type { default as Load } from './load/load';
 export type { default as LoadAccount } from './load/loadAccount';
 export type { default as LoadRecord } from './load/loadRecord';
+export { default as ConfigurationDriver } from './trace/configurationDriver';
+export { default as PromotionDriver } from './trace/promotionDriver';
 export { default as TraceDriver } from './trace/traceDriver';
 export { default as replayTrace } from './trace/replayTrace';
 export { default as certificatePath } from './certificates/certificatePath';
--- a/packages/testkit/src/trace/replayTrace.ts
+++ b/packages/testkit/src/trace/replayTrace.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
+import { traceLineSchema } from '@auburngrade/coordination';
 import type TraceDriver from './traceDriver';
-import traceLineSchema from './traceLineSchema';
 
 interface Mismatch {
   line: number;
