--- a/packages/testkit/src/fleet/fleetOptions.ts
+++ b/packages/testkit/src/fleet/fleetOptions.ts
@@ -15,6 +15,8 @@
   hasReplicationLinks: boolean;
   /** One-way delay in milliseconds of a link between two data centres, with fault links. */
   betweenDataCentresDelayMs: number;
+  /** One-way delay in milliseconds between a caller and a VM; 0: callers connect directly. */
+  clientDelayMs: number;
   replicationLagMs: number;
   /** Runs VMs as the one binary instead of the bundle on Node. */
   isBinary: boolean;
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -25,6 +25,7 @@
   hasFaultLinks: false,
   hasReplicationLinks: false,
   betweenDataCentresDelayMs: 0,
+  clientDelayMs: 0,
   replicationLagMs: 1,
   isBinary: false,
   clientCredentials: undefined,
@@ -44,6 +45,7 @@
   const knownAddresses = new Map<string, Record<string, string>>();
   const links = new Map<string, FaultProxy>();
   const replicationLinks = new Map<string, FaultProxy>();
+  const clientLinks = new Map<string, FaultProxy>();
   const members: FleetMember[] = [];
   const vms = new Map<string, FleetVm>();
   const vmPorts = new Map<string, Awaited<ReturnType<typeof allocatePorts>>>();
@@ -93,6 +95,12 @@
     return `${HOST}:${proxy.port}`;
   };
 
+  /** Puts the delay of callers before a VM; its caller port stays the same when it restarts. */
+  const linkClients = async (vm: string): Promise<void> => {
+    const port = vmPorts.get(vm)?.callerPort ?? 0;
+    clientLinks.set(vm, await createFaultProxy(HOST, port, options.clientDelayMs));
+  };
+
   const addressesOf = async (vm: string): Promise<Record<string, string>> => {
     const addresses: Record<string, string> = {};
     for (const { name, dataCentre, port } of members) {
@@ -159,6 +167,7 @@
 
   await Promise.all(options.groups.map(startGroup));
   for (const { vm } of names) vmPorts.set(vm, await allocatePorts());
+  if (options.clientDelayMs > 0) await Promise.all(names.map(({ vm }) => linkClients(vm)));
   await Promise.all(names.map(({ vm, dataCentre }) => start(vm, dataCentre)));
   for (const group of options.groups) {
     await put('group', group, {
@@ -202,8 +211,10 @@
       return { key, keyId };
     },
     /** A caller of one VM. */
-    caller: (vm: string, key?: string) =>
-      createCallerClient(`${HOST}:${vmPorts.get(vm)?.callerPort}`, key, options.clientCredentials),
+    caller: (vm: string, key?: string) => {
+      const port = clientLinks.get(vm)?.port ?? vmPorts.get(vm)?.callerPort;
+      return createCallerClient(`${HOST}:${port}`, key, options.clientCredentials);
+    },
     /** The link from a VM to a member, a VM or `platform`. */
     link: (vm: string, target: string): FaultProxy => {
       const found = links.get(`${vm}>${target}`);
@@ -243,6 +254,7 @@
       await Promise.all([...members, platform].map((child) => child.kill()));
       links.forEach((proxy) => proxy.close());
       replicationLinks.forEach((proxy) => proxy.close());
+      clientLinks.forEach((proxy) => proxy.close());
     },
   };
 };
--- a/scripts/measure/deployment.ts
+++ b/scripts/measure/deployment.ts
@@ -5,6 +5,8 @@
   vmsPerDataCentre: number;
   connectionBudget: number;
   betweenDataCentresDelayMs: number;
+  /** One-way delay in milliseconds between a client and a VM. */
+  clientDelayMs: number;
 }
 
 export default Deployment;
--- a/scripts/measure/deployments.ts
+++ b/scripts/measure/deployments.ts
@@ -1,6 +1,6 @@
 import type Deployment from './deployment';
 
-/** The deployments that are measured. Latency to clients is not injected. */
+/** The deployments that are measured. */
 const deployments: Deployment[] = [
   {
     name: 'brazos',
@@ -8,6 +8,7 @@
     vmsPerDataCentre: 2,
     connectionBudget: 20,
     betweenDataCentresDelayMs: 0.5,
+    clientDelayMs: 3,
   },
   {
     name: 'kettleby',
@@ -15,6 +16,7 @@
     vmsPerDataCentre: 2,
     connectionBudget: 40,
     betweenDataCentresDelayMs: 1.5,
+    clientDelayMs: 1,
   },
 ];
 
