perf: gather configuration changes between a follower's requests; keep documents as text

Cause: a relay sent each change to each of 8 followers as it came, with up to 16 change ids that only writers need; a VM kept the text, the entry and the parsed document of everything. Ruled out: a timer of its own for gathering - followers ask twice a second anyway, so the answer can carry what waits and no message is added. Change: changes wait for the follower's next request; the last one of a key counts. Kinds that VMs and the platform write (term, slots, share, vm) are urgent and go at once, with what waited, so that a failover gains no delay. Change ids are left out of the state. Documents are kept as text and parsed when read; a weak reference keeps the parsed object the same while anyone uses it (group holders rely on that). Arithmetic: at most 0.5 s a step, 3 steps in a data centre of 275 VMs, so 1.5 s of the 6 s.

--- a/packages/auburngrade/src/admission/createKeeperClaims.ts
+++ b/packages/auburngrade/src/admission/createKeeperClaims.ts
@@ -48,7 +48,7 @@
       const record = configuration.get('share', state.name);
       const known = record ? [...record.holders, record.keeper] : [];
       const earlier = known.filter((holder) => holder !== NO_KEEPER);
-      const listed = [...configuration.list('vm').keys()].slice(0, MAX_LISTED_HOLDERS);
+      const listed = configuration.names('vm').slice(0, MAX_LISTED_HOLDERS);
       const epoch = (record?.epoch ?? 0) + 1;
       // An earlier process of this VM is certainly gone; it holds nothing.
       const unreported = new Set(earlier.filter((holder) => holder !== vm));
--- a/packages/auburngrade/src/configuration/createConfigurationFeed.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationFeed.ts
@@ -1,4 +1,9 @@
-import type { ConfigurationEntry, ConfigurationState } from '@auburngrade/coordination';
+import {
+  createChangeBatch,
+  type ConfigurationDifference,
+  type ConfigurationEntry,
+  type ConfigurationState,
+} from '@auburngrade/coordination';
 import type { ConfigurationUpdate, FollowRequest, FollowSession } from '@auburngrade/vm';
 
 /** What a VM states about how recent its configuration is; -1 when it does not know. */
@@ -23,20 +28,26 @@
   );
 };
 
-/** Serves this VM's configuration to the VMs that follow it. */
+/**
+ * Serves this VM's configuration to the VMs that follow it. Changes are gathered until the
+ * follower's next request; urgent ones are sent at once, with those that waited.
+ */
 const createConfigurationFeed = (state: ConfigurationState, statedAges: () => StatedAges) => {
   const sessions = new Set<FollowSession>();
 
   const open = (send: (update: ConfigurationUpdate) => void): FollowSession => {
+    const batch = createChangeBatch();
     let ping = 0;
-    let isStarted = false;
+    /** Revision that the follower was told; 0 until it was told the first one. */
+    let sentRevision = 0;
 
-    const sendEntries = (isSnapshot: boolean, entries: readonly ConfigurationEntry[]): void => {
+    const sendDifference = ({ isSnapshot, entries }: ConfigurationDifference): void => {
       const pages = pagesOf(entries);
+      sentRevision = state.revision();
       pages.forEach((page, index) =>
         send({
           ...statedAges(),
-          revision: state.revision(),
+          revision: sentRevision,
           snapshot: isSnapshot,
           entries: page.map(toWire),
           more: index < pages.length - 1,
@@ -45,19 +56,21 @@
       );
     };
 
+    const sendWaiting = (): void => {
+      const entries = batch.take();
+      sendDifference(entries ? { isSnapshot: false, entries } : state.since(sentRevision));
+    };
+
     const stopChanges = state.onChange((changed) => {
-      if (isStarted) sendEntries(false, changed);
+      if (sentRevision > 0 && batch.add(changed)) sendWaiting();
     });
 
     const session: FollowSession = {
       onRequest: (request: FollowRequest) => {
         ping = request.ping;
-        const isFirst = !isStarted && state.revision() > 0;
-        const { isSnapshot, entries } = isFirst
-          ? state.since(request.fromRevision)
-          : { isSnapshot: false, entries: [] };
-        isStarted ||= isFirst;
-        sendEntries(isSnapshot, entries);
+        if (sentRevision > 0) sendWaiting();
+        else if (state.revision() > 0) sendDifference(state.since(request.fromRevision));
+        else sendDifference({ isSnapshot: false, entries: [] });
       },
       close: () => {
         stopChanges();
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -57,7 +57,7 @@
   const updateRanks = (): void => {
     rankTimer = undefined;
     ranks.clear();
-    [...configuration.list('group').keys()].forEach((group) => {
+    configuration.names('group').forEach((group) => {
       const rank = rankIn(group);
       if (rank >= 0) ranks.set(group, rank);
     });
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -13,6 +13,8 @@
   applySnapshot(revision: number, entries: readonly ConfigurationEntry[]): void;
   get<Kind extends DocumentKind>(kind: Kind, name: string): DocumentOf<Kind> | undefined;
   revisionOf(kind: DocumentKind, name: string): number | undefined;
+  names(kind: DocumentKind): string[];
+  /** Parses each document of the kind; `names` is cheaper where names do. */
   list<Kind extends DocumentKind>(kind: Kind): Map<string, DocumentOf<Kind>>;
   entries(): ConfigurationEntry[];
   /** What someone who knows every change up to `revision` lacks. */
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -4,6 +4,8 @@
 import documentIn from './documentIn';
 import documentKinds from './documentKinds';
 import type DocumentOf from './documentOf';
+import kindOfKey from './kindOfKey';
+import withoutChangeIds from './withoutChangeIds';
 
 /** How many deletions are remembered by key. */
 const DEFAULT_MAX_TOMBSTONES = 10_000;
@@ -17,17 +19,14 @@
 }
 
 interface Stored {
-  entry: ConfigurationEntry;
-  kind: DocumentKind;
-  document: unknown;
+  valueJson: string | undefined;
+  modRevision: number;
+  isValid: boolean;
+  /** The parsed document while anyone uses it: most documents are kept as text only. */
+  parsed?: WeakRef<object>;
 }
 
-const kindOf = (key: string): DocumentKind | undefined => {
-  const kinds = Object.keys(documentKinds) as DocumentKind[];
-  return kinds.find((kind) => key.startsWith(documentKinds[kind].prefix));
-};
-
-const parseDocument = (kind: DocumentKind, valueJson: string): unknown => {
+const parseDocument = (kind: DocumentKind, valueJson: string): object | undefined => {
   try {
     const parsed = documentKinds[kind].schema.safeParse(documentIn(valueJson));
     return parsed.success ? parsed.data : undefined;
@@ -36,12 +35,14 @@
   }
 };
 
-/** Creates an empty configuration state; a value that fails its schema counts as absent. */
+/**
+ * Creates an empty configuration state; a value that fails its schema counts as absent.
+ * A document is the same object each time that it is read, until it changes.
+ */
 const createConfigurationState = (
   maxTombstones: number = DEFAULT_MAX_TOMBSTONES,
 ): ConfigurationState => {
-  const stored = new Map<string, Stored>();
-  const byKind = new Map<DocumentKind, Map<string, unknown>>();
+  const byKind = new Map<DocumentKind, Map<string, Stored>>();
   const listeners = new Set<(changed: readonly ConfigurationEntry[]) => void>();
   const tombstones = new Map<string, number>();
   let knownRevision = 0;
@@ -50,33 +51,57 @@
   /** Spans of revisions passed over by a snapshot, whose own deletions are not known. */
   let gaps: Gap[] = [];
 
-  const documentsOf = (kind: DocumentKind): Map<string, unknown> => {
+  const storedOf = (kind: DocumentKind): Map<string, Stored> => {
     const existing = byKind.get(kind);
     if (existing) return existing;
-    const created = new Map<string, unknown>();
+    const created = new Map<string, Stored>();
     byKind.set(kind, created);
     return created;
   };
 
-  const store = (entry: ConfigurationEntry): boolean => {
-    const kind = kindOf(entry.key);
-    if (!kind) return false;
-    const current = stored.get(entry.key);
-    if (current && current.entry.modRevision >= entry.modRevision) return false;
+  const nameIn = (kind: DocumentKind, key: string): string =>
+    key.slice(documentKinds[kind].prefix.length);
+
+  const documentOf = (kind: DocumentKind, stored: Stored | undefined): object | undefined => {
+    if (!stored?.isValid || stored.valueJson === undefined) return undefined;
+    const known = stored.parsed?.deref();
+    if (known) return known;
+    const document = parseDocument(kind, stored.valueJson);
+    Object.assign(stored, { parsed: document && new WeakRef(document) });
+    return document;
+  };
+
+  /** Stores an entry unless a newer one is known; gives what was stored. */
+  const store = (entry: ConfigurationEntry): ConfigurationEntry[] => {
+    const kind = kindOfKey(entry.key);
+    if (!kind) return [];
+    const name = nameIn(kind, entry.key);
+    const current = storedOf(kind).get(name);
+    if (current && current.modRevision >= entry.modRevision) return [];
     tombstones.delete(entry.key);
     if (entry.valueJson === undefined) tombstones.set(entry.key, entry.modRevision);
-    const name = entry.key.slice(documentKinds[kind].prefix.length);
-    const document =
-      entry.valueJson === undefined ? undefined : parseDocument(kind, entry.valueJson);
-    stored.set(entry.key, { entry, kind, document });
-    if (document === undefined) documentsOf(kind).delete(name);
-    else documentsOf(kind).set(name, document);
-    return true;
+    const valueJson = entry.valueJson && withoutChangeIds(entry.valueJson);
+    const isValid = valueJson !== undefined && parseDocument(kind, valueJson) !== undefined;
+    storedOf(kind).set(name, { valueJson, modRevision: entry.modRevision, isValid });
+    return [{ ...entry, valueJson }];
   };
 
+  const entriesOf = (isWanted: (stored: Stored) => boolean): ConfigurationEntry[] =>
+    [...byKind].flatMap(([kind, documents]) =>
+      [...documents]
+        .filter(([, stored]) => isWanted(stored))
+        .map(([name, { valueJson, modRevision }]) => ({
+          key: documentKinds[kind].prefix + name,
+          valueJson,
+          modRevision,
+        })),
+    );
+
+  const isLive = ({ valueJson }: Stored): boolean => valueJson !== undefined;
+
   /** A change that the known revision covers is a duplicate or was overtaken. */
-  const storeChange = (entry: ConfigurationEntry): boolean =>
-    entry.modRevision > knownRevision && store(entry);
+  const storeChange = (entry: ConfigurationEntry): ConfigurationEntry[] =>
+    entry.modRevision > knownRevision ? store(entry) : [];
 
   /** Forgets the oldest deletions among those that the known revision covers. */
   const trimTombstones = (): void => {
@@ -84,7 +109,8 @@
       if (tombstones.size <= maxTombstones) return;
       if (modRevision <= knownRevision) {
         tombstones.delete(key);
-        stored.delete(key);
+        const kind = kindOfKey(key);
+        if (kind) storedOf(kind).delete(nameIn(kind, key));
         forgottenRevision = Math.max(forgottenRevision, modRevision);
       }
     }
@@ -102,11 +128,6 @@
     revision >= forgottenRevision &&
     !gaps.some(({ from, to }) => revision > from && revision < to);
 
-  const liveEntries = (): ConfigurationEntry[] =>
-    [...stored.values()]
-      .map(({ entry }) => entry)
-      .filter(({ valueJson }) => valueJson !== undefined);
-
   const publish = (changed: readonly ConfigurationEntry[]): void => {
     if (changed.length === 0) return;
     listeners.forEach((listener) => listener(changed));
@@ -115,7 +136,7 @@
   return {
     revision: () => knownRevision,
     applyChanges: (revision, entries) => {
-      const changed = entries.filter(storeChange);
+      const changed = entries.flatMap(storeChange);
       knownRevision = Math.max(knownRevision, revision);
       trimTombstones();
       publish(changed);
@@ -123,31 +144,36 @@
     applySnapshot: (revision, entries) => {
       if (revision < knownRevision) return;
       const present = new Set(entries.map(({ key }) => key));
-      const removed = [...stored.values()]
-        .filter(({ entry }) => entry.valueJson !== undefined && !present.has(entry.key))
-        .map(({ entry }) => ({ key: entry.key, valueJson: undefined, modRevision: revision }));
-      const changed = [...entries, ...removed].filter(store);
+      const removed = entriesOf(isLive)
+        .filter(({ key }) => !present.has(key))
+        .map(({ key }) => ({ key, valueJson: undefined, modRevision: revision }));
+      const changed = [...entries, ...removed].flatMap(store);
       addGap(knownRevision, revision);
       knownRevision = revision;
       trimTombstones();
       publish(changed);
     },
     get: <Kind extends DocumentKind>(kind: Kind, name: string) =>
-      documentsOf(kind).get(name) as DocumentOf<Kind> | undefined,
+      documentOf(kind, storedOf(kind).get(name)) as DocumentOf<Kind> | undefined,
     revisionOf: (kind, name) => {
-      const found = stored.get(documentKinds[kind].prefix + name);
-      return found?.entry.valueJson === undefined ? undefined : found.entry.modRevision;
+      const found = storedOf(kind).get(name);
+      return found?.valueJson === undefined ? undefined : found.modRevision;
     },
-    list: <Kind extends DocumentKind>(kind: Kind) =>
-      documentsOf(kind) as Map<string, DocumentOf<Kind>>,
-    entries: () => [...stored.values()].map(({ entry }) => entry),
-    since: (revision) => {
-      if (!isDifferenceKnown(revision)) return { isSnapshot: true, entries: liveEntries() };
-      const entries = [...stored.values()]
-        .map(({ entry }) => entry)
-        .filter(({ modRevision }) => modRevision > revision);
-      return { isSnapshot: false, entries };
+    names: (kind) => [...storedOf(kind)].filter(([, { isValid }]) => isValid).map(([name]) => name),
+    list: <Kind extends DocumentKind>(kind: Kind) => {
+      const valid = [...storedOf(kind)].filter(([, { isValid }]) => isValid);
+      return new Map(
+        valid.map(([name, stored]) => [name, documentOf(kind, stored) as DocumentOf<Kind>]),
+      );
     },
+    entries: () => entriesOf(() => true),
+    since: (revision) =>
+      isDifferenceKnown(revision)
+        ? {
+            isSnapshot: false,
+            entries: entriesOf(({ modRevision }) => modRevision > revision),
+          }
+        : { isSnapshot: true, entries: entriesOf(isLive) },
     onChange: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -81,6 +81,7 @@
 export type { default as HolderState } from './routing/holderState';
 export type { default as ConfigurationDifference } from './configuration/configurationDifference';
 export { default as changeIdsOf } from './configuration/changeIdsOf';
+export { default as createChangeBatch } from './configuration/createChangeBatch';
 export { default as documentIn } from './configuration/documentIn';
 export { default as toStoredValue } from './configuration/toStoredValue';
 export { default as hashText } from './membership/hashText';
