--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -146,5 +146,53 @@
       expect(missing.status).to.equal(exitCodes.failure);
       expect(missing.stdout).to.include('127.0.0.1:1');
     });
+
+    describe('as a caller', () => {
+      const upsert = (key: string) =>
+        `INSERT INTO items (key, value) VALUES ('${key}', '1') ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value`;
+      const query = (...words: string[]) => {
+        const caller = `127.0.0.1:${fleet.vms.get('waco-1')?.ports.callerPort}`;
+        const flags = ['-a', caller, '-p', 'open', '-g', 'auctions', '--json'];
+        const { status, stdout } = run('query', ...words, ...flags);
+        return { status, result: stdout === '' ? {} : (JSON.parse(stdout) as object) };
+      };
+      const valueOf = (key: string): unknown => {
+        const { result } = query(`SELECT value FROM items WHERE key = '${key}'`);
+        return (result as { rows?: { rows: { cells: { text: string }[] }[] } }).rows?.rows[0]
+          ?.cells[0]?.text;
+      };
+
+      before(async () => {
+        await fleet.put('profile', 'open', {
+          openToAll: true,
+          groups: ['auctions'],
+          freshness: { kind: 'primary' },
+        });
+        await fleet.settle();
+      });
+
+      it('runs statements of a transaction together', () => {
+        const ran = query('-t', '-w', upsert('lot-1'), upsert('lot-2'));
+        expect(ran.status).to.equal(exitCodes.ok);
+        const { steps } = ran.result as { steps: { step: string }[] };
+        expect(steps.map(({ step }) => step)).to.deep.equal([
+          'begin',
+          upsert('lot-1'),
+          upsert('lot-2'),
+          'commit',
+        ]);
+        expect([valueOf('lot-1'), valueOf('lot-2')]).to.deep.equal(['1', '1']);
+      });
+
+      it('rolls all of them back when one fails', () => {
+        const failed = query('-t', '-w', upsert('lot-3'), 'NO SUCH STATEMENT');
+        expect(failed.status).to.be.oneOf([exitCodes.refused, exitCodes.failure]);
+        expect(valueOf('lot-3')).to.equal(undefined);
+      });
+
+      it('refuses several statements without a transaction as wrong usage', () => {
+        expect(query('SELECT 1', 'SELECT 2').status).to.equal(exitCodes.usage);
+      });
+    });
   });
 });
