perf: slopes measure a relay with its 8 followers and the heap of documents

Change: the dimension changes runs 10 VMs of one data centre and measures the relay with 8 followers and the VMs that nobody follows, operators elsewhere; the dimension heap measures 117,300 documents in one process after a collection. Rows are built from costs that add up.

--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -18,7 +18,9 @@
 
 const slopeRows = slopes.results.flatMap(({ name, unit, rows, slopes: fitted, failures }) =>
   fitted
-    .filter(({ measure }) => /^(vm(Cpu|Resident|Bytes)|platform|holder)/.test(measure))
+    .filter(({ measure }) =>
+      /^(vm(Cpu|Resident|Bytes)|platform|holder|relay|heap|spread)/.test(measure),
+    )
     .filter(({ measure, slope }) => !/Max$/.test(measure) && Math.abs(slope) > 0)
     .map(({ measure, base, slope }) => ({
       dimension: `${name} (${unit})`,
--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -9,6 +9,7 @@
 import fitLine from './slopes/fitLine';
 import forwardedDimension from './slopes/forwardedDimension';
 import groupsDimension from './slopes/groupsDimension';
+import heapDimension from './slopes/heapDimension';
 import statementsDimension from './slopes/statementsDimension';
 import vmsDimension from './slopes/vmsDimension';
 
@@ -18,6 +19,7 @@
   groupsDimension,
   accountsDimension,
   documentsDimension,
+  heapDimension,
   changesDimension,
   connectionsDimension,
   statementsDimension,
--- a/scripts/slopes/startMeasuredFleet.ts
+++ b/scripts/slopes/startMeasuredFleet.ts
@@ -2,6 +2,8 @@
 
 interface MeasuredFleetOptions {
   vms: number;
+  /** Data centres among which the VMs are divided: 2, or 1 for one VM. */
+  dataCentres?: number;
   /** Further groups share the members of the first, so that processes stay few. */
   groups: number;
   accounts: number;
@@ -42,7 +44,8 @@
 
 /** Starts a fleet of a given size with its groups, accounts and one profile. */
 const startMeasuredFleet = async (options: MeasuredFleetOptions): Promise<MeasuredFleet> => {
-  const dataCentres = DATA_CENTRES.slice(0, Math.min(options.vms, DATA_CENTRES.length));
+  const count = options.dataCentres ?? DATA_CENTRES.length;
+  const dataCentres = DATA_CENTRES.slice(0, Math.min(options.vms, count));
   const fleet = await startFleet({
     dataCentres,
     vmsPerDataCentre: Math.ceil(options.vms / dataCentres.length),
