fix: a daemon whose port is taken ends with the failure code

Cause: when a gRPC port could not be bound, the error was printed, but timers and connections that were already started kept the process running without serving. Change: the program ends after it has printed an error.

--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
-import { programPath, startFleet, type Fleet } from '@auburngrade/testkit';
+import { freePort, programPath, startFleet, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import commandRegistry from '../commands/commandRegistry';
 import exitCodes from '../commands/exitCodes';
@@ -92,6 +92,26 @@
       expect(run('account', 'delete', 'ranch', '-a', address).status).to.equal(exitCodes.ok);
     });
 
+    it('starts no second daemon on a port of the first', async () => {
+      const folder = mkdtempSync(join(tmpdir(), 'auburngrade-'));
+      const file = join(folder, 'settings.json');
+      const settings = {
+        vm: 'waco-2',
+        dataCentre: 'waco',
+        callerPort: fleet.vms.get('waco-1')?.ports.callerPort,
+        vmPort: await freePort(),
+        operatorPort: await freePort(),
+        httpPort: await freePort(),
+        platform: { address: `127.0.0.1:${fleet.platform.port}` },
+        tls: { callers: 'plain', operators: 'plain', vms: 'plain' },
+      };
+      writeFileSync(file, JSON.stringify(settings));
+      const { status, stderr } = run('run', '--settings', file);
+      rmSync(folder, { recursive: true });
+      expect(status).to.equal(exitCodes.failure);
+      expect(stderr).to.include('EADDRINUSE');
+    });
+
     it('issues, lists and withdraws a key, for a known client account only', async () => {
       const stranger = run('key', 'issue', 'stranger', '-a', address, '--json');
       expect(stranger.status).to.equal(exitCodes.refused);
--- a/packages/auburngrade/src/main.ts
+++ b/packages/auburngrade/src/main.ts
@@ -76,4 +76,6 @@
   } else {
     process.stderr.write(`${error.message}\n`);
   }
+  // A daemon that could not start has timers and connections that would keep it running.
+  process.exit();
 });
