--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
-import { programPath, startFleet, type Fleet } from '@auburngrade/testkit';
+import { freePort, programPath, startFleet, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import commandRegistry from '../commands/commandRegistry';
 import exitCodes from '../commands/exitCodes';
@@ -92,6 +92,26 @@
       expect(run('account', 'delete', 'ranch', '-a', address).status).to.equal(exitCodes.ok);
     });
 
+    it('starts no second daemon on a port of the first', async () => {
+      const folder = mkdtempSync(join(tmpdir(), 'auburngrade-'));
+      const file = join(folder, 'settings.json');
+      const settings = {
+        vm: 'waco-2',
+        dataCentre: 'waco',
+        callerPort: fleet.vms.get('waco-1')?.ports.callerPort,
+        vmPort: await freePort(),
+        operatorPort: await freePort(),
+        httpPort: await freePort(),
+        platform: { address: `127.0.0.1:${fleet.platform.port}` },
+        tls: { callers: 'plain', operators: 'plain', vms: 'plain' },
+      };
+      writeFileSync(file, JSON.stringify(settings));
+      const { status, stderr } = run('run', '--settings', file);
+      rmSync(folder, { recursive: true });
+      expect(status).to.equal(exitCodes.failure);
+      expect(stderr).to.include('EADDRINUSE');
+    });
+
     it('issues, lists and withdraws a key, for a known client account only', async () => {
       const stranger = run('key', 'issue', 'stranger', '-a', address, '--json');
       expect(stranger.status).to.equal(exitCodes.refused);
@@ -146,5 +166,53 @@
       expect(missing.status).to.equal(exitCodes.failure);
       expect(missing.stdout).to.include('127.0.0.1:1');
     });
+
+    describe('as a caller', () => {
+      const upsert = (key: string) =>
+        `INSERT INTO items (key, value) VALUES ('${key}', '1') ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value`;
+      const query = (...words: string[]) => {
+        const caller = `127.0.0.1:${fleet.vms.get('waco-1')?.ports.callerPort}`;
+        const flags = ['-a', caller, '-p', 'open', '-g', 'auctions', '--json'];
+        const { status, stdout } = run('query', ...words, ...flags);
+        return { status, result: stdout === '' ? {} : (JSON.parse(stdout) as object) };
+      };
+      const valueOf = (key: string): unknown => {
+        const { result } = query(`SELECT value FROM items WHERE key = '${key}'`);
+        return (result as { rows?: { rows: { cells: { text: string }[] }[] } }).rows?.rows[0]
+          ?.cells[0]?.text;
+      };
+
+      before(async () => {
+        await fleet.put('profile', 'open', {
+          openToAll: true,
+          groups: ['auctions'],
+          freshness: { kind: 'primary' },
+        });
+        await fleet.settle();
+      });
+
+      it('runs statements of a transaction together', () => {
+        const ran = query('-t', '-w', upsert('lot-1'), upsert('lot-2'));
+        expect(ran.status).to.equal(exitCodes.ok);
+        const { steps } = ran.result as { steps: { step: string }[] };
+        expect(steps.map(({ step }) => step)).to.deep.equal([
+          'begin',
+          upsert('lot-1'),
+          upsert('lot-2'),
+          'commit',
+        ]);
+        expect([valueOf('lot-1'), valueOf('lot-2')]).to.deep.equal(['1', '1']);
+      });
+
+      it('rolls all of them back when one fails', () => {
+        const failed = query('-t', '-w', upsert('lot-3'), 'NO SUCH STATEMENT');
+        expect(failed.status).to.be.oneOf([exitCodes.refused, exitCodes.failure]);
+        expect(valueOf('lot-3')).to.equal(undefined);
+      });
+
+      it('refuses several statements without a transaction as wrong usage', () => {
+        expect(query('SELECT 1', 'SELECT 2').status).to.equal(exitCodes.usage);
+      });
+    });
   });
 });
