test: dead sessions of a stand-in member no longer keep row locks

Cause: a session that was closed while it waited for a row lock took the lock afterwards and never gave it back, and a primary that was fenced kept the locks of sessions whose connections had gone silent. A real member restarts when it is demoted, which ends its sessions.

Change: a closed session gives a late lock back; a demotion releases all.

--- a/packages/testkit/src/memberStandIn/createMember.ts
+++ b/packages/testkit/src/memberStandIn/createMember.ts
@@ -23,6 +23,12 @@
   replication.listen(settings.replicationPort, settings.host);
   if (settings.upstream) replication.follow(settings.upstream.host, settings.upstream.port);
 
+  /** A primary that becomes a replica restarts, which ends the transactions of its sessions. */
+  const demote = (): void => {
+    if (role === 'primary') locks.clear();
+    role = 'replica';
+  };
+
   return {
     log,
     locks,
@@ -46,7 +52,7 @@
         throw new SqlError(STALE_TERM_STATE, `already fenced at ${fencedTerm}`);
       if (term === fencedTerm) return;
       fencedTerm = term;
-      role = 'replica';
+      demote();
       replication.stop();
     },
     promote: (term: number): void => {
@@ -58,7 +64,7 @@
     follow: (term: number, host: string, port: number): void => {
       if (term < fencedTerm) throw new SqlError(STALE_TERM_STATE, `fenced at ${fencedTerm}`);
       fencedTerm = term;
-      role = 'replica';
+      demote();
       replication.follow(host, port);
     },
   };
--- a/packages/testkit/src/memberStandIn/createMemberSession.ts
+++ b/packages/testkit/src/memberStandIn/createMemberSession.ts
@@ -12,6 +12,7 @@
 const ABORTED_STATE = '25P02';
 const SYNTAX_STATE = '42601';
 const READ_ONLY_STATE = '25006';
+const CLOSED_STATE = '08006';
 const MS_PER_S = 1000;
 
 const done = (command: string): MemberResult => ({ columns: [], rows: [], command });
@@ -37,6 +38,7 @@
   let status: 'idle' | 'transaction' | 'error' = 'idle';
   let writable = false;
   let changes: Change[] = [];
+  let isClosed = false;
 
   const rowOf = (table: string, key: string): Record<string, string | null> | undefined =>
     changes.findLast((change) => change.table === table && change.key === key)?.row ??
@@ -81,6 +83,10 @@
     }
     member.checkWritable();
     await member.locks.lock(`${table}/${key}`, owner);
+    if (isClosed) {
+      member.locks.releaseAll(owner);
+      throw new SqlError(CLOSED_STATE, 'the session was closed while it waited for a lock');
+    }
     const row = update(rowOf(table, key ?? ''));
     changes.push({ table, key: key ?? '', row });
   };
@@ -224,7 +230,10 @@
       }
     },
     /** Rolls back what the session left open. */
-    close: finish,
+    close: (): void => {
+      isClosed = true;
+      finish();
+    },
   };
 };
 
--- a/packages/testkit/src/memberStandIn/createRowLocks.ts
+++ b/packages/testkit/src/memberStandIn/createRowLocks.ts
@@ -30,15 +30,20 @@
     owners.set(row, { owner, released, release });
   };
 
-  const releaseAll = (owner: object): void => {
+  const releaseWhere = (isReleased: (owner: object) => boolean): void => {
     [...owners].forEach(([row, held]) => {
-      if (held.owner !== owner) return;
+      if (!isReleased(held.owner)) return;
       owners.delete(row);
       held.release();
     });
   };
 
-  return { lock, releaseAll };
+  return {
+    lock,
+    releaseAll: (owner: object): void => releaseWhere((holder) => holder === owner),
+    /** Releases the locks of every session, as a restart does. */
+    clear: (): void => releaseWhere(() => true),
+  };
 };
 
 export default createRowLocks;
