fix: writes and detection do not wait out a silent primary

When a cut falls between two polls and no write waits for its acknowledgement, nobody polls for up to 500 ms more, and the claim came at 1,006 and 1,101 ms. By then all three writes had given up their begin (1 s) and were opening new connections to the dead primary (1 s more). Only a connection already in use was closed at the end of the term, not one that was still being opened.

Change: a connection to the primary is acquired for a term (`acquireInTerm`): its wait ends with the term too. A use of the primary that has no connection, or lasts over 100 ms, polls it at once, so that detection starts with the fault and not with the next poll. Holders claim 50 ms apart by rank (150 before); compare-and-swap settles a race. The spec restores links after each test, so that one failure does not fail the next tests. No bound was changed.

--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -114,13 +114,11 @@
     record: TermRecord,
     primary: string,
   ): Promise<Committed | undefined> => {
-    const pooled = await holder.acquire(primary, request.account, request.deadlineAtMs);
-    // A replaced primary may never answer: what it did is then looked up on the new one.
-    const stopWatching = holder.onTermOver(record.term, () => pooled.connection.close());
+    const { account, deadlineAtMs } = request;
+    const pooled = await holder.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
     try {
       return await runTransaction(holder, pooled.connection, request, record);
     } finally {
-      stopWatching();
       if (!pooled.connection.isUsable()) holder.poll();
       pooled.release();
     }
--- /dev/null
+++ b/packages/auburngrade/src/groups/acquireInTerm.ts
@@ -0,0 +1,58 @@
+import { notRun } from '@auburngrade/coordination';
+import type PooledConnection from './pooledConnection';
+
+interface InTermOptions {
+  acquire(): Promise<PooledConnection>;
+  /** Calls the listener once when the term is over; returns the function that stops it. */
+  onTermOver(listener: () => void): () => void;
+  /** Called when there is no connection, or the wait and the use take longer than `slowAfterMs`. */
+  onTrouble(): void;
+  slowAfterMs: number;
+}
+
+const RETRY_AFTER_MS = 100;
+
+/**
+ * Acquires a connection for use within one term. A replaced primary may never answer, so
+ * neither the wait for a connection nor a statement on it outlasts the term.
+ * @throws RefusalError `noPrimary` when the term ends first, else what `acquire` throws.
+ */
+const acquireInTerm = (options: InTermOptions): Promise<PooledConnection> =>
+  new Promise((resolve, reject) => {
+    let pooled: PooledConnection | undefined;
+    let isOver = false;
+    const slowTimer = setTimeout(options.onTrouble, options.slowAfterMs);
+    const stopWatching = options.onTermOver(() => {
+      isOver = true;
+      clearTimeout(slowTimer);
+      pooled?.connection.close();
+      reject(notRun('noPrimary', 'the primary has been replaced', RETRY_AFTER_MS));
+    });
+    const stop = (): void => {
+      clearTimeout(slowTimer);
+      stopWatching();
+    };
+
+    const lend = (acquired: PooledConnection): void => {
+      if (isOver) {
+        acquired.release();
+        return;
+      }
+      pooled = acquired;
+      resolve({
+        connection: acquired.connection,
+        release: () => {
+          stop();
+          acquired.release();
+        },
+      });
+    };
+
+    options.acquire().then(lend, (error: unknown) => {
+      stop();
+      options.onTrouble();
+      reject(error);
+    });
+  });
+
+export default acquireInTerm;
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -14,6 +14,7 @@
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
+import acquireInTerm from './acquireInTerm';
 import sleep from '../time/sleep';
 
 /** Connections of one VM to one member that only status polls and promotions use. */
@@ -21,6 +22,8 @@
 const POLL_INTERVAL_MS = 500;
 const RETRY_INTERVAL_MS = 100;
 const PRIMARY_WAIT_STEP_MS = 5;
+/** A use of the primary that takes longer makes this VM ask whether it is still there. */
+const SLOW_USE_MS = 100;
 
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
 const createGroupHolder = (
@@ -131,6 +134,23 @@
       account: string | undefined,
       deadlineAtMs: number,
     ): Promise<PooledConnection> => handleOf(member).data.acquire(account, deadlineAtMs),
+    /**
+     * A connection to the primary of a term; it is closed when a later term is known.
+     * @throws RefusalError when none can be had before the deadline or the end of the term.
+     */
+    acquirePrimary: (
+      { term, primary }: { term: number; primary: string },
+      account: string | undefined,
+      deadlineAtMs: number,
+    ): Promise<PooledConnection> => {
+      const { data, poller } = handleOf(primary);
+      return acquireInTerm({
+        acquire: () => data.acquire(account, deadlineAtMs),
+        onTermOver: (listener) => onTermOver(term, listener),
+        slowAfterMs: SLOW_USE_MS,
+        onTrouble: poller.poll,
+      });
+    },
     /**
      * Resolves with whether a majority came to hold the position before the deadline;
      * only polls that began after `committedAtMs` count.
--- a/packages/auburngrade/src/integration/primaryLost.spec.ts
+++ b/packages/auburngrade/src/integration/primaryLost.spec.ts
@@ -41,6 +41,10 @@
     await waitFor('the first term', async () => (await readTerm(fleet, GROUP))?.state === 'active');
   });
 
+  afterEach(() => {
+    fleet.members.forEach(({ name }) => setPrimaryLinks(name, 'pass'));
+  });
+
   after(async () => {
     await fleet.stop();
   });
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -98,12 +98,11 @@
     primary: string,
   ): Promise<Located> => {
     try {
-      const pooled = await holder.acquire(primary, request.account, request.deadlineAtMs);
-      const stopWatching = holder.onTermOver(record.term, () => pooled.connection.close());
+      const { account, deadlineAtMs } = request;
+      const pooled = await holder.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
       try {
         return await find(holder, request, record, primary, pooled.connection);
       } finally {
-        stopWatching();
         pooled.release();
       }
     } catch {
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -38,7 +38,8 @@
   nowMs(): number;
 }
 
-const RANK_DELAY_MS = 150;
+const RANK_DELAY_MS = 50;
+const TAKE_OVER_RANK_DELAY_MS = 150;
 const PLANNED_RANK_DELAY_MS = 1_000;
 const RETRY_DELAY_MS = 200;
 const PLANNED_RETRY_DELAY_MS = 3_000;
@@ -141,7 +142,9 @@
     const elapsedMs = wantedForMs(`promoting/${record.term}`);
     // Nobody else acts under a claim of this very process that it has given up.
     const waitMs =
-      record.promoter === promoter ? 0 : timings.takeOverAfterMs + options.rank() * RANK_DELAY_MS;
+      record.promoter === promoter
+        ? 0
+        : timings.takeOverAfterMs + options.rank() * TAKE_OVER_RANK_DELAY_MS;
     if (elapsedMs < waitMs || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
     start(record, 'takeOver', wantedSinceMs ?? nowMs());
   };
