fix: short pauses of a VM no longer start the detection anew

Cause, by reading and unit test: a gap of over 300 ms between two judgements of a VM (one every 100 ms) set all its clocks to zero, so a VM on a busy machine that stood still for 300 ms again and again would never see a dead primary gone.

Change: the judge counts on an own clock that advances by at most 200 ms between two judgements. A pause is still not held against a member, but what was counted before it stays.

Unit tests of createPrimaryJudge and createFollowRepair. Seen red: pauses that clear the clock (gone although this process stands still again and again), statuses of any age (not judged by statuses from before the wait).

--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -69,7 +69,7 @@
       .views()
       .filter((member) => voters.includes(member.member))
       .filter((member) => member.member !== record.primary || view !== 'gone')
-      .filter((member) => judge.isAnswering(member, nowMs()));
+      .filter((member) => judge.isAnswering(member));
     return answering.length > voters.length / 2;
   };
 
@@ -163,7 +163,7 @@
   };
 
   const considerReplacement = (record: TermRecord): void => {
-    const judgement = judge.judge(record, holder.views(), nowMs());
+    const judgement = judge.judge(record);
     view = judgement.view;
     if (!judgement.reason) {
       considerPlanned(record);
@@ -178,7 +178,7 @@
   const repairFollowers = (record: TermRecord): void => {
     const upstream = holder.group.members.find(({ name }) => name === record.primary);
     if (!upstream) return;
-    repair.due(record, holder.views(), nowMs()).forEach((member) => {
+    repair.due(record, holder.views()).forEach((member) => {
       logger.info('member.followAgain', { group: holder.name, member, term: record.term });
       control.follow(member, record.term, upstream).catch(() => {});
     });
@@ -200,6 +200,7 @@
     tick: (): void => {
       const record = holder.record();
       if (!record) return;
+      judge.observe(holder.views(), nowMs());
       if (isBusy()) {
         current.driver.dispatch(isOvertaken(record) ? { kind: 'lost' } : { kind: 'tick' });
         return;
--- a/packages/coordination/src/promotion/createFollowRepair.ts
+++ b/packages/coordination/src/promotion/createFollowRepair.ts
@@ -27,34 +27,41 @@
     return compareLogs(status, primary.status) !== 0;
   };
 
-  const isDue = (view: MemberView, record: TermRecord, nowMs: number): boolean => {
+  /** Progress is judged from one poll to a later one, and not by the time between. */
+  const isDue = (view: MemberView, record: TermRecord): boolean => {
     const { status } = view;
     if (!status) return false;
-    const { logTerm, position } = status;
+    const { logTerm, position, askedAtMs } = status;
     const known = tracked.get(view.member);
     const hasMoved =
       known?.term !== record.term || known.logTerm !== logTerm || known.position !== position;
     if (!known || hasMoved) {
       const waitMs = known?.term === record.term ? known.waitMs : FIRST_WAIT_MS;
-      tracked.set(view.member, { term: record.term, logTerm, position, sinceMs: nowMs, waitMs });
+      tracked.set(view.member, {
+        term: record.term,
+        logTerm,
+        position,
+        sinceMs: askedAtMs,
+        waitMs,
+      });
       return false;
     }
-    if (nowMs - known.sinceMs < known.waitMs) return false;
-    known.sinceMs = nowMs;
+    if (askedAtMs - known.sinceMs < known.waitMs) return false;
+    known.sinceMs = askedAtMs;
     known.waitMs = Math.min(MAX_WAIT_MS, known.waitMs * 2);
     return true;
   };
 
   return {
     /** Names of members that must follow the record's primary anew. */
-    due: (record: TermRecord, views: readonly MemberView[], nowMs: number): string[] => {
+    due: (record: TermRecord, views: readonly MemberView[]): string[] => {
       const primary = views.find(({ member }) => member === record.primary);
       if (record.state !== 'active' || primary?.status?.role !== 'primary') return [];
       if (primary.unansweredSinceMs !== undefined) return [];
       return views
         .filter((view) => view !== primary && view.unansweredSinceMs === undefined)
         .filter((view) => {
-          if (isAstray(view, record, primary)) return isDue(view, record, nowMs);
+          if (isAstray(view, record, primary)) return isDue(view, record);
           tracked.delete(view.member);
           return false;
         })
