feat: take back only what exceeds a holder's part when a share is short

Cause: near the full rate without spare tokens a holder with up to 1.25 times its part by demand kept it, because a recall only asked for surplus tokens, and only the four holders with most units were asked. Change: a recall names the holder's part by the demand it reported; the holder keeps 1.02 times that, more if its demand has grown. Those furthest above their part are asked first.

--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -45,6 +45,8 @@
   share: z.string().min(1),
   /** Asks for a report also when there is nothing to give back. */
   mustReport: z.boolean(),
+  /** The part that the holder's demand gives it; it is to keep no more. */
+  partUnits: z.number().int().nonnegative().optional(),
 });
 const recalledSchema = z.strictObject({ hasReleased: z.boolean() });
 
@@ -137,9 +139,11 @@
     state: ShareState,
     target: string,
     mustReport: boolean,
+    partUnits?: number,
   ): Promise<boolean> => {
     try {
-      const reply = await send(target, RECALL_KIND, { share: state.name, mustReport });
+      const body = { share: state.name, mustReport, partUnits };
+      const reply = await send(target, RECALL_KIND, body);
       recalledSchema.parse(reply.body);
       state.keeper?.noteIncarnation(target, reply.incarnation, nowMs());
       return true;
@@ -152,8 +156,10 @@
 
   /** Asks the holders with most units for what they do not need; true when all answered. */
   const recall = async (state: ShareState, exceptVm?: string): Promise<boolean> => {
-    const targets = state.keeper?.recallable(exceptVm) ?? [];
-    const answers = Promise.all(targets.map((target) => recallOne(state, target, false)));
+    const targets = state.keeper?.recallable(nowMs(), exceptVm) ?? [];
+    const answers = Promise.all(
+      targets.map((target) => recallOne(state, target.vm, false, target.partUnits)),
+    );
     const isAnswered = await within(
       RECALL_WAIT_MS,
       answers.then((all) => all.every(Boolean)),
@@ -186,11 +192,11 @@
     _fromVm: string,
     body: unknown,
   ): Promise<z.infer<typeof recalledSchema>> => {
-    const { share, mustReport } = recallSchema.parse(body);
+    const { share, mustReport, partUnits } = recallSchema.parse(body);
     const state = stateOf(share);
     if (!state) return { hasReleased: false };
     roles.refresh(state);
-    const hasReleased = !mustReport && (state.holder?.release(nowMs()) ?? false);
+    const hasReleased = !mustReport && (state.holder?.release(nowMs(), partUnits) ?? false);
     // A report under way may wait for this very answer.
     if (state.syncing) updateShareState(state, { isSyncDue: true });
     else if (hasReleased || mustReport) await sync(state, false);
--- a/packages/coordination/src/rate/createShareHolder.ts
+++ b/packages/coordination/src/rate/createShareHolder.ts
@@ -3,6 +3,7 @@
 import type RateLimit from './rateLimit';
 import type ShareGrant from './shareGrant';
 import type ShareSync from './shareSync';
+import WHOLE_UNITS from './wholeUnits';
 import type VmLease from '../witness/vmLease';
 
 interface ShareHolderOptions {
@@ -23,6 +24,8 @@
 
 /** Tokens kept when the keeper asks for some back: the demand of this time. */
 const RESERVE_S = 0.05;
+/** A holder that is asked for units may keep this many times its part by demand. */
+const PART_RATIO = 1.02;
 /** Below this demand a holder keeps nothing that the keeper asks for. */
 const IDLE_DEMAND_PER_S = 0.1;
 
@@ -39,6 +42,7 @@
   let sequence = 0;
   let releasedTokens = 0;
   let sentAtMs = 0;
+  let reportedDemandPerS = 0;
   let leaseEndsAtMs = options.leaseEndsAtMs ?? options.nowMs + options.leaseMs;
   let standing = options.lease.standing(options.nowMs);
 
@@ -92,6 +96,7 @@
       }
       sequence += 1;
       sentAtMs = nowMs;
+      reportedDemandPerS = demand.perS(nowMs);
       const sent = releasedTokens;
       releasedTokens = 0;
       return {
@@ -103,7 +108,7 @@
         heldUnits: bucket.units(),
         witnesses: options.lease.groups() ?? [],
         releasedTokens: sent,
-        demandPerS: demand.perS(nowMs),
+        demandPerS: reportedDemandPerS,
         neededTokens,
       };
     },
@@ -126,8 +131,11 @@
       bucket.add(added, grant.tokens + releasedTokens, nowMs);
       releasedTokens = 0;
     },
-    /** Gives up units that this VM's demand does not need now; true when there were some. */
-    release: (nowMs: number): boolean => {
+    /**
+     * Gives up units that this VM's demand does not need now; true when there were some.
+     * `partUnits` is its part by the demand that it reported; it keeps no more than that.
+     */
+    release: (nowMs: number, partUnits: number = WHOLE_UNITS): boolean => {
       lapse(nowMs);
       if (bucket.units() === 0) return false;
       if (demand.perS(nowMs) < IDLE_DEMAND_PER_S) {
@@ -136,9 +144,15 @@
       }
       const tokens = bucket.tokens(nowMs);
       const surplus = tokens - demand.perS(nowMs) * RESERVE_S;
-      if (surplus < 1) return false;
-      const part = surplus >= 2 ? surplus / 2 / tokens : surplus / tokens;
-      lower(Math.floor(bucket.units() * (1 - part)), nowMs);
+      const given = surplus >= 2 ? surplus / 2 : surplus;
+      const byTokens = surplus < 1 ? bucket.units() : bucket.units() * (1 - given / tokens);
+      const growth = Math.max(
+        1,
+        demand.perS(nowMs) / Math.max(reportedDemandPerS, IDLE_DEMAND_PER_S),
+      );
+      const kept = Math.floor(Math.min(byTokens, partUnits * growth * PART_RATIO));
+      if (kept >= bucket.units()) return false;
+      lower(kept, nowMs);
       return true;
     },
     releaseAll: (nowMs: number): void => {
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -236,13 +236,17 @@
       reclaim(nowMs);
       return grant(entry, sync, nowMs);
     },
-    /** The holders with most units, to be asked for what they do not need. */
-    recallable: (exceptVm?: string): string[] =>
+    /** The holders with most units beyond their part, to be asked for what they do not need. */
+    recallable: (nowMs: number, exceptVm?: string): { vm: string; partUnits: number }[] =>
       [...ledger]
         .filter(([vm, { units }]) => vm !== exceptVm && units > 0)
-        .sort(([, a], [, b]) => b.units - a.units)
+        .map(([vm, { units, demandPerS }]) => {
+          const partUnits = partOf(demandPerS, nowMs);
+          return { vm, partUnits, excess: units - partUnits };
+        })
+        .sort((a, b) => b.excess - a.excess)
         .slice(0, MAX_RECALLS)
-        .map(([vm]) => vm),
+        .map(({ vm, partUnits }) => ({ vm, partUnits })),
     /** The holder with most units, to be the next keeper. */
     successor: (): { vm: string; incarnation: number } | undefined => {
       const [first] = [...ledger]
