fix: a request with too little time left takes no turn from other accounts

Cause, by a trace of each request's wait, connect and run: the large account's queue holds requests that are near their deadlines. The one at the head opened a connection within its own few milliseconds, which failed (181 times in 6 s) and was not charged, so the account kept its turn; statements cut at their deadline cost 56 connections. 1,767 of its reads were hedged while they only waited, nearly doubling its load. And the round robin kept what an account had used as owed while it had nothing queued, so a small account paid for one slow statement later.

Ruled out: lost connections alone (the 56 are few beside 181 failed openings); the balance over pools (equal waits at both replicas).

--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -16,6 +16,12 @@
 import type ReadPlan from '../routing/readPlan';
 import sleep from '../time/sleep';
 
+/** How far a read has come. */
+interface Attempt {
+  member: string | undefined;
+  isSent: boolean;
+}
+
 interface ReadExecutorOptions {
   vm: string;
   dataCentre: string;
@@ -28,6 +34,8 @@
 const STALE_TERM_STATE = 'AG001';
 /** A read that is not answered by then is sent a second time, over another connection. */
 const HEDGE_AFTER_MS = 1_000;
+/** With less time left a second read would not end in time either. */
+const MIN_HEDGE_AFTER_MS = 5;
 const AVOID_MS = 2_000;
 const CONFIRM_STEP_MS = 5;
 const RETRY_AFTER_MS = 200;
@@ -52,8 +60,11 @@
     holder: GroupHolder,
     request: StatementRequest,
     { member, term }: ReadPlan,
+    progress: Attempt,
   ): Promise<QueryResult> => {
+    Object.assign(progress, { member, isSent: false });
     const pooled = await holder.acquire(member, request.account, request.deadlineAtMs);
+    Object.assign(progress, { isSent: true });
     try {
       const sql = `/*term=${term}*/${request.sql}`;
       const timeoutMs = request.deadlineAtMs - nowMs();
@@ -67,9 +78,10 @@
     holder: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
+    progress: Attempt,
   ): Promise<QueryResult> => {
     try {
-      return await run(holder, request, plan);
+      return await run(holder, request, plan, progress);
     } catch (error) {
       if (!(error instanceof EndpointError)) {
         if (toRefusal(error).code === 'noConnection') failures.add(plan.member);
@@ -98,9 +110,10 @@
     holder: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
+    progress: Attempt,
   ): Promise<QueryResult | undefined> => {
     const sentAtMs = nowMs();
-    const rows = await runOrAvoid(holder, request, plan);
+    const rows = await runOrAvoid(holder, request, plan, progress);
     if (plan.isConfirmed) {
       await confirmPrimary(holder, request, sentAtMs);
       if (holder.record()?.term !== plan.term) return undefined;
@@ -112,38 +125,53 @@
   const executeOnce = async (
     holder: GroupHolder,
     request: StatementRequest,
-    onPlanned: (member: string) => void,
+    progress: Attempt,
   ): Promise<StatementOutcome> => {
     let plan = await planner.plan(holder, request, false);
-    onPlanned(plan.member);
-    let rows = await attempt(holder, request, plan);
+    let rows = await attempt(holder, request, plan, progress);
     if (!rows) {
       // The answer took too long to vouch for its age: the primary is always young enough.
       plan = await planner.plan(holder, request, true);
-      rows = await attempt(holder, request, plan);
+      rows = await attempt(holder, request, plan, progress);
     }
     if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
     const { member: endpoint, role } = plan;
     return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
   };
 
+  /** Whether a read only waits for its turn: a second one would lengthen the queues. */
+  const isQueued = (holder: GroupHolder, { member, isSent }: Attempt, sinceMs: number): boolean =>
+    member !== undefined && !isSent && holder.isServingSince(member, sinceMs);
+
+  /** Resolves with true when the read should be sent a second time, with false once it has ended. */
+  const isStuck = async (
+    holder: GroupHolder,
+    request: StatementRequest,
+    progress: Attempt,
+    answer: Promise<unknown>,
+  ): Promise<boolean> => {
+    const isEnded = answer.then(
+      () => true,
+      () => true,
+    );
+    for (;;) {
+      const sinceMs = nowMs();
+      const hedgeAfterMs = Math.min(HEDGE_AFTER_MS, (request.deadlineAtMs - sinceMs) / 2);
+      if (hedgeAfterMs < MIN_HEDGE_AFTER_MS) return false;
+      if (await Promise.race([isEnded, sleep(hedgeAfterMs)])) return false;
+      if (!isQueued(holder, progress, sinceMs)) return true;
+    }
+  };
+
   return {
     /** @throws RefusalError */
     execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
-      let first = '';
-      const answer = executeOnce(holder, request, (member) => {
-        first = member;
-      });
-      const timeLeftMs = request.deadlineAtMs - nowMs();
-      const isAnswered = answer.then(
-        () => true,
-        () => true,
-      );
-      const hedgeAfterMs = Math.min(HEDGE_AFTER_MS, timeLeftMs / 2);
-      if (await Promise.race([isAnswered, sleep(hedgeAfterMs)])) return answer;
+      const first: Attempt = { member: undefined, isSent: false };
+      const answer = executeOnce(holder, request, first);
+      if (!(await isStuck(holder, request, first, answer))) return answer;
       // Its connection may have gone silent for good; whichever answer comes first is taken.
-      failures.add(first);
-      const second = executeOnce(holder, request, () => {});
+      if (first.member !== undefined) failures.add(first.member);
+      const second = executeOnce(holder, request, { member: undefined, isSent: false });
       return Promise.any([answer, second]).catch(() => answer);
     },
     /** The member for a read-only transaction. @throws RefusalError */
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -4,7 +4,8 @@
 import type PooledConnection from './pooledConnection';
 
 interface Waiter {
-  deadlineAtMs: number;
+  offeredAtMs: number;
+  timeoutMs: number;
   give(connection: EndpointConnection, chargedMs: number): void;
   refuse(error: unknown): void;
 }
@@ -15,16 +16,24 @@
   chargedMs: number;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
+/** A statement may take longer than the average of its account by this factor before it is cut. */
+const SERVICE_TIME_FACTOR = 3;
+/** Bounds what is kept for the service when an account's average is near its deadlines. */
+const MAX_SERVICE_RATIO = 0.5;
 /** Requests on routes open to all and the VM's own statements share one turn. */
 const NO_ACCOUNT = '';
 const DEFAULT_OPTIONS: PoolOptions = {
   order: 'fair',
   maxQueuedPerAccount: 256,
   maxQueued: 1_024,
+  connectTimeoutMs: 1_000,
   weightOf: () => 1,
 };
 
+/** The part of a request's time that is kept for its statement. */
+const serviceMs = (costMs: number, timeoutMs: number): number =>
+  Math.min(costMs * SERVICE_TIME_FACTOR, timeoutMs * MAX_SERVICE_RATIO);
+
 /** A bounded pool of connections to one endpoint, shared fairly between client accounts. */
 const createConnectionPool = (
   endpoint: Endpoint,
@@ -36,7 +45,10 @@
   const limits = { perAccount: options.maxQueuedPerAccount, total: options.maxQueued };
   const queue = createFairQueue<Waiter>(limits, maxConnections);
   const idle: EndpointConnection[] = [];
+  /** Open connections and those that are being opened. */
   let openCount = 0;
+  let openingCount = 0;
+  let returnedAtMs = Number.NEGATIVE_INFINITY;
   let isClosed = false;
 
   /** The queue's name for an account. */
@@ -56,47 +68,79 @@
     return takeIdle();
   };
 
-  const open = async (deadlineAtMs: number): Promise<EndpointConnection> => {
+  const refuseTurn = ({ item, account, chargedMs }: Turn, error: unknown): void => {
+    queue.cancel(account, chargedMs);
+    item.refuse(error);
+  };
+
+  /**
+   * Whether a request that waited has too little time left: its statement would be cut, and
+   * the connection lost with it.
+   */
+  const isTooLate = ({ item, chargedMs }: Turn): boolean => {
+    const waitedMs = nowMs() - item.offeredAtMs;
+    return waitedMs > 0 && item.timeoutMs - waitedMs < serviceMs(chargedMs, item.timeoutMs);
+  };
+
+  /** The next request that can still be served; those that can't be are refused. */
+  const nextTurn = (): Turn | undefined => {
+    let turn = queue.next();
+    while (turn && isTooLate(turn)) {
+      const message = 'the time left does not suffice for the statement';
+      refuseTurn(turn, notRun('queueTimeout', message, Math.ceil(turn.chargedMs)));
+      turn = queue.next();
+    }
+    return turn;
+  };
+
+  /** Tells one waiting request that no connection can be had, so that it goes elsewhere. */
+  const refuseNext = (message: string): void => {
+    const turn = nextTurn();
+    if (turn) refuseTurn(turn, notRun('noConnection', message));
+  };
+
+  const giveBack = (connection: EndpointConnection): void => {
+    if (!isClosed && connection.isUsable()) idle.push(connection);
+    else drop(connection);
+  };
+
+  /** Opens a connection for whoever's turn it is by then, whatever the deadlines now queued. */
+  const open = async (): Promise<void> => {
     openCount += 1;
+    openingCount += 1;
     try {
-      const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, deadlineAtMs - nowMs());
-      return await endpoint.connect(timeoutMs);
+      const connection = await endpoint.connect(options.connectTimeoutMs);
+      openingCount -= 1;
+      giveBack(connection);
     } catch (error) {
+      openingCount -= 1;
       openCount -= 1;
-      const message = error instanceof EndpointError ? error.message : String(error);
-      throw notRun('noConnection', message);
+      refuseNext(error instanceof EndpointError ? error.message : String(error));
     }
   };
 
-  const openFor = ({ item, account, chargedMs }: Turn, onFailure: () => void): void => {
-    open(item.deadlineAtMs).then(
-      (connection) => item.give(connection, chargedMs),
-      (error: unknown) => {
-        queue.end(account, chargedMs, 0);
-        item.refuse(error);
-        // A refused request leaves room for the next one.
-        onFailure();
-      },
-    );
-  };
-
-  /** Gives connections to the requests whose turn it is, as far as there are any. */
-  const serveQueue = (): void => {
-    while (queue.size() > 0 && (idle.length > 0 || openCount < maxConnections)) {
-      const connection = takeIdle();
-      const turn = queue.next();
+  const serveIdle = (): void => {
+    for (let connection = takeIdle(); connection; connection = takeIdle()) {
+      const turn = nextTurn();
       if (!turn) {
-        if (connection) idle.push(connection);
+        idle.push(connection);
         return;
       }
-      if (connection) turn.item.give(connection, turn.chargedMs);
-      else openFor(turn, serveQueue);
+      turn.item.give(connection, turn.chargedMs);
+    }
+  };
+
+  /** Gives connections to the requests whose turn it is, and opens those that are missing. */
+  const serveQueue = (): void => {
+    if (queue.size() > 0) serveIdle();
+    while (!isClosed && openCount < maxConnections && openingCount < queue.size()) {
+      open().then(serveQueue);
     }
   };
 
   const release = (connection: EndpointConnection): void => {
-    if (!isClosed && connection.isUsable()) idle.push(connection);
-    else drop(connection);
+    returnedAtMs = nowMs();
+    giveBack(connection);
     serveQueue();
   };
 
@@ -124,11 +168,13 @@
 
   const wait = (flow: string, weight: number, deadlineAtMs: number): Promise<PooledConnection> =>
     new Promise((resolve, reject) => {
-      const remainingMs = Math.max(0, deadlineAtMs - nowMs());
+      const offeredAtMs = nowMs();
+      const timeoutMs = Math.max(0, deadlineAtMs - offeredAtMs);
       let timer: NodeJS.Timeout | undefined;
       let isOver = false;
       const waiter: Waiter = {
-        deadlineAtMs,
+        offeredAtMs,
+        timeoutMs,
         give: (connection, chargedMs) => {
           clearTimeout(timer);
           const lent = lend(connection, flow, chargedMs);
@@ -142,7 +188,8 @@
           reject(error);
         },
       };
-      const refusal = queue.offer(waiter, flow, weight, hasRoom() ? Infinity : remainingMs);
+      const waitMs = timeoutMs - serviceMs(queue.costMs(flow), timeoutMs);
+      const refusal = queue.offer(waiter, flow, weight, hasRoom() ? Infinity : waitMs);
       if (refusal) {
         const message = 'the wait for a connection would be too long';
         reject(notRun(refusal.code, message, refusal.retryAfterMs));
@@ -152,7 +199,7 @@
         queue.remove(waiter, flow);
         const message = 'no connection became free before the deadline';
         waiter.refuse(notRun('queueTimeout', message, Math.ceil(queue.costMs(flow))));
-      }, remainingMs);
+      }, timeoutMs);
       serveQueue();
     });
 
@@ -166,10 +213,13 @@
       return wait(flowOf(account), weight, deadlineAtMs);
     },
     queued: () => queue.size(),
-    /** Closes the idle connections now and the others when they are given back. */
+    /** Monotonic time at which a connection was last given back. */
+    returnedAtMs: () => returnedAtMs,
+    /** Refuses what waits; closes the idle connections now, the others when they are given back. */
     close: (): void => {
       isClosed = true;
       idle.splice(0).forEach(drop);
+      while (queue.size() > 0) refuseNext('the pool has been closed');
     },
   };
 };
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -18,6 +18,8 @@
 
 /** Connections of one VM to one member that only status polls and promotions use. */
 const CONTROL_CONNECTIONS = 1;
+/** A control connection that does not open is tried again soon: polls tell which members are up. */
+const CONTROL_CONNECT_TIMEOUT_MS = 350;
 const POLL_INTERVAL_MS = 500;
 const RETRY_INTERVAL_MS = 100;
 const PRIMARY_WAIT_STEP_MS = 5;
@@ -47,7 +49,9 @@
         user: group.user,
         applicationName: `auburngrade/${vm}/${purpose}`,
       });
-    const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs);
+    const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs, {
+      connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
+    });
     const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
     return { member, control, data, poller: createStatusPoller(member.name, control, nowMs) };
   };
@@ -122,6 +126,9 @@
     },
     /** Takes in a status that came with the answer to another statement. */
     noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
+    /** Whether the member's data connections have been given back by some request since then. */
+    isServingSince: (member: string, sinceMs: number): boolean =>
+      handleOf(member).data.returnedAtMs() >= sinceMs,
     /** A connection to a member for control statements. @throws RefusalError */
     acquireControl: (member: string, deadlineAtMs: number): Promise<PooledConnection> =>
       handleOf(member).control.acquire(undefined, deadlineAtMs),
--- a/packages/coordination/src/fairQueue/fairShares.spec.ts
+++ b/packages/coordination/src/fairQueue/fairShares.spec.ts
@@ -75,6 +75,23 @@
     });
   });
 
+  describe('with an account that was served for long and then had nothing queued', () => {
+    it('forgets that service once the others have had as much', () => {
+      const queue = createFairQueue<string>(LIMITS, 1);
+      const serve = (costMs: number): string | undefined => {
+        const turn = queue.next();
+        if (turn) queue.end(turn.account, turn.chargedMs, costMs);
+        return turn?.account;
+      };
+      queue.offer('slow', 'small', 1, NO_DEADLINE_MS);
+      serve(100);
+      for (let id = 0; id < 1_000; id += 1) queue.offer('large', 'large', 1, NO_DEADLINE_MS);
+      Array.from({ length: 12 }).forEach(() => serve(10));
+      queue.offer('small', 'small', 1, NO_DEADLINE_MS);
+      expect([serve(10), serve(10)]).to.include('small');
+    });
+  });
+
   describe('at its bounds', () => {
     it('refuses at entry when an account has too many or the wait is too long', () => {
       const queue = createFairQueue<string>({ perAccount: 2, total: 3 }, 1);
