--- a/packages/coordination/src/rate/createShareHolder.ts
+++ b/packages/coordination/src/rate/createShareHolder.ts
@@ -3,6 +3,8 @@
 import type RateLimit from './rateLimit';
 import type ShareGrant from './shareGrant';
 import type ShareSync from './shareSync';
+import WHOLE_UNITS from './wholeUnits';
+import type VmLease from '../witness/vmLease';
 
 interface ShareHolderOptions {
   share: string;
@@ -10,6 +12,8 @@
   incarnation: number;
   limit: RateLimit;
   leaseMs: number;
+  /** The VM's lease, under which it spends. */
+  lease: VmLease;
   nowMs: number;
   /** Units that the VM kept as the keeper of an earlier epoch. */
   initialUnits?: number;
@@ -20,6 +24,8 @@
 
 /** Tokens kept when the keeper asks for some back: the demand of this time. */
 const RESERVE_S = 0.05;
+/** A holder that is asked for units may keep this many times its part by demand. */
+const PART_RATIO = 1.02;
 /** Below this demand a holder keeps nothing that the keeper asks for. */
 const IDLE_DEMAND_PER_S = 0.1;
 
@@ -36,20 +42,37 @@
   let sequence = 0;
   let releasedTokens = 0;
   let sentAtMs = 0;
+  let reportedDemandPerS = 0;
   let leaseEndsAtMs = options.leaseEndsAtMs ?? options.nowMs + options.leaseMs;
+  let standing = options.lease.standing(options.nowMs);
 
-  const lapse = (nowMs: number): void => {
-    if (nowMs < leaseEndsAtMs || bucket.units() === 0) return;
+  const drop = (nowMs: number): void => {
     bucket.remove(bucket.units(), nowMs);
     releasedTokens = 0;
   };
 
+  /** Loses what was held under a lease that has lapsed, and what may be under way for it. */
+  const lapse = (nowMs: number): void => {
+    const present = options.lease.standing(nowMs);
+    if (present !== standing) {
+      standing = present;
+      sequence += 1;
+      drop(nowMs);
+    }
+    if (nowMs >= leaseEndsAtMs) drop(nowMs);
+  };
+
   const lower = (units: number, nowMs: number): void => {
     releasedTokens += bucket.remove(bucket.units() - units, nowMs);
   };
 
   return {
-    units: () => bucket.units(),
+    units: (nowMs: number): number => {
+      lapse(nowMs);
+      return bucket.units();
+    },
+    /** Whether the VM may hold units now. */
+    isStanding: (nowMs: number): boolean => options.lease.standing(nowMs) !== undefined,
     demandPerS: (nowMs: number) => demand.perS(nowMs),
     setLimit: (limit: RateLimit, nowMs: number) => bucket.setLimit(limit, nowMs),
     count: (nowMs: number) => demand.count(nowMs),
@@ -57,7 +80,10 @@
       lapse(nowMs);
       return bucket.take(nowMs);
     },
-    putBack: (nowMs: number) => bucket.putBack(nowMs),
+    putBack: (nowMs: number): void => {
+      lapse(nowMs);
+      bucket.putBack(nowMs);
+    },
     tokenDueInMs: (nowMs: number) => bucket.tokenDueInMs(nowMs),
     /** Builds the next report; answers to earlier ones count no more. */
     report: (keeperEpoch: number, neededTokens: number, nowMs: number): ShareSync => {
@@ -70,6 +96,7 @@
       }
       sequence += 1;
       sentAtMs = nowMs;
+      reportedDemandPerS = demand.perS(nowMs);
       const sent = releasedTokens;
       releasedTokens = 0;
       return {
@@ -79,16 +106,18 @@
         incarnation: options.incarnation,
         sequence,
         heldUnits: bucket.units(),
+        witnesses: options.lease.groups() ?? [],
         releasedTokens: sent,
-        demandPerS: demand.perS(nowMs),
+        demandPerS: reportedDemandPerS,
         neededTokens,
       };
     },
     /** Applies the keeper's answer. */
     accept: (grant: ShareGrant, nowMs: number): void => {
       if (grant.kind === 'refused') return;
-      if (grant.epoch !== epoch || grant.sequence !== sequence) return;
       lapse(nowMs);
+      if (standing === undefined) return;
+      if (grant.epoch !== epoch || grant.sequence !== sequence) return;
       // The lease counts from the report's sending: the keeper's end of it is later.
       leaseEndsAtMs = Math.max(leaseEndsAtMs, sentAtMs + options.leaseMs);
       if (nowMs >= leaseEndsAtMs) return;
@@ -102,8 +131,11 @@
       bucket.add(added, grant.tokens + releasedTokens, nowMs);
       releasedTokens = 0;
     },
-    /** Gives up units that this VM's demand does not need now; true when there were some. */
-    release: (nowMs: number): boolean => {
+    /**
+     * Gives up units that this VM's demand does not need now; true when there were some.
+     * `partUnits` is its part by the demand that it reported; it keeps no more than that.
+     */
+    release: (nowMs: number, partUnits: number = WHOLE_UNITS): boolean => {
       lapse(nowMs);
       if (bucket.units() === 0) return false;
       if (demand.perS(nowMs) < IDLE_DEMAND_PER_S) {
@@ -112,12 +144,21 @@
       }
       const tokens = bucket.tokens(nowMs);
       const surplus = tokens - demand.perS(nowMs) * RESERVE_S;
-      if (surplus < 1) return false;
-      const part = surplus >= 2 ? surplus / 2 / tokens : surplus / tokens;
-      lower(Math.floor(bucket.units() * (1 - part)), nowMs);
+      const given = surplus >= 2 ? surplus / 2 : surplus;
+      const byTokens = surplus < 1 ? bucket.units() : bucket.units() * (1 - given / tokens);
+      const growth = Math.max(
+        1,
+        demand.perS(nowMs) / Math.max(reportedDemandPerS, IDLE_DEMAND_PER_S),
+      );
+      const kept = Math.floor(Math.min(byTokens, partUnits * growth * PART_RATIO));
+      if (kept >= bucket.units()) return false;
+      lower(kept, nowMs);
       return true;
     },
-    releaseAll: (nowMs: number): void => lower(0, nowMs),
+    releaseAll: (nowMs: number): void => {
+      lapse(nowMs);
+      lower(0, nowMs);
+    },
     /** Ends this holder; what it holds goes on in the keeper's own share. */
     resign: (nowMs: number): { units: number; tokens: number } => {
       lapse(nowMs);
