--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -3,7 +3,7 @@
 import keySchema from './keySchema';
 import profileSchema from './profileSchema';
 import shareRecordSchema from '../rate/shareRecordSchema';
-import slotsSchema from './slotsSchema';
+import slotsSchema from '../slots/slotsSchema';
 import termSchema from './termSchema';
 import vmSchema from './vmSchema';
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -22,7 +22,7 @@
 export type { default as Member } from './configuration/member';
 export { default as termSchema } from './configuration/termSchema';
 export type { default as TermRecord } from './configuration/termRecord';
-export { default as slotsSchema } from './configuration/slotsSchema';
+export { default as slotsSchema } from './slots/slotsSchema';
 export { default as vmSchema } from './configuration/vmSchema';
 export type { default as Vm } from './configuration/vm';
 export { default as documentKinds } from './configuration/documentKinds';
