fix: a key is checked again right before its statement goes to an endpoint

Cause: a key was checked on arrival only; a statement that then waited for a connection ran although its key had been withdrawn and was refused elsewhere. Change: the VM that runs a statement, which may not be the one that was asked, checks the key's hash in its own configuration after the wait. The hash comes with a forwarded statement; isStillAllowed, which nothing used, is gone.

--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { RefusalError, notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import type Caller from './caller';
 
 const RETRY_AFTER_MS = 1_000;
@@ -11,6 +11,12 @@
   configuration: ConfigurationState,
   isVouched: () => boolean = () => true,
 ) => {
+  const checkVouched = (): void => {
+    if (isVouched()) return;
+    const message = 'this VM cannot tell whether the key was withdrawn';
+    throw notRun('keyNotVouched', message, RETRY_AFTER_MS);
+  };
+
   const check = (keyHash: string | undefined, profileName: string): Caller => {
     const profile = configuration.get('profile', profileName);
     if (!profile) throw notRun('unknownProfile', `no profile ${profileName}`);
@@ -21,28 +27,28 @@
     if (!profile.accounts.includes(found.account)) {
       throw notRun('accountNotAllowed', `the profile does not name account ${found.account}`);
     }
-    if (!isVouched()) {
-      const message = 'this VM cannot tell whether the key was withdrawn';
-      throw notRun('keyNotVouched', message, RETRY_AFTER_MS);
-    }
+    checkVouched();
     return { account: found.account, profile, profileName, keyHash };
   };
 
-  const isStillAllowed = (caller: Caller): boolean => {
-    try {
-      return check(caller.keyHash, caller.profileName).account === caller.account;
-    } catch (error) {
-      if (error instanceof RefusalError) return false;
-      throw error;
-    }
-  };
-
   return {
     /** @throws RefusalError `unknownProfile`, `unauthenticated`, `accountNotAllowed` or `keyNotVouched`. */
     authenticate: (key: string | undefined, profileName: string): Caller =>
       check(key === undefined ? undefined : hashOf(key), profileName),
-    /** Whether the caller may still act now; asked again right before each step of its work. */
-    isStillAllowed,
+    /**
+     * Checks a key again right before a statement goes to an endpoint, maybe on another VM than
+     * the one that authenticated it. A key that is not known here is newer than this VM's
+     * configuration, since key documents are never deleted; as long as the configuration is
+     * vouched for, its withdrawal is not yet due.
+     * @throws RefusalError `unauthenticated` or `keyNotVouched`
+     */
+    recheck: (keyHash: string | undefined): void => {
+      if (keyHash === undefined) return;
+      if (configuration.get('key', keyHash)?.withdrawn) {
+        throw notRun('unauthenticated', 'the key was withdrawn');
+      }
+      checkVouched();
+    },
   };
 };
 
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -12,6 +12,7 @@
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
+import withKeyCheck from '../authentication/withKeyCheck';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
@@ -115,13 +116,14 @@
     nowMs,
   });
 
+  const authenticator = createAuthenticator(configuration, vouching.isVouched);
   const loading = createConfigurationWaiter(configuration, nowMs);
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     await loading.wait(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
-    return holder;
+    return withKeyCheck(holder, () => authenticator.recheck(request.keyHash));
   };
   const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
 
@@ -160,7 +162,7 @@
   });
   const callerHandler = createCallerHandler({
     settings,
-    authenticator: createAuthenticator(configuration, vouching.isVouched),
+    authenticator,
     admission: rates.admission,
     execute: router.execute,
     begin: router.begin,
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -53,6 +53,7 @@
 
 const toForwarded = (request: StatementRequest, nowMs: number): ForwardedStatement => ({
   account: request.account ?? '',
+  keyHash: request.keyHash ?? '',
   profile: request.profile,
   group: request.group,
   write: request.write,
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -68,6 +68,7 @@
       const outcome = await this.options.execute({
         requestId,
         account: caller.account,
+        keyHash: caller.keyHash,
         profile: statement.profile,
         group: statement.group,
         write: statement.accessMode === AccessMode.WRITE,
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -47,6 +47,7 @@
       const outcome = await this.options.executeLocally({
         requestId: statement.requestId,
         account: statement.account || undefined,
+        keyHash: statement.keyHash || undefined,
         profile: statement.profile,
         group: statement.group,
         write: statement.write,
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -21,6 +21,7 @@
 const toRequest = (begin: ForwardedBegin, nowMs: number): TransactionRequest => ({
   requestId: begin.requestId,
   account: begin.account || undefined,
+  keyHash: begin.keyHash || undefined,
   profile: begin.profile,
   group: begin.group,
   write: begin.write,
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -26,6 +26,7 @@
   begin(request: TransactionRequest, timeoutMs: number): Promise<StatementOutcome> {
     const begin = {
       account: request.account ?? '',
+      keyHash: request.keyHash ?? '',
       profile: request.profile,
       group: request.group,
       write: request.write,
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -17,6 +17,7 @@
   type TransactionRequest,
 } from '@auburngrade/coordination';
 import type Admission from '../admission/admission';
+import type Caller from '../authentication/caller';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import checkRequest from '../serving/checkRequest';
 import checkStatement from '../serving/checkStatement';
@@ -85,9 +86,13 @@
     }
   };
 
-  const toRequest = (begin: TransactionBegin, account: string | undefined): TransactionRequest => ({
+  const toRequest = (
+    begin: TransactionBegin,
+    { account, keyHash }: Caller,
+  ): TransactionRequest => ({
     requestId: begin.requestId || randomUUID(),
     account,
+    keyHash,
     profile: begin.profile,
     group: begin.group,
     write: begin.accessMode === AccessMode.WRITE,
@@ -117,10 +122,10 @@
     sessionToken = step.sessionToken;
     checkRequest(step, settings);
     await options.awaitConfiguration(nowMs() + step.timeoutMs);
-    const { account } = authenticator.authenticate(key, step.profile);
-    const request = toRequest(step, account);
+    const caller = authenticator.authenticate(key, step.profile);
+    const request = toRequest(step, caller);
     requestId = request.requestId;
-    await admission.admit(account, step.profile);
+    await admission.admit(caller.account, step.profile);
     opened = await open(request, step.profile);
     if (isLost) abort();
     const servedBy = { vm: settings.vm, endpoint: '', role: 'primary' as const };
--- a/packages/coordination/src/request/statementRequest.ts
+++ b/packages/coordination/src/request/statementRequest.ts
@@ -5,6 +5,8 @@
   requestId: string;
   /** The authenticated client account; undefined on a route open to all. */
   account: string | undefined;
+  /** Hash of the key that was checked; undefined on a route open to all. */
+  keyHash: string | undefined;
   profile: string;
   group: string;
   write: boolean;
