fix: leave a silent connection between VMs at the first ping without an answer

An open connection can go silent for good while new ones work; messages between VMs, each given up after 300 ms, left it only after seconds of keepalive. Now a call that fails makes the peer be pinged, and a ping without an answer opens a new connection; calls on the old one go on until they end.

--- a/packages/vm/src/createLivenessProbe.ts
+++ b/packages/vm/src/createLivenessProbe.ts
@@ -6,6 +6,8 @@
 interface LivenessProbeOptions {
   /** Resolves when the other side answers; rejects when it does not in time. */
   ping(): Promise<unknown>;
+  /** Called when a ping has failed. */
+  onSilent?(): void;
   nowMs(): number;
 }
 
@@ -20,10 +22,12 @@
  * Tells a peer that is slow from one that is silent: while a call waits, the peer is pinged.
  * A silent peer is pinged until it answers again.
  */
-const createLivenessProbe = ({ ping, nowMs }: LivenessProbeOptions) => {
+const createLivenessProbe = ({ ping, onSilent, nowMs }: LivenessProbeOptions) => {
   const open = new Set<OpenCall>();
   let timer: NodeJS.Timeout | undefined;
   let isSilent = false;
+  /** A call has failed since the peer was last heard. */
+  let isSuspect = false;
   let isClosed = false;
   let heardAtMs = Number.NEGATIVE_INFINITY;
   let retryDelayMs = FIRST_RETRY_DELAY_MS;
@@ -31,6 +35,7 @@
   const noteAnswer = (): void => {
     heardAtMs = nowMs();
     isSilent = false;
+    isSuspect = false;
     retryDelayMs = FIRST_RETRY_DELAY_MS;
   };
 
@@ -41,19 +46,20 @@
     } catch {
       isSilent = true;
       retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
-      open.forEach(({ onSilent }) => onSilent());
+      open.forEach((call) => call.onSilent());
+      onSilent?.();
     }
   };
 
   const isDue = (): boolean => {
-    if (isSilent) return true;
+    if (isSilent || isSuspect) return true;
     const sinceHeard = [...open].find(({ startedAtMs }) => startedAtMs > heardAtMs);
     if (sinceHeard && nowMs() - sinceHeard.startedAtMs >= PROBE_AFTER_MS) return true;
     return open.size > 0 && nowMs() - heardAtMs >= PROBE_AGAIN_AFTER_MS;
   };
 
   const watch = (): void => {
-    if (isClosed || timer || (open.size === 0 && !isSilent)) return;
+    if (isClosed || timer || (open.size === 0 && !isSilent && !isSuspect)) return;
     timer = setTimeout(
       async () => {
         if (isDue()) await probe();
@@ -66,18 +72,22 @@
   };
 
   return {
-    /** Watches a call; `onSilent` is called, perhaps repeatedly, while the peer does not answer. */
+    /** Watches a call; `onCallSilent` is called, perhaps repeatedly, while the peer does not answer. */
     track: async <Result>(
       call: () => Promise<Result>,
-      onSilent: () => void = () => {},
+      onCallSilent: () => void = () => {},
     ): Promise<Result> => {
-      const entry = { startedAtMs: nowMs(), onSilent };
+      const entry = { startedAtMs: nowMs(), onSilent: onCallSilent };
       open.add(entry);
       watch();
       try {
         const result = await call();
         noteAnswer();
         return result;
+      } catch (error) {
+        isSuspect = true;
+        watch();
+        throw error;
       } finally {
         open.delete(entry);
       }
--- a/packages/vm/src/createPeerChannel.ts
+++ b/packages/vm/src/createPeerChannel.ts
@@ -31,12 +31,16 @@
   let connecting: Promise<void> | undefined;
   let isClosed = false;
 
-  const replaceStuck = (): void => {
+  /** Calls that are open go on over the old connection until they end. */
+  const reopen = (): void => {
     if (isClosed) return;
     clients.forward.close();
     clients = open();
   };
 
+  const isConnected = (): boolean =>
+    clients.forward.getChannel().getConnectivityState(true) === connectivityState.READY;
+
   const connect = (): Promise<void> =>
     new Promise((resolve, reject) => {
       const channel = clients.forward.getChannel();
@@ -53,7 +57,7 @@
               check();
               return;
             }
-            replaceStuck();
+            reopen();
             reject(new NeverSentError(`no connection to ${address} within ${STUCK_AFTER_MS} ms`));
           });
         }
@@ -71,8 +75,7 @@
   return {
     /** The clients once they are connected. @throws NeverSentError when they are not soon. */
     ready: async () => {
-      const state = clients.forward.getChannel().getConnectivityState(true);
-      if (state !== connectivityState.READY) {
+      if (!isConnected()) {
         connecting ??= connect().finally(() => {
           connecting = undefined;
         });
@@ -80,6 +83,10 @@
       }
       return clients;
     },
+    /** Leaves a connection over which nothing comes back any more: a new one may work. */
+    leaveSilent: (): void => {
+      if (isConnected()) reopen();
+    },
     close: (): void => {
       isClosed = true;
       clients.forward.close();
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -23,7 +23,7 @@
 ) => {
   const channel = createPeerChannel(address, channelCredentials);
 
-  const exchange = async (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> => {
+  const send = async (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> => {
     const { peer } = await channel.ready();
     return new Promise((resolve, reject) => {
       const options = { deadline: Date.now() + timeoutMs };
@@ -35,7 +35,8 @@
   };
 
   const liveness = createLivenessProbe({
-    ping: () => exchange(PING, PING_TIMEOUT_MS),
+    ping: () => send(PING, PING_TIMEOUT_MS),
+    onSilent: channel.leaveSilent,
     nowMs: () => performance.now(),
   });
 
@@ -89,7 +90,8 @@
         cancel: (): void => stream.cancel(),
       };
     },
-    exchange,
+    exchange: (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> =>
+      liveness.track(() => send(message, timeoutMs)),
     /** Whether the VM could not be reached or did not answer when it was last tried. */
     isSilent: liveness.isSilent,
     close: (): void => {
