fix: a VM is ready only once it has had its lease

Change: /health gives 503 until the lease has stood once since the start, so that the balancer sends nothing there; the test fleet waits for it. Conclusion: a lease that lapses later does not change /health.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -219,7 +219,7 @@
     settings.host,
     settings.httpPort,
     metrics.registry,
-    () => work.phase() === 'serving' && loading.isLoaded(),
+    () => work.phase() === 'serving' && loading.isLoaded() && rates.leases.hasStood(),
   );
   const listen = (
     port: number,
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -101,6 +101,8 @@
         logChange();
       });
     },
+    /** False while this VM has not had a lease yet since its start. */
+    hasStood: lease.hasStood,
     stop: (): void => timers.forEach((timer) => clearInterval(timer)),
     describe: () => ({
       isStanding: lease.standing(nowMs()) !== undefined,
--- a/packages/coordination/src/witness/createVmLease.ts
+++ b/packages/coordination/src/witness/createVmLease.ts
@@ -55,6 +55,8 @@
       lapse(nowMs);
       return isStanding ? generation : undefined;
     },
+    /** Whether the lease has stood at some time since the start. */
+    hasStood: (): boolean => generation > 0,
     /** Whether the group renewed the lease by heartbeats sent after `sinceMs`. */
     isRenewedBy: (group: readonly string[], sinceMs: number): boolean =>
       groupEndsAtMs(group) - leaseMs >= sinceMs,
--- a/packages/testkit/src/fleet/startFleet.ts
+++ b/packages/testkit/src/fleet/startFleet.ts
@@ -194,6 +194,10 @@
     }
   };
 
+  /** Whether a balancer would send requests to the VM. */
+  const isReady = async (vm: string): Promise<boolean> =>
+    (await fetch(`http://${HOST}:${vmPorts.get(vm)?.httpPort}/health`)).ok;
+
   return {
     platform,
     members,
@@ -227,7 +231,7 @@
       if (!found) throw new Error(`no replication link of ${member}`);
       return found;
     },
-    /** Waits until every running VM knows the present revision and lists all started VMs. */
+    /** Waits until every running VM is ready, knows the present revision and lists all started VMs. */
     settle: async (): Promise<void> => {
       const { revision } = await platform.counts();
       await Promise.all(
@@ -236,6 +240,7 @@
             const status = await statusOf(vm);
             const listed = status.liveVms as string[];
             return (
+              (await isReady(vm)) &&
               Number(status.revision) >= (revision ?? 0) &&
               [...vms.keys()].every((other) => listed.includes(other))
             );
