fix: followers go back to their place in the tree of configuration

Cause: a follower stayed with any source in its list, and relays are in every list. Ruled out: going back to a source that failed and has not answered since; a paused parent would then cost each of its followers 1.5 s of silence again and again, near the bound for keys. Change: after 3 to 6 s, by chance, a follower goes back to the source that it prefers.

--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -1,5 +1,6 @@
 import {
   createPeerHealth,
+  createSourceReturn,
   isRelay,
   relayRank,
   sourcesElsewhere,
@@ -34,6 +35,9 @@
 /** A fresh VM asks its peers for this long before it turns to the platform, and up to twice as long by chance. */
 const FIRST_ASK_PEERS_MS = 1_000;
 
+/** A follower goes back to the source that it prefers after this long, and up to twice as long by chance. */
+const RETURN_TO_SOURCE_MS = 3_000;
+
 /**
  * Keeps this VM's configuration up to date and hands it on: two VMs of a data centre
  * watch the platform, the others follow them in a tree.
@@ -41,6 +45,7 @@
 const createConfigurationSpread = (options: ConfigurationSpreadOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
   const health = createPeerHealth();
+  const sourceReturn = createSourceReturn(RETURN_TO_SOURCE_MS * (1 + Math.random()));
   const startedAtMs = nowMs();
   const askPeersMs = FIRST_ASK_PEERS_MS * (1 + Math.random());
   const isSeed = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
@@ -102,6 +107,13 @@
     return `${reached.host}:${reached.port}`;
   };
 
+  /** Followers that stayed with a relay would take it more than its share of the tree. */
+  const isReturnDue = (current: string): boolean => {
+    const [best] = sources();
+    const usable = best === undefined || health.hasFailed(best) ? undefined : best;
+    return sourceReturn.isDue(current, usable, nowMs());
+  };
+
   const relayFollower = createRelayFollower({
     vm: settings.vm,
     state: configuration,
@@ -113,7 +125,7 @@
         ? undefined
         : { id, address: resolve(address) };
     },
-    isStillWanted: (id) => isPeerNeeded() && sources().includes(id),
+    isStillWanted: (id) => isPeerNeeded() && sources().includes(id) && !isReturnDue(id),
     open: (address, listener) => createFollowClient(address, listener, options.vmCredentials),
     onSuccess: health.succeed,
     onFailure: (id, reason) => {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -89,6 +89,7 @@
 export { default as rankByRendezvous } from './membership/rankByRendezvous';
 export { default as relayRank } from './relay/relayRank';
 export { default as isRelay } from './relay/isRelay';
+export { default as createSourceReturn } from './relay/createSourceReturn';
 export { default as sourcesInRank } from './relay/sourcesInRank';
 export { default as sourcesElsewhere } from './relay/sourcesElsewhere';
 export { default as createPeerHealth } from './membership/createPeerHealth';
--- a/packages/coordination/src/membership/createPeerHealth.ts
+++ b/packages/coordination/src/membership/createPeerHealth.ts
@@ -29,6 +29,8 @@
       const usable = ids.find((id) => untilMs(id) <= nowMs);
       return usable ?? [...ids].sort((a, b) => untilMs(a) - untilMs(b))[0];
     },
+    /** Whether the VM failed and has not answered since. */
+    hasFailed: (id: string): boolean => marks.has(id),
     /** VMs that could not be reached and were not reached since. */
     unreachable: (): Set<string> =>
       new Set([...marks].filter(([, { failure }]) => failure === 'unreachable').map(([id]) => id)),
