perf: the heap of a VM stays near what is in use (heap.mode)

Cause: after load a VM stood at 140 to 178 MB with 22 MB in use: the young generation had grown to 32 MB and the old one to 50 to 67 MB of garbage, and nothing collects an idle process. Ruled out, in trials: a collection when idle (138 MB, and a pause of the whole process); the smallest young generation from the start (146 MB: more is promoted into the old one); the growth of the old one alone (133 MB). Change: setting heap.mode, small by default: once the daemon has started, the old generation is collected after growing by 20%, and the young one keeps its size. default leaves both to Node.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -44,6 +44,7 @@
 import createKeyWatch from '../transactions/createKeyWatch';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
+import limitHeap from './limitHeap';
 
 /** Time for the last answers to leave once all work has ended. */
 const SERVER_GRACE_MS = 500;
@@ -223,6 +224,7 @@
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
   ]);
+  limitHeap(settings);
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -41,6 +41,12 @@
         takeOverAfterMs: z.number().int().min(500).max(60_000).default(2_000),
       })
       .default({ suspectAfterMs: 600, stallAfterMs: 3_000, takeOverAfterMs: 2_000 }),
+    heap: z
+      .strictObject({
+        /** `small` collects garbage more often, for less memory after a peak; `default` leaves that to Node. */
+        mode: z.enum(['small', 'default']).default('small'),
+      })
+      .default({ mode: 'small' }),
     log: z
       .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
       .default({ level: 'info' }),
