feat: a record of slots keeps the fleet within a group's connection budget

Cause: which VMs hold connections followed from the list alone, and VMs see different lists for a while; a budget below 18 for 3 members and 3 slots was passed because each member got two connections anyway.

Change: a record at the platform names the VM and its start for each slot, written by compare-and-swap when a slot changes hands only. A VM uses its slot while it can prove that its configuration was complete at most 4.5 s ago, as for keys; one that takes a slot over waits longer than that and the 3 s after which members close idle connections. A slot that was given back needs no wait. A budget too small for slots, members and two connections each is refused with the smallest that fits.

Ruled out: leases at the platform (writes grow with time and slots). Found by the process test on the way: a woken VM's poll opened a control connection before its lease was checked (19 of 18 connections, 7 at a member), so a pool asks before it opens.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -37,6 +37,7 @@
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
+import createSlotKeeper from '../slots/createSlotKeeper';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
@@ -77,8 +78,32 @@
     nowMs,
     logger,
   });
-  const membership = createMembership(configuration);
-  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
+  const slots = createSlotKeeper({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    completeAtMs: vouching.completeAtMs,
+    announce: vouching.announce,
+    exchange,
+    logger,
+    nowMs,
+  });
+  const membership = createMembership({
+    vm: settings.vm,
+    configuration,
+    isOwnSlotUsable: slots.isUsable,
+    nowMs,
+  });
+  const groups = createGroupRegistry(
+    configuration,
+    settings.vm,
+    addresses,
+    nowMs,
+    settings.pools,
+    slots.isUsable,
+  );
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
   const reads = createReadExecutor({
     ...settings,
@@ -184,6 +209,7 @@
       configuration: follower.describe(),
       areKeysVouched: vouching.isVouched(),
       outageAgeMs: vouching.outageAgeMs(),
+      slots: slots.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -200,6 +226,7 @@
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
+      ...slots.messageHandlers,
       [PING_KIND, async () => ({})],
     ]),
     nowMs,
@@ -215,6 +242,7 @@
     nowMs,
   });
   promotions.start();
+  slots.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
   const http = startHttpServer(
     settings.host,
     settings.httpPort,
@@ -259,6 +287,7 @@
     endFollowing();
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
+    await slots.stop();
     await rates.shares.handOver();
     rates.stop();
     follower.stop();
--- a/packages/auburngrade/src/groups/createAcknowledger.ts
+++ b/packages/auburngrade/src/groups/createAcknowledger.ts
@@ -101,6 +101,7 @@
       waiters.forEach((waiter) => {
         if (waiter.term < term) waiter.settle(false);
       }),
+    isWaitedFor: () => waiters.size > 0,
     close: (): void => waiters.forEach((waiter) => waiter.settle(false)),
   };
 };
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -27,6 +27,7 @@
   maxQueuedPerAccount: 256,
   maxQueued: 1_024,
   connectTimeoutMs: 1_000,
+  mayOpen: () => true,
   weightOf: () => 1,
 };
 
@@ -45,6 +46,7 @@
   const limits = { perAccount: options.maxQueuedPerAccount, total: options.maxQueued };
   const queue = createFairQueue<Waiter>(limits, maxConnections);
   const idle: EndpointConnection[] = [];
+  const lent = new Set<EndpointConnection>();
   /** Open connections and those that are being opened. */
   let openCount = 0;
   let openingCount = 0;
@@ -100,7 +102,7 @@
   };
 
   const giveBack = (connection: EndpointConnection): void => {
-    if (!isClosed && connection.isUsable()) idle.push(connection);
+    if (!isClosed && connection.isUsable() && options.mayOpen()) idle.push(connection);
     else drop(connection);
   };
 
@@ -134,7 +136,8 @@
   const serveQueue = (): void => {
     if (queue.size() > 0) serveIdle();
     while (!isClosed && openCount < maxConnections && openingCount < queue.size()) {
-      open().then(serveQueue);
+      if (options.mayOpen()) open().then(serveQueue);
+      else refuseNext('no connection may be opened');
     }
   };
 
@@ -152,11 +155,13 @@
   ): PooledConnection => {
     const startedAtMs = nowMs();
     let isReleased = false;
+    lent.add(connection);
     return {
       connection,
       release: () => {
         if (isReleased) return;
         isReleased = true;
+        lent.delete(connection);
         queue.end(flow, chargedMs, nowMs() - startedAtMs);
         release(connection);
       },
@@ -177,9 +182,9 @@
         timeoutMs,
         give: (connection, chargedMs) => {
           clearTimeout(timer);
-          const lent = lend(connection, flow, chargedMs);
-          if (isOver) lent.release();
-          else resolve(lent);
+          const pooled = lend(connection, flow, chargedMs);
+          if (isOver) pooled.release();
+          else resolve(pooled);
           isOver = true;
         },
         refuse: (error) => {
@@ -203,6 +208,8 @@
       serveQueue();
     });
 
+  const cut = (): void => lent.forEach((connection) => connection.close());
+
   return {
     /** @throws RefusalError `noConnection`, `queueFull` or `queueTimeout`. */
     acquire: async (
@@ -215,11 +222,18 @@
     queued: () => queue.size(),
     /** Monotonic time at which a connection was last given back. */
     returnedAtMs: () => returnedAtMs,
-    /** Refuses what waits; closes the idle connections now, the others when they are given back. */
-    close: (): void => {
+    /** Connections that are open or being opened. */
+    openCount: () => openCount,
+    /**
+     * Refuses what waits; closes the idle connections now, the others when they are given back
+     * or when `cutAfterMs` has passed.
+     */
+    close: (cutAfterMs?: number): void => {
       isClosed = true;
       idle.splice(0).forEach(drop);
       while (queue.size() > 0) refuseNext('the pool has been closed');
+      if (cutAfterMs === 0) cut();
+      else if (cutAfterMs !== undefined) setTimeout(cut, cutAfterMs).unref();
     },
   };
 };
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -1,10 +1,13 @@
-import type {
-  ConfigurationState,
-  Group,
-  Member,
-  MemberStatus,
-  MemberView,
-  TermRecord,
+import {
+  CONTROL_CONNECTIONS,
+  connectionShare,
+  slotTimings,
+  type ConfigurationState,
+  type Group,
+  type Member,
+  type MemberStatus,
+  type MemberView,
+  type TermRecord,
 } from '@auburngrade/coordination';
 import { createPgEndpoint } from '@auburngrade/endpoint';
 import type AddressBook from '../settings/addressBook';
@@ -17,12 +20,11 @@
 import acquireInTerm from './acquireInTerm';
 import sleep from '../time/sleep';
 
-/** Connections of one VM to one member that only status polls and promotions use. */
-const CONTROL_CONNECTIONS = 1;
 /** A control connection that does not open is tried again soon: polls tell which members are up. */
 const CONTROL_CONNECT_TIMEOUT_MS = 350;
 const POLL_INTERVAL_MS = 500;
 const RETRY_INTERVAL_MS = 100;
+const RETIRE_STEP_MS = 10;
 const PRIMARY_WAIT_STEP_MS = 5;
 /** A use of the primary that takes longer makes this VM ask whether it is still there. */
 const SLOW_USE_MS = 100;
@@ -36,13 +38,14 @@
   addresses: AddressBook,
   nowMs: () => number,
   poolSettings: PoolSettings = poolSettingsSchema.parse({}),
+  mayOpen: () => boolean = () => true,
 ) => {
   const poolOptions = {
     ...poolSettings,
+    mayOpen,
     weightOf: (account: string): number => configuration.get('account', account)?.weight ?? 1,
   };
-  const perMember = Math.floor(group.connectionBudget / group.slots / group.members.length);
-  const dataConnections = Math.max(1, perMember - CONTROL_CONNECTIONS);
+  const dataConnections = connectionShare(group);
 
   const createMemberHandle = (member: Member) => {
     const endpointOf = (purpose: string) =>
@@ -51,9 +54,11 @@
         database: group.database,
         user: group.user,
         applicationName: `auburngrade/${vm}/${purpose}`,
+        idleTimeoutMs: slotTimings.idleTimeoutMs,
       });
     const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs, {
       connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
+      mayOpen,
     });
     const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
     return { member, control, data, poller: createStatusPoller(member.name, control, nowMs) };
@@ -105,6 +110,17 @@
   const retryTimer = setInterval(pollUnanswered, RETRY_INTERVAL_MS);
   poll();
 
+  const close = (cutAfterMs?: number): void => {
+    clearInterval(timer);
+    clearInterval(retryTimer);
+    stopListening();
+    acknowledger.close();
+    handles.forEach(({ control, data }) => {
+      control.close(cutAfterMs);
+      data.close(cutAfterMs);
+    });
+  };
+
   return {
     name,
     group,
@@ -168,16 +184,24 @@
       deadlineAtMs: number,
       committedAtMs = nowMs(),
     ): Promise<boolean> => acknowledger.wait(term, position, committedAtMs, deadlineAtMs),
-    close: (): void => {
-      clearInterval(timer);
-      clearInterval(retryTimer);
-      stopListening();
-      acknowledger.close();
-      handles.forEach(({ control, data }) => {
-        control.close();
-        data.close();
-      });
+    /**
+     * Takes no more statements and resolves once what runs, and waits for its acknowledgement,
+     * has ended or `cutAfterMs` has passed, and all connections are closed.
+     */
+    retire: async (cutAfterMs: number): Promise<void> => {
+      const endAtMs = nowMs() + cutAfterMs;
+      const all = [...handles.values()];
+      all.forEach(({ data }) => data.close(cutAfterMs));
+      const isRunning = (): boolean =>
+        acknowledger.isWaitedFor() || all.some(({ data }) => data.openCount() > 0);
+      while (isRunning() && nowMs() < endAtMs) await sleep(RETIRE_STEP_MS);
+      close(0);
+      while (all.some(({ control, data }) => control.openCount() + data.openCount() > 0)) {
+        await sleep(RETIRE_STEP_MS);
+      }
     },
+    /** Connections in use are closed when given back, or when `cutAfterMs` has passed. */
+    close,
   };
 };
 
--- a/packages/auburngrade/src/groups/poolOptions.ts
+++ b/packages/auburngrade/src/groups/poolOptions.ts
@@ -4,6 +4,8 @@
 interface PoolOptions extends PoolSettings {
   /** Time within which a new connection has to be open. */
   connectTimeoutMs: number;
+  /** Whether this VM may have connections now. */
+  mayOpen(): boolean;
   /** The weight of a client account. */
   weightOf(account: string): number;
 }
--- a/packages/auburngrade/src/keys/createVouching.ts
+++ b/packages/auburngrade/src/keys/createVouching.ts
@@ -123,8 +123,17 @@
     return isMajorityOf(told, own);
   };
 
+  /** Time at which the configuration was complete, as far as this VM can prove. */
+  const completeAtMs = (): number => Math.max(confirmedAtMs(), outageAtMs);
+
   return {
     messageHandlers,
+    completeAtMs,
+    /** Makes a write known to this data centre's witnesses; whether a majority of them has it. */
+    announce: (revision: number): Promise<boolean> => {
+      notice(revision);
+      return tellWitnesses(revision);
+    },
     start: (from: Confirmation): void => {
       confirmation = from;
       pollLater();
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -64,6 +64,10 @@
     [...promoters.keys()].filter((group) => !ranks.has(group)).forEach(release);
   };
 
+  const updateRanksSoon = (): void => {
+    rankTimer ??= setTimeout(updateRanks, HOLDERS_CHANGE_DELAY_MS);
+  };
+
   const create = (holder: GroupHolder): GroupPromoter =>
     createGroupPromoter({
       holder,
@@ -89,18 +93,23 @@
     return created;
   };
 
-  const tick = (): void => ranks.forEach((_, group) => promoterOf(group).tick());
+  const tick = (): void =>
+    ranks.forEach((_, group) => {
+      if (groups.mayHold(group)) promoterOf(group).tick();
+      else release(group);
+    });
 
   const ensureFirstTerms = (): void =>
     ranks.forEach((_, group) => {
-      if (!configuration.get('term', group)) options.terms.ensureRecord(groups.get(group));
+      if (configuration.get('term', group) || !groups.mayHold(group)) return;
+      options.terms.ensureRecord(groups.get(group));
     });
 
   const onChange = (changed: readonly { key: string }[]): void => {
     const isAboutHolders = changed.some(({ key }) =>
       HOLDER_PREFIXES.some((prefix) => key.startsWith(prefix)),
     );
-    if (isAboutHolders) rankTimer ??= setTimeout(updateRanks, HOLDERS_CHANGE_DELAY_MS);
+    if (isAboutHolders) updateRanksSoon();
   };
 
   return {
@@ -112,6 +121,8 @@
         setInterval(ensureFirstTerms, FIRST_TERM_INTERVAL_MS),
       ];
     },
+    /** To be called when this VM came to hold a slot, or lost one, by the passing of time. */
+    updateRanksSoon,
     /** Answers another holder's question about a group's primary. */
     answerSuspicion: async (_fromVm: string, body: unknown): Promise<unknown> => {
       const { group, term } = suspicionMessageSchema.parse(body);
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -120,11 +120,11 @@
     budget.deposit();
     for (let count = 1; ; count += 1) {
       const holders = candidates(group, failed);
-      const [target] = holders;
-      if (target === undefined) {
-        throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
-      }
+      const [target = ''] = holders;
       try {
+        if (target === '') {
+          throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
+        }
         if (target !== vm) metrics.forwards.inc({ group });
         return await attempts.make(target, (onSilent) => attempt(target, onSilent));
       } catch (error) {
--- a/packages/coordination/src/configuration/groupSchema.ts
+++ b/packages/coordination/src/configuration/groupSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import smallestBudget from '../slots/smallestBudget';
 import nameSchema from './nameSchema';
 
 const memberSchema = z.strictObject({
@@ -22,6 +23,12 @@
   .refine((group) => new Set(group.members.map(({ name }) => name)).size === group.members.length, {
     path: ['members'],
     message: 'member names are unique',
+  })
+  .superRefine((group, context) => {
+    const smallest = smallestBudget(group);
+    if (group.connectionBudget >= smallest) return;
+    const message = `at least ${smallest} for ${group.slots} slots and ${group.members.length} members: each slot needs two connections to each member`;
+    context.addIssue({ code: 'custom', path: ['connectionBudget'], message });
   });
 
 export default groupSchema;
--- /dev/null
+++ b/packages/coordination/src/slots/slotState.ts
@@ -0,0 +1,15 @@
+import type SlotsRecord from './slotsRecord';
+
+/** What a VM knows when it decides about a group's slots. */
+interface SlotState {
+  vm: string;
+  incarnation: number;
+  /** Number of slots by the group's document. */
+  slots: number;
+  record: SlotsRecord | undefined;
+  /** VMs that should hold the slots by the list. */
+  chosen: readonly string[];
+  isListed(vm: string): boolean;
+}
+
+export default SlotState;
--- a/packages/endpoint/src/createPgEndpoint.ts
+++ b/packages/endpoint/src/createPgEndpoint.ts
@@ -9,6 +9,7 @@
 
 /** Data connections read only unless a transaction asks for more. */
 const READ_ONLY_OPTION = '-c default_transaction_read_only=on';
+const idleOption = (timeoutMs: number): string => `-c idle_session_timeout=${timeoutMs}`;
 const KEEP_ALIVE_DELAY_MS = 5_000;
 
 class PgEndpoint extends Endpoint {
@@ -24,7 +25,7 @@
       user: this.address.user,
       password: this.address.password,
       application_name: this.address.applicationName,
-      options: READ_ONLY_OPTION,
+      options: `${READ_ONLY_OPTION} ${idleOption(this.address.idleTimeoutMs)}`,
       connectionTimeoutMillis: Math.max(1, Math.floor(timeoutMs)),
       keepAlive: true,
       keepAliveInitialDelayMillis: KEEP_ALIVE_DELAY_MS,
--- a/packages/endpoint/src/endpointAddress.ts
+++ b/packages/endpoint/src/endpointAddress.ts
@@ -7,6 +7,8 @@
   password?: string;
   /** Shown in the endpoint's list of connections. */
   applicationName: string;
+  /** The endpoint closes a connection that is idle, outside a transaction, for longer. */
+  idleTimeoutMs: number;
 }
 
 export default EndpointAddress;
--- a/packages/testkit/src/memberStandIn/serveMemberConnection.ts
+++ b/packages/testkit/src/memberStandIn/serveMemberConnection.ts
@@ -15,6 +15,10 @@
     ? error
     : new SqlError(INTERNAL_STATE, error instanceof Error ? error.message : String(error));
 
+/** The time after which a session asked to be closed when idle; 0: never. */
+const idleTimeoutMsOf = (options: string | undefined): number =>
+  Number(/idle_session_timeout=(\d+)/.exec(options ?? '')?.[1] ?? 0);
+
 const readBind = (reader: BufferReader): (string | null)[] => {
   reader.cstring();
   reader.cstring();
@@ -35,6 +39,14 @@
   let sql = '';
   let parameters: (string | null)[] = [];
   let isSkipping = false;
+  let idleTimeoutMs = 0;
+  let idleTimer: NodeJS.Timeout | undefined;
+
+  const startIdleTimer = (): void => {
+    clearTimeout(idleTimer);
+    if (idleTimeoutMs === 0 || session.status() !== 'idle') return;
+    idleTimer = setTimeout(() => socket.destroy(), idleTimeoutMs);
+  };
 
   const flush = (): void => {
     if (!socket.destroyed) socket.write(reply.take());
@@ -61,6 +73,7 @@
     });
     reply.ready(session.status());
     flush();
+    startIdleTimer();
   };
 
   const handlers: Record<string, () => Promise<void> | void> = {
@@ -83,6 +96,7 @@
       isSkipping = false;
       reply.ready(session.status());
       flush();
+      startIdleTimer();
     },
     H: flush,
     X: () => {
@@ -99,7 +113,10 @@
 
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
-  socket.on('close', () => session.close());
+  socket.on('close', () => {
+    clearTimeout(idleTimer);
+    session.close();
+  });
   const gateway = new PostgresConnection(socket, {
     serverVersion: '15.0',
     authMode: 'none',
@@ -107,8 +124,13 @@
     // arrive while an earlier one is still awaited.
     onAuthenticated: () => {
       gateway.detach();
+      idleTimeoutMs = idleTimeoutMsOf(gateway.clientInfo?.parameters.options);
+      startIdleTimer();
       const enqueue = createMessageQueue(handleMessage);
-      socket.on('data', enqueue);
+      socket.on('data', (data) => {
+        clearTimeout(idleTimer);
+        enqueue(data);
+      });
     },
   });
 };
