fix: a slot that is being given back ends with the lease; design of slots

Found by reading: a slot whose write was lost stayed closed for ever, what ran on a slot being given back went on after the lease, and of two waits after two take-overs the first one could end the second. Each try to give a slot back is repeated now, the lease cuts what runs, and each take-over has a wait of its own. No test shows these three.

--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -66,6 +66,10 @@
   /** Groups that this VM holds by the record, and from when their former holders can't use them. */
   const freeAtMs = new Map<string, number>();
   const usable = new Set<string>();
+  /** Groups whose slots are being given back: they are not used again, whatever becomes of it. */
+  const closing = new Set<string>();
+  /** The latest take-over of each group that waits. */
+  const waits = new Map<string, object>();
   const pending = new Set<string>();
   const busy = new Set<string>();
   let users: SlotUsers | undefined;
@@ -78,14 +82,12 @@
   const slotOf = (group: string): number =>
     ownSlot(configuration.get('slots', group), vm, incarnation);
 
+  const isUsableFrom = (free: number): boolean =>
+    isSlotUsable({ nowMs: nowMs(), completeAtMs: options.completeAtMs(), freeAtMs: free });
+
   const isUsable = (group: string): boolean => {
     const free = freeAtMs.get(group);
-    if (free === undefined || isStopped) return false;
-    return isSlotUsable({
-      nowMs: nowMs(),
-      completeAtMs: options.completeAtMs(),
-      freeAtMs: free,
-    });
+    return free !== undefined && !isStopped && !closing.has(group) && isUsableFrom(free);
   };
 
   /** Ends the group's connections at once: another VM may use the slot from now on. */
@@ -95,6 +97,8 @@
 
   const refresh = (group: string): void => {
     const isNow = isUsable(group);
+    // What runs while the slot is given back ends with the lease, too.
+    if (closing.has(group) && !isUsableFrom(freeAtMs.get(group) ?? 0)) cut(group);
     if (isNow === usable.has(group)) return;
     if (isNow) usable.add(group);
     else {
@@ -107,9 +111,11 @@
 
   /** A VM that was cut off proves its slots by what witnesses know: they hear of it first. */
   const announceUntilKnown = async (group: string, revision: number): Promise<void> => {
-    while (!isStopped && slotOf(group) >= 0) {
+    const wait = {};
+    waits.set(group, wait);
+    while (!isStopped && waits.get(group) === wait) {
       if (await options.announce(revision)) {
-        freeAtMs.set(group, nowMs() + slotTimings.takeOverMs);
+        if (waits.get(group) === wait) freeAtMs.set(group, nowMs() + slotTimings.takeOverMs);
         return;
       }
       await sleep(ANNOUNCE_RETRY_DELAY_MS);
@@ -130,7 +136,10 @@
     if (slot >= 0 && !freeAtMs.has(group)) noteTaken(group, slot);
     if (slot < 0 && freeAtMs.delete(group)) {
       logger.info('slot.lost', { group });
+      waits.delete(group);
+      closing.delete(group);
       refresh(group);
+      cut(group);
     }
   };
 
@@ -148,13 +157,17 @@
   /** Closes the group's connections, then frees its slot; a slot not yet usable stays taken over. */
   const giveBack = async (group: string): Promise<void> => {
     const slot = slotOf(group);
-    if (slot < 0 || !isUsable(group)) return;
-    freeAtMs.set(group, Number.POSITIVE_INFINITY);
-    usable.delete(group);
-    users?.onHoldingChanged();
-    await users?.groups.retire(group, GIVE_BACK_CUT_MS);
-    logger.info('slot.closed', { group, slot });
+    if (slot < 0) return;
+    if (!closing.has(group)) {
+      if (!isUsable(group)) return;
+      closing.add(group);
+      usable.delete(group);
+      users?.onHoldingChanged();
+      await users?.groups.retire(group, GIVE_BACK_CUT_MS);
+      logger.info('slot.closed', { group, slot });
+    }
     await freeSlot(group, slot);
+    if (closing.has(group)) pending.add(group);
   };
 
   const ask = async (group: string, others: string[]): Promise<void> => {
@@ -173,6 +186,10 @@
   const step = async (group: string): Promise<void> => {
     const document = configuration.get('group', group);
     if (!document || !users) return;
+    if (closing.has(group)) {
+      await giveBack(group);
+      return;
+    }
     const { membership } = users;
     const decision = decideSlot({
       vm,
