feat: connections to a leaving endpoint end within the profile's drainTimeoutMs

Cause: the choice of endpoints left a leaving one out, but statements that ran on it had no bound, a pool that was closed went on serving what waited, and a change of the group's document replaced all pools.

Change: the data connections to a member that is marked as leaving, and is not the primary, are closed: idle ones at once, others when given back or at the end of the time that their request's profile gives. Nothing new gets a connection. Connections to members that a change of the document doesn't touch are kept.

--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -63,7 +63,8 @@
     progress: Attempt,
   ): Promise<QueryResult> => {
     Object.assign(progress, { member, isSent: false });
-    const pooled = await holder.acquire(member, request.account, request.deadlineAtMs);
+    const { account, deadlineAtMs, profile } = request;
+    const pooled = await holder.acquire(member, account, deadlineAtMs, profile);
     Object.assign(progress, { isSent: true });
     try {
       const sql = `/*term=${term}*/${request.sql}`;
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -20,6 +20,8 @@
 const SERVICE_TIME_FACTOR = 3;
 /** Bounds what is kept for the service when an account's average is near its deadlines. */
 const MAX_SERVICE_RATIO = 0.5;
+/** For users that name none; as long as a profile allows by default. */
+const DEFAULT_DRAIN_TIMEOUT_MS = 3_000;
 /** Requests on routes open to all and the VM's own statements share one turn. */
 const NO_ACCOUNT = '';
 const DEFAULT_OPTIONS: PoolOptions = {
@@ -46,7 +48,8 @@
   const limits = { perAccount: options.maxQueuedPerAccount, total: options.maxQueued };
   const queue = createFairQueue<Waiter>(limits, maxConnections);
   const idle: EndpointConnection[] = [];
-  const lent = new Set<EndpointConnection>();
+  /** Connections in use, and how long each may go on once the pool is closed. */
+  const lent = new Map<EndpointConnection, number>();
   /** Open connections and those that are being opened. */
   let openCount = 0;
   let openingCount = 0;
@@ -152,10 +155,11 @@
     connection: EndpointConnection,
     flow: string,
     chargedMs: number,
+    drainTimeoutMs: number,
   ): PooledConnection => {
     const startedAtMs = nowMs();
     let isReleased = false;
-    lent.add(connection);
+    lent.set(connection, drainTimeoutMs);
     return {
       connection,
       release: () => {
@@ -171,7 +175,12 @@
   const hasRoom = (): boolean =>
     queue.size() === 0 && (idle.length > 0 || openCount < maxConnections);
 
-  const wait = (flow: string, weight: number, deadlineAtMs: number): Promise<PooledConnection> =>
+  const wait = (
+    flow: string,
+    weight: number,
+    deadlineAtMs: number,
+    drainTimeoutMs: number,
+  ): Promise<PooledConnection> =>
     new Promise((resolve, reject) => {
       const offeredAtMs = nowMs();
       const timeoutMs = Math.max(0, deadlineAtMs - offeredAtMs);
@@ -182,7 +191,7 @@
         timeoutMs,
         give: (connection, chargedMs) => {
           clearTimeout(timer);
-          const pooled = lend(connection, flow, chargedMs);
+          const pooled = lend(connection, flow, chargedMs, drainTimeoutMs);
           if (isOver) pooled.release();
           else resolve(pooled);
           isOver = true;
@@ -208,32 +217,39 @@
       serveQueue();
     });
 
-  const cut = (): void => lent.forEach((connection) => connection.close());
+  const cutLater = (connection: EndpointConnection, delayMs: number): void => {
+    if (delayMs === 0) connection.close();
+    else setTimeout(() => lent.has(connection) && connection.close(), delayMs).unref();
+  };
 
   return {
     /** @throws RefusalError `noConnection`, `queueFull` or `queueTimeout`. */
     acquire: async (
       account: string | undefined,
       deadlineAtMs: number,
+      drainTimeoutMs = DEFAULT_DRAIN_TIMEOUT_MS,
     ): Promise<PooledConnection> => {
       const weight = account === undefined ? 1 : options.weightOf(account);
-      return wait(flowOf(account), weight, deadlineAtMs);
+      return wait(flowOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
     queued: () => queue.size(),
     /** Monotonic time at which a connection was last given back. */
     returnedAtMs: () => returnedAtMs,
     /** Connections that are open or being opened. */
     openCount: () => openCount,
+    isClosed: () => isClosed,
     /**
      * Refuses what waits; closes the idle connections now, the others when they are given back
-     * or when `cutAfterMs` has passed.
+     * or when `cutAfterMs` has passed, else the time that their users gave.
      */
     close: (cutAfterMs?: number): void => {
+      if (isClosed && cutAfterMs === undefined) return;
       isClosed = true;
       idle.splice(0).forEach(drop);
       while (queue.size() > 0) refuseNext('the pool has been closed');
-      if (cutAfterMs === 0) cut();
-      else if (cutAfterMs !== undefined) setTimeout(cut, cutAfterMs).unref();
+      lent.forEach((drainTimeoutMs, connection) =>
+        cutLater(connection, cutAfterMs ?? drainTimeoutMs),
+      );
     },
   };
 };
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -13,10 +13,12 @@
 import type AddressBook from '../settings/addressBook';
 import createAcknowledger from './createAcknowledger';
 import createConnectionPool from './createConnectionPool';
+import type ConnectionPool from './connectionPool';
 import createStatusPoller from './createStatusPoller';
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
+import type StatusPoller from './statusPoller';
 import acquireInTerm from './acquireInTerm';
 import sleep from '../time/sleep';
 
@@ -29,6 +31,23 @@
 /** A use of the primary that takes longer makes this VM ask whether it is still there. */
 const SLOW_USE_MS = 100;
 
+interface MemberHandle {
+  group: Group;
+  member: Member;
+  control: ConnectionPool;
+  data: ConnectionPool;
+  poller: StatusPoller;
+}
+
+/** Whether connections that were opened by one document suit a member by another. */
+const isSuitable = (handle: MemberHandle, member: Member, group: Group): boolean =>
+  handle.member.host === member.host &&
+  handle.member.port === member.port &&
+  handle.group.database === group.database &&
+  handle.group.user === group.user &&
+  connectionShare(handle.group) === connectionShare(group) &&
+  !(handle.data.isClosed() && member.state === 'active');
+
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
 const createGroupHolder = (
   name: string,
@@ -39,6 +58,8 @@
   nowMs: () => number,
   poolSettings: PoolSettings = poolSettingsSchema.parse({}),
   mayOpen: () => boolean = () => true,
+  /** Gives what the holder by the group's former document has of a member. */
+  takeOver: (member: Member) => MemberHandle | undefined = () => undefined,
 ) => {
   const poolOptions = {
     ...poolSettings,
@@ -47,7 +68,7 @@
   };
   const dataConnections = connectionShare(group);
 
-  const createMemberHandle = (member: Member) => {
+  const createMemberHandle = (member: Member): MemberHandle => {
     const endpointOf = (purpose: string) =>
       createPgEndpoint({
         ...addresses.resolve(member.host, member.port),
@@ -61,10 +82,15 @@
       mayOpen,
     });
     const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
-    return { member, control, data, poller: createStatusPoller(member.name, control, nowMs) };
+    const poller = createStatusPoller(member.name, control, nowMs);
+    return { group, member, control, data, poller };
   };
 
-  const handles = new Map(group.members.map((member) => [member.name, createMemberHandle(member)]));
+  const handles = new Map(
+    group.members.map((member) => [member.name, takeOver(member) ?? createMemberHandle(member)]),
+  );
+  /** Members whose connections another holder has taken over. */
+  const takenOver = new Set<string>();
   const pollers = new Map([...handles].map(([member, { poller }]) => [member, poller]));
   const record = (): TermRecord | undefined => configuration.get('term', name);
   const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
@@ -105,17 +131,36 @@
       if (poller.unansweredSinceMs() !== undefined) poller.poll();
     });
 
-  const stopListening = configuration.onChange(() => acknowledger.failBefore(record()?.term ?? 0));
+  /** Ends the work on members that are leaving; a leaving primary goes on until it is replaced. */
+  const drainLeaving = (): void =>
+    group.members.forEach((member) => {
+      if (member.state !== 'leaving' || member.name === record()?.primary) return;
+      handleOf(member.name).data.close();
+    });
+
+  const stopListening = configuration.onChange(() => {
+    acknowledger.failBefore(record()?.term ?? 0);
+    drainLeaving();
+  });
   const timer = setInterval(poll, POLL_INTERVAL_MS);
   const retryTimer = setInterval(pollUnanswered, RETRY_INTERVAL_MS);
   poll();
 
-  const close = (cutAfterMs?: number): void => {
+  drainLeaving();
+
+  const ownHandles = (): MemberHandle[] =>
+    [...handles].flatMap(([member, handle]) => (takenOver.has(member) ? [] : [handle]));
+
+  const stopPolling = (): void => {
     clearInterval(timer);
     clearInterval(retryTimer);
+  };
+
+  const close = (cutAfterMs?: number): void => {
+    stopPolling();
     stopListening();
     acknowledger.close();
-    handles.forEach(({ control, data }) => {
+    ownHandles().forEach(({ control, data }) => {
       control.close(cutAfterMs);
       data.close(cutAfterMs);
     });
@@ -156,7 +201,13 @@
       member: string,
       account: string | undefined,
       deadlineAtMs: number,
-    ): Promise<PooledConnection> => handleOf(member).data.acquire(account, deadlineAtMs),
+      profile = '',
+    ): Promise<PooledConnection> =>
+      handleOf(member).data.acquire(
+        account,
+        deadlineAtMs,
+        configuration.get('profile', profile)?.endpoints.drainTimeoutMs,
+      ),
     /**
      * A connection to the primary of a term; it is closed when a later term is known.
      * @throws RefusalError when none can be had before the deadline or the end of the term.
@@ -184,13 +235,21 @@
       deadlineAtMs: number,
       committedAtMs = nowMs(),
     ): Promise<boolean> => acknowledger.wait(term, position, committedAtMs, deadlineAtMs),
+    /** Hands what this holder has of a member to the one by the group's next document. */
+    handOver: (member: Member, next: Group): MemberHandle | undefined => {
+      const handle = handles.get(member.name);
+      if (!handle || !isSuitable(handle, member, next)) return undefined;
+      takenOver.add(member.name);
+      return handle;
+    },
     /**
      * Takes no more statements and resolves once what runs, and waits for its acknowledgement,
      * has ended or `cutAfterMs` has passed, and all connections are closed.
      */
     retire: async (cutAfterMs: number): Promise<void> => {
       const endAtMs = nowMs() + cutAfterMs;
-      const all = [...handles.values()];
+      const all = ownHandles();
+      if (takenOver.size > 0) stopPolling();
       all.forEach(({ data }) => data.close(cutAfterMs));
       const isRunning = (): boolean =>
         acknowledger.isWaitedFor() || all.some(({ data }) => data.openCount() > 0);
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -4,6 +4,9 @@
 import type GroupHolder from './groupHolder';
 import type PoolSettings from './poolSettings';
 
+/** What runs on members that the group's new document does not have may go on for this long. */
+const REPLACED_CUT_MS = 3_000;
+
 /** Creates group holders on first use and replaces them when the group's document changes. */
 const createGroupRegistry = (
   configuration: ConfigurationState,
@@ -25,16 +28,21 @@
     holders.delete(name);
   };
 
-  /** Ends a group's holder once what runs on it has ended, or `cutAfterMs` has passed. */
+  const end = async (name: string, holder: GroupHolder, cutAfterMs: number): Promise<void> => {
+    const ending = retiring.get(name) ?? new Set();
+    retiring.set(name, ending.add(holder));
+    await holder.retire(cutAfterMs);
+    ending.delete(holder);
+    if (ending.size === 0) retiring.delete(name);
+  };
+
+  /** Ends a group's holders once what runs on them has ended, or `cutAfterMs` has passed. */
   const retire = async (name: string, cutAfterMs: number): Promise<void> => {
     const holder = holders.get(name);
-    const ending = retiring.get(name) ?? new Set();
-    retiring.set(name, ending);
     holders.delete(name);
-    if (holder) ending.add(holder);
-    await Promise.all([...ending].map((one) => one.retire(cutAfterMs)));
-    if (holder) ending.delete(holder);
-    if (ending.size === 0) retiring.delete(name);
+    const ending = [...(retiring.get(name) ?? [])];
+    if (holder) ending.push(holder);
+    await Promise.all(ending.map((one) => end(name, one, cutAfterMs)));
   };
 
   /** @throws RefusalError `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
@@ -44,7 +52,6 @@
     if (!mayHold(name)) throw notRun('noConnection', `this VM holds no slot of ${name}`);
     const existing = holders.get(name);
     if (existing && existing.group === group) return existing;
-    existing?.close();
     const created = createGroupHolder(
       name,
       group,
@@ -54,7 +61,9 @@
       nowMs,
       poolSettings,
       () => mayHold(name) || retiring.has(name),
+      (member) => existing?.handOver(member, group),
     );
+    if (existing) end(name, existing, REPLACED_CUT_MS);
     holders.set(name, created);
     return created;
   };
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -38,7 +38,8 @@
     begin: async (request: TransactionRequest): Promise<Transaction> => {
       const holder = await holderOf(request);
       const plan = request.write ? primaryPlan(holder) : await reads.plan(holder, request);
-      const pooled = await holder.acquire(plan.member, request.account, request.deadlineAtMs);
+      const { account, deadlineAtMs, profile } = request;
+      const pooled = await holder.acquire(plan.member, account, deadlineAtMs, profile);
       let forget = (): void => {};
       const transaction = await createLocalTransaction({
         vm,
