--- a/packages/auburngrade/src/integration/primaryLost.spec.ts
+++ b/packages/auburngrade/src/integration/primaryLost.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import createWriteStream from './writeStream/createWriteStream';
@@ -8,6 +9,8 @@
 const VMS = ['waco-1', 'temple-1', 'bryan-1'];
 const GAP_CEILING_MS = 13_000;
 const SEEN_GONE_GAP_MS = 2_000;
+/** Longer than the 300 ms that a VM may be late for its next look at the primary. */
+const PAUSE_MS = 350;
 
 describe('a lost primary', () => {
   let fleet: Fleet;
@@ -70,6 +73,36 @@
     });
   });
 
+  describe('cut while every VM stands still again and again', () => {
+    /** Stops and continues every VM until the returned function is called. */
+    const startPauses = (): (() => Promise<void>) => {
+      let isOver = false;
+      const pauseOften = async (vm: string): Promise<void> => {
+        while (!isOver) {
+          fleet.vms.get(vm)?.signal('SIGSTOP');
+          await sleep(PAUSE_MS);
+          fleet.vms.get(vm)?.signal('SIGCONT');
+          await sleep(PAUSE_MS);
+        }
+      };
+      const running = Promise.all(VMS.map(pauseOften));
+      return async () => {
+        isOver = true;
+        await running;
+      };
+    };
+
+    it('is replaced', async () => {
+      const cut = await primary();
+      const stream = await startWrites();
+      const endPauses = startPauses();
+      setPrimaryLinks(cut, 'silent');
+      const tally = await expectRecovery(stream).finally(endPauses);
+      expect(tally.longestGapMs).to.be.below(GAP_CEILING_MS);
+      expect(await primary()).not.to.equal(cut);
+    });
+  });
+
   describe('cut from its members only', () => {
     it('is replaced although every VM reaches it', async () => {
       const cut = await primary();
