--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,4 +1,4 @@
-import { ProxyService, createCallerService } from '@auburngrade/caller';
+import { createCallerService, proxyDefinition } from '@auburngrade/caller';
 import {
   createConfigurationState,
   createWorkTracker,
@@ -8,7 +8,7 @@
 } from '@auburngrade/coordination';
 import { OperatorService, createOperatorService } from '@auburngrade/operator';
 import { createEtcdPlatform } from '@auburngrade/platform';
-import { addPeerServices } from '@auburngrade/vm';
+import { PING_KIND, addPeerServices } from '@auburngrade/vm';
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
@@ -32,6 +32,7 @@
 import createRouter from '../routing/createRouter';
 import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
+import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
@@ -47,6 +48,9 @@
 
 /** Time for the last answers to leave once all work has ended. */
 const SERVER_GRACE_MS = 500;
+/** Statements up to this much over the limit get a refusal that names it. */
+const MESSAGE_MARGIN_BYTES = 4_194_304;
+const UNLIMITED = -1;
 
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
@@ -111,7 +115,9 @@
     nowMs,
   });
 
+  const loading = createConfigurationWaiter(configuration, nowMs);
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
+    await loading.wait(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
@@ -132,6 +138,7 @@
     ...settings,
     membership,
     peers,
+    hasGroup: (name) => configuration.get('group', name) !== undefined,
     leaving: notices.leaving,
     markLeaving: notices.add,
     executeLocally,
@@ -139,12 +146,13 @@
     metrics: createRoutingMetrics(metrics.registry),
     nowMs,
   });
-  const { admission, shares } = createAdmission({
+  const rates = createAdmission({
     settings,
     incarnation,
     configuration,
     platform,
     peers,
+    send: exchange,
     vmCount: () => membership.live().length,
     confirmedAtMs: follower.confirmedAtMs,
     nowMs,
@@ -153,10 +161,11 @@
   const callerHandler = createCallerHandler({
     settings,
     authenticator: createAuthenticator(configuration, vouching.isVouched),
-    admission,
+    admission: rates.admission,
     execute: router.execute,
     begin: router.begin,
     enter: work.enter,
+    awaitConfiguration: loading.wait,
     onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
@@ -169,7 +178,8 @@
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
-      shares: shares.describe(),
+      shares: rates.shares.describe(),
+      lease: rates.leases.describe(),
       confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
       configuration: follower.describe(),
       areKeysVouched: vouching.isVouched(),
@@ -186,16 +196,18 @@
     beginLocally: transactions.begin,
     enter: work.enter,
     messageHandlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
-      ...shares.handlers,
+      ...rates.messageHandlers,
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
+      [PING_KIND, async () => ({})],
     ]),
     nowMs,
   });
 
   follower.start();
   vouching.start(follower);
+  rates.start();
   createConfigurationMetrics(metrics.registry, {
     ...configuration,
     ...follower,
@@ -207,18 +219,30 @@
     settings.host,
     settings.httpPort,
     metrics.registry,
-    () => work.phase() === 'serving',
+    () => work.phase() === 'serving' && loading.isLoaded(),
   );
-  const listen = (port: number, credentials: ServerCredentials, register: (to: Server) => void) =>
-    startGrpcServer(`${settings.host}:${port}`, register, credentials);
+  const listen = (
+    port: number,
+    credentials: ServerCredentials,
+    register: (to: Server) => void,
+    maxMessageBytes?: number,
+  ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, maxMessageBytes);
   let endFollowing = (): void => {};
   const servers = await Promise.all([
-    listen(settings.callerPort, tls.callers, (server) => {
-      server.addService(ProxyService, createCallerService(callerHandler));
-    }),
-    listen(settings.vmPort, tls.vms, (server) => {
-      endFollowing = addPeerServices(server, peerHandler);
-    }),
+    listen(
+      settings.callerPort,
+      tls.callers,
+      (server) => server.addService(proxyDefinition, createCallerService(callerHandler)),
+      settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
+    ),
+    listen(
+      settings.vmPort,
+      tls.vms,
+      (server) => {
+        endFollowing = addPeerServices(server, peerHandler);
+      },
+      UNLIMITED,
+    ),
     listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
@@ -235,8 +259,8 @@
     endFollowing();
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
-    await shares.handOver();
-    shares.stop();
+    await rates.shares.handOver();
+    rates.stop();
     follower.stop();
     vouching.stop();
     reads.close();
