test: replicas of the stand-in never take their log back under one term

Cause: frames were applied by one timer each, also those of a connection that had been replaced. When a test shortened the lag, later entries came before earlier ones, were refused, and ended the connection; the order to truncate and the entries of the old connection were then applied on top of the new ones, so the log went back under the same term. A real replica's log does not.

Change: frames are applied in order, and only those of the current connection.

--- a/packages/testkit/src/memberStandIn/createReplication.ts
+++ b/packages/testkit/src/memberStandIn/createReplication.ts
@@ -1,5 +1,6 @@
 import { createServer, connect, type Socket } from 'node:net';
 import { createInterface } from 'node:readline';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type LogEntry from './logEntry';
 import type MemberLog from './memberLog';
 
@@ -49,12 +50,18 @@
 
   const server = createServer((socket) => serveFollower(socket, log));
 
-  const applyLater = (frame: Frame, generation: number): void => {
-    setTimeout(() => {
-      if (generation !== upstreamGeneration) return;
+  /** Applies frames of one connection after the lag, in order also when the lag changes. */
+  const createApplier = (socket: Socket) => {
+    let applied = Promise.resolve();
+    const apply = (frame: Frame): void => {
+      if (socket !== upstream) return;
       if (frame.truncateTo !== undefined) log.truncate(frame.truncateTo);
-      if (frame.entry && !log.append(frame.entry)) upstream?.destroy();
-    }, lagMs());
+      if (frame.entry && !log.append(frame.entry)) socket.destroy();
+    };
+    return (frame: Frame): void => {
+      const delayed = sleep(lagMs());
+      applied = applied.then(() => delayed).then(() => apply(frame));
+    };
   };
 
   const follow = (host: string, port: number, generation: number): void => {
@@ -62,9 +69,8 @@
       socket.write(`${JSON.stringify({ termEnds: log.termEnds() } satisfies Hello)}\n`);
     });
     upstream = socket;
-    readLines(socket, (line) => {
-      applyLater(JSON.parse(line) as Frame, generation);
-    });
+    const applyLater = createApplier(socket);
+    readLines(socket, (line) => applyLater(JSON.parse(line) as Frame));
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       setTimeout(() => {
