--- a/packages/auburngrade/src/admission/createKeeperClaims.ts
+++ b/packages/auburngrade/src/admission/createKeeperClaims.ts
@@ -64,7 +64,7 @@
       const earlier = known.filter((holder) => holder !== NO_KEEPER);
       const acting = record ? [...record.former, record.keeper] : [];
       const former = acting.filter((keeper) => ![NO_KEEPER, vm, goneVm].includes(keeper));
-      const listed = [...configuration.list('vm').keys()].slice(0, MAX_LISTED_HOLDERS);
+      const listed = configuration.names('vm').slice(0, MAX_LISTED_HOLDERS);
       const epoch = (record?.epoch ?? 0) + 1;
       // An earlier process of this VM is certainly gone; it holds nothing.
       const unreported = new Set(earlier.filter((holder) => ![vm, goneVm].includes(holder)));
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -14,13 +14,18 @@
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
+import acquireInTerm from './acquireInTerm';
 import sleep from '../time/sleep';
 
 /** Connections of one VM to one member that only status polls and promotions use. */
 const CONTROL_CONNECTIONS = 1;
+/** A control connection that does not open is tried again soon: polls tell which members are up. */
+const CONTROL_CONNECT_TIMEOUT_MS = 350;
 const POLL_INTERVAL_MS = 500;
 const RETRY_INTERVAL_MS = 100;
 const PRIMARY_WAIT_STEP_MS = 5;
+/** A use of the primary that takes longer makes this VM ask whether it is still there. */
+const SLOW_USE_MS = 100;
 
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
 const createGroupHolder = (
@@ -47,7 +52,9 @@
         user: group.user,
         applicationName: `auburngrade/${vm}/${purpose}`,
       });
-    const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs);
+    const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs, {
+      connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
+    });
     const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
     return { member, control, data, poller: createStatusPoller(member.name, control, nowMs) };
   };
@@ -122,6 +129,9 @@
     },
     /** Takes in a status that came with the answer to another statement. */
     noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
+    /** Whether the member's data connections have been given back by some request since then. */
+    isServingSince: (member: string, sinceMs: number): boolean =>
+      handleOf(member).data.returnedAtMs() >= sinceMs,
     /** A connection to a member for control statements. @throws RefusalError */
     acquireControl: (member: string, deadlineAtMs: number): Promise<PooledConnection> =>
       handleOf(member).control.acquire(undefined, deadlineAtMs),
@@ -131,6 +141,23 @@
       account: string | undefined,
       deadlineAtMs: number,
     ): Promise<PooledConnection> => handleOf(member).data.acquire(account, deadlineAtMs),
+    /**
+     * A connection to the primary of a term; it is closed when a later term is known.
+     * @throws RefusalError when none can be had before the deadline or the end of the term.
+     */
+    acquirePrimary: (
+      { term, primary }: { term: number; primary: string },
+      account: string | undefined,
+      deadlineAtMs: number,
+    ): Promise<PooledConnection> => {
+      const { data, poller } = handleOf(primary);
+      return acquireInTerm({
+        acquire: () => data.acquire(account, deadlineAtMs),
+        onTermOver: (listener) => onTermOver(term, listener),
+        slowAfterMs: SLOW_USE_MS,
+        onTrouble: poller.poll,
+      });
+    },
     /**
      * Resolves with whether a majority came to hold the position before the deadline;
      * only polls that began after `committedAtMs` count.
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -12,6 +12,8 @@
 import type { Platform } from '@auburngrade/platform';
 import type GroupHolder from '../groups/groupHolder';
 import type Logger from '../log/logger';
+import createTraceRecorder from '../traces/createTraceRecorder';
+import recordPromotion from '../traces/recordPromotion';
 import createMemberControl from './createMemberControl';
 import type createPeerOpinions from './createPeerOpinions';
 import createPlan from './createPlan';
@@ -38,7 +40,8 @@
   nowMs(): number;
 }
 
-const RANK_DELAY_MS = 150;
+const RANK_DELAY_MS = 50;
+const TAKE_OVER_RANK_DELAY_MS = 150;
 const PLANNED_RANK_DELAY_MS = 1_000;
 const RETRY_DELAY_MS = 200;
 const PLANNED_RETRY_DELAY_MS = 3_000;
@@ -68,14 +71,17 @@
       .views()
       .filter((member) => voters.includes(member.member))
       .filter((member) => member.member !== record.primary || view !== 'gone')
-      .filter((member) => judge.isAnswering(member, nowMs()));
+      .filter((member) => judge.isAnswering(member));
     return answering.length > voters.length / 2;
   };
 
   const start = (record: TermRecord, reason: PromotionReason, sinceMs: number): void => {
     const revision = configuration.revisionOf('term', holder.name) ?? 0;
     const plan = createPlan(holder, record, revision, promoter, reason);
-    const promotion = createPromotion(plan);
+    const startedAtMs = nowMs();
+    const trace = `${holder.name}/${plan.term}/${promoter}`;
+    const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
+    const promotion = recordPromotion(createPromotion(plan), plan, recorder, startedAtMs);
     const timeline = createTimeline(sinceMs);
     const labels = { group: holder.name, reason };
     const onOver = (phase: string): void => {
@@ -141,7 +147,9 @@
     const elapsedMs = wantedForMs(`promoting/${record.term}`);
     // Nobody else acts under a claim of this very process that it has given up.
     const waitMs =
-      record.promoter === promoter ? 0 : timings.takeOverAfterMs + options.rank() * RANK_DELAY_MS;
+      record.promoter === promoter
+        ? 0
+        : timings.takeOverAfterMs + options.rank() * TAKE_OVER_RANK_DELAY_MS;
     if (elapsedMs < waitMs || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
     start(record, 'takeOver', wantedSinceMs ?? nowMs());
   };
@@ -160,7 +168,7 @@
   };
 
   const considerReplacement = (record: TermRecord): void => {
-    const judgement = judge.judge(record, holder.views(), nowMs());
+    const judgement = judge.judge(record);
     view = judgement.view;
     if (!judgement.reason) {
       considerPlanned(record);
@@ -175,7 +183,7 @@
   const repairFollowers = (record: TermRecord): void => {
     const upstream = holder.group.members.find(({ name }) => name === record.primary);
     if (!upstream) return;
-    repair.due(record, holder.views(), nowMs()).forEach((member) => {
+    repair.due(record, holder.views()).forEach((member) => {
       logger.info('member.followAgain', { group: holder.name, member, term: record.term });
       control.follow(member, record.term, upstream).catch(() => {});
     });
@@ -197,6 +205,7 @@
     tick: (): void => {
       const record = holder.record();
       if (!record) return;
+      judge.observe(holder.views(), nowMs());
       if (isBusy()) {
         current.driver.dispatch(isOvertaken(record) ? { kind: 'lost' } : { kind: 'tick' });
         return;
