fix: hand shares over at the start of a planned stop

Cause: a stopping VM handed its shares over after its servers were closed, so for the whole notice and drain its units served nobody and recalls of them failed. Also, a keeper without a successor carried its units on as a holder when it saw its own record before it exited; whoever claimed next had them too. Change: the hand-over starts with the notice of the stop, and once more at the end; a keeper without a successor drops its units before it writes the record.

--- a/packages/auburngrade/src/admission/createShareHandOver.ts
+++ b/packages/auburngrade/src/admission/createShareHandOver.ts
@@ -38,8 +38,10 @@
     // Units that have not been reported yet are nobody's to give away.
     if (!successor && !keeper.isMinted()) return false;
     const holding = [...keeper.holding(), ...keeper.unreported()];
-    updateShareState(state, { isPassing: true });
     const ledger = { holding, isMinted: keeper.isMinted() };
+    updateShareState(state, { isPassing: true });
+    // Whoever claims the share next starts with all units, also when the answer is lost.
+    if (!successor) keeper.resign(nowMs());
     const isPassed = await claims.pass(state.name, successor, ledger);
     roles.refresh(state);
     return isPassed && successor !== undefined;
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -253,7 +253,9 @@
     await drainWork({
       tracker: work,
       timings: settings.shutdown,
-      announce: notices.announce,
+      announce: async () => {
+        await Promise.all([notices.announce(), rates.shares.handOver()]);
+      },
       abortAll: transactions.abortAll,
     });
     endFollowing();
