fix: a VM that wakes up gets a lease again at once

Cause, traced by the state at each refusal: a VM that was paused past its lease stayed without one after it woke, since its witnesses had promised not to renew that process; all its requests were refused for about 2 s. A keeper also spent each wait for units on holders that had just not answered. Change: promises are about a term of the lease, and a VM whose lease has lapsed takes the next term by a write to its record. A holder that did not answer a recall is left out for 0.5 s. Units asked for while a report is under way are given back right after it, not at the next tick.

--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -36,6 +36,8 @@
 const RECALL_WAIT_MS = 100;
 /** Tokens that a holder asks for at a time: the demand of this time. */
 const NEED_AHEAD_S = 0.1;
+/** A holder that did not answer is not asked again for this time, so that others are. */
+const SILENT_MS = 500;
 /** A keeper that has not answered for this time is replaced once its lease has lapsed. */
 const SUSPECT_MS = 500;
 /** One that is not listed any more is replaced unproven after this time. */
@@ -124,7 +126,7 @@
     const { keeper } = state;
     const seen = keeper?.allotmentOf(target);
     if (!keeper || !seen || seen.units === 0) return;
-    const isLapsed = await leases.prove(target, seen.incarnation, seen.witnesses);
+    const isLapsed = await leases.prove(target, seen.lease);
     if (!isLapsed || !roles.hasAuthority(state)) return;
     keeper.noteLapsed(target, seen, nowMs());
   };
@@ -148,6 +150,7 @@
       state.keeper?.noteIncarnation(target, reply.incarnation, nowMs());
       return true;
     } catch {
+      state.silentUntilMs.set(target, nowMs() + SILENT_MS);
       const work = mustReport ? giveUpReport(state, target) : takeBack(state, target);
       work.catch(() => {});
       return false;
@@ -156,7 +159,9 @@
 
   /** Asks the holders with most units for what they do not need; true when all answered. */
   const recall = async (state: ShareState, exceptVm?: string): Promise<boolean> => {
-    const targets = state.keeper?.recallable(nowMs(), exceptVm) ?? [];
+    const isAsked = (holder: string): boolean =>
+      holder !== exceptVm && nowMs() >= (state.silentUntilMs.get(holder) ?? 0);
+    const targets = state.keeper?.recallable(isAsked, nowMs()) ?? [];
     const answers = Promise.all(
       targets.map((target) => recallOne(state, target.vm, false, target.partUnits)),
     );
@@ -188,6 +193,16 @@
     return grant.kind === 'granted' ? { ...grant, hasAskedAll } : grant;
   };
 
+  const giveBack = async (
+    state: ShareState,
+    mustReport: boolean,
+    partUnits?: number,
+  ): Promise<boolean> => {
+    const hasReleased = !mustReport && (state.holder?.release(nowMs(), partUnits) ?? false);
+    if (hasReleased || mustReport) await sync(state, false);
+    return hasReleased;
+  };
+
   const onRecall = async (
     _fromVm: string,
     body: unknown,
@@ -196,11 +211,12 @@
     const state = stateOf(share);
     if (!state) return { hasReleased: false };
     roles.refresh(state);
-    const hasReleased = !mustReport && (state.holder?.release(nowMs(), partUnits) ?? false);
-    // A report under way may wait for this very answer.
-    if (state.syncing) updateShareState(state, { isSyncDue: true });
-    else if (hasReleased || mustReport) await sync(state, false);
-    return { hasReleased };
+    if (state.syncing) {
+      // Its answer would give back what is released now, and may itself wait for this one.
+      state.syncing.then(() => giveBack(state, mustReport, partUnits)).catch(() => {});
+      return { hasReleased: false };
+    }
+    return { hasReleased: await giveBack(state, mustReport, partUnits) };
   };
 
   const claim = async (state: ShareState, goneVm?: string): Promise<void> => {
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -26,6 +26,7 @@
   lastDemandPerS: 0,
   isSyncDue: false,
   unreachableSinceMs: undefined,
+  silentUntilMs: new Map(),
 });
 
 export default createShareState;
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -33,6 +33,8 @@
   lastDemandPerS: number;
   isSyncDue: boolean;
   unreachableSinceMs: number | undefined;
+  /** VMs that did not answer a recall, and until when they are not asked again. */
+  silentUntilMs: Map<string, number>;
 }
 
 export default ShareState;
--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeats.ts
@@ -3,7 +3,6 @@
 import type SendMessage from './sendMessage';
 
 interface HeartbeatOptions {
-  incarnation: number;
   lease: VmLease;
   send: SendMessage;
   nowMs(): number;
@@ -12,21 +11,22 @@
 const HEARTBEAT_KIND = 'lease.renew';
 const HEARTBEAT_TIMEOUT_MS = 500;
 
-const heartbeatSchema = z.strictObject({ incarnation: z.number().int().nonnegative() });
+const heartbeatSchema = z.strictObject({ term: z.number().int().nonnegative() });
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
 
 /** Renews this VM's lease at no more of its witnesses than it takes. */
-const createHeartbeats = ({ incarnation, lease, send, nowMs }: HeartbeatOptions) => {
+const createHeartbeats = ({ lease, send, nowMs }: HeartbeatOptions) => {
   const failed = new Set<string>();
 
   const beatOne = async (witness: string): Promise<void> => {
     const sentAtMs = nowMs();
+    const term = lease.record()?.term ?? 0;
     try {
-      const reply = await send(witness, HEARTBEAT_KIND, { incarnation }, HEARTBEAT_TIMEOUT_MS);
+      const reply = await send(witness, HEARTBEAT_KIND, { term }, HEARTBEAT_TIMEOUT_MS);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
         failed.delete(witness);
-        lease.renew(witness, sentAtMs, nowMs());
+        lease.renew(witness, term, sentAtMs, nowMs());
       } else failed.add(witness);
     } catch {
       failed.add(witness);
@@ -40,7 +40,7 @@
   ];
 
   const beat = async (): Promise<void> => {
-    const groups = lease.groups() ?? [];
+    const groups = lease.record()?.groups ?? [];
     const sinceMs = nowMs();
     const isRenewed = (): boolean => groups.some((group) => lease.isRenewedBy(group, sinceMs));
     const stages = groups.flatMap((group) => {
@@ -60,7 +60,7 @@
 
   return {
     kind: HEARTBEAT_KIND,
-    parse: (body: unknown): { incarnation: number } => heartbeatSchema.parse(body),
+    parse: (body: unknown): { term: number } => heartbeatSchema.parse(body),
     beat,
   };
 };
--- a/packages/auburngrade/src/witness/createLeaseSeat.ts
+++ b/packages/auburngrade/src/witness/createLeaseSeat.ts
@@ -33,6 +33,8 @@
 /** The same with so few that the loss of one other VM may cost the shares. */
 const URGENT_MS = 1_000;
 const URGENT_WITNESSES = 2;
+/** A VM whose lease has lapsed takes another one at most this often. */
+const RETAKE_MS = 1_000;
 /** A VM that knows no other one waits this long for the list before it does without witnesses. */
 const ALONE_MS = 1_000;
 
@@ -46,6 +48,8 @@
   const startedAtMs = nowMs();
   let witness: Witness | undefined;
   let poorSinceMs: number | undefined;
+  let term = incarnation;
+  let takenAtMs = Number.NEGATIVE_INFINITY;
 
   const listed = () =>
     [...configuration.list('vm')]
@@ -65,23 +69,26 @@
     const isLoading = configuration.revision() === 0 || groups.length === 0;
     if (isLoading && nowMs() - startedAtMs < ALONE_MS) return;
     const earlier = await records.read(vm);
-    const isWritten = await records.write(vm, { incarnation, groups }, earlier?.revision ?? 0);
+    term = Math.max(term + 1, incarnation);
+    const record = { term, groups };
+    const isWritten = await records.write(vm, record, earlier?.revision ?? 0);
     if (!isWritten) return;
     openWitness(earlier !== undefined);
-    lease.seat(groups, nowMs());
+    lease.seat(record, nowMs());
     poorSinceMs = undefined;
+    takenAtMs = nowMs();
   };
 
   const isPoor = (): boolean => {
     const ids = new Set(configuration.list('vm').keys());
-    const isNow = isSeatPoor(lease.groups() ?? [], wanted(), ids);
+    const isNow = isSeatPoor(lease.record()?.groups ?? [], wanted(), ids);
     poorSinceMs = isNow ? (poorSinceMs ?? nowMs()) : undefined;
     return isNow;
   };
 
   const change = async (use: LeaseUse): Promise<void> => {
     if (!isPoor()) return;
-    const isUrgent = (lease.groups() ?? []).flat().length < URGENT_WITNESSES;
+    const isUrgent = (lease.record()?.groups ?? []).flat().length < URGENT_WITNESSES;
     const isLasting = nowMs() - (poorSinceMs ?? nowMs()) >= (isUrgent ? URGENT_MS : POOR_MS);
     if (!use.isIdle() && !isLasting) return;
     // Shows that the platform answers before anything is given up.
@@ -93,10 +100,14 @@
 
   return {
     witness: (): Witness | undefined => witness,
-    /** Takes witnesses when there are none, or others when these are too few. */
+    /**
+     * Takes witnesses when there are none, or others when these are too few. After a lapse a
+     * new term lets witnesses renew that have promised not to renew the old one.
+     */
     update: async (use: LeaseUse): Promise<void> => {
-      if (lease.groups()) await change(use);
-      else await take();
+      const hasLapsed = lease.standing(nowMs()) === undefined;
+      if (!lease.record() || (hasLapsed && nowMs() - takenAtMs > RETAKE_MS)) await take();
+      else await change(use);
     },
   };
 };
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -41,8 +41,8 @@
   const records = createLeaseRecords(platform, platformTimeoutMs);
   const seat = createLeaseSeat({ ...options, records, lease });
   const heartbeats = createHeartbeats({ ...options, lease });
-  const promise = (vm: string, incarnation: number): WitnessPromise =>
-    seat.witness()?.promise(vm, incarnation, nowMs()) ?? NO_PROMISE;
+  const promise = (vm: string, term: number): WitnessPromise =>
+    seat.witness()?.promise(vm, term, nowMs()) ?? NO_PROMISE;
   const proofs = createLapseProofs({ ...options, records, promise });
   const timers = new Set<NodeJS.Timeout>();
 
@@ -72,15 +72,15 @@
     [
       heartbeats.kind,
       async (fromVm, body) => {
-        const { incarnation } = heartbeats.parse(body);
-        return { isRenewed: seat.witness()?.renew(fromVm, incarnation, nowMs()) ?? false };
+        const { term } = heartbeats.parse(body);
+        return { isRenewed: seat.witness()?.renew(fromVm, term, nowMs()) ?? false };
       },
     ],
     [
       proofs.kind,
       async (_fromVm, body) => {
-        const { vm, incarnation } = proofs.parse(body);
-        return promise(vm, incarnation);
+        const { vm, term } = proofs.parse(body);
+        return promise(vm, term);
       },
     ],
   ];
@@ -104,7 +104,7 @@
     stop: (): void => timers.forEach((timer) => clearInterval(timer)),
     describe: () => ({
       isStanding: lease.standing(nowMs()) !== undefined,
-      witnesses: lease.groups() ?? [],
+      witnesses: lease.record()?.groups ?? [],
     }),
   };
 };
--- a/packages/coordination/src/rate/changeOfKeeper.spec.ts
+++ b/packages/coordination/src/rate/changeOfKeeper.spec.ts
@@ -95,9 +95,9 @@
     incarnation += 1;
     const isFirst = !leases.has(id);
     const lease = createVmLease(LEASE_MS);
-    const groups = witnessGroupsOf(fleet, id, dataCentre);
-    leases.set(id, { incarnation, groups });
-    lease.seat(groups, nowMs);
+    const record = { term: incarnation, groups: witnessGroupsOf(fleet, id, dataCentre) };
+    leases.set(id, record);
+    lease.seat(record, nowMs);
     const opensAtMs = isFirst ? nowMs : nowMs + certainLeaseMs(LEASE_MS);
     const witness = createWitness({ leaseMs: LEASE_MS, startedAtMs: nowMs, opensAtMs });
     return { id, incarnation, lease, witness, lostEpoch: 0, epoch: 0, keeperId: '', evidence: [] };
@@ -203,12 +203,13 @@
 
   const heartbeat = (process: Process): void => {
     const sentAtMs = nowMs;
-    [...new Set((process.lease.groups() ?? []).flat())].forEach((witness) =>
+    const { term, groups } = process.lease.record() ?? { term: 0, groups: [] };
+    [...new Set(groups.flat())].forEach((witness) =>
       call(
         process.id,
         witness,
-        (target) => target.witness.renew(process.id, process.incarnation, nowMs),
-        (isRenewed) => isRenewed && process.lease.renew(witness, sentAtMs, nowMs),
+        (target) => target.witness.renew(process.id, term, nowMs),
+        (isRenewed) => isRenewed && process.lease.renew(witness, term, sentAtMs, nowMs),
       ),
     );
   };
@@ -226,9 +227,7 @@
   const fence = (process: Process, target: string): void => {
     const record = leases.get(target);
     if (!record || target === process.id) return;
-    const seen = process.keeper?.allotmentOf(target);
-    const asked = seen ?? record;
-    const groups = seen?.witnesses ?? record.groups;
+    const { term, groups } = process.keeper?.allotmentOf(target)?.lease ?? record;
     const answers = new Map<string, { receivedAtMs: number; promise: WitnessPromise }>();
     const askedAtMs = nowMs;
     const apply = conclusionOf(process, target);
@@ -236,7 +235,7 @@
       call(
         process.id,
         witness,
-        (asking) => asking.witness.promise(target, asked.incarnation, nowMs),
+        (asking) => asking.witness.promise(target, term, nowMs),
         (promise) => {
           if (nowMs - askedAtMs > ROUND_TIMEOUT_MS) return;
           answers.set(witness, { receivedAtMs: nowMs, promise });
@@ -274,6 +273,15 @@
       .filter(({ id }) => !dead.has(id))
       .reduce((sum, { keeper, holder }) => sum + ((keeper ?? holder)?.units(nowMs) ?? 0), 0);
 
+  /** A VM whose lease has lapsed takes one of another term, where the phase lets it. */
+  const retake = ({ id, lease }: Process): void => {
+    if (lease.standing(nowMs) !== undefined || phase.rounds % 2 === 0) return;
+    incarnation += 1;
+    const record = { term: incarnation, groups: leases.get(id)?.groups ?? [] };
+    leases.set(id, record);
+    lease.seat(record, nowMs);
+  };
+
   const actOnce = (process: Process): void => {
     const fenceSilent = (id: string): void => {
       if (isSilent(process.id, id)) fence(process, id);
@@ -290,6 +298,7 @@
     nowMs += ROUND_MS;
     const alive = processes.filter(({ id }) => !dead.has(id) && !isPaused(id));
     late.splice(0, late.length / 2).forEach((deliver) => deliver());
+    alive.forEach(retake);
     alive.forEach(heartbeat);
     alive.forEach((process) => {
       actOnce(process);
--- a/packages/coordination/src/rate/createShareHolder.ts
+++ b/packages/coordination/src/rate/createShareHolder.ts
@@ -22,6 +22,8 @@
   leaseEndsAtMs?: number;
 }
 
+/** Of a VM that has no lease yet and holds nothing. */
+const NO_LEASE = { term: 0, groups: [] };
 /** Tokens kept when the keeper asks for some back: the demand of this time. */
 const RESERVE_S = 0.05;
 /** A holder that is asked for units may keep this many times its part by demand. */
@@ -106,7 +108,7 @@
         incarnation: options.incarnation,
         sequence,
         heldUnits: bucket.units(),
-        witnesses: options.lease.groups() ?? [],
+        lease: options.lease.record() ?? NO_LEASE,
         releasedTokens: sent,
         demandPerS: reportedDemandPerS,
         neededTokens,
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -4,7 +4,7 @@
 import type ShareGrant from './shareGrant';
 import type ShareSync from './shareSync';
 import type VmLease from '../witness/vmLease';
-import type WitnessGroups from '../witness/witnessGroups';
+import type LeaseRecord from '../witness/leaseRecord';
 import WHOLE_UNITS from './wholeUnits';
 
 interface ShareKeeperOptions {
@@ -31,8 +31,8 @@
   sequence: number;
   demandPerS: number;
   leaseEndsAtMs: number;
-  /** Witnesses of the lease under which the units are held. */
-  witnesses: WitnessGroups;
+  /** The lease under which the units are held. */
+  lease: LeaseRecord;
 }
 
 /** A holder's clock may run this much slower than the keeper's. */
@@ -116,7 +116,7 @@
       sequence: 0,
       demandPerS: 0,
       leaseEndsAtMs: 0,
-      witnesses: sync.witnesses,
+      lease: sync.lease,
     };
     ledger.set(sync.vm, entry);
     return entry;
@@ -226,7 +226,7 @@
       const entry = open(sync, nowMs);
       entry.sequence = sync.sequence;
       entry.demandPerS = sync.demandPerS;
-      entry.witnesses = sync.witnesses;
+      entry.lease = sync.lease;
       const margin = options.leaseMs * CLOCK_MARGIN_RATIO + CLOCK_MARGIN_MS;
       entry.leaseEndsAtMs = nowMs + options.leaseMs + margin;
       const returned = Math.max(0, entry.units - sync.heldUnits);
@@ -237,9 +237,12 @@
       return grant(entry, sync, nowMs);
     },
     /** The holders with most units beyond their part, to be asked for what they do not need. */
-    recallable: (nowMs: number, exceptVm?: string): { vm: string; partUnits: number }[] =>
+    recallable: (
+      isAsked: (vm: string) => boolean,
+      nowMs: number,
+    ): { vm: string; partUnits: number }[] =>
       [...ledger]
-        .filter(([vm, { units }]) => vm !== exceptVm && units > 0)
+        .filter(([vm, { units }]) => units > 0 && isAsked(vm))
         .map(([vm, { units, demandPerS }]) => {
           const partUnits = partOf(demandPerS, nowMs);
           return { vm, partUnits, excess: units - partUnits };
--- a/packages/coordination/src/rate/shareSyncSchema.ts
+++ b/packages/coordination/src/rate/shareSyncSchema.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import witnessGroupsSchema from '../witness/witnessGroupsSchema';
+import leaseRecordSchema from '../witness/leaseRecordSchema';
 
 /** A holder's report to the keeper of a share, and its wish for more. */
 const shareSyncSchema = z.strictObject({
@@ -11,8 +11,8 @@
   /** Rises with each message of an incarnation in an epoch. */
   sequence: z.number().int().positive(),
   heldUnits: z.number().int().nonnegative(),
-  /** Witnesses of the lease under which the units are held. */
-  witnesses: witnessGroupsSchema,
+  /** The lease under which the units are held. */
+  lease: leaseRecordSchema,
   /** Tokens that went with units given up since the last message. */
   releasedTokens: z.number().nonnegative(),
   demandPerS: z.number().nonnegative(),
--- a/packages/coordination/src/rate/shareTransfers.spec.ts
+++ b/packages/coordination/src/rate/shareTransfers.spec.ts
@@ -48,7 +48,7 @@
     [];
   // Without witnesses the VMs' own leases never lapse.
   const lease = createVmLease(LEASE_MS);
-  lease.seat([], nowMs);
+  lease.seat({ term: 1, groups: [] }, nowMs);
   const keeper = createShareKeeper({
     lease,
     former: new Set(),
--- a/packages/coordination/src/witness/createVmLease.ts
+++ b/packages/coordination/src/witness/createVmLease.ts
@@ -1,5 +1,5 @@
 import renewalQuorum from './renewalQuorum';
-import type WitnessGroups from './witnessGroups';
+import type LeaseRecord from './leaseRecord';
 
 /**
  * The short lease under which a VM spends shares of rates and keeps their ledgers. It counts
@@ -7,7 +7,7 @@
  * held when it lapsed is lost for good: each standing after a lapse has a number of its own.
  */
 const createVmLease = (leaseMs: number) => {
-  let groups: WitnessGroups | undefined;
+  let record: LeaseRecord | undefined;
   let generation = 0;
   let isStanding = false;
   const answeredAtMs = new Map<string, number>();
@@ -19,9 +19,9 @@
   };
 
   const endsAtMs = (): number => {
-    if (!groups) return Number.NEGATIVE_INFINITY;
-    if (groups.length === 0) return Number.POSITIVE_INFINITY;
-    return Math.max(...groups.map(groupEndsAtMs));
+    if (!record) return Number.NEGATIVE_INFINITY;
+    if (record.groups.length === 0) return Number.POSITIVE_INFINITY;
+    return Math.max(...record.groups.map(groupEndsAtMs));
   };
 
   const lapse = (nowMs: number): void => {
@@ -35,17 +35,18 @@
   };
 
   return {
-    groups: (): WitnessGroups | undefined => groups,
-    /** Starts anew under other witnesses, or under none yet; what was held is lost. */
-    seat: (next: WitnessGroups | undefined, nowMs: number): void => {
-      groups = next;
+    record: (): LeaseRecord | undefined => record,
+    /** Starts anew under another record, or under none yet; what was held is lost. */
+    seat: (next: LeaseRecord | undefined, nowMs: number): void => {
+      record = next;
       isStanding = false;
       answeredAtMs.clear();
       stand(nowMs);
     },
     /** Notes that a witness renewed the lease by the answer to a heartbeat sent at `sentAtMs`. */
-    renew: (witness: string, sentAtMs: number, nowMs: number): void => {
+    renew: (witness: string, term: number, sentAtMs: number, nowMs: number): void => {
       lapse(nowMs);
+      if (term !== record?.term) return;
       const known = answeredAtMs.get(witness) ?? Number.NEGATIVE_INFINITY;
       answeredAtMs.set(witness, Math.max(known, sentAtMs));
       stand(nowMs);
--- a/packages/coordination/src/witness/createWitness.ts
+++ b/packages/coordination/src/witness/createWitness.ts
@@ -18,8 +18,8 @@
  * the leases that they were about have lapsed.
  */
 const createWitness = ({ leaseMs, startedAtMs, opensAtMs }: WitnessOptions) => {
-  const renewals = new Map<string, { incarnation: number; atMs: number }>();
-  const promises = new Map<string, { incarnation: number; untilMs: number }>();
+  const renewals = new Map<string, { term: number; atMs: number }>();
+  const promises = new Map<string, { term: number; untilMs: number }>();
 
   const promised = (vm: string, nowMs: number) => {
     const found = promises.get(vm);
@@ -29,24 +29,24 @@
   };
 
   return {
-    /** Answers a heartbeat; true renews the lease of that process of the VM. */
-    renew: (vm: string, incarnation: number, nowMs: number): boolean => {
+    /** Answers a heartbeat; true renews the lease of that term of the VM. */
+    renew: (vm: string, term: number, nowMs: number): boolean => {
       const promise = promised(vm, nowMs);
-      if (nowMs < opensAtMs || (promise && incarnation <= promise.incarnation)) return false;
-      renewals.set(vm, { incarnation, atMs: nowMs });
+      if (nowMs < opensAtMs || (promise && term <= promise.term)) return false;
+      renewals.set(vm, { term, atMs: nowMs });
       return true;
     },
-    /** Promises to renew no lease of the VM's processes up to `incarnation`, unless it is alive. */
-    promise: (vm: string, incarnation: number, nowMs: number): WitnessPromise => {
+    /** Promises to renew no lease of the VM's terms up to `term`, unless it is alive. */
+    promise: (vm: string, term: number, nowMs: number): WitnessPromise => {
       const last = renewals.get(vm);
       const renewedAgeMs = nowMs - (last?.atMs ?? startedAtMs);
-      const isAlive = last && last.incarnation <= incarnation;
+      const isAlive = last && last.term <= term;
       const earlier = promised(vm, nowMs);
       if (!earlier && isAlive && renewedAgeMs < leaseMs * ALIVE_RATIO) {
         return { isPromised: false, renewedAgeMs };
       }
       promises.set(vm, {
-        incarnation: Math.max(incarnation, earlier?.incarnation ?? 0),
+        term: Math.max(term, earlier?.term ?? 0),
         untilMs: nowMs + leaseMs * PROMISE_LEASES,
       });
       return { isPromised: true, renewedAgeMs };
--- a/packages/coordination/src/witness/leaseRecordSchema.ts
+++ b/packages/coordination/src/witness/leaseRecordSchema.ts
@@ -2,11 +2,12 @@
 import witnessGroupsSchema from './witnessGroupsSchema';
 
 /**
- * The platform's record of the witnesses of a VM's lease. A VM writes it before it spends
- * anything under them, and only while it spends nothing.
+ * The witnesses of a VM's lease and the number under which they renew it. A VM writes it to the
+ * platform before it spends anything under it, and only while it spends nothing.
  */
 const leaseRecordSchema = z.strictObject({
-  incarnation: z.number().int().nonnegative(),
+  /** Rises with each process of the VM and each change of the record. */
+  term: z.number().int().nonnegative(),
   groups: witnessGroupsSchema,
 });
 
