fix: wait longer for units, and move none for an account over its rate

Change: admission.maxWaitMs is 400 ms by default, holders are not trimmed to their part while the whole demand is above the rate, and at most one return of units waits behind a report.

--- a/packages/auburngrade/src/admission/admissionSettingsSchema.ts
+++ b/packages/auburngrade/src/admission/admissionSettingsSchema.ts
@@ -12,7 +12,7 @@
    */
   vmLeaseMs: z.number().int().min(500).max(60_000).default(3_000),
   /** How long a request waits for tokens from other VMs before it is refused. */
-  maxWaitMs: z.number().int().min(0).max(5_000).default(200),
+  maxWaitMs: z.number().int().min(0).max(5_000).default(400),
 });
 
 export default admissionSettingsSchema;
--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -203,6 +203,20 @@
     return hasReleased;
   };
 
+  const giveBackLater = (
+    state: ShareState,
+    syncing: Promise<boolean>,
+    mustReport: boolean,
+    partUnits?: number,
+  ): void => {
+    if (state.isGivingBack) return;
+    updateShareState(state, { isGivingBack: true });
+    syncing
+      .then(() => giveBack(state, mustReport, partUnits))
+      .catch(() => {})
+      .finally(() => updateShareState(state, { isGivingBack: false }));
+  };
+
   const onRecall = async (
     _fromVm: string,
     body: unknown,
@@ -213,7 +227,7 @@
     roles.refresh(state);
     if (state.syncing) {
       // Its answer would give back what is released now, and may itself wait for this one.
-      state.syncing.then(() => giveBack(state, mustReport, partUnits)).catch(() => {});
+      giveBackLater(state, state.syncing, mustReport, partUnits);
       return { hasReleased: false };
     }
     return { hasReleased: await giveBack(state, mustReport, partUnits) };
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -22,6 +22,7 @@
   claimAfterMs: 0,
   confirmAfterMs: 0,
   collectAfterMs: 0,
+  isGivingBack: false,
   lastSyncAtMs: Number.NEGATIVE_INFINITY,
   lastDemandPerS: 0,
   isSyncDue: false,
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -29,6 +29,8 @@
   claimAfterMs: number;
   confirmAfterMs: number;
   collectAfterMs: number;
+  /** Whether units are to be given back once the report under way is answered. */
+  isGivingBack: boolean;
   lastSyncAtMs: number;
   lastDemandPerS: number;
   isSyncDue: boolean;
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -98,11 +98,11 @@
       .forEach((entry) => forfeit(entry, nowMs));
   };
 
-  const partOf = (demandPerS: number, nowMs: number): number => {
-    const others = [...ledger.values()].reduce((sum, entry) => sum + entry.demandPerS, 0);
-    const total = others + demand.perS(nowMs) + IDLE_DEMAND_PER_S;
-    return Math.floor((WHOLE_UNITS * demandPerS) / total);
-  };
+  const totalDemandPerS = (nowMs: number): number =>
+    [...ledger.values()].reduce((sum, entry) => sum + entry.demandPerS, demand.perS(nowMs));
+
+  const partOf = (demandPerS: number, nowMs: number): number =>
+    Math.floor((WHOLE_UNITS * demandPerS) / (totalDemandPerS(nowMs) + IDLE_DEMAND_PER_S));
 
   const open = (sync: ShareSync, nowMs: number): Allotment => {
     const known = ledger.get(sync.vm);
@@ -244,8 +244,10 @@
       [...ledger]
         .filter(([vm, { units }]) => units > 0 && isAsked(vm))
         .map(([vm, { units, demandPerS }]) => {
-          const partUnits = partOf(demandPerS, nowMs);
-          return { vm, partUnits, excess: units - partUnits };
+          const part = partOf(demandPerS, nowMs);
+          // Beyond the whole rate some are refused wherever the units are.
+          const isOver = totalDemandPerS(nowMs) > options.limit.ratePerS;
+          return { vm, partUnits: isOver ? WHOLE_UNITS : part, excess: units - part };
         })
         .sort((a, b) => b.excess - a.excess)
         .slice(0, MAX_RECALLS)
