--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -12,6 +12,7 @@
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
+import withKeyCheck from '../authentication/withKeyCheck';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
@@ -37,6 +38,7 @@
 import createPeerHandler from '../serving/createPeerHandler';
 import startGrpcServer from '../serving/startGrpcServer';
 import startHttpServer from '../serving/startHttpServer';
+import createSlotKeeper from '../slots/createSlotKeeper';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
@@ -45,6 +47,7 @@
 import createKeyWatch from '../transactions/createKeyWatch';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
+import limitHeap from './limitHeap';
 
 /** Time for the last answers to leave once all work has ended. */
 const SERVER_GRACE_MS = 500;
@@ -77,8 +80,32 @@
     nowMs,
     logger,
   });
-  const membership = createMembership(configuration);
-  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
+  const slots = createSlotKeeper({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    completeAtMs: vouching.completeAtMs,
+    announce: vouching.announce,
+    exchange,
+    logger,
+    nowMs,
+  });
+  const membership = createMembership({
+    vm: settings.vm,
+    configuration,
+    isOwnSlotUsable: slots.isUsable,
+    nowMs,
+  });
+  const groups = createGroupRegistry(
+    configuration,
+    settings.vm,
+    addresses,
+    nowMs,
+    settings.pools,
+    slots.isUsable,
+  );
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
   const reads = createReadExecutor({
     ...settings,
@@ -115,13 +142,14 @@
     nowMs,
   });
 
+  const authenticator = createAuthenticator(configuration, vouching.isVouched);
   const loading = createConfigurationWaiter(configuration, nowMs);
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     await loading.wait(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
-    return holder;
+    return withKeyCheck(holder, () => authenticator.recheck(request.keyHash));
   };
   const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
 
@@ -160,7 +188,7 @@
   });
   const callerHandler = createCallerHandler({
     settings,
-    authenticator: createAuthenticator(configuration, vouching.isVouched),
+    authenticator,
     admission: rates.admission,
     execute: router.execute,
     begin: router.begin,
@@ -184,6 +212,7 @@
       configuration: follower.describe(),
       areKeysVouched: vouching.isVouched(),
       outageAgeMs: vouching.outageAgeMs(),
+      slots: slots.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -200,6 +229,7 @@
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
+      ...slots.messageHandlers,
       [PING_KIND, async () => ({})],
     ]),
     nowMs,
@@ -215,11 +245,12 @@
     nowMs,
   });
   promotions.start();
+  slots.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
   const http = startHttpServer(
     settings.host,
     settings.httpPort,
     metrics.registry,
-    () => work.phase() === 'serving' && loading.isLoaded(),
+    () => work.phase() === 'serving' && loading.isLoaded() && rates.leases.hasStood(),
   );
   const listen = (
     port: number,
@@ -247,6 +278,7 @@
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
   ]);
+  limitHeap(settings);
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
@@ -261,6 +293,7 @@
     endFollowing();
     await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     promotions.stop();
+    await slots.stop();
     await rates.shares.handOver();
     rates.stop();
     follower.stop();
