test: withdrawals during an outage, and a withdrawn key under two faults

Cause: neither was proved. The second was not seen red: the links bring the configuration before a false proof could count.

--- a/packages/auburngrade/src/integration/withdrawnKeys.spec.ts
+++ b/packages/auburngrade/src/integration/withdrawnKeys.spec.ts
@@ -138,4 +138,34 @@
     await fleet.platform.setFault('isDown', 0);
     await awaitRefused(all(), key, await withdraw('temple-1', keyId));
   });
+
+  it('can not be withdrawn while the platform is down: the operator is told so, and the key stays', async () => {
+    const { key, keyId } = await freshKey();
+    await fleet.platform.setFault('isDown', 1);
+    const client = fleet.operator('temple-1');
+    const change = await client.withdrawKey({ keyId, changeId: '' });
+    client.close();
+    expect(change).to.include({ verdict: 'notRun', refusalCode: 'platformUnavailable' });
+    await fleet.platform.setFault('isDown', 0);
+    await awaitAccepted(all(), key);
+  });
+
+  it('stay dead in a data centre that was cut off, when the platform goes down before the links are back', async () => {
+    const { key, keyId } = await freshKey();
+    setLinks(waco(), ['platform', ...temple()], 'silent');
+    setLinks(temple(), waco(), 'silent');
+    await awaitRefused(all(), key, await withdraw('temple-1', keyId));
+    await fleet.platform.setFault('isDown', 1);
+    setLinks(waco(), ['platform', ...temple()], 'pass');
+    setLinks(temple(), waco(), 'pass');
+    const backAtMs = performance.now();
+    const codes = new Set<string | undefined>();
+    await waitFor('a long outage', async () => {
+      const seen = await Promise.all(all().map((vm) => refusalAt(vm, key)));
+      seen.forEach((code) => codes.add(code));
+      return performance.now() - backAtMs > LONG_OUTAGE_MS;
+    });
+    expect([...codes]).not.to.include(undefined);
+    await fleet.platform.setFault('isDown', 0);
+  });
 });
