docs: the capacity page from slopes run again

Cause: relays and documents broke their budget; the page came from one run of all dimensions. Not run again: accounts, documents, connections, statements, forwarded.

--- a/scripts/capacity/createSlopeReader.ts
+++ b/scripts/capacity/createSlopeReader.ts
@@ -1,12 +1,9 @@
-import type { z } from 'zod';
-import type slopesSchema from './slopesSchema';
-
-type Slopes = z.infer<typeof slopesSchema>;
+import type MeasuredDimension from './measuredDimension';
 
 /** Looks up measured slopes by dimension and measure. @throws Error when one was not measured. */
-const createSlopeReader = (slopes: Slopes) => {
+const createSlopeReader = (dimensions: readonly MeasuredDimension[]) => {
   const find = (dimension: string, measure: string) => {
-    const found = slopes.results
+    const found = dimensions
       .find(({ name }) => name === dimension)
       ?.slopes.find((slope) => slope.measure === measure);
     if (!found) throw new Error(`not measured: ${dimension} ${measure}`);
