--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -53,6 +53,7 @@
 
 const toForwarded = (request: StatementRequest, nowMs: number): ForwardedStatement => ({
   account: request.account ?? '',
+  keyHash: request.keyHash ?? '',
   profile: request.profile,
   group: request.group,
   write: request.write,
@@ -120,11 +121,11 @@
     budget.deposit();
     for (let count = 1; ; count += 1) {
       const holders = candidates(group, failed);
-      const [target] = holders;
-      if (target === undefined) {
-        throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
-      }
+      const [target = ''] = holders;
       try {
+        if (target === '') {
+          throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
+        }
         if (target !== vm) metrics.forwards.inc({ group });
         return await attempts.make(target, (onSilent) => attempt(target, onSilent));
       } catch (error) {
