--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -1,6 +1,7 @@
 import {
   CONTROL_CONNECTIONS,
   connectionShare,
+  membersToPoll,
   slotTimings,
   type ConfigurationState,
   type Group,
@@ -11,6 +12,8 @@
 } from '@auburngrade/coordination';
 import { createPgEndpoint } from '@auburngrade/endpoint';
 import type AddressBook from '../settings/addressBook';
+import acquireInTerm from './acquireInTerm';
+import activeMemberNames from './activeMemberNames';
 import createAcknowledger from './createAcknowledger';
 import createConnectionPool from './createConnectionPool';
 import type ConnectionPool from './connectionPool';
@@ -19,13 +22,11 @@
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
 import type StatusPoller from './statusPoller';
-import acquireInTerm from './acquireInTerm';
 import sleep from '../time/sleep';
 
 /** A control connection that does not open is tried again soon: polls tell which members are up. */
 const CONTROL_CONNECT_TIMEOUT_MS = 350;
-const POLL_INTERVAL_MS = 500;
-const RETRY_INTERVAL_MS = 100;
+const POLL_CHECK_INTERVAL_MS = 100;
 const RETIRE_STEP_MS = 10;
 const PRIMARY_WAIT_STEP_MS = 5;
 /** A use of the primary that takes longer makes this VM ask whether it is still there. */
@@ -105,8 +106,15 @@
     return stop;
   };
 
+  let usedAtMs = nowMs();
+  /** A group that serves requests is polled more often. */
+  const noteUse = (): void => {
+    usedAtMs = nowMs();
+  };
+
   /** Waits for the record of a term that has a primary. */
   const awaitPrimary = async (deadlineAtMs: number): Promise<TermRecord | undefined> => {
+    noteUse();
     while (record()?.state !== 'active' && nowMs() < deadlineAtMs) {
       await sleep(PRIMARY_WAIT_STEP_MS);
     }
@@ -126,10 +134,22 @@
     await Promise.all([...pollers.values()].map((poller) => poller.poll()));
   };
 
-  const pollUnanswered = (): void =>
-    pollers.forEach((poller) => {
-      if (poller.unansweredSinceMs() !== undefined) poller.poll();
-    });
+  const views = (): MemberView[] =>
+    [...pollers].map(([member, poller]) => ({
+      member,
+      status: poller.latest(),
+      unansweredSinceMs: poller.unansweredSinceMs(),
+    }));
+
+  const activeMembers = activeMemberNames(group);
+  const pollDue = (): void =>
+    membersToPoll({
+      record: record(),
+      activeMembers,
+      views: views(),
+      usedAtMs,
+      nowMs: nowMs(),
+    }).forEach((member) => pollers.get(member)?.poll());
 
   /** Ends the work on members that are leaving; a leaving primary goes on until it is replaced. */
   const drainLeaving = (): void =>
@@ -142,8 +162,7 @@
     acknowledger.failBefore(record()?.term ?? 0);
     drainLeaving();
   });
-  const timer = setInterval(poll, POLL_INTERVAL_MS);
-  const retryTimer = setInterval(pollUnanswered, RETRY_INTERVAL_MS);
+  const timer = setInterval(pollDue, POLL_CHECK_INTERVAL_MS);
   poll();
 
   drainLeaving();
@@ -151,10 +170,7 @@
   const ownHandles = (): MemberHandle[] =>
     [...handles].flatMap(([member, handle]) => (takenOver.has(member) ? [] : [handle]));
 
-  const stopPolling = (): void => {
-    clearInterval(timer);
-    clearInterval(retryTimer);
-  };
+  const stopPolling = (): void => clearInterval(timer);
 
   const close = (cutAfterMs?: number): void => {
     stopPolling();
@@ -177,12 +193,7 @@
     /** Calls the listener once when a later term is known; returns the function that stops it. */
     onTermOver,
     /** What the polls of this VM tell of each member. */
-    views: (): MemberView[] =>
-      [...pollers].map(([member, poller]) => ({
-        member,
-        status: poller.latest(),
-        unansweredSinceMs: poller.unansweredSinceMs(),
-      })),
+    views,
     pollMember: async (member: string): Promise<MemberStatus | undefined> => {
       const { poller } = handleOf(member);
       await poller.poll();
@@ -202,12 +213,14 @@
       account: string | undefined,
       deadlineAtMs: number,
       profile = '',
-    ): Promise<PooledConnection> =>
-      handleOf(member).data.acquire(
+    ): Promise<PooledConnection> => {
+      noteUse();
+      return handleOf(member).data.acquire(
         account,
         deadlineAtMs,
         configuration.get('profile', profile)?.endpoints.drainTimeoutMs,
-      ),
+      );
+    },
     /**
      * A connection to the primary of a term; it is closed when a later term is known.
      * @throws RefusalError when none can be had before the deadline or the end of the term.
@@ -217,6 +230,7 @@
       account: string | undefined,
       deadlineAtMs: number,
     ): Promise<PooledConnection> => {
+      noteUse();
       const { data, poller } = handleOf(primary);
       return acquireInTerm({
         acquire: () => data.acquire(account, deadlineAtMs),
