perf: a change of the list makes only the choices of holders it touches again

The ranks of a promoter went over all groups, too, and with a record of slots at each change of any record.

Change: a choice is forgotten when one of its VMs left or a VM that joined may be chosen, which costs one score a group; a property holds the latter to the full choice. Choices share their VMs. The slot keeper steps only through groups that concern this VM, and ranks are taken of the groups that it holds.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -132,6 +132,7 @@
     configuration,
     membership,
     groups,
+    heldGroups: slots.describe,
     terms,
     peers,
     timings: settings.failover,
--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -1,6 +1,7 @@
 import {
   chooseHolders,
   hashText,
+  mayBeChosen,
   slotTimings,
   type ConfigurationState,
   type SlotsRecord,
@@ -19,11 +20,23 @@
   nowMs(): number;
 }
 
+interface PlacedVm {
+  id: string;
+  dataCentre: string;
+  hash: number;
+}
+
+/** Which VMs should hold a group's slots, and what decided it. */
+type Choice = Omit<Parameters<typeof mayBeChosen>[1], 'chosen'> & { chosen: PlacedVm[] };
+
 type SlotHolder = NonNullable<SlotsRecord['holders'][number]>;
 
 const VM_PREFIX = '/platform/vms/';
 const GROUP_PREFIX = '/auburngrade/group/';
 const SLOTS_PREFIX = '/auburngrade/slots/';
+/** With more VMs changed at a time all choices are made again. */
+const MAX_CHANGED_VMS = 100;
+const NO_CHOICE: Choice = { groupHash: 0, near: [], slots: 0, chosen: [] };
 
 const nameOf = (group: string, { vm, incarnation }: SlotHolder): string =>
   `${group}/${vm}/${incarnation}`;
@@ -33,11 +46,13 @@
  * by the list, and which hold them by the record of slots.
  */
 const createMembership = ({ vm, configuration, isOwnSlotUsable, nowMs }: MembershipOptions) => {
-  const chosenByGroup = new Map<string, string[]>();
+  const choices = new Map<string, Choice>();
   /** When holders that took a slot over were first seen: for a while they only wait. */
   const seenAtMs = new Map<string, number>();
   let listed: ListedVm[] | undefined;
-  let hashes: Map<string, { id: string; hash: number }[]> | undefined;
+  let placed = new Map<string, PlacedVm>();
+  let byDataCentre: Map<string, PlacedVm[]> | undefined;
+  const nearByKey = new Map<string, string[]>();
 
   const noteTakenOver = (group: string): void =>
     configuration.get('slots', group)?.holders.forEach((holder) => {
@@ -47,20 +62,6 @@
       setTimeout(() => seenAtMs.delete(name), slotTimings.takeOverMs).unref();
     });
 
-  configuration.onChange((changed) => {
-    if (changed.some(({ key }) => key.startsWith(VM_PREFIX))) {
-      listed = undefined;
-      hashes = undefined;
-      chosenByGroup.clear();
-    }
-    changed
-      .filter(({ key }) => key.startsWith(GROUP_PREFIX))
-      .forEach(({ key }) => chosenByGroup.delete(key.slice(GROUP_PREFIX.length)));
-    changed
-      .filter(({ key }) => key.startsWith(SLOTS_PREFIX))
-      .forEach(({ key }) => noteTakenOver(key.slice(SLOTS_PREFIX.length)));
-  });
-
   const isWaiting = (group: string, holder: SlotHolder): boolean =>
     holder.isTakenOver &&
     nowMs() - (seenAtMs.get(nameOf(group, holder)) ?? Number.NEGATIVE_INFINITY) <
@@ -73,29 +74,79 @@
     return listed;
   };
 
-  const hashesByDataCentre = () => {
-    hashes ??= live().reduce((found, { id, dataCentre }) => {
-      const vms = found.get(dataCentre) ?? [];
-      vms.push({ id, hash: hashText(id) });
-      return found.set(dataCentre, vms);
-    }, new Map<string, { id: string; hash: number }[]>());
-    return hashes;
+  /** One object for each VM that all choices share, as there are many choices. */
+  const placeVms = (): void => {
+    const known = placed;
+    placed = new Map(
+      live().map(({ id, dataCentre }) => {
+        const before = known.get(id);
+        const isSame = before?.dataCentre === dataCentre;
+        return [id, isSame ? before : { id, dataCentre, hash: hashText(id) }];
+      }),
+    );
+    byDataCentre = new Map();
+    placed.forEach((vmPlaced) => {
+      const vms = byDataCentre?.get(vmPlaced.dataCentre) ?? [];
+      vms.push(vmPlaced);
+      byDataCentre?.set(vmPlaced.dataCentre, vms);
+    });
+  };
+
+  const vmsByDataCentre = (): ReadonlyMap<string, PlacedVm[]> => {
+    if (!byDataCentre) placeVms();
+    return byDataCentre ?? new Map();
   };
 
-  const choose = (group: string): string[] => {
+  /** Forgets the choices that a change of the list may have changed. */
+  const followList = (): void => {
+    const before = placed;
+    listed = undefined;
+    placeVms();
+    const joined = [...placed.values()].filter((one) => before.get(one.id) !== one);
+    const left = new Set([...before.values()].filter((one) => placed.get(one.id) !== one));
+    if (joined.length + left.size > MAX_CHANGED_VMS) choices.clear();
+    choices.forEach((choice, group) => {
+      const isTouched =
+        choice.chosen.some((one) => left.has(one)) ||
+        joined.some((joining) => mayBeChosen(joining, choice));
+      if (isTouched) choices.delete(group);
+    });
+  };
+
+  configuration.onChange((changed) => {
+    if (changed.some(({ key }) => key.startsWith(VM_PREFIX))) followList();
+    changed
+      .filter(({ key }) => key.startsWith(GROUP_PREFIX))
+      .forEach(({ key }) => choices.delete(key.slice(GROUP_PREFIX.length)));
+    changed
+      .filter(({ key }) => key.startsWith(SLOTS_PREFIX))
+      .forEach(({ key }) => noteTakenOver(key.slice(SLOTS_PREFIX.length)));
+  });
+
+  /** Lists of data centres are shared between choices, too. */
+  const shared = (near: string[]): string[] => {
+    const key = near.join();
+    const known = nearByKey.get(key) ?? near;
+    nearByKey.set(key, known);
+    return known;
+  };
+
+  const choose = (group: string): Choice => {
     const document = configuration.get('group', group);
-    if (!document) return [];
-    const near = document.members
-      .filter(({ state }) => state === 'active')
-      .map(({ dataCentre }) => dataCentre);
-    return chooseHolders(hashesByDataCentre(), group, near, document.slots);
+    if (!document) return NO_CHOICE;
+    const { members, slots } = document;
+    const active = members.filter(({ state }) => state === 'active');
+    const near = shared(active.map(({ dataCentre }) => dataCentre));
+    const ids = chooseHolders(vmsByDataCentre(), group, near, slots);
+    const chosenVms = ids.flatMap((id) => placed.get(id) ?? []);
+    return { groupHash: hashText(group), near, slots, chosen: chosenVms };
   };
 
   /** VMs that should hold the group's slots by the list as this VM knows it. */
   const chosen = (group: string): string[] => {
-    const known = chosenByGroup.get(group) ?? choose(group);
-    chosenByGroup.set(group, known);
-    return known;
+    const known = choices.get(group) ?? choose(group);
+    choices.set(group, known);
+    return known.chosen.map(({ id }) => id);
   };
 
   /** VMs that hold the group's connections by the record, in the order of their slots. */
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -20,6 +20,8 @@
   configuration: ConfigurationState;
   membership: Membership;
   groups: GroupRegistry;
+  /** Groups whose connections this VM may have now. */
+  heldGroups(): string[];
   terms: ReturnType<typeof createTermKeeper>;
   peers: PeerRegistry;
   timings: FailoverTimings;
@@ -57,7 +59,7 @@
   const updateRanks = (): void => {
     rankTimer = undefined;
     ranks.clear();
-    configuration.names('group').forEach((group) => {
+    options.heldGroups().forEach((group) => {
       const rank = rankIn(group);
       if (rank >= 0) ranks.set(group, rank);
     });
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -216,11 +216,18 @@
       .finally(() => busy.delete(group));
   };
 
+  /** Whether this VM has, or should have, a slot of the group. */
+  const isConcerned = (group: string): boolean =>
+    freeAtMs.has(group) || (users?.membership.chosen(group).includes(vm) ?? false);
+
   const considerAll = async (): Promise<void> => {
     listTimer = undefined;
-    const groups = [...configuration.list('group').keys()];
+    const groups = configuration.names('group');
     for (let at = 0; at < groups.length && !isStopped; at += GROUPS_PER_TURN) {
-      groups.slice(at, at + GROUPS_PER_TURN).forEach(consider);
+      groups
+        .slice(at, at + GROUPS_PER_TURN)
+        .filter(isConcerned)
+        .forEach(consider);
       await sleep(0);
     }
   };
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -113,6 +113,7 @@
 export { default as outageProvenAtMs } from './keys/outageProvenAtMs';
 export { default as isVouched } from './keys/isVouched';
 export { default as chooseHolders } from './membership/chooseHolders';
+export { default as mayBeChosen } from './membership/mayBeChosen';
 export { default as checkStep } from './transaction/checkStep';
 export { default as isSessionControl } from './transaction/isSessionControl';
 export type { default as StepKind } from './transaction/stepKind';
--- a/packages/coordination/src/membership/chooseHolders.spec.ts
+++ b/packages/coordination/src/membership/chooseHolders.spec.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import chooseHolders from './chooseHolders';
 import hashText from './hashText';
+import mayBeChosen from './mayBeChosen';
 
 const DATA_CENTRES = ['a', 'b', 'c', 'd'];
 
@@ -47,6 +48,31 @@
     });
   });
 
+  it('changes by a VM that joins only where that one may be chosen', () => {
+    fc.assert(
+      fc.property(
+        countsArbitrary,
+        fc.string(),
+        fc.integer({ min: 1, max: 5 }),
+        fc.constantFrom(...DATA_CENTRES),
+        (counts, group, slots, dataCentre) => {
+          const near = ['a', 'b', 'a'];
+          const before = fleetOf(counts);
+          const joining = { id: `${dataCentre}-new`, hash: hashText(`${dataCentre}-new`) };
+          const after = new Map(before);
+          after.set(dataCentre, [...(before.get(dataCentre) ?? []), joining]);
+          const held = chooseHolders(before, group, near, slots);
+          const holds = chooseHolders(after, group, near, slots);
+          const chosen = held.map((id) => ({ dataCentre: id[0] ?? '', hash: hashText(id) }));
+          const choice = { groupHash: hashText(group), near, slots, chosen };
+          if (mayBeChosen({ dataCentre, hash: joining.hash }, choice)) return;
+          expect(holds).to.deep.equal(held);
+        },
+      ),
+      { numRuns: 2_000 },
+    );
+  });
+
   it('spreads groups evenly', () => {
     const held = new Map<string, number>();
     const fleet = fleetOf([6, 6, 6, 6]);
