fix: deleting a group no longer ends the daemons that hold it

Cause: between the deletion and the next update of ranks a promoter's tick asked for the group's holder, which threw unknownGroup in a timer and ended the process. The slot of a group without a document counts as not usable now, so ticks leave it out and its connections are closed.

Red before (the VM's operator port refused connections), green after.

--- a/packages/auburngrade/src/integration/slots.spec.ts
+++ b/packages/auburngrade/src/integration/slots.spec.ts
@@ -173,4 +173,20 @@
         await fleet.start(vm, dataCentreOf(vm));
       }));
   });
+
+  describe('whose group is deleted', () => {
+    it('has no connections any more, and its VMs go on', async () => {
+      const client = fleet.operator(fleet.names[0]?.vm ?? '');
+      const change = await client.delete({
+        kind: 'group',
+        name: GROUP,
+        expectedRevision: -1,
+        changeId: '',
+      });
+      client.close();
+      expect(change.verdict, change.message).to.equal('ran');
+      await waitFor('no connections', async () => openNow === 0);
+      await Promise.all(fleet.names.map(({ vm }) => fleet.statusOf(vm)));
+    });
+  });
 });
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -87,7 +87,9 @@
 
   const isUsable = (group: string): boolean => {
     const free = freeAtMs.get(group);
-    return free !== undefined && !isStopped && !closing.has(group) && isUsableFrom(free);
+    if (free === undefined || isStopped || closing.has(group)) return false;
+    // The record outlives a group that is deleted.
+    return configuration.get('group', group) !== undefined && isUsableFrom(free);
   };
 
   /** Ends the group's connections at once: another VM may use the slot from now on. */
