--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -12,6 +12,7 @@
 import type { Server, ServerCredentials } from '@grpc/grpc-js';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
+import withKeyCheck from '../authentication/withKeyCheck';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
@@ -46,6 +47,7 @@
 import createKeyWatch from '../transactions/createKeyWatch';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
+import limitHeap from './limitHeap';
 
 /** Time for the last answers to leave once all work has ended. */
 const SERVER_GRACE_MS = 500;
@@ -141,13 +143,14 @@
     nowMs,
   });
 
+  const authenticator = createAuthenticator(configuration, vouching.isVouched);
   const loading = createConfigurationWaiter(configuration, nowMs);
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     await loading.wait(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
     if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
-    return holder;
+    return withKeyCheck(holder, () => authenticator.recheck(request.keyHash));
   };
   const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
 
@@ -186,7 +189,7 @@
   });
   const callerHandler = createCallerHandler({
     settings,
-    authenticator: createAuthenticator(configuration, vouching.isVouched),
+    authenticator,
     admission: rates.admission,
     execute: router.execute,
     begin: router.begin,
@@ -276,13 +279,16 @@
       server.addService(OperatorService, createOperatorService(operatorHandler));
     }),
   ]);
+  limitHeap(settings);
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
     await drainWork({
       tracker: work,
       timings: settings.shutdown,
-      announce: notices.announce,
+      announce: async () => {
+        await Promise.all([notices.announce(), rates.shares.handOver()]);
+      },
       abortAll: transactions.abortAll,
     });
     endFollowing();
