--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -87,7 +87,9 @@
 
   const isUsable = (group: string): boolean => {
     const free = freeAtMs.get(group);
-    return free !== undefined && !isStopped && !closing.has(group) && isUsableFrom(free);
+    if (free === undefined || isStopped || closing.has(group)) return false;
+    // The record outlives a group that is deleted.
+    return configuration.get('group', group) !== undefined && isUsableFrom(free);
   };
 
   /** Ends the group's connections at once: another VM may use the slot from now on. */
@@ -216,11 +218,18 @@
       .finally(() => busy.delete(group));
   };
 
+  /** Whether this VM has, or should have, a slot of the group. */
+  const isConcerned = (group: string): boolean =>
+    freeAtMs.has(group) || (users?.membership.chosen(group).includes(vm) ?? false);
+
   const considerAll = async (): Promise<void> => {
     listTimer = undefined;
-    const groups = [...configuration.list('group').keys()];
+    const groups = configuration.names('group');
     for (let at = 0; at < groups.length && !isStopped; at += GROUPS_PER_TURN) {
-      groups.slice(at, at + GROUPS_PER_TURN).forEach(consider);
+      groups
+        .slice(at, at + GROUPS_PER_TURN)
+        .filter(isConcerned)
+        .forEach(consider);
       await sleep(0);
     }
   };
