--- a/scripts/capacity/slopesSchema.ts
+++ b/scripts/capacity/slopesRunSchema.ts
@@ -1,20 +1,18 @@
 import { z } from 'zod';
 
-/** The file that `npm run slopes` writes, as far as the capacity page needs it. */
-const slopesSchema = z.object({
+/** A file that `npm run slopes` writes, as far as the capacity page needs it. */
+const slopesRunSchema = z.object({
   commit: z.string(),
   date: z.string(),
-  node: z.string(),
-  cores: z.number(),
   results: z.array(
     z.object({
       name: z.string(),
       unit: z.string(),
-      rows: z.array(z.record(z.string(), z.number())),
+      rows: z.array(z.object({ size: z.number() })),
       slopes: z.array(z.object({ measure: z.string(), base: z.number(), slope: z.number() })),
       failures: z.array(z.string()),
     }),
   ),
 });
 
-export default slopesSchema;
+export default slopesRunSchema;
