refactor: split the daemon's wiring by concern

startDaemon keeps the order of start and stop; the way of a statement to an endpoint and the ports have modules of their own.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,57 +1,33 @@
-import { createCallerService, proxyDefinition } from '@auburngrade/caller';
-import {
-  createConfigurationState,
-  createWorkTracker,
-  type StatementOutcome,
-  type StatementRequest,
-  type TransactionRequest,
-} from '@auburngrade/coordination';
-import { OperatorService, createOperatorService } from '@auburngrade/operator';
+import { createConfigurationState, createWorkTracker } from '@auburngrade/coordination';
 import { createEtcdPlatform } from '@auburngrade/platform';
-import { PING_KIND, addPeerServices } from '@auburngrade/vm';
-import type { Server, ServerCredentials } from '@grpc/grpc-js';
+import { PING_KIND } from '@auburngrade/vm';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
-import withKeyCheck from '../authentication/withKeyCheck';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
-import createReadExecutor from '../execution/createReadExecutor';
-import createWriteExecutor from '../execution/createWriteExecutor';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermKeeper from '../groups/createTermKeeper';
 import createVouching from '../keys/createVouching';
 import createLogger from '../log/createLogger';
 import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
-import type GroupHolder from '../groups/groupHolder';
 import createMetrics from '../metrics/createMetrics';
 import createFailoverMetrics from '../promotion/createFailoverMetrics';
 import createPromotionService from '../promotion/createPromotionService';
 import createPeerRegistry from '../routing/createPeerRegistry';
-import createPrimaryWaiter from '../routing/createPrimaryWaiter';
-import createRouter from '../routing/createRouter';
-import createRoutingMetrics from '../routing/createRoutingMetrics';
 import createCallerHandler from '../serving/createCallerHandler';
 import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
-import startGrpcServer from '../serving/startGrpcServer';
-import startHttpServer from '../serving/startHttpServer';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
-import stopServer from '../shutdown/stopServer';
 import loadTls from '../tls/loadTls';
 import createKeyWatch from '../transactions/createKeyWatch';
-import createLocalTransactions from '../transactions/createLocalTransactions';
 import type Settings from '../settings/settings';
-
-/** Time for the last answers to leave once all work has ended. */
-const SERVER_GRACE_MS = 500;
-/** Statements up to this much over the limit get a refusal that names it. */
-const MESSAGE_MARGIN_BYTES = 4_194_304;
-const UNLIMITED = -1;
+import createStatementPath from './createStatementPath';
+import startServers from './startServers';
 
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
@@ -81,16 +57,6 @@
   const membership = createMembership(configuration);
   const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
-  const reads = createReadExecutor({
-    ...settings,
-    ...settings.reads,
-    configuration,
-    held: groups.held,
-    nowMs,
-  });
-  const primaries = createPrimaryWaiter(configuration, nowMs);
-  const writes = createWriteExecutor(settings.vm, nowMs);
-
   const work = createWorkTracker();
   const notices = createLeavingNotices({
     vm: settings.vm,
@@ -118,34 +84,17 @@
 
   const authenticator = createAuthenticator(configuration, vouching.isVouched);
   const loading = createConfigurationWaiter(configuration, nowMs);
-  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
-    await loading.wait(request.deadlineAtMs);
-    const holder = groups.get(request.group);
-    await terms.ensureRecord(holder);
-    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
-    return withKeyCheck(holder, () => authenticator.recheck(request.keyHash));
-  };
-  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
-
-  const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
-    const holder = await holderOf(request);
-    const outcome = await (request.write ? writes : reads).execute(holder, request);
-    const { role } = outcome.servedBy;
-    const mode = request.write ? 'write' : 'read';
-    metrics.served.inc({ group: request.group, role, mode });
-    return outcome;
-  };
-
-  const router = createRouter({
-    ...settings,
+  const statements = createStatementPath({
+    settings,
+    configuration,
+    groups,
+    terms,
     membership,
     peers,
-    hasGroup: (name) => configuration.get('group', name) !== undefined,
-    leaving: notices.leaving,
-    markLeaving: notices.add,
-    executeLocally,
-    beginLocally: transactions.begin,
-    metrics: createRoutingMetrics(metrics.registry),
+    notices,
+    recheckKey: authenticator.recheck,
+    awaitConfiguration: loading.wait,
+    metrics,
     nowMs,
   });
   const rates = createAdmission({
@@ -164,8 +113,8 @@
     settings,
     authenticator,
     admission: rates.admission,
-    execute: router.execute,
-    begin: router.begin,
+    execute: statements.execute,
+    begin: statements.begin,
     enter: work.enter,
     awaitConfiguration: loading.wait,
     onKeysChanged: createKeyWatch(configuration),
@@ -193,9 +142,9 @@
   const peerHandler = createPeerHandler({
     vm: settings.vm,
     incarnation,
-    executeLocally,
+    executeLocally: statements.executeLocally,
     openFollowSession: follower.openFollowSession,
-    beginLocally: transactions.begin,
+    beginLocally: statements.beginLocally,
     enter: work.enter,
     messageHandlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
       ...rates.messageHandlers,
@@ -217,38 +166,15 @@
     nowMs,
   });
   promotions.start();
-  const http = startHttpServer(
-    settings.host,
-    settings.httpPort,
-    metrics.registry,
-    () => work.phase() === 'serving' && loading.isLoaded() && rates.leases.hasStood(),
-  );
-  const listen = (
-    port: number,
-    credentials: ServerCredentials,
-    register: (to: Server) => void,
-    maxMessageBytes?: number,
-  ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, maxMessageBytes);
-  let endFollowing = (): void => {};
-  const servers = await Promise.all([
-    listen(
-      settings.callerPort,
-      tls.callers,
-      (server) => server.addService(proxyDefinition, createCallerService(callerHandler)),
-      settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
-    ),
-    listen(
-      settings.vmPort,
-      tls.vms,
-      (server) => {
-        endFollowing = addPeerServices(server, peerHandler);
-      },
-      UNLIMITED,
-    ),
-    listen(settings.operatorPort, tls.operators, (server) => {
-      server.addService(OperatorService, createOperatorService(operatorHandler));
-    }),
-  ]);
+  const servers = await startServers({
+    settings,
+    tls,
+    registry: metrics.registry,
+    isReady: () => work.phase() === 'serving' && loading.isLoaded() && rates.leases.hasStood(),
+    callerHandler,
+    peerHandler,
+    operatorHandler,
+  });
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
@@ -256,20 +182,19 @@
       tracker: work,
       timings: settings.shutdown,
       announce: notices.announce,
-      abortAll: transactions.abortAll,
+      abortAll: statements.abortTransactions,
     });
-    endFollowing();
-    await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
+    await servers.stop();
     promotions.stop();
     await rates.shares.handOver();
     rates.stop();
     follower.stop();
     vouching.stop();
-    reads.close();
+    statements.close();
     groups.close();
     peers.close();
     platform.close();
-    http.close();
+    servers.closeHttp();
     logger.info('daemon.stopped');
   };
 };
