--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -20,6 +20,7 @@
 import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
+import createSlotKeeper from '../slots/createSlotKeeper';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
@@ -27,6 +28,7 @@
 import createKeyWatch from '../transactions/createKeyWatch';
 import type Settings from '../settings/settings';
 import createStatementPath from './createStatementPath';
+import limitHeap from './limitHeap';
 import startServers from './startServers';
 
 /** Starts a VM's daemon; resolves with the function that shuts it down. */
@@ -54,8 +56,32 @@
     nowMs,
     logger,
   });
-  const membership = createMembership(configuration);
-  const groups = createGroupRegistry(configuration, settings.vm, addresses, nowMs, settings.pools);
+  const slots = createSlotKeeper({
+    vm: settings.vm,
+    incarnation,
+    platform,
+    platformTimeoutMs: timeoutMs,
+    configuration,
+    completeAtMs: vouching.completeAtMs,
+    announce: vouching.announce,
+    exchange,
+    logger,
+    nowMs,
+  });
+  const membership = createMembership({
+    vm: settings.vm,
+    configuration,
+    isOwnSlotUsable: slots.isUsable,
+    nowMs,
+  });
+  const groups = createGroupRegistry(
+    configuration,
+    settings.vm,
+    addresses,
+    nowMs,
+    settings.pools,
+    slots.isUsable,
+  );
   const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
   const work = createWorkTracker();
   const notices = createLeavingNotices({
@@ -135,6 +161,7 @@
       configuration: follower.describe(),
       areKeysVouched: vouching.isVouched(),
       outageAgeMs: vouching.outageAgeMs(),
+      slots: slots.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -151,6 +178,7 @@
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
       ...vouching.messageHandlers,
+      ...slots.messageHandlers,
       [PING_KIND, async () => ({})],
     ]),
     nowMs,
@@ -166,6 +194,7 @@
     nowMs,
   });
   promotions.start();
+  slots.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
   const servers = await startServers({
     settings,
     tls,
@@ -175,17 +204,21 @@
     peerHandler,
     operatorHandler,
   });
+  limitHeap(settings);
   logger.info('daemon.started', { callerPort: settings.callerPort });
 
   return async () => {
     await drainWork({
       tracker: work,
       timings: settings.shutdown,
-      announce: notices.announce,
+      announce: async () => {
+        await Promise.all([notices.announce(), rates.shares.handOver()]);
+      },
       abortAll: statements.abortTransactions,
     });
     await servers.stop();
     promotions.stop();
+    await slots.stop();
     await rates.shares.handOver();
     rates.stop();
     follower.stop();
