--- a/packages/auburngrade/src/traces/traces.spec.ts
+++ b/packages/auburngrade/src/traces/traces.spec.ts
@@ -22,6 +22,11 @@
       const text = read('staleStoreAnswers.jsonl');
       expect(replayTrace(text, 'configurationState', new ConfigurationDriver())).to.deep.equal([]);
     });
+
+    it('keeps to the stated outcomes when a VM knows its own write ahead of the rest', () => {
+      const text = read('ownWriteAhead.jsonl');
+      expect(replayTrace(text, 'configurationState', new ConfigurationDriver())).to.deep.equal([]);
+    });
   });
 
   describe('promotion', () => {
