--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -29,10 +29,14 @@
   claimAfterMs: number;
   confirmAfterMs: number;
   collectAfterMs: number;
+  /** Whether units are to be given back once the report under way is answered. */
+  isGivingBack: boolean;
   lastSyncAtMs: number;
   lastDemandPerS: number;
   isSyncDue: boolean;
   unreachableSinceMs: number | undefined;
+  /** VMs that did not answer a recall, and until when they are not asked again. */
+  silentUntilMs: Map<string, number>;
 }
 
 export default ShareState;
