fix: a profile that names groups reaches no others

Cause: the groups of a profile were stored and checked for existence, but no request was compared with them, so that every profile, also one open to all, reached every group. Ruled out: reading an empty list as no group, since profiles without groups are in use. Change: the group of a statement or a transaction must be among the profile's groups when it names any; otherwise groupNotAllowed, not run.

--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { notRun, type ConfigurationState, type Profile } from '@auburngrade/coordination';
 import type Caller from './caller';
 
 const RETRY_AFTER_MS = 1_000;
@@ -17,9 +17,14 @@
     throw notRun('keyNotVouched', message, RETRY_AFTER_MS);
   };
 
-  const check = (keyHash: string | undefined, profileName: string): Caller => {
+  const findProfile = (profileName: string): Profile => {
     const profile = configuration.get('profile', profileName);
     if (!profile) throw notRun('unknownProfile', `no profile ${profileName}`);
+    return profile;
+  };
+
+  const checkKey = (keyHash: string | undefined, profileName: string): Caller => {
+    const profile = findProfile(profileName);
     if (profile.openToAll) return { account: undefined, profile, profileName, keyHash: undefined };
     if (keyHash === undefined) throw notRun('unauthenticated', 'a key is required');
     const found = configuration.get('key', keyHash);
@@ -31,10 +36,24 @@
     return { account: found.account, profile, profileName, keyHash };
   };
 
+  const checkGroup = ({ groups }: Profile, group: string): void => {
+    if (groups.length === 0 || groups.includes(group)) return;
+    // An unknown group is told as such where it is looked up.
+    if (!configuration.get('group', group)) return;
+    throw notRun('groupNotAllowed', `the profile does not name group ${group}`);
+  };
+
   return {
-    /** @throws RefusalError `unknownProfile`, `unauthenticated`, `accountNotAllowed` or `keyNotVouched`. */
-    authenticate: (key: string | undefined, profileName: string): Caller =>
-      check(key === undefined ? undefined : hashOf(key), profileName),
+    /**
+     * Checks a caller's key against the profile, and the group against those that it names.
+     * @throws RefusalError `unknownProfile`, `unauthenticated`, `accountNotAllowed`,
+     * `keyNotVouched` or `groupNotAllowed`.
+     */
+    authenticate: (key: string | undefined, profileName: string, group: string): Caller => {
+      const caller = checkKey(key === undefined ? undefined : hashOf(key), profileName);
+      checkGroup(caller.profile, group);
+      return caller;
+    },
     /**
      * Checks a key again right before a statement goes to an endpoint, maybe on another VM than
      * the one that authenticated it. A key that is not known here is newer than this VM's
--- a/packages/auburngrade/src/integration/badInput.spec.ts
+++ b/packages/auburngrade/src/integration/badInput.spec.ts
@@ -54,6 +54,8 @@
     }
     await fleet.put('profile', 'bids', { accounts: ['ranch'], groups: [GROUP] });
     await fleet.put('profile', 'open', { openToAll: true, groups: [GROUP] });
+    await fleet.put('profile', 'elsewhere', { accounts: ['ranch'], groups: ['archive'] });
+    await fleet.put('profile', 'open-elsewhere', { openToAll: true, groups: ['archive'] });
     keys.good = (await fleet.issueKey('ranch')).key;
     keys.stranger = (await fleet.issueKey('stranger')).key;
     const withdrawn = await fleet.issueKey('ranch');
@@ -105,6 +107,17 @@
     },
     { name: 'an unknown profile', change: { profile: 'none' }, code: 'unknownProfile' },
     { name: 'an unknown group', change: { group: 'none' }, code: 'unknownGroup' },
+    {
+      name: 'a group that the profile does not name',
+      change: { profile: 'elsewhere' },
+      code: 'groupNotAllowed',
+    },
+    {
+      name: 'a group that an open profile does not name',
+      change: { profile: 'open-elsewhere' },
+      key: 'none',
+      code: 'groupNotAllowed',
+    },
     { name: 'a malformed token', change: { sessionToken: '%%' }, code: 'badSessionToken' },
     {
       name: 'an oversize token',
--- a/packages/auburngrade/src/report/faultKindOf.ts
+++ b/packages/auburngrade/src/report/faultKindOf.ts
@@ -9,6 +9,7 @@
   'unauthenticated',
   'unknownProfile',
   'accountNotAllowed',
+  'groupNotAllowed',
   'unknownGroup',
   'statementFailed',
   'duplicateRequest',
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -61,7 +61,8 @@
       checkStatement(statement, this.options.settings);
       const sessionToken = decodeSessionToken(statement.sessionToken);
       await this.options.awaitConfiguration(startedAtMs + statement.timeoutMs);
-      const caller = this.options.authenticator.authenticate(key, statement.profile);
+      const { profile, group } = statement;
+      const caller = this.options.authenticator.authenticate(key, profile, group);
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
       await this.options.admission.admit(caller.account, statement.profile);
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -77,9 +77,9 @@
     end();
   };
 
-  const recheck = (profile: string): void => {
+  const recheck = (profile: string, group: string): void => {
     try {
-      authenticator.authenticate(key, profile);
+      authenticator.authenticate(key, profile, group);
     } catch (error) {
       revoked = toRefusal(error);
       abort();
@@ -104,7 +104,7 @@
     const leave = options.enter();
     try {
       const transaction = await options.begin(request);
-      const stopWatching = options.onKeysChanged(() => recheck(profile));
+      const stopWatching = options.onKeysChanged(() => recheck(profile, request.group));
       const timer = setTimeout(abort, request.deadlineAtMs - nowMs());
       const close = (): void => {
         clearTimeout(timer);
@@ -122,7 +122,7 @@
     sessionToken = step.sessionToken;
     checkRequest(step, settings);
     await options.awaitConfiguration(nowMs() + step.timeoutMs);
-    const caller = authenticator.authenticate(key, step.profile);
+    const caller = authenticator.authenticate(key, step.profile, step.group);
     const request = toRequest(step, caller);
     requestId = request.requestId;
     await admission.admit(caller.account, step.profile);
@@ -147,7 +147,7 @@
   const run = async ({ step, body }: TransactionStep): Promise<StatementOutcome> => {
     progress = checkStep(progress, step, body?.$case);
     if (body?.$case === 'begin') return begin(body.begin);
-    if (opened) recheck(opened.request.profile);
+    if (opened) recheck(opened.request.profile, opened.request.group);
     if (revoked) throw notRun(revoked.code, revoked.message);
     if (!opened) throw notRun('transactionAborted', 'the transaction has been rolled back');
     if (body?.$case === 'statement') return runStatement(opened, body.statement);
--- a/packages/coordination/src/configuration/profileSchema.ts
+++ b/packages/coordination/src/configuration/profileSchema.ts
@@ -20,7 +20,10 @@
   freshnessRatio: z.number().min(0).max(1).default(0.999),
 });
 
-/** A named profile: how fresh reads must be, who may call, at what rate, how endpoints join and leave. */
+/**
+ * A named profile: how fresh reads must be, who may call, which groups, at what rate, how
+ * endpoints join and leave. Without `groups` it reaches every group.
+ */
 const profileSchema = z
   .strictObject({
     openToAll: z.boolean().default(false),
--- a/packages/coordination/src/verdict/refusalSchema.ts
+++ b/packages/coordination/src/verdict/refusalSchema.ts
@@ -9,6 +9,7 @@
   'unauthenticated',
   'unknownProfile',
   'accountNotAllowed',
+  'groupNotAllowed',
   'unknownGroup',
   'rateExceeded',
   'shareUnavailable',
