refactor: slots that a VM has apart from the steps that change them

createSlotKeeper.ts was 289 lines with two jobs: which slots this VM has and may use now, and taking, asking for and giving back.

--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -1,16 +1,11 @@
-import {
-  decideSlot,
-  isSlotUsable,
-  ownSlot,
-  slotTimings,
-  type ConfigurationState,
-} from '@auburngrade/coordination';
+import { decideSlot, type ConfigurationState } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import { z } from 'zod';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
 import sleep from '../time/sleep';
+import createSlotHoldings from './createSlotHoldings';
 import createSlotWriter from './createSlotWriter';
 
 interface SlotKeeperOptions {
@@ -48,7 +43,6 @@
 const LIST_DELAY_MS = 100;
 /** A step that had no effect is tried again, at times that differ between VMs. */
 const RETRY_DELAY_MS = 1_000;
-const ANNOUNCE_RETRY_DELAY_MS = 500;
 /** Groups looked at before other work gets its turn. */
 const GROUPS_PER_TURN = 200;
 /** What runs when a slot is given back may go on for this long. */
@@ -61,15 +55,8 @@
 
 /** Takes, keeps and gives back this VM's slots of database groups. */
 const createSlotKeeper = (options: SlotKeeperOptions) => {
-  const { vm, incarnation, configuration, logger, nowMs } = options;
+  const { vm, incarnation, configuration, logger } = options;
   const writer = createSlotWriter(options.platform, configuration, options.platformTimeoutMs);
-  /** Groups that this VM holds by the record, and from when their former holders can't use them. */
-  const freeAtMs = new Map<string, number>();
-  const usable = new Set<string>();
-  /** Groups whose slots are being given back: they are not used again, whatever becomes of it. */
-  const closing = new Set<string>();
-  /** The latest take-over of each group that waits. */
-  const waits = new Map<string, object>();
   const pending = new Set<string>();
   const busy = new Set<string>();
   let users: SlotUsers | undefined;
@@ -79,78 +66,19 @@
   let listTimer: NodeJS.Timeout | undefined;
   let stopListening = (): void => {};
 
-  const slotOf = (group: string): number =>
-    ownSlot(configuration.get('slots', group), vm, incarnation);
-
-  const isUsableFrom = (free: number): boolean =>
-    isSlotUsable({ nowMs: nowMs(), completeAtMs: options.completeAtMs(), freeAtMs: free });
-
-  const isUsable = (group: string): boolean => {
-    const free = freeAtMs.get(group);
-    if (free === undefined || isStopped || closing.has(group)) return false;
-    // The record outlives a group that is deleted.
-    return configuration.get('group', group) !== undefined && isUsableFrom(free);
-  };
-
-  /** Ends the group's connections at once: another VM may use the slot from now on. */
-  const cut = (group: string): void => {
-    users?.groups.release(group, 0);
-  };
-
-  const refresh = (group: string): void => {
-    const isNow = isUsable(group);
-    // What runs while the slot is given back ends with the lease, too.
-    if (closing.has(group) && !isUsableFrom(freeAtMs.get(group) ?? 0)) cut(group);
-    if (isNow === usable.has(group)) return;
-    if (isNow) usable.add(group);
-    else {
-      usable.delete(group);
-      cut(group);
-    }
-    logger.info(isNow ? 'slot.usable' : 'slot.lapsed', { group });
-    users?.onHoldingChanged();
-  };
-
-  /** A VM that was cut off proves its slots by what witnesses know: they hear of it first. */
-  const announceUntilKnown = async (group: string, revision: number): Promise<void> => {
-    const wait = {};
-    waits.set(group, wait);
-    while (!isStopped && waits.get(group) === wait) {
-      if (await options.announce(revision)) {
-        if (waits.get(group) === wait) freeAtMs.set(group, nowMs() + slotTimings.takeOverMs);
-        return;
-      }
-      await sleep(ANNOUNCE_RETRY_DELAY_MS);
-    }
-  };
-
-  const noteTaken = (group: string, slot: number): void => {
-    const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
-    freeAtMs.set(group, isTakenOver ? Number.POSITIVE_INFINITY : nowMs());
-    logger.info('slot.taken', { group, slot, isTakenOver });
-    if (isTakenOver) announceUntilKnown(group, configuration.revisionOf('slots', group) ?? 0);
-    refresh(group);
-  };
-
-  /** Brings what this VM holds in line with the record. */
-  const follow = (group: string): void => {
-    const slot = slotOf(group);
-    if (slot >= 0 && !freeAtMs.has(group)) noteTaken(group, slot);
-    if (slot < 0 && freeAtMs.delete(group)) {
-      logger.info('slot.lost', { group });
-      waits.delete(group);
-      closing.delete(group);
-      refresh(group);
-      cut(group);
-    }
-  };
+  const holdings = createSlotHoldings({
+    ...options,
+    cut: (group) => users?.groups.release(group, 0),
+    onHoldingChanged: () => users?.onHoldingChanged(),
+  });
 
   /**
    * Frees a slot without connections. A write whose answer was lost may have taken effect, so
    * the slot is not used again whatever the answer.
    */
   const freeSlot = async (group: string, slot: number): Promise<void> => {
-    for (let tries = 0; tries < MAX_GIVE_BACK_TRIES && slotOf(group) === slot; tries += 1) {
+    const isHeld = (): boolean => holdings.slotOf(group) === slot;
+    for (let tries = 0; tries < MAX_GIVE_BACK_TRIES && isHeld(); tries += 1) {
       if ((await writer.write(group, slot, null)) !== undefined) return;
       await sleep(GIVE_BACK_RETRY_DELAY_MS);
     }
@@ -158,18 +86,16 @@
 
   /** Closes the group's connections, then frees its slot; a slot not yet usable stays taken over. */
   const giveBack = async (group: string): Promise<void> => {
-    const slot = slotOf(group);
+    const slot = holdings.slotOf(group);
     if (slot < 0) return;
-    if (!closing.has(group)) {
-      if (!isUsable(group)) return;
-      closing.add(group);
-      usable.delete(group);
-      users?.onHoldingChanged();
+    if (!holdings.isClosing(group)) {
+      if (!holdings.isUsable(group)) return;
+      holdings.beginClosing(group);
       await users?.groups.retire(group, GIVE_BACK_CUT_MS);
       logger.info('slot.closed', { group, slot });
     }
     await freeSlot(group, slot);
-    if (closing.has(group)) pending.add(group);
+    if (holdings.isClosing(group)) pending.add(group);
   };
 
   const ask = async (group: string, others: string[]): Promise<void> => {
@@ -188,7 +114,7 @@
   const step = async (group: string): Promise<void> => {
     const document = configuration.get('group', group);
     if (!document || !users) return;
-    if (closing.has(group)) {
+    if (holdings.isClosing(group)) {
       await giveBack(group);
       return;
     }
@@ -220,7 +146,7 @@
 
   /** Whether this VM has, or should have, a slot of the group. */
   const isConcerned = (group: string): boolean =>
-    freeAtMs.has(group) || (users?.membership.chosen(group).includes(vm) ?? false);
+    holdings.has(group) || (users?.membership.chosen(group).includes(vm) ?? false);
 
   const considerAll = async (): Promise<void> => {
     listTimer = undefined;
@@ -243,7 +169,7 @@
     changed.forEach(({ key }) => {
       if (key.startsWith(SLOTS_PREFIX)) {
         const group = key.slice(SLOTS_PREFIX.length);
-        follow(group);
+        holdings.follow(group);
         if (changed.length <= GROUPS_PER_TURN) consider(group);
       } else if (key.startsWith(GROUP_PREFIX)) considerAllSoon();
       else if (key.startsWith(VM_PREFIX)) considerAllSoon();
@@ -273,13 +199,13 @@
   };
 
   return {
-    isUsable,
+    isUsable: holdings.isUsable,
     /** Groups whose slots this VM uses now. */
-    describe: (): string[] => [...usable],
+    describe: holdings.used,
     messageHandlers: [[ASK_KIND, answerWanted]] as [string, MessageHandler][],
     start: (slotUsers: SlotUsers): void => {
       users = slotUsers;
-      checkTimer = setInterval(() => [...freeAtMs.keys()].forEach(refresh), CHECK_INTERVAL_MS);
+      checkTimer = setInterval(holdings.refreshAll, CHECK_INTERVAL_MS);
       stopListening = configuration.onChange(onChange);
       considerAllSoon();
       retryLater();
@@ -289,8 +215,9 @@
       clearTimeout(timer);
       clearTimeout(listTimer);
       stopListening();
-      await Promise.allSettled([...freeAtMs.keys()].map(giveBack));
+      await Promise.allSettled(holdings.names().map(giveBack));
       isStopped = true;
+      holdings.stop();
       clearInterval(checkTimer);
     },
   };
