--- a/scripts/ciSummary.mjs
+++ b/scripts/ciSummary.mjs
@@ -14,9 +14,9 @@
 const known = existsSync('KNOWN-RED.txt')
   ? [...readFileSync('KNOWN-RED.txt', 'utf8').matchAll(/^test: (.*)$/gm)].map((match) => match[1])
   : [];
-const failures = [...report.matchAll(/^ {2}\d+\) ((?:.|\n)*?):\n\n/gm)].map((match) =>
-  match[1].replace(/\s+/g, ' ').trim(),
-);
+// A title ends before an empty line or before an error, which is indented less than titles.
+const titles = report.matchAll(/^ {2}\d+\) ((?:.|\n)*?):\n(?=\n| {5}\S)/gm);
+const failures = [...titles].map((match) => match[1].replace(/\s+/g, ' ').trim());
 const unknown = failures.filter((title) => !known.includes(title));
 const isExplained = unknown.length === 0 && failures.length === failed;
 failures
