fix: a VM with equal parts of rates is ready without a lease

Cause: /health waited for the lease of shares also where the settings choose equal parts, which use none: such a VM was never ready, and the baseline of the measure did not start. Change: only shares wait for the lease. equalParts.spec.ts: red before, green after.

--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -51,6 +51,8 @@
     shares,
     leases,
     messageHandlers: new Map([...shares.handlers, ...leases.messageHandlers]),
+    /** Whether this VM may give out rates since its start; equal parts need no lease. */
+    isReady: (): boolean => mode !== 'shares' || leases.hasStood(),
     start: (): void => {
       if (mode === 'shares') leases.start(shares);
     },
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -200,7 +200,7 @@
     settings,
     tls,
     registry: metrics.registry,
-    isReady: () => work.phase() === 'serving' && loading.isLoaded() && rates.leases.hasStood(),
+    isReady: () => work.phase() === 'serving' && loading.isLoaded() && rates.isReady(),
     callerHandler,
     peerHandler,
     operatorHandler,
