fix: a fleet that does not start costs the measure only its own results

Cause: the baseline's fleet timed out at its start, and the nine scenarios measured before it were lost. The failure is printed with the others, and the exit code stays 1 when it is the product's.

--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -29,7 +29,16 @@
 const info = { ...runInfo(), isQuick };
 const results: DeploymentResult[] = [];
 for (const plan of planMeasures(chosen)) {
-  results.push(await runDeployment({ ...plan, ...times }));
+  // A fleet that does not start must not cost the results of the others.
+  const result = await runDeployment({ ...plan, ...times }).catch(
+    (error: Error): DeploymentResult => ({
+      deployment: plan.deployment.name,
+      variant: plan.variant.name,
+      results: [],
+      failures: [`start: ${error.message}`],
+    }),
+  );
+  results.push(result);
 }
 console.log(`\n${formatRows(resultRows(results))}\n`);
 results.forEach(({ deployment, variant, results: measured, failures }) => {
