test: the drained endpoint is read by the VM beside it from the start

Slots are taken after the start since the record of slots; the spec waited for reads that ran, whoever ran them. Ruled out: a hedged or cut read (a trace showed which VM had served each of them). Change: the spec waits until each VM serves its own reads; no check or bound is changed.

--- a/packages/auburngrade/src/integration/leavingEndpoint.spec.ts
+++ b/packages/auburngrade/src/integration/leavingEndpoint.spec.ts
@@ -62,18 +62,20 @@
     await promisify(execFile)(process.execPath, args);
   };
 
+  /** Until a VM that has just started holds its slot, other VMs read for it. */
+  const awaitOwnSlot = (vm: string, caller: ReturnType<Fleet['caller']> | undefined) =>
+    waitFor(`reads by ${vm} itself`, async () => {
+      const answered = caller && (await read(caller, READ, READ_TIMEOUT_MS));
+      return answered?.outcome.servedBy?.vm === vm;
+    });
+
   before(async () => {
     fleet = await startFleet({ connectionBudget: BUDGET });
     const endpoints = { drainTimeoutMs: DRAIN_TIMEOUT_MS };
     await fleet.put('profile', 'lots', { openToAll: true, groups: [GROUP], endpoints });
     await fleet.settle();
     callers = fleet.names.map(({ vm }) => fleet.caller(vm));
-    for (const caller of callers) {
-      await waitFor('reads', async () => {
-        const { outcome } = await read(caller, READ, READ_TIMEOUT_MS);
-        return outcome.verdict === Verdict.RAN;
-      });
-    }
+    await Promise.all(fleet.names.map(({ vm }, index) => awaitOwnSlot(vm, callers[index])));
   });
 
   after(async () => {
