refactor: one message handler type, one messenger and one wait for what stood in several files

Ruled out: a class for messages; a function that closes over the sender is enough. Change: membership/messageHandler, createMessenger and sendMessage, time/answerWithin, prefixes from documentKinds, node:timers/promises in specs, one TRACE_EVENT.

--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -4,7 +4,7 @@
 import type PeerRegistry from '../routing/peerRegistry';
 import type Settings from '../settings/settings';
 import createLeaseService from '../witness/createLeaseService';
-import type SendMessage from '../witness/sendMessage';
+import type SendMessage from '../membership/sendMessage';
 import type Admission from './admission';
 import createEqualPartsAdmission from './createEqualPartsAdmission';
 import createShareAdmission from './createShareAdmission';
--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -6,7 +6,10 @@
   type ShareRecord,
 } from '@auburngrade/coordination';
 import { z } from 'zod';
+import createMessenger from '../membership/createMessenger';
+import type MessageHandler from '../membership/messageHandler';
 import type PeerRegistry from '../routing/peerRegistry';
+import answerWithin from '../time/answerWithin';
 import type LeaseService from '../witness/leaseService';
 import type createKeeperClaims from './createKeeperClaims';
 import NO_KEEPER from './noKeeper';
@@ -52,28 +55,12 @@
 });
 const recalledSchema = z.strictObject({ hasReleased: z.boolean() });
 
-const within = (waitMs: number, work: Promise<boolean>): Promise<boolean> =>
-  Promise.race([
-    work,
-    new Promise<boolean>((resolve) => {
-      setTimeout(() => resolve(false), waitMs).unref();
-    }),
-  ]);
-
 /** The messages by which units move between a share's keeper and its holders. */
 const createShareExchange = (options: ShareExchangeOptions) => {
   const { vm, incarnation, configuration, peers, leases, leaseMs, claims, roles, stateOf, nowMs } =
     options;
 
-  const send = async (
-    target: string,
-    kind: string,
-    body: unknown,
-  ): Promise<{ incarnation: number; body: unknown }> => {
-    const message = { fromVm: vm, incarnation, kind, bodyJson: JSON.stringify(body) };
-    const reply = await peers.get(target).exchange(message, EXCHANGE_TIMEOUT_MS);
-    return { incarnation: reply.incarnation, body: JSON.parse(reply.bodyJson) };
-  };
+  const send = createMessenger(vm, incarnation, peers);
 
   const noteUnreachable = (state: ShareState): void => {
     updateShareState(state, { unreachableSinceMs: state.unreachableSinceMs ?? nowMs() });
@@ -92,7 +79,7 @@
     });
     const report = holder.report(record.epoch, needed, nowMs());
     try {
-      const reply = await send(record.keeper, SYNC_KIND, report);
+      const reply = await send(record.keeper, SYNC_KIND, report, EXCHANGE_TIMEOUT_MS);
       const grant = shareGrantSchema.parse(reply.body);
       holder.accept(grant, nowMs());
       const isLowered = grant.kind === 'granted' && grant.units < report.heldUnits;
@@ -145,7 +132,7 @@
   ): Promise<boolean> => {
     try {
       const body = { share: state.name, mustReport, partUnits };
-      const reply = await send(target, RECALL_KIND, body);
+      const reply = await send(target, RECALL_KIND, body, EXCHANGE_TIMEOUT_MS);
       recalledSchema.parse(reply.body);
       state.keeper?.noteIncarnation(target, reply.incarnation, nowMs());
       return true;
@@ -165,7 +152,7 @@
     const answers = Promise.all(
       targets.map((target) => recallOne(state, target.vm, false, target.partUnits)),
     );
-    const isAnswered = await within(
+    const isAnswered = await answerWithin(
       RECALL_WAIT_MS,
       answers.then((all) => all.every(Boolean)),
     );
@@ -281,7 +268,7 @@
       if (silentMs > (isListed ? leaseMs : UNLISTED_MS)) await claim(state);
       else if (silentMs > SUSPECT_MS) replaceInBackground(state, record);
     },
-    handlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
+    handlers: new Map<string, MessageHandler>([
       [SYNC_KIND, onSync],
       [RECALL_KIND, onRecall],
     ]),
--- a/packages/auburngrade/src/admission/createShareTaking.ts
+++ b/packages/auburngrade/src/admission/createShareTaking.ts
@@ -1,4 +1,5 @@
 import type { ShareHolder, ShareKeeper } from '@auburngrade/coordination';
+import answerWithin from '../time/answerWithin';
 import sleep from '../time/sleep';
 import type createShareExchange from './createShareExchange';
 import type createShareRoles from './createShareRoles';
@@ -22,12 +23,6 @@
 const MIN_BACKOFF_MS = 20;
 const MAX_BACKOFF_MS = 100;
 
-const waitAtMost = (waitMs: number, work: Promise<boolean>): Promise<boolean> =>
-  new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(false), Math.max(0, waitMs));
-    work.then(resolve, reject).finally(() => clearTimeout(timer));
-  });
-
 /** Takes tokens for requests, and waits a short time for tokens of other VMs. */
 const createShareTaking = ({ maxWaitMs, roles, exchange, nowMs }: ShareTakingOptions) => {
   /** The bucket that this VM may take from now. */
@@ -82,7 +77,7 @@
     const deadlineAtMs = nowMs() + maxWaitMs;
     while (nowMs() < deadlineAtMs) {
       if (bucketOf(state)?.take(nowMs())) return true;
-      const hasToken = await waitAtMost(deadlineAtMs - nowMs(), gather(state));
+      const hasToken = await answerWithin(deadlineAtMs - nowMs(), gather(state));
       const delayMs = hasToken ? 0 : retryDelayMs(state);
       if (nowMs() + delayMs > deadlineAtMs && !mayBeServed(state)) break;
       if (delayMs > 0) await sleep(Math.min(delayMs, MIN_BACKOFF_MS));
--- a/packages/auburngrade/src/configuration/configurationTree.spec.ts
+++ b/packages/auburngrade/src/configuration/configurationTree.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createConfigurationState, type ConfigurationState } from '@auburngrade/coordination';
 import type { ConfigurationUpdate } from '@auburngrade/vm';
 import { waitFor } from '@auburngrade/testkit';
@@ -15,10 +16,6 @@
 const CHANGES_MS = 2_000;
 
 const nowMs = (): number => performance.now();
-const sleep = (ms: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
 const accountAt = (name: string, revision: number) => ({
   key: `/auburngrade/account/${name}`,
   valueJson: JSON.stringify({ limit: { ratePerS: revision, burst: 1 }, weight: 1 }),
--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -1,6 +1,7 @@
 import {
   createPeerHealth,
   createSourceReturn,
+  documentKinds,
   isRelay,
   relayRank,
   sourcesElsewhere,
@@ -60,7 +61,7 @@
     ranks = new Map([...ids].map(([dataCentre, vms]) => [dataCentre, relayRank(vms, dataCentre)]));
   };
   configuration.onChange((changed) => {
-    if (changed.some(({ key }) => key.startsWith('/platform/vms/'))) rankAll();
+    if (changed.some(({ key }) => key.startsWith(documentKinds.vm.prefix))) rankAll();
   });
 
   const ownRank = (): string[] => ranks.get(settings.dataCentre) ?? [];
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -12,6 +12,7 @@
 import createLogger from '../log/createLogger';
 import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
+import type MessageHandler from '../membership/messageHandler';
 import createMetrics from '../metrics/createMetrics';
 import createFailoverMetrics from '../promotion/createFailoverMetrics';
 import createPromotionService from '../promotion/createPromotionService';
@@ -86,9 +87,8 @@
   const work = createWorkTracker();
   const notices = createLeavingNotices({
     vm: settings.vm,
-    incarnation,
     membership,
-    peers,
+    send: exchange,
     nowMs,
   });
 
@@ -102,7 +102,7 @@
     groups,
     heldGroups: slots.describe,
     terms,
-    peers,
+    send: exchange,
     timings: settings.failover,
     metrics: createFailoverMetrics(metrics.registry),
     logger,
@@ -174,7 +174,7 @@
     openFollowSession: follower.openFollowSession,
     beginLocally: statements.beginLocally,
     enter: work.enter,
-    messageHandlers: new Map<string, (fromVm: string, body: unknown) => Promise<unknown>>([
+    messageHandlers: new Map<string, MessageHandler>([
       ...rates.messageHandlers,
       ['suspicion', promotions.answerSuspicion],
       [notices.kind, notices.receive],
--- a/packages/auburngrade/src/groups/createConnectionPool.spec.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { RefusalError } from '@auburngrade/coordination';
 import { Endpoint, type EndpointConnection } from '@auburngrade/endpoint';
 import { expect } from 'chai';
@@ -10,11 +11,6 @@
 
 const nowMs = (): number => performance.now();
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 const createFakeConnection = (): EndpointConnection => {
   let isOpen = true;
   const refuse = () => Promise.reject(new Error('not used'));
--- a/packages/auburngrade/src/integration/leavingEndpoint.spec.ts
+++ b/packages/auburngrade/src/integration/leavingEndpoint.spec.ts
@@ -1,6 +1,7 @@
 import { execFile } from 'node:child_process';
 import { resolve } from 'node:path';
 import { promisify } from 'node:util';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { AccessMode, Verdict, type Outcome } from '@auburngrade/caller';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
@@ -22,11 +23,6 @@
 const SHORT_S = 2;
 const LONG_S = 20;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, delayMs);
-  });
-
 interface Read {
   sentAtMs: number;
   outcome: Outcome;
--- a/packages/auburngrade/src/integration/replacement.spec.ts
+++ b/packages/auburngrade/src/integration/replacement.spec.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { AccessMode, Verdict, type Outcome } from '@auburngrade/caller';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
@@ -17,11 +18,6 @@
 /** A VM that stopped answering must not cost a request more than this. */
 const ELSEWHERE_WITHIN_MS = 1_500;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 describe('VMs that stop, pause or die under load', () => {
   let fleet: Fleet;
   let key: string;
--- a/packages/auburngrade/src/integration/slots.spec.ts
+++ b/packages/auburngrade/src/integration/slots.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { runLoad, startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 
@@ -21,11 +22,6 @@
 /** How long the platform's list goes on naming a VM that is gone. */
 const LIST_LAG_MS = 2_000;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 describe('slots of a group', () => {
   let fleet: Fleet;
   let key = '';
--- a/packages/auburngrade/src/integration/transactionFaults.spec.ts
+++ b/packages/auburngrade/src/integration/transactionFaults.spec.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { AccessMode, TransactionBegin, Verdict, type TransactionReply } from '@auburngrade/caller';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
@@ -14,11 +15,6 @@
 const SILENCE_SEEN_WITHIN_MS = 3_000;
 const COMMITS = 24;
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 describe('transactions under faults', () => {
   let fleet: Fleet;
   let key: string;
--- a/packages/auburngrade/src/keys/createVouching.ts
+++ b/packages/auburngrade/src/keys/createVouching.ts
@@ -9,6 +9,7 @@
 } from '@auburngrade/coordination';
 import { z } from 'zod';
 import type Settings from '../settings/settings';
+import type MessageHandler from '../membership/messageHandler';
 
 interface VouchingOptions {
   settings: Settings;
@@ -25,8 +26,6 @@
   isRelay(): boolean;
 }
 
-type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
-
 const REACH_KIND = 'platformReach';
 const WITHDRAWAL_KIND = 'withdrawalNotice';
 const POLL_INTERVAL_MS = 500;
--- a/packages/auburngrade/src/membership/createExchange.ts
+++ b/packages/auburngrade/src/membership/createExchange.ts
@@ -1,12 +1,11 @@
 import type PeerRegistry from '../routing/peerRegistry';
+import createMessenger from './createMessenger';
+import type SendMessage from './sendMessage';
 
-/** Creates the function that sends a message of a registered kind to another VM and gives its reply. */
-const createExchange =
-  (vm: string, incarnation: number, peers: PeerRegistry) =>
-  async (target: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown> => {
-    const message = { fromVm: vm, incarnation, kind, bodyJson: JSON.stringify(body) };
-    const reply = await peers.get(target).exchange(message, timeoutMs);
-    return JSON.parse(reply.bodyJson);
-  };
+/** Creates the function that sends a message to another VM and gives the body of its reply. */
+const createExchange = (vm: string, incarnation: number, peers: PeerRegistry): SendMessage => {
+  const send = createMessenger(vm, incarnation, peers);
+  return async (target, kind, body, timeoutMs) => (await send(target, kind, body, timeoutMs)).body;
+};
 
 export default createExchange;
--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -1,5 +1,6 @@
 import {
   chooseHolders,
+  documentKinds,
   hashText,
   mayBeChosen,
   slotTimings,
@@ -31,9 +32,6 @@
 
 type SlotHolder = NonNullable<SlotsRecord['holders'][number]>;
 
-const VM_PREFIX = '/platform/vms/';
-const GROUP_PREFIX = '/auburngrade/group/';
-const SLOTS_PREFIX = '/auburngrade/slots/';
 /** With more VMs changed at a time all choices are made again. */
 const MAX_CHANGED_VMS = 100;
 const NO_CHOICE: Choice = { groupHash: 0, near: [], slots: 0, chosen: [] };
@@ -114,13 +112,13 @@
   };
 
   configuration.onChange((changed) => {
-    if (changed.some(({ key }) => key.startsWith(VM_PREFIX))) followList();
+    if (changed.some(({ key }) => key.startsWith(documentKinds.vm.prefix))) followList();
     changed
-      .filter(({ key }) => key.startsWith(GROUP_PREFIX))
-      .forEach(({ key }) => choices.delete(key.slice(GROUP_PREFIX.length)));
+      .filter(({ key }) => key.startsWith(documentKinds.group.prefix))
+      .forEach(({ key }) => choices.delete(key.slice(documentKinds.group.prefix.length)));
     changed
-      .filter(({ key }) => key.startsWith(SLOTS_PREFIX))
-      .forEach(({ key }) => noteTakenOver(key.slice(SLOTS_PREFIX.length)));
+      .filter(({ key }) => key.startsWith(documentKinds.slots.prefix))
+      .forEach(({ key }) => noteTakenOver(key.slice(documentKinds.slots.prefix.length)));
   });
 
   /** Lists of data centres are shared between choices, too. */
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -1,11 +1,15 @@
-import type { ConfigurationState, FailoverTimings } from '@auburngrade/coordination';
+import {
+  documentKinds,
+  type ConfigurationState,
+  type FailoverTimings,
+} from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type createTermKeeper from '../groups/createTermKeeper';
 import type GroupHolder from '../groups/groupHolder';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
-import type PeerRegistry from '../routing/peerRegistry';
+import type SendMessage from '../membership/sendMessage';
 import createGroupPromoter from './createGroupPromoter';
 import createPeerOpinions from './createPeerOpinions';
 import type FailoverMetrics from './failoverMetrics';
@@ -23,7 +27,7 @@
   /** Groups whose connections this VM may have now. */
   heldGroups(): string[];
   terms: ReturnType<typeof createTermKeeper>;
-  peers: PeerRegistry;
+  send: SendMessage;
   timings: FailoverTimings;
   metrics: FailoverMetrics;
   logger: Logger;
@@ -36,12 +40,16 @@
 const FIRST_TERM_INTERVAL_MS = 500;
 const HOLDERS_CHANGE_DELAY_MS = 50;
 /** Changes below these prefixes may change who holds a group. */
-const HOLDER_PREFIXES = ['/auburngrade/group/', '/auburngrade/slots/', '/platform/vms/'];
+const HOLDER_PREFIXES = [
+  documentKinds.group.prefix,
+  documentKinds.slots.prefix,
+  documentKinds.vm.prefix,
+];
 
 /** Watches the primaries of all groups whose connections this VM holds. */
 const createPromotionService = (options: ServiceOptions) => {
   const { vm, configuration, membership, groups, logger, nowMs } = options;
-  const opinions = createPeerOpinions(vm, membership, options.peers);
+  const opinions = createPeerOpinions(vm, membership, options.send);
   const promoters = new Map<string, GroupPromoter>();
   const ranks = new Map<string, number>();
   let rankTimer: NodeJS.Timeout | undefined;
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -18,8 +18,7 @@
 } from '@auburngrade/vm';
 import createForwardedTransaction from '../transactions/createForwardedTransaction';
 import type Transaction from '../transactions/transaction';
-
-type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
+import type MessageHandler from '../membership/messageHandler';
 
 interface PeerHandlerOptions {
   vm: string;
--- a/packages/auburngrade/src/shutdown/createLeavingNotices.ts
+++ b/packages/auburngrade/src/shutdown/createLeavingNotices.ts
@@ -1,13 +1,12 @@
 import type Membership from '../membership/membership';
+import type SendMessage from '../membership/sendMessage';
 import createRecentFailures from '../routing/createRecentFailures';
-import type PeerRegistry from '../routing/peerRegistry';
 import leavingMessageSchema from './leavingMessageSchema';
 
 interface LeavingNoticesOptions {
   vm: string;
-  incarnation: number;
   membership: Membership;
-  peers: PeerRegistry;
+  send: SendMessage;
   nowMs(): number;
 }
 
@@ -20,15 +19,9 @@
 
 /** Tells other VMs of this one's shutdown, and remembers which others shut down. */
 const createLeavingNotices = (options: LeavingNoticesOptions) => {
-  const { vm, incarnation, membership, peers, nowMs } = options;
+  const { vm, membership, send, nowMs } = options;
   const leaving = createRecentFailures(REMEMBER_MS, nowMs);
 
-  const notify = async (id: string): Promise<void> => {
-    const bodyJson = JSON.stringify({ vm });
-    const message = { fromVm: vm, incarnation, kind: LEAVING_KIND, bodyJson };
-    await peers.get(id).exchange(message, NOTICE_TIMEOUT_MS);
-  };
-
   return {
     kind: LEAVING_KIND,
     /** Answers another VM's notice. */
@@ -40,7 +33,9 @@
     leaving: leaving.names,
     announce: async (): Promise<void> => {
       const others = membership.live().filter(({ id }) => id !== vm);
-      const notified = others.slice(0, MAX_NOTICES).map(({ id }) => notify(id));
+      const notified = others
+        .slice(0, MAX_NOTICES)
+        .map(({ id }) => send(id, LEAVING_KIND, { vm }, NOTICE_TIMEOUT_MS));
       await Promise.allSettled(notified);
     },
   };
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -1,9 +1,10 @@
-import { decideSlot, type ConfigurationState } from '@auburngrade/coordination';
+import { decideSlot, documentKinds, type ConfigurationState } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import { z } from 'zod';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
+import type MessageHandler from '../membership/messageHandler';
 import sleep from '../time/sleep';
 import createSlotHoldings from './createSlotHoldings';
 import createSlotWriter from './createSlotWriter';
@@ -31,11 +32,6 @@
   onHoldingChanged(): void;
 }
 
-type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
-
-const VM_PREFIX = '/platform/vms/';
-const GROUP_PREFIX = '/auburngrade/group/';
-const SLOTS_PREFIX = '/auburngrade/slots/';
 const ASK_KIND = 'slotWanted';
 const ASK_TIMEOUT_MS = 500;
 const CHECK_INTERVAL_MS = 250;
@@ -167,12 +163,12 @@
   const onChange = (changed: readonly { key: string }[]): void => {
     if (changed.length > GROUPS_PER_TURN) considerAllSoon();
     changed.forEach(({ key }) => {
-      if (key.startsWith(SLOTS_PREFIX)) {
-        const group = key.slice(SLOTS_PREFIX.length);
+      if (key.startsWith(documentKinds.slots.prefix)) {
+        const group = key.slice(documentKinds.slots.prefix.length);
         holdings.follow(group);
         if (changed.length <= GROUPS_PER_TURN) consider(group);
-      } else if (key.startsWith(GROUP_PREFIX)) considerAllSoon();
-      else if (key.startsWith(VM_PREFIX)) considerAllSoon();
+      } else if (key.startsWith(documentKinds.group.prefix)) considerAllSoon();
+      else if (key.startsWith(documentKinds.vm.prefix)) considerAllSoon();
     });
   };
 
--- a/packages/auburngrade/src/traces/createTraceRecorder.ts
+++ b/packages/auburngrade/src/traces/createTraceRecorder.ts
@@ -1,4 +1,4 @@
-import type { TraceLine } from '@auburngrade/coordination';
+import { TRACE_EVENT, type TraceLine } from '@auburngrade/coordination';
 import type Logger from '../log/logger';
 
 interface RecorderOptions {
@@ -11,8 +11,6 @@
   startedAtMs: number;
 }
 
-/** Event of the log lines that carry a trace. */
-const TRACE_EVENT = 'trace.line';
 const VERSION = 1;
 
 /**
--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeats.ts
@@ -1,6 +1,6 @@
 import { renewalQuorum, type VmLease } from '@auburngrade/coordination';
 import { z } from 'zod';
-import type SendMessage from './sendMessage';
+import type SendMessage from '../membership/sendMessage';
 
 interface HeartbeatOptions {
   lease: VmLease;
--- a/packages/auburngrade/src/witness/createLapseProofs.ts
+++ b/packages/auburngrade/src/witness/createLapseProofs.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod';
 import sleep from '../time/sleep';
 import type createLeaseRecords from './createLeaseRecords';
-import type SendMessage from './sendMessage';
+import type SendMessage from '../membership/sendMessage';
 
 interface LapseProofOptions {
   vm: string;
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -6,11 +6,12 @@
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
+import type MessageHandler from '../membership/messageHandler';
 import createHeartbeats from './createHeartbeats';
 import createLapseProofs from './createLapseProofs';
 import createLeaseRecords from './createLeaseRecords';
 import createLeaseSeat from './createLeaseSeat';
-import type SendMessage from './sendMessage';
+import type SendMessage from '../membership/sendMessage';
 
 interface LeaseServiceOptions {
   vm: string;
@@ -25,8 +26,6 @@
   logger: Logger;
 }
 
-type MessageHandler = (fromVm: string, body: unknown) => Promise<unknown>;
-
 const HEARTBEATS_PER_LEASE = 3;
 /** How often a VM without a lease tries to get one. */
 const SEAT_INTERVAL_MS = 200;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -137,5 +137,6 @@
 export type { default as SlotsRecord } from './slots/slotsRecord';
 export { default as withHolder } from './slots/withHolder';
 export { default as CONTROL_CONNECTIONS } from './slots/controlConnections';
+export { default as TRACE_EVENT } from './trace/traceEvent';
 export { default as traceLineSchema } from './trace/traceLineSchema';
 export type { default as TraceLine } from './trace/traceLine';
--- a/packages/testkit/src/load/runLoad.ts
+++ b/packages/testkit/src/load/runLoad.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { AccessMode, Verdict, createCallerClient } from '@auburngrade/caller';
 
 type Caller = ReturnType<typeof createCallerClient>;
@@ -26,11 +27,6 @@
 const TIMEOUT_MS = 3_000;
 const SELECT = 'SELECT value FROM items WHERE key = $1';
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Sends reads at a steady rate, without waiting for answers, and counts how they end. */
 const runLoad = async (options: LoadOptions): Promise<LoadReport> => {
   const { callers, ratePerS, durationMs, profile, group } = options;
--- a/packages/vm/src/createLivenessProbe.spec.ts
+++ b/packages/vm/src/createLivenessProbe.spec.ts
@@ -1,11 +1,7 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import createLivenessProbe from './createLivenessProbe';
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 describe('createLivenessProbe', () => {
   const create = (isAnswering: () => boolean) => {
     const counts = { pings: 0 };
--- a/scripts/traces/linesOfTraces.ts
+++ b/scripts/traces/linesOfTraces.ts
@@ -1,12 +1,11 @@
+import { TRACE_EVENT } from '@auburngrade/coordination';
+
 interface LogLine {
   event?: string;
   trace?: string;
   line?: unknown;
 }
 
-/** Event of the log lines that carry a trace. */
-const TRACE_EVENT = 'trace.line';
-
 const parse = (text: string): LogLine => {
   try {
     return JSON.parse(text) as LogLine;
