fix: a silent VM is waited for, and refusals for it do not say that the rate is exceeded

A VM without tokens reports to its keeper over the silent link; the report fails after 300 ms, the link is opened anew after 500 ms, and the request was refused after 400 ms as over the rate, although nobody had said so. Also: two stages of heartbeats in vain took as long as the interval, so the next beat was dropped and the leases of all VMs could lapse 3 s after the links went silent; a keeper that had not claimed all units yet counted as one that had asked everybody. Ruled out: shorter pings (regions are far from each other); connections opened anew for each late answer (with the platform down many answers are late). Change: while a VM that may have tokens does not answer, requests wait up to maxSilentWaitMs (4 s) and the request's deadline, no more of them than the limit serves in maxWaitMs; the refusal then is shareUnavailable. Heartbeats time out after a sixth of the lease and are sent again a fifteenth of it after a beat in vain.

--- a/packages/auburngrade/src/admission/admissionSettingsSchema.ts
+++ b/packages/auburngrade/src/admission/admissionSettingsSchema.ts
@@ -13,6 +13,11 @@
   vmLeaseMs: z.number().int().min(500).max(60_000).default(3_000),
   /** How long a request waits for tokens from other VMs before it is refused. */
   maxWaitMs: z.number().int().min(0).max(5_000).default(400),
+  /**
+   * The same while another VM that may have tokens does not answer: its lease lapses meanwhile,
+   * and its tokens return. The request's deadline comes first.
+   */
+  maxSilentWaitMs: z.number().int().min(0).max(60_000).default(4_000),
 });
 
 export default admissionSettingsSchema;
--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -27,7 +27,7 @@
 /** Creates the admission that the settings choose, and the services of shares and leases behind it. */
 const createAdmission = (options: AdmissionOptions) => {
   const { settings, configuration, vmCount, nowMs } = options;
-  const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs } = settings.admission;
+  const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
   const common = {
     ...options,
     vm: settings.vm,
@@ -40,6 +40,7 @@
     leases,
     leaseMs: shareLeaseMs,
     maxWaitMs,
+    maxSilentWaitMs,
     limitOf: (name) => limitOfShare(configuration, name),
   });
   const admission: Admission =
--- a/packages/auburngrade/src/admission/createShareAdmission.ts
+++ b/packages/auburngrade/src/admission/createShareAdmission.ts
@@ -8,8 +8,8 @@
   configuration: ConfigurationState,
   shares: ReturnType<typeof createShareService>,
 ): Admission => {
-  const take = async (name: string, account: string): Promise<void> => {
-    const shortage = await shares.take(name);
+  const take = async (name: string, account: string, deadlineAtMs: number): Promise<void> => {
+    const shortage = await shares.take(name, deadlineAtMs);
     if (!shortage) return;
     const message =
       shortage.code === 'rateExceeded'
@@ -19,15 +19,15 @@
   };
 
   return {
-    admit: async (account: string | undefined, profileName: string): Promise<void> => {
+    admit: async (account, profileName, deadlineAtMs): Promise<void> => {
       if (account === undefined) return;
       if (!configuration.get('account', account)) {
         throw notRun('unauthenticated', `no client account ${account}`);
       }
-      await take(account, account);
+      await take(account, account, deadlineAtMs);
       if (!configuration.get('profile', profileName)?.limit) return;
       try {
-        await take(`${account}${PROFILE_SEPARATOR}${profileName}`, account);
+        await take(`${account}${PROFILE_SEPARATOR}${profileName}`, account, deadlineAtMs);
       } catch (error) {
         shares.putBack(account);
         throw error;
--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -152,10 +152,12 @@
     const answers = Promise.all(
       targets.map((target) => recallOne(state, target.vm, false, target.partUnits)),
     );
-    const isAnswered = await answerWithin(
+    const areAnswered = await answerWithin(
       RECALL_WAIT_MS,
       answers.then((all) => all.every(Boolean)),
     );
+    // Until all units are claimed some may be where nobody was asked.
+    const isAnswered = areAnswered && (state.keeper?.isMinted() ?? false);
     updateShareState(state, { isAnswered });
     return isAnswered;
   };
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -66,10 +66,10 @@
 
   return {
     /** Takes one token; resolves with undefined when it was there. */
-    take: async (name: string) => {
+    take: async (name: string, deadlineAtMs: number) => {
       const state = stateOf(name);
       if (!state) return { code: 'shareUnavailable' as const, retryAfterMs: MS_PER_S };
-      return taking.take(state);
+      return taking.take(state, deadlineAtMs);
     },
     /** Gives back a token of a request that was refused for another reason. */
     putBack: (name: string): void => {
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -15,6 +15,7 @@
   authorityAtMs: Number.NEGATIVE_INFINITY,
   waiting: 0,
   gathering: undefined,
+  gatheringSinceMs: Number.NEGATIVE_INFINITY,
   isAnswered: false,
   gatherAfterMs: 0,
   syncing: undefined,
--- a/packages/auburngrade/src/admission/createShareTaking.ts
+++ b/packages/auburngrade/src/admission/createShareTaking.ts
@@ -7,7 +7,10 @@
 import updateShareState from './updateShareState';
 
 interface ShareTakingOptions {
+  /** How long a request waits for tokens that the other VMs don't have now. */
   maxWaitMs: number;
+  /** How long it waits while a VM that may have some does not answer. */
+  maxSilentWaitMs: number;
   roles: ReturnType<typeof createShareRoles>;
   exchange: ReturnType<typeof createShareExchange>;
   nowMs(): number;
@@ -22,9 +25,13 @@
 /** Wait after asking for tokens in vain; doubles up to the maximum. */
 const MIN_BACKOFF_MS = 20;
 const MAX_BACKOFF_MS = 100;
+/** VMs that have not answered after this time may be silent. */
+const LATE_ANSWER_MS = 250;
 
 /** Takes tokens for requests, and waits a short time for tokens of other VMs. */
-const createShareTaking = ({ maxWaitMs, roles, exchange, nowMs }: ShareTakingOptions) => {
+const createShareTaking = (options: ShareTakingOptions) => {
+  const { maxWaitMs, maxSilentWaitMs, roles, exchange, nowMs } = options;
+
   /** The bucket that this VM may take from now. */
   const bucketOf = (state: ShareState): ShareHolder | ShareKeeper | undefined => {
     roles.refresh(state);
@@ -57,7 +64,7 @@
       .finally(() => {
         updateShareState(state, { gathering: undefined });
       });
-    updateShareState(state, { gathering });
+    updateShareState(state, { gathering, gatheringSinceMs: nowMs() });
     return gathering;
   };
 
@@ -73,13 +80,23 @@
   const mayBeServed = (state: ShareState): boolean =>
     state.waiting <= (state.limit.ratePerS * maxWaitMs) / MS_PER_S;
 
-  const takeOrWait = async (state: ShareState): Promise<boolean> => {
-    const deadlineAtMs = nowMs() + maxWaitMs;
-    while (nowMs() < deadlineAtMs) {
+  /** Whether a VM that may have tokens has not answered the last attempt, or not for long. */
+  const isSilent = (state: ShareState): boolean =>
+    !state.isAnswered ||
+    (state.gathering !== undefined && nowMs() - state.gatheringSinceMs >= LATE_ANSWER_MS);
+
+  /** A silent VM is waited for by no more requests than the whole limit could serve soon. */
+  const waitMs = (state: ShareState): number =>
+    isSilent(state) && mayBeServed(state) ? Math.max(maxWaitMs, maxSilentWaitMs) : maxWaitMs;
+
+  const takeOrWait = async (state: ShareState, deadlineAtMs: number): Promise<boolean> => {
+    const startedAtMs = nowMs();
+    const waitEndsAtMs = (): number => Math.min(deadlineAtMs, startedAtMs + waitMs(state));
+    while (nowMs() < waitEndsAtMs()) {
       if (bucketOf(state)?.take(nowMs())) return true;
-      const hasToken = await answerWithin(deadlineAtMs - nowMs(), gather(state));
+      const hasToken = await answerWithin(waitEndsAtMs() - nowMs(), gather(state));
       const delayMs = hasToken ? 0 : retryDelayMs(state);
-      if (nowMs() + delayMs > deadlineAtMs && !mayBeServed(state)) break;
+      if (nowMs() + delayMs > waitEndsAtMs() && !mayBeServed(state)) break;
       if (delayMs > 0) await sleep(Math.min(delayMs, MIN_BACKOFF_MS));
     }
     return bucketOf(state)?.take(nowMs()) ?? false;
@@ -89,17 +106,18 @@
     const bucket = bucketOf(state);
     const atWholeRateMs = Math.ceil(MS_PER_S / state.limit.ratePerS);
     const retryAfterMs = Math.max(1, bucket?.tokenDueInMs(nowMs()) ?? atWholeRateMs);
-    return { code: bucket ? 'rateExceeded' : 'shareUnavailable', retryAfterMs };
+    const isKnown = bucket !== undefined && !isSilent(state);
+    return { code: isKnown ? 'rateExceeded' : 'shareUnavailable', retryAfterMs };
   };
 
   return {
     /** Takes one token; resolves with undefined when it was there. */
-    take: async (state: ShareState): Promise<Shortage | undefined> => {
+    take: async (state: ShareState, deadlineAtMs: number): Promise<Shortage | undefined> => {
       roles.refresh(state);
       (state.keeper ?? state.holder)?.count(nowMs());
       updateShareState(state, { waiting: state.waiting + 1 });
       try {
-        return (await takeOrWait(state)) ? undefined : shortageOf(state);
+        return (await takeOrWait(state, deadlineAtMs)) ? undefined : shortageOf(state);
       } finally {
         updateShareState(state, { waiting: state.waiting - 1 });
       }
--- a/packages/auburngrade/src/admission/shareServiceOptions.ts
+++ b/packages/auburngrade/src/admission/shareServiceOptions.ts
@@ -15,6 +15,8 @@
   leases: LeaseService;
   leaseMs: number;
   maxWaitMs: number;
+  /** The same while another VM that may have tokens does not answer. */
+  maxSilentWaitMs: number;
   confirmedAtMs(): number;
   /** The limit of a share by its name. */
   limitOf(name: string): RateLimit | undefined;
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -20,6 +20,7 @@
   authorityAtMs: number;
   waiting: number;
   gathering: Promise<boolean> | undefined;
+  gatheringSinceMs: number;
   /** Whether the last attempt to gather tokens was answered by the keeper. */
   isAnswered: boolean;
   gatherAfterMs: number;
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -65,7 +65,8 @@
       const caller = this.options.authenticator.authenticate(key, profile, group);
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
-      await this.options.admission.admit(caller.account, statement.profile);
+      const deadlineAtMs = startedAtMs + statement.timeoutMs;
+      await this.options.admission.admit(caller.account, statement.profile, deadlineAtMs);
       const outcome = await this.options.execute({
         requestId,
         account: caller.account,
@@ -76,7 +77,7 @@
         sql: statement.sql,
         parameters: statement.parameters.map(({ text }) => text ?? null),
         sessionToken,
-        deadlineAtMs: startedAtMs + statement.timeoutMs,
+        deadlineAtMs,
       });
       this.options.metrics.requests.inc({ ...labels, verdict: 'ran', code: 'none' });
       const elapsedS = (this.options.nowMs() - startedAtMs) / MS_PER_S;
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -125,7 +125,7 @@
     const caller = authenticator.authenticate(key, step.profile, step.group);
     const request = toRequest(step, caller);
     requestId = request.requestId;
-    await admission.admit(caller.account, step.profile);
+    await admission.admit(caller.account, step.profile, request.deadlineAtMs);
     opened = await open(request, step.profile);
     if (isLost) abort();
     const servedBy = { vm: settings.vm, endpoint: '', role: 'primary' as const };
@@ -138,7 +138,9 @@
   ): Promise<StatementOutcome> => {
     checkStatement(statement, settings);
     // The first statement is covered by what was admitted at the begin.
-    if (hasStatement) await admission.admit(request.account, request.profile);
+    if (hasStatement) {
+      await admission.admit(request.account, request.profile, request.deadlineAtMs);
+    }
     hasStatement = true;
     const parameters = statement.parameters.map(({ text }) => text ?? null);
     return transaction.run(statement.sql, parameters);
--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeats.ts
@@ -3,26 +3,29 @@
 import type SendMessage from '../membership/sendMessage';
 
 interface HeartbeatOptions {
+  leaseMs: number;
   lease: VmLease;
   send: SendMessage;
   nowMs(): number;
 }
 
 const HEARTBEAT_KIND = 'lease.renew';
-const HEARTBEAT_TIMEOUT_MS = 500;
+/** Two stages of heartbeats and another beat fit into what is left of a lease. */
+const TIMEOUTS_PER_LEASE = 6;
 
 const heartbeatSchema = z.strictObject({ term: z.number().int().nonnegative() });
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
 
 /** Renews this VM's lease at no more of its witnesses than it takes. */
-const createHeartbeats = ({ lease, send, nowMs }: HeartbeatOptions) => {
+const createHeartbeats = ({ leaseMs, lease, send, nowMs }: HeartbeatOptions) => {
+  const timeoutMs = leaseMs / TIMEOUTS_PER_LEASE;
   const failed = new Set<string>();
 
   const beatOne = async (witness: string): Promise<void> => {
     const sentAtMs = nowMs();
     const term = lease.record()?.term ?? 0;
     try {
-      const reply = await send(witness, HEARTBEAT_KIND, { term }, HEARTBEAT_TIMEOUT_MS);
+      const reply = await send(witness, HEARTBEAT_KIND, { term }, timeoutMs);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
         failed.delete(witness);
@@ -39,7 +42,8 @@
     ...group.filter((witness) => failed.has(witness)),
   ];
 
-  const beat = async (): Promise<void> => {
+  /** Resolves with whether a group renewed the lease. */
+  const beat = async (): Promise<boolean> => {
     const groups = lease.record()?.groups ?? [];
     const sinceMs = nowMs();
     const isRenewed = (): boolean => groups.some((group) => lease.isRenewedBy(group, sinceMs));
@@ -50,12 +54,13 @@
     });
     if (lease.standing(nowMs()) === undefined) {
       await Promise.all(stages.flat().map(beatOne));
-      return;
+      return isRenewed();
     }
     for (const stage of stages) {
-      if (isRenewed()) return;
+      if (isRenewed()) return true;
       await Promise.all(stage.map(beatOne));
     }
+    return groups.length === 0 || isRenewed();
   };
 
   return {
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -27,6 +27,8 @@
 }
 
 const HEARTBEATS_PER_LEASE = 3;
+/** Without an answer the next heartbeats go out this much sooner, over new connections. */
+const RETRIES_PER_LEASE = 15;
 /** How often a VM without a lease tries to get one. */
 const SEAT_INTERVAL_MS = 200;
 
@@ -43,7 +45,9 @@
   const promise = (vm: string, term: number): WitnessPromise =>
     seat.witness()?.promise(vm, term, nowMs()) ?? NO_PROMISE;
   const proofs = createLapseProofs({ ...options, records, promise });
-  const timers = new Set<NodeJS.Timeout>();
+  const intervals = new Set<NodeJS.Timeout>();
+  let beatTimer: NodeJS.Timeout | undefined;
+  let isStopped = false;
 
   const repeat = (intervalMs: number, work: () => Promise<void>): void => {
     let isBusy = false;
@@ -56,7 +60,7 @@
           isBusy = false;
         });
     };
-    timers.add(setInterval(run, intervalMs).unref());
+    intervals.add(setInterval(run, intervalMs).unref());
     run();
   };
 
@@ -67,6 +71,20 @@
     wasStanding = isStanding;
   };
 
+  /** Beats once an interval from the start of the beat before, and soon after one in vain. */
+  const keepBeating = async (): Promise<void> => {
+    const startedAtMs = nowMs();
+    const isRenewed = await heartbeats.beat().catch((error: Error) => {
+      logger.debug('lease.failed', { message: error.message });
+      return false;
+    });
+    logChange();
+    const spentMs = nowMs() - startedAtMs;
+    const restMs = leaseMs / HEARTBEATS_PER_LEASE - spentMs;
+    const delayMs = isRenewed ? Math.max(0, restMs) : leaseMs / RETRIES_PER_LEASE;
+    if (!isStopped) beatTimer = setTimeout(keepBeating, delayMs).unref();
+  };
+
   const messageHandlers: [string, MessageHandler][] = [
     [
       heartbeats.kind,
@@ -92,17 +110,19 @@
     /** Starts to renew the lease; `use` says what is spent under it. */
     start: (use: Parameters<typeof seat.update>[0]): void => {
       repeat(SEAT_INTERVAL_MS, async () => {
+        const earlier = lease.record();
         await seat.update(use);
-        if (lease.standing(nowMs()) === undefined) await heartbeats.beat();
-      });
-      repeat(leaseMs / HEARTBEATS_PER_LEASE, async () => {
-        await heartbeats.beat();
-        logChange();
+        if (lease.record() !== earlier) await heartbeats.beat();
       });
+      keepBeating();
     },
     /** False while this VM has not had a lease yet since its start. */
     hasStood: lease.hasStood,
-    stop: (): void => timers.forEach((timer) => clearInterval(timer)),
+    stop: (): void => {
+      isStopped = true;
+      clearTimeout(beatTimer);
+      intervals.forEach((interval) => clearInterval(interval));
+    },
     describe: () => ({
       isStanding: lease.standing(nowMs()) !== undefined,
       witnesses: lease.record()?.groups ?? [],
