fix: a keeper waits for a silent holder also while it does not ask it

Cause: with a VM paused (measure at, load 13) 29 of 1,104 requests were refused as over the rate. A holder that did not answer a recall is left out of the next ones for 500 ms, and those counted as answered by all that may have tokens. Change: a silent holder with units makes the answer incomplete, so that requests wait for its lease to lapse.

--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -146,9 +146,10 @@
 
   /** Asks the holders with most units for what they do not need; true when all answered. */
   const recall = async (state: ShareState, exceptVm?: string): Promise<boolean> => {
-    const isAsked = (holder: string): boolean =>
-      holder !== exceptVm && nowMs() >= (state.silentUntilMs.get(holder) ?? 0);
+    const isSilent = (holder: string): boolean => nowMs() < (state.silentUntilMs.get(holder) ?? 0);
+    const isAsked = (holder: string): boolean => holder !== exceptVm && !isSilent(holder);
     const targets = state.keeper?.recallable(isAsked, nowMs()) ?? [];
+    const isOneSilent = state.keeper?.holding().some(isSilent) ?? false;
     const answers = Promise.all(
       targets.map((target) => recallOne(state, target.vm, false, target.partUnits)),
     );
@@ -157,7 +158,7 @@
       answers.then((all) => all.every(Boolean)),
     );
     // Until all units are claimed some may be where nobody was asked.
-    const isAnswered = areAnswered && (state.keeper?.isMinted() ?? false);
+    const isAnswered = areAnswered && !isOneSilent && (state.keeper?.isMinted() ?? false);
     updateShareState(state, { isAnswered });
     return isAnswered;
   };
