fix: leases of VMs state their length, so that it may be changed VM by VM

Cause: whoever waited out a VM's lease reckoned with its own admission.vmLeaseMs. A VM with a longer one went on spending after others had counted its lease as lapsed.

Ruled out: always stating the length, since VMs of earlier versions refuse messages and records with fields that they don't know; and reading an absent length as the reader's own alone, since it is also left out by newer VMs whose length is 3 s.

Change: the lease record, heartbeats, reports and requests for promises name the length unless it is 3 s; an absent one counts as 3 s or the reader's own, whichever is longer. A witness judges whether a VM is alive, how long a promise lives and from when it renews after its start by the length of the lease in question; createWitness is told whether earlier promises may be lost instead of the time from which it renews. Between versions: with 3 s everywhere old and new VMs read each other; with another length old VMs refuse what new ones write, which costs shares while both run but lets nobody spend twice.

No assertion is changed.

Conclusion: safe over a rolling change in the model, each process with one length; admission.shareLeaseMs still has to be the same on all VMs.

--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeats.ts
@@ -1,9 +1,16 @@
-import { renewalQuorum, type VmLease } from '@auburngrade/coordination';
+import {
+  leaseTermOf,
+  leaseTermSchema,
+  renewalQuorum,
+  type LeaseTerm,
+  type VmLease,
+} from '@auburngrade/coordination';
 import { z } from 'zod';
 import type SendMessage from '../membership/sendMessage';
 
 interface HeartbeatOptions {
   lease: VmLease;
+  leaseMs: number;
   send: SendMessage;
   nowMs(): number;
 }
@@ -11,18 +18,18 @@
 const HEARTBEAT_KIND = 'lease.renew';
 const HEARTBEAT_TIMEOUT_MS = 500;
 
-const heartbeatSchema = z.strictObject({ term: z.number().int().nonnegative() });
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
 
 /** Renews this VM's lease at no more of its witnesses than it takes. */
-const createHeartbeats = ({ lease, send, nowMs }: HeartbeatOptions) => {
+const createHeartbeats = ({ lease, leaseMs, send, nowMs }: HeartbeatOptions) => {
   const failed = new Set<string>();
 
   const beatOne = async (witness: string): Promise<void> => {
     const sentAtMs = nowMs();
     const term = lease.record()?.term ?? 0;
     try {
-      const reply = await send(witness, HEARTBEAT_KIND, { term }, HEARTBEAT_TIMEOUT_MS);
+      const body = leaseTermOf(term, leaseMs);
+      const reply = await send(witness, HEARTBEAT_KIND, body, HEARTBEAT_TIMEOUT_MS);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
         failed.delete(witness);
@@ -60,7 +67,7 @@
 
   return {
     kind: HEARTBEAT_KIND,
-    parse: (body: unknown): { term: number } => heartbeatSchema.parse(body),
+    parse: (body: unknown): LeaseTerm => leaseTermSchema.parse(body),
     beat,
   };
 };
--- a/packages/auburngrade/src/witness/createLapseProofs.ts
+++ b/packages/auburngrade/src/witness/createLapseProofs.ts
@@ -1,7 +1,10 @@
 import {
   lapseProvenAtMs,
+  leaseTermSchema,
+  reckonedLeaseMs,
   witnessPromiseSchema,
   type LeaseRecord,
+  type LeaseTerm,
   type WitnessPromise,
 } from '@auburngrade/coordination';
 import { z } from 'zod';
@@ -11,10 +14,11 @@
 
 interface LapseProofOptions {
   vm: string;
+  /** The length of this VM's own lease. */
   leaseMs: number;
   records: ReturnType<typeof createLeaseRecords>;
   /** This VM's own answer as a witness. */
-  promise(vm: string, term: number): WitnessPromise;
+  promise(vm: string, lease: LeaseTerm): WitnessPromise;
   send: SendMessage;
   nowMs(): number;
 }
@@ -22,36 +26,34 @@
 const PROMISE_KIND = 'lease.promise';
 const PROMISE_TIMEOUT_MS = 300;
 
-const promiseRequestSchema = z.strictObject({
-  vm: z.string().min(1),
-  term: z.number().int().nonnegative(),
-});
+const promiseRequestSchema = leaseTermSchema.extend({ vm: z.string().min(1) });
 
 /** Shows that the lease of a silent VM has lapsed, by promises of its witnesses. */
 const createLapseProofs = (options: LapseProofOptions) => {
   const { vm, leaseMs, records, promise, send, nowMs } = options;
   const underWay = new Map<string, Promise<boolean>>();
 
-  const askOne = async (witness: string, target: string, term: number) => {
-    if (witness === vm) return promise(target, term);
-    const body = { vm: target, term };
+  const askOne = async (witness: string, target: string, lease: LeaseTerm) => {
+    if (witness === vm) return promise(target, lease);
+    const body = { vm: target, ...lease };
     return witnessPromiseSchema.parse(await send(witness, PROMISE_KIND, body, PROMISE_TIMEOUT_MS));
   };
 
   const askAll = async (
     target: string,
-    { term, groups }: LeaseRecord,
+    { groups, ...lease }: LeaseRecord,
   ): Promise<number | undefined> => {
     const answers = new Map<string, { receivedAtMs: number; promise: WitnessPromise }>();
     const askedAtMs = nowMs();
     const ask = async (witness: string): Promise<void> => {
-      const answer = await askOne(witness, target, term);
+      const answer = await askOne(witness, target, lease);
       answers.set(witness, { receivedAtMs: nowMs(), promise: answer });
     };
     await Promise.allSettled([...new Set(groups.flat())].map(ask));
     // A round that a pause drew out may hold promises that have ended.
-    if (nowMs() - askedAtMs > leaseMs) return undefined;
-    return lapseProvenAtMs(groups, answers, leaseMs);
+    const lengthMs = reckonedLeaseMs(lease, leaseMs);
+    if (nowMs() - askedAtMs > lengthMs) return undefined;
+    return lapseProvenAtMs(groups, answers, lengthMs);
   };
 
   const askAndWait = async (target: string, lease: LeaseRecord): Promise<boolean> => {
--- a/packages/auburngrade/src/witness/createLeaseSeat.ts
+++ b/packages/auburngrade/src/witness/createLeaseSeat.ts
@@ -1,7 +1,7 @@
 import {
-  certainLeaseMs,
   createWitness,
   isSeatPoor,
+  leaseTermOf,
   witnessGroupsOf,
   type ConfigurationState,
   type VmLease,
@@ -60,8 +60,7 @@
 
   /** A VM without an earlier record was never a witness, so no promise can be lost. */
   const openWitness = (hasEarlierRecord: boolean): void => {
-    const opensAtMs = hasEarlierRecord ? startedAtMs + certainLeaseMs(leaseMs) : startedAtMs;
-    witness ??= createWitness({ leaseMs, startedAtMs, opensAtMs });
+    witness ??= createWitness({ leaseMs, startedAtMs, mayHavePromised: hasEarlierRecord });
   };
 
   const take = async (): Promise<void> => {
@@ -70,7 +69,7 @@
     if (isLoading && nowMs() - startedAtMs < ALONE_MS) return;
     const earlier = await records.read(vm);
     term = Math.max(term + 1, incarnation);
-    const record = { term, groups };
+    const record = { ...leaseTermOf(term, leaseMs), groups };
     const isWritten = await records.write(vm, record, earlier?.revision ?? 0);
     if (!isWritten) return;
     openWitness(earlier !== undefined);
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -1,6 +1,7 @@
 import {
   createVmLease,
   type ConfigurationState,
+  type LeaseTerm,
   type VmLease,
   type WitnessPromise,
 } from '@auburngrade/coordination';
@@ -40,7 +41,7 @@
   const records = createLeaseRecords(platform, platformTimeoutMs);
   const seat = createLeaseSeat({ ...options, records, lease });
   const heartbeats = createHeartbeats({ ...options, lease });
-  const promise = (vm: string, term: number): WitnessPromise =>
+  const promise = (vm: string, term: LeaseTerm): WitnessPromise =>
     seat.witness()?.promise(vm, term, nowMs()) ?? NO_PROMISE;
   const proofs = createLapseProofs({ ...options, records, promise });
   const timers = new Set<NodeJS.Timeout>();
@@ -71,14 +72,14 @@
     [
       heartbeats.kind,
       async (fromVm, body) => {
-        const { term } = heartbeats.parse(body);
+        const term = heartbeats.parse(body);
         return { isRenewed: seat.witness()?.renew(fromVm, term, nowMs()) ?? false };
       },
     ],
     [
       proofs.kind,
       async (_fromVm, body) => {
-        const { vm, term } = proofs.parse(body);
+        const { vm, ...term } = proofs.parse(body);
         return promise(vm, term);
       },
     ],
--- a/packages/coordination/src/rate/changeOfKeeper.spec.ts
+++ b/packages/coordination/src/rate/changeOfKeeper.spec.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import certainLeaseMs from '../witness/certainLeaseMs';
 import createVmLease from '../witness/createVmLease';
 import createWitness from '../witness/createWitness';
 import lapseProvenAtMs from '../witness/lapseProvenAtMs';
 import type LeaseRecord from '../witness/leaseRecord';
+import leaseTermOf from '../witness/leaseTermOf';
+import reckonedLeaseMs from '../witness/reckonedLeaseMs';
+import UNSTATED_LEASE_MS from '../witness/unstatedLeaseMs';
 import type WitnessPromise from '../witness/witnessPromise';
 import witnessGroupsOf from '../witness/witnessGroupsOf';
 import createShareHolder from './createShareHolder';
@@ -14,6 +16,9 @@
 import WHOLE_UNITS from './wholeUnits';
 
 const LEASE_MS = 1_000;
+const SHORT_LEASE_MS = 500;
+/** One length for each VM, before it starts again and after. */
+const SAME_LENGTHS = [[LEASE_MS]];
 /** Never lapses in the model. */
 const LONG_LEASE_MS = 10_000_000;
 const ROUND_TIMEOUT_MS = 300;
@@ -68,6 +73,7 @@
 interface Process {
   id: string;
   incarnation: number;
+  leaseMs: number;
   lease: ReturnType<typeof createVmLease>;
   witness: ReturnType<typeof createWitness>;
   holder?: ShareHolder;
@@ -82,7 +88,7 @@
 }
 
 /** VMs that keep one account's shares in turn, the platform's records and a faulty network. */
-const createModel = (fleet: (typeof FLEETS)[number]) => {
+const createModel = (fleet: (typeof FLEETS)[number], lengthsMs: readonly number[][]) => {
   let nowMs = 0;
   let incarnation = 0;
   let share = { epoch: 0, keeper: '', incarnation: 0 };
@@ -91,16 +97,21 @@
   const admittedAtMs: number[] = [];
   const dead = new Set<string>();
 
+  const indexOf = (id: string): number => fleet.findIndex((one) => one.id === id);
+
   const start = (id: string, dataCentre: string): Process => {
     incarnation += 1;
-    const isFirst = !leases.has(id);
-    const lease = createVmLease(LEASE_MS);
-    const record = { term: incarnation, groups: witnessGroupsOf(fleet, id, dataCentre) };
+    const mayHavePromised = leases.has(id);
+    const ofVm = lengthsMs[indexOf(id) % lengthsMs.length] ?? [];
+    const leaseMs = ofVm[incarnation % ofVm.length] ?? LEASE_MS;
+    const lease = createVmLease(leaseMs);
+    const groups = witnessGroupsOf(fleet, id, dataCentre);
+    const record = { ...leaseTermOf(incarnation, leaseMs), groups };
     leases.set(id, record);
     lease.seat(record, nowMs);
-    const opensAtMs = isFirst ? nowMs : nowMs + certainLeaseMs(LEASE_MS);
-    const witness = createWitness({ leaseMs: LEASE_MS, startedAtMs: nowMs, opensAtMs });
-    return { id, incarnation, lease, witness, lostEpoch: 0, epoch: 0, keeperId: '', evidence: [] };
+    const witness = createWitness({ leaseMs, startedAtMs: nowMs, mayHavePromised });
+    const known = { lostEpoch: 0, epoch: 0, keeperId: '', evidence: [] };
+    return { id, incarnation, leaseMs, lease, witness, ...known };
   };
   const processes = fleet.map(({ id, dataCentre }) => start(id, dataCentre));
   const processOf = (id: string): Process | undefined =>
@@ -108,7 +119,6 @@
 
   let phase: Phase = { rounds: 0, cut: 0, paused: 0, restarted: undefined, fates: ['arrives'] };
   let messages = 0;
-  const indexOf = (id: string): number => fleet.findIndex((one) => one.id === id);
   const isPaused = (id: string): boolean => Math.floor(phase.paused / 2 ** indexOf(id)) % 2 === 1;
   const isCut = (a: string, b: string): boolean => {
     const [low = 0, high = 0] = [indexOf(a), indexOf(b)].sort((x, y) => x - y);
@@ -203,13 +213,13 @@
 
   const heartbeat = (process: Process): void => {
     const sentAtMs = nowMs;
-    const { term, groups } = process.lease.record() ?? { term: 0, groups: [] };
+    const { groups, ...term } = process.lease.record() ?? { term: 0, groups: [] };
     [...new Set(groups.flat())].forEach((witness) =>
       call(
         process.id,
         witness,
         (target) => target.witness.renew(process.id, term, nowMs),
-        (isRenewed) => isRenewed && process.lease.renew(witness, term, sentAtMs, nowMs),
+        (isRenewed) => isRenewed && process.lease.renew(witness, term.term, sentAtMs, nowMs),
       ),
     );
   };
@@ -227,7 +237,8 @@
   const fence = (process: Process, target: string): void => {
     const record = leases.get(target);
     if (!record || target === process.id) return;
-    const { term, groups } = process.keeper?.allotmentOf(target)?.lease ?? record;
+    const { groups, ...term } = process.keeper?.allotmentOf(target)?.lease ?? record;
+    const lengthMs = reckonedLeaseMs(term, process.leaseMs);
     const answers = new Map<string, { receivedAtMs: number; promise: WitnessPromise }>();
     const askedAtMs = nowMs;
     const apply = conclusionOf(process, target);
@@ -239,7 +250,7 @@
         (promise) => {
           if (nowMs - askedAtMs > ROUND_TIMEOUT_MS) return;
           answers.set(witness, { receivedAtMs: nowMs, promise });
-          const lapsesAtMs = lapseProvenAtMs(groups, answers, LEASE_MS);
+          const lapsesAtMs = lapseProvenAtMs(groups, answers, lengthMs);
           if (lapsesAtMs !== undefined) process.evidence.push({ target, lapsesAtMs, apply });
         },
       ),
@@ -274,10 +285,11 @@
       .reduce((sum, { keeper, holder }) => sum + ((keeper ?? holder)?.units(nowMs) ?? 0), 0);
 
   /** A VM whose lease has lapsed takes one of another term, where the phase lets it. */
-  const retake = ({ id, lease }: Process): void => {
+  const retake = ({ id, leaseMs, lease }: Process): void => {
     if (lease.standing(nowMs) !== undefined || phase.rounds % 2 === 0) return;
     incarnation += 1;
-    const record = { term: incarnation, groups: leases.get(id)?.groups ?? [] };
+    const groups = leases.get(id)?.groups ?? [];
+    const record = { ...leaseTermOf(incarnation, leaseMs), groups };
     leases.set(id, record);
     lease.seat(record, nowMs);
   };
@@ -337,6 +349,26 @@
   });
 };
 
+/** Lengths that a VM has in turn, one of which messages leave out. */
+const lengthsArbitrary = fc.array(
+  fc.array(fc.constantFrom(SHORT_LEASE_MS, LEASE_MS, UNSTATED_LEASE_MS), { minLength: 1 }),
+  { minLength: 4, maxLength: 4 },
+);
+
+const expectSafe = (
+  model: ReturnType<typeof createModel>,
+  phases: readonly Phase[],
+  isWatched: boolean,
+): void => {
+  model.calm(500);
+  phases.forEach((phase) => {
+    model.run(phase, () => {
+      if (isWatched) expect(model.unitsInUse()).to.be.at.most(WHOLE_UNITS);
+    });
+  });
+  expectWithinLimit(model.admittedAtMs);
+};
+
 const fleetArbitrary = fc.constantFrom(...FLEETS);
 const phasesArbitrary = fc.array(phaseArbitrary, { minLength: 2, maxLength: 12 });
 
@@ -346,25 +378,30 @@
       fc.assert(
         // Looking at a VM's units lets it notice a lapse, so half of the runs don't look.
         fc.property(fleetArbitrary, phasesArbitrary, fc.boolean(), (fleet, phases, isWatched) => {
-          const model = createModel(fleet);
-          model.calm(500);
-          phases.forEach((phase) => {
-            model.run(phase, () => {
-              if (isWatched) expect(model.unitsInUse()).to.be.at.most(WHOLE_UNITS);
-            });
-          });
-          expectWithinLimit(model.admittedAtMs);
+          expectSafe(createModel(fleet, SAME_LENGTHS), phases, isWatched);
         }),
         { numRuns: 600 },
       );
     });
+
+    it('does so while the length of leases is changed VM by VM', () => {
+      fc.assert(
+        fc.property(
+          ...[fleetArbitrary, phasesArbitrary, fc.boolean(), lengthsArbitrary],
+          (fleet, phases, isWatched, lengthsMs) => {
+            expectSafe(createModel(fleet, lengthsMs), phases, isWatched);
+          },
+        ),
+        { numRuns: 300 },
+      );
+    });
   });
 
   describe('with a VM that dies for good', () => {
     it('returns all units within seconds while a quorum of its witnesses is there', () => {
       fc.assert(
         fc.property(fleetArbitrary, phasesArbitrary, fc.nat(3), (fleet, phases, at) => {
-          const model = createModel(fleet);
+          const model = createModel(fleet, SAME_LENGTHS);
           phases.forEach((phase) => model.run(phase, () => {}));
           model.calm(3 * LEASE_MS);
           model.kill(fleet[at % fleet.length]?.id ?? '');
--- a/packages/coordination/src/witness/createWitness.ts
+++ b/packages/coordination/src/witness/createWitness.ts
@@ -1,10 +1,14 @@
+import certainLeaseMs from './certainLeaseMs';
+import type LeaseTerm from './leaseTerm';
+import reckonedLeaseMs from './reckonedLeaseMs';
 import type WitnessPromise from './witnessPromise';
 
 interface WitnessOptions {
+  /** The length of this VM's own lease. */
   leaseMs: number;
   startedAtMs: number;
-  /** From when it renews: a lease after the start, unless no earlier process can have promised. */
-  opensAtMs: number;
+  /** Whether an earlier process of this VM may have made promises. */
+  mayHavePromised: boolean;
 }
 
 /** A VM renewed less than this part of a lease ago counts as alive. */
@@ -14,11 +18,11 @@
 
 /**
  * A VM's part as a witness: it renews the leases of other VMs until it promises not to.
- * Promises are kept in memory only; a process that may have lost some renews nothing until
- * the leases that they were about have lapsed.
+ * Promises are kept in memory only; a process that may have lost some renews no lease until
+ * its length has passed. Leases of different lengths are each reckoned with their own.
  */
-const createWitness = ({ leaseMs, startedAtMs, opensAtMs }: WitnessOptions) => {
-  const renewals = new Map<string, { term: number; atMs: number }>();
+const createWitness = ({ leaseMs, startedAtMs, mayHavePromised }: WitnessOptions) => {
+  const renewals = new Map<string, { term: number; lengthMs: number; atMs: number }>();
   const promises = new Map<string, { term: number; untilMs: number }>();
 
   const promised = (vm: string, nowMs: number) => {
@@ -28,26 +32,34 @@
     return undefined;
   };
 
+  const opensAtMs = (lengthMs: number): number =>
+    mayHavePromised ? startedAtMs + certainLeaseMs(lengthMs) : startedAtMs;
+
   return {
     /** Answers a heartbeat; true renews the lease of that term of the VM. */
-    renew: (vm: string, term: number, nowMs: number): boolean => {
+    renew: (vm: string, lease: LeaseTerm, nowMs: number): boolean => {
+      const { term } = lease;
+      const lengthMs = reckonedLeaseMs(lease, leaseMs);
       const promise = promised(vm, nowMs);
-      if (nowMs < opensAtMs || (promise && term <= promise.term)) return false;
-      renewals.set(vm, { term, atMs: nowMs });
+      if (nowMs < opensAtMs(lengthMs) || (promise && term <= promise.term)) return false;
+      renewals.set(vm, { term, lengthMs, atMs: nowMs });
       return true;
     },
     /** Promises to renew no lease of the VM's terms up to `term`, unless it is alive. */
-    promise: (vm: string, term: number, nowMs: number): WitnessPromise => {
+    promise: (vm: string, lease: LeaseTerm, nowMs: number): WitnessPromise => {
+      const { term } = lease;
       const last = renewals.get(vm);
       const renewedAgeMs = nowMs - (last?.atMs ?? startedAtMs);
       const isAlive = last && last.term <= term;
       const earlier = promised(vm, nowMs);
-      if (!earlier && isAlive && renewedAgeMs < leaseMs * ALIVE_RATIO) {
+      if (!earlier && isAlive && renewedAgeMs < last.lengthMs * ALIVE_RATIO) {
         return { isPromised: false, renewedAgeMs };
       }
+      const lengthMs = Math.max(reckonedLeaseMs(lease, leaseMs), last?.lengthMs ?? 0);
+      const untilMs = nowMs + lengthMs * PROMISE_LEASES;
       promises.set(vm, {
         term: Math.max(term, earlier?.term ?? 0),
-        untilMs: nowMs + leaseMs * PROMISE_LEASES,
+        untilMs: Math.max(untilMs, earlier?.untilMs ?? 0),
       });
       return { isPromised: true, renewedAgeMs };
     },
--- a/packages/coordination/src/witness/lapseProvenAtMs.ts
+++ b/packages/coordination/src/witness/lapseProvenAtMs.ts
@@ -11,7 +11,7 @@
 
 /**
  * When the lease of a VM with these witnesses has certainly lapsed, on the asking VM's clock;
- * undefined when too few promised. The answers must come from one round shorter than a lease.
+ * undefined when too few promised. The answers must come from one round shorter than the VM's lease, whose length is `leaseMs`.
  */
 const lapseProvenAtMs = (
   groups: WitnessGroups,
