refactor: what is decided about a VM's own slots is pure and tested

Cause: three faults of slots were mended by reading (a slot whose write was lost stayed closed for ever; what ran on a slot being given back went on after the lease; of two waits after two take-overs the first could end the second), in code with timers and no test.

Ruled out: an integration spec for each, as two of them need a lost answer or a late announcement at a given moment.

Change: createHeldSlots in coordination has what a VM knows of its slots; a take-over is named by the revision of the record it was seen in. decideSlot is told whether a slot is being given back and decides to go on. createSlotHoldings keeps the clock, the log and the announcing. Two small differences: a slot that is being given back ends at once when its group is deleted (before after 10 s at most), and a slot in use that is lost logs slot.lost only, not slot.lapsed too. slots.spec of the model passes the new field; nothing else in it changes.

--- a/packages/auburngrade/src/slots/createSlotHoldings.ts
+++ b/packages/auburngrade/src/slots/createSlotHoldings.ts
@@ -1,9 +1,4 @@
-import {
-  isSlotUsable,
-  ownSlot,
-  slotTimings,
-  type ConfigurationState,
-} from '@auburngrade/coordination';
+import { createHeldSlots, ownSlot, type ConfigurationState } from '@auburngrade/coordination';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 
@@ -28,49 +23,34 @@
 /** The slots that this VM has by the record, and whether it may use them now. */
 const createSlotHoldings = (options: SlotHoldingsOptions) => {
   const { vm, incarnation, configuration, cut, onHoldingChanged, logger, nowMs } = options;
-  /** Groups that this VM holds by the record, and from when their former holders can't use them. */
-  const freeAtMs = new Map<string, number>();
-  const usable = new Set<string>();
-  /** Groups whose slots are being given back: they are not used again, whatever becomes of it. */
-  const closing = new Set<string>();
-  /** The latest take-over of each group that waits. */
-  const waits = new Map<string, object>();
+  const held = createHeldSlots();
   let isStopped = false;
 
   const slotOf = (group: string): number =>
     ownSlot(configuration.get('slots', group), vm, incarnation);
 
-  const isUsableFrom = (free: number): boolean =>
-    isSlotUsable({ nowMs: nowMs(), completeAtMs: options.completeAtMs(), freeAtMs: free });
-
-  const isUsable = (group: string): boolean => {
-    const free = freeAtMs.get(group);
-    if (free === undefined || isStopped || closing.has(group)) return false;
+  const moment = (group: string) => ({
+    nowMs: nowMs(),
+    completeAtMs: options.completeAtMs(),
     // The record outlives a group that is deleted.
-    return configuration.get('group', group) !== undefined && isUsableFrom(free);
-  };
+    isServed: !isStopped && configuration.get('group', group) !== undefined,
+  });
+
+  const isUsable = (group: string): boolean => held.isUsable(group, moment(group));
 
   const refresh = (group: string): void => {
-    const isNow = isUsable(group);
-    // What runs while the slot is given back ends with the lease, too.
-    if (closing.has(group) && !isUsableFrom(freeAtMs.get(group) ?? 0)) cut(group);
-    if (isNow === usable.has(group)) return;
-    if (isNow) usable.add(group);
-    else {
-      usable.delete(group);
-      cut(group);
-    }
-    logger.info(isNow ? 'slot.usable' : 'slot.lapsed', { group });
+    const { isChanged, isCut } = held.refresh(group, moment(group));
+    if (isCut) cut(group);
+    if (!isChanged) return;
+    logger.info(isCut ? 'slot.lapsed' : 'slot.usable', { group });
     onHoldingChanged();
   };
 
   /** A VM that was cut off proves its slots by what witnesses know: they hear of it first. */
   const announceUntilKnown = async (group: string, revision: number): Promise<void> => {
-    const wait = {};
-    waits.set(group, wait);
-    while (!isStopped && waits.get(group) === wait) {
+    while (!isStopped && held.isHeldBy(group, revision)) {
       if (await options.announce(revision)) {
-        if (waits.get(group) === wait) freeAtMs.set(group, nowMs() + slotTimings.takeOverMs);
+        held.noteAnnounced(group, revision, nowMs());
         return;
       }
       await sleep(ANNOUNCE_RETRY_DELAY_MS);
@@ -79,38 +59,39 @@
 
   const noteTaken = (group: string, slot: number): void => {
     const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
-    freeAtMs.set(group, isTakenOver ? Number.POSITIVE_INFINITY : nowMs());
+    const revision = configuration.revisionOf('slots', group) ?? 0;
+    held.take(group, revision, isTakenOver, nowMs());
     logger.info('slot.taken', { group, slot, isTakenOver });
-    if (isTakenOver) announceUntilKnown(group, configuration.revisionOf('slots', group) ?? 0);
+    if (isTakenOver) announceUntilKnown(group, revision);
     refresh(group);
   };
 
+  const noteLost = (group: string): void => {
+    const wasInUse = held.lose(group);
+    logger.info('slot.lost', { group });
+    cut(group);
+    if (wasInUse) onHoldingChanged();
+  };
+
   return {
     slotOf,
     isUsable,
-    has: (group: string): boolean => freeAtMs.has(group),
+    has: held.has,
     /** Groups whose slots this VM has by the record. */
-    names: (): string[] => [...freeAtMs.keys()],
+    names: held.names,
     /** Groups whose slots this VM uses now. */
-    used: (): string[] => [...usable],
-    refreshAll: (): void => [...freeAtMs.keys()].forEach(refresh),
+    used: held.inUse,
+    refreshAll: (): void => held.names().forEach(refresh),
     /** Brings what this VM holds in line with the record. */
     follow: (group: string): void => {
       const slot = slotOf(group);
-      if (slot >= 0 && !freeAtMs.has(group)) noteTaken(group, slot);
-      if (slot < 0 && freeAtMs.delete(group)) {
-        logger.info('slot.lost', { group });
-        waits.delete(group);
-        closing.delete(group);
-        refresh(group);
-        cut(group);
-      }
+      if (slot >= 0 && !held.has(group)) noteTaken(group, slot);
+      if (slot < 0 && held.has(group)) noteLost(group);
     },
-    isClosing: (group: string): boolean => closing.has(group),
+    isClosing: held.isClosing,
     /** Uses a slot no more: it is about to be given back. */
     beginClosing: (group: string): void => {
-      closing.add(group);
-      usable.delete(group);
+      held.beginClosing(group);
       onHoldingChanged();
     },
     stop: (): void => {
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -110,16 +110,13 @@
   const step = async (group: string): Promise<void> => {
     const document = configuration.get('group', group);
     if (!document || !users) return;
-    if (holdings.isClosing(group)) {
-      await giveBack(group);
-      return;
-    }
     const { membership } = users;
     const decision = decideSlot({
       vm,
       incarnation,
       slots: document.slots,
       record: configuration.get('slots', group),
+      isClosing: holdings.isClosing(group),
       chosen: membership.chosen(group),
       isListed: membership.isListed,
     });
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -135,6 +135,7 @@
 export type { default as QueueRefusal } from './fairQueue/queueRefusal';
 export { default as connectionShare } from './slots/connectionShare';
 export { default as decideSlot } from './slots/decideSlot';
+export { default as createHeldSlots } from './slots/createHeldSlots';
 export { default as isSlotUsable } from './slots/isSlotUsable';
 export { default as ownSlot } from './slots/ownSlot';
 export { default as slotTimings } from './slots/slotTimings';
--- a/packages/coordination/src/slots/slotState.ts
+++ b/packages/coordination/src/slots/slotState.ts
@@ -7,6 +7,8 @@
   /** Number of slots by the group's document. */
   slots: number;
   record: SlotsRecord | undefined;
+  /** Whether this VM is giving its slot back. */
+  isClosing: boolean;
   /** VMs that should hold the slots by the list. */
   chosen: readonly string[];
   isListed(vm: string): boolean;
--- a/packages/coordination/src/slots/slots.spec.ts
+++ b/packages/coordination/src/slots/slots.spec.ts
@@ -70,7 +70,10 @@
     const { record: known, listed } = vm;
     const chosen = listed.slice(0, SLOTS);
     const isListed = (other: string): boolean => listed.includes(other);
-    const decision = decideSlot({ ...vm, slots: SLOTS, record: known, chosen, isListed });
+    const decision = decideSlot({
+      ...vm,
+      ...{ slots: SLOTS, record: known, chosen, isListed, isClosing: false },
+    });
     if (decision.kind !== 'take') return;
     const holder = {
       vm: vm.vm,
