--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeats.ts
@@ -1,10 +1,16 @@
-import { renewalQuorum, type VmLease } from '@auburngrade/coordination';
+import {
+  leaseTermOf,
+  leaseTermSchema,
+  renewalQuorum,
+  type LeaseTerm,
+  type VmLease,
+} from '@auburngrade/coordination';
 import { z } from 'zod';
 import type SendMessage from '../membership/sendMessage';
 
 interface HeartbeatOptions {
-  leaseMs: number;
   lease: VmLease;
+  leaseMs: number;
   send: SendMessage;
   nowMs(): number;
 }
@@ -13,11 +19,10 @@
 /** Two stages of heartbeats and another beat fit into what is left of a lease. */
 const TIMEOUTS_PER_LEASE = 6;
 
-const heartbeatSchema = z.strictObject({ term: z.number().int().nonnegative() });
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
 
 /** Renews this VM's lease at no more of its witnesses than it takes. */
-const createHeartbeats = ({ leaseMs, lease, send, nowMs }: HeartbeatOptions) => {
+const createHeartbeats = ({ lease, leaseMs, send, nowMs }: HeartbeatOptions) => {
   const timeoutMs = leaseMs / TIMEOUTS_PER_LEASE;
   const failed = new Set<string>();
 
@@ -25,7 +30,8 @@
     const sentAtMs = nowMs();
     const term = lease.record()?.term ?? 0;
     try {
-      const reply = await send(witness, HEARTBEAT_KIND, { term }, timeoutMs);
+      const body = leaseTermOf(term, leaseMs);
+      const reply = await send(witness, HEARTBEAT_KIND, body, timeoutMs);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
         failed.delete(witness);
@@ -65,7 +71,7 @@
 
   return {
     kind: HEARTBEAT_KIND,
-    parse: (body: unknown): { term: number } => heartbeatSchema.parse(body),
+    parse: (body: unknown): LeaseTerm => leaseTermSchema.parse(body),
     beat,
   };
 };
