fix: bring parts of tokens together where a request waits

Cause: with a burst of 10 on 6 to 8 VMs, each VM has room for little more than one token. When tokens are scarce each VM has only a part of one, and none of it moved: a holder kept all below one token, and a keeper granted nothing below one. A holder that gave units up got them back in the answer to that very report, by its part. A holder was trimmed below the room for one token while a request waited there (traced: 73,291 and 94,322 units of the 100,000 that one token needs, refused after 402 ms). And the sum of reports, which are sent right after requests, counted accounts at 80% of their rate as over it, so that their holders were not trimmed.

Change: a holder that is asked, has less than a token to spare and no request waiting gives up all; a keeper with less than a token and nobody waiting gives all; what was given up is not granted back in the answer; a waiting request keeps room for one token. None of the first two for an account over 1.5 times its rate by the reports. The model of transfers now draws the parts and waiting requests too.

Next: shares of a dead keeper.

--- a/packages/auburngrade/src/admission/createShareExchange.ts
+++ b/packages/auburngrade/src/admission/createShareExchange.ts
@@ -175,7 +175,7 @@
     if (isDry && nowMs() >= state.gatherAfterMs) await recall(state, report.vm);
     const { keeper } = state;
     if (!keeper || !roles.hasAuthority(state)) return { kind: 'refused', reason: 'not the keeper' };
-    const grant = keeper.sync(report, nowMs());
+    const grant = keeper.sync(report, nowMs(), state.waiting);
     const hasAskedAll = !isDry || state.isAnswered;
     return grant.kind === 'granted' ? { ...grant, hasAskedAll } : grant;
   };
@@ -185,7 +185,8 @@
     mustReport: boolean,
     partUnits?: number,
   ): Promise<boolean> => {
-    const hasReleased = !mustReport && (state.holder?.release(nowMs(), partUnits) ?? false);
+    const hasReleased =
+      !mustReport && (state.holder?.release(nowMs(), partUnits, state.waiting) ?? false);
     if (hasReleased || mustReport) await sync(state, false);
     return hasReleased;
   };
--- a/packages/coordination/src/rate/createShareBucket.ts
+++ b/packages/coordination/src/rate/createShareBucket.ts
@@ -27,6 +27,8 @@
 
   return {
     units: () => units,
+    /** The least units whose part of the burst holds a whole token. */
+    unitsForOneToken: (): number => Math.ceil(WHOLE_UNITS / limit.burst),
     capacity,
     tokens: (nowMs: number): number => {
       refill(nowMs);
--- a/packages/coordination/src/rate/createShareHolder.ts
+++ b/packages/coordination/src/rate/createShareHolder.ts
@@ -68,6 +68,20 @@
     releasedTokens += bucket.remove(bucket.units() - units, nowMs);
   };
 
+  /** Units that the VM's demand needs when the keeper asks for some. */
+  const unitsToKeep = (partUnits: number, waiting: number, nowMs: number): number => {
+    const demandPerS = demand.perS(nowMs);
+    if (demandPerS < IDLE_DEMAND_PER_S) return 0;
+    const tokens = bucket.tokens(nowMs);
+    const surplus = tokens - demandPerS * RESERVE_S;
+    // Fractions of a token serve nobody until they come together where a request waits.
+    if (surplus < 1 && waiting === 0 && partUnits < WHOLE_UNITS) return 0;
+    const given = surplus >= 2 ? surplus / 2 : surplus;
+    const byTokens = surplus < 1 ? bucket.units() : bucket.units() * (1 - given / tokens);
+    const growth = Math.max(1, demandPerS / Math.max(reportedDemandPerS, IDLE_DEMAND_PER_S));
+    return Math.floor(Math.min(byTokens, partUnits * growth * PART_RATIO));
+  };
+
   return {
     units: (nowMs: number): number => {
       lapse(nowMs);
@@ -135,24 +149,14 @@
     },
     /**
      * Gives up units that this VM's demand does not need now; true when there were some.
-     * `partUnits` is its part by the demand that it reported; it keeps no more than that.
+     * `partUnits` is its part by the demand that it reported; it keeps no more than that, but
+     * room for one token while requests wait here.
      */
-    release: (nowMs: number, partUnits: number = WHOLE_UNITS): boolean => {
+    release: (nowMs: number, partUnits: number = WHOLE_UNITS, waiting = 0): boolean => {
       lapse(nowMs);
       if (bucket.units() === 0) return false;
-      if (demand.perS(nowMs) < IDLE_DEMAND_PER_S) {
-        lower(0, nowMs);
-        return true;
-      }
-      const tokens = bucket.tokens(nowMs);
-      const surplus = tokens - demand.perS(nowMs) * RESERVE_S;
-      const given = surplus >= 2 ? surplus / 2 : surplus;
-      const byTokens = surplus < 1 ? bucket.units() : bucket.units() * (1 - given / tokens);
-      const growth = Math.max(
-        1,
-        demand.perS(nowMs) / Math.max(reportedDemandPerS, IDLE_DEMAND_PER_S),
-      );
-      const kept = Math.floor(Math.min(byTokens, partUnits * growth * PART_RATIO));
+      const byDemand = unitsToKeep(partUnits, waiting, nowMs);
+      const kept = waiting > 0 ? Math.max(byDemand, bucket.unitsForOneToken()) : byDemand;
       if (kept >= bucket.units()) return false;
       lower(kept, nowMs);
       return true;
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -42,6 +42,11 @@
 const EXCESS_RATIO = 1.25;
 /** Demand that an idle VM counts with, so that parts are defined without any. */
 const IDLE_DEMAND_PER_S = 0.001;
+/**
+ * The demand counts as above the rate from this many times it: reports are sent right after
+ * requests, so their sum is above the true demand.
+ */
+const OVER_RATE_RATIO = 1.5;
 const MAX_RECALLS = 4;
 
 /**
@@ -101,6 +106,10 @@
   const totalDemandPerS = (nowMs: number): number =>
     [...ledger.values()].reduce((sum, entry) => sum + entry.demandPerS, demand.perS(nowMs));
 
+  /** Whether some requests are refused wherever the units are. */
+  const isOverRate = (nowMs: number): boolean =>
+    totalDemandPerS(nowMs) > options.limit.ratePerS * OVER_RATE_RATIO;
+
   const partOf = (demandPerS: number, nowMs: number): number =>
     Math.floor((WHOLE_UNITS * demandPerS) / (totalDemandPerS(nowMs) + IDLE_DEMAND_PER_S));
 
@@ -122,20 +131,33 @@
     return entry;
   };
 
-  /** Units for the tokens that a holder needs beyond its part. */
-  const unitsForTokens = (entry: Allotment, neededTokens: number, nowMs: number): number => {
+  /** Units for the tokens that a holder needs beyond its part; `waiting` requests wait here. */
+  const unitsForTokens = (
+    entry: Allotment,
+    neededTokens: number,
+    waiting: number,
+    nowMs: number,
+  ): number => {
+    if (neededTokens === 0) return 0;
     const tokens = bucket.tokens(nowMs);
-    if (neededTokens === 0 || tokens < 1) return 0;
+    if (tokens < 1) return waiting > 0 || isOverRate(nowMs) ? 0 : bucket.units();
     const forTokens = Math.ceil((bucket.units() * Math.min(neededTokens, tokens)) / tokens);
-    const forOneToken = Math.ceil(WHOLE_UNITS / options.limit.burst) - entry.units;
+    const forOneToken = bucket.unitsForOneToken() - entry.units;
     return Math.min(bucket.units(), Math.max(forTokens, forOneToken));
   };
 
-  const grant = (entry: Allotment, sync: ShareSync, nowMs: number): ShareGrant => {
+  const grant = (
+    entry: Allotment,
+    sync: ShareSync,
+    hasReturned: boolean,
+    waiting: number,
+    nowMs: number,
+  ): ShareGrant => {
     const part = partOf(entry.demandPerS, nowMs);
     const spare = Math.max(0, bucket.units() - partOf(demand.perS(nowMs), nowMs));
-    const byPart = Math.min(Math.max(0, part - entry.units), spare);
-    const added = Math.max(byPart, unitsForTokens(entry, sync.neededTokens, nowMs));
+    // What was given up for others to use must not go back at once.
+    const byPart = hasReturned ? 0 : Math.min(Math.max(0, part - entry.units), spare);
+    const added = Math.max(byPart, unitsForTokens(entry, sync.neededTokens, waiting, nowMs));
     const tokens = added === 0 ? 0 : bucket.remove(added, nowMs);
     const units = entry.units + added;
     Object.assign(entry, { units });
@@ -209,8 +231,8 @@
     tokenDueInMs: (nowMs: number) => bucket.tokenDueInMs(nowMs),
     /** VMs that may hold units, besides this one. */
     holding: (): string[] => [...ledger].filter(([, { units }]) => units > 0).map(([name]) => name),
-    /** Takes a holder's report and decides its units. */
-    sync: (sync: ShareSync, nowMs: number): ShareGrant => {
+    /** Takes a holder's report and decides its units while `waiting` requests wait here. */
+    sync: (sync: ShareSync, nowMs: number, waiting = 0): ShareGrant => {
       if (sync.epoch !== options.epoch) return { kind: 'refused', reason: 'another epoch' };
       if (!isInOffice(nowMs)) return { kind: 'refused', reason: 'no longer the keeper' };
       if (former.size > 0 && !former.has(sync.vm)) {
@@ -234,7 +256,7 @@
       if (returned > 0) bucket.add(returned, sync.releasedTokens, nowMs);
       mint(nowMs);
       reclaim(nowMs);
-      return grant(entry, sync, nowMs);
+      return grant(entry, sync, returned > 0, waiting, nowMs);
     },
     /** The holders with most units beyond their part, to be asked for what they do not need. */
     recallable: (
@@ -245,9 +267,7 @@
         .filter(([vm, { units }]) => units > 0 && isAsked(vm))
         .map(([vm, { units, demandPerS }]) => {
           const part = partOf(demandPerS, nowMs);
-          // Beyond the whole rate some are refused wherever the units are.
-          const isOver = totalDemandPerS(nowMs) > options.limit.ratePerS;
-          return { vm, partUnits: isOver ? WHOLE_UNITS : part, excess: units - part };
+          return { vm, partUnits: isOverRate(nowMs) ? WHOLE_UNITS : part, excess: units - part };
         })
         .sort((a, b) => b.excess - a.excess)
         .slice(0, MAX_RECALLS)
--- a/packages/coordination/src/rate/shareTransfers.spec.ts
+++ b/packages/coordination/src/rate/shareTransfers.spec.ts
@@ -6,6 +6,7 @@
 import type ShareHolder from './shareHolder';
 import type ShareSync from './shareSync';
 import createVmLease from '../witness/createVmLease';
+import WHOLE_UNITS from './wholeUnits';
 
 const LEASE_MS = 2_000;
 const VMS = ['vm-1', 'vm-2', 'vm-3'];
@@ -14,22 +15,24 @@
   | { kind: 'wait'; waitMs: number }
   | { kind: 'request'; vm: number; count: number }
   | { kind: 'sync'; vm: number; neededTokens: number }
-  | { kind: 'deliver'; index: number; isDuplicate: boolean }
+  | { kind: 'deliver'; index: number; isDuplicate: boolean; waiting: number }
   | { kind: 'lose'; index: number }
-  | { kind: 'release'; vm: number }
+  | { kind: 'release'; vm: number; partUnits: number; waiting: number }
   | { kind: 'restart'; vm: number }
   | { kind: 'confirm' }
   | { kind: 'limit'; isLarge: boolean };
 
 const vm = fc.nat(VMS.length);
 const index = fc.nat(20);
+const partUnits = fc.constantFrom(0, 200_000, WHOLE_UNITS);
+const waiting = fc.nat(2);
 const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
   fc.record({ kind: fc.constant('wait' as const), waitMs: fc.constantFrom(1, 20, 300, 3_500) }),
   fc.record({ kind: fc.constant('request' as const), vm, count: fc.integer({ min: 1, max: 40 }) }),
   fc.record({ kind: fc.constant('sync' as const), vm, neededTokens: fc.constantFrom(0, 1, 20) }),
-  fc.record({ kind: fc.constant('deliver' as const), index, isDuplicate: fc.boolean() }),
+  fc.record({ kind: fc.constant('deliver' as const), index, isDuplicate: fc.boolean(), waiting }),
   fc.record({ kind: fc.constant('lose' as const), index }),
-  fc.record({ kind: fc.constant('release' as const), vm }),
+  fc.record({ kind: fc.constant('release' as const), vm, partUnits, waiting }),
   fc.record({ kind: fc.constant('restart' as const), vm }),
   fc.constant({ kind: 'confirm' as const }),
   fc.record({ kind: fc.constant('limit' as const), isLarge: fc.boolean() }),
@@ -74,7 +77,7 @@
   const holders = VMS.map(startHolder);
   const all = () => [keeper, ...holders];
 
-  const deliver = (position: number, isDuplicate: boolean): void => {
+  const deliver = (position: number, isDuplicate: boolean, waitingHere = 0): void => {
     const at = position % Math.max(1, network.length);
     const message = network[at];
     if (!message) return;
@@ -84,7 +87,7 @@
       return;
     }
     const sender = holders[VMS.indexOf(message.sync.vm)];
-    const grant = keeper.sync(message.sync, nowMs);
+    const grant = keeper.sync(message.sync, nowMs, waitingHere);
     if (sender) network.push({ to: sender, grant });
   };
 
@@ -96,9 +99,11 @@
   const run = (step: Step): void => {
     if (step.kind === 'wait') nowMs += step.waitMs;
     if (step.kind === 'sync') sync(step.vm, step.neededTokens);
-    if (step.kind === 'deliver') deliver(step.index, step.isDuplicate);
+    if (step.kind === 'deliver') deliver(step.index, step.isDuplicate, step.waiting);
     if (step.kind === 'lose') network.splice(step.index, 1);
-    if (step.kind === 'release') holders[step.vm % VMS.length]?.release(nowMs);
+    if (step.kind === 'release') {
+      holders[step.vm % VMS.length]?.release(nowMs, step.partUnits, step.waiting);
+    }
     if (step.kind === 'confirm') keeper.confirm(nowMs, nowMs);
     if (step.kind === 'limit') {
       limit = step.isLarge ? LARGE : SMALL;
