fix: the failover gap is measured by steady writes through each VM

Cause: the gap of a VM was the time to its first acknowledged write of the load, and the load sends a VM one write in 0.7 s to a group.

Ruled out: waits for a dead primary beyond the term, and VMs that were not told of the new term: writes sent before the end of the outage were acknowledged within 0 to 340 ms of each other on all VMs.

Change: in the two scenarios that take a primary, a probe with an account of its own writes to the group through each VM every 200 ms. A VM without an acknowledged write counts until the end of the run; it was left out before. The probe's writes are also checked against what the primaries hold. The other measures are of the 8 accounts as before.

--- a/scripts/measure/runScenario.ts
+++ b/scripts/measure/runScenario.ts
@@ -1,6 +1,8 @@
 import { createLoad, waitFor, type Fleet } from '@auburngrade/testkit';
 import sleep from '../measurement/sleep';
 import countBreaks from './countBreaks';
+import createGapProbe from './createGapProbe';
+import gapsMs from './gapsMs';
 import type MeasuredAccount from './measuredAccount';
 import primaryOf from './primaryOf';
 import type Scenario from './scenario';
@@ -12,6 +14,7 @@
   groups: string[];
   profile: string;
   accounts: MeasuredAccount[];
+  probe: MeasuredAccount;
   faultMs: number;
   tailMs: number;
 }
@@ -41,7 +44,7 @@
 /** Runs the load through one scenario and works out its measures. */
 const runScenario = async (scenario: Scenario, options: ScenarioOptions) => {
   const { fleet, groups, profile, accounts, faultMs, tailMs } = options;
-  const { firstAccountFactor } = scenario;
+  const { firstAccountFactor, gapGroup: group } = scenario;
   const load = createLoad({
     fleet,
     profile,
@@ -57,24 +60,31 @@
     })),
   });
   await load.prepare();
-  const fault: { atMs: number; group?: string } = { atMs: 0 };
+  const probe = group && createGapProbe({ fleet, profile, group, account: options.probe });
+  let faultAtMs = 0;
   load.start();
+  if (probe) probe.start();
   await sleep(LEAD_MS);
   await scenario.run({
     fleet,
     load,
     faultMs,
-    noteFault: (group) => Object.assign(fault, { atMs: load.elapsedMs(), group }),
+    noteFault: () => {
+      faultAtMs = load.elapsedMs();
+    },
   });
   await sleep(tailMs);
   const elapsedMs = load.elapsedMs();
   const records = await load.stop();
+  const probes = probe ? await probe.stop() : [];
   await sleep(REST_MS);
   const items = await readItems(fleet, groups);
+  const gaps = gapsMs(probes, faultAtMs, elapsedMs);
+  const everyone = [...accounts, options.probe];
   return {
     scenario: scenario.name,
-    ...summarizeScenario(records, accounts, fault, firstAccountFactor, elapsedMs),
-    breaks: countBreaks(records, items, accounts, scenario.isPlanned),
+    ...summarizeScenario(records, accounts, gaps, firstAccountFactor, elapsedMs),
+    breaks: countBreaks([...records, ...probes], items, everyone, scenario.isPlanned),
     timeline: timeline(records, elapsedMs),
   };
 };
--- a/scripts/measure/scenario.ts
+++ b/scripts/measure/scenario.ts
@@ -7,6 +7,8 @@
   firstAccountFactor: number;
   /** Nothing fails: only planned stops, which may cut no request. */
   isPlanned: boolean;
+  /** The group that loses its primary, for the failover gap. */
+  gapGroup?: string;
   run(context: ScenarioContext): Promise<void>;
 }
 
--- a/scripts/measure/scenarioContext.ts
+++ b/scripts/measure/scenarioContext.ts
@@ -6,8 +6,8 @@
   load: Load;
   /** How long the fault lasts. */
   faultMs: number;
-  /** Notes when the fault began and which group lost its primary, for the failover gap. */
-  noteFault(group?: string): void;
+  /** Notes when the fault began, for the failover gap. */
+  noteFault(): void;
 }
 
 export default ScenarioContext;
--- a/scripts/measure/scenarios/primaryCut.ts
+++ b/scripts/measure/scenarios/primaryCut.ts
@@ -10,11 +10,12 @@
   name: 'primary cut',
   firstAccountFactor: 1,
   isPlanned: false,
+  gapGroup: GROUP,
   run: async ({ fleet, faultMs, noteFault }) => {
     const primary = await primaryOf(fleet, GROUP);
     const isToPrimary = (_from: string, _to: string, target: string): boolean =>
       target === primary?.member.name;
-    noteFault(GROUP);
+    noteFault();
     setLinks(fleet, 'silent', isToPrimary);
     await sleep(faultMs);
     setLinks(fleet, 'pass', isToPrimary);
--- a/scripts/measure/scenarios/primaryKilled.ts
+++ b/scripts/measure/scenarios/primaryKilled.ts
@@ -9,9 +9,10 @@
   name: 'primary killed',
   firstAccountFactor: 1,
   isPlanned: false,
+  gapGroup: GROUP,
   run: async ({ fleet, faultMs, noteFault }) => {
     const primary = await primaryOf(fleet, GROUP);
-    noteFault(GROUP);
+    noteFault();
     await primary?.member.kill();
     await sleep(faultMs);
   },
--- a/scripts/measure/startDeployment.ts
+++ b/scripts/measure/startDeployment.ts
@@ -8,12 +8,16 @@
 const SMALL_RATE_PER_S = 10;
 const LARGE_ACCOUNTS = 3;
 const ACCOUNTS = 8;
+/** Enough for a write in each 200 ms through each of 8 VMs that hold equal parts. */
+const PROBE_RATE_PER_S = 80;
 
 interface RunningDeployment {
   fleet: Fleet;
   groups: string[];
   profile: string;
   accounts: MeasuredAccount[];
+  /** Measures the failover gap and belongs to no client. */
+  probe: MeasuredAccount;
 }
 
 /** Starts a deployment with 3 groups, a profile and 8 client accounts, 3 of them large. */
@@ -29,16 +33,21 @@
   });
   const names = Array.from({ length: ACCOUNTS }, (_, index) => `account-${index}`);
   const accounts: MeasuredAccount[] = [];
-  for (const [index, name] of names.entries()) {
-    const ratePerS = index < LARGE_ACCOUNTS ? LARGE_RATE_PER_S : SMALL_RATE_PER_S;
+  const createAccount = async (name: string, ratePerS: number): Promise<MeasuredAccount> => {
     await fleet.put('account', name, { limit: { ratePerS, burst: ratePerS } });
     const { key } = await fleet.issueKey(name);
-    accounts.push({ name, key, ratePerS, burst: ratePerS });
+    return { name, key, ratePerS, burst: ratePerS };
+  };
+  for (const [index, name] of names.entries()) {
+    const ratePerS = index < LARGE_ACCOUNTS ? LARGE_RATE_PER_S : SMALL_RATE_PER_S;
+    accounts.push(await createAccount(name, ratePerS));
   }
+  const probe = await createAccount('probe', PROBE_RATE_PER_S);
   const { freshness } = variant;
-  await fleet.put('profile', 'measured', { accounts: names, groups: GROUPS, freshness });
+  const allowed = [...names, probe.name];
+  await fleet.put('profile', 'measured', { accounts: allowed, groups: GROUPS, freshness });
   await fleet.settle();
-  return { fleet, groups: GROUPS, profile: 'measured', accounts };
+  return { fleet, groups: GROUPS, profile: 'measured', accounts, probe };
 };
 
 export default startDeployment;
--- a/scripts/measure/summarizeScenario.ts
+++ b/scripts/measure/summarizeScenario.ts
@@ -2,11 +2,6 @@
 import median from '../measurement/median';
 import type MeasuredAccount from './measuredAccount';
 
-interface Fault {
-  atMs: number;
-  group?: string;
-}
-
 const MS_PER_S = 1_000;
 const HIGH_PERCENTILE_RATIO = 0.99;
 
@@ -17,25 +12,11 @@
   return sorted[Math.floor(sorted.length * HIGH_PERCENTILE_RATIO)] ?? 0;
 };
 
-/** For each VM the time from the fault to its first acknowledged write in the group. */
-const gapsMs = (records: LoadRecord[], { atMs, group }: Fault): number[] => {
-  if (group === undefined) return [];
-  const first = new Map<string, number>();
-  records
-    .filter((record) => record.group === group && record.kind !== 'read')
-    .filter((record) => record.verdict === 'ran' && record.atMs >= atMs)
-    .forEach(({ vm, atMs: sentAtMs, latencyMs }) => {
-      const gap = sentAtMs + latencyMs - atMs;
-      first.set(vm, Math.min(first.get(vm) ?? gap, gap));
-    });
-  return [...first.values()];
-};
-
 /** Works out the measures of one scenario from its records. */
 const summarizeScenario = (
   records: LoadRecord[],
   accounts: MeasuredAccount[],
-  fault: Fault,
+  gaps: number[],
   firstAccountFactor: number,
   elapsedMs: number,
 ) => {
@@ -54,7 +35,6 @@
     inside.some(({ name }) => name === account),
   );
   const refused = insideRecords.filter(({ verdict }) => verdict === 'notRun');
-  const gaps = gapsMs(records, fault);
   const codes: Record<string, number> = {};
   records
     .filter((record) => !isRan(record))
