fix: a statement cut by a change of primary costs its account nothing

Cause: a connection to a primary that is gone is kept by its statement until the next term, 0.6 to 0.8 s. The pool counted that as service: the average of the account rose by a tenth of it, and it was charged. When that member was primary again, writes of the account were refused as queueTimeout ("the wait for a connection would be too long") while the queue was short.

Change: at the end of the term the connection is discarded, which closes it and takes the charge back. Its spec is red when the time is counted.

Also charged as before: a statement cut by its own timeout, since a slow account must not be free.

Tests: the connection that stands in for a real one in acquireInTerm.spec counts the discard as its close.

--- a/packages/auburngrade/src/groups/acquireInTerm.spec.ts
+++ b/packages/auburngrade/src/groups/acquireInTerm.spec.ts
@@ -1,7 +1,7 @@
 import { toRefusal } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import acquireInTerm from './acquireInTerm';
-import type PooledConnection from './pooledConnection';
+import type LentConnection from './lentConnection';
 
 const SLOW_AFTER_MS = 20;
 const LONG_MS = 60;
@@ -19,11 +19,11 @@
   const count = (what: 'closed' | 'released' | 'troubles') => (): void => {
     seen[what] += 1;
   };
-  const pooled = { connection: { close: count('closed') }, release: count('released') };
+  const pooled = { connection: {}, discard: count('closed'), release: count('released') };
   const lent = acquireInTerm({
     acquire: () =>
       new Promise((resolve, reject) => {
-        give = () => resolve(pooled as unknown as PooledConnection);
+        give = () => resolve(pooled as unknown as LentConnection);
         fail = reject;
       }),
     onTermOver: (listener) => {
--- a/packages/auburngrade/src/groups/createConnectionPool.spec.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.spec.ts
@@ -81,6 +81,16 @@
     });
   });
 
+  describe('when a connection is discarded', () => {
+    it('does not refuse the account for the time for which its member was silent', async () => {
+      const { discard } = await pool.acquire('a', nowMs() + TIMEOUT_MS);
+      await sleep(TIMEOUT_MS);
+      discard();
+      const ends = await Promise.all([serve(pool, 'a', TIMEOUT_MS), serve(pool, 'a', TIMEOUT_MS)]);
+      expect(ends.map(({ code }) => code)).to.deep.equal([undefined, undefined]);
+    });
+  });
+
   describe('when it is closed', () => {
     it('refuses what waits and opens nothing more', async () => {
       const running = serve(pool, 'a', TIMEOUT_MS);
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -1,7 +1,7 @@
 import { createFairQueue, notRun } from '@auburngrade/coordination';
 import { EndpointError, type Endpoint, type EndpointConnection } from '@auburngrade/endpoint';
+import type LentConnection from './lentConnection';
 import type PoolOptions from './poolOptions';
-import type PooledConnection from './pooledConnection';
 
 interface Waiter {
   offeredAtMs: number;
@@ -156,18 +156,23 @@
     flow: string,
     chargedMs: number,
     drainTimeoutMs: number,
-  ): PooledConnection => {
+  ): LentConnection => {
     const startedAtMs = nowMs();
-    let isReleased = false;
+    let isOver = false;
     lent.set(connection, drainTimeoutMs);
+    const end = (settle: () => void): void => {
+      if (isOver) return;
+      isOver = true;
+      lent.delete(connection);
+      settle();
+      release(connection);
+    };
     return {
       connection,
-      release: () => {
-        if (isReleased) return;
-        isReleased = true;
-        lent.delete(connection);
-        queue.end(flow, chargedMs, nowMs() - startedAtMs);
-        release(connection);
+      release: () => end(() => queue.end(flow, chargedMs, nowMs() - startedAtMs)),
+      discard: () => {
+        connection.close();
+        end(() => queue.cancel(flow, chargedMs));
       },
     };
   };
@@ -180,7 +185,7 @@
     weight: number,
     deadlineAtMs: number,
     drainTimeoutMs: number,
-  ): Promise<PooledConnection> =>
+  ): Promise<LentConnection> =>
     new Promise((resolve, reject) => {
       const offeredAtMs = nowMs();
       const timeoutMs = Math.max(0, deadlineAtMs - offeredAtMs);
@@ -228,7 +233,7 @@
       account: string | undefined,
       deadlineAtMs: number,
       drainTimeoutMs = DEFAULT_DRAIN_TIMEOUT_MS,
-    ): Promise<PooledConnection> => {
+    ): Promise<LentConnection> => {
       const weight = account === undefined ? 1 : options.weightOf(account);
       return wait(flowOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
