refactor: what a group's holder has of one member is a module of its own

Cause: the holder of a group did three jobs in 270 lines. Change: the handle of a member, how it is created, and whether it suits a changed document are modules. No change of behaviour: specs of groups, primaryLost and promoterLost green.

--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -1,8 +1,5 @@
 import {
-  CONTROL_CONNECTIONS,
-  connectionShare,
   membersToPoll,
-  slotTimings,
   type ConfigurationState,
   type Group,
   type Member,
@@ -10,44 +7,23 @@
   type MemberView,
   type TermRecord,
 } from '@auburngrade/coordination';
-import { createPgEndpoint } from '@auburngrade/endpoint';
 import type AddressBook from '../settings/addressBook';
 import acquireInTerm from './acquireInTerm';
 import activeMemberNames from './activeMemberNames';
 import createAcknowledger from './createAcknowledger';
-import createConnectionPool from './createConnectionPool';
-import type ConnectionPool from './connectionPool';
-import createStatusPoller from './createStatusPoller';
+import createMemberHandle from './createMemberHandle';
+import isHandleSuitable from './isHandleSuitable';
+import type MemberHandle from './memberHandle';
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
 import type PooledConnection from './pooledConnection';
-import type StatusPoller from './statusPoller';
 import sleep from '../time/sleep';
 
-/** A control connection that does not open is tried again soon: polls tell which members are up. */
-const CONTROL_CONNECT_TIMEOUT_MS = 350;
 const POLL_CHECK_INTERVAL_MS = 100;
 const RETIRE_STEP_MS = 10;
 /** A use of the primary that takes longer makes this VM ask whether it is still there. */
 const SLOW_USE_MS = 100;
 
-interface MemberHandle {
-  group: Group;
-  member: Member;
-  control: ConnectionPool;
-  data: ConnectionPool;
-  poller: StatusPoller;
-}
-
-/** Whether connections that were opened by one document suit a member by another. */
-const isSuitable = (handle: MemberHandle, member: Member, group: Group): boolean =>
-  handle.member.host === member.host &&
-  handle.member.port === member.port &&
-  handle.group.database === group.database &&
-  handle.group.user === group.user &&
-  connectionShare(handle.group) === connectionShare(group) &&
-  !(handle.data.isClosed() && member.state === 'active');
-
 /** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
 const createGroupHolder = (
   name: string,
@@ -66,28 +42,13 @@
     mayOpen,
     weightOf: (account: string): number => configuration.get('account', account)?.weight ?? 1,
   };
-  const dataConnections = connectionShare(group);
-
-  const createMemberHandle = (member: Member): MemberHandle => {
-    const endpointOf = (purpose: string) =>
-      createPgEndpoint({
-        ...addresses.resolve(member.host, member.port),
-        database: group.database,
-        user: group.user,
-        applicationName: `auburngrade/${vm}/${purpose}`,
-        idleTimeoutMs: slotTimings.idleTimeoutMs,
-      });
-    const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs, {
-      connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
-      mayOpen,
-    });
-    const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
-    const poller = createStatusPoller(member.name, control, nowMs);
-    return { group, member, control, data, poller };
-  };
+  const handleOptions = { vm, group, addresses, poolOptions, nowMs };
 
   const handles = new Map(
-    group.members.map((member) => [member.name, takeOver(member) ?? createMemberHandle(member)]),
+    group.members.map((member) => [
+      member.name,
+      takeOver(member) ?? createMemberHandle(member, handleOptions),
+    ]),
   );
   /** Members whose connections another holder has taken over. */
   const takenOver = new Set<string>();
@@ -241,7 +202,7 @@
     /** Hands what this holder has of a member to the one by the group's next document. */
     handOver: (member: Member, next: Group): MemberHandle | undefined => {
       const handle = handles.get(member.name);
-      if (!handle || !isSuitable(handle, member, next)) return undefined;
+      if (!handle || !isHandleSuitable(handle, member, next)) return undefined;
       takenOver.add(member.name);
       return handle;
     },
