refactor: one promotion and its reports are a module of their own

Cause: the promoter of a group decided when to act and also built, traced and reported each promotion. Change: createPromotionRun does the latter. No change of behaviour: replay of traces, primaryLost and promoterLost green.

--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -1,26 +1,20 @@
 import {
   createFollowRepair,
   createPrimaryJudge,
-  createPromotion,
   isReplacementAgreed,
   type ConfigurationState,
   type FailoverTimings,
   type PrimaryView,
-  type Promotion,
   type TermRecord,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type GroupHolder from '../groups/groupHolder';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
-import createTraceRecorder from '../traces/createTraceRecorder';
-import recordPromotion from '../traces/recordPromotion';
 import createMemberControl from './createMemberControl';
 import type createPeerOpinions from './createPeerOpinions';
-import createPlan from './createPlan';
-import createPromotionDriver from './createPromotionDriver';
+import createPromotionRun from './createPromotionRun';
 import createRecordWriter from './createRecordWriter';
-import createTimeline from './createTimeline';
 import type FailoverMetrics from './failoverMetrics';
 import plannedReason from './plannedReason';
 import type PromotionReason from './promotionReason';
@@ -61,13 +55,17 @@
     holder.name,
     options.platformTimeoutMs,
   );
-  let current: { promotion: Promotion; driver: ReturnType<typeof createPromotionDriver> };
+  let current: ReturnType<typeof createPromotionRun>;
   let view: PrimaryView = 'unknown';
   let wantedSinceMs: number | undefined;
   let wantedFor = '';
   let nextTryAtMs = 0;
   let isAsking = false;
 
+  const onOver = (): void => {
+    nextTryAtMs = nowMs() + RETRY_DELAY_MS;
+  };
+
   const isMajorityAnswering = (record: TermRecord): boolean => {
     const voters = holder.voters();
     const answering = holder
@@ -79,41 +77,9 @@
   };
 
   const start = (record: TermRecord, reason: PromotionReason, sinceMs: number): void => {
-    const revision = configuration.revisionOf('term', holder.name) ?? 0;
-    const plan = createPlan(holder, record, revision, promoter, reason);
-    const startedAtMs = nowMs();
-    const trace = `${holder.name}/${plan.term}/${promoter}`;
-    const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
-    const promotion = recordPromotion(createPromotion(plan), plan, recorder, startedAtMs);
-    const timeline = createTimeline(sinceMs);
-    const labels = { group: holder.name, reason };
-    const onOver = (phase: string): void => {
-      options.metrics.promotions.inc({ ...labels, result: phase });
-      nextTryAtMs = nowMs() + RETRY_DELAY_MS;
-      const partsMs = timeline.partsMs();
-      const fields = { ...labels, term: plan.term, primary: promotion.chosen(), partsMs };
-      if (phase !== 'done') {
-        logger.warn('failover.abandoned', fields);
-        return;
-      }
-      logger.info('failover.completed', fields);
-      Object.entries(partsMs).forEach(([part, valueMs]) =>
-        options.metrics.partMs.observe({ group: holder.name, part }, valueMs),
-      );
-    };
-    logger.info('failover.started', { ...labels, term: plan.term, previous: record.primary });
     if (reason === 'unconfirmed') judge.noteStallReplacement();
-    const driver = createPromotionDriver({
-      holder,
-      promotion,
-      control,
-      writer,
-      timeline,
-      nowMs,
-      onOver,
-    });
-    current = { promotion, driver };
-    driver.dispatch({ kind: 'start' });
+    current = createPromotionRun({ ...options, control, writer, onOver }, record, reason, sinceMs);
+    current.driver.dispatch({ kind: 'start' });
   };
 
   const startWhenAgreed = async (
