perf: what follows from the list of VMs is worked out once for each change of the list

Cause: each 200 ms a VM listed all VMs twice and ranked those of its data centre to see whether the witnesses of its lease still suffice, and twice a second it ranked the VMs of all other data centres to see whether it still follows the right source.

Ruled out: fewer looks (a seat that lost its witnesses must be changed in time).

Change: createListView keeps a value that follows from the list until the list changes. The seat, the choice of sources and the witnesses of an outage use it. The pruning of a share's record reads only the VMs that the record names.

--- a/packages/auburngrade/src/admission/createKeeperClaims.ts
+++ b/packages/auburngrade/src/admission/createKeeperClaims.ts
@@ -101,8 +101,8 @@
     prune: async (name: string, holding: readonly string[]): Promise<boolean> => {
       const record = own(name);
       if (!record) return false;
-      const listed = configuration.list('vm');
-      const leaving = record.holders.filter((id) => !listed.has(id) && !holding.includes(id));
+      const isListed = (id: string): boolean => configuration.get('vm', id) !== undefined;
+      const leaving = record.holders.filter((id) => !isListed(id) && !holding.includes(id));
       if (leaving.length === 0 && record.former.length === 0) return true;
       leaving.forEach((id) => leavers.add(`${name}/${id}`));
       const holders = record.holders.filter((id) => !leaving.includes(id));
--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationSpread.ts
@@ -1,7 +1,6 @@
 import {
   createPeerHealth,
   createSourceReturn,
-  documentKinds,
   isRelay,
   relayRank,
   sourcesElsewhere,
@@ -12,6 +11,7 @@
 import { createFollowClient } from '@auburngrade/vm';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type Logger from '../log/logger';
+import createListView from '../membership/createListView';
 import type AddressBook from '../settings/addressBook';
 import type Settings from '../settings/settings';
 import createConfigurationFeed from './createConfigurationFeed';
@@ -51,20 +51,16 @@
   const askPeersMs = FIRST_ASK_PEERS_MS * (1 + Math.random());
   const isSeed = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
   let heardAtMs = Number.NEGATIVE_INFINITY;
-  let ranks = new Map<string, string[]>();
 
-  const rankAll = (): void => {
+  const ranks = createListView(configuration, (): Map<string, string[]> => {
     const ids = new Map<string, string[]>();
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
       .forEach(([id, { dataCentre }]) => ids.set(dataCentre, [...(ids.get(dataCentre) ?? []), id]));
-    ranks = new Map([...ids].map(([dataCentre, vms]) => [dataCentre, relayRank(vms, dataCentre)]));
-  };
-  configuration.onChange((changed) => {
-    if (changed.some(({ key }) => key.startsWith(documentKinds.vm.prefix))) rankAll();
+    return new Map([...ids].map(([dataCentre, vms]) => [dataCentre, relayRank(vms, dataCentre)]));
   });
 
-  const ownRank = (): string[] => ranks.get(settings.dataCentre) ?? [];
+  const ownRank = (): string[] => ranks().get(settings.dataCentre) ?? [];
 
   const isPlatformNeeded = (): boolean => {
     if (configuration.revision() === 0) {
@@ -92,11 +88,14 @@
     return `${listed.host}:${listed.vmPort}`;
   };
 
+  const near = createListView(configuration, () => sourcesInRank(settings.vm, ownRank()));
+  const far = createListView(configuration, () =>
+    sourcesElsewhere(settings.vm, settings.dataCentre, ranks()),
+  );
+
   const sources = (): string[] => {
-    const near = sourcesInRank(settings.vm, ownRank());
-    const far = sourcesElsewhere(settings.vm, settings.dataCentre, ranks);
     // A relay that lost the platform shares this with the other one when the data centre is cut off.
-    const listed = isPlatformNeeded() ? [...far, ...near] : [...near, ...far];
+    const listed = isPlatformNeeded() ? [...far(), ...near()] : [...near(), ...far()];
     const self = `${settings.host}:${settings.vmPort}`;
     return listed.length > 0 ? listed : settings.peers.filter((peer) => peer !== self);
   };
--- a/packages/auburngrade/src/keys/createVouching.ts
+++ b/packages/auburngrade/src/keys/createVouching.ts
@@ -9,6 +9,7 @@
 } from '@auburngrade/coordination';
 import { z } from 'zod';
 import type Settings from '../settings/settings';
+import createListView from '../membership/createListView';
 import type MessageHandler from '../membership/messageHandler';
 
 interface VouchingOptions {
@@ -66,13 +67,13 @@
     };
   };
 
-  const witnesses = (): Map<string, string[]> => {
+  const witnesses = createListView(configuration, (): Map<string, string[]> => {
     const vms = new Map<string, string[]>();
     configuration.list('vm').forEach(({ dataCentre, state }, id) => {
       if (state === 'live') vms.set(dataCentre, [...(vms.get(dataCentre) ?? []), id]);
     });
     return new Map([...vms].map(([name, ids]) => [name, witnessesOf(ids, name)]));
-  };
+  });
 
   const ask = async (witness: string) => {
     const askedAtMs = nowMs();
--- a/packages/auburngrade/src/witness/createLeaseSeat.ts
+++ b/packages/auburngrade/src/witness/createLeaseSeat.ts
@@ -8,6 +8,7 @@
   type Witness,
   type WitnessGroups,
 } from '@auburngrade/coordination';
+import createListView from '../membership/createListView';
 import type createLeaseRecords from './createLeaseRecords';
 
 interface LeaseSeatOptions {
@@ -51,12 +52,15 @@
   let term = incarnation;
   let takenAtMs = Number.NEGATIVE_INFINITY;
 
-  const listed = () =>
+  const live = () =>
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
       .map(([id, listedVm]) => ({ id, dataCentre: listedVm.dataCentre }));
 
-  const wanted = (): WitnessGroups => witnessGroupsOf(listed(), vm, dataCentre);
+  const wanted = createListView(configuration, (): WitnessGroups =>
+    witnessGroupsOf(live(), vm, dataCentre),
+  );
+  const listed = createListView(configuration, () => new Set(configuration.names('vm')));
 
   /** A VM without an earlier record was never a witness, so no promise can be lost. */
   const openWitness = (hasEarlierRecord: boolean): void => {
@@ -80,8 +84,7 @@
   };
 
   const isPoor = (): boolean => {
-    const ids = new Set(configuration.list('vm').keys());
-    const isNow = isSeatPoor(lease.record()?.groups ?? [], wanted(), ids);
+    const isNow = isSeatPoor(lease.record()?.groups ?? [], wanted(), listed());
     poorSinceMs = isNow ? (poorSinceMs ?? nowMs()) : undefined;
     return isNow;
   };
