perf: names of documents do not keep the keys alive that they were cut from

Cause: the name of a document is cut from its key, and a text of 13 characters or more that is cut from another keeps that one alive in full.

Change: the name is copied when the document is stored.

--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -5,6 +5,7 @@
 import documentKinds from './documentKinds';
 import type DocumentOf from './documentOf';
 import kindOfKey from './kindOfKey';
+import ownCopy from './ownCopy';
 import packJson from './packJson';
 import unpackJson from './unpackJson';
 import withoutChangeIds from './withoutChangeIds';
@@ -89,7 +90,7 @@
     const valueJson = entry.valueJson && withoutChangeIds(entry.valueJson);
     const isValid = valueJson !== undefined && parseDocument(kind, valueJson) !== undefined;
     const text = isValid ? packJson(valueJson) : valueJson;
-    storedOf(kind).set(name, { text, modRevision: entry.modRevision, isValid });
+    storedOf(kind).set(ownCopy(name), { text, modRevision: entry.modRevision, isValid });
     return [{ ...entry, valueJson }];
   };
 
