test: a slope for the heartbeats of the lease of a VM

Cause: the bytes of the heartbeats were not measured (docs/design/rate-shares.md).

Change: the dimension heartbeats runs 4 VMs of one data centre with leases of 6, 3, 1.5 and 0.75 s, that is 0.5 to 4 renewals a second each; its slope is what one renewal a second costs a VM as owner of a lease and as witness.

--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -10,6 +10,7 @@
 import forwardedDimension from './slopes/forwardedDimension';
 import groupsDimension from './slopes/groupsDimension';
 import heapDimension from './slopes/heapDimension';
+import heartbeatsDimension from './slopes/heartbeatsDimension';
 import statementsDimension from './slopes/statementsDimension';
 import vmsDimension from './slopes/vmsDimension';
 
@@ -20,6 +21,7 @@
   accountsDimension,
   documentsDimension,
   heapDimension,
+  heartbeatsDimension,
   changesDimension,
   connectionsDimension,
   statementsDimension,
--- a/scripts/slopes/startMeasuredFleet.ts
+++ b/scripts/slopes/startMeasuredFleet.ts
@@ -7,6 +7,7 @@
   /** Further groups share the members of the first, so that processes stay few. */
   groups: number;
   accounts: number;
+  vmSettings?: Record<string, unknown>;
 }
 
 interface MeasuredFleet {
@@ -51,6 +52,7 @@
     vmsPerDataCentre: Math.ceil(options.vms / dataCentres.length),
     groups: ['group-0'],
     memberConnectionLimit: MEMBER_CONNECTION_LIMIT,
+    vmSettings: options.vmSettings ?? {},
   });
   await putGroups(fleet, options.groups);
   await inBatches(options.accounts, (index) =>
