perf: the delay of the event loop is looked at every 100 ms

Cause: the metrics library looks at the delay of the event loop every 10 ms and so wakes an idle daemon 100 times a second.

Ruled out: no such metric (operators see by it that one thread is full).

Change: a look every 100 ms.

--- a/packages/auburngrade/src/metrics/createMetrics.ts
+++ b/packages/auburngrade/src/metrics/createMetrics.ts
@@ -2,10 +2,17 @@
 
 const LATENCY_BUCKETS_S = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
 
+/** The library's default of 10 ms wakes an idle process 100 times a second. */
+const EVENT_LOOP_LOOK_INTERVAL_MS = 100;
+
 /** Creates the metrics of a daemon. */
 const createMetrics = () => {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry, prefix: 'auburngrade_' });
+  collectDefaultMetrics({
+    register: registry,
+    prefix: 'auburngrade_',
+    eventLoopMonitoringPrecision: EVENT_LOOP_LOOK_INTERVAL_MS,
+  });
   return {
     registry,
     requests: new Counter({
