perf: a change of a group makes a VM look at the slots of that group only

Cause: each change of a group's document made every VM look at all groups again, to see whether it should have a slot of them. Which VMs should hold a group follows from the list of VMs and from that group's own document.

Ruled out: gathering changes for longer (a look at all groups stays as dear).

--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -160,15 +160,19 @@
     listTimer ??= setTimeout(considerAll, LIST_DELAY_MS);
   };
 
+  /** The list of VMs decides about every group, a group's own documents about that one only. */
   const onChange = (changed: readonly { key: string }[]): void => {
-    if (changed.length > GROUPS_PER_TURN) considerAllSoon();
+    const isBurst = changed.length > GROUPS_PER_TURN;
+    if (isBurst) considerAllSoon();
     changed.forEach(({ key }) => {
       if (key.startsWith(documentKinds.slots.prefix)) {
         const group = key.slice(documentKinds.slots.prefix.length);
         holdings.follow(group);
-        if (changed.length <= GROUPS_PER_TURN) consider(group);
-      } else if (key.startsWith(documentKinds.group.prefix)) considerAllSoon();
-      else if (key.startsWith(documentKinds.vm.prefix)) considerAllSoon();
+        if (!isBurst) consider(group);
+      } else if (key.startsWith(documentKinds.group.prefix)) {
+        const group = key.slice(documentKinds.group.prefix.length);
+        if (!isBurst && isConcerned(group)) consider(group);
+      } else if (key.startsWith(documentKinds.vm.prefix)) considerAllSoon();
     });
   };
 
