perf: lists of the VMs chosen for a group have no room for more

Cause: a VM keeps for each group which VMs should hold it; the list was grown by flatMap and kept room for 17.

Change: a copy of the right size is kept.

--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -136,7 +136,8 @@
     const active = members.filter(({ state }) => state === 'active');
     const near = shared(active.map(({ dataCentre }) => dataCentre));
     const ids = chooseHolders(vmsByDataCentre(), group, near, slots);
-    const chosenVms = ids.flatMap((id) => placed.get(id) ?? []);
+    // A copy has no room for more, which lists that have grown have.
+    const chosenVms = ids.flatMap((id) => placed.get(id) ?? []).slice();
     return { groupHash: hashText(group), near, slots, chosen: chosenVms };
   };
 
