perf: documents that nobody uses keep no trace of having been read

Cause: a weak reference to the parsed document stayed beside its text for good, as a field added later. Each VM reads every group once, to see who should hold it, so that was kept for all of them.

Ruled out: parsing anew each time (a document must stay the same object while it is used, which the limits of shares compare).

Change: the weak references are kept apart and removed once the parsed document has been collected.

--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -110,6 +110,27 @@
     });
   });
 
+  describe('a document that is read again', () => {
+    it('is the same object until it changes, and one of its own for each name', () => {
+      const state = createConfigurationState();
+      const entryAt = (name: string, revision: number): ConfigurationEntry => ({
+        key: keyOf(name),
+        valueJson: valueAt(revision),
+        modRevision: revision,
+      });
+      state.applyChanges(2, [entryAt('a', 1), entryAt('b', 2)]);
+      const first = state.get('account', 'a');
+      expect(state.get('account', 'a')).to.equal(first);
+      expect(state.list('account').get('a')).to.equal(first);
+      expect(state.get('account', 'b')).to.not.equal(first);
+      state.applyChanges(3, [entryAt('b', 3)]);
+      expect(state.get('account', 'a')).to.equal(first);
+      state.applyChanges(4, [entryAt('a', 4)]);
+      expect(state.get('account', 'a')?.limit.ratePerS).to.equal(4);
+      expect(first?.limit.ratePerS).to.equal(1);
+    });
+  });
+
   describe('a stored value with change ids', () => {
     it('gives the document alone', () => {
       const state = createConfigurationState();
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -26,8 +26,6 @@
   text: string | undefined;
   modRevision: number;
   isValid: boolean;
-  /** The parsed document while anyone uses it: most documents are kept as text only. */
-  parsed?: WeakRef<object>;
 }
 
 const valueJsonOf = ({ text, isValid }: Stored): string | undefined =>
@@ -52,6 +50,11 @@
   const byKind = new Map<DocumentKind, Map<string, Stored>>();
   const listeners = new Set<(changed: readonly ConfigurationEntry[]) => void>();
   const tombstones = new Map<string, number>();
+  /** Parsed documents while anyone uses them: most documents are kept as text only. */
+  const parsed = new Map<Stored, WeakRef<object>>();
+  const unused = new FinalizationRegistry<Stored>((stored) => {
+    if (!parsed.get(stored)?.deref()) parsed.delete(stored);
+  });
   let knownRevision = 0;
   /** The latest deletion whose tombstone was dropped. */
   let forgottenRevision = 0;
@@ -71,10 +74,12 @@
 
   const documentOf = (kind: DocumentKind, stored: Stored | undefined): object | undefined => {
     if (!stored?.isValid) return undefined;
-    const known = stored.parsed?.deref();
+    const known = parsed.get(stored)?.deref();
     if (known) return known;
     const document = parseDocument(kind, valueJsonOf(stored) ?? '');
-    Object.assign(stored, { parsed: document && new WeakRef(document) });
+    if (!document) return undefined;
+    parsed.set(stored, new WeakRef(document));
+    unused.register(document, stored);
     return document;
   };
 
