fix: a slow read whose member cannot be asked raises nothing outside its request

Cause: found by reading: the poll of a slow read's member ran in a promise that nobody awaited; had the holder refused the member, the rejection would have ended the process. Ruled out: a handler for all unhandled rejections, which would hide others. Change: such a poll decides nothing.

--- a/packages/auburngrade/src/execution/createReadHedge.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.ts
@@ -33,7 +33,8 @@
         const { member } = progress;
         if (member !== undefined && !(await holder.pollMember(member))) resolve(false);
       };
-      check();
+      // A member that can't be asked decides nothing.
+      check().catch(() => {});
     });
 
   return {
