fix: a request that waits for tokens is refused as soon as its key stops being valid

Since requests wait for a silent keeper, one that had been authenticated at 4.1 s waited for tokens until its deadline and was refused then as shareUnavailable; it never ran. Ruled out: a shorter wait for silent VMs, which leaves the same gap at a smaller size. Change: whileKeyIsValid ends the wait when the key is withdrawn or no longer vouched for; the check that also ends idle transactions runs every 400 ms, not every 1,000, so that it fits between the 4.5 s of the vouching and 5 s.

--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -13,6 +13,7 @@
   type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
+import whileKeyIsValid from '../authentication/whileKeyIsValid';
 import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
@@ -66,7 +67,13 @@
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
       const deadlineAtMs = startedAtMs + statement.timeoutMs;
-      await this.options.admission.admit(caller.account, statement.profile, deadlineAtMs);
+      await whileKeyIsValid(
+        this.options.admission.admit(caller.account, statement.profile, deadlineAtMs),
+        {
+          check: () => this.options.authenticator.authenticate(key, profile, group),
+          onKeysChanged: this.options.onKeysChanged,
+        },
+      );
       const outcome = await this.options.execute({
         requestId,
         account: caller.account,
--- a/packages/auburngrade/src/transactions/createKeyWatch.ts
+++ b/packages/auburngrade/src/transactions/createKeyWatch.ts
@@ -1,9 +1,12 @@
 import { documentKinds, type ConfigurationState } from '@auburngrade/coordination';
 
-/** Also without a change of configuration a key may cease to be vouched for. */
-const RECHECK_INTERVAL_MS = 1_000;
+/**
+ * Also without a change of configuration a key may cease to be vouched for, 4.5 s after the last
+ * confirmation; the rest of 5 s is for the check.
+ */
+const RECHECK_INTERVAL_MS = 400;
 
-/** Gives the function by which an open transaction has its key checked while it is idle. */
+/** Gives the function by which an idle transaction or a waiting request has its key checked. */
 const createKeyWatch = (configuration: ConfigurationState) => {
   const rechecks = new Set<() => void>();
   const recheckAll = (): void => rechecks.forEach((recheck) => recheck());
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -19,6 +19,7 @@
 import type Admission from '../admission/admission';
 import type Caller from '../authentication/caller';
 import type createAuthenticator from '../authentication/createAuthenticator';
+import whileKeyIsValid from '../authentication/whileKeyIsValid';
 import checkRequest from '../serving/checkRequest';
 import checkStatement from '../serving/checkStatement';
 import toOutcome from '../serving/toOutcome';
@@ -125,7 +126,10 @@
     const caller = authenticator.authenticate(key, step.profile, step.group);
     const request = toRequest(step, caller);
     requestId = request.requestId;
-    await admission.admit(caller.account, step.profile, request.deadlineAtMs);
+    await whileKeyIsValid(admission.admit(caller.account, step.profile, request.deadlineAtMs), {
+      check: () => authenticator.authenticate(key, step.profile, step.group),
+      onKeysChanged: options.onKeysChanged,
+    });
     opened = await open(request, step.profile);
     if (isLost) abort();
     const servedBy = { vm: settings.vm, endpoint: '', role: 'primary' as const };
