test: keyRecheck.spec begins once the slots are with the VMs chosen for them

Traced: waco-1 took a slot before it had heard of waco-2, and gave it back 1 s later, after the test had found it to be a holder. Its transaction then went to another holder, whose only connection was taken by the test's own transaction there, and was refused truthfully at its deadline. Ruled out: a connection that is not given back (the next case uses the same pools and is green). The case is allowed: slots move while the list of VMs is not complete everywhere. Change: the set-up waits until the VMs that chooseHolders names have the slots. Assertions, times and bounds are as they were.

--- a/packages/auburngrade/src/integration/keyRecheck.spec.ts
+++ b/packages/auburngrade/src/integration/keyRecheck.spec.ts
@@ -1,23 +1,44 @@
 import { randomUUID } from 'node:crypto';
 import { AccessMode, TransactionBegin, Verdict } from '@auburngrade/caller';
-import { startFleet, type Fleet } from '@auburngrade/testkit';
+import { chooseHolders, hashText } from '@auburngrade/coordination';
+import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
 
 const ADD = 'UPDATE items SET value = value + $1 WHERE key = $2';
 const GROUP = 'auctions';
 const TIMEOUT_MS = 15_000;
+const DATA_CENTRE = 'waco';
+const SLOTS = 3;
 
 describe('a key that is withdrawn while its statement waits for a connection', () => {
   let fleet: Fleet;
   let staying: string;
 
+  const hasSlot = async (vm: string): Promise<boolean> =>
+    ((await fleet.statusOf(vm)).slots as string[]).includes(GROUP);
+
+  /** Until each VM has heard of all others, one that is not chosen may hold a slot. */
+  const awaitSlots = async (): Promise<void> => {
+    const vms = fleet.names.map(({ vm }) => ({ id: vm, hash: hashText(vm) }));
+    const near = fleet.members.map(() => DATA_CENTRE);
+    const chosen = chooseHolders(new Map([[DATA_CENTRE, vms]]), GROUP, near, SLOTS);
+    await waitFor('slots with the VMs chosen for them', async () =>
+      (await Promise.all(chosen.map(hasSlot))).every(Boolean),
+    );
+  };
+
   before(async () => {
     // The least budget: each VM has one connection to the primary for statements.
-    fleet = await startFleet({ dataCentres: ['waco'], vmsPerDataCentre: 4, connectionBudget: 18 });
+    fleet = await startFleet({
+      dataCentres: [DATA_CENTRE],
+      vmsPerDataCentre: 4,
+      connectionBudget: 18,
+    });
     await fleet.put('account', 'ranch', { limit: { ratePerS: 100_000, burst: 100_000 } });
     await fleet.put('profile', 'bids', { accounts: ['ranch'], groups: [GROUP] });
     staying = (await fleet.issueKey('ranch')).key;
     await fleet.settle();
+    await awaitSlots();
   });
 
   after(async () => {
