feat: serve the platform's wire through VMs that own groups

One VM owns each group and holds all connections to its endpoints; other VMs take their callers' statements to it over one stream.

--- /dev/null
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -0,0 +1,398 @@
+import createDocuments from '../fleet/createDocuments';
+import createFleet from '../fleet/createFleet';
+import createOwnership from '../fleet/createOwnership';
+import createRegistration from '../fleet/createRegistration';
+import createStoreFollower from '../fleet/createStoreFollower';
+import storeKeys from '../fleet/storeKeys';
+import type VmRegistration from '../fleet/vmRegistration';
+import createGroupRouter from '../front/createGroupRouter';
+import createSession from '../front/createSession';
+import type { CallResult, GroupCall } from '../generated/auburngrade/session/v1/session';
+import type CallOutcome from '../group/callOutcome';
+import createGroupServer from '../group/createGroupServer';
+import createRateLimiter from '../limits/createRateLimiter';
+import startLinkServer from '../link/startLinkServer';
+import type CallerConnection from '../seams/callerConnection';
+import type CallerSession from '../seams/callerSession';
+import type EventLog from '../seams/eventLog';
+import type FailoverCaller from '../seams/failoverCaller';
+import type FleetConfiguration from '../seams/fleetConfiguration';
+import type GroupEndpoint from '../seams/groupEndpoint';
+import type MemberDialer from '../seams/memberDialer';
+import type MetadataStore from '../seams/metadataStore';
+import type NodeSettings from '../seams/nodeSettings';
+import type SiteDecoder from '../seams/siteDecoder';
+import type StoredItem from '../seams/storedItem';
+import createSpending from './createSpending';
+
+/** Heartbeats between VMs. */
+const BEAT_MS = 250;
+/** A registration outlives three renewals in vain. */
+const REGISTRATION_TTL_MS = 4_000;
+/** The operator's changes apply within 3 s, also when one watch hears nothing. */
+const CONFIGURATION_WATCH_MS = 1_500;
+/** VMs tell each other of changes, so the watch of the product's own keys may be long. */
+const FLEET_WATCH_MS = 10_000;
+/** Endpoints that leave are to be left within seconds; their entries change with each heartbeat. */
+const ENDPOINT_POLL_MS = 1_000;
+/** A VM that owns no group only keeps the list at hand for when it does. */
+const IDLE_ENDPOINT_POLL_MS = 5_000;
+/** Well under the time for which an owner trusts what it last read. */
+const REFRESH_MS = 2_000;
+/** The balancer takes a VM out after two questions, a second apart. */
+const BALANCER_NOTICE_MS = 2_200;
+const SHUTDOWN_POLL_MS = 50;
+/** Part of the grace that open transactions get, and when the process ends at the latest. */
+const TRANSACTION_PART = 0.5;
+const END_PART = 0.8;
+
+interface SessionDaemonOptions {
+  settings: NodeSettings;
+  incarnation: string;
+  store: MetadataStore;
+  decoder: SiteDecoder;
+  dialer: MemberDialer;
+  failover: FailoverCaller;
+  log: EventLog;
+  nowMs(): number;
+  wallMs(): number;
+}
+
+type GroupServer = ReturnType<typeof createGroupServer>;
+
+const toCallResult = (outcome: CallOutcome): CallResult => ({
+  call: 0,
+  isNotOwner: outcome.kind === 'notOwner',
+  rows: outcome.kind === 'complete' ? [...outcome.rows] : [],
+  signature: outcome.kind === 'complete' ? outcome.signature : '',
+  refusalCode: outcome.kind === 'refused' ? outcome.code : '',
+  message: outcome.kind === 'refused' ? outcome.message : '',
+  position: outcome.kind === 'notOwner' ? undefined : outcome.position,
+});
+
+/** A VM of the proxy: callers' sessions, the groups that it owns, and its part in the fleet. */
+const createSessionDaemon = async (options: SessionDaemonOptions) => {
+  const { settings, incarnation, store, decoder, dialer, failover, log, nowMs, wallMs } = options;
+  const self = { vm: settings.vm, incarnation };
+  const documents = createDocuments(nowMs);
+  const limiter = createRateLimiter(nowMs);
+  const servers = new Map<string, GroupServer>();
+  const retired = new Set<GroupServer>();
+  const sessions = new Set<ReturnType<typeof createSession>>();
+  let configuration: FleetConfiguration | undefined;
+  let endpoints: GroupEndpoint[] = [];
+  let hasEndpoints = false;
+  let lastNumber = 0;
+  const nextNumber = (): number => {
+    lastNumber += 1;
+    return lastNumber;
+  };
+
+  const spending = createSpending(limiter, nowMs);
+  /** Set below: the fleet tells of changes before the rest exists. */
+  const hooks = { review: (): void => undefined };
+  const fleet = createFleet({
+    self,
+    documents,
+    log,
+    nowMs,
+    onSpending: spending.onReport,
+    onChange: () => hooks.review(),
+  });
+  const ownership = createOwnership({ self, store, documents, fleet, log, nowMs, wallMs });
+
+  const controlAccount = (): string =>
+    [...(configuration?.accountsByKey.values() ?? [])][0] ?? settings.vm;
+
+  const updateGroup = (group: string, server: GroupServer): void => {
+    const listed = endpoints.filter((endpoint) => endpoint.group === group);
+    if (hasEndpoints) {
+      server.updateEndpoints(listed, configuration?.groups.get(group)?.maxConnections ?? 1);
+    }
+  };
+
+  const openGroup = (group: string): void => {
+    log.info('group.opened', { group, record: ownership.recordOf(group) });
+    const server = createGroupServer({
+      group,
+      holder: settings.vm,
+      dialer,
+      failover,
+      limiter,
+      log,
+      nowMs,
+      controlAccount,
+      recorded: () => {
+        const { primary, fence } = ownership.recordOf(group) ?? { primary: '', fence: 0 };
+        return { primary, fence };
+      },
+      record: (primary, fence) => ownership.recordPrimary(group, primary, fence),
+      mayReplace: () => ownership.mayReplacePrimary(group),
+      isCertain: ownership.isCertain,
+    });
+    servers.set(group, server);
+    updateGroup(group, server);
+  };
+
+  const closeGroup = (group: string, server: GroupServer): void => {
+    servers.delete(group);
+    const record = ownership.recordOf(group);
+    const isPlanned = record?.isHandedOver === true;
+    log.info('group.closed', { group, owner: record?.owner, planned: isPlanned });
+    if (isPlanned) {
+      server.retire();
+      retired.add(server);
+    } else {
+      server.close();
+    }
+  };
+
+  const review = (): void => {
+    const groups = new Set(configuration?.groups.keys());
+    ownership.review(groups);
+    groups.forEach((group) => {
+      if (ownership.isMine(group) && !servers.has(group)) openGroup(group);
+    });
+    servers.forEach((server, group) => {
+      if (!ownership.isMine(group) || !groups.has(group)) closeGroup(group, server);
+    });
+    retired.forEach((server) => {
+      if (server.openTransactions() + server.underWay() > 0) return;
+      retired.delete(server);
+      server.close();
+    });
+    fleet.prune();
+    spending.balance(fleet.vms(), ownership.isMine, groups, (group) => ownership.recordOf(group));
+  };
+  hooks.review = review;
+
+  const takeConfiguration = (value: string, revision: number): void => {
+    const decoded = decoder.configuration(value);
+    if (!decoded) {
+      log.warn('configuration.unreadable', { revision });
+      return;
+    }
+    if (configuration && decoded.version < configuration.version) return;
+    configuration = decoded;
+    log.info('configuration.applied', { version: decoded.version, revision });
+    limiter.setLimits(decoded.limits);
+    servers.forEach((server, group) => updateGroup(group, server));
+    sessions.forEach((session) => session.review());
+    review();
+  };
+  documents.onChange(({ key, value, revision }) => {
+    if (key === decoder.configurationKey) takeConfiguration(value, revision);
+    else review();
+  });
+
+  const readEndpoints = async (): Promise<void> => {
+    const { items } = await store.list(decoder.endpointPrefix);
+    endpoints = items.flatMap(({ key, value }) => decoder.endpoint(key, value) ?? []);
+    hasEndpoints = true;
+    servers.forEach((server, group) => updateGroup(group, server));
+  };
+  let endpointsReadAtMs = Number.NEGATIVE_INFINITY;
+  let refreshedAtMs = Number.NEGATIVE_INFINITY;
+  let isReading = false;
+  let isRefreshing = false;
+  const isDue = (atMs: number, intervalMs: number): boolean => nowMs() - atMs >= intervalMs;
+  const poll = (): void => {
+    const pollMs = servers.size > 0 ? ENDPOINT_POLL_MS : IDLE_ENDPOINT_POLL_MS;
+    if (!isReading && isDue(endpointsReadAtMs, pollMs)) {
+      isReading = true;
+      endpointsReadAtMs = nowMs();
+      readEndpoints()
+        .catch((error) => log.info('endpoints.unread', { reason: String(error) }))
+        .finally(() => {
+          isReading = false;
+        });
+    }
+    if (servers.size > 0 && !isRefreshing && isDue(refreshedAtMs, REFRESH_MS)) {
+      isRefreshing = true;
+      refreshedAtMs = nowMs();
+      ownership
+        .refresh()
+        .catch((error) => log.info('ownership.unconfirmed', { reason: String(error) }))
+        .finally(() => {
+          isRefreshing = false;
+        });
+    }
+  };
+
+  const serverOf = (call: GroupCall): GroupServer | undefined => servers.get(call.group);
+  /** Transactions that began before a hand-over go on at the server that was retired. */
+  const runAt = async (
+    origin: string,
+    call: GroupCall,
+    values: ReadonlyMap<string, string>,
+  ): Promise<CallOutcome> => {
+    const isNext = call.transaction !== 0 && !call.opensTransaction;
+    const holder = isNext
+      ? [...servers.values(), ...retired].find((server) => server.hasTransaction(origin, call.transaction))
+      : undefined;
+    const server = holder ?? serverOf(call);
+    return server ? server.run(origin, call, values) : { kind: 'notOwner' };
+  };
+  const endTransactionAt = (origin: string, transaction: number): void =>
+    [...servers.values(), ...retired].forEach((server) => server.endTransaction(origin, transaction));
+
+  const links = await startLinkServer({
+    address: `${settings.ip}:${settings.internalPort}`,
+    run: async (origin, call, values) => toCallResult(await runAt(origin, call, values)),
+    endTransaction: endTransactionAt,
+    endOrigin: (origin) =>
+      [...servers.values(), ...retired].forEach((server) => server.endOrigin(origin)),
+    onDocument: (document) => {
+      documents.offer(document);
+    },
+    heartbeat: (stream, isFirst) => ({
+      vm: settings.vm,
+      incarnation,
+      heard: fleet.heard(),
+      documents: documents.all().map(({ key, revision }) => ({ key, revision })),
+      spending: spending.report(stream, isFirst),
+      isLeaving: fleet.isLeaving(),
+    }),
+  });
+  const beatTimer = setInterval(() => {
+    links.beat();
+    review();
+    poll();
+  }, BEAT_MS);
+
+  const router = createGroupRouter({
+    self: settings.vm,
+    log,
+    nowMs,
+    ownerOf: (group) => ownership.recordOf(group)?.owner,
+    link: fleet.link,
+    runHere: (call, values) => runAt(settings.vm, call, values),
+    endTransactionHere: (_group, transaction) => endTransactionAt(settings.vm, transaction),
+  });
+
+  const registration = createRegistration(
+    store,
+    settings.vm,
+    {
+      address: `${settings.ip}:${settings.internalPort}`,
+      dataCentre: settings.dataCentre,
+      incarnation,
+    },
+    Math.max(settings.minLeaseMs, REGISTRATION_TTL_MS),
+    log,
+  );
+  const configurationFollower = createStoreFollower({
+    store,
+    prefix: decoder.configurationKey,
+    waitMs: () => CONFIGURATION_WATCH_MS,
+    log,
+    onList: (items) => items.forEach((item) => documents.offer(item)),
+    onEvents: (events) =>
+      events.forEach((event) => 'value' in event && documents.offer(event)),
+  });
+  const readRegistration = ({ key, value }: StoredItem): [string, VmRegistration] | undefined => {
+    if (!key.startsWith(storeKeys.vmPrefix)) return undefined;
+    try {
+      return [key.slice(storeKeys.vmPrefix.length), JSON.parse(value) as VmRegistration];
+    } catch (error) {
+      log.warn('vm.unreadable', { key, reason: String(error) });
+      return undefined;
+    }
+  };
+  const takeItem = (item: StoredItem): void => {
+    if (item.key.startsWith(storeKeys.groupPrefix)) documents.offer(item);
+  };
+  const fleetFollower = createStoreFollower({
+    store,
+    prefix: storeKeys.root,
+    waitMs: () => FLEET_WATCH_MS,
+    log,
+    onList: (items) => {
+      items.forEach(takeItem);
+      const found = items.map(readRegistration).filter((entry) => entry !== undefined);
+      fleet.registerAll(new Map(found));
+      review();
+    },
+    onEvents: (events) => {
+      events.forEach((event) => {
+        if ('value' in event) {
+          takeItem(event);
+          const found = readRegistration(event);
+          if (found) fleet.register(...found);
+        } else if (event.key.startsWith(storeKeys.vmPrefix)) {
+          fleet.unregister(event.key.slice(storeKeys.vmPrefix.length));
+        }
+      });
+      review();
+    },
+  });
+
+  const isReady = (): boolean => configuration !== undefined && !fleet.isLeaving();
+
+  return {
+    isReady,
+    openSession: (connection: CallerConnection): CallerSession => {
+      const created = createSession({
+        connection,
+        router,
+        log,
+        nowMs,
+        nextNumber,
+        configuration: () => configuration,
+        endSession: (session) => {
+          fleet.vms().forEach(({ vm }) => fleet.link(vm)?.endSession(session));
+        },
+        onEnd: () => sessions.delete(created),
+      });
+      sessions.add(created);
+      return created.session;
+    },
+    sessionCount: () => sessions.size,
+    configurationVersion: () => configuration?.version,
+    groups: () => servers,
+    /** Ends in good order: nothing new, groups to other VMs, what is under way finishes. */
+    shutDown: async (): Promise<void> => {
+      const startedAtMs = nowMs();
+      fleet.leave();
+      links.beat();
+      log.info('daemon.stopping', { sessions: sessions.size, groups: servers.size });
+      await Promise.all(
+        [...servers.keys()].map((group) =>
+          ownership
+            .handOver(group)
+            .catch((error) => log.warn('group.handOverFailed', { group, reason: String(error) })),
+        ),
+      );
+      const elapsedMs = (): number => nowMs() - startedAtMs;
+      const isBusy = (): boolean =>
+        sessions.size > 0 ||
+        [...servers.values(), ...retired].some(
+          (server) => server.openTransactions() + server.underWay() > 0,
+        );
+      let isCut = false;
+      while (isBusy() && elapsedMs() < settings.graceMs * END_PART) {
+        await new Promise((resolve) => {
+          setTimeout(resolve, SHUTDOWN_POLL_MS);
+        });
+        if (elapsedMs() > BALANCER_NOTICE_MS) sessions.forEach((session) => session.closeIfIdle());
+        if (!isCut && elapsedMs() > settings.graceMs * TRANSACTION_PART) {
+          isCut = true;
+          sessions.forEach((session) => session.endTransaction());
+        }
+      }
+      clearInterval(beatTimer);
+      await registration
+        .close()
+        .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
+      configurationFollower.close();
+      fleetFollower.close();
+      [...servers.values(), ...retired].forEach((server) => server.close());
+      sessions.forEach((session) => session.abort());
+      fleet.close();
+      links.close();
+      log.info('daemon.stopped', { tookMs: Math.round(elapsedMs()) });
+    },
+  };
+};
+
+export default createSessionDaemon;
--- /dev/null
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -0,0 +1,70 @@
+import type EventLog from '../seams/eventLog';
+import type MetadataStore from '../seams/metadataStore';
+import storeKeys from './storeKeys';
+import type VmRegistration from './vmRegistration';
+
+/** Renewals that may fail in a row before the registration lapses. */
+const RENEWALS_PER_LEASE = 3;
+const RETRY_MS = 300;
+
+/** Keeps this VM registered in the platform's store under a lease. */
+const createRegistration = (
+  store: MetadataStore,
+  vm: string,
+  registration: VmRegistration,
+  ttlMs: number,
+  log: EventLog,
+) => {
+  let lease: number | undefined;
+  let isClosed = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const register = async (): Promise<void> => {
+    const granted = await store.grantLease(ttlMs);
+    const key = storeKeys.vmPrefix + vm;
+    const item = await store.get(key);
+    const outcome = await store.commit({
+      expected: [{ key, revision: item?.revision ?? 0 }],
+      puts: [{ key, value: JSON.stringify(registration), lease: granted.lease }],
+    });
+    if (outcome.kind !== 'committed') throw new Error(`the registration met a ${outcome.kind}`);
+    lease = granted.lease;
+    log.info('vm.registered', { lease, ttlMs: granted.ttlMs });
+  };
+
+  const step = async (): Promise<void> => {
+    if (lease === undefined) {
+      await register();
+    } else if (!(await store.keepLease(lease))) {
+      log.warn('vm.leaseEnded', { lease });
+      lease = undefined;
+      await register();
+    }
+  };
+
+  const run = (): void => {
+    step()
+      .then(
+        () => ttlMs / RENEWALS_PER_LEASE,
+        (error) => {
+          log.info('vm.renewalFailed', { lease, reason: String(error) });
+          return RETRY_MS;
+        },
+      )
+      .then((pauseMs) => {
+        if (!isClosed) timer = setTimeout(run, pauseMs);
+      });
+  };
+  run();
+
+  return {
+    /** Ends the registration, so that other VMs need not wait for its lease. */
+    close: async (): Promise<void> => {
+      isClosed = true;
+      clearTimeout(timer);
+      if (lease !== undefined) await store.endLease(lease);
+    },
+  };
+};
+
+export default createRegistration;
--- /dev/null
+++ b/packages/sessions/src/fleet/documents.ts
@@ -0,0 +1,5 @@
+import type createDocuments from './createDocuments';
+
+type Documents = ReturnType<typeof createDocuments>;
+
+export default Documents;
--- /dev/null
+++ b/packages/sessions/src/fleet/fleet.ts
@@ -0,0 +1,5 @@
+import type createFleet from './createFleet';
+
+type Fleet = ReturnType<typeof createFleet>;
+
+export default Fleet;
--- /dev/null
+++ b/packages/sessions/src/fleet/readGroupRecord.ts
@@ -0,0 +1,21 @@
+import type GroupRecord from '../group/groupRecord';
+
+/** Reads a group's record; undefined when the document is something else. */
+const readGroupRecord = (value: string): GroupRecord | undefined => {
+  try {
+    const record = JSON.parse(value) as Partial<GroupRecord>;
+    const { owner, incarnation, primary, fence } = record;
+    if (typeof owner !== 'string' || typeof incarnation !== 'string') return undefined;
+    return {
+      owner,
+      incarnation,
+      primary: primary ?? '',
+      fence: Number(fence ?? 0),
+      isHandedOver: record.isHandedOver === true,
+    };
+  } catch {
+    return undefined;
+  }
+};
+
+export default readGroupRecord;
--- /dev/null
+++ b/packages/sessions/src/front/groupRouter.ts
@@ -0,0 +1,5 @@
+import type createGroupRouter from './createGroupRouter';
+
+type GroupRouter = ReturnType<typeof createGroupRouter>;
+
+export default GroupRouter;
--- /dev/null
+++ b/packages/sessions/src/group/groupRecord.ts
@@ -0,0 +1,13 @@
+/** Who owns a group, and which endpoint was last made its primary; lies in the platform's store. */
+interface GroupRecord {
+  owner: string;
+  incarnation: string;
+  /** Endpoint id; empty until a primary was replaced. */
+  primary: string;
+  /** Grows with each replacement of the primary. */
+  fence: number;
+  /** Whether the owner before is known to have stopped, so that the primary may be replaced at once. */
+  isHandedOver: boolean;
+}
+
+export default GroupRecord;
--- /dev/null
+++ b/packages/sessions/src/seams/callerConnection.ts
@@ -0,0 +1,14 @@
+import type RefusalCode from './refusalCode';
+import type StatementResult from './statementResult';
+import type TransactionState from './transactionState';
+
+/** A caller's open connection, as a session answers on it. */
+interface CallerConnection {
+  accept(): void;
+  /** Refuses the session and closes the connection. */
+  refuse(code: RefusalCode, message: string): void;
+  answer(result: StatementResult, state: TransactionState): void;
+  close(): void;
+}
+
+export default CallerConnection;
--- /dev/null
+++ b/packages/sessions/src/seams/memberDialer.ts
@@ -0,0 +1,19 @@
+import type GroupEndpoint from './groupEndpoint';
+import type MemberConnection from './memberConnection';
+import type MemberReply from './memberReply';
+import type EndpointStatus from './memberStatus';
+
+/** Opens connections to endpoints. */
+abstract class MemberDialer {
+  /** @throws MemberLinkError */
+  abstract open(
+    endpoint: GroupEndpoint,
+    account: string,
+    timeoutMs: number,
+  ): Promise<MemberConnection>;
+
+  /** Reads a reply to the `status` command; undefined when it is not one. */
+  abstract readStatus(reply: MemberReply): EndpointStatus | undefined;
+}
+
+export default MemberDialer;
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -6,6 +6,7 @@
   vm: ['auburngrade/vm'],
   operator: ['auburngrade/operator'],
   platform: ['etcdserverpb', 'mvccpb'],
+  sessions: ['auburngrade/session'],
 };
 
 rmSync('out/generated', { recursive: true, force: true });
