feat: ownership is held by the other VMs' confirmations, and served without the store

Cause: an owner trusted the store for 8 s, so a new owner waited as long before it replaced a primary; with the store down nobody took over at all; VMs that forgot each other in a cut did not meet again; a document that changed all the time was never pushed; late reports of spending emptied the buckets. Ruled out: a shorter trust in the store alone (its outages are longer).

--- a/packages/auburngrade/src/log/createEventLog.ts
+++ b/packages/auburngrade/src/log/createEventLog.ts
@@ -30,7 +30,9 @@
   const timer = setInterval(() => {
     budget
       .drain(nowMs())
-      .forEach(({ event, leftOut }) => writeLine('info', 'log.leftOut', { of: event, lines: leftOut }));
+      .forEach(({ event, leftOut }) =>
+        writeLine('info', 'log.leftOut', { of: event, lines: leftOut }),
+      );
     if (dropped > 0) {
       const lines = dropped;
       dropped = 0;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -152,8 +152,8 @@
 export { default as createFleetBucket } from './rate/createFleetBucket';
 export type { default as VmView } from './ownership/vmView';
 export { default as isOwnerGone } from './ownership/isOwnerGone';
-export { default as isIsolated } from './ownership/isIsolated';
 export { default as chooseOwner } from './ownership/chooseOwner';
+export { default as createPeerLease } from './ownership/createPeerLease';
 export type { default as MemberLoad } from './placement/memberLoad';
 export { default as choosePlacement } from './placement/choosePlacement';
 export type { default as WaitingWork } from './placement/waitingWork';
--- a/packages/coordination/src/ownership/isOwnerGone.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.ts
@@ -6,17 +6,19 @@
 }
 
 /**
- * Whether the owner of a group has to be replaced: its process is another one now, or neither this
- * VM nor half of the VMs that it hears hear the owner.
+ * Whether the owner of a group has to be replaced: its VM runs another process now, or more than half
+ * of the other VMs do not hear it. An owner that still reaches half of them therefore stays, and one
+ * that does not knows that it may be replaced.
  */
-const isOwnerGone = (owner: GroupOwner, self: string, vms: readonly VmView[]): boolean => {
+const isOwnerGone = (owner: GroupOwner, vms: readonly VmView[]): boolean => {
   const view = vms.find(({ vm }) => vm === owner.vm);
-  if (!view) return true;
-  if (view.incarnation !== owner.incarnation) return true;
-  if (view.isHeard) return false;
-  const others = vms.filter(({ vm, isHeard }) => isHeard && vm !== self);
-  const hearing = others.filter(({ hears }) => hears.has(owner.vm));
-  return hearing.length * 2 < Math.max(1, others.length);
+  if (view && view.incarnation !== owner.incarnation) return true;
+  if (view?.isHeard) return false;
+  const others = vms.filter(({ vm }) => vm !== owner.vm);
+  const without = others.filter(
+    ({ isHeard, isSettled, hears }) => isHeard && isSettled && !hears.has(owner.vm),
+  );
+  return without.length * 2 > others.length;
 };
 
 export default isOwnerGone;
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -1,10 +1,12 @@
 /** What a VM knows of another VM, or of itself. */
 interface VmView {
   vm: string;
+  dataCentre: string;
   incarnation: string;
-  isRegistered: boolean;
   /** Heard from lately; true for the VM itself. */
   isHeard: boolean;
+  /** Its process has run long enough to tell that another VM is silent. */
+  isSettled: boolean;
   isLeaving: boolean;
   /** VMs that it says it hears. */
   hears: ReadonlySet<string>;
--- a/packages/coordination/src/placement/choosePlacement.ts
+++ b/packages/coordination/src/placement/choosePlacement.ts
@@ -27,7 +27,9 @@
     !member.isPrimary &&
     (!member.position || comparePositions(member.position, placement.notBefore) < 0);
   return (
-    load * member.latencyMs * (member.isPrimary && !placement.needsPrimary ? PRIMARY_READ_COST : 1) +
+    load *
+      member.latencyMs *
+      (member.isPrimary && !placement.needsPrimary ? PRIMARY_READ_COST : 1) +
     (member.hasIdleConnection ? 0 : (CONNECT_COST * member.latencyMs) / Math.max(1, member.slots)) +
     (lags ? member.latencyMs : 0)
   );
--- a/packages/coordination/src/placement/compareUrgency.ts
+++ b/packages/coordination/src/placement/compareUrgency.ts
@@ -19,9 +19,7 @@
   if (byRank !== 0) return byRank;
   if (rankOf(a, nowMs) !== 1) return a.arrivedAtMs - b.arrivedAtMs;
   return (
-    a.targetAtMs +
-    a.priority * PRIORITY_STEP_MS -
-    (b.targetAtMs + b.priority * PRIORITY_STEP_MS)
+    a.targetAtMs + a.priority * PRIORITY_STEP_MS - (b.targetAtMs + b.priority * PRIORITY_STEP_MS)
   );
 };
 
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -31,14 +31,18 @@
 const REGISTRATION_TTL_MS = 4_000;
 /** The operator's changes apply within 3 s, also when one watch hears nothing. */
 const CONFIGURATION_WATCH_MS = 1_500;
+/** So many VMs watch at that pace; the others hear of changes from their own watch or from them. */
+const CONFIGURATION_WATCHERS = 2;
 /** VMs tell each other of changes, so the watch of the product's own keys may be long. */
-const FLEET_WATCH_MS = 10_000;
+const LONG_WATCH_MS = 10_000;
+/** Documents are compared in every fourth heartbeat: a change is pushed within a second or two. */
+const BEATS_PER_COMPARISON = 3;
 /** Endpoints that leave are to be left within seconds; their entries change with each heartbeat. */
 const ENDPOINT_POLL_MS = 1_000;
 /** A VM that owns no group only keeps the list at hand for when it does. */
 const IDLE_ENDPOINT_POLL_MS = 5_000;
-/** Well under the time for which an owner trusts what it last read. */
-const REFRESH_MS = 2_000;
+/** An owner that lacks the other VMs' confirmations trusts the store for 1.2 s at a time. */
+const REFRESH_MS = 400;
 /** The balancer takes a VM out after two questions, a second apart. */
 const BALANCER_NOTICE_MS = 2_200;
 const SHUTDOWN_POLL_MS = 50;
@@ -73,7 +77,9 @@
 /** A VM of the proxy: callers' sessions, the groups that it owns, and its part in the fleet. */
 const createSessionDaemon = async (options: SessionDaemonOptions) => {
   const { settings, incarnation, store, decoder, dialer, failover, log, nowMs, wallMs } = options;
-  const self = { vm: settings.vm, incarnation };
+  const address = `${settings.ip}:${settings.internalPort}`;
+  const { vm, dataCentre } = settings;
+  const self = { vm, incarnation, address, dataCentre };
   const documents = createDocuments(nowMs);
   const limiter = createRateLimiter(nowMs);
   const servers = new Map<string, GroupServer>();
@@ -96,10 +102,24 @@
     documents,
     log,
     nowMs,
+    wallMs,
     onSpending: spending.onReport,
     onChange: () => hooks.review(),
   });
-  const ownership = createOwnership({ self, store, documents, fleet, log, nowMs, wallMs });
+  let configurationFollower: ReturnType<typeof createStoreFollower> | undefined;
+  const isStoreReachable = (): boolean => configurationFollower?.isReachable() ?? false;
+  const ownership = createOwnership({
+    self,
+    store,
+    documents,
+    fleet,
+    log,
+    nowMs,
+    wallMs,
+    isStoreReachable,
+    primaryDataCentre: (group) =>
+      endpoints.find((endpoint) => endpoint.group === group && endpoint.claimsPrimary)?.dataCentre,
+  });
 
   const controlAccount = (): string =>
     [...(configuration?.accountsByKey.values() ?? [])][0] ?? settings.vm;
@@ -128,7 +148,7 @@
       },
       record: (primary, fence) => ownership.recordPrimary(group, primary, fence),
       mayReplace: () => ownership.mayReplacePrimary(group),
-      isCertain: ownership.isCertain,
+      isCertain: () => ownership.isCertain(group),
     });
     servers.set(group, server);
     updateGroup(group, server);
@@ -151,10 +171,10 @@
     const groups = new Set(configuration?.groups.keys());
     ownership.review(groups);
     groups.forEach((group) => {
-      if (ownership.isMine(group) && !servers.has(group)) openGroup(group);
+      if (ownership.isServedHere(group) && !servers.has(group)) openGroup(group);
     });
     servers.forEach((server, group) => {
-      if (!ownership.isMine(group) || !groups.has(group)) closeGroup(group, server);
+      if (!ownership.isServedHere(group) || !groups.has(group)) closeGroup(group, server);
     });
     retired.forEach((server) => {
       if (server.openTransactions() + server.underWay() > 0) return;
@@ -162,7 +182,7 @@
       server.close();
     });
     fleet.prune();
-    spending.balance(fleet.vms(), ownership.isMine, groups, (group) => ownership.recordOf(group));
+    spending.balance(fleet.vms(), ownership.isServedHere, groups, ownership.servingVm);
   };
   hooks.review = review;
 
@@ -207,7 +227,8 @@
           isReading = false;
         });
     }
-    if (servers.size > 0 && !isRefreshing && isDue(refreshedAtMs, REFRESH_MS)) {
+    const needsStore = servers.size > 0 && ownership.needsStore();
+    if (needsStore && !isRefreshing && isDue(refreshedAtMs, REFRESH_MS)) {
       isRefreshing = true;
       refreshedAtMs = nowMs();
       ownership
@@ -228,16 +249,21 @@
   ): Promise<CallOutcome> => {
     const isNext = call.transaction !== 0 && !call.opensTransaction;
     const holder = isNext
-      ? [...servers.values(), ...retired].find((server) => server.hasTransaction(origin, call.transaction))
+      ? [...servers.values(), ...retired].find((server) =>
+          server.hasTransaction(origin, call.transaction),
+        )
       : undefined;
     const server = holder ?? serverOf(call);
     return server ? server.run(origin, call, values) : { kind: 'notOwner' };
   };
   const endTransactionAt = (origin: string, transaction: number): void =>
-    [...servers.values(), ...retired].forEach((server) => server.endTransaction(origin, transaction));
+    [...servers.values(), ...retired].forEach((server) =>
+      server.endTransaction(origin, transaction),
+    );
 
   const links = await startLinkServer({
-    address: `${settings.ip}:${settings.internalPort}`,
+    address,
+    onHello: fleet.meet,
     run: async (origin, call, values) => toCallResult(await runAt(origin, call, values)),
     endTransaction: endTransactionAt,
     endOrigin: (origin) =>
@@ -245,17 +271,25 @@
     onDocument: (document) => {
       documents.offer(document);
     },
-    heartbeat: (stream, isFirst) => ({
+    heartbeat: (stream, beat, isFirst) => ({
       vm: settings.vm,
       incarnation,
       heard: fleet.heard(),
-      documents: documents.all().map(({ key, revision }) => ({ key, revision })),
+      hasDocuments: beat % BEATS_PER_COMPARISON === 0,
+      documents:
+        beat % BEATS_PER_COMPARISON === 0
+          ? documents.all().map(({ key, revision }) => ({ key, revision }))
+          : [],
+      beat,
+      isSettled: fleet.isSettled(),
+      acting: ownership.acting(),
+      isStoreReachable: isStoreReachable(),
       spending: spending.report(stream, isFirst),
       isLeaving: fleet.isLeaving(),
     }),
   });
   const beatTimer = setInterval(() => {
-    links.beat();
+    links.beat(fleet.nextBeat());
     review();
     poll();
   }, BEAT_MS);
@@ -264,7 +298,7 @@
     self: settings.vm,
     log,
     nowMs,
-    ownerOf: (group) => ownership.recordOf(group)?.owner,
+    ownerOf: ownership.servingVm,
     link: fleet.link,
     runHere: (call, values) => runAt(settings.vm, call, values),
     endTransactionHere: (_group, transaction) => endTransactionAt(settings.vm, transaction),
@@ -273,22 +307,20 @@
   const registration = createRegistration(
     store,
     settings.vm,
-    {
-      address: `${settings.ip}:${settings.internalPort}`,
-      dataCentre: settings.dataCentre,
-      incarnation,
-    },
+    { address, dataCentre, incarnation },
     Math.max(settings.minLeaseMs, REGISTRATION_TTL_MS),
     log,
   );
-  const configurationFollower = createStoreFollower({
+  configurationFollower = createStoreFollower({
     store,
     prefix: decoder.configurationKey,
-    waitMs: () => CONFIGURATION_WATCH_MS,
+    waitMs: () => {
+      const readers = fleet.storeReaders(true).slice(0, CONFIGURATION_WATCHERS);
+      return readers.includes(vm) ? CONFIGURATION_WATCH_MS : LONG_WATCH_MS;
+    },
     log,
     onList: (items) => items.forEach((item) => documents.offer(item)),
-    onEvents: (events) =>
-      events.forEach((event) => 'value' in event && documents.offer(event)),
+    onEvents: (events) => events.forEach((event) => 'value' in event && documents.offer(event)),
   });
   const readRegistration = ({ key, value }: StoredItem): [string, VmRegistration] | undefined => {
     if (!key.startsWith(storeKeys.vmPrefix)) return undefined;
@@ -305,10 +337,11 @@
   const fleetFollower = createStoreFollower({
     store,
     prefix: storeKeys.root,
-    waitMs: () => FLEET_WATCH_MS,
+    waitMs: () => LONG_WATCH_MS,
     log,
     onList: (items) => {
       items.forEach(takeItem);
+      ownership.setListed();
       const found = items.map(readRegistration).filter((entry) => entry !== undefined);
       fleet.registerAll(new Map(found));
       review();
@@ -354,7 +387,7 @@
     shutDown: async (): Promise<void> => {
       const startedAtMs = nowMs();
       fleet.leave();
-      links.beat();
+      links.beat(fleet.nextBeat());
       log.info('daemon.stopping', { sessions: sessions.size, groups: servers.size });
       await Promise.all(
         [...servers.keys()].map((group) =>
@@ -384,7 +417,7 @@
       await registration
         .close()
         .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
-      configurationFollower.close();
+      configurationFollower?.close();
       fleetFollower.close();
       [...servers.values(), ...retired].forEach((server) => server.close());
       sessions.forEach((session) => session.abort());
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -1,25 +1,30 @@
-import type { VmView } from '@auburngrade/coordination';
-import type { FleetDocument, Heartbeat } from '../generated/auburngrade/session/v1/session';
+import { createPeerLease, type VmView } from '@auburngrade/coordination';
+import type { FleetDocument, Heartbeat, Hello } from '../generated/auburngrade/session/v1/session';
 import createPeerLink from '../link/createPeerLink';
 import type PeerLink from '../link/peerLink';
 import type EventLog from '../seams/eventLog';
 import type Documents from './documents';
 import type VmRegistration from './vmRegistration';
 
-/** A VM that was not heard for this long counts as silent: four heartbeats. */
+/** How long a heartbeat proves that its receivers do not call the sender silent. */
+const PEER_LEASE_MS = 1_000;
+/** A VM that was not heard for this long counts as silent: longer than the lease. */
 const HEARD_WITHIN_MS = 1_100;
-/** A silent VM that is not registered is forgotten. */
-const FORGOTTEN_AFTER_MS = 6_000;
-/** A peer that lacks a document this long after we learnt it cannot reach the store in time. */
+/** A process that is younger cannot tell a silent VM from one that it has not met yet. */
+const SETTLED_AFTER_MS = 1_500;
+/** A silent VM that is not registered counts among the VMs for this long: a cut is shorter. */
+const FORGOTTEN_AFTER_MS = 30_000;
+/** A peer that lacks a document for this long cannot learn it from the store in time. */
 const PUSH_AFTER_MS = 400;
 /** At most this often a document is pushed to the same peer. */
 const PUSH_INTERVAL_MS = 600;
 
 interface FleetOptions {
-  self: { vm: string; incarnation: string };
+  self: Hello;
   documents: Documents;
   log: EventLog;
   nowMs(): number;
+  wallMs(): number;
   onSpending(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
   onChange(): void;
 }
@@ -29,29 +34,44 @@
   isRegistered: boolean;
   link: PeerLink;
   incarnation: string;
+  beat: number;
   heardAtMs: number;
-  unregisteredAtMs: number;
+  knownAtMs: number;
   hears: ReadonlySet<string>;
+  acting: ReadonlySet<string>;
+  isSettled: boolean;
   isLeaving: boolean;
+  isStoreReachable: boolean;
+  behindSinceMs: Map<string, number>;
   pushedAtMs: Map<string, number>;
 }
 
 /** The VMs that this VM knows, the links to them, and what they say of themselves. */
 const createFleet = (options: FleetOptions) => {
-  const { self, documents, log, nowMs } = options;
+  const { self, documents, log, nowMs, wallMs } = options;
+  const startedAtMs = nowMs();
   const peers = new Map<string, Peer>();
+  const lease = createPeerLease(PEER_LEASE_MS);
+  // A number that no earlier process of this VM can have used: confirmations of its beats are void.
+  let lastBeat = Math.floor(wallMs());
   let isLeaving = false;
 
   const isHeard = (peer: Peer): boolean => nowMs() - peer.heardAtMs < HEARD_WITHIN_MS;
+  const clocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
 
-  /** Pushes documents that the peer lacks though this VM has known them for a while. */
+  /** Pushes documents that the peer has lacked for a while. */
   const pushMissing = (peer: Peer, known: Heartbeat['documents']): void => {
     const revisions = new Map(known.map(({ key, revision }) => [key, revision]));
     const now = nowMs();
-    documents.all().forEach(({ key, revision, value, knownSinceMs }) => {
-      const isBehind = (revisions.get(key) ?? 0) < revision && now - knownSinceMs > PUSH_AFTER_MS;
+    documents.all().forEach(({ key, revision, value }) => {
+      if ((revisions.get(key) ?? 0) >= revision) {
+        peer.behindSinceMs.delete(key);
+        return;
+      }
+      const sinceMs = peer.behindSinceMs.get(key) ?? now;
+      peer.behindSinceMs.set(key, sinceMs);
       const isDue = now - (peer.pushedAtMs.get(key) ?? Number.NEGATIVE_INFINITY) > PUSH_INTERVAL_MS;
-      if (!isBehind || !isDue) return;
+      if (now - sinceMs < PUSH_AFTER_MS || !isDue) return;
       peer.pushedAtMs.set(key, now);
       log.info('document.pushed', { key, revision, theirs: revisions.get(key) ?? 0 });
       peer.link.sendDocument({ key, revision, value });
@@ -63,14 +83,22 @@
     if (!peer || heartbeat.vm !== vm) return;
     const wasHeard = isHeard(peer);
     const isNew = peer.incarnation !== heartbeat.incarnation;
+    const hasLeft = heartbeat.isLeaving && !peer.isLeaving;
+    const acting = new Set(heartbeat.acting);
+    const isActingNew = [...acting].some((group) => !peer.acting.has(group));
     peer.heardAtMs = nowMs();
     peer.incarnation = heartbeat.incarnation;
-    peer.hears = new Set(heartbeat.heard);
-    const hasLeft = heartbeat.isLeaving && !peer.isLeaving;
+    peer.beat = heartbeat.beat;
+    peer.hears = new Set(heartbeat.heard.map((heard) => heard.vm));
+    peer.acting = acting;
+    peer.isSettled = heartbeat.isSettled;
     peer.isLeaving = heartbeat.isLeaving;
+    peer.isStoreReachable = heartbeat.isStoreReachable;
+    const confirmed = heartbeat.heard.find((heard) => heard.vm === self.vm);
+    if (confirmed) lease.confirm(vm, confirmed.beat);
     options.onSpending(vm, heartbeat.incarnation, heartbeat.spending);
-    pushMissing(peer, heartbeat.documents);
-    if (!wasHeard || isNew || hasLeft) options.onChange();
+    if (heartbeat.hasDocuments) pushMissing(peer, heartbeat.documents);
+    if (!wasHeard || isNew || hasLeft || isActingNew) options.onChange();
   };
 
   const dial = (vm: string, address: string): PeerLink =>
@@ -86,27 +114,33 @@
       },
     });
 
-  const register = (vm: string, registration: VmRegistration): void => {
+  const add = (vm: string, registration: VmRegistration, isRegistered: boolean): void => {
     if (vm === self.vm) return;
     const known = peers.get(vm);
     if (known && known.registration.address === registration.address) {
-      known.isRegistered = true;
       const isNewProcess = known.registration.incarnation !== registration.incarnation;
+      known.isRegistered ||= isRegistered;
+      known.knownAtMs = nowMs();
       known.registration = registration;
       if (isNewProcess && !isHeard(known)) known.incarnation = registration.incarnation;
       return;
     }
     known?.link.close();
-    log.info('vm.found', { peer: vm, address: registration.address });
+    log.info('vm.found', { peer: vm, address: registration.address, isRegistered });
     peers.set(vm, {
       registration,
-      isRegistered: true,
+      isRegistered,
       link: dial(vm, registration.address),
       incarnation: registration.incarnation,
+      beat: 0,
       heardAtMs: Number.NEGATIVE_INFINITY,
-      unregisteredAtMs: 0,
+      knownAtMs: nowMs(),
       hears: new Set(),
+      acting: new Set(),
+      isSettled: false,
       isLeaving: false,
+      isStoreReachable: false,
+      behindSinceMs: new Map(),
       pushedAtMs: new Map(),
     });
   };
@@ -115,23 +149,27 @@
     const peer = peers.get(vm);
     if (!peer?.isRegistered) return;
     peer.isRegistered = false;
-    peer.unregisteredAtMs = nowMs();
+    peer.knownAtMs = nowMs();
   };
 
   return {
-    register,
+    register: (vm: string, registration: VmRegistration): void => add(vm, registration, true),
     unregister,
+    /** A VM opened a stream to this one. */
+    meet: ({ vm, incarnation, address, dataCentre }: Hello): void =>
+      add(vm, { address, dataCentre, incarnation }, false),
     /** Takes a whole list of registrations; VMs that are not in it are no longer registered. */
     registerAll: (registrations: ReadonlyMap<string, VmRegistration>): void => {
-      registrations.forEach((registration, vm) => register(vm, registration));
+      registrations.forEach((registration, vm) => add(vm, registration, true));
       [...peers.keys()].filter((vm) => !registrations.has(vm)).forEach(unregister);
     },
-    /** Forgets VMs that are neither registered nor heard. */
+    /** Forgets VMs that are neither registered nor heard; one that said that it leaves, at once. */
     prune: (): void => {
       const now = nowMs();
       for (const [vm, peer] of peers) {
-        const silentMs = now - Math.max(peer.heardAtMs, peer.unregisteredAtMs);
-        if (!peer.isRegistered && silentMs > FORGOTTEN_AFTER_MS) {
+        const silentMs = now - Math.max(peer.heardAtMs, peer.knownAtMs);
+        const limitMs = peer.isLeaving ? HEARD_WITHIN_MS : FORGOTTEN_AFTER_MS;
+        if (!peer.isRegistered && !isHeard(peer) && silentMs > limitMs) {
           log.info('vm.forgotten', { peer: vm });
           peer.link.close();
           peers.delete(vm);
@@ -141,23 +179,51 @@
     vms: (): VmView[] => [
       {
         vm: self.vm,
+        dataCentre: self.dataCentre,
         incarnation: self.incarnation,
-        isRegistered: true,
         isHeard: true,
+        isSettled: nowMs() - startedAtMs > SETTLED_AFTER_MS,
         isLeaving,
         hears: new Set([...peers].filter(([, peer]) => isHeard(peer)).map(([vm]) => vm)),
       },
       ...[...peers].map(([vm, peer]) => ({
         vm,
+        dataCentre: peer.registration.dataCentre,
         incarnation: peer.incarnation,
-        isRegistered: peer.isRegistered,
         isHeard: isHeard(peer),
+        isSettled: peer.isSettled,
         isLeaving: peer.isLeaving,
         hears: peer.hears,
       })),
     ],
     link: (vm: string): PeerLink | undefined => peers.get(vm)?.link,
-    heard: (): string[] => [...peers].filter(([, peer]) => isHeard(peer)).map(([vm]) => vm),
+    isHeard: (vm: string): boolean => {
+      const peer = peers.get(vm);
+      return vm === self.vm || (peer !== undefined && isHeard(peer));
+    },
+    /** The VM that serves a group for an owner that is gone, if one says so. */
+    actingFor: (group: string): string | undefined =>
+      [...peers].find(([, peer]) => isHeard(peer) && peer.acting.has(group))?.[0],
+    /** VMs that reach the store, by name; this one is among them when it does. */
+    storeReaders: (isSelfReader: boolean): string[] =>
+      [...peers]
+        .filter(([, peer]) => isHeard(peer) && peer.isStoreReachable)
+        .map(([vm]) => vm)
+        .concat(isSelfReader ? [self.vm] : [])
+        .sort(),
+    heard: (): Heartbeat['heard'] =>
+      [...peers].filter(([, peer]) => isHeard(peer)).map(([vm, { beat }]) => ({ vm, beat })),
+    /** Numbers the next heartbeat. */
+    nextBeat: (): number => {
+      lastBeat += 1;
+      lease.send(lastBeat, clocks());
+      return lastBeat;
+    },
+    lastBeat: () => lastBeat,
+    isSettled: () => nowMs() - startedAtMs > SETTLED_AFTER_MS,
+    /** Whether at least half of the other VMs confirmed a heartbeat since a given one just now. */
+    holdsPeerLease: (sinceBeat?: number): boolean =>
+      lease.isHeld([...peers.keys()], clocks(), sinceBeat),
     /** Sends a document to all VMs at once. */
     publish: (document: { key: string; revision: number; value: string }): void =>
       peers.forEach(({ link }) => link.sendDocument(document)),
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,4 +1,4 @@
-import { chooseOwner, isIsolated, isOwnerGone } from '@auburngrade/coordination';
+import { chooseOwner, isOwnerGone } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
@@ -7,10 +7,12 @@
 import readGroupRecord from './readGroupRecord';
 import storeKeys from './storeKeys';
 
-/** How long an owner trusts that no other VM replaced a primary, since it last read its record. */
-const BELIEF_MS = 8_000;
-/** A new owner waits this much longer than the belief of the owner before may last. */
-const BELIEF_RESERVE_MS = 500;
+/** How long an owner that lacks the other VMs' confirmations trusts what it read in the store. */
+const STORE_BELIEF_MS = 1_200;
+/** A new owner waits this long before it replaces a primary: the belief of the one before, and a reserve. */
+const REPLACE_WAIT_MS = 1_600;
+/** Groups that a VM owns beyond the least loaded one before it gives one away. */
+const UNEVEN_BY = 2;
 
 interface OwnershipOptions {
   self: { vm: string; incarnation: string };
@@ -19,8 +21,9 @@
   fleet: Fleet;
   log: EventLog;
   nowMs(): number;
-  /** Time of day in ms: unlike the steady clock it counts the time for which a VM was suspended. */
   wallMs(): number;
+  primaryDataCentre(group: string): string | undefined;
+  isStoreReachable(): boolean;
 }
 
 /** Decides and records which VM owns which group. */
@@ -29,27 +32,26 @@
   const claiming = new Set<string>();
   const replaceFromMs = new Map<string, number>();
   const predecessors = new Map<string, { vm: string; incarnation: string }>();
-  let confirmedAtMs = { steady: Number.NEGATIVE_INFINITY, wall: 0 };
+  /** Groups that this VM serves while the store is out of reach, and the heartbeat that said so. */
+  const acting = new Map<string, number>();
+  let confirmedAt = { steadyMs: Number.NEGATIVE_INFINITY, wallMs: 0 };
+  let hasList = false;
 
   const keyOf = (group: string): string => storeKeys.groupPrefix + group;
   const recordOf = (group: string): GroupRecord | undefined => {
     const document = documents.get(keyOf(group));
     return document && readGroupRecord(document.value);
   };
-  const isMine = (group: string): boolean => {
+  const isRecorded = (group: string): boolean => {
     const record = recordOf(group);
     return record?.owner === self.vm && record.incarnation === self.incarnation;
   };
+  const isGone = (record: GroupRecord): boolean =>
+    isOwnerGone({ vm: record.owner, incarnation: record.incarnation }, fleet.vms());
 
-  const confirm = (atMs: { steady: number; wall: number }): void => {
-    confirmedAtMs = atMs;
-  };
-  const readClocks = () => ({ steady: nowMs(), wall: wallMs() });
-
-  const isCertain = (): boolean => {
-    const elapsedMs = Math.max(nowMs() - confirmedAtMs.steady, wallMs() - confirmedAtMs.wall);
-    return elapsedMs < BELIEF_MS;
-  };
+  const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
+  const isStoreBelieved = (): boolean =>
+    Math.max(nowMs() - confirmedAt.steadyMs, wallMs() - confirmedAt.wallMs) < STORE_BELIEF_MS;
 
   const write = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = keyOf(group);
@@ -64,7 +66,7 @@
       const document = { key, revision: outcome.revision, value };
       documents.offer(document);
       fleet.publish(document);
-      confirm(at);
+      confirmedAt = at;
       return true;
     }
     const item = await store.get(key);
@@ -72,7 +74,16 @@
     return false;
   };
 
+  const act = (group: string): void => {
+    if (acting.has(group) || isRecorded(group)) return;
+    const record = recordOf(group);
+    if (!record || !isGone(record) || fleet.actingFor(group) !== undefined) return;
+    acting.set(group, fleet.lastBeat() + 1);
+    log.warn('group.acting', { group, before: record.owner });
+  };
+
   const claim = async (group: string, record: GroupRecord | undefined): Promise<void> => {
+    const wasActing = acting.has(group);
     const isClaimed = await write(group, {
       owner: self.vm,
       incarnation: self.incarnation,
@@ -80,10 +91,11 @@
       fence: record?.fence ?? 0,
       isHandedOver: false,
     });
-    log.info('group.claimed', { group, outcome: isClaimed, before: record?.owner });
+    log.info('group.claimed', { group, outcome: isClaimed, before: record?.owner, wasActing });
+    acting.delete(group);
     if (!isClaimed) return;
     const isFree = !record || record.owner === self.vm;
-    replaceFromMs.set(group, nowMs() + (isFree ? 0 : BELIEF_MS + BELIEF_RESERVE_MS));
+    replaceFromMs.set(group, nowMs() + (isFree ? 0 : REPLACE_WAIT_MS));
     if (record) predecessors.set(group, { vm: record.owner, incarnation: record.incarnation });
   };
 
@@ -99,70 +111,131 @@
     });
   };
 
+  const ownedCounts = (groups: readonly string[]): Map<string, number> => {
+    const counts = new Map<string, number>();
+    groups.forEach((group) => {
+      const owner = recordOf(group)?.owner;
+      if (owner !== undefined) counts.set(owner, (counts.get(owner) ?? 0) + 1);
+    });
+    return counts;
+  };
+
+  /** Gives a group to another VM, which may act at once. */
+  const handOver = async (group: string): Promise<void> => {
+    const record = recordOf(group);
+    const others = fleet.vms().filter(({ vm }) => vm !== self.vm);
+    const groups = documents
+      .all()
+      .flatMap(({ key }) =>
+        key.startsWith(storeKeys.groupPrefix) ? [key.slice(storeKeys.groupPrefix.length)] : [],
+      );
+    const primaryDataCentre = options.primaryDataCentre(group);
+    const successor = chooseOwner(group, others, ownedCounts(groups), primaryDataCentre);
+    const view = others.find(({ vm }) => vm === successor);
+    if (!record || !view) return;
+    const { incarnation } = view;
+    const next = { ...record, owner: view.vm, incarnation, isHandedOver: true };
+    const outcome = await write(group, next);
+    log.info('group.handedOver', { group, successor, outcome });
+  };
+
+  const inBackground = (group: string, change: Promise<void>, event: string): void => {
+    claiming.add(group);
+    change
+      .catch((error) => {
+        log.warn(event, { group, reason: String(error) });
+        act(group);
+      })
+      .finally(() => claiming.delete(group));
+  };
+
+  /** Gives one group away when this VM owns clearly more than another one. */
+  const balance = (groups: readonly string[]): void => {
+    const counts = ownedCounts(groups);
+    const mine = groups.filter(isRecorded);
+    const able = fleet
+      .vms()
+      .filter(({ isHeard, isLeaving, isSettled }) => isHeard && isSettled && !isLeaving);
+    const least = Math.min(...able.map(({ vm }) => counts.get(vm) ?? 0));
+    const [given] = mine;
+    if (given === undefined || mine.length - least < UNEVEN_BY || claiming.size > 0) return;
+    inBackground(given, handOver(given), 'group.handOverFailed');
+  };
+
   return {
     recordOf,
-    isMine,
-    isCertain,
+    /** Whether this VM serves the group: as its owner, or for one that is gone. */
+    isServedHere: (group: string): boolean => isRecorded(group) || acting.has(group),
+    isRecorded,
+    acting: (): string[] => [...acting.keys()],
+    /** The VM that serves the group now. */
+    servingVm: (group: string): string | undefined => {
+      if (isRecorded(group) || acting.has(group)) return self.vm;
+      const owner = recordOf(group)?.owner;
+      if (owner !== undefined && fleet.isHeard(owner)) return owner;
+      return fleet.actingFor(group) ?? owner;
+    },
+    /** Whether no other VM can have replaced the group's primary without this VM knowing. */
+    isCertain: (group: string): boolean =>
+      isRecorded(group)
+        ? isStoreBelieved() || fleet.holdsPeerLease()
+        : acting.has(group) && fleet.holdsPeerLease(acting.get(group)),
     /** Whether no earlier owner of the group can still believe in another primary. */
     mayReplacePrimary: (group: string): boolean => {
-      const record = recordOf(group);
-      const fromMs = record?.isHandedOver ? 0 : (replaceFromMs.get(group) ?? 0);
-      return isMine(group) && isCertain() && nowMs() >= fromMs && !isIsolated(self.vm, fleet.vms());
+      if (!isRecorded(group)) return false;
+      const fromMs = recordOf(group)?.isHandedOver ? 0 : (replaceFromMs.get(group) ?? 0);
+      return nowMs() >= fromMs && (isStoreBelieved() || fleet.holdsPeerLease());
     },
+    /** Whether the store has to be asked often, since too few VMs confirm this one's heartbeats. */
+    needsStore: (): boolean => !fleet.holdsPeerLease(),
     /** Records the endpoint that becomes the primary. */
     recordPrimary: async (group: string, primary: string, fence: number): Promise<boolean> => {
       const record = recordOf(group);
-      if (!record || !isMine(group)) return false;
+      if (!record || !isRecorded(group)) return false;
       return write(group, { ...record, primary, fence });
     },
+    /** The store's list of records is known: groups without one have no owner. */
+    setListed: (): void => {
+      hasList = true;
+    },
     /** Claims groups without an owner that this VM should own. */
-    review: (groups: Iterable<string>): void => {
+    review: (names: Iterable<string>): void => {
       forgetEndedPredecessors();
+      const groups = [...names].sort();
+      acting.forEach((_beat, group) => {
+        const record = recordOf(group);
+        if (record && isGone(record)) return;
+        log.info('group.actingEnded', { group, owner: record?.owner });
+        acting.delete(group);
+      });
+      if (fleet.isLeaving()) return;
       const vms = fleet.vms();
-      if (fleet.isLeaving() || isIsolated(self.vm, vms)) return;
-      const names = [...groups];
       const counts = new Map<string, number>();
-      const orphans = names.filter((group) => {
+      const orphans = groups.filter((group) => {
         const record = recordOf(group);
-        if (!record || isOwnerGone({ ...record, vm: record.owner }, self.vm, vms)) return true;
-        counts.set(record.owner, (counts.get(record.owner) ?? 0) + 1);
+        if (record ? isGone(record) : hasList) return true;
+        if (record) counts.set(record.owner, (counts.get(record.owner) ?? 0) + 1);
         return false;
       });
-      orphans.sort().forEach((group) => {
-        const owner = chooseOwner(group, vms, counts);
+      orphans.forEach((group) => {
+        const stand = acting.has(group) ? self.vm : fleet.actingFor(group);
+        const owner = stand ?? chooseOwner(group, vms, counts, options.primaryDataCentre(group));
         if (owner === undefined) return;
         counts.set(owner, (counts.get(owner) ?? 0) + 1);
         if (owner !== self.vm || claiming.has(group)) return;
-        claiming.add(group);
-        claim(group, recordOf(group))
-          .catch((error) => log.warn('group.claimFailed', { group, reason: String(error) }))
-          .finally(() => claiming.delete(group));
+        if (!options.isStoreReachable()) act(group);
+        inBackground(group, claim(group, recordOf(group)), 'group.claimFailed');
       });
+      if (orphans.length === 0) balance(groups);
     },
     /** Reads the records anew: as long as they name this VM, no other can have replaced a primary. */
     refresh: async (): Promise<void> => {
       const at = readClocks();
       const { items } = await store.list(storeKeys.groupPrefix);
       items.forEach((item) => documents.offer(item));
-      confirm(at);
-    },
-    /** Gives a group to another VM, which may act at once. */
-    handOver: async (group: string): Promise<void> => {
-      const record = recordOf(group);
-      const others = fleet.vms().filter(({ vm }) => vm !== self.vm);
-      const counts = new Map<string, number>();
-      documents.all().forEach(({ value }) => {
-        const owner = readGroupRecord(value)?.owner;
-        if (owner !== undefined) counts.set(owner, (counts.get(owner) ?? 0) + 1);
-      });
-      const successor = chooseOwner(group, others, counts);
-      const view = others.find(({ vm }) => vm === successor);
-      if (!record || !view) return;
-      const { incarnation } = view;
-      const next = { ...record, owner: view.vm, incarnation, isHandedOver: true };
-      const outcome = await write(group, next);
-      log.info('group.handedOver', { group, successor, outcome });
+      confirmedAt = at;
     },
+    handOver,
   };
 };
 
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -1,4 +1,8 @@
-import { Action, type CallResult, type GroupCall } from '../generated/auburngrade/session/v1/session';
+import {
+  Action,
+  type CallResult,
+  type GroupCall,
+} from '../generated/auburngrade/session/v1/session';
 import type CallOutcome from '../group/callOutcome';
 import refused from '../group/refused';
 import LinkError from '../link/linkError';
@@ -20,10 +24,7 @@
   nowMs(): number;
   ownerOf(group: string): string | undefined;
   link(vm: string): PeerLink | undefined;
-  runHere(
-    call: GroupCall,
-    values: ReadonlyMap<string, string>,
-  ): Promise<CallOutcome> | undefined;
+  runHere(call: GroupCall, values: ReadonlyMap<string, string>): Promise<CallOutcome> | undefined;
   endTransactionHere(group: string, transaction: number): void;
 }
 
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -205,7 +205,10 @@
   const runStatement = async (requestId: string, statement: SessionStatement): Promise<void> => {
     const caller = currentCaller();
     // A transaction goes on by the route with which it began, but not with a withdrawn key.
-    if (!caller || (caller.kind !== 'found' && !(transaction && caller.kind === 'unknownDatabase'))) {
+    if (
+      !caller ||
+      (caller.kind !== 'found' && !(transaction && caller.kind === 'unknownDatabase'))
+    ) {
       refuseSession(caller?.kind === 'unknownDatabase' ? 'unknownDatabase' : 'unauthenticated');
       return;
     }
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -347,7 +347,11 @@
       member = await pool.lend(call.account, valuesKeyOf(work.values));
       const guard = setTimeout(() => member && pool.drop(member), call.statementTimeoutMs);
       await prepareMember(pool, member, work.values, call.prepared);
-      const begin = await pool.ask(member, { kind: 'begin', isReadOnly: call.isReadOnly, notBefore });
+      const begin = await pool.ask(member, {
+        kind: 'begin',
+        isReadOnly: call.isReadOnly,
+        notBefore,
+      });
       clearTimeout(guard);
       if (begin.failure || begin.state !== 'open') {
         if (begin.failure?.kind === 'lagging') work.excluded.add(endpointId);
@@ -390,7 +394,10 @@
     run()
       .catch((error) => {
         log.warn('request.broken', { request: work.call.requestId, reason: String(error) });
-        finish(work, refused(work.call.action === Action.ACTION_READ ? 'failed' : 'inDoubt', 'internal error'));
+        finish(
+          work,
+          refused(work.call.action === Action.ACTION_READ ? 'failed' : 'inDoubt', 'internal error'),
+        );
       })
       .finally(() => {
         pool.returnSlot();
@@ -483,7 +490,9 @@
     waiting.splice(index, 1);
     const open = openTransactionOf(work);
     if (open) endTransaction(open, false);
-    const reason = keeper.current() ? 'no slot became free in time' : 'the group has no primary now';
+    const reason = keeper.current()
+      ? 'no slot became free in time'
+      : 'the group has no primary now';
     finish(work, refused('busy', `${reason}, retry in 300 ms`));
   };
 
@@ -540,7 +549,11 @@
         const { isAdmitted, retryInMs } = limiter.admit(call.account);
         if (!isAdmitted) {
           const message = `the account is over its rate, retry in ${Math.ceil(retryInMs)} ms`;
-          log.info('request.overRate', { request: call.requestId, account: call.account, retryInMs });
+          log.info('request.overRate', {
+            request: call.requestId,
+            account: call.account,
+            retryInMs,
+          });
           return Promise.resolve(refused('busy', message));
         }
       }
@@ -590,7 +603,8 @@
       pools.forEach((pool) => pool.dropIdle());
     },
     openTransactions: () => transactions.size,
-    underWay: () => [...pools.values()].reduce((sum, pool) => sum + pool.load('', false).underWay, 0),
+    underWay: () =>
+      [...pools.values()].reduce((sum, pool) => sum + pool.load('', false).underWay, 0),
     waitingCount: () => waiting.length,
     primary: () => keeper.current(),
     close: (): void => {
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -25,6 +25,10 @@
 const PROBES_UNTIL_DOWN = 2;
 /** Weight of the newest answer in the average time of an answer. */
 const LATENCY_WEIGHT = 0.1;
+/** Part of the connections that may stay open unused: the rest is for the VM that takes over. */
+const KEPT_IDLE_PART = 0.5;
+/** How long a connection beyond that part may be unused. */
+const IDLE_TRIM_MS = 1_000;
 /** Assumed time of an answer before the first one. */
 const INITIAL_LATENCY_MS = 25;
 
@@ -282,6 +286,15 @@
       setTimeout(onChange, BUSY_PAUSE_MS + 1);
     },
     probe,
+    /** Closes connections that are not needed, since those of a VM that dies count for seconds. */
+    trim: (): void => {
+      const unusedSinceMs = nowMs() - IDLE_TRIM_MS;
+      [...idle]
+        .sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)
+        .slice(0, Math.max(0, connections.size - Math.floor(maxConnections * KEPT_IDLE_PART)))
+        .filter(({ lastUsedAtMs }) => lastUsedAtMs < unusedSinceMs)
+        .forEach(drop);
+    },
     /** Asks for a sign of life when an answer is overdue, or when the endpoint was down. */
     check: (): void => {
       const now = nowMs();
--- a/packages/sessions/src/group/createPrimaryKeeper.ts
+++ b/packages/sessions/src/group/createPrimaryKeeper.ts
@@ -52,7 +52,9 @@
     const answers = await Promise.all(
       ids.map(async (id) => ({ id, askedAtMs: nowMs(), status: await pools.get(id)?.probe() })),
     );
-    return answers.flatMap(({ id, askedAtMs, status }) => (status ? [{ id, askedAtMs, status }] : []));
+    return answers.flatMap(({ id, askedAtMs, status }) =>
+      status ? [{ id, askedAtMs, status }] : [],
+    );
   };
 
   const believe = (id: string, position: LogPosition, askedAtMs: number): void => {
@@ -177,7 +179,10 @@
   };
 
   const tick = (): void => {
-    pools.forEach((pool) => pool.check());
+    pools.forEach((pool) => {
+      pool.check();
+      pool.trim();
+    });
     if (isBusy || isClosed) return;
     isBusy = true;
     step()
--- a/packages/sessions/src/link/createPeerLink.ts
+++ b/packages/sessions/src/link/createPeerLink.ts
@@ -4,6 +4,7 @@
   type CallResult,
   type FleetDocument,
   type Heartbeat,
+  type Hello,
   type LinkReply,
   type LinkRequest,
 } from '../generated/auburngrade/session/v1/session';
@@ -31,7 +32,7 @@
 interface PeerLinkOptions {
   vm: string;
   address: string;
-  self: { vm: string; incarnation: string };
+  self: Hello;
   log: EventLog;
   nowMs(): number;
   onHeartbeat(heartbeat: Heartbeat): void;
@@ -72,7 +73,9 @@
     client = undefined;
     const lost = [...pending.values()];
     pending.clear();
-    lost.forEach(({ reject }) => reject(new LinkError(true, `the link to ${vm} was lost: ${reason}`)));
+    lost.forEach(({ reject }) =>
+      reject(new LinkError(true, `the link to ${vm} was lost: ${reason}`)),
+    );
   };
 
   const onReply = ({ body }: LinkReply): void => {
--- a/packages/sessions/src/link/startLinkServer.ts
+++ b/packages/sessions/src/link/startLinkServer.ts
@@ -5,6 +5,7 @@
   type FleetDocument,
   type GroupCall,
   type Heartbeat,
+  type Hello,
   type LinkReply,
   type LinkRequest,
   type SessionLinkServer,
@@ -20,8 +21,9 @@
   /** A VM's process is gone, or its last stream is. */
   endOrigin(origin: string): void;
   onDocument(document: FleetDocument): void;
-  /** The heartbeat for a stream; `isFirst` when nothing was sent on it before. */
-  heartbeat(stream: object, isFirst: boolean): Heartbeat;
+  onHello(hello: Hello): void;
+  /** The heartbeat for a stream, with its number; `isFirst` when nothing was sent on it before. */
+  heartbeat(stream: object, beat: number, isFirst: boolean): Heartbeat;
 }
 
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
@@ -29,6 +31,7 @@
 /** Serves the streams of other VMs. */
 const startLinkServer = async (options: LinkServerOptions) => {
   const streams = new Map<Stream, string>();
+  let lastBeat = 0;
   const server = new Server({ 'grpc.max_receive_message_length': -1 });
 
   const serve = (stream: Stream): void => {
@@ -52,8 +55,9 @@
         case 'hello':
           origin = `${body.hello.vm}@${body.hello.incarnation}`;
           streams.set(stream, origin);
+          options.onHello(body.hello);
           stream.write({
-            body: { $case: 'heartbeat', heartbeat: options.heartbeat(stream, true) },
+            body: { $case: 'heartbeat', heartbeat: options.heartbeat(stream, lastBeat, true) },
           });
           break;
         case 'groupCall':
@@ -93,11 +97,13 @@
   });
 
   return {
-    beat: (): void =>
+    beat: (beat: number): void => {
+      lastBeat = beat;
       streams.forEach((_origin, stream) => {
-        const heartbeat = options.heartbeat(stream, false);
+        const heartbeat = options.heartbeat(stream, beat, false);
         stream.write({ body: { $case: 'heartbeat', heartbeat } });
-      }),
+      });
+    },
     close: (): void => server.forceShutdown(),
   };
 };
