--- a/packages/coordination/src/ownership/isOwnerGone.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.ts
@@ -3,6 +3,8 @@
 interface GroupOwner {
   vm: string;
   incarnation: string;
+  /** The record that names it is not new: what is known of the VM is at least as recent. */
+  isSettled: boolean;
 }
 
 /**
@@ -12,7 +14,7 @@
  */
 const isOwnerGone = (owner: GroupOwner, vms: readonly VmView[]): boolean => {
   const view = vms.find(({ vm }) => vm === owner.vm);
-  if (view && view.incarnation !== owner.incarnation) return true;
+  if (view && view.incarnation !== owner.incarnation) return owner.isSettled;
   if (view?.isHeard) return false;
   const others = vms.filter(({ vm }) => vm !== owner.vm);
   const without = others.filter(
--- a/packages/coordination/src/placement/compareUrgency.ts
+++ b/packages/coordination/src/placement/compareUrgency.ts
@@ -3,9 +3,12 @@
 /** A step of priority counts like this much time less until the target. */
 const PRIORITY_STEP_MS = 100;
 
+/** Time that a statement and its way back take: with less left it is late whatever is done. */
+const RUN_TIME_MS = 50;
+
 const rankOf = (work: WaitingWork, nowMs: number): number => {
   if (work.isInTransaction) return 0;
-  return work.targetAtMs > nowMs ? 1 : 2;
+  return work.targetAtMs - RUN_TIME_MS > nowMs ? 1 : 2;
 };
 
 /**
--- a/packages/coordination/src/rate/createFleetBucket.ts
+++ b/packages/coordination/src/rate/createFleetBucket.ts
@@ -42,7 +42,7 @@
     charge: (admitted: number, nowMs: number): void => {
       refill(nowMs);
       const floor = -(limit.burst + limit.ratePerS);
-      tokens = Math.max(floor, tokens - admitted);
+      tokens = Math.min(Math.max(1, limit.burst), Math.max(floor, tokens - admitted));
     },
     /** Time until a token is here. */
     dueInMs: (nowMs: number): number => {
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -108,6 +108,7 @@
   });
   let configurationFollower: ReturnType<typeof createStoreFollower> | undefined;
   const isStoreReachable = (): boolean => configurationFollower?.isReachable() ?? false;
+  let fleetFollower: ReturnType<typeof createStoreFollower> | undefined;
   const ownership = createOwnership({
     self,
     store,
@@ -116,7 +117,7 @@
     log,
     nowMs,
     wallMs,
-    isStoreReachable,
+    isFollowing: () => fleetFollower?.isReachable() ?? false,
     primaryDataCentre: (group) =>
       endpoints.find((endpoint) => endpoint.group === group && endpoint.claimsPrimary)?.dataCentre,
   });
@@ -334,7 +335,7 @@
   const takeItem = (item: StoredItem): void => {
     if (item.key.startsWith(storeKeys.groupPrefix)) documents.offer(item);
   };
-  const fleetFollower = createStoreFollower({
+  fleetFollower = createStoreFollower({
     store,
     prefix: storeKeys.root,
     waitMs: () => LONG_WATCH_MS,
@@ -418,7 +419,7 @@
         .close()
         .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
       configurationFollower?.close();
-      fleetFollower.close();
+      fleetFollower?.close();
       [...servers.values(), ...retired].forEach((server) => server.close());
       sessions.forEach((session) => session.abort());
       fleet.close();
--- a/packages/sessions/src/daemon/createSpending.ts
+++ b/packages/sessions/src/daemon/createSpending.ts
@@ -36,7 +36,7 @@
       spending.forEach(({ account, admitted }) => {
         const added = admitted - (counts.get(account) ?? 0);
         counts.set(account, admitted);
-        if (!isHistory && added > 0) limiter.charge(account, added * part);
+        if (!isHistory && added !== 0) limiter.charge(account, added * part);
       });
     },
     /** While an owner of another group cannot be heard, each keeps to its part of the rates. */
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -11,6 +11,8 @@
 const STORE_BELIEF_MS = 1_200;
 /** A new owner waits this long before it replaces a primary: the belief of the one before, and a reserve. */
 const REPLACE_WAIT_MS = 1_600;
+/** A record that is younger may name a process that this VM has not heard of yet. */
+const RECORD_SETTLED_MS = 600;
 /** Groups that a VM owns beyond the least loaded one before it gives one away. */
 const UNEVEN_BY = 2;
 
@@ -23,7 +25,8 @@
   nowMs(): number;
   wallMs(): number;
   primaryDataCentre(group: string): string | undefined;
-  isStoreReachable(): boolean;
+  /** Whether the list of VMs and records follows the store now. */
+  isFollowing(): boolean;
 }
 
 /** Decides and records which VM owns which group. */
@@ -46,8 +49,11 @@
     const record = recordOf(group);
     return record?.owner === self.vm && record.incarnation === self.incarnation;
   };
-  const isGone = (record: GroupRecord): boolean =>
-    isOwnerGone({ vm: record.owner, incarnation: record.incarnation }, fleet.vms());
+  const isGone = (group: string, { owner, incarnation }: GroupRecord): boolean => {
+    const sinceMs = documents.get(keyOf(group))?.knownSinceMs ?? nowMs();
+    const isSettled = owner === self.vm || nowMs() - sinceMs > RECORD_SETTLED_MS;
+    return isOwnerGone({ vm: owner, incarnation, isSettled }, fleet.vms());
+  };
 
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
   const isStoreBelieved = (): boolean =>
@@ -77,7 +83,8 @@
   const act = (group: string): void => {
     if (acting.has(group) || isRecorded(group)) return;
     const record = recordOf(group);
-    if (!record || !isGone(record) || fleet.actingFor(group) !== undefined) return;
+    if (!hasList || !record || !isGone(group, record)) return;
+    if (fleet.actingFor(group) !== undefined) return;
     acting.set(group, fleet.lastBeat() + 1);
     log.warn('group.acting', { group, before: record.owner });
   };
@@ -204,7 +211,7 @@
       const groups = [...names].sort();
       acting.forEach((_beat, group) => {
         const record = recordOf(group);
-        if (record && isGone(record)) return;
+        if (record && isGone(group, record)) return;
         log.info('group.actingEnded', { group, owner: record?.owner });
         acting.delete(group);
       });
@@ -213,18 +220,28 @@
       const counts = new Map<string, number>();
       const orphans = groups.filter((group) => {
         const record = recordOf(group);
-        if (record ? isGone(record) : hasList) return true;
+        if (record ? isGone(group, record) : hasList) return true;
         if (record) counts.set(record.owner, (counts.get(record.owner) ?? 0) + 1);
         return false;
       });
       orphans.forEach((group) => {
+        const before = recordOf(group)?.owner;
+        const isBack = vms.some(
+          ({ vm, isHeard, isLeaving }) => vm === before && isHeard && !isLeaving,
+        );
         const stand = acting.has(group) ? self.vm : fleet.actingFor(group);
-        const owner = stand ?? chooseOwner(group, vms, counts, options.primaryDataCentre(group));
+        const owner =
+          stand ??
+          (isBack ? before : undefined) ??
+          chooseOwner(group, vms, counts, options.primaryDataCentre(group));
         if (owner === undefined) return;
         counts.set(owner, (counts.get(owner) ?? 0) + 1);
         if (owner !== self.vm || claiming.has(group)) return;
-        if (!options.isStoreReachable()) act(group);
-        inBackground(group, claim(group, recordOf(group)), 'group.claimFailed');
+        if (!options.isFollowing()) act(group);
+        // Without the store's list this VM cannot tell how many VMs there are.
+        if (options.isFollowing()) {
+          inBackground(group, claim(group, recordOf(group)), 'group.claimFailed');
+        }
       });
       if (orphans.length === 0) balance(groups);
     },
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -15,6 +15,8 @@
 /** How long a statement waits for a group that has no reachable owner: a change of owner takes 1 s. */
 const OWNER_WAIT_MS = 900;
 const OWNER_POLL_MS = 25;
+/** A group that nobody served for this long has no owner that this VM can reach. */
+const UNSERVED_AFTER_MS = 2_500;
 /** A call is given up this long after the owner must have answered. */
 const ANSWER_RESERVE_MS = 300;
 
@@ -45,6 +47,8 @@
 const createGroupRouter = (options: GroupRouterOptions) => {
   const { self, log, nowMs } = options;
   /** The VM that runs a transaction, and its group. */
+  /** Since when nobody that can be reached serves a group. */
+  const unservedSinceMs = new Map<string, number>();
   const homes = new Map<number, { vm: string; group: string }>();
 
   const callAt = async (
@@ -92,7 +96,10 @@
         if (call.opensTransaction) homes.set(call.transaction, { vm: owner, group: call.group });
         try {
           const outcome = await callAt(owner, groupCall, values);
-          if (outcome.kind !== 'notOwner') return outcome;
+          if (outcome.kind !== 'notOwner') {
+            unservedSinceMs.delete(call.group);
+            return outcome;
+          }
         } catch (error) {
           if (!(error instanceof LinkError)) throw error;
           const result = onLinkError(groupCall, error);
@@ -101,6 +108,10 @@
         }
         if (isNext) return refused('aborted', 'the VM that ran the transaction is gone');
       }
+      const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
+      unservedSinceMs.set(call.group, sinceMs);
+      // A change of owner would be over by now: waiting would only delay the refusal.
+      if (nowMs() - sinceMs > UNSERVED_AFTER_MS) break;
       await sleep(OWNER_POLL_MS);
     } while (nowMs() - startedAtMs < OWNER_WAIT_MS);
     log.info('request.noOwner', {
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -33,8 +33,8 @@
 const WAITING_PART = 0.85;
 /** Tries of one statement: each had no effect, or was a read. */
 const MAX_ATTEMPTS = 6;
-/** Connections of an endpoint's limit that are left for status questions. */
-const CONTROL_CONNECTIONS = 2;
+/** Part of an endpoint's connections that one owner uses: those of an owner that dies count for 3 s. */
+const USED_PART = 0.7;
 /** Connections that open transactions leave to single statements. */
 const CONNECTIONS_OUTSIDE_TRANSACTIONS = 4;
 /** An endpoint whose entry is missing may be back within two seconds of the store's return. */
@@ -130,6 +130,9 @@
 
   const finish = (work: GroupWork, outcome: CallOutcome): void => {
     clearTimeout(work.timer);
+    const isUnused =
+      outcome.kind === 'notOwner' || (outcome.kind === 'refused' && outcome.code === 'busy');
+    if (isUnused && !work.isInTransaction && !work.hasRun) limiter.putBack(work.call.account);
     if (outcome.kind === 'refused') {
       log.info('request.refused', {
         request: work.call.requestId,
@@ -249,6 +252,7 @@
     const { call } = work;
     const notBefore = isPrimaryOnly(work) ? undefined : freshPosition(work);
     const needsWait = pool.endpoint().id !== keeper.leading();
+    const started = work;
     let member: PooledMember | undefined;
     let isSent = false;
     try {
@@ -262,6 +266,7 @@
         return;
       }
       isSent = true;
+      started.hasRun = true;
       const command = commandOf(work, member, needsWait ? notBefore : undefined);
       const reply = await askWithin(pool, member, command, call.statementTimeoutMs);
       if (reply.failure?.kind === 'noStatement') member.prepared.clear();
@@ -510,7 +515,7 @@
 
   return {
     updateEndpoints: (endpoints: readonly GroupEndpoint[], connectionLimit: number): void => {
-      maxConnections = Math.max(1, connectionLimit - CONTROL_CONNECTIONS);
+      maxConnections = Math.max(1, Math.floor(connectionLimit * USED_PART));
       for (const endpoint of endpoints) {
         missingSinceMs.delete(endpoint.id);
         const known = pools.get(endpoint.id);
@@ -570,6 +575,7 @@
           refusedAtMs: now + call.statementTimeoutMs * WAITING_PART - call.waitedMs,
           priority: call.priority,
           attempts: 0,
+          hasRun: false,
           timer: undefined,
           resolve,
         };
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -55,6 +55,7 @@
   const askedAt = new Map<object, number>();
   let lastReplyAtMs = nowMs();
   let pausedUntilMs = 0;
+  let openPausedUntilMs = 0;
   let failedProbes = 0;
   let isDown = false;
   let isProbing = false;
@@ -140,7 +141,10 @@
           waitedMs: Math.round(nowMs() - askedAtMs),
           open: connections.size,
         });
-        if (error.reason === 'connectionLimit') pausedUntilMs = nowMs() + CONNECTION_LIMIT_PAUSE_MS;
+        if (error.reason === 'connectionLimit') {
+          openPausedUntilMs = nowMs() + CONNECTION_LIMIT_PAUSE_MS;
+          setTimeout(onChange, CONNECTION_LIMIT_PAUSE_MS + 1);
+        }
         if (error.reason === 'busy') pausedUntilMs = nowMs() + BUSY_PAUSE_MS;
         if (['refused', 'silent', 'misrouted'].includes(error.reason)) {
           failedProbes += 1;
@@ -165,7 +169,8 @@
     return best;
   };
 
-  const hasOpenRoom = (): boolean => connections.size + opening < maxConnections;
+  const hasOpenRoom = (): boolean =>
+    connections.size + opening < maxConnections && nowMs() >= openPausedUntilMs;
 
   /** Frees room by closing the connection of another account that was idle longest. */
   const evictIdle = (): boolean => {
--- a/packages/sessions/src/group/groupWork.ts
+++ b/packages/sessions/src/group/groupWork.ts
@@ -12,6 +12,8 @@
   /** When it is refused if it still waits. */
   refusedAtMs: number;
   attempts: number;
+  /** It was sent to an endpoint at least once. */
+  hasRun: boolean;
   timer: NodeJS.Timeout | undefined;
   resolve(outcome: CallOutcome): void;
 }
--- a/packages/sessions/src/limits/createRateLimiter.ts
+++ b/packages/sessions/src/limits/createRateLimiter.ts
@@ -1,6 +1,9 @@
 import { createFleetBucket } from '@auburngrade/coordination';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 
+/** The least time between two processes of a VM. */
+const RESTART_MS = 1_000;
+
 type Limits = FleetConfiguration['limits'];
 
 /** Keeps the accounts' rates over the fleet: one bucket an account, charged with what others admit. */
@@ -16,8 +19,8 @@
     if (!limit) return undefined;
     const known = buckets.get(account);
     if (known) return known;
-    // Filled as if it had been there since the process started.
-    const created = createFleetBucket(limit, startedAtMs);
+    // A process starts a second or more after the one before it ended, and nothing was spent then.
+    const created = createFleetBucket(limit, startedAtMs - RESTART_MS);
     created.setShare(share, startedAtMs);
     buckets.set(account, created);
     return created;
@@ -41,6 +44,11 @@
       admitted.set(account, (admitted.get(account) ?? 0) + 1);
       return { isAdmitted: true, retryInMs: 0 };
     },
+    /** Takes back the admission of an operation of which nothing was sent to an endpoint. */
+    putBack: (account: string): void => {
+      bucketOf(account)?.charge(-1, nowMs());
+      admitted.set(account, (admitted.get(account) ?? 0) - 1);
+    },
     charge: (account: string, count: number): void => bucketOf(account)?.charge(count, nowMs()),
     /** Limits this VM to a part of each rate while another spending VM cannot report. */
     setShare: (next: number): void => {
