--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import { configs, extensions, plugins } from 'eslint-config-airbnb-extended';
 import prettierConfig from 'eslint-config-prettier';
 
-const PEERS = ['caller', 'endpoint', 'platform', 'operator', 'vm'];
+const PEERS = ['caller', 'endpoint', 'platform', 'operator', 'vm', 'sessions'];
 
 /** Import direction: program -> peer packages -> coordination. */
 const importZones = [
@@ -11,6 +11,12 @@
     except: ['./coordination'],
     message: 'coordination imports no other package.',
   },
+  {
+    target: './platform',
+    from: './packages',
+    except: ['./sessions'],
+    message: 'the folder platform/ only translates for the sessions package.',
+  },
   ...PEERS.map((peer) => ({
     target: `./packages/${peer}/src`,
     from: './packages',
@@ -21,7 +27,7 @@
 
 export default [
   {
-    ignores: ['**/node_modules', 'dist', 'out', 'packages/*/src/generated', 'scripts/*.mjs'],
+    ignores: ['**/node_modules', 'dist', 'out', 'target', 'journal', 'packages/*/src/generated', 'scripts/*.mjs'],
   },
   plugins.stylistic,
   plugins.importX,
@@ -43,8 +49,22 @@
     },
   },
   {
+    files: ['packages/*/src/**/*.ts', 'platform/**/*.ts'],
+    ignores: ['packages/*/src/index.ts', 'platform/index.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportNamedDeclaration, ExportAllDeclaration',
+          message: 'A file has one export, its default; index.ts registers public items.',
+        },
+      ],
+    },
+  },
+  {
+    // The names of the users' platform stand in one folder.
     files: ['packages/*/src/**/*.ts'],
-    ignores: ['packages/*/src/index.ts'],
+    ignores: ['packages/*/src/generated/**', 'packages/auburngrade/src/site/main.ts'],
     rules: {
       'no-restricted-syntax': [
         'error',
@@ -52,9 +72,18 @@
           selector: 'ExportNamedDeclaration, ExportAllDeclaration',
           message: 'A file has one export, its default; index.ts registers public items.',
         },
+        {
+          selector:
+            'Literal[value=/WAITLSN|DATAROW|INDOUBT|AUTHFAIL|X-Auburngrade|kv-(key|range|txn|watch)|op\\/config/]',
+          message: "The platform's names are decoded in platform/.",
+        },
       ],
     },
   },
+  {
+    files: ['packages/*/src/index.ts'],
+    rules: { 'no-restricted-syntax': 'off' },
+  },
   {
     files: ['**/*.spec.ts', 'scripts/**', 'packages/testkit/**', '*.mjs'],
     rules: {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -154,6 +154,7 @@
 export { default as isOwnerGone } from './ownership/isOwnerGone';
 export { default as chooseOwner } from './ownership/chooseOwner';
 export { default as createPeerLease } from './ownership/createPeerLease';
+export { default as createHearing } from './ownership/createHearing';
 export type { default as MemberLoad } from './placement/memberLoad';
 export { default as choosePlacement } from './placement/choosePlacement';
 export type { default as WaitingWork } from './placement/waitingWork';
--- /dev/null
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai';
+import chooseOwner from './chooseOwner';
+import type VmView from './vmView';
+
+const view = (vm: string, dataCentre: string, changes: Partial<VmView> = {}): VmView => ({
+  vm,
+  dataCentre,
+  incarnation: '1',
+  isHeard: true,
+  isSettled: true,
+  isLeaving: false,
+  hears: new Set(),
+  ...changes,
+});
+
+describe('chooseOwner', () => {
+  it('takes the VM that owns the fewest groups', () => {
+    const vms = [view('a', 'waco'), view('b', 'waco')];
+    expect(chooseOwner('g', vms, new Map([['a', 1]]), undefined)).to.equal('b');
+    expect(chooseOwner('g', vms, new Map([['b', 1]]), undefined)).to.equal('a');
+  });
+
+  it('keeps apart from the primary where it can', () => {
+    const vms = [view('a', 'waco'), view('b', 'temple')];
+    expect(chooseOwner('g', vms, new Map(), 'waco')).to.equal('b');
+    expect(chooseOwner('g', vms, new Map([['b', 1]]), 'waco')).to.equal('a');
+  });
+
+  it('leaves out VMs that are silent or leaving', () => {
+    const vms = [view('a', 'waco', { isHeard: false }), view('b', 'waco', { isLeaving: true })];
+    expect(chooseOwner('g', vms, new Map(), undefined)).to.equal(undefined);
+  });
+
+  it('gives the same answer whatever the order', () => {
+    const vms = ['a', 'b', 'c', 'd'].map((vm) => view(vm, 'waco'));
+    const chosen = chooseOwner('g', vms, new Map(), undefined);
+    expect(chooseOwner('g', [...vms].reverse(), new Map(), undefined)).to.equal(chosen);
+  });
+});
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -275,7 +275,7 @@
     heartbeat: (stream, beat, isFirst) => ({
       vm: settings.vm,
       incarnation,
-      heard: fleet.heard(),
+      heard: fleet.heardVms(),
       hasDocuments: beat % BEATS_PER_COMPARISON === 0,
       documents:
         beat % BEATS_PER_COMPARISON === 0
@@ -374,7 +374,7 @@
         nextNumber,
         configuration: () => configuration,
         endSession: (session) => {
-          fleet.vms().forEach(({ vm }) => fleet.link(vm)?.endSession(session));
+          fleet.vms().forEach((view) => fleet.link(view.vm)?.endSession(session));
         },
         onEnd: () => sessions.delete(created),
       });
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -1,4 +1,4 @@
-import { createPeerLease, type VmView } from '@auburngrade/coordination';
+import { createHearing, createPeerLease, type VmView } from '@auburngrade/coordination';
 import type { FleetDocument, Heartbeat, Hello } from '../generated/auburngrade/session/v1/session';
 import createPeerLink from '../link/createPeerLink';
 import type PeerLink from '../link/peerLink';
@@ -10,6 +10,8 @@
 const PEER_LEASE_MS = 1_000;
 /** A VM that was not heard for this long counts as silent: longer than the lease. */
 const HEARD_WITHIN_MS = 1_100;
+/** A VM that was called silent is confirmed again after this time, longer than others count it. */
+const SILENCE_HOLD_MS = 2_500;
 /** A process that is younger cannot tell a silent VM from one that it has not met yet. */
 const SETTLED_AFTER_MS = 1_500;
 /** A silent VM that is not registered counts among the VMs for this long: a cut is shorter. */
@@ -52,11 +54,19 @@
   const startedAtMs = nowMs();
   const peers = new Map<string, Peer>();
   const lease = createPeerLease(PEER_LEASE_MS);
+  const hearing = createHearing(SILENCE_HOLD_MS);
   // A number that no earlier process of this VM can have used: confirmations of its beats are void.
   let lastBeat = Math.floor(wallMs());
   let isLeaving = false;
 
   const isHeard = (peer: Peer): boolean => nowMs() - peer.heardAtMs < HEARD_WITHIN_MS;
+  const isSettled = (): boolean => nowMs() - startedAtMs > SETTLED_AFTER_MS;
+  /** The VMs that this one says it hears, with the heartbeats that it confirms. */
+  const heardVms = (): Heartbeat['heard'] =>
+    [...peers].flatMap(([vm, peer]) => {
+      const state = hearing.state(vm, isHeard(peer), isSettled(), nowMs());
+      return state === 'silent' ? [] : [{ vm, beat: state === 'heard' ? peer.beat : 0 }];
+    });
   const clocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
 
   /** Pushes documents that the peer has lacked for a while. */
@@ -182,9 +192,9 @@
         dataCentre: self.dataCentre,
         incarnation: self.incarnation,
         isHeard: true,
-        isSettled: nowMs() - startedAtMs > SETTLED_AFTER_MS,
+        isSettled: isSettled(),
         isLeaving,
-        hears: new Set([...peers].filter(([, peer]) => isHeard(peer)).map(([vm]) => vm)),
+        hears: new Set(heardVms().map((heard) => heard.vm)),
       },
       ...[...peers].map(([vm, peer]) => ({
         vm,
@@ -211,8 +221,7 @@
         .map(([vm]) => vm)
         .concat(isSelfReader ? [self.vm] : [])
         .sort(),
-    heard: (): Heartbeat['heard'] =>
-      [...peers].filter(([, peer]) => isHeard(peer)).map(([vm, { beat }]) => ({ vm, beat })),
+    heardVms,
     /** Numbers the next heartbeat. */
     nextBeat: (): number => {
       lastBeat += 1;
@@ -220,7 +229,7 @@
       return lastBeat;
     },
     lastBeat: () => lastBeat,
-    isSettled: () => nowMs() - startedAtMs > SETTLED_AFTER_MS,
+    isSettled,
     /** Whether at least half of the other VMs confirmed a heartbeat since a given one just now. */
     holdsPeerLease: (sinceBeat?: number): boolean =>
       lease.isHeld([...peers.keys()], clocks(), sinceBeat),
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -35,6 +35,10 @@
 const MAX_ATTEMPTS = 6;
 /** Part of an endpoint's connections that one owner uses: those of an owner that dies count for 3 s. */
 const USED_PART = 0.7;
+/** A read without an answer for this long, several times its usual length, is sent elsewhere. */
+const SILENT_READ_MS = 400;
+/** Tries of a read that are cut short so; the last ones get the whole time limit. */
+const SHORT_TRIES = 2;
 /** Connections that open transactions leave to single statements. */
 const CONNECTIONS_OUTSIDE_TRANSACTIONS = 4;
 /** An endpoint whose entry is missing may be back within two seconds of the store's return. */
@@ -197,6 +201,12 @@
     }
   };
 
+  /** Tries the statement elsewhere next; the primary stays a choice, since some have no other. */
+  const avoid = (work: GroupWork, pool: MemberPool): void => {
+    const { id } = pool.endpoint();
+    if (id !== keeper.leading()) work.excluded.add(id);
+  };
+
   /** The outcome of a reply that reports a failure; undefined when the statement may be tried again. */
   const failureOutcome = (
     work: GroupWork,
@@ -211,7 +221,7 @@
         pool.pauseBusy();
         return undefined;
       case 'lagging':
-        work.excluded.add(pool.endpoint().id);
+        avoid(work, pool);
         return undefined;
       case 'readOnly':
         keeper.doubt(pool.endpoint().id);
@@ -222,7 +232,7 @@
         return refused(isRead ? 'timedOut' : 'inDoubt', message);
       default:
         if (isRead && call.transaction === 0) {
-          work.excluded.add(pool.endpoint().id);
+          avoid(work, pool);
           return undefined;
         }
         return refused(isRead ? 'failed' : 'inDoubt', message);
@@ -268,7 +278,9 @@
       isSent = true;
       started.hasRun = true;
       const command = commandOf(work, member, needsWait ? notBefore : undefined);
-      const reply = await askWithin(pool, member, command, call.statementTimeoutMs);
+      const isShort = call.action === Action.ACTION_READ && work.attempts <= SHORT_TRIES;
+      const limitMs = isShort ? SILENT_READ_MS : call.statementTimeoutMs;
+      const reply = await askWithin(pool, member, command, limitMs);
       if (reply.failure?.kind === 'noStatement') member.prepared.clear();
       if (reply.state === 'idle') pool.giveBack(member);
       else pool.drop(member);
@@ -285,7 +297,7 @@
       const isRepeatable = !isSent || call.action === Action.ACTION_READ;
       const isInTime = nowMs() < work.refusedAtMs;
       if (isRepeatable && isInTime) {
-        if (isSent) work.excluded.add(pool.endpoint().id);
+        if (isSent) avoid(work, pool);
         requeue(work);
       } else if (isSent) {
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
@@ -359,7 +371,7 @@
       });
       clearTimeout(guard);
       if (begin.failure || begin.state !== 'open') {
-        if (begin.failure?.kind === 'lagging') work.excluded.add(endpointId);
+        if (begin.failure?.kind === 'lagging') avoid(work, pool);
         if (begin.failure?.kind === 'readOnly') keeper.doubt(endpointId);
         if (begin.failure?.kind === 'busy') pool.pauseBusy();
         pool.drop(member);
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -12,15 +12,15 @@
 /** Opening takes two ways and 12 ms of a slot; a slot may be taken for some hundred ms before. */
 const OPEN_TIMEOUT_MS = 700;
 /** A status takes half a ms of a slot. */
-const PROBE_TIMEOUT_MS = 600;
+const PROBE_TIMEOUT_MS = 350;
 /** Pause after the endpoint had no connection left for us: others have to close theirs first. */
 const CONNECTION_LIMIT_PAUSE_MS = 250;
 /** Pause after the endpoint was full: about the length of a statement. */
 const BUSY_PAUSE_MS = 15;
 /** Pause between attempts to reach an endpoint that is down. */
-const PROBE_INTERVAL_MS = 400;
+const PROBE_INTERVAL_MS = 300;
 /** An endpoint that owes an answer and has sent none for this long is asked for its status. */
-const SUSPECT_AFTER_MS = 500;
+const SUSPECT_AFTER_MS = 300;
 /** Unanswered probes in a row after which an endpoint counts as down. */
 const PROBES_UNTIL_DOWN = 2;
 /** Weight of the newest answer in the average time of an answer. */
@@ -65,6 +65,15 @@
   let isClosed = false;
   let keepsIdle = true;
 
+  const drop = (member: PooledMember): void => {
+    connections.delete(member);
+    idle.delete(member);
+    member.connection.close();
+  };
+
+  /** Ends all connections: what is under way on them gets no answer from here any more. */
+  const dropAll = (): void => [...connections].forEach(drop);
+
   const setDown = (next: boolean, reason: string): void => {
     if (isDown === next) return;
     isDown = next;
@@ -74,15 +83,11 @@
       reason,
       failedProbes,
     });
+    // What is under way there is tried elsewhere, or its outcome told, without waiting longer.
+    if (next) dropAll();
     onChange();
   };
 
-  const drop = (member: PooledMember): void => {
-    connections.delete(member);
-    idle.delete(member);
-    member.connection.close();
-  };
-
   const heard = (reply: MemberReply, askedAtMs: number): void => {
     lastReplyAtMs = nowMs();
     failedProbes = 0;
@@ -309,8 +314,7 @@
         probeOnce();
       }
     },
-    /** Ends all connections: what is under way on them gets no answer from here any more. */
-    dropAll: (): void => [...connections].forEach(drop),
+    dropAll,
     /** From now on connections are closed when they are given back. */
     dropIdle: (): void => {
       keepsIdle = false;
@@ -318,7 +322,7 @@
     },
     close: (): void => {
       isClosed = true;
-      [...connections].forEach(drop);
+      dropAll();
     },
   };
 };
--- a/packages/sessions/src/link/createPeerLink.ts
+++ b/packages/sessions/src/link/createPeerLink.ts
@@ -15,7 +15,7 @@
 /** A stream without a heartbeat for this long is opened anew: four heartbeats. */
 const SILENT_AFTER_MS = 1_000;
 /** How long a new stream may take until its first heartbeat. */
-const CONNECT_TIMEOUT_MS = 1_200;
+const CONNECT_TIMEOUT_MS = 600;
 /** Pause before a stream is opened anew. */
 const REDIAL_MS = 150;
 const CHECK_MS = 100;
