--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -9,6 +9,7 @@
   isHeard: true,
   isSettled: true,
   isLeaving: false,
+  isStrained: false,
   hears: new Set(),
   ...changes,
 });
@@ -26,6 +27,12 @@
     expect(chooseOwner('g', vms, new Map([['b', 1]]), 'waco')).to.equal('a');
   });
 
+  it('takes a VM that is short of processor time only when all are', () => {
+    const vms = [view('a', 'waco', { isStrained: true }), view('b', 'waco')];
+    expect(chooseOwner('g', vms, new Map([['b', 3]]), undefined)).to.equal('b');
+    expect(chooseOwner('g', vms.slice(0, 1), new Map(), undefined)).to.equal('a');
+  });
+
   it('leaves out VMs that are silent or leaving', () => {
     const vms = [view('a', 'waco', { isHeard: false }), view('b', 'waco', { isLeaving: true })];
     expect(chooseOwner('g', vms, new Map(), undefined)).to.equal(undefined);
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -2,7 +2,7 @@
 import type VmView from './vmView';
 
 /**
- * Chooses the VM that should own a group: one that owns the fewest, then one outside the primary's
+ * Chooses the VM that should own a group: one with processor time to spare, one that owns the fewest, then one outside the primary's
  * data centre, so that a cut does not take both at once, then by rendezvous hashing.
  */
 const chooseOwner = (
@@ -11,7 +11,9 @@
   ownedCounts: ReadonlyMap<string, number>,
   primaryDataCentre: string | undefined,
 ): string | undefined => {
-  const able = vms.filter(({ isHeard, isLeaving }) => isHeard && !isLeaving);
+  const present = vms.filter(({ isHeard, isLeaving }) => isHeard && !isLeaving);
+  const eased = present.filter(({ isStrained }) => !isStrained);
+  const able = eased.length > 0 ? eased : present;
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
   const least = Math.min(...able.map(countOf));
   const idle = able.filter((view) => countOf(view) === least);
--- a/packages/coordination/src/ownership/createPeerLease.spec.ts
+++ b/packages/coordination/src/ownership/createPeerLease.spec.ts
@@ -101,6 +101,7 @@
             isHeard: vm === self || hears(self, vm, nowMs),
             isSettled: vm === self ? nowMs > 2_000 : (says.get(key(self, vm))?.isSettled ?? false),
             isLeaving: false,
+            isStrained: false,
             hears:
               vm === self
                 ? new Set(names.filter((other) => state(self, other, nowMs) !== 'silent'))
--- a/packages/coordination/src/ownership/isOwnerGone.spec.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.spec.ts
@@ -9,6 +9,7 @@
   isHeard: true,
   isSettled: true,
   isLeaving: false,
+  isStrained: false,
   hears: new Set(hears),
   ...changes,
 });
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -8,6 +8,8 @@
   /** Its process has run long enough to tell that another VM is silent. */
   isSettled: boolean;
   isLeaving: boolean;
+  /** It is short of processor time. */
+  isStrained: boolean;
   /** VMs that it says it hears. */
   hears: ReadonlySet<string>;
 }
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -1,3 +1,4 @@
+import { createStrainGauge } from '@auburngrade/coordination';
 import createDocuments from '../fleet/createDocuments';
 import createFleet from '../fleet/createFleet';
 import createOwnership from '../fleet/createOwnership';
@@ -43,6 +44,10 @@
 const IDLE_ENDPOINT_POLL_MS = 5_000;
 /** An owner that lacks the other VMs' confirmations trusts the store for 1.2 s at a time. */
 const REFRESH_MS = 400;
+/** How often the lateness of timers is looked at. */
+const STRAIN_SAMPLE_MS = 50;
+/** A timer that is later than this tells of a VM that stood still, not of one that is slow. */
+const SUSPENDED_MS = 500;
 /** The balancer takes a VM out after two questions, a second apart. */
 const BALANCER_NOTICE_MS = 2_200;
 const SHUTDOWN_POLL_MS = 50;
@@ -285,10 +290,29 @@
       isSettled: fleet.isSettled(),
       acting: ownership.acting(),
       isStoreReachable: isStoreReachable(),
+      isStrained: fleet.isStrained(),
       spending: spending.report(stream, isFirst),
       isLeaving: fleet.isLeaving(),
     }),
   });
+  const gauge = createStrainGauge();
+  let gaugeDueMs = nowMs() + STRAIN_SAMPLE_MS;
+  const gaugeTimer = setInterval(() => {
+    const now = nowMs();
+    const latenessMs = now - gaugeDueMs;
+    gaugeDueMs = now + STRAIN_SAMPLE_MS;
+    // The first seconds of a process are spent compiling, and a suspended VM was not strained.
+    if (!fleet.isSettled() || latenessMs > SUSPENDED_MS) return;
+    const wasStrained = fleet.isStrained();
+    fleet.setStrained(gauge.observe(latenessMs, now));
+    if (fleet.isStrained() !== wasStrained) {
+      log.info('vm.strain', {
+        isStrained: fleet.isStrained(),
+        averageLatenessMs: Math.round(gauge.averageMs()),
+        groups: servers.size,
+      });
+    }
+  }, STRAIN_SAMPLE_MS);
   const beatTimer = setInterval(() => {
     links.beat(fleet.nextBeat());
     review();
@@ -415,6 +439,7 @@
         }
       }
       clearInterval(beatTimer);
+      clearInterval(gaugeTimer);
       await registration
         .close()
         .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -43,6 +43,7 @@
   acting: ReadonlySet<string>;
   isSettled: boolean;
   isLeaving: boolean;
+  isStrained: boolean;
   isStoreReachable: boolean;
   behindSinceMs: Map<string, number>;
   pushedAtMs: Map<string, number>;
@@ -58,6 +59,7 @@
   // A number that no earlier process of this VM can have used: confirmations of its beats are void.
   let lastBeat = Math.floor(wallMs());
   let isLeaving = false;
+  let isStrained = false;
 
   const isHeard = (peer: Peer): boolean => nowMs() - peer.heardAtMs < HEARD_WITHIN_MS;
   const isSettled = (): boolean => nowMs() - startedAtMs > SETTLED_AFTER_MS;
@@ -103,6 +105,7 @@
     peer.acting = acting;
     peer.isSettled = heartbeat.isSettled;
     peer.isLeaving = heartbeat.isLeaving;
+    peer.isStrained = heartbeat.isStrained;
     peer.isStoreReachable = heartbeat.isStoreReachable;
     const confirmed = heartbeat.heard.find((heard) => heard.vm === self.vm);
     if (confirmed) lease.confirm(vm, confirmed.beat);
@@ -149,6 +152,7 @@
       acting: new Set(),
       isSettled: false,
       isLeaving: false,
+      isStrained: false,
       isStoreReachable: false,
       behindSinceMs: new Map(),
       pushedAtMs: new Map(),
@@ -194,6 +198,7 @@
         isHeard: true,
         isSettled: isSettled(),
         isLeaving,
+        isStrained,
         hears: new Set(heardVms().map((heard) => heard.vm)),
       },
       ...[...peers].map(([vm, peer]) => ({
@@ -203,6 +208,7 @@
         isHeard: isHeard(peer),
         isSettled: peer.isSettled,
         isLeaving: peer.isLeaving,
+        isStrained: peer.isStrained,
         hears: peer.hears,
       })),
     ],
@@ -240,6 +246,10 @@
       isLeaving = true;
     },
     isLeaving: () => isLeaving,
+    setStrained: (next: boolean): void => {
+      isStrained = next;
+    },
+    isStrained: () => isStrained,
     close: (): void => peers.forEach(({ link }) => link.close()),
   };
 };
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -15,6 +15,8 @@
 const RECORD_SETTLED_MS = 600;
 /** Groups that a VM owns beyond the least loaded one before it gives one away. */
 const UNEVEN_BY = 2;
+/** Pause between groups that a VM short of processor time gives away. */
+const RELIEF_INTERVAL_MS = 700;
 
 interface OwnershipOptions {
   self: { vm: string; incarnation: string };
@@ -39,6 +41,7 @@
   const acting = new Map<string, number>();
   let confirmedAt = { steadyMs: Number.NEGATIVE_INFINITY, wallMs: 0 };
   let hasList = false;
+  let reliefAtMs = Number.NEGATIVE_INFINITY;
 
   const keyOf = (group: string): string => storeKeys.groupPrefix + group;
   const recordOf = (group: string): GroupRecord | undefined => {
@@ -156,16 +159,20 @@
       .finally(() => claiming.delete(group));
   };
 
-  /** Gives one group away when this VM owns clearly more than another one. */
+  /** Gives one group away when this VM is strained, or owns clearly more than another one. */
   const balance = (groups: readonly string[]): void => {
     const counts = ownedCounts(groups);
     const mine = groups.filter(isRecorded);
     const able = fleet
       .vms()
-      .filter(({ isHeard, isLeaving, isSettled }) => isHeard && isSettled && !isLeaving);
+      .filter((view) => view.isHeard && view.isSettled && !view.isLeaving && !view.isStrained);
     const least = Math.min(...able.map(({ vm }) => counts.get(vm) ?? 0));
     const [given] = mine;
-    if (given === undefined || mine.length - least < UNEVEN_BY || claiming.size > 0) return;
+    const isDue = fleet.isStrained()
+      ? able.length > 0 && nowMs() - reliefAtMs > RELIEF_INTERVAL_MS
+      : mine.length - least >= UNEVEN_BY;
+    if (given === undefined || !isDue || claiming.size > 0) return;
+    reliefAtMs = nowMs();
     inBackground(given, handOver(given), 'group.handOverFailed');
   };
 
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -490,13 +490,16 @@
       });
   };
 
+  const hasRoom = (): boolean => [...pools.values()].some((pool) => pool.hasRoom());
+
   schedule.dispatch = () => {
     if (isClosed || waiting.length === 0) return;
     const now = nowMs();
+    if (!hasRoom()) return;
     waiting.sort((a, b) => compareUrgency(a, b, now));
     const turn = waiting;
     waiting = [];
-    const left = turn.filter((work) => !tryStart(work));
+    const left = turn.filter((work) => !hasRoom() || !tryStart(work));
     waiting = [...left, ...waiting];
     if (left.some((work) => !isPrimaryOnly(work) && !freshPosition(work))) sampleIfNeeded();
   };
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -255,6 +255,8 @@
         isPausedUntilMs: pausedUntilMs,
       };
     },
+    /** Whether one more statement may go there; as many as its slots and one on its way. */
+    hasRoom: (): boolean => !isDown && underWay <= endpoint.slots,
     isDown: () => isDown,
     position: () => position,
     connectionCount: () => connections.size + opening,
