--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -36,7 +36,7 @@
 const CONFIGURATION_WATCHERS = 2;
 /** VMs tell each other of changes, so the watch of the product's own keys may be long. */
 const LONG_WATCH_MS = 10_000;
-/** Documents are compared in every fourth heartbeat: a change is pushed within a second or two. */
+/** Documents are compared in every third heartbeat: a change is pushed within a second or two. */
 const BEATS_PER_COMPARISON = 3;
 /** Endpoints that leave are to be left within seconds; their entries change with each heartbeat. */
 const ENDPOINT_POLL_MS = 1_000;
@@ -281,9 +281,9 @@
       vm: settings.vm,
       incarnation,
       heard: fleet.heardVms(),
-      hasDocuments: beat % BEATS_PER_COMPARISON === 0,
+      hasDocuments: isFirst || beat % BEATS_PER_COMPARISON === 0,
       documents:
-        beat % BEATS_PER_COMPARISON === 0
+        isFirst || beat % BEATS_PER_COMPARISON === 0
           ? documents.all().map(({ key, revision }) => ({ key, revision }))
           : [],
       beat,
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -45,6 +45,7 @@
   isLeaving: boolean;
   isStrained: boolean;
   isStoreReachable: boolean;
+  revisions: ReadonlyMap<string, number>;
   behindSinceMs: Map<string, number>;
   pushedAtMs: Map<string, number>;
 }
@@ -72,8 +73,8 @@
   const clocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
 
   /** Pushes documents that the peer has lacked for a while. */
-  const pushMissing = (peer: Peer, known: Heartbeat['documents']): void => {
-    const revisions = new Map(known.map(({ key, revision }) => [key, revision]));
+  const pushMissing = (peer: Peer): void => {
+    const { revisions } = peer;
     const now = nowMs();
     documents.all().forEach(({ key, revision, value }) => {
       if ((revisions.get(key) ?? 0) >= revision) {
@@ -110,7 +111,10 @@
     const confirmed = heartbeat.heard.find((heard) => heard.vm === self.vm);
     if (confirmed) lease.confirm(vm, confirmed.beat);
     options.onSpending(vm, heartbeat.incarnation, heartbeat.spending);
-    if (heartbeat.hasDocuments) pushMissing(peer, heartbeat.documents);
+    if (heartbeat.hasDocuments) {
+      peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
+      pushMissing(peer);
+    }
     if (!wasHeard || isNew || hasLeft || isActingNew) options.onChange();
   };
 
@@ -154,6 +158,7 @@
       isLeaving: false,
       isStrained: false,
       isStoreReachable: false,
+      revisions: new Map(),
       behindSinceMs: new Map(),
       pushedAtMs: new Map(),
     });
@@ -239,6 +244,11 @@
     /** Whether at least half of the other VMs confirmed a heartbeat since a given one just now. */
     holdsPeerLease: (sinceBeat?: number): boolean =>
       lease.isHeld([...peers.keys()], clocks(), sinceBeat),
+    /** Whether a VM said that it knows a newer revision of a document. */
+    knowsNewer: (key: string): boolean => {
+      const own = documents.get(key)?.revision ?? 0;
+      return [...peers.values()].some(({ revisions }) => (revisions.get(key) ?? 0) > own);
+    },
     /** Sends a document to all VMs at once. */
     publish: (document: { key: string; revision: number; value: string }): void =>
       peers.forEach(({ link }) => link.sendDocument(document)),
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -39,7 +39,8 @@
   const predecessors = new Map<string, { vm: string; incarnation: string }>();
   /** Groups that this VM serves while the store is out of reach, and the heartbeat that said so. */
   const acting = new Map<string, number>();
-  let confirmedAt = { steadyMs: Number.NEGATIVE_INFINITY, wallMs: 0 };
+  /** When each group's record was last read, or written, in the store. */
+  const confirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
   let hasList = false;
   let reliefAtMs = Number.NEGATIVE_INFINITY;
 
@@ -59,8 +60,14 @@
   };
 
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
-  const isStoreBelieved = (): boolean =>
-    Math.max(nowMs() - confirmedAt.steadyMs, wallMs() - confirmedAt.wallMs) < STORE_BELIEF_MS;
+  const isStoreBelieved = (group: string): boolean => {
+    const at = confirmedAt.get(group);
+    if (!at) return false;
+    return Math.max(nowMs() - at.steadyMs, wallMs() - at.wallMs) < STORE_BELIEF_MS;
+  };
+  /** The other VMs confirm this one, and none of them knows a newer record. */
+  const isPeerBelieved = (group: string, sinceBeat?: number): boolean =>
+    fleet.holdsPeerLease(sinceBeat) && !fleet.knowsNewer(keyOf(group));
 
   const write = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = keyOf(group);
@@ -75,7 +82,7 @@
       const document = { key, revision: outcome.revision, value };
       documents.offer(document);
       fleet.publish(document);
-      confirmedAt = at;
+      confirmedAt.set(group, at);
       return true;
     }
     const item = await store.get(key);
@@ -192,13 +199,13 @@
     /** Whether no other VM can have replaced the group's primary without this VM knowing. */
     isCertain: (group: string): boolean =>
       isRecorded(group)
-        ? isStoreBelieved() || fleet.holdsPeerLease()
-        : acting.has(group) && fleet.holdsPeerLease(acting.get(group)),
+        ? isStoreBelieved(group) || isPeerBelieved(group)
+        : acting.has(group) && isPeerBelieved(group, acting.get(group)),
     /** Whether no earlier owner of the group can still believe in another primary. */
     mayReplacePrimary: (group: string): boolean => {
       if (!isRecorded(group)) return false;
       const fromMs = recordOf(group)?.isHandedOver ? 0 : (replaceFromMs.get(group) ?? 0);
-      return nowMs() >= fromMs && (isStoreBelieved() || fleet.holdsPeerLease());
+      return nowMs() >= fromMs && (isStoreBelieved(group) || isPeerBelieved(group));
     },
     /** Whether the store has to be asked often, since too few VMs confirm this one's heartbeats. */
     needsStore: (): boolean => !fleet.holdsPeerLease(),
@@ -256,8 +263,10 @@
     refresh: async (): Promise<void> => {
       const at = readClocks();
       const { items } = await store.list(storeKeys.groupPrefix);
-      items.forEach((item) => documents.offer(item));
-      confirmedAt = at;
+      items.forEach((item) => {
+        documents.offer(item);
+        confirmedAt.set(item.key.slice(storeKeys.groupPrefix.length), at);
+      });
     },
     handOver,
   };
