--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,7 +27,15 @@
 
 export default [
   {
-    ignores: ['**/node_modules', 'dist', 'out', 'target', 'journal', 'packages/*/src/generated', 'scripts/*.mjs'],
+    ignores: [
+      '**/node_modules',
+      'dist',
+      'out',
+      'target',
+      'journal',
+      'packages/*/src/generated',
+      'scripts/*.mjs',
+    ],
   },
   plugins.stylistic,
   plugins.importX,
--- /dev/null
+++ b/packages/auburngrade/src/log/createEventLog.spec.ts
@@ -0,0 +1,44 @@
+import { expect } from 'chai';
+import createEventLog from './createEventLog';
+
+describe('createEventLog', () => {
+  const createFixture = (accepts = (): boolean => true) => {
+    const lines: Record<string, unknown>[] = [];
+    const clock = { ms: 0 };
+    const log = createEventLog({
+      vm: `vm-${Math.random()}`,
+      nowMs: () => clock.ms,
+      write: (line) => {
+        if (!accepts()) return false;
+        lines.push(JSON.parse(line));
+        return true;
+      },
+    });
+    return { lines, clock, log };
+  };
+
+  it('writes an object a line with the event and its fields', () => {
+    const { lines, log } = createFixture();
+    log.warn('link.lost', { peer: 'vm-2' });
+    expect(lines[0]).to.deep.include({ level: 'warn', event: 'link.lost', peer: 'vm-2' });
+  });
+
+  it('bounds a flood of one event and says how much it left out', () => {
+    const { lines, log, clock } = createFixture();
+    for (let index = 0; index < 500; index += 1) log.info('request.refused', { index });
+    log.info('daemon.stopping');
+    expect(lines).to.have.length(21);
+    clock.ms = 1_001;
+    log.info('request.refused');
+    expect(lines.find(({ event }) => event === 'log.leftOut')).to.deep.include({
+      of: 'request.refused',
+      lines: 480,
+    });
+  });
+
+  it('goes on when the reader does not read', () => {
+    const { lines, log } = createFixture(() => false);
+    log.info('daemon.stopping');
+    expect(lines).to.have.length(0);
+  });
+});
--- /dev/null
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -0,0 +1,260 @@
+import { expect } from 'chai';
+import { Action } from '../generated/auburngrade/session/v1/session';
+import refused from '../group/refused';
+import type FleetConfiguration from '../seams/fleetConfiguration';
+import type SessionStatement from '../seams/sessionStatement';
+import type StatementResult from '../seams/statementResult';
+import createSession from './createSession';
+import type GroupRouter from './groupRouter';
+import type SessionCall from './sessionCall';
+
+const route = {
+  database: 'lots',
+  group: 'auctions',
+  freshness: { kind: 'ownWrites', maxAgeMs: 2_500 } as const,
+  statementTimeoutMs: 1_000,
+  targetLatencyMs: 200,
+  priority: 1,
+  isPublic: false,
+};
+const configured = (changes: Partial<FleetConfiguration> = {}): FleetConfiguration => ({
+  version: 1,
+  routes: new Map([['lots', route]]),
+  accountsByKey: new Map([['k1', 'ranch']]),
+  limits: new Map(),
+  groups: new Map([['auctions', { maxConnections: 21, syncReplicas: 0 }]]),
+  transactionIdleMs: 3_000,
+  ...changes,
+});
+const read: SessionStatement = { kind: 'read', text: 'READ bale' };
+const write: SessionStatement = { kind: 'write', text: 'WRITE bale 1' };
+const begin: SessionStatement = { kind: 'begin', isReadOnly: false };
+const commit: SessionStatement = { kind: 'commit', text: 'COMMIT' };
+
+const createFixture = () => {
+  const answers: string[] = [];
+  const calls: (SessionCall & { sentValues: string })[] = [];
+  const ended: number[] = [];
+  const state = {
+    configuration: configured() as FleetConfiguration | undefined,
+    result: undefined as StatementResult | undefined,
+  };
+  let lastNumber = 0;
+  const router: Pick<GroupRouter, 'run' | 'endTransaction' | 'forget'> = {
+    run: async (call, values) => {
+      calls.push({ ...call, sentValues: [...values].join() });
+      return (
+        state.result ?? {
+          kind: 'complete',
+          rows: [],
+          signature: `s-${call.requestId}`,
+          position: { term: 1, number: calls.length },
+        }
+      );
+    },
+    endTransaction: (transaction) => ended.push(transaction),
+    forget: () => undefined,
+  };
+  const { session, review, closeIfIdle, isIdle } = createSession({
+    connection: {
+      accept: () => answers.push('accepted'),
+      refuse: (code) => answers.push(`refused ${code}`),
+      answer: (result, next) =>
+        answers.push(`${result.kind === 'refused' ? result.code : result.signature} ${next}`),
+      close: () => answers.push('closed'),
+    },
+    router: router as GroupRouter,
+    log: { info: () => undefined, warn: () => undefined },
+    nowMs: () => performance.now(),
+    configuration: () => state.configuration,
+    nextNumber: () => {
+      lastNumber += 1;
+      return lastNumber;
+    },
+    endSession: () => undefined,
+    onEnd: () => undefined,
+  });
+  const run = async (...statements: SessionStatement[]): Promise<void> => {
+    statements.forEach((statement, index) => session.run(`q${index}`, statement));
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  };
+  return { answers, calls, ended, state, session, review, closeIfIdle, isIdle, run };
+};
+
+describe('createSession', () => {
+  let fixture: ReturnType<typeof createFixture>;
+  beforeEach(() => {
+    fixture = createFixture();
+  });
+  const start = (): void => fixture.session.start('lots', 'k1');
+
+  describe('when it starts', () => {
+    it('accepts a known key, and refuses unknown keys and databases', () => {
+      start();
+      fixture.session.end();
+      expect(fixture.answers).to.deep.equal(['accepted']);
+      const unknownKey = createFixture();
+      unknownKey.session.start('lots', 'k2');
+      const unknownDatabase = createFixture();
+      unknownDatabase.session.start('bales', 'k1');
+      expect([unknownKey.answers, unknownDatabase.answers]).to.deep.equal([
+        ['refused unauthenticated'],
+        ['refused unknownDatabase'],
+      ]);
+    });
+
+    it('accepts callers without a key on a public database', () => {
+      fixture.state.configuration = configured({
+        routes: new Map([['lots', { ...route, isPublic: true }]]),
+      });
+      fixture.session.start('lots', undefined);
+      expect(fixture.answers).to.deep.equal(['accepted']);
+    });
+
+    it('waits for the first configuration', async () => {
+      fixture.state.configuration = undefined;
+      start();
+      expect(fixture.answers).to.deep.equal([]);
+      fixture.state.configuration = configured();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      expect(fixture.answers).to.deep.equal(['accepted']);
+    });
+  });
+
+  describe('when its key or database is withdrawn', () => {
+    it('refuses the next statement and closes', async () => {
+      start();
+      fixture.state.configuration = configured({ accountsByKey: new Map() });
+      await fixture.run(read);
+      expect(fixture.answers).to.deep.equal(['accepted', 'refused unauthenticated']);
+      expect(fixture.calls).to.have.length(0);
+    });
+
+    it('closes when it is idle', () => {
+      start();
+      fixture.state.configuration = configured({ routes: new Map() });
+      fixture.review();
+      expect(fixture.answers).to.deep.equal(['accepted', 'closed']);
+    });
+
+    it('ends an open transaction without its commit when the key is withdrawn', async () => {
+      start();
+      await fixture.run(begin, write);
+      fixture.state.configuration = configured({ accountsByKey: new Map() });
+      await fixture.run(commit);
+      expect(fixture.calls.map(({ action }) => action)).to.deep.equal([Action.ACTION_WRITE]);
+      expect(fixture.ended).to.have.length(1);
+    });
+
+    it('lets a transaction end by the route with which it began', async () => {
+      start();
+      await fixture.run(begin, write);
+      fixture.state.configuration = configured({ routes: new Map() });
+      await fixture.run(commit);
+      expect(fixture.answers.at(-1)).to.equal('s-q0 idle');
+    });
+  });
+
+  describe('with values and prepared statements', () => {
+    it('answers them itself and sends them with the statements', async () => {
+      start();
+      await fixture.run(
+        { kind: 'setValue', name: 'zone', value: 'waco' },
+        { kind: 'prepare', name: 's1', isWrite: true, shape: 'q2' },
+        { kind: 'execute', name: 's1', argumentsText: 'bale 1' },
+      );
+      expect(fixture.answers.slice(1)).to.deep.equal(['- idle', '- idle', 's-q2 idle']);
+      expect(fixture.calls[0]).to.deep.include({
+        sentValues: 'zone,waco',
+        action: Action.ACTION_WRITE,
+        prepared: { isWrite: true, shape: 'q2', argumentsText: 'bale 1' },
+      });
+    });
+
+    it('does not know a statement any more that was deallocated', async () => {
+      start();
+      await fixture.run(
+        { kind: 'prepare', name: 's1', isWrite: false, shape: 'q2' },
+        { kind: 'deallocate', name: 's1' },
+        { kind: 'execute', name: 's1', argumentsText: '' },
+      );
+      expect(fixture.answers.at(-1)).to.equal('noStatement idle');
+    });
+  });
+
+  describe('with transactions', () => {
+    it('opens them at the group with the first statement', async () => {
+      start();
+      await fixture.run(begin, read, commit);
+      expect(fixture.answers.slice(1)).to.deep.equal(['- open', 's-q1 open', 's-q2 idle']);
+      expect(fixture.calls.map(({ opensTransaction }) => opensTransaction)).to.deep.equal([
+        true,
+        false,
+      ]);
+    });
+
+    it('sends a commit also when nothing came before it', async () => {
+      start();
+      await fixture.run(begin, commit);
+      expect(fixture.calls).to.have.length(1);
+      expect(fixture.answers.at(-1)).to.equal('s-q1 idle');
+    });
+
+    it('refuses all but the end after a failure, and never commits it', async () => {
+      start();
+      await fixture.run(begin);
+      fixture.state.result = refused('aborted', 'gone');
+      await fixture.run(write);
+      fixture.state.result = undefined;
+      await fixture.run(read, commit);
+      expect(fixture.answers.slice(2)).to.deep.equal([
+        'aborted failed',
+        'malformed failed',
+        'aborted idle',
+      ]);
+      expect(fixture.calls).to.have.length(1);
+    });
+
+    it('ends them when the caller leaves', async () => {
+      start();
+      await fixture.run(begin, write);
+      fixture.session.end();
+      expect(fixture.ended).to.have.length(1);
+    });
+
+    it('refuses what does not fit', async () => {
+      start();
+      await fixture.run(commit, { kind: 'rollback' }, begin, begin);
+      expect(fixture.answers.slice(1)).to.deep.equal([
+        'malformed idle',
+        'malformed idle',
+        '- open',
+        'malformed open',
+      ]);
+    });
+  });
+
+  describe('with its own commits', () => {
+    it('asks that its reads see them', async () => {
+      start();
+      await fixture.run(write, read);
+      expect(fixture.calls[1]?.notBefore).to.deep.equal({ term: 1, number: 1 });
+    });
+  });
+
+  describe('when the VM leaves', () => {
+    it('closes only while it is idle', async () => {
+      start();
+      await fixture.run(begin);
+      fixture.closeIfIdle();
+      expect(fixture.answers.at(-1)).to.equal('- open');
+      await fixture.run({ kind: 'rollback' });
+      fixture.closeIfIdle();
+      expect(fixture.answers.at(-1)).to.equal('closed');
+    });
+  });
+});
--- a/packages/sessions/src/standIns/createMemberStandIn.ts
+++ b/packages/sessions/src/standIns/createMemberStandIn.ts
@@ -85,13 +85,13 @@
       member.received = { ...member.received, number: member.received.number + 1 };
     };
 
+    const textOf = (command: MemberCommand): string => {
+      if (command.kind === 'execute') return prepared.get(command.name) ?? '';
+      return command.kind === 'forward' ? command.text : '';
+    };
+
     const runForwarded = (command: MemberCommand & { requestId: string }): MemberReply => {
-      const text =
-        command.kind === 'execute'
-          ? `${prepared.get(command.name)}`
-          : 'text' in command
-            ? command.text
-            : '';
+      const text = textOf(command);
       if (command.kind === 'execute' && !prepared.has(command.name)) return fail('noStatement');
       const isWrite = text.startsWith('WRITE');
       if (
