--- a/packages/auburngrade/src/commands/commandRegistry.ts
+++ b/packages/auburngrade/src/commands/commandRegistry.ts
@@ -6,6 +6,7 @@
 import createDocumentShowCommand from './createDocumentShowCommand';
 import EndpointDrainCommand from './endpointDrainCommand';
 import EndpointJoinCommand from './endpointJoinCommand';
+import ExplainCommand from './explainCommand';
 import KeyIssueCommand from './keyIssueCommand';
 import KeyListCommand from './keyListCommand';
 import KeyWithdrawCommand from './keyWithdrawCommand';
@@ -38,6 +39,7 @@
   query: QueryCommand,
   'config check': ConfigCheckCommand,
   report: ReportCommand,
+  explain: ExplainCommand,
 };
 
 export default commandRegistry;
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -63,7 +63,7 @@
         answers.push(`${result.kind === 'refused' ? result.code : result.signature} ${next}`),
       close: () => answers.push('closed'),
     },
-    router: router as GroupRouter,
+    router,
     log: { info: () => undefined, warn: () => undefined },
     nowMs: () => performance.now(),
     configuration: () => state.configuration,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -146,6 +146,18 @@
         waitedMs: Math.round(nowMs() - work.arrivedAtMs),
         attempts: work.attempts,
         primary: keeper.current(),
+        waiting: waiting.length,
+      });
+    } else if (outcome.kind === 'complete' && nowMs() > work.targetAtMs) {
+      log.info('request.late', {
+        request: work.call.requestId,
+        group,
+        signature: outcome.signature,
+        waitedMs: Math.round(nowMs() - work.arrivedAtMs),
+        beforeMs: work.call.waitedMs,
+        targetMs: work.call.targetLatencyMs,
+        attempts: work.attempts,
+        waiting: waiting.length,
       });
     }
     work.resolve(outcome);
