--- /dev/null
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -0,0 +1,180 @@
+import { createServer } from 'node:net';
+import { expect } from 'chai';
+import type FailoverCaller from '../seams/failoverCaller';
+import type FleetConfiguration from '../seams/fleetConfiguration';
+import type GroupEndpoint from '../seams/groupEndpoint';
+import type SessionStatement from '../seams/sessionStatement';
+import type SiteDecoder from '../seams/siteDecoder';
+import createMemberStandIn from '../standIns/createMemberStandIn';
+import createStoreStandIn from '../standIns/createStoreStandIn';
+import createSessionDaemon from './createSessionDaemon';
+
+const GROUP = 'auctions';
+const ENDPOINTS = ['p', 'r', 's'].map((id): GroupEndpoint => ({
+  id,
+  group: GROUP,
+  address: `${id}:1`,
+  dataCentre: 'waco',
+  slots: 3,
+  isLeaving: false,
+  claimsPrimary: id === 'p',
+  bornAtMs: 1,
+}));
+const configuration = (version: number, keys: [string, string][]): FleetConfiguration => ({
+  version,
+  routes: new Map([
+    [
+      'lots',
+      {
+        database: 'lots',
+        group: GROUP,
+        freshness: { kind: 'ownWrites', maxAgeMs: 2_500 },
+        statementTimeoutMs: 1_000,
+        targetLatencyMs: 200,
+        priority: 1,
+        isPublic: false,
+      },
+    ],
+  ]),
+  accountsByKey: new Map(keys),
+  limits: new Map(),
+  groups: new Map([[GROUP, { maxConnections: 21, syncReplicas: 0 }]]),
+  transactionIdleMs: 3_000,
+});
+const versions = [configuration(1, [['k1', 'ranch']]), configuration(2, [['k2', 'ranch']])];
+
+const decoder: SiteDecoder = {
+  configurationKey: 'configuration',
+  endpointPrefix: 'endpoints/',
+  configuration: (value) => versions[Number(value) - 1],
+  endpoint: (key) => ENDPOINTS.find(({ id }) => key === `endpoints/${id}`),
+};
+const failover: FailoverCaller = { promote: async () => 'rejected' };
+
+const freePort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      server.close(() => resolve(typeof address === 'object' && address ? address.port : 0));
+    });
+  });
+
+const until = async (isTrue: () => boolean, limitMs = 5_000): Promise<void> => {
+  const endMs = performance.now() + limitMs;
+  while (!isTrue() && performance.now() < endMs) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+  expect(isTrue()).to.equal(true);
+};
+
+describe('createSessionDaemon', () => {
+  const store = createStoreStandIn();
+  const members = createMemberStandIn(ENDPOINTS);
+  const daemons: Awaited<ReturnType<typeof createSessionDaemon>>[] = [];
+
+  const owners = (): number[] =>
+    daemons.flatMap((daemon, index) => (daemon.groups().has(GROUP) ? [index] : []));
+
+  before(async () => {
+    store.put('configuration', '1');
+    ENDPOINTS.forEach(({ id }) => store.put(`endpoints/${id}`, id));
+    for (const vm of ['vm-1', 'vm-2', 'vm-3']) {
+      daemons.push(
+        await createSessionDaemon({
+          settings: {
+            vm,
+            dataCentre: 'waco',
+            ip: '127.0.0.1',
+            callerAddress: '',
+            readinessAddress: '',
+            internalPort: await freePort(),
+            storeAddress: '',
+            failoverAddress: '',
+            minLeaseMs: 1_000,
+            graceMs: 2_000,
+            memoryMb: 350,
+          },
+          incarnation: `${vm}-1`,
+          store: store.store,
+          decoder,
+          dialer: members.dialer,
+          failover,
+          log: { info: () => undefined, warn: () => undefined },
+          nowMs: () => performance.now(),
+          wallMs: Date.now,
+        }),
+      );
+    }
+    await until(() => owners().length === 1);
+  });
+  after(async () => {
+    await Promise.all(daemons.map((daemon) => daemon.shutDown()));
+    store.close();
+  });
+
+  /** Opens a session at a VM; answers come as text. */
+  const open = (index: number, key: string) => {
+    const answers: string[] = [];
+    const session = daemons[index]?.openSession({
+      accept: () => answers.push('accepted'),
+      refuse: (code) => answers.push(`refused ${code}`),
+      answer: (result, state) =>
+        answers.push(`${result.kind === 'refused' ? result.code : result.kind} ${state}`),
+      close: () => answers.push('closed'),
+    });
+    session?.start('lots', key);
+    const run = async (statement: SessionStatement): Promise<string | undefined> => {
+      const count = answers.length;
+      session?.run(`q${Math.random()}`, statement);
+      await until(() => answers.length > count);
+      return answers.at(-1);
+    };
+    return { answers, run };
+  };
+  const write: SessionStatement = { kind: 'write', text: 'WRITE bale 1' };
+
+  it('lets one VM own the group', () => {
+    expect(owners()).to.have.length(1);
+  });
+
+  it('serves callers of every VM through the owner', async () => {
+    for (const index of [0, 1, 2]) {
+      const { run } = open(index, 'k1');
+      expect(await run(write)).to.equal('complete idle');
+      expect(await run({ kind: 'read', text: 'READ bale' })).to.equal('complete idle');
+    }
+    expect(members.committed).to.have.length(3);
+  });
+
+  it('keeps a transaction of another VM on one connection', async () => {
+    const [owner = 0] = owners();
+    const { run } = open((owner + 1) % daemons.length, 'k1');
+    await run({ kind: 'begin', isReadOnly: false });
+    expect(await run(write)).to.equal('complete open');
+    expect(await run({ kind: 'commit', text: 'COMMIT' })).to.equal('complete idle');
+    const [first, last] = members.runs.slice(-2);
+    expect(first?.connection).to.equal(last?.connection);
+  });
+
+  it('goes on at another VM when the owner stops, without a failed statement', async () => {
+    const [owner = 0] = owners();
+    const { run } = open((owner + 1) % daemons.length, 'k1');
+    const stopped = daemons[owner]?.shutDown();
+    daemons.splice(owner, 1);
+    for (let count = 0; count < 20; count += 1) {
+      expect(await run(write)).to.equal('complete idle');
+    }
+    await stopped;
+    expect(owners()).to.have.length(1);
+  });
+
+  it('closes sessions whose key is withdrawn, and takes the new one', async () => {
+    const { answers } = open(0, 'k1');
+    store.put('configuration', '2');
+    await until(() => answers.includes('closed'));
+    expect(open(0, 'k2').answers).to.deep.equal(['accepted']);
+    expect(open(0, 'k1').answers).to.deep.equal(['refused unauthenticated']);
+  });
+});
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -39,9 +39,9 @@
 /** Documents are compared in every third heartbeat: a change is pushed within a second or two. */
 const BEATS_PER_COMPARISON = 3;
 /** Endpoints that leave are to be left within seconds; their entries change with each heartbeat. */
-const ENDPOINT_POLL_MS = 1_000;
+const ENDPOINT_POLL_MS = 1_500;
 /** A VM that owns no group only keeps the list at hand for when it does. */
-const IDLE_ENDPOINT_POLL_MS = 5_000;
+const IDLE_ENDPOINT_POLL_MS = 10_000;
 /** An owner that lacks the other VMs' confirmations trusts the store for 1.2 s at a time. */
 const REFRESH_MS = 400;
 /** How often the lateness of timers is looked at. */
--- a/packages/sessions/src/fleet/createRegistration.ts
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -5,7 +5,8 @@
 
 /** Renewals that may fail in a row before the registration lapses. */
 const RENEWALS_PER_LEASE = 3;
-const RETRY_MS = 300;
+/** Calls in vain are priced as well, and other VMs hear this one without the registration. */
+const RETRY_MS = 700;
 
 /** Keeps this VM registered in the platform's store under a lease. */
 const createRegistration = (
--- a/packages/sessions/src/fleet/createStoreFollower.ts
+++ b/packages/sessions/src/fleet/createStoreFollower.ts
@@ -4,7 +4,7 @@
 
 /** Pause after a call in vain; grows with each further one up to the longest. */
 const FIRST_PAUSE_MS = 100;
-const LONGEST_PAUSE_MS = 800;
+const LONGEST_PAUSE_MS = 1_500;
 
 type WatchAnswer = Exclude<Awaited<ReturnType<MetadataStore['watch']>>, 'compacted'>;
 
--- a/packages/sessions/src/standIns/createStoreStandIn.ts
+++ b/packages/sessions/src/standIns/createStoreStandIn.ts
@@ -2,12 +2,20 @@
 import StoreError from '../seams/storeError';
 import type StoredItem from '../seams/storedItem';
 
+const POLL_MS = 10;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
 /** The platform's store in memory, behind the product's own seam. */
 const createStoreStandIn = () => {
   const items = new Map<string, StoredItem>();
   let revision = 1;
   let isDown = false;
   let calls = 0;
+  let isClosed = false;
 
   const enter = async (): Promise<void> => {
     calls += 1;
@@ -26,12 +34,17 @@
       return { items: [...items.values()].filter(({ key }) => key.startsWith(prefix)), revision };
     }
 
-    override async watch(prefix: string, afterRevision: number) {
+    override async watch(prefix: string, afterRevision: number, waitMs: number) {
       await enter();
-      const events = [...items.values()].filter(
-        (item) => item.key.startsWith(prefix) && item.revision > afterRevision,
-      );
-      return { events, revision };
+      const find = (): StoredItem[] =>
+        [...items.values()].filter(
+          (item) => item.key.startsWith(prefix) && item.revision > afterRevision,
+        );
+      const untilMs = performance.now() + waitMs;
+      while (find().length === 0 && performance.now() < untilMs && !isDown && !isClosed) {
+        await pause(POLL_MS);
+      }
+      return { events: find(), revision };
     }
 
     override async commit({ expected, puts }: Parameters<MetadataStore['commit']>[0]) {
@@ -69,6 +82,11 @@
     },
     read: (key: string) => items.get(key),
     calls: () => calls,
+    /** Ends all watches. */
+    close: (): void => {
+      isClosed = true;
+      isDown = true;
+    },
   };
 };
 
