fix: a primary is replaced only under the other VMs' confirmations, once half of them know the record

Ruled out: the hold of confirmations (in force), per-group belief (in force). Change: replacing needs the peer lease, half of the VMs must know the record first, and a new owner waits 1.2 s after half know of it; documents are compared in each heartbeat. Tests: createOwnership.spec (three new, red before).

--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -36,8 +36,6 @@
 const CONFIGURATION_WATCHERS = 2;
 /** VMs tell each other of changes, so the watch of the product's own keys may be long. */
 const LONG_WATCH_MS = 10_000;
-/** Documents are compared in every third heartbeat: a change is pushed within a second or two. */
-const BEATS_PER_COMPARISON = 3;
 /** Endpoints that leave are to be left within seconds; their entries change with each heartbeat. */
 const ENDPOINT_POLL_MS = 1_500;
 /** A VM that owns no group only keeps the list at hand for when it does. */
@@ -281,11 +279,7 @@
       vm: settings.vm,
       incarnation,
       heard: fleet.heardVms(),
-      hasDocuments: isFirst || beat % BEATS_PER_COMPARISON === 0,
-      documents:
-        isFirst || beat % BEATS_PER_COMPARISON === 0
-          ? documents.all().map(({ key, revision }) => ({ key, revision }))
-          : [],
+      documents: documents.all().map(({ key, revision }) => ({ key, revision })),
       beat,
       isSettled: fleet.isSettled(),
       acting: ownership.acting(),
@@ -295,6 +289,11 @@
       isLeaving: fleet.isLeaving(),
     }),
   });
+  const beat = (): void => links.beat(fleet.nextBeat());
+  // Other VMs learn at once which records this one knows: an owner waits for it before it acts.
+  documents.onChange(({ key }) => {
+    if (key.startsWith(storeKeys.groupPrefix)) setImmediate(beat);
+  });
   const gauge = createStrainGauge();
   let gaugeDueMs = nowMs() + STRAIN_SAMPLE_MS;
   const gaugeTimer = setInterval(() => {
@@ -314,7 +313,7 @@
     }
   }, STRAIN_SAMPLE_MS);
   const beatTimer = setInterval(() => {
-    links.beat(fleet.nextBeat());
+    beat();
     review();
     poll();
   }, BEAT_MS);
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -111,10 +111,8 @@
     const confirmed = heartbeat.heard.find((heard) => heard.vm === self.vm);
     if (confirmed) lease.confirm(vm, confirmed.beat);
     options.onSpending(vm, heartbeat.incarnation, heartbeat.spending);
-    if (heartbeat.hasDocuments) {
-      peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
-      pushMissing(peer);
-    }
+    peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
+    pushMissing(peer);
     if (!wasHeard || isNew || hasLeft || isActingNew) options.onChange();
   };
 
@@ -249,6 +247,13 @@
       const own = documents.get(key)?.revision ?? 0;
       return [...peers.values()].some(({ revisions }) => (revisions.get(key) ?? 0) > own);
     },
+    /** Whether at least half of the other VMs said that they know a revision of a document. */
+    isKnownByHalf: (key: string, revision: number): boolean => {
+      const knowing = [...peers.values()].filter(
+        ({ revisions }) => (revisions.get(key) ?? 0) >= revision,
+      );
+      return knowing.length * 2 >= peers.size;
+    },
     /** Sends a document to all VMs at once. */
     publish: (document: { key: string; revision: number; value: string }): void =>
       peers.forEach(({ link }) => link.sendDocument(document)),
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -26,6 +26,7 @@
     vms: [view('a'), view('b'), view('c')],
     holdsPeerLease: false,
     knowsNewer: false,
+    isKnownByHalf: true,
     isLeaving: false,
     actingFor: undefined as string | undefined,
     isFollowing: true,
@@ -36,6 +37,7 @@
     isHeard: (vm: string) => state.vms.some((entry) => entry.vm === vm && entry.isHeard),
     holdsPeerLease: () => state.holdsPeerLease,
     knowsNewer: () => state.knowsNewer,
+    isKnownByHalf: () => state.isKnownByHalf,
     isLeaving: () => state.isLeaving,
     isStrained: () => state.isStrained,
     actingFor: () => state.actingFor,
@@ -166,19 +168,54 @@
       expect(ownership.isRecorded('lots')).to.equal(true);
       state.holdsPeerLease = true;
       expect(ownership.mayReplacePrimary('lots')).to.equal(false);
-      clock.ms += 1_700;
+      ownership.review(['lots']);
+      clock.ms += 1_500;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+      clock.ms += 200;
       expect(ownership.mayReplacePrimary('lots')).to.equal(true);
     });
 
-    it('replaces it at once when the VM of the owner before runs another process', async () => {
-      const { ownership, settle, state } = fixture;
+    it('waits until half of the other VMs have known its record for longer than a lease', async () => {
+      const { ownership, settle, clock, state } = fixture;
+      state.isKnownByHalf = false;
       ownership.review(['lots']);
       await settle();
-      state.vms = [view('a'), view('b', { incarnation: 'b-2' })];
+      state.holdsPeerLease = true;
+      clock.ms += 5_000;
+      ownership.review(['lots']);
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+      state.isKnownByHalf = true;
       ownership.review(['lots']);
+      clock.ms += 1_100;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+      clock.ms += 100;
       expect(ownership.mayReplacePrimary('lots')).to.equal(true);
     });
 
+    it('replaces none on the word of the store alone, since another VM may act for it', async () => {
+      const { ownership, settle, clock } = fixture;
+      ownership.review(['lots']);
+      await settle();
+      ownership.review(['lots']);
+      clock.ms += 5_000;
+      await ownership.refresh();
+      expect(ownership.isCertain('lots')).to.equal(true);
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+    });
+
+    it('calls for no new primary while half of the other VMs do not know the record', async () => {
+      const { ownership, settle, state } = fixture;
+      ownership.review(['lots']);
+      await settle();
+      state.holdsPeerLease = true;
+      expect(await ownership.recordPrimary('lots', 'i-2', 1)).to.equal(true);
+      state.isKnownByHalf = false;
+      const recorded = ownership.recordPrimary('lots', 'i-3', 2);
+      await settle();
+      fixture.clock.ms += 600;
+      expect(await recorded).to.equal(false);
+    });
+
     it('serves it while the store is away, but replaces no primary', async () => {
       const { ownership, settle, setDown, state } = fixture;
       setDown(true);
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -11,6 +11,11 @@
 const STORE_BELIEF_MS = 1_200;
 /** A new owner waits this long before it replaces a primary: the belief of the one before, and a reserve. */
 const REPLACE_WAIT_MS = 1_600;
+/** After half of the VMs know its record, one that acts for the owner before is certain for 1 s at most. */
+const KNOWN_WAIT_MS = 1_200;
+/** How long half of the VMs may take to know a record before the replacement is given up. */
+const SPREAD_TIMEOUT_MS = 500;
+const SPREAD_POLL_MS = 10;
 /** A record that is younger may name a process that this VM has not heard of yet. */
 const RECORD_SETTLED_MS = 600;
 /** Groups that a VM owns beyond the least loaded one before it gives one away. */
@@ -36,7 +41,8 @@
   const { self, store, documents, fleet, log, nowMs, wallMs } = options;
   const claiming = new Set<string>();
   const replaceFromMs = new Map<string, number>();
-  const predecessors = new Map<string, { vm: string; incarnation: string }>();
+  /** Since when half of the other VMs know that this one owns a group. */
+  const knownSinceMs = new Map<string, number>();
   /** Groups that this VM serves while the store is out of reach, and the heartbeat that said so. */
   const acting = new Map<string, number>();
   /** When each group's record was last read, or written, in the store. */
@@ -111,21 +117,7 @@
     log.info('group.claimed', { group, outcome: isClaimed, before: record?.owner, wasActing });
     acting.delete(group);
     if (!isClaimed) return;
-    const isFree = !record || record.owner === self.vm;
-    replaceFromMs.set(group, nowMs() + (isFree ? 0 : REPLACE_WAIT_MS));
-    if (record) predecessors.set(group, { vm: record.owner, incarnation: record.incarnation });
-  };
-
-  /** The owner before has ended for certain once its VM runs another process. */
-  const forgetEndedPredecessors = (): void => {
-    const vms = new Map(fleet.vms().map((view) => [view.vm, view]));
-    predecessors.forEach((before, group) => {
-      const view = vms.get(before.vm);
-      if (!view || view.incarnation === before.incarnation) return;
-      log.info('group.predecessorEnded', { group, before: before.vm });
-      predecessors.delete(group);
-      replaceFromMs.set(group, nowMs());
-    });
+    replaceFromMs.set(group, nowMs() + REPLACE_WAIT_MS);
   };
 
   const ownedCounts = (groups: readonly string[]): Map<string, number> => {
@@ -204,16 +196,32 @@
     /** Whether no earlier owner of the group can still believe in another primary. */
     mayReplacePrimary: (group: string): boolean => {
       if (!isRecorded(group)) return false;
+      const known = knownSinceMs.get(group);
       const fromMs = recordOf(group)?.isHandedOver ? 0 : (replaceFromMs.get(group) ?? 0);
-      return nowMs() >= fromMs && (isStoreBelieved(group) || isPeerBelieved(group));
+      const isSpread = known !== undefined && nowMs() >= known + KNOWN_WAIT_MS;
+      // What the store says is not enough: another VM may act for an owner that most cannot hear.
+      return nowMs() >= fromMs && isSpread && isPeerBelieved(group);
     },
     /** Whether the store has to be asked often, since too few VMs confirm this one's heartbeats. */
     needsStore: (): boolean => !fleet.holdsPeerLease(),
-    /** Records the endpoint that becomes the primary. */
+    /**
+     * Records the endpoint that becomes the primary, and waits until half of the other VMs know it:
+     * a VM that acts for an owner needs the confirmation of one of them.
+     */
     recordPrimary: async (group: string, primary: string, fence: number): Promise<boolean> => {
       const record = recordOf(group);
       if (!record || !isRecorded(group)) return false;
-      return write(group, { ...record, primary, fence });
+      if (!(await write(group, { ...record, primary, fence }))) return false;
+      const revision = documents.get(keyOf(group))?.revision ?? 0;
+      const untilMs = nowMs() + SPREAD_TIMEOUT_MS;
+      while (!fleet.isKnownByHalf(keyOf(group), revision) && nowMs() < untilMs) {
+        await new Promise((resolve) => {
+          setTimeout(resolve, SPREAD_POLL_MS);
+        });
+      }
+      const isSpread = fleet.isKnownByHalf(keyOf(group), revision);
+      if (!isSpread) log.warn('primary.recordNotSpread', { group, revision });
+      return isSpread && isRecorded(group) && isPeerBelieved(group);
     },
     /** The store's list of records is known: groups without one have no owner. */
     setListed: (): void => {
@@ -221,7 +229,16 @@
     },
     /** Claims groups without an owner that this VM should own. */
     review: (names: Iterable<string>): void => {
-      forgetEndedPredecessors();
+      const owned = new Set([...names].filter(isRecorded));
+      [...knownSinceMs.keys()]
+        .filter((group) => !owned.has(group))
+        .forEach((group) => knownSinceMs.delete(group));
+      owned.forEach((group) => {
+        const { key, revision } = documents.get(keyOf(group)) ?? { key: '', revision: 0 };
+        if (!knownSinceMs.has(group) && fleet.isKnownByHalf(key, revision)) {
+          knownSinceMs.set(group, nowMs());
+        }
+      });
       const groups = [...names].sort();
       acting.forEach((_beat, group) => {
         const record = recordOf(group);
