fix: an endpoint that lost the lead is not believed again by the next owner

Cause (found by reading): the record named the last primary but not its term, so an owner that reached only the endpoint before it would have used that one. Change: the record holds the least term; endpoints below it are no primaries. Test: createGroupServer.spec, red before.

--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -65,6 +65,9 @@
   wallMs(): number;
 }
 
+/** The primary of a group whose record is not known. */
+const NEVER_REPLACED = { primary: '', term: 0, fence: 0 };
+
 type GroupServer = ReturnType<typeof createGroupServer>;
 
 const toCallResult = (outcome: CallOutcome): CallResult => ({
@@ -147,10 +150,10 @@
       nowMs,
       controlAccount,
       recorded: () => {
-        const { primary, fence } = ownership.recordOf(group) ?? { primary: '', fence: 0 };
-        return { primary, fence };
+        const { primary, term, fence } = ownership.recordOf(group) ?? NEVER_REPLACED;
+        return { primary, term, fence };
       },
-      record: (primary, fence) => ownership.recordPrimary(group, primary, fence),
+      record: (next) => ownership.recordPrimary(group, next),
       mayReplace: () => ownership.mayReplacePrimary(group),
       isCertain: () => ownership.isCertain(group),
     });
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -149,7 +149,9 @@
       state.holdsPeerLease = true;
       offer('lots', record('b'));
       expect(ownership.isCertain('lots')).to.equal(false);
-      expect(await ownership.recordPrimary('lots', 'i-2', 1)).to.equal(false);
+      expect(await ownership.recordPrimary('lots', { primary: 'i-2', term: 2, fence: 1 })).to.equal(
+        false,
+      );
     });
   });
 
@@ -208,9 +210,11 @@
       ownership.review(['lots']);
       await settle();
       state.holdsPeerLease = true;
-      expect(await ownership.recordPrimary('lots', 'i-2', 1)).to.equal(true);
+      expect(await ownership.recordPrimary('lots', { primary: 'i-2', term: 2, fence: 1 })).to.equal(
+        true,
+      );
       state.isKnownByHalf = false;
-      const recorded = ownership.recordPrimary('lots', 'i-3', 2);
+      const recorded = ownership.recordPrimary('lots', { primary: 'i-3', term: 3, fence: 2 });
       await settle();
       fixture.clock.ms += 600;
       expect(await recorded).to.equal(false);
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -111,6 +111,7 @@
       owner: self.vm,
       incarnation: self.incarnation,
       primary: record?.primary ?? '',
+      term: record?.term ?? 0,
       fence: record?.fence ?? 0,
       isHandedOver: false,
     });
@@ -208,10 +209,13 @@
      * Records the endpoint that becomes the primary, and waits until half of the other VMs know it:
      * a VM that acts for an owner needs the confirmation of one of them.
      */
-    recordPrimary: async (group: string, primary: string, fence: number): Promise<boolean> => {
+    recordPrimary: async (
+      group: string,
+      next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>,
+    ): Promise<boolean> => {
       const record = recordOf(group);
       if (!record || !isRecorded(group)) return false;
-      if (!(await write(group, { ...record, primary, fence }))) return false;
+      if (!(await write(group, { ...record, ...next }))) return false;
       const revision = documents.get(keyOf(group))?.revision ?? 0;
       const untilMs = nowMs() + SPREAD_TIMEOUT_MS;
       while (!fleet.isKnownByHalf(keyOf(group), revision) && nowMs() < untilMs) {
--- a/packages/sessions/src/fleet/readGroupRecord.ts
+++ b/packages/sessions/src/fleet/readGroupRecord.ts
@@ -10,6 +10,7 @@
       owner,
       incarnation,
       primary: primary ?? '',
+      term: Number(record.term ?? 0),
       fence: Number(fence ?? 0),
       isHandedOver: record.isHandedOver === true,
     };
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -60,7 +60,14 @@
 const createFixture = (limits = new Map<string, { ratePerS: number; burst: number }>()) => {
   const standIn = createMemberStandIn(ENDPOINTS);
   const promoted: { id: string; fence: number }[] = [];
-  const state = { isCertain: true, mayReplace: true, isRecorded: true, primary: '', fence: 0 };
+  const state = {
+    isCertain: true,
+    mayReplace: true,
+    isRecorded: true,
+    primary: '',
+    term: 0,
+    fence: 0,
+  };
   class StandInFailover extends FailoverCaller {
     override async promote(...[, id, , fence]: Parameters<FailoverCaller['promote']>) {
       promoted.push({ id, fence });
@@ -79,9 +86,9 @@
     limiter,
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
-    recorded: () => ({ primary: state.primary, fence: state.fence }),
-    record: async (primary, fence) => {
-      if (state.isRecorded) Object.assign(state, { primary, fence });
+    recorded: () => ({ primary: state.primary, term: state.term, fence: state.fence }),
+    record: async (next) => {
+      if (state.isRecorded) Object.assign(state, next);
       return state.isRecorded;
     },
     mayReplace: () => state.mayReplace,
@@ -271,6 +278,12 @@
       expect(fixture.runs.at(-1)?.endpoint).to.equal(fixture.promoted[0]?.id);
     });
 
+    it('does not believe an old primary again that was replaced', async () => {
+      Object.assign(fixture.state, { primary: 'r', term: 2, fence: 1, mayReplace: false });
+      expect(await fixture.run(write())).to.deep.include({ kind: 'refused', code: 'busy' });
+      expect(fixture.committed).to.have.length(0);
+    });
+
     it('replaces none while another owner may still believe in it', async () => {
       fixture.state.mayReplace = false;
       fixture.setDark('p', true);
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -17,6 +17,7 @@
 import type CallOutcome from './callOutcome';
 import createMemberPool from './createMemberPool';
 import createPrimaryKeeper from './createPrimaryKeeper';
+import type GroupRecord from './groupRecord';
 import type GroupTransaction from './groupTransaction';
 import type GroupWork from './groupWork';
 import type MemberPool from './memberPool';
@@ -52,8 +53,8 @@
   limiter: ReturnType<typeof createRateLimiter>;
   log: EventLog;
   nowMs(): number;
-  recorded(): { primary: string; fence: number };
-  record(primary: string, fence: number): Promise<boolean>;
+  recorded(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
+  record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   mayReplace(): boolean;
   /** Whether no other VM can have replaced the primary without this VM knowing. */
   isCertain(): boolean;
--- a/packages/sessions/src/group/createPrimaryKeeper.ts
+++ b/packages/sessions/src/group/createPrimaryKeeper.ts
@@ -1,6 +1,7 @@
 import { comparePositions, type LogPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type FailoverCaller from '../seams/failoverCaller';
+import type GroupRecord from './groupRecord';
 import type MemberPool from './memberPool';
 
 /** Between two looks at the primary's state. */
@@ -23,9 +24,9 @@
   log: EventLog;
   nowMs(): number;
   /** The endpoint that was last made primary, and the fence of that. */
-  recorded(): { primary: string; fence: number };
+  recorded(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
   /** Records the next primary; false when this VM does not own the group any more. */
-  record(primary: string, fence: number): Promise<boolean>;
+  record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether this VM may replace a primary now: no earlier owner can still believe in another. */
   mayReplace(): boolean;
   openWork(endpointId: string): number;
@@ -47,6 +48,7 @@
   let isBusy = false;
   let isClosed = false;
   let noPrimarySinceMs: number | undefined;
+  let believedTerm = 0;
 
   const statuses = async (ids: readonly string[]) => {
     const answers = await Promise.all(
@@ -59,6 +61,7 @@
 
   const believe = (id: string, position: LogPosition, askedAtMs: number): void => {
     primary = id;
+    believedTerm = Math.max(believedTerm, position.term);
     noPrimarySinceMs = undefined;
     log.info('primary.believed', { group, endpoint: id, term: position.term });
     options.onPrimary(id, position, askedAtMs);
@@ -131,7 +134,11 @@
     }
     if (!candidate) return;
     const fence = options.recorded().fence + 1;
-    if (isClosed || !(await options.record(candidate.id, fence))) return;
+    // It will lead a term above those that were seen. A recorded one may come from a call that was
+    // not carried out, so it is a lower bound only.
+    const seenTerm = Math.max(believedTerm, candidate.status.term);
+    const term = Math.max(seenTerm + 1, options.recorded().term);
+    if (isClosed || !(await options.record({ primary: candidate.id, term, fence }))) return;
     if (isClosed) return;
     primary = undefined;
     isSwitching = true;
@@ -146,6 +153,7 @@
 
   /** Looks for an endpoint that is primary by its own status; the highest term counts. */
   const find = async (): Promise<void> => {
+    const leastTerm = options.recorded().term;
     const usable = [...pools].filter(([, pool]) => !pool.isDown());
     const claimants = usable.filter(
       ([id, pool]) => pool.endpoint().claimsPrimary || id === options.recorded().primary,
@@ -153,7 +161,7 @@
     const looked = claimants.length > 0 ? claimants : usable;
     const answers = await statuses(looked.map(([id]) => id));
     const [best] = answers
-      .filter(({ status }) => status.isPrimary)
+      .filter(({ status }) => status.isPrimary && status.term >= leastTerm)
       .sort((a, b) => b.status.term - a.status.term);
     if (best) {
       believe(best.id, best.status.received, best.askedAtMs);
