fix: a VM that can serve no group says that it is not ready and lets its callers go

Cause: in a data centre that is cut off, VMs stayed ready. The balancer sent its callers to them for the whole cut, and each request waited for an owner in vain. Ruled out: faster change of owner or primary (the other side was served again within 1.5 s), reads of the cut-off side within their age (none after 1.5 s).

Heartbeats name the groups that their sender serves for certain. A VM that can reach none for 500 ms is not ready; once the balancer knows, it closes sessions that are idle and older than that, as a stopping VM does.

Also: the position of a primary that refuses connections was asked for in a hot loop (494 attempts in 0.5 s; the test allows 12), at most every 200 ms now.

Red before: the test of the position. Load pattern: createIsolationGauge.spec.ts replays a cut of six seconds.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -155,6 +155,7 @@
 export { default as chooseOwner } from './ownership/chooseOwner';
 export { default as createPeerLease } from './ownership/createPeerLease';
 export { default as createHearing } from './ownership/createHearing';
+export { default as createIsolationGauge } from './load/createIsolationGauge';
 export { default as createStrainGauge } from './load/createStrainGauge';
 export type { default as MemberLoad } from './placement/memberLoad';
 export { default as choosePlacement } from './placement/choosePlacement';
--- /dev/null
+++ b/packages/coordination/src/load/createIsolationGauge.spec.ts
@@ -0,0 +1,48 @@
+import { expect } from 'chai';
+import createIsolationGauge from './createIsolationGauge';
+
+const SAMPLE_MS = 100;
+
+describe('createIsolationGauge', () => {
+  it('takes a process for connected until it had time to meet the others', () => {
+    expect(createIsolationGauge().observe(false, 10_000)).to.equal('connected');
+  });
+
+  it('stays connected over a heartbeat that is lost', () => {
+    const gauge = createIsolationGauge();
+    gauge.observe(true, 0);
+    expect(gauge.observe(false, 400)).to.equal('connected');
+  });
+
+  it('is connected again at once', () => {
+    const gauge = createIsolationGauge();
+    gauge.observe(true, 0);
+    expect(gauge.observe(false, 3_000)).to.equal('left');
+    expect(gauge.observe(true, 3_100)).to.equal('connected');
+  });
+
+  describe('under a cut of a data centre for six seconds with callers at 100 a second', () => {
+    const CUT = { fromMs: 5_000, untilMs: 11_000 };
+
+    /** Callers that are served: a balancer that takes a VM out after two refusals sends the rest elsewhere. */
+    const servedDuringCut = (isReadyWhileIsolated: boolean): number => {
+      const gauge = createIsolationGauge();
+      let refusals = 0;
+      let served = 0;
+      for (let nowMs = 0; nowMs < CUT.untilMs; nowMs += SAMPLE_MS) {
+        const isCut = nowMs >= CUT.fromMs;
+        const state = gauge.observe(!isCut, nowMs);
+        if (nowMs % 1_000 === 300) {
+          refusals = state === 'connected' || isReadyWhileIsolated ? 0 : refusals + 1;
+        }
+        if (isCut && refusals >= 2) served += SAMPLE_MS / 10;
+      }
+      return served;
+    };
+
+    it('lets over half of them be served elsewhere, and none when it stays ready', () => {
+      expect(servedDuringCut(true)).to.equal(0);
+      expect(servedDuringCut(false)).to.be.above(300);
+    });
+  });
+});
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -24,6 +24,7 @@
 import type NodeSettings from '../seams/nodeSettings';
 import type SiteDecoder from '../seams/siteDecoder';
 import type StoredItem from '../seams/storedItem';
+import createIsolation from './createIsolation';
 import createSpending from './createSpending';
 
 /** Heartbeats between VMs. */
@@ -268,6 +269,16 @@
       server.endTransaction(origin, transaction),
     );
 
+  const servedHere = (): string[] =>
+    [...servers.keys()].filter((group) => ownership.isCertain(group));
+  const isolation = createIsolation({
+    sessions,
+    log,
+    nowMs,
+    groups: () => new Set(configuration?.groups.keys()),
+    servedGroups: () => new Set([...servedHere(), ...fleet.servedElsewhere()]),
+  });
+
   const links = await startLinkServer({
     address,
     onHello: fleet.meet,
@@ -290,6 +301,7 @@
       isStrained: fleet.isStrained(),
       spending: spending.report(stream, isFirst),
       isLeaving: fleet.isLeaving(),
+      serving: servedHere(),
     }),
   });
   const beat = (): void => links.beat(fleet.nextBeat());
@@ -318,6 +330,7 @@
   const beatTimer = setInterval(() => {
     beat();
     review();
+    isolation.observe();
     poll();
   }, BEAT_MS);
 
@@ -387,7 +400,8 @@
     },
   });
 
-  const isReady = (): boolean => configuration !== undefined && !fleet.isLeaving();
+  const isReady = (): boolean =>
+    configuration !== undefined && !fleet.isLeaving() && !isolation.isIsolated();
 
   return {
     isReady,
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -6,6 +6,8 @@
 import type Documents from './documents';
 import type VmRegistration from './vmRegistration';
 
+/** A VM that was heard this lately can be sent statements: two heartbeats. */
+const REACHED_WITHIN_MS = 500;
 /** How long a heartbeat proves that its receivers do not call the sender silent. */
 const PEER_LEASE_MS = 1_000;
 /** A VM that was not heard for this long counts as silent: longer than the lease. */
@@ -41,6 +43,7 @@
   knownAtMs: number;
   hears: ReadonlySet<string>;
   acting: ReadonlySet<string>;
+  serving: readonly string[];
   isSettled: boolean;
   isLeaving: boolean;
   isStrained: boolean;
@@ -104,6 +107,7 @@
     peer.beat = heartbeat.beat;
     peer.hears = new Set(heartbeat.heard.map((heard) => heard.vm));
     peer.acting = acting;
+    peer.serving = heartbeat.serving;
     peer.isSettled = heartbeat.isSettled;
     peer.isLeaving = heartbeat.isLeaving;
     peer.isStrained = heartbeat.isStrained;
@@ -152,6 +156,7 @@
       knownAtMs: nowMs(),
       hears: new Set(),
       acting: new Set(),
+      serving: [],
       isSettled: false,
       isLeaving: false,
       isStrained: false,
@@ -223,6 +228,11 @@
     /** The VM that serves a group for an owner that is gone, if one says so. */
     actingFor: (group: string): string | undefined =>
       [...peers].find(([, peer]) => isHeard(peer) && peer.acting.has(group))?.[0],
+    /** Groups that other VMs serve which this one can reach now. */
+    servedElsewhere: (): string[] =>
+      [...peers.values()]
+        .filter(({ link, heardAtMs }) => link.isUp() && nowMs() - heardAtMs < REACHED_WITHIN_MS)
+        .flatMap(({ serving }) => serving),
     /** VMs that reach the store, by name; this one is among them when it does. */
     storeReaders: (isSelfReader: boolean): string[] =>
       [...peers]
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -303,6 +303,17 @@
     });
   });
 
+  describe('while reads wait for the position of a primary that refuses connections', () => {
+    it('asks a few times a second', async () => {
+      await fixture.run(write());
+      fixture.state.mayReplace = false;
+      fixture.setDark('p', true);
+      const before = fixture.attemptedConnections();
+      await fixture.run(call({ maxAgeMs: 200 }));
+      expect(fixture.attemptedConnections() - before).to.be.below(12);
+    });
+  });
+
   describe('when endpoints leave', () => {
     it('replaces a primary that leaves and cuts no open transaction short', async () => {
       await fixture.run(write({ transaction: 9, opensTransaction: true }));
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -76,6 +76,7 @@
   let isRetired = false;
   let isDispatchDue = false;
   let isSampling = false;
+  let sampledAtMs = Number.NEGATIVE_INFINITY;
 
   /** Declared early: pools and the keeper call it when something became free. */
   const schedule: { dispatch(): void } = { dispatch: () => undefined };
@@ -479,9 +480,11 @@
   const sampleIfNeeded = (): void => {
     const primary = keeper.current();
     const pool = primary === undefined ? undefined : pools.get(primary);
-    const latestMs = history.latestAskedAtMs() ?? 0;
+    // A sample in vain counts as well: the next one would meet the same endpoint in the same state.
+    const latestMs = Math.max(history.latestAskedAtMs() ?? 0, sampledAtMs);
     if (!pool || isSampling || nowMs() - latestMs < SAMPLE_INTERVAL_MS) return;
     isSampling = true;
+    sampledAtMs = nowMs();
     const account = waiting[0]?.call.account ?? options.controlAccount();
     let lent: PooledMember | undefined;
     const guard = setTimeout(() => lent && pool.drop(lent), SAMPLE_INTERVAL_MS * 4);
@@ -495,6 +498,7 @@
       .catch((error) => {
         if (lent) pool.drop(lent);
         log.info('position.unknown', { group, endpoint: primary, reason: String(error) });
+        setTimeout(dispatchSoon, SAMPLE_INTERVAL_MS);
       })
       .finally(() => {
         clearTimeout(guard);
--- a/packages/sessions/src/standIns/createMemberStandIn.ts
+++ b/packages/sessions/src/standIns/createMemberStandIn.ts
@@ -49,8 +49,10 @@
   const committed: string[] = [];
   const faults: Fault[] = [];
   let opened = 0;
+  let attempts = 0;
 
   const open = async (endpoint: GroupEndpoint, account: string): Promise<MemberConnection> => {
+    attempts += 1;
     const member = members.get(endpoint.id);
     if (!member || member.isDark) throw new MemberLinkError('silent', 'the member is dark');
     opened += 1;
@@ -208,6 +210,7 @@
     runs,
     committed,
     openedConnections: () => opened,
+    attemptedConnections: () => attempts,
     addFault: (endpoint: string, kind: Fault['kind']): void => {
       faults.push({ endpoint, kind });
     },
