fix: a cut is noticed within half a second, a start lists endpoints at once and compiles less

Cause: isolation was told after 1 to 1.2 s, since an owner in the cut data centre counted its own lease; endpoints were first listed at the first heartbeat, 250 ms after the start, and the primary looked for 100 ms later; the cache of compiled code held only what is compiled eagerly.

Ruled out: shorter leases between VMs (a confirmation is 0.5 s old at rest).

--- a/packages/coordination/src/load/createIsolationGauge.ts
+++ b/packages/coordination/src/load/createIsolationGauge.ts
@@ -1,5 +1,7 @@
-/** Without a group in reach for this long a VM is isolated: two heartbeats and their way. */
-const ISOLATED_AFTER_MS = 500;
+/** Without a group in reach for this long a VM is isolated: two samples, so that one late answer is none. */
+const ISOLATED_AFTER_MS = 100;
+/** A process that is younger may not have met the others yet, and the fleet may be starting with it. */
+const SETTLED_AFTER_MS = 1_500;
 /** The balancer asks once a second and takes a VM out after two refusals. */
 const BALANCER_NOTICE_MS = 2_200;
 
@@ -12,12 +14,13 @@
  *
  * Load pattern: a data centre that is cut off from the others for seconds while its callers reach it.
  */
-const createIsolationGauge = () => {
+const createIsolationGauge = (startedAtMs: number) => {
   let connectedAtMs: number | undefined;
 
   return {
     observe: (isServable: boolean, nowMs: number): Isolation => {
-      if (isServable || connectedAtMs === undefined) connectedAtMs = nowMs;
+      const isSettled = nowMs - startedAtMs >= SETTLED_AFTER_MS;
+      if (isServable || !isSettled || connectedAtMs === undefined) connectedAtMs = nowMs;
       const silentMs = nowMs - connectedAtMs;
       if (silentMs < ISOLATED_AFTER_MS) return 'connected';
       return silentMs < ISOLATED_AFTER_MS + BALANCER_NOTICE_MS ? 'isolated' : 'left';
--- a/packages/sessions/src/daemon/createIsolation.ts
+++ b/packages/sessions/src/daemon/createIsolation.ts
@@ -14,7 +14,7 @@
 /** Sends callers to other VMs while this one can serve no group, by itself or through another VM. */
 const createIsolation = (options: IsolationOptions) => {
   const { sessions, log, nowMs } = options;
-  const gauge = createIsolationGauge();
+  const gauge = createIsolationGauge(nowMs());
   let state: ReturnType<typeof gauge.observe> = 'connected';
   /** Sessions from before the balancer knew; callers that came later found no better VM. */
   let leaving: ReturnType<typeof createSession>[] = [];
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -225,7 +225,8 @@
   let isRefreshing = false;
   const isDue = (atMs: number, intervalMs: number): boolean => nowMs() - atMs >= intervalMs;
   const poll = (): void => {
-    const pollMs = servers.size > 0 ? ENDPOINT_POLL_MS : IDLE_ENDPOINT_POLL_MS;
+    const isUsed = servers.size > 0 || !hasEndpoints;
+    const pollMs = isUsed ? ENDPOINT_POLL_MS : IDLE_ENDPOINT_POLL_MS;
     if (!isReading && isDue(endpointsReadAtMs, pollMs)) {
       isReading = true;
       endpointsReadAtMs = nowMs();
@@ -248,6 +249,9 @@
     }
   };
 
+  // Beside the lists of the fleet and the configuration: a group that is claimed needs its endpoints.
+  poll();
+
   const serverOf = (call: GroupCall): GroupServer | undefined => servers.get(call.group);
   /** Transactions that began before a hand-over go on at the server that was retired. */
   const runAt = async (
@@ -270,7 +274,7 @@
     );
 
   const servedHere = (): string[] =>
-    [...servers.keys()].filter((group) => ownership.isCertain(group));
+    [...servers.keys()].filter((group) => ownership.isLastinglyCertain(group));
   const isolation = createIsolation({
     sessions,
     log,
@@ -312,6 +316,7 @@
   const gauge = createStrainGauge();
   let gaugeDueMs = nowMs() + STRAIN_SAMPLE_MS;
   const gaugeTimer = setInterval(() => {
+    isolation.observe();
     const now = nowMs();
     const latenessMs = now - gaugeDueMs;
     gaugeDueMs = now + STRAIN_SAMPLE_MS;
@@ -330,7 +335,6 @@
   const beatTimer = setInterval(() => {
     beat();
     review();
-    isolation.observe();
     poll();
   }, BEAT_MS);
 
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -6,8 +6,8 @@
 import type Documents from './documents';
 import type VmRegistration from './vmRegistration';
 
-/** A VM that was heard this lately can be sent statements: two heartbeats. */
-const REACHED_WITHIN_MS = 500;
+/** A VM that was heard this lately is in reach: a heartbeat, and over half of one for its way. */
+const REACHED_WITHIN_MS = 400;
 /** How long a heartbeat proves that its receivers do not call the sender silent. */
 const PEER_LEASE_MS = 1_000;
 /** A VM that was not heard for this long counts as silent: longer than the lease. */
@@ -66,6 +66,8 @@
   let isStrained = false;
 
   const isHeard = (peer: Peer): boolean => nowMs() - peer.heardAtMs < HEARD_WITHIN_MS;
+  const isReached = ({ link, heardAtMs }: Peer): boolean =>
+    link.isUp() && nowMs() - heardAtMs < REACHED_WITHIN_MS;
   const isSettled = (): boolean => nowMs() - startedAtMs > SETTLED_AFTER_MS;
   /** The VMs that this one says it hears, with the heartbeats that it confirms. */
   const heardVms = (): Heartbeat['heard'] =>
@@ -230,9 +232,9 @@
       [...peers].find(([, peer]) => isHeard(peer) && peer.acting.has(group))?.[0],
     /** Groups that other VMs serve which this one can reach now. */
     servedElsewhere: (): string[] =>
-      [...peers.values()]
-        .filter(({ link, heardAtMs }) => link.isUp() && nowMs() - heardAtMs < REACHED_WITHIN_MS)
-        .flatMap(({ serving }) => serving),
+      [...peers.values()].filter(isReached).flatMap(({ serving }) => serving),
+    /** Whether half of the other VMs are in reach: without them the lease ends soon. */
+    reachesHalf: (): boolean => [...peers.values()].filter(isReached).length * 2 >= peers.size,
     /** VMs that reach the store, by name; this one is among them when it does. */
     storeReaders: (isSelfReader: boolean): string[] =>
       [...peers]
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -75,6 +75,12 @@
   const isPeerBelieved = (group: string, sinceBeat?: number): boolean =>
     fleet.holdsPeerLease(sinceBeat) && !fleet.knowsNewer(keyOf(group));
 
+  /** Whether no other VM can have replaced the group's primary without this VM knowing. */
+  const isCertain = (group: string): boolean =>
+    isRecorded(group)
+      ? isStoreBelieved(group) || isPeerBelieved(group)
+      : acting.has(group) && isPeerBelieved(group, acting.get(group));
+
   const write = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = keyOf(group);
     const value = JSON.stringify(next);
@@ -189,11 +195,10 @@
       if (owner !== undefined && fleet.isHeard(owner)) return owner;
       return fleet.actingFor(group) ?? owner;
     },
-    /** Whether no other VM can have replaced the group's primary without this VM knowing. */
-    isCertain: (group: string): boolean =>
-      isRecorded(group)
-        ? isStoreBelieved(group) || isPeerBelieved(group)
-        : acting.has(group) && isPeerBelieved(group, acting.get(group)),
+    isCertain,
+    /** Whether this VM is certain of a group, and will still be when its peer lease has ended. */
+    isLastinglyCertain: (group: string): boolean =>
+      isCertain(group) && (isStoreBelieved(group) || fleet.reachesHalf()),
     /** Whether no earlier owner of the group can still believe in another primary. */
     mayReplacePrimary: (group: string): boolean => {
       if (!isRecorded(group)) return false;
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -573,6 +573,7 @@
           }
         }
       }
+      if (keeper.leading() === undefined) keeper.check();
       dispatchSoon();
     },
     run: (
--- a/packages/sessions/src/group/createPrimaryKeeper.ts
+++ b/packages/sessions/src/group/createPrimaryKeeper.ts
@@ -207,6 +207,8 @@
   tick();
 
   return {
+    /** Looks now: endpoints were found. */
+    check: tick,
     /** The primary for new work; undefined while there is none, or while it is being replaced. */
     current: (): string | undefined => (isSwitching ? undefined : primary),
     /** The primary for transactions that are open there. */
--- a/scripts/buildSite.mjs
+++ b/scripts/buildSite.mjs
@@ -1,4 +1,5 @@
 import { readFileSync, writeFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
 import { Script } from 'node:vm';
 import { build } from 'esbuild';
 
@@ -21,7 +22,20 @@
 
 // Compiled code beside the bundle: a VM that starts again serves a tenth of a second sooner.
 const source = WRAPPER.join(readFileSync(BUNDLE, 'utf8'));
-writeFileSync(CACHE, new Script(source, { filename: BUNDLE }).createCachedData());
+const script = new Script(source, { filename: BUNDLE });
+// Run once without settings, so that the cache also holds the functions that a start compiles.
+const { exit } = process;
+const { write } = process.stderr;
+await new Promise((resolve) => {
+  process.exit = resolve;
+  process.stderr.write = () => true;
+  const module = { exports: {} };
+  const require = createRequire(import.meta.url);
+  script.runInThisContext()(require, module, module.exports, BUNDLE, 'target');
+});
+process.exit = exit;
+process.stderr.write = write;
+writeFileSync(CACHE, script.createCachedData());
 writeFileSync(
   'target/auburngrade-vm.cjs',
   `const { readFileSync } = require('node:fs');
