fix: a group whose owner has neither the store nor half of the VMs goes to a VM that reaches the store

Cause: in a split of the VMs into halves with most of them cut off from the store, groups were claimed by VMs that could not record the claim, and owners that were heard kept groups that they could not serve. Ruled out: that the primaries were out of reach (two of three were not).

Change: an owner is chosen among VMs that reach the store; one that is heard and has not served its group for 1.2 s loses it to such a VM, which uses the present primary and replaces it under the same waits as before; groups are not given away to VMs without the store.

A primary that the right side of a split cannot reach stays.

--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -10,6 +10,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isStoreReachable: true,
   hears: new Set(),
   ...changes,
 });
@@ -33,6 +34,12 @@
     expect(chooseOwner('g', vms.slice(0, 1), new Map(), undefined)).to.equal('a');
   });
 
+  it('takes a VM that cannot record its claim only when none can', () => {
+    const vms = [view('a', 'waco', { isStoreReachable: false }), view('b', 'waco')];
+    expect(chooseOwner('g', vms, new Map([['b', 2]]), undefined)).to.equal('b');
+    expect(chooseOwner('g', vms.slice(0, 1), new Map(), undefined)).to.equal('a');
+  });
+
   it('leaves out VMs that are silent or leaving', () => {
     const vms = [view('a', 'waco', { isHeard: false }), view('b', 'waco', { isLeaving: true })];
     expect(chooseOwner('g', vms, new Map(), undefined)).to.equal(undefined);
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -1,9 +1,16 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
 import type VmView from './vmView';
 
+/** The VMs that meet a wish, or all when none does. */
+const preferred = (vms: readonly VmView[], isWished: (view: VmView) => boolean) => {
+  const wished = vms.filter(isWished);
+  return wished.length > 0 ? wished : vms;
+};
+
 /**
- * Chooses the VM that should own a group: one with processor time to spare, one that owns the fewest, then one outside the primary's
- * data centre, so that a cut does not take both at once, then by rendezvous hashing.
+ * Chooses the VM that should own a group: one that reaches the store, one with processor time to spare,
+ * one that owns the fewest, then one outside the primary's data centre, so that a cut does not take both
+ * at once, then by rendezvous hashing.
  */
 const chooseOwner = (
   group: string,
@@ -12,13 +19,12 @@
   primaryDataCentre: string | undefined,
 ): string | undefined => {
   const present = vms.filter(({ isHeard, isLeaving }) => isHeard && !isLeaving);
-  const eased = present.filter(({ isStrained }) => !isStrained);
-  const able = eased.length > 0 ? eased : present;
+  const recording = preferred(present, ({ isStoreReachable }) => isStoreReachable);
+  const able = preferred(recording, ({ isStrained }) => !isStrained);
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
   const least = Math.min(...able.map(countOf));
   const idle = able.filter((view) => countOf(view) === least);
-  const apart = idle.filter(({ dataCentre }) => dataCentre !== primaryDataCentre);
-  const chosen = apart.length > 0 ? apart : idle;
+  const chosen = preferred(idle, ({ dataCentre }) => dataCentre !== primaryDataCentre);
   return rankByRendezvous(
     chosen.map(({ vm }) => vm),
     group,
--- a/packages/coordination/src/ownership/createPeerLease.spec.ts
+++ b/packages/coordination/src/ownership/createPeerLease.spec.ts
@@ -102,6 +102,7 @@
             isSettled: vm === self ? nowMs > 2_000 : (says.get(key(self, vm))?.isSettled ?? false),
             isLeaving: false,
             isStrained: false,
+            isStoreReachable: true,
             hears:
               vm === self
                 ? new Set(names.filter((other) => state(self, other, nowMs) !== 'silent'))
--- a/packages/coordination/src/ownership/isOwnerGone.spec.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.spec.ts
@@ -10,6 +10,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isStoreReachable: true,
   hears: new Set(hears),
   ...changes,
 });
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -10,6 +10,8 @@
   isLeaving: boolean;
   /** It is short of processor time. */
   isStrained: boolean;
+  /** It reaches the platform's store, without which it can record nothing. */
+  isStoreReachable: boolean;
   /** VMs that it says it hears. */
   hears: ReadonlySet<string>;
 }
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -102,6 +102,10 @@
   };
 
   const spending = createSpending(limiter, nowMs);
+  let configurationFollower: ReturnType<typeof createStoreFollower> | undefined;
+  let registration: ReturnType<typeof createRegistration> | undefined;
+  const isStoreReachable = (): boolean =>
+    configurationFollower?.isReachable() === true && registration?.isAnswered() === true;
   /** Set below: the fleet tells of changes before the rest exists. */
   const hooks = { review: (): void => undefined };
   const fleet = createFleet({
@@ -110,11 +114,10 @@
     log,
     nowMs,
     wallMs,
+    isStoreReachable,
     onSpending: spending.onReport,
     onChange: () => hooks.review(),
   });
-  let configurationFollower: ReturnType<typeof createStoreFollower> | undefined;
-  const isStoreReachable = (): boolean => configurationFollower?.isReachable() ?? false;
   let fleetFollower: ReturnType<typeof createStoreFollower> | undefined;
   const ownership = createOwnership({
     self,
@@ -348,7 +351,7 @@
     endTransactionHere: (_group, transaction) => endTransactionAt(settings.vm, transaction),
   });
 
-  const registration = createRegistration(
+  registration = createRegistration(
     store,
     settings.vm,
     { address, dataCentre, incarnation },
@@ -461,7 +464,7 @@
       clearInterval(beatTimer);
       clearInterval(gaugeTimer);
       await registration
-        .close()
+        ?.close()
         .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
       configurationFollower?.close();
       fleetFollower?.close();
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -29,6 +29,7 @@
   log: EventLog;
   nowMs(): number;
   wallMs(): number;
+  isStoreReachable(): boolean;
   onSpending(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
   onChange(): void;
 }
@@ -44,6 +45,8 @@
   hears: ReadonlySet<string>;
   acting: ReadonlySet<string>;
   serving: readonly string[];
+  /** When each group was last among those that it serves. */
+  servedAtMs: Map<string, number>;
   isSettled: boolean;
   isLeaving: boolean;
   isStrained: boolean;
@@ -110,6 +113,7 @@
     peer.hears = new Set(heartbeat.heard.map((heard) => heard.vm));
     peer.acting = acting;
     peer.serving = heartbeat.serving;
+    heartbeat.serving.forEach((group) => peer.servedAtMs.set(group, peer.heardAtMs));
     peer.isSettled = heartbeat.isSettled;
     peer.isLeaving = heartbeat.isLeaving;
     peer.isStrained = heartbeat.isStrained;
@@ -159,6 +163,7 @@
       hears: new Set(),
       acting: new Set(),
       serving: [],
+      servedAtMs: new Map(),
       isSettled: false,
       isLeaving: false,
       isStrained: false,
@@ -209,6 +214,7 @@
         isSettled: isSettled(),
         isLeaving,
         isStrained,
+        isStoreReachable: options.isStoreReachable(),
         hears: new Set(heardVms().map((heard) => heard.vm)),
       },
       ...[...peers].map(([vm, peer]) => ({
@@ -219,6 +225,7 @@
         isSettled: peer.isSettled,
         isLeaving: peer.isLeaving,
         isStrained: peer.isStrained,
+        isStoreReachable: peer.isStoreReachable,
         hears: peer.hears,
       })),
     ],
@@ -233,6 +240,9 @@
     /** Groups that other VMs serve which this one can reach now. */
     servedElsewhere: (): string[] =>
       [...peers.values()].filter(isReached).flatMap(({ serving }) => serving),
+    /** When a VM that is heard last said that it serves a group, on the steady clock; undefined if it never did. */
+    servedAtMs: (vm: string, group: string): number | undefined =>
+      peers.get(vm)?.servedAtMs.get(group),
     /** Whether half of the other VMs are in reach: without them the lease ends soon. */
     reachesHalf: (): boolean => [...peers.values()].filter(isReached).length * 2 >= peers.size,
     /** VMs that reach the store, by name; this one is among them when it does. */
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -13,6 +13,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isStoreReachable: true,
   hears: new Set(),
   ...changes,
 });
@@ -31,6 +32,7 @@
     actingFor: undefined as string | undefined,
     isFollowing: true,
     isStrained: false,
+    servedAtMs: undefined as number | undefined,
   };
   const fleet = {
     vms: () => state.vms,
@@ -41,6 +43,7 @@
     isLeaving: () => state.isLeaving,
     isStrained: () => state.isStrained,
     actingFor: () => state.actingFor,
+    servedAtMs: () => state.servedAtMs,
     lastBeat: () => 1,
     publish: () => undefined,
   } as Partial<Fleet> as Fleet;
@@ -155,6 +158,49 @@
     });
   });
 
+  describe('of a group whose owner is heard, but reaches neither the store nor half of the VMs', () => {
+    beforeEach(() => {
+      fixture.ownership.setListed();
+      fixture.offer('lots', fixture.record('b'));
+      fixture.state.vms = [view('a'), view('b', { isStoreReachable: false })];
+    });
+
+    it('claims it when the owner has not served it for a while', async () => {
+      const { ownership, settle, clock } = fixture;
+      clock.ms += 1_100;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.isRecorded('lots')).to.equal(false);
+      clock.ms += 200;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.isRecorded('lots')).to.equal(true);
+    });
+
+    it('replaces no primary before the belief of that owner has ended', async () => {
+      const { ownership, settle, clock, state } = fixture;
+      clock.ms += 1_300;
+      ownership.review(['lots']);
+      await settle();
+      state.holdsPeerLease = true;
+      ownership.review(['lots']);
+      clock.ms += 1_500;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+    });
+
+    it('leaves it where it is while it does not follow the store, or the owner serves it', async () => {
+      const { ownership, settle, clock, state } = fixture;
+      clock.ms += 1_300;
+      state.servedAtMs = clock.ms - 300;
+      ownership.review(['lots']);
+      state.servedAtMs = undefined;
+      state.isFollowing = false;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.isServedHere('lots')).to.equal(false);
+    });
+  });
+
   describe('of a group whose owner is gone', () => {
     beforeEach(() => {
       fixture.ownership.setListed();
@@ -272,5 +318,19 @@
       await settle();
       expect(ownership.recordOf('lots')?.owner).to.equal('b');
     });
+
+    it('gives none away to even out the load when the other VMs cannot reach the store', async () => {
+      const { ownership, own, state, settle } = fixture;
+      await own('lots');
+      await own('bales');
+      state.vms = [view('a'), view('b', { isStoreReachable: false })];
+      ownership.review(['lots', 'bales']);
+      await settle();
+      expect(['lots', 'bales'].every(ownership.isRecorded)).to.equal(true);
+      state.vms = [view('a'), view('b')];
+      ownership.review(['lots', 'bales']);
+      await settle();
+      expect(['lots', 'bales'].every(ownership.isRecorded)).to.equal(false);
+    });
   });
 });
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -18,6 +18,8 @@
 const SPREAD_POLL_MS = 10;
 /** A record that is younger may name a process that this VM has not heard of yet. */
 const RECORD_SETTLED_MS = 600;
+/** An owner that is heard and does not serve its group for this long has neither store nor half of the VMs. */
+const POWERLESS_AFTER_MS = 1_200;
 /** Groups that a VM owns beyond the least loaded one before it gives one away. */
 const UNEVEN_BY = 2;
 /** Pause between groups that a VM short of processor time gives away. */
@@ -65,6 +67,17 @@
     return isOwnerGone({ vm: owner, incarnation, isSettled }, fleet.vms());
   };
 
+  /**
+   * Whether a VM that is heard cannot serve the group that it owns. Its successor may act at once: two VMs
+   * that use the same primary do no harm.
+   */
+  const isPowerless = (group: string, { owner }: GroupRecord): boolean => {
+    if (owner === self.vm || !options.isFollowing() || !fleet.isHeard(owner)) return false;
+    const recordedAtMs = documents.get(keyOf(group))?.knownSinceMs ?? nowMs();
+    const servedAtMs = Math.max(recordedAtMs, fleet.servedAtMs(owner, group) ?? 0);
+    return nowMs() - servedAtMs > POWERLESS_AFTER_MS;
+  };
+
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
   const isStoreBelieved = (group: string): boolean => {
     const at = confirmedAt.get(group);
@@ -171,7 +184,8 @@
     const mine = groups.filter(isRecorded);
     const able = fleet
       .vms()
-      .filter((view) => view.isHeard && view.isSettled && !view.isLeaving && !view.isStrained);
+      .filter((view) => view.isHeard && view.isSettled && !view.isLeaving)
+      .filter((view) => view.isStoreReachable && !view.isStrained);
     const least = Math.min(...able.map(({ vm }) => counts.get(vm) ?? 0));
     const [given] = mine;
     const isDue = fleet.isStrained()
@@ -260,15 +274,16 @@
       const counts = new Map<string, number>();
       const orphans = groups.filter((group) => {
         const record = recordOf(group);
-        if (record ? isGone(group, record) : hasList) return true;
+        if (record ? isGone(group, record) || isPowerless(group, record) : hasList) return true;
         if (record) counts.set(record.owner, (counts.get(record.owner) ?? 0) + 1);
         return false;
       });
       orphans.forEach((group) => {
-        const before = recordOf(group)?.owner;
-        const isBack = vms.some(
-          ({ vm, isHeard, isLeaving }) => vm === before && isHeard && !isLeaving,
-        );
+        const record = recordOf(group);
+        const before = record?.owner;
+        const isBack =
+          !(record && isPowerless(group, record)) &&
+          vms.some(({ vm, isHeard, isLeaving }) => vm === before && isHeard && !isLeaving);
         const stand = acting.has(group) ? self.vm : fleet.actingFor(group);
         const owner =
           stand ??
--- a/packages/sessions/src/fleet/createRegistration.ts
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -18,6 +18,7 @@
 ) => {
   let lease: number | undefined;
   let isClosed = false;
+  let isAnswered = true;
   let timer: NodeJS.Timeout | undefined;
 
   const register = async (): Promise<void> => {
@@ -46,8 +47,12 @@
   const run = (): void => {
     step()
       .then(
-        () => ttlMs / RENEWALS_PER_LEASE,
+        () => {
+          isAnswered = true;
+          return ttlMs / RENEWALS_PER_LEASE;
+        },
         (error) => {
+          isAnswered = false;
           log.info('vm.renewalFailed', { lease, reason: String(error) });
           return RETRY_MS;
         },
@@ -59,6 +64,8 @@
   run();
 
   return {
+    /** Whether the store answered the last call: sooner known here than by a watch that waits. */
+    isAnswered: () => isAnswered,
     /** Ends the registration, so that other VMs need not wait for its lease. */
     close: async (): Promise<void> => {
       isClosed = true;
