feat: a group leaves the data centre that its primary has moved to; votes are looked at when they change

Cause: after a change of primary owner and primary stood in one data centre. Ruled out: the wait before the replacement (the belief of the owner before).

Change: an owner whose primary stands in its own data centre for 2 s hands the group to a VM elsewhere that owns fewer; VMs look at owners when another VM stops hearing one, not only at their own next heartbeat.

--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -106,11 +106,13 @@
     const isNew = peer.incarnation !== heartbeat.incarnation;
     const hasLeft = heartbeat.isLeaving && !peer.isLeaving;
     const acting = new Set(heartbeat.acting);
+    const hears = new Set(heartbeat.heard.map((heard) => heard.vm));
+    const hearsLess = [...peer.hears].some((other) => !hears.has(other));
     const isActingNew = [...acting].some((group) => !peer.acting.has(group));
     peer.heardAtMs = nowMs();
     peer.incarnation = heartbeat.incarnation;
     peer.beat = heartbeat.beat;
-    peer.hears = new Set(heartbeat.heard.map((heard) => heard.vm));
+    peer.hears = hears;
     peer.acting = acting;
     peer.serving = heartbeat.serving;
     heartbeat.serving.forEach((group) => peer.servedAtMs.set(group, peer.heardAtMs));
@@ -123,7 +125,7 @@
     options.onSpending(vm, heartbeat.incarnation, heartbeat.spending);
     peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
     pushMissing(peer);
-    if (!wasHeard || isNew || hasLeft || isActingNew) options.onChange();
+    if (!wasHeard || isNew || hasLeft || isActingNew || hearsLess) options.onChange();
   };
 
   const dial = (vm: string, address: string): PeerLink =>
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -33,6 +33,7 @@
     isFollowing: true,
     isStrained: false,
     servedAtMs: undefined as number | undefined,
+    primaryDataCentre: undefined as string | undefined,
   };
   const fleet = {
     vms: () => state.vms,
@@ -48,14 +49,14 @@
     publish: () => undefined,
   } as Partial<Fleet> as Fleet;
   const ownership = createOwnership({
-    self: { vm: 'a', incarnation: 'a-1' },
+    self: { vm: 'a', incarnation: 'a-1', dataCentre: 'waco' },
     store: standIn.store,
     documents,
     fleet,
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
     wallMs: nowMs,
-    primaryDataCentre: () => undefined,
+    primaryDataCentre: () => state.primaryDataCentre,
     isFollowing: () => state.isFollowing,
   });
   const settle = (): Promise<void> =>
@@ -319,6 +320,34 @@
       expect(ownership.recordOf('lots')?.owner).to.equal('b');
     });
 
+    it('gives a group away whose primary has moved to its own data centre for good', async () => {
+      const { ownership, own, state, settle, clock } = fixture;
+      await own('lots');
+      state.vms = [view('a'), view('b'), view('c', { dataCentre: 'temple' })];
+      state.primaryDataCentre = 'waco';
+      ownership.review(['lots']);
+      clock.ms += 1_500;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.isRecorded('lots')).to.equal(true);
+      clock.ms += 600;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.recordOf('lots')).to.deep.include({ owner: 'c', isHandedOver: true });
+    });
+
+    it('keeps such a group when only its own data centre has VMs', async () => {
+      const { ownership, own, state, settle, clock } = fixture;
+      await own('lots');
+      state.vms = [view('a'), view('b')];
+      state.primaryDataCentre = 'waco';
+      ownership.review(['lots']);
+      clock.ms += 3_000;
+      ownership.review(['lots']);
+      await settle();
+      expect(ownership.isRecorded('lots')).to.equal(true);
+    });
+
     it('gives none away to even out the load when the other VMs cannot reach the store', async () => {
       const { ownership, own, state, settle } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,4 +1,4 @@
-import { chooseOwner, isOwnerGone } from '@auburngrade/coordination';
+import { chooseOwner, isOwnerGone, type VmView } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
@@ -22,11 +22,13 @@
 const POWERLESS_AFTER_MS = 1_200;
 /** Groups that a VM owns beyond the least loaded one before it gives one away. */
 const UNEVEN_BY = 2;
+/** How long a primary stays in its owner's data centre before the group moves: it may be replaced again. */
+const NEAR_PRIMARY_MS = 2_000;
 /** Pause between groups that a VM short of processor time gives away. */
 const RELIEF_INTERVAL_MS = 700;
 
 interface OwnershipOptions {
-  self: { vm: string; incarnation: string };
+  self: { vm: string; incarnation: string; dataCentre: string };
   store: MetadataStore;
   documents: Documents;
   fleet: Fleet;
@@ -51,6 +53,8 @@
   const confirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
   let hasList = false;
   let reliefAtMs = Number.NEGATIVE_INFINITY;
+  /** Since when a group that this VM owns has its primary in the same data centre. */
+  const nearSinceMs = new Map<string, number>();
 
   const keyOf = (group: string): string => storeKeys.groupPrefix + group;
   const recordOf = (group: string): GroupRecord | undefined => {
@@ -178,7 +182,31 @@
       .finally(() => claiming.delete(group));
   };
 
-  /** Gives one group away when this VM is strained, or owns clearly more than another one. */
+  /** A group that a cut of this VM's data centre would leave without owner and primary at once. */
+  const nearGroup = (
+    mine: readonly string[],
+    counts: ReadonlyMap<string, number>,
+    able: readonly VmView[],
+  ): string | undefined => {
+    const now = nowMs();
+    const near = mine.filter((group) => options.primaryDataCentre(group) === self.dataCentre);
+    [...nearSinceMs.keys()]
+      .filter((group) => !near.includes(group))
+      .forEach((group) => nearSinceMs.delete(group));
+    near.filter((group) => !nearSinceMs.has(group)).forEach((group) => nearSinceMs.set(group, now));
+    return near.find((group) => {
+      if (now - (nearSinceMs.get(group) ?? now) < NEAR_PRIMARY_MS) return false;
+      const successor = chooseOwner(group, able, counts, self.dataCentre);
+      const view = able.find(({ vm }) => vm === successor);
+      return (
+        view !== undefined &&
+        view.dataCentre !== self.dataCentre &&
+        (counts.get(view.vm) ?? 0) < mine.length
+      );
+    });
+  };
+
+  /** Gives one group away when this VM is strained, owns clearly more than another one, or is too near its primary. */
   const balance = (groups: readonly string[]): void => {
     const counts = ownedCounts(groups);
     const mine = groups.filter(isRecorded);
@@ -187,11 +215,11 @@
       .filter((view) => view.isHeard && view.isSettled && !view.isLeaving)
       .filter((view) => view.isStoreReachable && !view.isStrained);
     const least = Math.min(...able.map(({ vm }) => counts.get(vm) ?? 0));
-    const [given] = mine;
     const isDue = fleet.isStrained()
       ? able.length > 0 && nowMs() - reliefAtMs > RELIEF_INTERVAL_MS
       : mine.length - least >= UNEVEN_BY;
-    if (given === undefined || !isDue || claiming.size > 0) return;
+    const given = isDue ? mine[0] : nearGroup(mine, counts, able);
+    if (given === undefined || claiming.size > 0) return;
     reliefAtMs = nowMs();
     inBackground(given, handOver(given), 'group.handOverFailed');
   };
