feat: owners of groups are spread over data centres

Ruled out: primaries there (one, replaced in 1.6 s). Change: among VMs with the fewest groups the data centre with the fewest is taken; a group that stands badly for 2 s moves.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -152,6 +152,7 @@
 export { default as createFleetBucket } from './rate/createFleetBucket';
 export type { default as VmView } from './ownership/vmView';
 export { default as isOwnerGone } from './ownership/isOwnerGone';
+export { default as countByDataCentre } from './ownership/countByDataCentre';
 export { default as chooseOwner } from './ownership/chooseOwner';
 export { default as createPeerLease } from './ownership/createPeerLease';
 export { default as createHearing } from './ownership/createHearing';
--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -28,6 +28,23 @@
     expect(chooseOwner('g', vms, new Map([['b', 1]]), 'waco')).to.equal('a');
   });
 
+  it('spreads groups over data centres before VMs of one', () => {
+    const vms = [
+      view('a', 'waco'),
+      view('b', 'waco'),
+      view('c', 'temple'),
+      view('d', 'temple'),
+      view('e', 'bryan'),
+    ];
+    const counts = new Map<string, number>();
+    const owners = ['lots', 'bids', 'bales'].map((group) => {
+      const owner = chooseOwner(group, vms, counts, undefined) ?? '';
+      counts.set(owner, (counts.get(owner) ?? 0) + 1);
+      return vms.find(({ vm }) => vm === owner)?.dataCentre;
+    });
+    expect(new Set(owners).size).to.equal(3);
+  });
+
   it('takes a VM that is short of processor time only when all are', () => {
     const vms = [view('a', 'waco', { isStrained: true }), view('b', 'waco')];
     expect(chooseOwner('g', vms, new Map([['b', 3]]), undefined)).to.equal('b');
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -1,4 +1,5 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
+import countByDataCentre from './countByDataCentre';
 import type VmView from './vmView';
 
 /** The VMs that meet a wish, or all when none does. */
@@ -9,8 +10,8 @@
 
 /**
  * Chooses the VM that should own a group: one that reaches the store, one with processor time to spare,
- * one that owns the fewest, then one outside the primary's data centre, so that a cut does not take both
- * at once, then by rendezvous hashing.
+ * one that owns the fewest, then one outside the primary's data centre and in the one with the fewest
+ * groups, so that a cut takes few owners and none with its primary, then by rendezvous hashing.
  */
 const chooseOwner = (
   group: string,
@@ -24,7 +25,11 @@
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
   const least = Math.min(...able.map(countOf));
   const idle = able.filter((view) => countOf(view) === least);
-  const chosen = preferred(idle, ({ dataCentre }) => dataCentre !== primaryDataCentre);
+  const apart = preferred(idle, ({ dataCentre }) => dataCentre !== primaryDataCentre);
+  const inCentre = countByDataCentre(vms, ownedCounts);
+  const centreCountOf = ({ dataCentre }: VmView): number => inCentre.get(dataCentre) ?? 0;
+  const leastInCentre = Math.min(...apart.map(centreCountOf));
+  const chosen = apart.filter((view) => centreCountOf(view) === leastInCentre);
   return rankByRendezvous(
     chosen.map(({ vm }) => vm),
     group,
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -336,6 +336,19 @@
       expect(ownership.recordOf('lots')).to.deep.include({ owner: 'c', isHandedOver: true });
     });
 
+    it('gives one of two groups away that its data centre owns, to one that owns none', async () => {
+      const { ownership, own, offer, record, state, settle, clock } = fixture;
+      await own('lots');
+      offer('bids', record('b'));
+      state.vms = [view('a'), view('b'), view('c', { dataCentre: 'temple' })];
+      ownership.review(['lots', 'bids']);
+      clock.ms += 2_100;
+      state.servedAtMs = clock.ms;
+      ownership.review(['lots', 'bids']);
+      await settle();
+      expect(ownership.recordOf('lots')).to.deep.include({ owner: 'c', isHandedOver: true });
+    });
+
     it('keeps such a group when only its own data centre has VMs', async () => {
       const { ownership, own, state, settle, clock } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,4 +1,9 @@
-import { chooseOwner, isOwnerGone, type VmView } from '@auburngrade/coordination';
+import {
+  chooseOwner,
+  countByDataCentre,
+  isOwnerGone,
+  type VmView,
+} from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
@@ -20,10 +25,10 @@
 const RECORD_SETTLED_MS = 600;
 /** An owner that is heard and does not serve its group for this long has neither store nor half of the VMs. */
 const POWERLESS_AFTER_MS = 1_200;
-/** Groups that a VM owns beyond the least loaded one before it gives one away. */
+/** Groups that a VM, or a data centre, owns beyond the least loaded one before it gives one away. */
 const UNEVEN_BY = 2;
-/** How long a primary stays in its owner's data centre before the group moves: it may be replaced again. */
-const NEAR_PRIMARY_MS = 2_000;
+/** How long a group is badly placed before it moves: its primary or other owners may change again. */
+const MISPLACED_MS = 2_000;
 /** Pause between groups that a VM short of processor time gives away. */
 const RELIEF_INTERVAL_MS = 700;
 
@@ -53,8 +58,8 @@
   const confirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
   let hasList = false;
   let reliefAtMs = Number.NEGATIVE_INFINITY;
-  /** Since when a group that this VM owns has its primary in the same data centre. */
-  const nearSinceMs = new Map<string, number>();
+  /** Since when a group that this VM owns should be in another data centre. */
+  const misplacedSinceMs = new Map<string, number>();
 
   const keyOf = (group: string): string => storeKeys.groupPrefix + group;
   const recordOf = (group: string): GroupRecord | undefined => {
@@ -182,31 +187,41 @@
       .finally(() => claiming.delete(group));
   };
 
-  /** A group that a cut of this VM's data centre would leave without owner and primary at once. */
-  const nearGroup = (
+  /**
+   * A group that a cut of this VM's data centre would leave without owner and primary at once, or one of
+   * several that it would leave without owners.
+   */
+  const misplacedGroup = (
     mine: readonly string[],
     counts: ReadonlyMap<string, number>,
     able: readonly VmView[],
   ): string | undefined => {
     const now = nowMs();
-    const near = mine.filter((group) => options.primaryDataCentre(group) === self.dataCentre);
-    [...nearSinceMs.keys()]
-      .filter((group) => !near.includes(group))
-      .forEach((group) => nearSinceMs.delete(group));
-    near.filter((group) => !nearSinceMs.has(group)).forEach((group) => nearSinceMs.set(group, now));
-    return near.find((group) => {
-      if (now - (nearSinceMs.get(group) ?? now) < NEAR_PRIMARY_MS) return false;
-      const successor = chooseOwner(group, able, counts, self.dataCentre);
-      const view = able.find(({ vm }) => vm === successor);
-      return (
-        view !== undefined &&
-        view.dataCentre !== self.dataCentre &&
-        (counts.get(view.vm) ?? 0) < mine.length
-      );
+    const inCentre = countByDataCentre(fleet.vms(), counts);
+    const centreCountOf = (dataCentre: string): number => inCentre.get(dataCentre) ?? 0;
+    const isNear = (group: string): boolean => options.primaryDataCentre(group) === self.dataCentre;
+    const successorOf = (group: string): VmView | undefined => {
+      const vm = chooseOwner(group, able, counts, options.primaryDataCentre(group));
+      const view = able.find((entry) => entry.vm === vm);
+      const isElsewhere = view !== undefined && view.dataCentre !== self.dataCentre;
+      return isElsewhere && (counts.get(view.vm) ?? 0) < mine.length ? view : undefined;
+    };
+    const misplaced = mine.filter((group) => {
+      const successor = successorOf(group);
+      if (!successor) return false;
+      const surplus = centreCountOf(self.dataCentre) - centreCountOf(successor.dataCentre);
+      return isNear(group) || surplus >= UNEVEN_BY;
     });
+    [...misplacedSinceMs.keys()]
+      .filter((group) => !misplaced.includes(group))
+      .forEach((group) => misplacedSinceMs.delete(group));
+    misplaced
+      .filter((group) => !misplacedSinceMs.has(group))
+      .forEach((group) => misplacedSinceMs.set(group, now));
+    return misplaced.find((group) => now - (misplacedSinceMs.get(group) ?? now) >= MISPLACED_MS);
   };
 
-  /** Gives one group away when this VM is strained, owns clearly more than another one, or is too near its primary. */
+  /** Gives one group away when this VM is strained, owns clearly more than another one, or stands in the wrong data centre. */
   const balance = (groups: readonly string[]): void => {
     const counts = ownedCounts(groups);
     const mine = groups.filter(isRecorded);
@@ -218,7 +233,7 @@
     const isDue = fleet.isStrained()
       ? able.length > 0 && nowMs() - reliefAtMs > RELIEF_INTERVAL_MS
       : mine.length - least >= UNEVEN_BY;
-    const given = isDue ? mine[0] : nearGroup(mine, counts, able);
+    const given = isDue ? mine[0] : misplacedGroup(mine, counts, able);
     if (given === undefined || claiming.size > 0) return;
     reliefAtMs = nowMs();
     inBackground(given, handOver(given), 'group.handOverFailed');
--- a/packages/sessions/src/fleet/createStoreFollower.spec.ts
+++ b/packages/sessions/src/fleet/createStoreFollower.spec.ts
@@ -13,10 +13,10 @@
   let follower: ReturnType<typeof createStoreFollower>;
 
   before(async () => {
-    store.put('op/config', '0');
+    store.put('documents/1', '0');
     follower = createStoreFollower({
       store: store.store,
-      prefix: 'op/',
+      prefix: 'documents/',
       waitMs: () => 5_000,
       log: { info: () => undefined, warn: () => undefined },
       onList: (items) => seen.push(...items.map(({ value }) => value)),
@@ -31,7 +31,7 @@
   });
 
   it('hears of a change at once', async () => {
-    store.put('op/config', '1');
+    store.put('documents/1', '1');
     await pause(40);
     expect(seen).to.deep.equal(['0', '1']);
   });
@@ -41,7 +41,7 @@
       await pause(250);
       const before = store.calls();
       for (let version = 2; version <= 26; version += 1) {
-        store.put('op/config', String(version));
+        store.put('documents/1', String(version));
         await pause(40);
       }
       await pause(300);
