fix: a VM that is cut off refuses new work at once

Change: once the balancer knows, new statements are refused as not run with a hint when to come back; open transactions go on. Red before: createGroupRouter.spec.ts.

--- a/packages/sessions/src/daemon/createIsolation.spec.ts
+++ b/packages/sessions/src/daemon/createIsolation.spec.ts
@@ -46,7 +46,9 @@
     passTo(3_000);
     expect(isolation.isIsolated()).to.equal(true);
     expect(closed).to.deep.equal([]);
+    expect(isolation.isLeft()).to.equal(false);
     passTo(5_000);
+    expect(isolation.isLeft()).to.equal(true);
     expect(closed).to.deep.equal(['idle']);
     add('later', () => true);
     state.isBusy = false;
--- a/packages/sessions/src/daemon/createIsolation.ts
+++ b/packages/sessions/src/daemon/createIsolation.ts
@@ -32,7 +32,11 @@
     leaving.filter((session) => sessions.has(session)).forEach((session) => session.closeIfIdle());
   };
 
-  return { observe, isIsolated: (): boolean => state !== 'connected' };
+  return {
+    observe,
+    isIsolated: (): boolean => state !== 'connected',
+    isLeft: (): boolean => state === 'left',
+  };
 };
 
 export default createIsolation;
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -349,6 +349,7 @@
     ownerOf: ownership.servingVm,
     link: fleet.link,
     runHere: (call, values) => runAt(settings.vm, call, values),
+    isCutOff: isolation.isLeft,
     endTransactionHere: (_group, transaction) => endTransactionAt(settings.vm, transaction),
   });
 
--- /dev/null
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai';
+import { Action } from '../generated/auburngrade/session/v1/session';
+import createGroupRouter from './createGroupRouter';
+import type SessionCall from './sessionCall';
+
+const call = (changes: Partial<SessionCall> = {}): SessionCall => ({
+  group: 'lots',
+  account: 'ranch',
+  session: 1,
+  valuesVersion: 0,
+  requestId: 'q1',
+  action: Action.ACTION_READ,
+  text: 'READ bale',
+  prepared: undefined,
+  maxAgeMs: undefined,
+  notBefore: undefined,
+  statementTimeoutMs: 600,
+  targetLatencyMs: 200,
+  priority: 1,
+  transaction: 0,
+  opensTransaction: false,
+  isReadOnly: false,
+  transactionIdleMs: 300,
+  ...changes,
+});
+
+const createFixture = (owner: string | undefined) => {
+  const state = { isCutOff: false, ran: 0 };
+  const router = createGroupRouter({
+    self: 'a',
+    log: { info: () => undefined, warn: () => undefined },
+    nowMs: () => performance.now(),
+    ownerOf: () => owner,
+    link: () => undefined,
+    runHere: async () => {
+      state.ran += 1;
+      return { kind: 'complete', rows: [], signature: 's', position: undefined };
+    },
+    isCutOff: () => state.isCutOff,
+    endTransactionHere: () => undefined,
+  });
+  /** The outcome, and how long it took. */
+  const run = async (changes: Partial<SessionCall> = {}) => {
+    const startedAtMs = performance.now();
+    const result = await router.run(call(changes), new Map());
+    return { result, tookMs: performance.now() - startedAtMs };
+  };
+  return { state, run };
+};
+
+describe('createGroupRouter', () => {
+  it('waits for an owner as long as a change of owner takes, then refuses as not run', async () => {
+    const { result, tookMs } = await createFixture(undefined).run();
+    expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
+    expect(tookMs).to.be.within(800, 1_500);
+  });
+
+  describe('on a VM that is cut off', () => {
+    it('refuses at once, and says when to come back', async () => {
+      const { state, run } = createFixture('a');
+      state.isCutOff = true;
+      const { result, tookMs } = await run();
+      expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
+      expect(result)
+        .to.have.property('message')
+        .that.matches(/retry in \d+ ms/);
+      expect(tookMs).to.be.below(100);
+      expect(state.ran).to.equal(0);
+    });
+
+    it('lets an open transaction go on', async () => {
+      const { state, run } = createFixture('a');
+      await run({ transaction: 4, opensTransaction: true });
+      state.isCutOff = true;
+      const { result } = await run({ transaction: 4 });
+      expect(result.kind).to.equal('complete');
+    });
+  });
+});
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -28,6 +28,8 @@
   link(vm: string): PeerLink | undefined;
   runHere(call: GroupCall, values: ReadonlyMap<string, string>): Promise<CallOutcome> | undefined;
   endTransactionHere(group: string, transaction: number): void;
+  /** Whether this VM has been unable to serve any group for so long that waiting is in vain. */
+  isCutOff(): boolean;
 }
 
 const toOutcome = (result: CallResult): CallOutcome => {
@@ -46,9 +48,9 @@
 /** Takes statements to the VM that owns their group, and finds the new owner when it changes. */
 const createGroupRouter = (options: GroupRouterOptions) => {
   const { self, log, nowMs } = options;
-  /** The VM that runs a transaction, and its group. */
   /** Since when nobody that can be reached serves a group. */
   const unservedSinceMs = new Map<string, number>();
+  /** The VM that runs a transaction, and its group. */
   const homes = new Map<number, { vm: string; group: string }>();
 
   const callAt = async (
@@ -86,6 +88,10 @@
   ): Promise<StatementResult> => {
     const startedAtMs = nowMs();
     const isNext = call.transaction !== 0 && !call.opensTransaction;
+    if (!isNext && options.isCutOff()) {
+      log.info('request.cutOff', { request: call.requestId, group: call.group });
+      return refused('busy', 'this VM can reach no group now, retry in 1000 ms');
+    }
     let owner: string | undefined;
     do {
       const waitedMs = Math.round(nowMs() - startedAtMs);
