feat: requests of the platform's callers are counted as the report on service-level burn reads them

Cause: the VM on the platform had gauges only, and the report could not be made there. Change: each statement that a group answers is counted by database, account, verdict and code, with its latency, under the names of the product's own interfaces; /metrics.json lies beside /metrics at the readiness address.

--- a/packages/auburngrade/src/site/createSiteMetrics.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -1,4 +1,4 @@
-import { Gauge, Registry } from 'prom-client';
+import { Gauge, type Registry } from 'prom-client';
 
 interface SiteState {
   sessions(): number;
@@ -6,9 +6,8 @@
   groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
 }
 
-/** Metrics of a VM on the platform. */
-const createSiteMetrics = (state: SiteState): Registry => {
-  const registry = new Registry();
+/** Adds what a VM on the platform is and does now to its metrics. */
+const addSiteGauges = (registry: Registry, state: SiteState): void => {
   const registers = [registry];
   const gauge = (name: string, help: string, read: () => number): void => {
     const created: Gauge = new Gauge({
@@ -43,7 +42,6 @@
   groupGauge('auburngrade_group_waiting', 'Statements that wait for a slot', 'waiting');
   groupGauge('auburngrade_group_under_way', 'Statements under way at endpoints', 'underWay');
   groupGauge('auburngrade_group_transactions', 'Open transactions', 'transactions');
-  return registry;
 };
 
-export default createSiteMetrics;
+export default addSiteGauges;
--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { Registry } from 'prom-client';
 import { createSessionDaemon } from '@auburngrade/sessions';
 import {
   createFailoverCaller,
@@ -11,7 +12,9 @@
 } from '@auburngrade/site';
 import createEventLog from '../log/createEventLog';
 import openStandardOutput from '../log/openStandardOutput';
-import createSiteMetrics from './createSiteMetrics';
+import createRequestMetrics from '../metrics/createRequestMetrics';
+import addSiteGauges from './addSiteGauges';
+import observeStatement from './observeStatement';
 
 const INCARNATION_BYTES = 6;
 
@@ -24,6 +27,8 @@
   const log = createEventLog({ vm: settings.vm, nowMs, write: openStandardOutput() });
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   log.info('daemon.starting', { incarnation, dataCentre: settings.dataCentre });
+  const registry = new Registry();
+  const requestMetrics = createRequestMetrics(registry);
   const daemon = await createSessionDaemon({
     settings,
     incarnation,
@@ -32,10 +37,11 @@
     dialer: createMemberDialer(),
     failover: createFailoverCaller(settings.failoverAddress),
     log,
+    onStatement: (observation) => observeStatement(requestMetrics, observation),
     nowMs,
     wallMs: Date.now,
   });
-  const metrics = createSiteMetrics({
+  addSiteGauges(registry, {
     sessions: daemon.sessionCount,
     configurationVersion: () => daemon.configurationVersion() ?? 0,
     groups: () =>
@@ -46,9 +52,10 @@
         transactions: server.openTransactions(),
       })),
   });
-  const readiness = await startReadinessServer(settings.readinessAddress, daemon.isReady, () =>
-    metrics.metrics(),
-  );
+  const readiness = await startReadinessServer(settings.readinessAddress, daemon.isReady, {
+    text: () => registry.metrics(),
+    json: () => registry.getMetricsAsJSON(),
+  });
   const callers = await startCallerListener(settings.callerAddress, daemon.openSession);
   log.info('daemon.started', { tookMs: Math.round(nowMs()) });
 
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -102,6 +102,7 @@
           dialer: members.dialer,
           failover,
           log: { info: () => undefined, warn: () => undefined },
+          onStatement: () => undefined,
           nowMs: () => performance.now(),
           wallMs: Date.now,
         }),
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -23,6 +23,7 @@
 import type MetadataStore from '../seams/metadataStore';
 import type NodeSettings from '../seams/nodeSettings';
 import type SiteDecoder from '../seams/siteDecoder';
+import type StatementObservation from '../seams/statementObservation';
 import type StoredItem from '../seams/storedItem';
 import createIsolation from './createIsolation';
 import createSpending from './createSpending';
@@ -62,6 +63,8 @@
   dialer: MemberDialer;
   failover: FailoverCaller;
   log: EventLog;
+  /** Called with each statement that a group answered. */
+  onStatement(observation: StatementObservation): void;
   nowMs(): number;
   wallMs(): number;
 }
@@ -425,6 +428,7 @@
         endSession: (session) => {
           fleet.vms().forEach((view) => fleet.link(view.vm)?.endSession(session));
         },
+        onStatement: options.onStatement,
         onEnd: () => sessions.delete(created),
       });
       sessions.add(created);
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -55,6 +55,7 @@
     endTransaction: (transaction) => ended.push(transaction),
     forget: () => undefined,
   };
+  const observed: string[][] = [];
   const { session, review, closeIfIdle, isIdle } = createSession({
     connection: {
       accept: () => answers.push('accepted'),
@@ -72,6 +73,7 @@
       return lastNumber;
     },
     endSession: () => undefined,
+    onStatement: ({ database, account, result }) => observed.push([database, account, result.kind]),
     onEnd: () => undefined,
   });
   const run = async (...statements: SessionStatement[]): Promise<void> => {
@@ -80,7 +82,7 @@
       setImmediate(resolve);
     });
   };
-  return { answers, calls, ended, state, session, review, closeIfIdle, isIdle, run };
+  return { answers, calls, ended, observed, state, session, review, closeIfIdle, isIdle, run };
 };
 
 describe('createSession', () => {
@@ -125,6 +127,17 @@
     });
   });
 
+  describe('when a group answers a statement', () => {
+    it('reports the database, the account and the outcome, and nothing that it answers itself', async () => {
+      start();
+      await fixture.run(
+        { kind: 'setValue', name: 'zone', value: 'waco' },
+        { kind: 'read', text: 'READ bale' },
+      );
+      expect(fixture.observed).to.deep.equal([['lots', 'ranch', 'complete']]);
+    });
+  });
+
   describe('when its key or database is withdrawn', () => {
     it('refuses the next statement and closes', async () => {
       start();
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -7,6 +7,7 @@
 import type EventLog from '../seams/eventLog';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type SessionStatement from '../seams/sessionStatement';
+import type StatementObservation from '../seams/statementObservation';
 import type StatementResult from '../seams/statementResult';
 import type TransactionState from '../seams/transactionState';
 import findCaller from './findCaller';
@@ -27,6 +28,7 @@
   /** Numbers sessions and transactions of this process, from 1. */
   nextNumber(): number;
   endSession(session: number): void;
+  onStatement(observation: StatementObservation): void;
   onEnd(): void;
 }
 
@@ -92,7 +94,7 @@
     return configuration && findCaller(configuration, database, key);
   };
 
-  const callGroup = (
+  const callGroup = async (
     requestId: string,
     route: DatabaseRoute,
     action: Action,
@@ -102,7 +104,9 @@
     const { freshness } = route;
     const isFirst = transaction !== undefined && !transaction.isBegun;
     if (transaction) transaction.isBegun = true;
-    return router.run(
+    const arrivedAtMs = nowMs();
+    const isInTransaction = transaction !== undefined;
+    const result = await router.run(
       {
         group: route.group,
         account,
@@ -124,6 +128,9 @@
       },
       values,
     );
+    const tookMs = nowMs() - arrivedAtMs;
+    options.onStatement({ database, account, isInTransaction, result, tookMs });
+    return result;
   };
 
   const runData = async (
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -17,6 +17,7 @@
 export type { default as RefusalCode } from './seams/refusalCode';
 export type { default as SessionStatement } from './seams/sessionStatement';
 export { default as SiteDecoder } from './seams/siteDecoder';
+export type { default as StatementObservation } from './seams/statementObservation';
 export type { default as StatementResult } from './seams/statementResult';
 export { default as StoreError } from './seams/storeError';
 export type { default as StoredItem } from './seams/storedItem';
