fix: a commit under way when its group is handed over is acknowledged

Ruled out: a replacement within that time: the successor waits 1.2 s after half of the VMs know the record, and each later claim 1.6 s. Change: an owner is certain for 1 s from before it sent the record, by both clocks, while it knows no newer one. Red before: the two tests in createOwnership.spec.ts fail without isJustHandedOver (the first by its expectation).

--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -310,6 +310,26 @@
       expect(ownership.isRecorded('lots')).to.equal(false);
     });
 
+    it('is certain for a moment after it, so that commits under way are acknowledged', async () => {
+      const { ownership, own, state, clock } = fixture;
+      await own('lots');
+      state.vms = [view('a'), view('b')];
+      await ownership.handOver('lots');
+      clock.ms += 900;
+      expect(ownership.isCertain('lots')).to.equal(true);
+      clock.ms += 200;
+      expect(ownership.isCertain('lots')).to.equal(false);
+    });
+
+    it('is not certain after it once a newer record is known', async () => {
+      const { ownership, own, state, offer, record } = fixture;
+      await own('lots');
+      state.vms = [view('a'), view('b')];
+      await ownership.handOver('lots');
+      offer('lots', record('b', { primary: 'r', fence: 1 }));
+      expect(ownership.isCertain('lots')).to.equal(false);
+    });
+
     it('gives a group to a VM with time to spare', async () => {
       const { ownership, own, state, settle } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -18,6 +18,8 @@
 const REPLACE_WAIT_MS = 1_600;
 /** After half of the VMs know its record, one that acts for the owner before is certain for 1 s at most. */
 const KNOWN_WAIT_MS = 1_200;
+/** How long commits may end at an owner that handed its group over: its successor waits longer. */
+const HANDED_OVER_BELIEF_MS = 1_000;
 /** How long half of the VMs may take to know a record before the replacement is given up. */
 const SPREAD_TIMEOUT_MS = 500;
 const SPREAD_POLL_MS = 10;
@@ -56,6 +58,8 @@
   const acting = new Map<string, number>();
   /** When each group's record was last read, or written, in the store. */
   const confirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
+  /** Groups that this VM handed over, with the record's revision and when it was sent. */
+  const handedOver = new Map<string, { revision: number; steadyMs: number; wallMs: number }>();
   let hasList = false;
   let reliefAtMs = Number.NEGATIVE_INFINITY;
   /** Since when a group that this VM owns should be in another data centre. */
@@ -88,10 +92,20 @@
   };
 
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
+  const elapsedMs = (at: { steadyMs: number; wallMs: number }): number =>
+    Math.max(nowMs() - at.steadyMs, wallMs() - at.wallMs);
   const isStoreBelieved = (group: string): boolean => {
     const at = confirmedAt.get(group);
-    if (!at) return false;
-    return Math.max(nowMs() - at.steadyMs, wallMs() - at.wallMs) < STORE_BELIEF_MS;
+    return at !== undefined && elapsedMs(at) < STORE_BELIEF_MS;
+  };
+  /** The successor, which alone may replace the primary now, still waits until its record is known. */
+  const isJustHandedOver = (group: string): boolean => {
+    const at = handedOver.get(group);
+    return (
+      at !== undefined &&
+      documents.get(keyOf(group))?.revision === at.revision &&
+      elapsedMs(at) < HANDED_OVER_BELIEF_MS
+    );
   };
   /** The other VMs confirm this one, and none of them knows a newer record. */
   const isPeerBelieved = (group: string, sinceBeat?: number): boolean =>
@@ -101,7 +115,7 @@
   const isCertain = (group: string): boolean =>
     isRecorded(group)
       ? isStoreBelieved(group) || isPeerBelieved(group)
-      : acting.has(group) && isPeerBelieved(group, acting.get(group));
+      : isJustHandedOver(group) || (acting.has(group) && isPeerBelieved(group, acting.get(group)));
 
   const write = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = keyOf(group);
@@ -173,7 +187,10 @@
     if (!record || !view) return;
     const { incarnation } = view;
     const next = { ...record, owner: view.vm, incarnation, isHandedOver: true };
+    const at = readClocks();
     const outcome = await write(group, next);
+    const revision = documents.get(keyOf(group))?.revision;
+    if (outcome && revision !== undefined) handedOver.set(group, { revision, ...at });
     log.info('group.handedOver', { group, successor, outcome });
   };
 
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -21,3 +21,4 @@
 export { default as replayTrace } from './trace/replayTrace';
 export { default as certificatePath } from './certificates/certificatePath';
 export { default as runLoad } from './load/runLoad';
+export { default as renderEventsReference } from './reference/renderEventsReference';
