fix: a VM that starts in a cut data centre is not ready

Change: a start counts as part of the fleet's start only while the store is reached. Red before: the test in createIsolationGauge.spec.ts by its new case.

--- a/packages/coordination/src/load/createIsolationGauge.spec.ts
+++ b/packages/coordination/src/load/createIsolationGauge.spec.ts
@@ -6,22 +6,26 @@
 describe('createIsolationGauge', () => {
   it('takes a process for connected until it had time to meet the others', () => {
     const gauge = createIsolationGauge(10_000);
-    gauge.observe(false, 10_000);
-    expect(gauge.observe(false, 11_400)).to.equal('connected');
-    expect(gauge.observe(false, 12_000)).to.equal('isolated');
+    gauge.observe(false, true, 10_000);
+    expect(gauge.observe(false, true, 11_400)).to.equal('connected');
+    expect(gauge.observe(false, true, 12_000)).to.equal('isolated');
+  });
+
+  it('takes a process that starts in a cut data centre for isolated', () => {
+    expect(createIsolationGauge(10_000).observe(false, false, 10_200)).to.equal('isolated');
   });
 
   it('stays connected over one sample that is late', () => {
     const gauge = createIsolationGauge(0);
-    gauge.observe(true, 5_000);
-    expect(gauge.observe(false, 5_050)).to.equal('connected');
+    gauge.observe(true, true, 5_000);
+    expect(gauge.observe(false, true, 5_050)).to.equal('connected');
   });
 
   it('is connected again at once', () => {
     const gauge = createIsolationGauge(-5_000);
-    gauge.observe(true, 0);
-    expect(gauge.observe(false, 3_000)).to.equal('left');
-    expect(gauge.observe(true, 3_100)).to.equal('connected');
+    gauge.observe(true, true, 0);
+    expect(gauge.observe(false, true, 3_000)).to.equal('left');
+    expect(gauge.observe(true, true, 3_100)).to.equal('connected');
   });
 
   describe('under a cut of a data centre for six seconds with callers at 100 a second', () => {
@@ -34,7 +38,7 @@
       let served = 0;
       for (let nowMs = 0; nowMs < CUT.untilMs; nowMs += SAMPLE_MS) {
         const isCut = nowMs >= CUT.fromMs;
-        const state = gauge.observe(!isCut, nowMs);
+        const state = gauge.observe(!isCut, true, nowMs);
         if (nowMs % 1_000 === 300) {
           refusals = state === 'connected' || isReadyWhileIsolated ? 0 : refusals + 1;
         }
--- a/packages/coordination/src/load/createIsolationGauge.ts
+++ b/packages/coordination/src/load/createIsolationGauge.ts
@@ -1,6 +1,6 @@
 /** Without a group in reach for this long a VM is isolated: two samples, so that one late answer is none. */
 const ISOLATED_AFTER_MS = 100;
-/** A process that is younger may not have met the others yet, and the fleet may be starting with it. */
+/** A process that is younger, and reaches the store, may start together with the whole fleet. */
 const SETTLED_AFTER_MS = 1_500;
 /** The balancer asks once a second and takes a VM out after two refusals. */
 const BALANCER_NOTICE_MS = 2_200;
@@ -15,12 +15,12 @@
  * Load pattern: a data centre that is cut off from the others for seconds while its callers reach it.
  */
 const createIsolationGauge = (startedAtMs: number) => {
-  let connectedAtMs: number | undefined;
+  let connectedAtMs = startedAtMs;
 
   return {
-    observe: (isServable: boolean, nowMs: number): Isolation => {
-      const isSettled = nowMs - startedAtMs >= SETTLED_AFTER_MS;
-      if (isServable || !isSettled || connectedAtMs === undefined) connectedAtMs = nowMs;
+    observe: (isServable: boolean, isStoreReached: boolean, nowMs: number): Isolation => {
+      const isStarting = isStoreReached && nowMs - startedAtMs < SETTLED_AFTER_MS;
+      if (isServable || isStarting) connectedAtMs = nowMs;
       const silentMs = nowMs - connectedAtMs;
       if (silentMs < ISOLATED_AFTER_MS) return 'connected';
       return silentMs < ISOLATED_AFTER_MS + BALANCER_NOTICE_MS ? 'isolated' : 'left';
--- a/packages/sessions/src/daemon/createIsolation.spec.ts
+++ b/packages/sessions/src/daemon/createIsolation.spec.ts
@@ -23,6 +23,7 @@
     nowMs: () => state.nowMs,
     groups: () => new Set(['lots', 'bids']),
     servedGroups: () => state.served,
+    isStoreReached: () => true,
   });
   const passTo = (untilMs: number): void => {
     for (; state.nowMs <= untilMs; state.nowMs += 250) isolation.observe();
--- a/packages/sessions/src/daemon/createIsolation.ts
+++ b/packages/sessions/src/daemon/createIsolation.ts
@@ -9,6 +9,7 @@
   /** Groups of the configuration, and those that this VM or one that it hears serves now. */
   groups(): ReadonlySet<string>;
   servedGroups(): ReadonlySet<string>;
+  isStoreReached(): boolean;
 }
 
 /** Sends callers to other VMs while this one can serve no group, by itself or through another VM. */
@@ -23,7 +24,7 @@
     const groups = options.groups();
     const served = options.servedGroups();
     const isServable = groups.size === 0 || [...groups].some((group) => served.has(group));
-    const next = gauge.observe(isServable, nowMs());
+    const next = gauge.observe(isServable, options.isStoreReached(), nowMs());
     if (next !== state) {
       log.warn('vm.isolation', { state: next, before: state, groups: groups.size });
       leaving = next === 'left' ? [...sessions] : [];
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -287,6 +287,7 @@
     nowMs,
     groups: () => new Set(configuration?.groups.keys()),
     servedGroups: () => new Set([...servedHere(), ...fleet.servedElsewhere()]),
+    isStoreReached: () => configurationFollower?.isReachable() === true,
   });
 
   const links = await startLinkServer({
