refactor: plain wording in the fleet folder of the sessions package

createStoreFollower is createStoreWatcher; of ownership, review is reconcile, isRecorded is isOwnedHere, isCertain is isAuthoritative, servingVm is findServingVm, refresh is refreshRecords; of the fleet, isKnownByHalf is isKnownByMajority, actingFor is findActingVm, meet is addFromHello; offer is putIfNewer.

--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -3,7 +3,7 @@
 import createFleet from '../fleet/createFleet';
 import createOwnership from '../fleet/createOwnership';
 import createRegistration from '../fleet/createRegistration';
-import createStoreFollower from '../fleet/createStoreFollower';
+import createStoreWatcher from '../fleet/createStoreWatcher';
 import storeKeys from '../fleet/storeKeys';
 import type VmRegistration from '../fleet/vmRegistration';
 import createGroupRouter from '../front/createGroupRouter';
@@ -105,10 +105,10 @@
   };
 
   const spending = createSpending(limiter, nowMs);
-  let configurationFollower: ReturnType<typeof createStoreFollower> | undefined;
+  let configurationFollower: ReturnType<typeof createStoreWatcher> | undefined;
   let registration: ReturnType<typeof createRegistration> | undefined;
   const isStoreReachable = (): boolean =>
-    configurationFollower?.isReachable() === true && registration?.isAnswered() === true;
+    configurationFollower?.isReachable() === true && registration?.isStoreAnswering() === true;
   /** Set below: the fleet tells of changes before the rest exists. */
   const hooks = { review: (): void => undefined };
   const fleet = createFleet({
@@ -121,7 +121,7 @@
     onSpending: spending.onReport,
     onChange: () => hooks.review(),
   });
-  let fleetFollower: ReturnType<typeof createStoreFollower> | undefined;
+  let fleetFollower: ReturnType<typeof createStoreWatcher> | undefined;
   const ownership = createOwnership({
     self,
     store,
@@ -130,7 +130,7 @@
     log,
     nowMs,
     wallMs,
-    isFollowing: () => fleetFollower?.isReachable() ?? false,
+    isStoreViewCurrent: () => fleetFollower?.isReachable() ?? false,
     primaryDataCentre: (group) =>
       endpoints.find((endpoint) => endpoint.group === group && endpoint.claimsPrimary)?.dataCentre,
   });
@@ -146,7 +146,7 @@
   };
 
   const openGroup = (group: string): void => {
-    log.info('group.opened', { group, record: ownership.recordOf(group) });
+    log.info('group.opened', { group, record: ownership.getRecord(group) });
     const server = createGroupServer({
       group,
       holder: settings.vm,
@@ -157,12 +157,12 @@
       nowMs,
       controlAccount,
       recorded: () => {
-        const { primary, term, fence } = ownership.recordOf(group) ?? NEVER_REPLACED;
+        const { primary, term, fence } = ownership.getRecord(group) ?? NEVER_REPLACED;
         return { primary, term, fence };
       },
       record: (next) => ownership.recordPrimary(group, next),
       mayReplace: () => ownership.mayReplacePrimary(group),
-      isCertain: () => ownership.isCertain(group),
+      isCertain: () => ownership.isAuthoritative(group),
     });
     servers.set(group, server);
     updateGroup(group, server);
@@ -170,7 +170,7 @@
 
   const closeGroup = (group: string, server: GroupServer): void => {
     servers.delete(group);
-    const record = ownership.recordOf(group);
+    const record = ownership.getRecord(group);
     const isPlanned = record?.isHandedOver === true;
     log.info('group.closed', { group, owner: record?.owner, planned: isPlanned });
     if (isPlanned) {
@@ -183,7 +183,7 @@
 
   const review = (): void => {
     const groups = new Set(configuration?.groups.keys());
-    ownership.review(groups);
+    ownership.reconcile(groups);
     groups.forEach((group) => {
       if (ownership.isServedHere(group) && !servers.has(group)) openGroup(group);
     });
@@ -195,8 +195,8 @@
       retired.delete(server);
       server.close();
     });
-    fleet.prune();
-    spending.balance(fleet.vms(), ownership.isServedHere, groups, ownership.servingVm);
+    fleet.removeStalePeers();
+    spending.balance(fleet.vms(), ownership.isServedHere, groups, ownership.findServingVm);
   };
   hooks.review = review;
 
@@ -242,12 +242,12 @@
           isReading = false;
         });
     }
-    const needsStore = servers.size > 0 && ownership.needsStore();
+    const needsStore = servers.size > 0 && ownership.needsStoreConfirmation();
     if (needsStore && !isRefreshing && isDue(refreshedAtMs, REFRESH_MS)) {
       isRefreshing = true;
       refreshedAtMs = nowMs();
       ownership
-        .refresh()
+        .refreshRecords()
         .catch((error) => log.info('ownership.unconfirmed', { reason: String(error) }))
         .finally(() => {
           isRefreshing = false;
@@ -280,25 +280,25 @@
     );
 
   const servedHere = (): string[] =>
-    [...servers.keys()].filter((group) => ownership.isLastinglyCertain(group));
+    [...servers.keys()].filter((group) => ownership.isAuthoritativeBeyondPeerLease(group));
   const isolation = createIsolation({
     sessions,
     log,
     nowMs,
     groups: () => new Set(configuration?.groups.keys()),
-    servedGroups: () => new Set([...servedHere(), ...fleet.servedElsewhere()]),
+    servedGroups: () => new Set([...servedHere(), ...fleet.groupsServedByReachablePeers()]),
     isStoreReached: () => configurationFollower?.isReachable() === true,
   });
 
   const links = await startLinkServer({
     address,
-    onHello: fleet.meet,
+    onHello: fleet.addFromHello,
     run: async (origin, call, values) => toCallResult(await runAt(origin, call, values)),
     endTransaction: endTransactionAt,
     endOrigin: (origin) =>
       [...servers.values(), ...retired].forEach((server) => server.endOrigin(origin)),
     onDocument: (document) => {
-      documents.offer(document);
+      documents.putIfNewer(document);
     },
     heartbeat: (stream, receiver, beat, isFirst) => ({
       vm: settings.vm,
@@ -316,7 +316,7 @@
       serving: servedHere(),
     }),
   });
-  const beat = (): void => links.beat(fleet.nextBeat());
+  const beat = (): void => links.beat(fleet.nextHeartbeatNumber());
   // Other VMs learn at once which records this one knows: an owner waits for it before it acts.
   documents.onChange(({ key }) => {
     if (key.startsWith(storeKeys.groupPrefix)) setImmediate(beat);
@@ -350,7 +350,7 @@
     self: settings.vm,
     log,
     nowMs,
-    ownerOf: ownership.servingVm,
+    ownerOf: ownership.findServingVm,
     link: fleet.link,
     runHere: (call, values) => runAt(settings.vm, call, values),
     isCutOff: isolation.isLeft,
@@ -364,16 +364,17 @@
     Math.max(settings.minLeaseMs, REGISTRATION_TTL_MS),
     log,
   );
-  configurationFollower = createStoreFollower({
+  configurationFollower = createStoreWatcher({
     store,
     prefix: decoder.configurationKey,
     waitMs: () => {
-      const readers = fleet.storeReaders(true).slice(0, CONFIGURATION_WATCHERS);
+      const readers = fleet.vmsReachingStore(true).slice(0, CONFIGURATION_WATCHERS);
       return readers.includes(vm) ? CONFIGURATION_WATCH_MS : LONG_WATCH_MS;
     },
     log,
-    onList: (items) => items.forEach((item) => documents.offer(item)),
-    onEvents: (events) => events.forEach((event) => 'value' in event && documents.offer(event)),
+    onList: (items) => items.forEach((item) => documents.putIfNewer(item)),
+    onEvents: (events) =>
+      events.forEach((event) => 'value' in event && documents.putIfNewer(event)),
   });
   const readRegistration = ({ key, value }: StoredItem): [string, VmRegistration] | undefined => {
     if (!key.startsWith(storeKeys.vmPrefix)) return undefined;
@@ -385,18 +386,18 @@
     }
   };
   const takeItem = (item: StoredItem): void => {
-    if (item.key.startsWith(storeKeys.groupPrefix)) documents.offer(item);
+    if (item.key.startsWith(storeKeys.groupPrefix)) documents.putIfNewer(item);
   };
-  fleetFollower = createStoreFollower({
+  fleetFollower = createStoreWatcher({
     store,
     prefix: storeKeys.root,
     waitMs: () => LONG_WATCH_MS,
     log,
     onList: (items) => {
       items.forEach(takeItem);
-      ownership.setListed();
+      ownership.markRecordsListed();
       const found = items.map(readRegistration).filter((entry) => entry !== undefined);
-      fleet.registerAll(new Map(found));
+      fleet.replaceRegistrations(new Map(found));
       review();
     },
     onEvents: (events) => {
@@ -441,8 +442,8 @@
     /** Ends in good order: nothing new, groups to other VMs, what is under way finishes. */
     shutDown: async (): Promise<void> => {
       const startedAtMs = nowMs();
-      fleet.leave();
-      links.beat(fleet.nextBeat());
+      fleet.startLeaving();
+      links.beat(fleet.nextHeartbeatNumber());
       log.info('daemon.stopping', { sessions: sessions.size, groups: servers.size });
       await Promise.all(
         [...servers.keys()].map((group) =>
