--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -30,7 +30,7 @@
   nowMs(): number;
   wallMs(): number;
   isStoreReachable(): boolean;
-  onSpending(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
+  onRateUsage(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
   onChange(): void;
 }
 
@@ -131,7 +131,7 @@
     peer.isStrained = heartbeat.isStrained;
     peer.isStoreReachable = heartbeat.isStoreReachable;
     peerLease.confirm(vm, heartbeat.confirmedBeat);
-    options.onSpending(vm, heartbeat.incarnation, heartbeat.spending);
+    options.onRateUsage(vm, heartbeat.incarnation, heartbeat.spending);
     peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
     pushMissingDocuments(peer);
     if (!wasHeard || isNewProcess || hasBegunLeaving || isActingForMore || hasLostPeer)
