--- a/packages/sessions/src/daemon/createIsolationMonitor.ts
+++ b/packages/sessions/src/daemon/createIsolationMonitor.ts
@@ -6,13 +6,14 @@
   sessions: ReadonlySet<ReturnType<typeof createSession>>;
   log: EventLog;
   nowMs(): number;
+  /** Groups of the configuration. */
   groups(): ReadonlySet<string>;
   /** Groups that this VM or a reachable peer serves now. */
   servedGroups(): ReadonlySet<string>;
   isStoreWatched(): boolean;
 }
 
-/** Detects that this VM can serve no group, itself or through a peer, and then closes idle sessions. */
+/** While this VM can serve no group, itself or through a peer, moves its callers to other VMs. */
 const createIsolationMonitor = (options: IsolationMonitorOptions) => {
   const { sessions, log, nowMs } = options;
   const gauge = createIsolationGauge(nowMs());
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -20,7 +20,7 @@
   claimsPrimary: id === 'p',
   bornAtMs: 1,
 }));
-const configuration = (version: number, keys: [string, string][]): FleetConfiguration => ({
+const createConfiguration = (version: number, keys: [string, string][]): FleetConfiguration => ({
   version,
   routes: new Map([
     [
@@ -41,7 +41,10 @@
   groups: new Map([[GROUP, { maxConnections: 21, syncReplicas: 0 }]]),
   transactionIdleMs: 3_000,
 });
-const versions = [configuration(1, [['k1', 'ranch']]), configuration(2, [['k2', 'ranch']])];
+const versions = [
+  createConfiguration(1, [['k1', 'ranch']]),
+  createConfiguration(2, [['k2', 'ranch']]),
+];
 
 const decoder: SiteDecoder = {
   configurationKey: 'configuration',
@@ -59,14 +62,14 @@
     });
   });
 
-const waitUntil = async (isTrue: () => boolean, limitMs = 5_000): Promise<void> => {
-  const endMs = performance.now() + limitMs;
-  while (!isTrue() && performance.now() < endMs) {
+const waitUntil = async (condition: () => boolean, limitMs = 5_000): Promise<void> => {
+  const deadlineMs = performance.now() + limitMs;
+  while (!condition() && performance.now() < deadlineMs) {
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
     });
   }
-  expect(isTrue()).to.equal(true);
+  expect(condition()).to.equal(true);
 };
 
 describe('createSessionDaemon', () => {
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -26,16 +26,16 @@
 import type StatementObservation from '../seams/statementObservation';
 import type StoredItem from '../seams/storedItem';
 import createIsolationMonitor from './createIsolationMonitor';
-import createRateUsageSync from './createRateUsageSync';
+import createRateUsage from './createRateUsage';
 
 const HEARTBEAT_INTERVAL_MS = 250;
 /** The registration lapses after three failed renewals. */
 const REGISTRATION_TTL_MS = 4_000;
 /** The operator's changes must apply within 3 s, even if one watch misses them. */
 const CONFIGURATION_WATCH_TIMEOUT_MS = 1_500;
-/** VMs that watch with that timeout; the others learn of changes from them or from longer watches. */
+/** Number of VMs that watch with the short timeout; the others learn of changes from them as well. */
 const CONFIGURATION_WATCHERS = 2;
-/** Longer, since VMs push changes of the proxy's own keys to each other. */
+/** Watches of the proxy's own keys may be long, since VMs push changes to each other. */
 const DEFAULT_WATCH_TIMEOUT_MS = 10_000;
 /** Polled: endpoint entries change with each heartbeat, and a leaving endpoint must be left in seconds. */
 const ENDPOINT_POLL_INTERVAL_MS = 1_500;
@@ -102,7 +102,7 @@
     return lastId;
   };
 
-  const rateUsage = createRateUsageSync(limiter, nowMs);
+  const rateUsage = createRateUsage(limiter, nowMs);
   let configurationWatcher: ReturnType<typeof createStoreWatcher> | undefined;
   let registration: ReturnType<typeof createRegistration> | undefined;
   const isStoreReachable = (): boolean =>
@@ -137,9 +137,9 @@
     [...(configuration?.accountsByKey.values() ?? [])][0] ?? settings.vm;
 
   const updateGroup = (group: string, server: GroupServer): void => {
-    const listed = endpoints.filter((endpoint) => endpoint.group === group);
+    const groupEndpoints = endpoints.filter((endpoint) => endpoint.group === group);
     if (hasEndpoints) {
-      server.updateEndpoints(listed, configuration?.groups.get(group)?.maxConnections ?? 1);
+      server.updateEndpoints(groupEndpoints, configuration?.groups.get(group)?.maxConnections ?? 1);
     }
   };
 
@@ -298,13 +298,13 @@
     onDocument: (document) => {
       documents.putIfNewer(document);
     },
-    heartbeat: (stream, receiver, beat, isFirst) => ({
+    heartbeat: (stream, receiver, heartbeatNumber, isFirst) => ({
       vm: settings.vm,
       incarnation,
       heard: { vms: fleet.heardVms() },
       confirmedBeat: fleet.confirmedBeat(receiver),
       documents: documents.all().map(({ key, revision }) => ({ key, revision })),
-      beat,
+      beat: heartbeatNumber,
       isSettled: fleet.isSettled(),
       acting: ownership.acting(),
       isStoreReachable: isStoreReachable(),
@@ -366,8 +366,10 @@
     store,
     prefix: decoder.configurationKey,
     waitMs: () => {
-      const readers = fleet.vmsReachingStore(true).slice(0, CONFIGURATION_WATCHERS);
-      return readers.includes(vm) ? CONFIGURATION_WATCH_TIMEOUT_MS : DEFAULT_WATCH_TIMEOUT_MS;
+      const frequentWatchers = fleet.vmsReachingStore(true).slice(0, CONFIGURATION_WATCHERS);
+      return frequentWatchers.includes(vm)
+        ? CONFIGURATION_WATCH_TIMEOUT_MS
+        : DEFAULT_WATCH_TIMEOUT_MS;
     },
     log,
     onList: (items) => items.forEach((item) => documents.putIfNewer(item)),
@@ -416,6 +418,7 @@
     configuration !== undefined && !fleet.isLeaving() && !isolationMonitor.isIsolated();
 
   return {
+    /** Whether the load balancer should send callers to this VM. */
     isReady,
     openSession: (connection: CallerConnection): CallerSession => {
       const opened = createSession({
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -153,16 +153,16 @@
 
   const addPeer = (vm: string, registration: VmRegistration, isRegistered: boolean): void => {
     if (vm === self.vm) return;
-    const known = peers.get(vm);
-    if (known && known.registration.address === registration.address) {
-      const isNewProcess = known.registration.incarnation !== registration.incarnation;
-      known.isRegistered ||= isRegistered;
-      known.knownAtMs = nowMs();
-      known.registration = registration;
-      if (isNewProcess && !isHeard(known)) known.incarnation = registration.incarnation;
+    const existing = peers.get(vm);
+    if (existing && existing.registration.address === registration.address) {
+      const isNewProcess = existing.registration.incarnation !== registration.incarnation;
+      existing.isRegistered ||= isRegistered;
+      existing.knownAtMs = nowMs();
+      existing.registration = registration;
+      if (isNewProcess && !isHeard(existing)) existing.incarnation = registration.incarnation;
       return;
     }
-    known?.link.close();
+    existing?.link.close();
     log.info('vm.found', { peer: vm, address: registration.address, isRegistered });
     peers.set(vm, {
       registration,
@@ -209,8 +209,8 @@
       const now = nowMs();
       for (const [vm, peer] of peers) {
         const silentMs = now - Math.max(peer.heardAtMs, peer.knownAtMs);
-        const limitMs = peer.isLeaving ? HEARD_WITHIN_MS : UNREGISTERED_PEER_RETENTION_MS;
-        if (!peer.isRegistered && !isHeard(peer) && silentMs > limitMs) {
+        const retentionMs = peer.isLeaving ? HEARD_WITHIN_MS : UNREGISTERED_PEER_RETENTION_MS;
+        if (!peer.isRegistered && !isHeard(peer) && silentMs > retentionMs) {
           log.info('vm.forgotten', { peer: vm });
           peer.link.close();
           peers.delete(vm);
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -73,6 +73,7 @@
     const document = documents.get(toGroupKey(group));
     return document && readGroupRecord(document.value);
   };
+  /** Whether the group's record names this process as its owner. */
   const isOwnedHere = (group: string): boolean => {
     const record = getRecord(group);
     return record?.owner === self.vm && record.incarnation === self.incarnation;
@@ -122,7 +123,7 @@
         (actingSinceHeartbeat.has(group) &&
           isConfirmedByPeers(group, actingSinceHeartbeat.get(group)));
 
-  /** Writes the record if it is unchanged in the store; returns whether it was. Throws if the store fails. */
+  /** Writes the record unless the store has a newer one; returns whether it did. Throws if the store fails. */
   const writeRecord = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = toGroupKey(group);
     const value = JSON.stringify(next);
@@ -189,23 +190,27 @@
       );
     const primaryDataCentre = options.primaryDataCentre(group);
     const successor = chooseOwner(group, others, countOwnedGroups(groups), primaryDataCentre);
-    const view = others.find(({ vm }) => vm === successor);
-    if (!record || !view) return;
-    const { incarnation } = view;
-    const next = { ...record, owner: view.vm, incarnation, isHandedOver: true };
+    const successorView = others.find(({ vm }) => vm === successor);
+    if (!record || !successorView) return;
+    const { incarnation } = successorView;
+    const next = { ...record, owner: successorView.vm, incarnation, isHandedOver: true };
     const at = readClocks();
-    const outcome = await writeRecord(group, next);
+    const isWritten = await writeRecord(group, next);
     const revision = documents.get(toGroupKey(group))?.revision;
-    if (outcome && revision !== undefined) handovers.set(group, { revision, ...at });
-    log.info('group.handedOver', { group, successor, outcome });
+    if (isWritten && revision !== undefined) handovers.set(group, { revision, ...at });
+    log.info('group.handedOver', { group, successor, outcome: isWritten });
   };
 
   /** Marks the group while its record is written; if that fails, this VM acts for a lost owner. */
-  const runRecordChange = (group: string, recordChange: Promise<void>, event: string): void => {
+  const runRecordChange = (
+    group: string,
+    recordChange: Promise<void>,
+    failureEvent: string,
+  ): void => {
     groupsBeingRecorded.add(group);
     recordChange
       .catch((error) => {
-        log.warn(event, { group, reason: String(error) });
+        log.warn(failureEvent, { group, reason: String(error) });
         startActing(group);
       })
       .finally(() => groupsBeingRecorded.delete(group));
@@ -231,19 +236,19 @@
       const isElsewhere = view !== undefined && view.dataCentre !== self.dataCentre;
       return isElsewhere && (counts.get(view.vm) ?? 0) < ownedGroups.length ? view : undefined;
     };
-    const misplaced = ownedGroups.filter((group) => {
+    const misplacedGroups = ownedGroups.filter((group) => {
       const successor = findSuccessor(group);
       if (!successor) return false;
       const surplus = countInDataCentre(self.dataCentre) - countInDataCentre(successor.dataCentre);
       return isPrimaryInOwnDataCentre(group) || surplus >= REBALANCE_SURPLUS_GROUPS;
     });
     [...misplacedSinceMs.keys()]
-      .filter((group) => !misplaced.includes(group))
+      .filter((group) => !misplacedGroups.includes(group))
       .forEach((group) => misplacedSinceMs.delete(group));
-    misplaced
+    misplacedGroups
       .filter((group) => !misplacedSinceMs.has(group))
       .forEach((group) => misplacedSinceMs.set(group, now));
-    return misplaced.find(
+    return misplacedGroups.find(
       (group) => now - (misplacedSinceMs.get(group) ?? now) >= MISPLACED_AFTER_MS,
     );
   };
@@ -288,15 +293,14 @@
     /** Whether this VM owns the group and no previous owner or acting VM can still use the old primary. */
     mayReplacePrimary: (group: string): boolean => {
       if (!isOwnedHere(group)) return false;
-      const majorityKnowsFromMs = majorityKnowsSinceMs.get(group);
+      const informedSinceMs = majorityKnowsSinceMs.get(group);
       const allowedAtMs = getRecord(group)?.isHandedOver
         ? 0
         : (replacementAllowedAtMs.get(group) ?? 0);
-      const isMajorityInformed =
-        majorityKnowsFromMs !== undefined &&
-        nowMs() >= majorityKnowsFromMs + ACTING_VM_EXPIRY_WAIT_MS;
+      const hasActingVmExpired =
+        informedSinceMs !== undefined && nowMs() >= informedSinceMs + ACTING_VM_EXPIRY_WAIT_MS;
       // A confirmation by the store is not enough: another VM may act for an owner that most VMs cannot hear.
-      return nowMs() >= allowedAtMs && isMajorityInformed && isConfirmedByPeers(group);
+      return nowMs() >= allowedAtMs && hasActingVmExpired && isConfirmedByPeers(group);
     },
     /** Whether records need frequent confirmation by the store, since this VM holds no peer lease. */
     needsStoreConfirmation: (): boolean => !fleet.holdsPeerLease(),
@@ -327,18 +331,18 @@
       hasListedRecords = true;
     },
     /** Called periodically and on changes: claims unowned groups that this VM should own, or rebalances. */
-    reconcile: (names: Iterable<string>): void => {
-      const owned = new Set([...names].filter(isOwnedHere));
+    reconcile: (groupNames: Iterable<string>): void => {
+      const ownedGroups = new Set([...groupNames].filter(isOwnedHere));
       [...majorityKnowsSinceMs.keys()]
-        .filter((group) => !owned.has(group))
+        .filter((group) => !ownedGroups.has(group))
         .forEach((group) => majorityKnowsSinceMs.delete(group));
-      owned.forEach((group) => {
+      ownedGroups.forEach((group) => {
         const { key, revision } = documents.get(toGroupKey(group)) ?? { key: '', revision: 0 };
         if (!majorityKnowsSinceMs.has(group) && fleet.isKnownByMajority(key, revision)) {
           majorityKnowsSinceMs.set(group, nowMs());
         }
       });
-      const groups = [...names].sort();
+      const groups = [...groupNames].sort();
       actingSinceHeartbeat.forEach((_heartbeatNumber, group) => {
         const record = getRecord(group);
         if (record && isOwnerLost(group, record)) return;
--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -3,7 +3,7 @@
 import createGroupRouter from './createGroupRouter';
 import type SessionCall from './sessionCall';
 
-const call = (changes: Partial<SessionCall> = {}): SessionCall => ({
+const createCall = (changes: Partial<SessionCall> = {}): SessionCall => ({
   group: 'lots',
   account: 'ranch',
   session: 1,
@@ -42,7 +42,7 @@
   /** Runs one call; returns its outcome and duration. */
   const run = async (changes: Partial<SessionCall> = {}) => {
     const startedAtMs = performance.now();
-    const result = await router.run(call(changes), new Map());
+    const result = await router.run(createCall(changes), new Map());
     return { result, tookMs: performance.now() - startedAtMs };
   };
   return { state, run };
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -12,12 +12,12 @@
 import type StatementResult from '../seams/statementResult';
 import type SessionCall from './sessionCall';
 
-/** How long a statement waits for a group without a reachable VM to run it: a change of owner takes 1 s. */
+/** How long a statement waits while no reachable VM serves its group: a change of owner takes 1 s. */
 const OWNER_WAIT_MS = 900;
 const OWNER_POLL_MS = 25;
 /** A group that was not served for this long has no reachable owner; statements are refused at once. */
 const UNSERVED_AFTER_MS = 2_500;
-/** A call to another VM times out this long after twice the statement's time limit. */
+/** A call times out this long after the other VM must have answered, at twice the statement's time limit. */
 const ANSWER_MARGIN_MS = 300;
 
 interface GroupRouterOptions {
@@ -122,11 +122,7 @@
           log.info('request.linkLost', { request: call.requestId, owner, reason: error.message });
           if (result) return result;
         }
-        if (isContinuation)
-          return refused(
-            'aborted',
-            'the VM that ran the transaction no longer serves its group or is unreachable',
-          );
+        if (isContinuation) return refused('aborted', 'the VM that ran the transaction lost it');
       }
       const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
       unservedSinceMs.set(call.group, sinceMs);
@@ -147,12 +143,11 @@
     run,
     /** Ends an open transaction without a commit, at the VM that runs it. */
     endTransaction: (transaction: number): void => {
-      const openTransaction = openTransactions.get(transaction);
-      if (!openTransaction) return;
+      const location = openTransactions.get(transaction);
+      if (!location) return;
       openTransactions.delete(transaction);
-      if (openTransaction.vm === self)
-        options.endLocalTransaction(openTransaction.group, transaction);
-      else options.link(openTransaction.vm)?.endTransaction(transaction);
+      if (location.vm === self) options.endLocalTransaction(location.group, transaction);
+      else options.link(location.vm)?.endTransaction(transaction);
     },
     /** Call when a transaction has ended at its VM. */
     forgetTransaction: (transaction: number): void => {
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -138,8 +138,8 @@
     });
   });
 
-  describe('when it reports statements to the observer', () => {
-    it('reports database, account and outcome of those that a group answered, and no others', async () => {
+  describe('when a group answers a statement', () => {
+    it('reports database, account and outcome, unlike for statements that the session answers itself', async () => {
       start();
       await fixture.run(
         { kind: 'setValue', name: 'zone', value: 'waco' },
@@ -158,7 +158,7 @@
       expect(fixture.calls).to.have.length(0);
     });
 
-    it('closes when it is idle', () => {
+    it('closes the session when it is idle', () => {
       start();
       fixture.state.configuration = createConfiguration({ routes: new Map() });
       fixture.closeIfAccessRevoked();
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -51,13 +51,13 @@
   const { connection, router, log, nowMs } = options;
   const sessionId = options.nextId();
   const values = new Map<string, string>();
-  const prepared = new Map<string, { isWrite: boolean; shape: string }>();
+  const preparedStatements = new Map<string, { isWrite: boolean; shape: string }>();
   let valuesVersion = 0;
   let database = '';
   let key: string | undefined;
   let account = '';
   let transaction: OpenTransaction | undefined;
-  let state: TransactionState = 'idle';
+  let transactionState: TransactionState = 'idle';
   let lastCommitPosition: LogPosition | undefined;
   let isStarted = false;
   let isEnded = false;
@@ -78,9 +78,9 @@
     options.onEnd();
   };
 
-  const answer = (result: StatementResult, next: TransactionState): void => {
-    state = next;
-    if (!isEnded) connection.answer(result, next);
+  const answer = (result: StatementResult, nextState: TransactionState): void => {
+    transactionState = nextState;
+    if (!isEnded) connection.answer(result, nextState);
   };
 
   /** Refuses and ends the session: its caller may not use the database, or not any more. */
@@ -159,13 +159,13 @@
   };
 
   const runCommit = async (requestId: string, text: string): Promise<void> => {
-    if (state === 'failed') {
+    if (transactionState === 'failed') {
       discardTransaction();
       answer(refused('aborted', 'an earlier statement of the transaction failed'), 'idle');
       return;
     }
     if (!transaction) {
-      answer(INVALID_IN_STATE, state);
+      answer(INVALID_IN_STATE, transactionState);
       return;
     }
     const { route, id: endedTransaction, isReadOnly } = transaction;
@@ -185,7 +185,7 @@
     switch (statement.kind) {
       case 'begin':
         if (transaction) {
-          answer(INVALID_IN_STATE, state);
+          answer(INVALID_IN_STATE, transactionState);
           return;
         }
         transaction = {
@@ -201,16 +201,19 @@
         valuesVersion += 1;
         break;
       case 'prepare':
-        prepared.set(statement.name, { isWrite: statement.isWrite, shape: statement.shape });
+        preparedStatements.set(statement.name, {
+          isWrite: statement.isWrite,
+          shape: statement.shape,
+        });
         break;
       case 'deallocate':
-        prepared.delete(statement.name);
+        preparedStatements.delete(statement.name);
         break;
       default:
-        answer(INVALID_IN_STATE, state);
+        answer(INVALID_IN_STATE, transactionState);
         return;
     }
-    answer(COMPLETE, state);
+    answer(COMPLETE, transactionState);
   };
 
   const runStatement = async (requestId: string, statement: SessionStatement): Promise<void> => {
@@ -226,13 +229,13 @@
     const route = transaction?.route ?? (caller.kind === 'found' ? caller.route : undefined);
     if (caller.kind === 'found') account = caller.account;
     if (statement.kind === 'rollback') {
-      const wasInTransaction = state !== 'idle';
+      const wasInTransaction = transactionState !== 'idle';
       discardTransaction();
       answer(wasInTransaction ? COMPLETE : INVALID_IN_STATE, 'idle');
     } else if (statement.kind === 'commit') {
       await runCommit(requestId, statement.text);
-    } else if (state === 'failed' || !route) {
-      answer(INVALID_IN_STATE, state);
+    } else if (transactionState === 'failed' || !route) {
+      answer(INVALID_IN_STATE, transactionState);
     } else if (statement.kind === 'read' || statement.kind === 'write') {
       await runGroupStatement(
         requestId,
@@ -242,13 +245,13 @@
         route,
       );
     } else if (statement.kind === 'execute') {
-      const preparedStatement = prepared.get(statement.name);
+      const preparedStatement = preparedStatements.get(statement.name);
       if (!preparedStatement) {
         if (transaction) discardTransaction();
-        const next = state === 'open' ? 'failed' : state;
+        const nextState = transactionState === 'open' ? 'failed' : transactionState;
         answer(
           refused('noStatement', 'no prepared statement of that name exists in the session'),
-          next,
+          nextState,
         );
         return;
       }
@@ -325,7 +328,11 @@
   };
 
   const isIdle = (): boolean =>
-    isStarted && !isEnded && state === 'idle' && !isRunning && pendingStatements.length === 0;
+    isStarted &&
+    !isEnded &&
+    transactionState === 'idle' &&
+    !isRunning &&
+    pendingStatements.length === 0;
 
   return {
     session,
--- a/packages/sessions/src/link/createPeerLink.ts
+++ b/packages/sessions/src/link/createPeerLink.ts
@@ -47,7 +47,7 @@
 /** Keeps a stream to another VM open and sends calls over it. Used by the fleet, one per peer. */
 const createPeerLink = (options: PeerLinkOptions): PeerLink => {
   const { vm, address, log, nowMs } = options;
-  const pending = new Map<number, PendingCall>();
+  const pendingCalls = new Map<number, PendingCall>();
   const sentValuesVersions = new Map<number, number>();
   let client: SessionLinkClient | undefined;
   let stream: ClientDuplexStream<LinkRequest, LinkReply> | undefined;
@@ -65,16 +65,16 @@
   const closeStream = (reason: string): void => {
     const previousStream = stream;
     stream = undefined;
-    if (isUp) log.warn('link.lost', { peer: vm, reason, pending: pending.size });
+    if (isUp) log.warn('link.lost', { peer: vm, reason, pending: pendingCalls.size });
     isUp = false;
     sentValuesVersions.clear();
     previousStream?.cancel();
     client?.close();
     client = undefined;
-    const unansweredCalls = [...pending.values()];
-    pending.clear();
+    const unansweredCalls = [...pendingCalls.values()];
+    pendingCalls.clear();
     unansweredCalls.forEach(({ reject }) =>
-      reject(new LinkError(true, `link to VM ${vm} lost before the answer to a call: ${reason}`)),
+      reject(new LinkError(true, `link to VM ${vm} lost with the call unanswered: ${reason}`)),
     );
   };
 
@@ -89,8 +89,8 @@
       isUp = true;
       options.onHeartbeat(heartbeat);
     } else if (body?.$case === 'result') {
-      const call = pending.get(body.result.call);
-      pending.delete(body.result.call);
+      const call = pendingCalls.get(body.result.call);
+      pendingCalls.delete(body.result.call);
       call?.resolve(body.result);
     } else if (body?.$case === 'document') {
       options.onDocument(body.document);
@@ -104,13 +104,16 @@
     const newStream = client.connect();
     stream = newStream;
     const decodeHeartbeat = createHeartbeatDecoder();
-    const isCurrent = (): boolean => stream === newStream;
+    const isCurrentStream = (): boolean => stream === newStream;
     const onStreamLost = (reason: string): void => {
-      if (!isCurrent()) return;
+      if (!isCurrentStream()) return;
       closeStream(reason);
       if (!isClosed) reopenTimer = setTimeout(openStream, REOPEN_DELAY_MS);
     };
-    newStream.on('data', (reply: LinkReply) => isCurrent() && onReply(reply, decodeHeartbeat));
+    newStream.on(
+      'data',
+      (reply: LinkReply) => isCurrentStream() && onReply(reply, decodeHeartbeat),
+    );
     newStream.on('error', (error) => onStreamLost(error.message));
     newStream.on('end', () => onStreamLost('ended'));
     send({ $case: 'hello', hello: options.self });
@@ -136,7 +139,7 @@
           return;
         }
         lastCallNumber += 1;
-        pending.set(lastCallNumber, { resolve, reject });
+        pendingCalls.set(lastCallNumber, { resolve, reject });
         const hasValues =
           call.valuesVersion > 0 && sentValuesVersions.get(call.session) !== call.valuesVersion;
         if (hasValues) sentValuesVersions.set(call.session, call.valuesVersion);
--- a/packages/sessions/src/link/startLinkServer.ts
+++ b/packages/sessions/src/link/startLinkServer.ts
@@ -23,8 +23,8 @@
   endOrigin(origin: string): void;
   onDocument(document: FleetDocument): void;
   onHello(hello: Hello): void;
-  /** Builds heartbeat number `beat` for a stream of `receiver`; `isFirst` for the first on that stream. */
-  heartbeat(stream: object, receiver: string, beat: number, isFirst: boolean): Heartbeat;
+  /** Builds a heartbeat for a stream of the VM `receiver`; `isFirst` for the first on that stream. */
+  heartbeat(stream: object, receiver: string, heartbeatNumber: number, isFirst: boolean): Heartbeat;
 }
 
 interface PeerStream {
@@ -122,8 +122,8 @@
   });
 
   return {
-    beat: (beat: number): void => {
-      lastHeartbeatNumber = beat;
+    beat: (heartbeatNumber: number): void => {
+      lastHeartbeatNumber = heartbeatNumber;
       peerStreams.forEach((peerStream, stream) => sendHeartbeat(stream, peerStream, false));
     },
     close: (): void => server.forceShutdown(),
