--- a/packages/sessions/src/daemon/createIsolationMonitor.ts
+++ b/packages/sessions/src/daemon/createIsolationMonitor.ts
@@ -13,7 +13,7 @@
   isStoreWatched(): boolean;
 }
 
-/** While this VM can serve no group, itself or through a peer, moves its callers to other VMs. */
+/** Detects that this VM can serve no group, itself or through a peer; then moves callers to other VMs. */
 const createIsolationMonitor = (options: IsolationMonitorOptions) => {
   const { sessions, log, nowMs } = options;
   const gauge = createIsolationGauge(nowMs());
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -33,7 +33,7 @@
 const REGISTRATION_TTL_MS = 4_000;
 /** The operator's changes must apply within 3 s, even if one watch misses them. */
 const CONFIGURATION_WATCH_TIMEOUT_MS = 1_500;
-/** Number of VMs that watch with the short timeout; the others learn of changes from them as well. */
+/** VMs that watch with the short timeout; the others learn of changes from them or by longer watches. */
 const CONFIGURATION_WATCHERS = 2;
 /** Watches of the proxy's own keys may be long, since VMs push changes to each other. */
 const DEFAULT_WATCH_TIMEOUT_MS = 10_000;
@@ -61,7 +61,7 @@
   dialer: MemberDialer;
   failover: FailoverCaller;
   log: EventLog;
-  /** Called after each statement that a group answered or refused. */
+  /** Called with the result of each statement for a group; not for statements of the session itself. */
   onStatement(observation: StatementObservation): void;
   nowMs(): number;
   wallMs(): number;
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -29,7 +29,7 @@
     isNewerKnownElsewhere: false,
     isKnownByMajority: true,
     isLeaving: false,
-    findActingVm: undefined as string | undefined,
+    actingVm: undefined as string | undefined,
     isStoreViewCurrent: true,
     isStrained: false,
     servedAtMs: undefined as number | undefined,
@@ -43,7 +43,7 @@
     isKnownByMajority: () => state.isKnownByMajority,
     isLeaving: () => state.isLeaving,
     isStrained: () => state.isStrained,
-    findActingVm: () => state.findActingVm,
+    findActingVm: () => state.actingVm,
     servedAtMs: () => state.servedAtMs,
     lastHeartbeatNumber: () => 1,
     publish: () => undefined,
@@ -300,7 +300,7 @@
 
     it('leaves it to a VM that is acting for the owner already', async () => {
       const { ownership, waitForStore, state } = fixture;
-      state.findActingVm = 'c';
+      state.actingVm = 'c';
       state.vms.push(createVmView('c'));
       ownership.reconcile(['lots']);
       await waitForStore();
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -217,8 +217,8 @@
   };
 
   /**
-   * Finds an owned group that another data centre should own: its primary is in this VM's data centre too,
-   * so that a partition there would cut off both, or this data centre owns too many groups.
+   * Finds an owned group that another data centre should own. A partition of this data centre would take away
+   * its owner and its primary at once, or the owners of too many groups.
    */
   const findMisplacedGroup = (
     ownedGroups: readonly string[],
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -60,8 +60,10 @@
     connection: {
       accept: () => answers.push('accepted'),
       refuse: (code) => answers.push(`refused ${code}`),
-      answer: (result, next) =>
-        answers.push(`${result.kind === 'refused' ? result.code : result.signature} ${next}`),
+      answer: (result, transactionState) =>
+        answers.push(
+          `${result.kind === 'refused' ? result.code : result.signature} ${transactionState}`,
+        ),
       close: () => answers.push('closed'),
     },
     router,
