--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -50,14 +50,14 @@
   const planner = createReadPlanner({ ...options, tracker, avoided: failures.names });
 
   const run = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     { member, term }: ReadPlan,
     progress: ReadAttempt,
   ): Promise<QueryResult> => {
     Object.assign(progress, { member, isSent: false });
     const { account, deadlineAtMs, profile } = request;
-    const pooled = await holder.acquire(member, account, deadlineAtMs, profile);
+    const pooled = await groupClient.acquire(member, account, deadlineAtMs, profile);
     Object.assign(progress, { isSent: true });
     try {
       const sql = `/*term=${term}*/${request.sql}`;
@@ -69,13 +69,13 @@
   };
 
   const runOrAvoid = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadAttempt,
   ): Promise<QueryResult> => {
     try {
-      return await run(holder, request, plan, progress);
+      return await run(groupClient, request, plan, progress);
     } catch (error) {
       if (!(error instanceof EndpointError)) {
         if (toRefusal(error).code === 'noConnection') failures.add(plan.member);
@@ -88,45 +88,45 @@
 
   /** Waits until a majority has answered, since the read was sent, without a later fence. */
   const confirmPrimary = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: Pick<StatementRequest, 'deadlineAtMs'>,
     sentAtMs: number,
   ): Promise<void> => {
     while (nowMs() < request.deadlineAtMs) {
-      const confirmedAtMs = tracker.observe(holder).at(-1)?.askedAtMs;
+      const confirmedAtMs = tracker.observe(groupClient).at(-1)?.askedAtMs;
       if (confirmedAtMs !== undefined && confirmedAtMs >= sentAtMs) return;
-      await Promise.race([holder.poll(), sleep(CONFIRM_STEP_MS)]);
+      await Promise.race([groupClient.poll(), sleep(CONFIRM_STEP_MS)]);
     }
     throw mayHaveRun('noFreshEndpoint', 'no majority confirmed the primary in time');
   };
 
   const attempt = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadAttempt,
   ): Promise<QueryResult | undefined> => {
     const sentAtMs = nowMs();
-    const rows = await runOrAvoid(holder, request, plan, progress);
+    const rows = await runOrAvoid(groupClient, request, plan, progress);
     if (plan.isConfirmed) {
-      await confirmPrimary(holder, request, sentAtMs);
-      if (holder.record()?.term !== plan.term) return undefined;
+      await confirmPrimary(groupClient, request, sentAtMs);
+      if (groupClient.record()?.term !== plan.term) return undefined;
     }
     const isTooOld = plan.freshUntilMs !== undefined && nowMs() > plan.freshUntilMs;
     return isTooOld ? undefined : rows;
   };
 
   const executeOnce = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     progress: ReadAttempt,
   ): Promise<StatementOutcome> => {
-    let plan = await planner.plan(holder, request, false);
-    let rows = await attempt(holder, request, plan, progress);
+    let plan = await planner.plan(groupClient, request, false);
+    let rows = await attempt(groupClient, request, plan, progress);
     if (!rows) {
       // The answer took too long to vouch for its age: the primary is always young enough.
-      plan = await planner.plan(holder, request, true);
-      rows = await attempt(holder, request, plan, progress);
+      plan = await planner.plan(groupClient, request, true);
+      rows = await attempt(groupClient, request, plan, progress);
     }
     if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
     const { member: endpoint, role } = plan;
@@ -135,31 +135,34 @@
 
   return {
     /** @throws RefusalError */
-    execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
+    execute: async (
+      groupClient: GroupHolder,
+      request: StatementRequest,
+    ): Promise<StatementOutcome> => {
       const first: ReadAttempt = { member: undefined, isSent: false };
-      const answer = executeOnce(holder, request, first);
-      if (!(await hedge.isStuck(holder, request, first, answer))) return answer;
+      const answer = executeOnce(groupClient, request, first);
+      if (!(await hedge.isStuck(groupClient, request, first, answer))) return answer;
       // Its connection may have gone silent for good; whichever answer comes first is taken.
       if (first.member !== undefined) failures.add(first.member);
-      const second = executeOnce(holder, request, { member: undefined, isSent: false });
+      const second = executeOnce(groupClient, request, { member: undefined, isSent: false });
       return Promise.any([answer, second]).catch(() => answer);
     },
     /** The member for a read-only transaction. @throws RefusalError */
-    plan: async (holder: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
+    plan: async (groupClient: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
       const freshness = options.configuration.get('profile', request.profile)?.freshness;
       // A stated age would run out while the transaction is open.
-      return planner.plan(holder, request, freshness?.kind !== 'session');
+      return planner.plan(groupClient, request, freshness?.kind !== 'session');
     },
     /** Waits for what has to hold once an answer of a read-only transaction is there. */
     confirm: async (
-      holder: GroupHolder,
+      groupClient: GroupHolder,
       request: Pick<StatementRequest, 'deadlineAtMs'>,
       plan: ReadPlan,
       sentAtMs: number,
     ): Promise<void> => {
       if (!plan.isConfirmed) return;
-      await confirmPrimary(holder, request, sentAtMs);
-      if (holder.record()?.term === plan.term) return;
+      await confirmPrimary(groupClient, request, sentAtMs);
+      if (groupClient.record()?.term === plan.term) return;
       throw notRun('transactionAborted', 'the primary has been replaced');
     },
     close: tracker.close,
--- a/packages/auburngrade/src/execution/createReadHedge.spec.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.spec.ts
@@ -12,8 +12,8 @@
   const answer = new Promise<void>((resolve) => {
     end = resolve;
   });
-  const holder = {
-    isServingSince: () => false,
+  const groupClient = {
+    hasReleasedSince: () => false,
     pollMember: async () => {
       seen.polls += 1;
       return isAnswering ? ({} as MemberStatus) : undefined;
@@ -23,7 +23,7 @@
   const startedAtMs = performance.now();
   const request = { deadlineAtMs: startedAtMs + TIMEOUT_MS };
   const decided = hedge
-    .isStuck(holder, request, { member: 'waco-db', isSent: true }, answer)
+    .isStuck(groupClient, request, { member: 'waco-db', isSent: true }, answer)
     .then((isStuck) => ({ isStuck, afterMs: performance.now() - startedAtMs }));
   return { seen, end, decided };
 };
--- a/packages/auburngrade/src/execution/createReadHedge.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.ts
@@ -3,7 +3,7 @@
 import sleep from '../time/sleep';
 import type ReadAttempt from './readAttempt';
 
-type HedgeHolder = Pick<GroupHolder, 'isServingSince' | 'pollMember'>;
+type HedgeGroupClient = Pick<GroupHolder, 'hasReleasedSince' | 'pollMember'>;
 
 /** A read that takes longer makes this VM ask whether the member is still there. */
 const SLOW_READ_MS = 100;
@@ -16,14 +16,14 @@
 const createReadHedge = (nowMs: () => number) => {
   /** Whether a read only waits for its turn: a second one would lengthen the queues. */
   const isQueued = (
-    holder: HedgeHolder,
+    groupClient: HedgeGroupClient,
     { member, isSent }: ReadAttempt,
     sinceMs: number,
-  ): boolean => member !== undefined && !isSent && holder.isServingSince(member, sinceMs);
+  ): boolean => member !== undefined && !isSent && groupClient.hasReleasedSince(member, sinceMs);
 
   /** Resolves with false once a slow read's member does not answer a poll either. */
   const watchMember = (
-    holder: HedgeHolder,
+    groupClient: HedgeGroupClient,
     progress: ReadAttempt,
     ended: Promise<boolean>,
   ): Promise<boolean> =>
@@ -31,7 +31,7 @@
       const check = async (): Promise<void> => {
         if (await Promise.race([ended, sleep(SLOW_READ_MS)])) return;
         const { member } = progress;
-        if (member !== undefined && !(await holder.pollMember(member))) resolve(false);
+        if (member !== undefined && !(await groupClient.pollMember(member))) resolve(false);
       };
       // A member that can't be asked decides nothing.
       check().catch(() => {});
@@ -40,7 +40,7 @@
   return {
     /** Resolves with true when the read should be sent a second time, with false once it has ended. */
     isStuck: async (
-      holder: HedgeHolder,
+      groupClient: HedgeGroupClient,
       { deadlineAtMs }: Pick<StatementRequest, 'deadlineAtMs'>,
       progress: ReadAttempt,
       answer: Promise<unknown>,
@@ -49,13 +49,13 @@
         () => true,
         () => true,
       );
-      const silence = watchMember(holder, progress, ended);
+      const silence = watchMember(groupClient, progress, ended);
       for (;;) {
         const sinceMs = nowMs();
         const hedgeAfterMs = Math.min(HEDGE_AFTER_MS, (deadlineAtMs - sinceMs) / 2);
         if (hedgeAfterMs < MIN_HEDGE_AFTER_MS) return false;
         if (await Promise.race([ended, silence, sleep(hedgeAfterMs)])) return false;
-        if (!isQueued(holder, progress, sinceMs)) return true;
+        if (!isQueued(groupClient, progress, sinceMs)) return true;
       }
     },
   };
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -55,7 +55,7 @@
   };
 
   const commit = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     connection: EndpointConnection,
     request: StatementRequest,
     { term, primary }: TermRecord,
@@ -69,7 +69,7 @@
     const askedAtMs = nowMs();
     const results = await connection.script(script, request.deadlineAtMs - askedAtMs);
     const status = toMemberStatus(primary ?? '', results.at(-1), askedAtMs);
-    holder.noteStatus(status);
+    groupClient.noteStatus(status);
     return { rows, position: status.position, askedAtMs };
   };
 
@@ -87,7 +87,7 @@
 
   /** Undefined when only a lookup can tell what became of the request. */
   const runTransaction = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     connection: EndpointConnection,
     request: StatementRequest,
     record: TermRecord,
@@ -106,7 +106,7 @@
       throw beforeCommit(error);
     }
     try {
-      return await commit(holder, connection, request, record, rows);
+      return await commit(groupClient, connection, request, record, rows);
     } catch (error) {
       await rollBack(connection);
       if (isRefusedByTerm(error)) throw beforeCommit(error);
@@ -115,35 +115,38 @@
   };
 
   const runOnPrimary = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
   ): Promise<Committed | undefined> => {
     const { account, deadlineAtMs } = request;
-    const pooled = await holder.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
+    const pooled = await groupClient.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
     try {
-      return await runTransaction(holder, pooled.connection, request, record);
+      return await runTransaction(groupClient, pooled.connection, request, record);
     } finally {
-      if (!pooled.connection.isUsable()) holder.poll();
+      if (!pooled.connection.isUsable()) groupClient.poll();
       pooled.release();
     }
   };
 
   return {
     /** Runs a write in the present term; the caller has waited for its primary. @throws RefusalError */
-    execute: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
-      const record = holder.record();
+    execute: async (
+      groupClient: GroupHolder,
+      request: StatementRequest,
+    ): Promise<StatementOutcome> => {
+      const record = groupClient.record();
       if (record?.state !== 'active' || !record.primary) {
-        throw notRun('noPrimary', `group ${holder.name} has no primary`);
+        throw notRun('noPrimary', `group ${groupClient.name} has no primary`);
       }
       const { term, primary } = record;
-      const committed = await runOnPrimary(holder, request, record, primary);
-      if (!committed) return lookup.resolve(holder, request);
+      const committed = await runOnPrimary(groupClient, request, record, primary);
+      if (!committed) return lookup.resolve(groupClient, request);
       const { rows, position, askedAtMs } = committed;
       const { group, sessionToken, deadlineAtMs } = request;
-      const isHeld = await holder.waitAcknowledged(term, position, deadlineAtMs, askedAtMs);
-      if (!isHeld) return lookup.resolve(holder, request);
+      const isHeld = await groupClient.waitAcknowledged(term, position, deadlineAtMs, askedAtMs);
+      if (!isHeld) return lookup.resolve(groupClient, request);
       return {
         rows,
         sessionToken: advanceSessionToken(sessionToken, group, term, position),
--- a/packages/auburngrade/src/groups/acquireInTerm.spec.ts
+++ b/packages/auburngrade/src/groups/acquireInTerm.spec.ts
@@ -4,7 +4,7 @@
 import type LentConnection from './lentConnection';
 
 const SLOW_AFTER_MS = 20;
-const LONG_MS = 60;
+const PAST_SLOW_MS = 60;
 
 const pause = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -12,69 +12,80 @@
   });
 
 const start = () => {
-  const seen = { closed: 0, released: 0, troubles: 0, isWatched: true };
-  let endTerm = (): void => {};
-  let give = (): void => {};
+  const observed = { closed: 0, released: 0, slowOrFailed: 0, isSubscribed: true };
+  let supersedeTerm = (): void => {};
+  let provide = (): void => {};
   let fail = (_error: Error): void => {};
-  const count = (what: 'closed' | 'released' | 'troubles') => (): void => {
-    seen[what] += 1;
+  const count = (what: 'closed' | 'released' | 'slowOrFailed') => (): void => {
+    observed[what] += 1;
   };
   const pooled = { connection: {}, discard: count('closed'), release: count('released') };
-  const lent = acquireInTerm({
+  const acquired = acquireInTerm({
     acquire: () =>
       new Promise((resolve, reject) => {
-        give = () => resolve(pooled as unknown as LentConnection);
+        provide = () => resolve(pooled as unknown as LentConnection);
         fail = reject;
       }),
-    onTermOver: (listener) => {
-      endTerm = listener;
+    onTermSuperseded: (listener) => {
+      supersedeTerm = listener;
       return () => {
-        seen.isWatched = false;
+        observed.isSubscribed = false;
       };
     },
     slowAfterMs: SLOW_AFTER_MS,
-    onTrouble: count('troubles'),
+    onSlowOrFailed: count('slowOrFailed'),
   });
-  return { seen, lent, endTerm: () => endTerm(), give: () => give(), fail: (e: Error) => fail(e) };
+  return {
+    observed,
+    acquired,
+    supersedeTerm: () => supersedeTerm(),
+    provide: () => provide(),
+    fail: (e: Error) => fail(e),
+  };
 };
 
-describe('a connection for use within one term', () => {
-  it('is not waited for after the term, and goes back when it comes late', async () => {
-    const { seen, lent, endTerm, give } = start();
-    endTerm();
-    expect(toRefusal(await lent.catch((error: unknown) => error))).to.include({
+describe('acquireWithinTerm', () => {
+  it('rejects when the term is superseded, and releases a connection that arrives later', async () => {
+    const { observed, acquired, supersedeTerm, provide } = start();
+    supersedeTerm();
+    expect(toRefusal(await acquired.catch((error: unknown) => error))).to.include({
       verdict: 'notRun',
       code: 'noPrimary',
     });
-    give();
+    provide();
     await pause(0);
-    expect(seen.released).to.equal(1);
+    expect(observed.released).to.equal(1);
   });
 
-  it('is closed when the term ends while it is used', async () => {
-    const { seen, lent, endTerm, give } = start();
-    give();
-    await lent;
-    endTerm();
-    expect(seen.closed).to.equal(1);
+  it('discards a connection in use when the term is superseded', async () => {
+    const { observed, acquired, supersedeTerm, provide } = start();
+    provide();
+    await acquired;
+    supersedeTerm();
+    expect(observed.closed).to.equal(1);
   });
 
-  it('raises no trouble when it is given back in time', async () => {
-    const { seen, lent, give } = start();
-    give();
-    (await lent).release();
-    await pause(LONG_MS);
-    expect(seen).to.deep.equal({ closed: 0, released: 1, troubles: 0, isWatched: false });
+  it('does not report a connection that is released in time', async () => {
+    const { observed, acquired, provide } = start();
+    provide();
+    (await acquired).release();
+    await pause(PAST_SLOW_MS);
+    expect(observed).to.deep.equal({
+      closed: 0,
+      released: 1,
+      slowOrFailed: 0,
+      isSubscribed: false,
+    });
   });
 
-  it('raises trouble when its use is slow, or when there is none', async () => {
+  it('reports slow use, and a failure to acquire a connection', async () => {
     const slow = start();
-    slow.give();
-    await pause(LONG_MS);
-    expect(slow.seen.troubles).to.equal(1);
+    slow.provide();
+    await pause(PAST_SLOW_MS);
+    expect(slow.observed.slowOrFailed).to.equal(1);
     const refused = start();
     refused.fail(new Error('refused'));
-    await refused.lent.catch(() => {});
-    expect(refused.seen).to.include({ troubles: 1, isWatched: false });
+    await refused.acquired.catch(() => {});
+    expect(refused.observed).to.include({ slowOrFailed: 1, isSubscribed: false });
   });
 });
--- a/packages/auburngrade/src/groups/acquireInTerm.ts
+++ b/packages/auburngrade/src/groups/acquireInTerm.ts
@@ -2,57 +2,57 @@
 import type LentConnection from './lentConnection';
 import type PooledConnection from './pooledConnection';
 
-interface InTermOptions {
+interface AcquireOptions {
   acquire(): Promise<LentConnection>;
-  /** Calls the listener once when the term is over; returns the function that stops it. */
-  onTermOver(listener: () => void): () => void;
-  /** Called when there is no connection, or the wait and the use take longer than `slowAfterMs`. */
-  onTrouble(): void;
+  /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
+  onTermSuperseded(listener: () => void): () => void;
+  /** Called when `acquire` fails, or when waiting for and using the connection exceeds `slowAfterMs`. */
+  onSlowOrFailed(): void;
   slowAfterMs: number;
 }
 
 const RETRY_AFTER_MS = 100;
 
 /**
- * Acquires a connection for use within one term. A replaced primary may never answer, so
- * neither the wait for a connection nor a statement on it outlasts the term, and an account
- * is not charged for the time of a statement that was cut.
+ * Acquires a connection that is discarded when the term is superseded. A replaced primary may
+ * never answer, so neither the wait for a connection nor a statement on it outlasts the term;
+ * the account is not charged for the time of an interrupted statement.
  * @throws RefusalError `noPrimary` when the term ends first, else what `acquire` throws.
  */
-const acquireInTerm = (options: InTermOptions): Promise<PooledConnection> =>
+const acquireInTerm = (options: AcquireOptions): Promise<PooledConnection> =>
   new Promise((resolve, reject) => {
-    let pooled: LentConnection | undefined;
-    let isOver = false;
-    const slowTimer = setTimeout(options.onTrouble, options.slowAfterMs);
-    const stopWatching = options.onTermOver(() => {
-      isOver = true;
+    let connectionInUse: LentConnection | undefined;
+    let isSuperseded = false;
+    const slowTimer = setTimeout(options.onSlowOrFailed, options.slowAfterMs);
+    const unsubscribe = options.onTermSuperseded(() => {
+      isSuperseded = true;
       clearTimeout(slowTimer);
-      pooled?.discard();
-      reject(notRun('noPrimary', 'the primary has been replaced', RETRY_AFTER_MS));
+      connectionInUse?.discard();
+      reject(notRun('noPrimary', 'the primary of this term has been replaced', RETRY_AFTER_MS));
     });
-    const stop = (): void => {
+    const stopObserving = (): void => {
       clearTimeout(slowTimer);
-      stopWatching();
+      unsubscribe();
     };
 
-    const lend = (acquired: LentConnection): void => {
-      if (isOver) {
+    const handOut = (acquired: LentConnection): void => {
+      if (isSuperseded) {
         acquired.release();
         return;
       }
-      pooled = acquired;
+      connectionInUse = acquired;
       resolve({
         connection: acquired.connection,
         release: () => {
-          stop();
+          stopObserving();
           acquired.release();
         },
       });
     };
 
-    options.acquire().then(lend, (error: unknown) => {
-      stop();
-      options.onTrouble();
+    options.acquire().then(handOut, (error: unknown) => {
+      stopObserving();
+      options.onSlowOrFailed();
       reject(error);
     });
   });
--- a/packages/auburngrade/src/groups/createAcknowledger.ts
+++ b/packages/auburngrade/src/groups/createAcknowledger.ts
@@ -6,17 +6,17 @@
   term: number;
   position: number;
   committedAtMs: number;
-  settle(isHeld: boolean): void;
+  settle(isAcknowledged: boolean): void;
 }
 
-const POLL_DELAY_MS = 1;
-/** A member that does not answer, or stays behind, is polled less and less often. */
+const MIN_POLL_DELAY_MS = 1;
+/** Limit of the exponential back-off for members that do not answer or stay behind. */
 const MAX_POLL_DELAY_MS = 50;
 
 /**
- * Waits until a majority of the voters hold a position. Each member is polled by a
- * loop of its own while anybody waits, so a silent one delays nobody; one answer
- * serves every waiting write.
+ * Waits until a majority of the voters hold a log position. While any write waits, each member
+ * is polled in its own loop, so an unresponsive member delays no other; one status serves
+ * every waiting write.
  */
 const createAcknowledger = (
   pollers: ReadonlyMap<string, StatusPoller>,
@@ -24,22 +24,24 @@
   nowMs: () => number,
 ) => {
   const waiters = new Set<Waiter>();
-  const looping = new Set<string>();
+  const polledMembers = new Set<string>();
 
-  const statuses = (): MemberStatus[] =>
+  const voterStatuses = (): MemberStatus[] =>
     voters().flatMap((name) => pollers.get(name)?.latest() ?? []);
 
-  const isHeld = ({ term, position, committedAtMs }: Waiter): boolean => {
-    const current = statuses().filter(({ askedAtMs }) => askedAtMs >= committedAtMs);
-    return isMajorityAcknowledged(current, voters().length, term, position);
+  const isAcknowledged = ({ term, position, committedAtMs }: Waiter): boolean => {
+    const statusesSinceCommit = voterStatuses().filter(
+      ({ askedAtMs }) => askedAtMs >= committedAtMs,
+    );
+    return isMajorityAcknowledged(statusesSinceCommit, voters().length, term, position);
   };
 
-  const settleHeld = (): void =>
+  const settleAcknowledged = (): void =>
     waiters.forEach((waiter) => {
-      if (isHeld(waiter)) waiter.settle(true);
+      if (isAcknowledged(waiter)) waiter.settle(true);
     });
 
-  const isNeeded = (member: string): boolean => {
+  const isPollNeeded = (member: string): boolean => {
     const status = pollers.get(member)?.latest();
     return [...waiters].some(
       ({ position, committedAtMs }) =>
@@ -48,29 +50,29 @@
   };
 
   const pollLoop = async (member: string, poller: StatusPoller): Promise<void> => {
-    let delayMs = POLL_DELAY_MS;
+    let delayMs = MIN_POLL_DELAY_MS;
     while (waiters.size > 0) {
-      if (isNeeded(member)) {
-        const before = poller.latest()?.position;
+      if (isPollNeeded(member)) {
+        const previousPosition = poller.latest()?.position;
         await poller.poll();
-        const hasMoved = poller.latest()?.position !== before;
-        delayMs = hasMoved ? POLL_DELAY_MS : Math.min(MAX_POLL_DELAY_MS, delayMs * 2);
+        const hasAdvanced = poller.latest()?.position !== previousPosition;
+        delayMs = hasAdvanced ? MIN_POLL_DELAY_MS : Math.min(MAX_POLL_DELAY_MS, delayMs * 2);
       }
-      // Polls that others asked for count as well.
-      settleHeld();
+      // Statuses from polls by other callers count as well.
+      settleAcknowledged();
       await sleep(delayMs);
     }
   };
 
-  const startLoops = (): void =>
+  const startPollLoops = (): void =>
     pollers.forEach((poller, member) => {
-      if (looping.has(member)) return;
-      looping.add(member);
-      pollLoop(member, poller).finally(() => looping.delete(member));
+      if (polledMembers.has(member)) return;
+      polledMembers.add(member);
+      pollLoop(member, poller).finally(() => polledMembers.delete(member));
     });
 
   return {
-    /** Resolves with whether a majority came to hold the position before the deadline. */
+    /** Resolves to whether a majority holds the position before the deadline (monotonic time). */
     wait: (
       term: number,
       position: number,
@@ -83,20 +85,20 @@
           term,
           position,
           committedAtMs,
-          settle: (held) => {
+          settle: (hasMajority) => {
             waiters.delete(waiter);
             clearTimeout(timer);
-            resolve(held);
+            resolve(hasMajority);
           },
         };
         timer = setTimeout(
-          () => waiter.settle(isHeld(waiter)),
+          () => waiter.settle(isAcknowledged(waiter)),
           Math.max(0, deadlineAtMs - nowMs()),
         );
         waiters.add(waiter);
-        startLoops();
+        startPollLoops();
       }),
-    /** Ends the waits of terms that are over: nothing is acknowledged under them any more. */
+    /** Fails waits under terms before `term`: superseded terms acknowledge no more writes. */
     failBefore: (term: number): void =>
       waiters.forEach((waiter) => {
         if (waiter.term < term) waiter.settle(false);
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupHolder.ts
@@ -20,11 +20,11 @@
 import sleep from '../time/sleep';
 
 const POLL_CHECK_INTERVAL_MS = 100;
-const RETIRE_STEP_MS = 10;
-/** A use of the primary that takes longer makes this VM ask whether it is still there. */
-const SLOW_USE_MS = 100;
+const DRAIN_CHECK_INTERVAL_MS = 10;
+/** A request that waits for or uses a primary connection for longer triggers a status poll. */
+const SLOW_PRIMARY_USE_MS = 100;
 
-/** What a VM that holds a slot of a database group keeps: pools, member states, the term. */
+/** Client of one database group: connection pools, member status polls and the term record. */
 const createGroupHolder = (
   name: string,
   group: Group,
@@ -34,8 +34,8 @@
   nowMs: () => number,
   poolSettings: PoolSettings = poolSettingsSchema.parse({}),
   mayOpen: () => boolean = () => true,
-  /** Gives what the holder by the group's former document has of a member. */
-  takeOver: (member: Member) => MemberHandle | undefined = () => undefined,
+  /** Takes over a member's handle from the client of the group's previous document. */
+  takeOverHandle: (member: Member) => MemberHandle | undefined = () => undefined,
 ) => {
   const poolOptions = {
     ...poolSettings,
@@ -47,28 +47,28 @@
   const handles = new Map(
     group.members.map((member) => [
       member.name,
-      takeOver(member) ?? createMemberHandle(member, handleOptions),
+      takeOverHandle(member) ?? createMemberHandle(member, handleOptions),
     ]),
   );
-  /** Members whose connections another holder has taken over. */
-  const takenOver = new Set<string>();
+  /** Members whose handles now belong to the client of the group's next document. */
+  const handedOverMembers = new Set<string>();
   const pollers = new Map([...handles].map(([member, { poller }]) => [member, poller]));
   const record = (): TermRecord | undefined => configuration.get('term', name);
   const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
   const acknowledger = createAcknowledger(pollers, voters, nowMs);
 
   const onTermOver = (term: number, listener: () => void): (() => void) => {
-    const stop = configuration.onChange(() => {
+    const unsubscribeTerm = configuration.onChange(() => {
       if ((record()?.term ?? term) <= term) return;
-      stop();
+      unsubscribeTerm();
       listener();
     });
-    return stop;
+    return unsubscribeTerm;
   };
 
   let usedAtMs = nowMs();
-  /** A group that serves requests is polled more often. */
-  const noteUse = (): void => {
+  /** Records use of the group: a group in use is polled more often. */
+  const markUsed = (): void => {
     usedAtMs = nowMs();
   };
 
@@ -93,7 +93,7 @@
     }));
 
   const activeMembers = activeMemberNames(group);
-  const pollDue = (): void =>
+  const pollDueMembers = (): void =>
     membersToPoll({
       record: record(),
       activeMembers,
@@ -102,34 +102,34 @@
       nowMs: nowMs(),
     }).forEach((member) => pollers.get(member)?.poll());
 
-  /** Ends the work on members that are leaving; a leaving primary goes on until it is replaced. */
-  const drainLeaving = (): void =>
+  /** Closes the data pools of leaving members; a leaving primary keeps its pool until replaced. */
+  const drainLeavingMembers = (): void =>
     group.members.forEach((member) => {
       if (member.state !== 'leaving' || member.name === record()?.primary) return;
       handleOf(member.name).data.close();
     });
 
-  const stopListening = configuration.onChange(() => {
+  const unsubscribe = configuration.onChange(() => {
     acknowledger.failBefore(record()?.term ?? 0);
-    drainLeaving();
+    drainLeavingMembers();
   });
-  const timer = setInterval(pollDue, POLL_CHECK_INTERVAL_MS);
+  const pollTimer = setInterval(pollDueMembers, POLL_CHECK_INTERVAL_MS);
   poll();
 
-  drainLeaving();
+  drainLeavingMembers();
 
-  const ownHandles = (): MemberHandle[] =>
-    [...handles].flatMap(([member, handle]) => (takenOver.has(member) ? [] : [handle]));
+  const listOwnedHandles = (): MemberHandle[] =>
+    [...handles].flatMap(([member, handle]) => (handedOverMembers.has(member) ? [] : [handle]));
 
-  const stopPolling = (): void => clearInterval(timer);
+  const stopPolling = (): void => clearInterval(pollTimer);
 
-  const close = (cutAfterMs?: number): void => {
+  const close = (forceCloseAfterMs?: number): void => {
     stopPolling();
-    stopListening();
+    unsubscribe();
     acknowledger.close();
-    ownHandles().forEach(({ control, data }) => {
-      control.close(cutAfterMs);
-      data.close(cutAfterMs);
+    listOwnedHandles().forEach(({ control, data }) => {
+      control.close(forceCloseAfterMs);
+      data.close(forceCloseAfterMs);
     });
   };
 
@@ -140,31 +140,31 @@
     voters,
     statuses,
     poll,
-    /** Calls the listener once when a later term is known; returns the function that stops it. */
+    /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
     onTermOver,
-    /** What the polls of this VM tell of each member. */
+    /** Latest status of each member, as polled by this VM. */
     views,
     pollMember: async (member: string): Promise<MemberStatus | undefined> => {
       const { poller } = handleOf(member);
       await poller.poll();
       return poller.unansweredSinceMs() === undefined ? poller.latest() : undefined;
     },
-    /** Takes in a status that came with the answer to another statement. */
-    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
-    /** Whether the member's data connections have been given back by some request since then. */
-    isServingSince: (member: string, sinceMs: number): boolean =>
-      handleOf(member).data.returnedAtMs() >= sinceMs,
-    /** A connection to a member for control statements. @throws RefusalError */
+    /** Records a status that was returned along with another statement. */
+    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.update(status),
+    /** Whether a request has released a data connection of the member since a monotonic time. */
+    hasReleasedSince: (member: string, sinceMs: number): boolean =>
+      handleOf(member).data.lastReleasedAtMs() >= sinceMs,
+    /** Acquires a connection to a member for control statements. @throws RefusalError */
     acquireControl: (member: string, deadlineAtMs: number): Promise<PooledConnection> =>
       handleOf(member).control.acquire(undefined, deadlineAtMs),
-    /** @throws RefusalError when no connection can be had before the deadline. */
+    /** @throws RefusalError when no connection is available before the deadline. */
     acquire: (
       member: string,
       account: string | undefined,
       deadlineAtMs: number,
       profile = '',
     ): Promise<PooledConnection> => {
-      noteUse();
+      markUsed();
       return handleOf(member).data.acquire(
         account,
         deadlineAtMs,
@@ -172,25 +172,25 @@
       );
     },
     /**
-     * A connection to the primary of a term; it is closed when a later term is known.
-     * @throws RefusalError when none can be had before the deadline or the end of the term.
+     * Acquires a connection to the primary of a term; it is closed when a later term is known.
+     * @throws RefusalError when none is available before the deadline or the end of the term.
      */
     acquirePrimary: (
       { term, primary }: { term: number; primary: string },
       account: string | undefined,
       deadlineAtMs: number,
     ): Promise<PooledConnection> => {
-      noteUse();
+      markUsed();
       const { data, poller } = handleOf(primary);
       return acquireInTerm({
         acquire: () => data.acquire(account, deadlineAtMs),
-        onTermOver: (listener) => onTermOver(term, listener),
-        slowAfterMs: SLOW_USE_MS,
-        onTrouble: poller.poll,
+        onTermSuperseded: (listener) => onTermOver(term, listener),
+        slowAfterMs: SLOW_PRIMARY_USE_MS,
+        onSlowOrFailed: poller.poll,
       });
     },
     /**
-     * Resolves with whether a majority came to hold the position before the deadline;
+     * Resolves to whether a majority of the voters holds the position before the deadline;
      * only polls that began after `committedAtMs` count.
      */
     waitAcknowledged: (
@@ -199,31 +199,31 @@
       deadlineAtMs: number,
       committedAtMs = nowMs(),
     ): Promise<boolean> => acknowledger.wait(term, position, committedAtMs, deadlineAtMs),
-    /** Hands what this holder has of a member to the one by the group's next document. */
-    handOver: (member: Member, next: Group): MemberHandle | undefined => {
+    /** Hands over a member's handle to the client of the group's next document, if reusable there. */
+    handOverMember: (member: Member, nextGroup: Group): MemberHandle | undefined => {
       const handle = handles.get(member.name);
-      if (!handle || !isHandleSuitable(handle, member, next)) return undefined;
-      takenOver.add(member.name);
+      if (!handle || !isHandleSuitable(handle, member, nextGroup)) return undefined;
+      handedOverMembers.add(member.name);
       return handle;
     },
     /**
-     * Takes no more statements and resolves once what runs, and waits for its acknowledgement,
-     * has ended or `cutAfterMs` has passed, and all connections are closed.
+     * Refuses new statements; resolves once all connections are closed. Running statements and
+     * waits for acknowledgements may finish within `forceCloseAfterMs`.
      */
-    retire: async (cutAfterMs: number): Promise<void> => {
-      const endAtMs = nowMs() + cutAfterMs;
-      const all = ownHandles();
-      if (takenOver.size > 0) stopPolling();
-      all.forEach(({ data }) => data.close(cutAfterMs));
-      const isRunning = (): boolean =>
-        acknowledger.isWaitedFor() || all.some(({ data }) => data.openCount() > 0);
-      while (isRunning() && nowMs() < endAtMs) await sleep(RETIRE_STEP_MS);
+    retire: async (forceCloseAfterMs: number): Promise<void> => {
+      const deadlineAtMs = nowMs() + forceCloseAfterMs;
+      const ownedHandles = listOwnedHandles();
+      if (handedOverMembers.size > 0) stopPolling();
+      ownedHandles.forEach(({ data }) => data.close(forceCloseAfterMs));
+      const isDraining = (): boolean =>
+        acknowledger.isWaitedFor() || ownedHandles.some(({ data }) => data.openCount() > 0);
+      while (isDraining() && nowMs() < deadlineAtMs) await sleep(DRAIN_CHECK_INTERVAL_MS);
       close(0);
-      while (all.some(({ control, data }) => control.openCount() + data.openCount() > 0)) {
-        await sleep(RETIRE_STEP_MS);
+      while (ownedHandles.some(({ control, data }) => control.openCount() + data.openCount() > 0)) {
+        await sleep(DRAIN_CHECK_INTERVAL_MS);
       }
     },
-    /** Connections in use are closed when given back, or when `cutAfterMs` has passed. */
+    /** Closes idle connections now, and those in use on release or after `forceCloseAfterMs`. */
     close,
   };
 };
--- a/packages/auburngrade/src/groups/groupHolder.ts
+++ b/packages/auburngrade/src/groups/groupHolder.ts
@@ -1,6 +1,6 @@
 import type createGroupHolder from './createGroupHolder';
 
-/** What a VM that holds a slot of a database group keeps. */
+/** Client of one database group, kept while this VM holds a slot of it. */
 type GroupHolder = ReturnType<typeof createGroupHolder>;
 
 export default GroupHolder;
--- a/packages/auburngrade/src/groups/isHandleSuitable.ts
+++ b/packages/auburngrade/src/groups/isHandleSuitable.ts
@@ -1,7 +1,7 @@
 import { connectionShare, type Group, type Member } from '@auburngrade/coordination';
 import type MemberHandle from './memberHandle';
 
-/** Whether connections that were opened by one document suit a member by another. */
+/** Whether a handle from the group's previous document can serve the member in the new one. */
 const isHandleSuitable = (handle: MemberHandle, member: Member, group: Group): boolean =>
   handle.member.host === member.host &&
   handle.member.port === member.port &&
--- a/packages/auburngrade/src/groups/lentConnection.ts
+++ b/packages/auburngrade/src/groups/lentConnection.ts
@@ -1,8 +1,8 @@
 import type PooledConnection from './pooledConnection';
 
-/** A connection of a pool; either `release` or `discard` ends its use. */
+/** A connection checked out of a pool; call either `release` or `discard`, once. */
 interface LentConnection extends PooledConnection {
-  /** Closes the connection of a member that is gone; the account is not charged for the time. */
+  /** Closes the connection, for an unresponsive member; the account is not charged for the time. */
   discard(): void;
 }
 
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -43,7 +43,7 @@
 /** Finds out on the current primary whether a request ran, and cancels it when it did not. */
 const createOutcomeLookup = (vm: string, nowMs: () => number) => {
   const runScript = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     connection: EndpointConnection,
     member: string,
     script: string,
@@ -52,12 +52,12 @@
     const askedAtMs = nowMs();
     const results = await connection.script(script, deadlineAtMs - askedAtMs);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
-    holder.noteStatus(status);
+    groupClient.noteStatus(status);
     return { results, position: status.position, askedAtMs };
   };
 
   const find = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     { term }: TermRecord,
     primary: string,
@@ -65,14 +65,14 @@
   ): Promise<Located> => {
     const run = (statements: string[]) =>
       runScript(
-        holder,
+        groupClient,
         connection,
         primary,
         joinStatements(term, statements),
         request.deadlineAtMs,
       );
     const held = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
-      holder.waitAcknowledged(term, position, request.deadlineAtMs, askedAtMs);
+      groupClient.waitAcknowledged(term, position, request.deadlineAtMs, askedAtMs);
     try {
       const insert = insertRequestSql(request, 'cancelled');
       const inserted = await run(['BEGIN READ WRITE', insert, 'COMMIT', MEMBER_STATUS_SQL]);
@@ -92,16 +92,20 @@
   };
 
   const locate = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
   ): Promise<Located> => {
     try {
       const { account, deadlineAtMs } = request;
-      const pooled = await holder.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
+      const pooled = await groupClient.acquirePrimary(
+        { ...record, primary },
+        account,
+        deadlineAtMs,
+      );
       try {
-        return await find(holder, request, record, primary, pooled.connection);
+        return await find(groupClient, request, record, primary, pooled.connection);
       } finally {
         pooled.release();
       }
@@ -111,12 +115,12 @@
   };
 
   const lookUpOnce = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: StatementRequest,
   ): Promise<StatementOutcome | undefined> => {
-    const record = holder.record();
+    const record = groupClient.record();
     if (!record?.primary || record.state !== 'active') return undefined;
-    const { finding, position } = await locate(holder, request, record, record.primary);
+    const { finding, position } = await locate(groupClient, request, record, record.primary);
     const judgement = judgeRequest(finding, requestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
@@ -139,9 +143,12 @@
      * @throws RefusalError `notRun` when it can have no effect any more, `mayHaveRun`
      * when there was no proof before the deadline.
      */
-    resolve: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
+    resolve: async (
+      groupClient: GroupHolder,
+      request: StatementRequest,
+    ): Promise<StatementOutcome> => {
       while (nowMs() < request.deadlineAtMs) {
-        const outcome = await lookUpOnce(holder, request);
+        const outcome = await lookUpOnce(groupClient, request);
         if (outcome) return outcome;
         await sleep(RETRY_DELAY_MS);
       }
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -20,7 +20,7 @@
 import type PromotionReason from './promotionReason';
 
 interface PromoterOptions {
-  holder: GroupHolder;
+  groupClient: GroupHolder;
   /** Names this start of this VM. */
   promoter: string;
   platform: Platform;
@@ -45,14 +45,14 @@
 
 /** Watches one group's primary and members, and orders its promotions. */
 const createGroupPromoter = (options: PromoterOptions) => {
-  const { holder, promoter, configuration, timings, logger, nowMs } = options;
+  const { groupClient, promoter, configuration, timings, logger, nowMs } = options;
   const judge = createPrimaryJudge(timings);
   const repair = createFollowRepair();
-  const control = createMemberControl(holder, nowMs);
+  const control = createMemberControl(groupClient, nowMs);
   const writer = createRecordWriter(
     options.platform,
     configuration,
-    holder.name,
+    groupClient.name,
     options.platformTimeoutMs,
   );
   let current: ReturnType<typeof createPromotionRun>;
@@ -67,8 +67,8 @@
   };
 
   const isMajorityAnswering = (record: TermRecord): boolean => {
-    const voters = holder.voters();
-    const answering = holder
+    const voters = groupClient.voters();
+    const answering = groupClient
       .views()
       .filter((member) => voters.includes(member.member))
       .filter((member) => member.member !== record.primary || view !== 'gone')
@@ -89,10 +89,11 @@
   ): Promise<void> => {
     isAsking = true;
     try {
-      const views = await options.opinions.collect(holder.name, record.term);
+      const views = await options.opinions.collect(groupClient.name, record.term);
       nextTryAtMs = nowMs() + RETRY_DELAY_MS;
-      if (holder.record() === record && isReplacementAgreed(views)) start(record, reason, sinceMs);
-      else logger.info('failover.notAgreed', { group: holder.name, views });
+      if (groupClient.record() === record && isReplacementAgreed(views))
+        start(record, reason, sinceMs);
+      else logger.info('failover.notAgreed', { group: groupClient.name, views });
     } finally {
       isAsking = false;
     }
@@ -108,7 +109,7 @@
   };
 
   const sinceMsOf = (record: TermRecord): number =>
-    holder.views().find(({ member }) => member === record.primary)?.unansweredSinceMs ??
+    groupClient.views().find(({ member }) => member === record.primary)?.unansweredSinceMs ??
     wantedSinceMs ??
     nowMs();
 
@@ -124,7 +125,7 @@
   };
 
   const considerPlanned = (record: TermRecord): void => {
-    const reason = plannedReason(holder, record);
+    const reason = plannedReason(groupClient, record);
     if (!reason) {
       wantedForMs('nothing');
       return;
@@ -150,10 +151,10 @@
   };
 
   const repairFollowers = (record: TermRecord): void => {
-    const upstream = holder.group.members.find(({ name }) => name === record.primary);
+    const upstream = groupClient.group.members.find(({ name }) => name === record.primary);
     if (!upstream) return;
-    repair.due(record, holder.views()).forEach((member) => {
-      logger.info('member.followAgain', { group: holder.name, member, term: record.term });
+    repair.due(record, groupClient.views()).forEach((member) => {
+      logger.info('member.followAgain', { group: groupClient.name, member, term: record.term });
       control.follow(member, record.term, upstream).catch(() => {});
     });
   };
@@ -167,22 +168,25 @@
   /** Asks the primary now, as an idle group's last poll may be old. */
   const lookAgain = async (record: TermRecord): Promise<PrimaryView> => {
     if (!record.primary || view !== 'present') return view;
-    const status = await Promise.race([holder.pollMember(record.primary), sleep(LOOK_TIMEOUT_MS)]);
+    const status = await Promise.race([
+      groupClient.pollMember(record.primary),
+      sleep(LOOK_TIMEOUT_MS),
+    ]);
     return status ? view : 'unknown';
   };
 
   return {
-    holder,
+    groupClient,
     /** Answers another holder that sees the primary of this term gone. */
     view: async (term: number): Promise<PrimaryView> => {
-      const record = holder.record();
+      const record = groupClient.record();
       if (!record || record.term < term) return 'unknown';
       return record.term > term ? 'present' : lookAgain(record);
     },
     tick: (): void => {
-      const record = holder.record();
+      const record = groupClient.record();
       if (!record) return;
-      judge.observe(holder.views(), nowMs());
+      judge.observe(groupClient.views(), nowMs());
       if (isBusy()) {
         current.driver.dispatch(isOvertaken(record) ? { kind: 'lost' } : { kind: 'tick' });
         return;
--- a/packages/auburngrade/src/promotion/createMemberControl.ts
+++ b/packages/auburngrade/src/promotion/createMemberControl.ts
@@ -17,9 +17,9 @@
 }
 
 /** Orders fences, promotions and changes of upstream at the members of a group. */
-const createMemberControl = (holder: GroupHolder, nowMs: () => number) => {
+const createMemberControl = (groupClient: GroupHolder, nowMs: () => number) => {
   const run = async (member: string, statements: string[]): Promise<QueryResult[]> => {
-    const pooled = await holder.acquireControl(member, nowMs() + CONTROL_TIMEOUT_MS);
+    const pooled = await groupClient.acquireControl(member, nowMs() + CONTROL_TIMEOUT_MS);
     try {
       return await pooled.connection.script(statements.join(';'), CONTROL_TIMEOUT_MS);
     } catch (error) {
@@ -36,7 +36,7 @@
     const askedAtMs = nowMs();
     const results = await run(member, [statement, MEMBER_STATUS_SQL]);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
-    holder.noteStatus(status);
+    groupClient.noteStatus(status);
     return status;
   };
 
--- a/packages/auburngrade/src/promotion/createPlan.ts
+++ b/packages/auburngrade/src/promotion/createPlan.ts
@@ -5,21 +5,21 @@
 
 /** Prepares one promotion attempt. */
 const createPlan = (
-  holder: GroupHolder,
+  groupClient: GroupHolder,
   record: TermRecord,
   revision: number,
   promoter: string,
   reason: PromotionReason,
 ): PromotionPlan => {
-  const fences = holder.statuses().map(({ fencedTerm }) => fencedTerm);
-  const members = activeMemberNames(holder.group);
+  const fences = groupClient.statuses().map(({ fencedTerm }) => fencedTerm);
+  const members = activeMemberNames(groupClient.group);
   const isKept = reason === 'members' && record.primary !== undefined;
   return {
     promoter,
     term: Math.max(record.term, ...fences) + 1,
     base: record,
     baseRevision: revision,
-    voters: [...holder.voters()],
+    voters: [...groupClient.voters()],
     members,
     eligible: isKept
       ? members.toSorted((a, b) => Number(b === record.primary) - Number(a === record.primary))
--- a/packages/auburngrade/src/promotion/createPromotionDriver.ts
+++ b/packages/auburngrade/src/promotion/createPromotionDriver.ts
@@ -11,7 +11,7 @@
 import type FailoverPart from './failoverPart';
 
 interface DriverOptions {
-  holder: GroupHolder;
+  groupClient: GroupHolder;
   promotion: Promotion;
   control: ReturnType<typeof createMemberControl>;
   writer: ReturnType<typeof createRecordWriter>;
@@ -29,7 +29,7 @@
 
 /** Carries out the actions of one promotion and tells it what came of them. */
 const createPromotionDriver = (options: DriverOptions) => {
-  const { holder, promotion, control, writer, timeline, nowMs } = options;
+  const { groupClient, promotion, control, writer, timeline, nowMs } = options;
   const running = new Set<string>();
   let isClosed = false;
 
@@ -45,12 +45,12 @@
         return { kind: 'promoted', member: action.member, ...promoted };
       }
       case 'follow': {
-        const upstream = holder.group.members.find(({ name }) => name === action.upstream);
+        const upstream = groupClient.group.members.find(({ name }) => name === action.upstream);
         if (upstream) await control.follow(action.member, action.term, upstream);
         return undefined;
       }
       default: {
-        const status = await holder.pollMember(action.member);
+        const status = await groupClient.pollMember(action.member);
         return status && { kind: 'status', status };
       }
     }
@@ -59,8 +59,8 @@
   /** A refusal shows in the member's status when it is fenced at a later term. */
   const afterFailure = async (action: PromotionAction): Promise<PromotionEvent | undefined> => {
     if (!('member' in action)) return undefined;
-    const isKnown = holder.group.members.some(({ name }) => name === action.member);
-    const status = isKnown ? await holder.pollMember(action.member) : undefined;
+    const isKnown = groupClient.group.members.some(({ name }) => name === action.member);
+    const status = isKnown ? await groupClient.pollMember(action.member) : undefined;
     if (status && status.fencedTerm > promotion.term) return { kind: 'status', status };
     return { kind: 'failed', member: action.member };
   };
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -17,7 +17,7 @@
 import type PromotionReason from './promotionReason';
 
 interface RunOptions {
-  holder: GroupHolder;
+  groupClient: GroupHolder;
   /** Names this start of this VM. */
   promoter: string;
   configuration: ConfigurationState;
@@ -41,15 +41,15 @@
   reason: PromotionReason,
   sinceMs: number,
 ): PromotionRun => {
-  const { holder, promoter, configuration, control, writer, logger, nowMs } = options;
-  const revision = configuration.revisionOf('term', holder.name) ?? 0;
-  const plan = createPlan(holder, record, revision, promoter, reason);
+  const { groupClient, promoter, configuration, control, writer, logger, nowMs } = options;
+  const revision = configuration.revisionOf('term', groupClient.name) ?? 0;
+  const plan = createPlan(groupClient, record, revision, promoter, reason);
   const startedAtMs = nowMs();
-  const trace = `${holder.name}/${plan.term}/${promoter}`;
+  const trace = `${groupClient.name}/${plan.term}/${promoter}`;
   const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
   const promotion = recordPromotion(createPromotion(plan), plan, recorder, startedAtMs);
   const timeline = createTimeline(sinceMs);
-  const labels = { group: holder.name, reason };
+  const labels = { group: groupClient.name, reason };
 
   const onOver = (phase: string): void => {
     options.metrics.promotions.inc({ ...labels, result: phase });
@@ -62,13 +62,13 @@
     }
     logger.info('failover.completed', fields);
     Object.entries(partsMs).forEach(([part, valueMs]) =>
-      options.metrics.partMs.observe({ group: holder.name, part }, valueMs),
+      options.metrics.partMs.observe({ group: groupClient.name, part }, valueMs),
     );
   };
 
   logger.info('failover.started', { ...labels, term: plan.term, previous: record.primary });
   const driver = createPromotionDriver({
-    holder,
+    groupClient,
     promotion,
     control,
     writer,
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -78,27 +78,27 @@
     rankTimer ??= setTimeout(updateRanks, HOLDERS_CHANGE_DELAY_MS);
   };
 
-  const create = (holder: GroupHolder): GroupPromoter =>
+  const create = (groupClient: GroupHolder): GroupPromoter =>
     createGroupPromoter({
-      holder,
+      groupClient,
       promoter: `${vm}/${options.incarnation}`,
       platform: options.platform,
       configuration,
       platformTimeoutMs: options.platformTimeoutMs,
       timings: options.timings,
       opinions,
-      rank: () => ranks.get(holder.name) ?? 0,
+      rank: () => ranks.get(groupClient.name) ?? 0,
       metrics: options.metrics,
       logger,
       nowMs,
     });
 
   const promoterOf = (group: string): GroupPromoter => {
-    const holder = groups.get(group);
+    const groupClient = groups.get(group);
     const existing = promoters.get(group);
-    if (existing?.holder === holder) return existing;
+    if (existing?.groupClient === groupClient) return existing;
     existing?.close();
-    const created = create(holder);
+    const created = create(groupClient);
     promoters.set(group, created);
     return created;
   };
--- a/packages/auburngrade/src/promotion/plannedReason.ts
+++ b/packages/auburngrade/src/promotion/plannedReason.ts
@@ -12,12 +12,15 @@
   view.status.position >= primary.status.position - MAX_CATCH_UP_ENTRIES;
 
 /** Why the operators' document asks for a change of primary or of voters, if it does. */
-const plannedReason = (holder: GroupHolder, record: TermRecord): PromotionReason | undefined => {
-  const active = activeMemberNames(holder.group);
-  const views = holder.views();
+const plannedReason = (
+  groupClient: GroupHolder,
+  record: TermRecord,
+): PromotionReason | undefined => {
+  const active = activeMemberNames(groupClient.group);
+  const views = groupClient.views();
   const primary = views.find(({ member }) => member === record.primary);
   if (record.primary !== undefined && !active.includes(record.primary)) return 'leaving';
-  const voters = holder.voters();
+  const voters = groupClient.voters();
   const added = active.filter((name) => !voters.includes(name));
   const isChanged = added.length > 0 || voters.some((name) => !active.includes(name));
   const isReady = added.every((name) =>
--- a/packages/auburngrade/src/routing/createFreshnessTracker.ts
+++ b/packages/auburngrade/src/routing/createFreshnessTracker.ts
@@ -7,14 +7,14 @@
 const createFreshnessTracker = (held: () => GroupHolder[]) => {
   const byGroup = new Map<string, readonly Watermark[]>();
 
-  const observe = (holder: GroupHolder): readonly Watermark[] => {
-    const known = byGroup.get(holder.name) ?? [];
-    const record = holder.record();
-    const names = holder.group.members.map(({ name }) => name);
-    const next = record && confirmWatermark(holder.statuses(), names, record);
+  const observe = (groupClient: GroupHolder): readonly Watermark[] => {
+    const known = byGroup.get(groupClient.name) ?? [];
+    const record = groupClient.record();
+    const names = groupClient.group.members.map(({ name }) => name);
+    const next = record && confirmWatermark(groupClient.statuses(), names, record);
     if (!next) return known;
     const watermarks = addWatermark(known, next);
-    byGroup.set(holder.name, watermarks);
+    byGroup.set(groupClient.name, watermarks);
     return watermarks;
   };
 
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -46,17 +46,18 @@
   const { configuration, tracker, nowMs } = options;
 
   const stateOf = (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: TransactionRequest,
     { freshness, endpoints }: ReadPolicy,
   ): ReadState => {
-    const record = holder.record();
-    if (!record) throw notRun('noPrimary', `group ${holder.name} has no term yet`, RETRY_AFTER_MS);
+    const record = groupClient.record();
+    if (!record)
+      throw notRun('noPrimary', `group ${groupClient.name} has no term yet`, RETRY_AFTER_MS);
     return {
       record,
-      members: holder.group.members,
-      statuses: holder.statuses(),
-      watermarks: tracker.observe(holder),
+      members: groupClient.group.members,
+      statuses: groupClient.statuses(),
+      watermarks: tracker.observe(groupClient),
       tokenEntry: request.sessionToken[request.group],
       freshness,
       maxLagPositions: endpoints.joinMaxLagPositions,
@@ -68,7 +69,7 @@
   };
 
   const awaitTarget = async (
-    holder: GroupHolder,
+    groupClient: GroupHolder,
     request: TransactionRequest,
     policy: ReadPolicy,
   ): Promise<{ target: ReadTarget; state: ReadState }> => {
@@ -78,13 +79,13 @@
       return Math.min(startedAtMs + waitMs, request.deadlineAtMs);
     };
     for (;;) {
-      const state = stateOf(holder, request, policy);
+      const state = stateOf(groupClient, request, policy);
       const target = chooseEndpoint(state);
       const isSettled = target.kind === 'serve' || policy.freshness.kind === 'primary';
       if (isSettled || nowMs() >= limitOf(target)) return { target, state };
       // One member that does not answer must not delay what the others can show.
       if (target.kind === 'recordBehind') await sleep(RECORD_POLL_STEP_MS);
-      else await Promise.race([holder.poll(), sleep(POLL_STEP_MS)]);
+      else await Promise.race([groupClient.poll(), sleep(POLL_STEP_MS)]);
     }
   };
 
@@ -111,17 +112,17 @@
   };
 
   /** Keeps watermarks closely spaced while reads of a stated age come in. */
-  const refreshAhead = (holder: GroupHolder, state: ReadState): void => {
+  const refreshAhead = (groupClient: GroupHolder, state: ReadState): void => {
     if (state.freshness.kind !== 'maxAge') return;
     const lastAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
     const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_AGE;
-    if (lastAgeMs > Math.max(MIN_SPACING_MS, spacingMs)) holder.poll();
+    if (lastAgeMs > Math.max(MIN_SPACING_MS, spacingMs)) groupClient.poll();
   };
 
   return {
     /** @throws RefusalError `noFreshEndpoint` or `noPrimary`. */
     plan: async (
-      holder: GroupHolder,
+      groupClient: GroupHolder,
       request: TransactionRequest,
       isPrimaryOnly: boolean,
     ): Promise<ReadPlan> => {
@@ -129,8 +130,8 @@
       const policy: ReadPolicy = isPrimaryOnly
         ? { ...profile, freshness: { kind: 'primary' } }
         : profile;
-      const { target, state } = await awaitTarget(holder, request, policy);
-      refreshAhead(holder, state);
+      const { target, state } = await awaitTarget(groupClient, request, policy);
+      refreshAhead(groupClient, state);
       if (target.kind === 'recordBehind') {
         throw notRun('noFreshEndpoint', 'the session is ahead of the known term', RETRY_AFTER_MS);
       }
