--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -16,7 +16,7 @@
 import type ReadPlan from '../routing/readPlan';
 import sleep from '../time/sleep';
 import createReadHedge from './createReadHedge';
-import type ReadAttempt from './readAttempt';
+import type ReadProgress from './readProgress';
 
 interface ReadExecutorOptions {
   vm: string;
@@ -53,7 +53,7 @@
     groupClient: GroupHolder,
     request: StatementRequest,
     { member, term }: ReadPlan,
-    progress: ReadAttempt,
+    progress: ReadProgress,
   ): Promise<QueryResult> => {
     Object.assign(progress, { member, isSent: false });
     const { account, deadlineAtMs, profile } = request;
@@ -72,7 +72,7 @@
     groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
-    progress: ReadAttempt,
+    progress: ReadProgress,
   ): Promise<QueryResult> => {
     try {
       return await run(groupClient, request, plan, progress);
@@ -104,7 +104,7 @@
     groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
-    progress: ReadAttempt,
+    progress: ReadProgress,
   ): Promise<QueryResult | undefined> => {
     const sentAtMs = nowMs();
     const rows = await runOrAvoid(groupClient, request, plan, progress);
@@ -119,7 +119,7 @@
   const executeOnce = async (
     groupClient: GroupHolder,
     request: StatementRequest,
-    progress: ReadAttempt,
+    progress: ReadProgress,
   ): Promise<StatementOutcome> => {
     let plan = await planner.plan(groupClient, request, false);
     let rows = await attempt(groupClient, request, plan, progress);
@@ -139,7 +139,7 @@
       groupClient: GroupHolder,
       request: StatementRequest,
     ): Promise<StatementOutcome> => {
-      const first: ReadAttempt = { member: undefined, isSent: false };
+      const first: ReadProgress = { member: undefined, isSent: false };
       const answer = executeOnce(groupClient, request, first);
       if (!(await hedge.isStuck(groupClient, request, first, answer))) return answer;
       // Its connection may have gone silent for good; whichever answer comes first is taken.
--- a/packages/auburngrade/src/execution/createReadHedge.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.ts
@@ -1,7 +1,7 @@
 import type { StatementRequest } from '@auburngrade/coordination';
 import type GroupHolder from '../groups/groupHolder';
 import sleep from '../time/sleep';
-import type ReadAttempt from './readAttempt';
+import type ReadProgress from './readProgress';
 
 type HedgeGroupClient = Pick<GroupHolder, 'hasReleasedSince' | 'pollMember'>;
 
@@ -17,14 +17,14 @@
   /** Whether a read only waits for its turn: a second one would lengthen the queues. */
   const isQueued = (
     groupClient: HedgeGroupClient,
-    { member, isSent }: ReadAttempt,
+    { member, isSent }: ReadProgress,
     sinceMs: number,
   ): boolean => member !== undefined && !isSent && groupClient.hasReleasedSince(member, sinceMs);
 
   /** Resolves with false once a slow read's member does not answer a poll either. */
   const watchMember = (
     groupClient: HedgeGroupClient,
-    progress: ReadAttempt,
+    progress: ReadProgress,
     ended: Promise<boolean>,
   ): Promise<boolean> =>
     new Promise((resolve) => {
@@ -42,7 +42,7 @@
     isStuck: async (
       groupClient: HedgeGroupClient,
       { deadlineAtMs }: Pick<StatementRequest, 'deadlineAtMs'>,
-      progress: ReadAttempt,
+      progress: ReadProgress,
       answer: Promise<unknown>,
     ): Promise<boolean> => {
       const ended = answer.then(
--- a/packages/auburngrade/src/execution/readAttempt.ts
+++ b/packages/auburngrade/src/execution/readProgress.ts
@@ -1,7 +1,7 @@
 /** How far a read has come. */
-interface ReadAttempt {
+interface ReadProgress {
   member: string | undefined;
   isSent: boolean;
 }
 
-export default ReadAttempt;
+export default ReadProgress;
--- a/packages/auburngrade/src/groups/acquireInTerm.spec.ts
+++ b/packages/auburngrade/src/groups/acquireWithinTerm.spec.ts
@@ -1,7 +1,7 @@
 import { toRefusal } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import acquireInTerm from './acquireInTerm';
-import type LentConnection from './lentConnection';
+import acquireWithinTerm from './acquireWithinTerm';
+import type CheckedOutConnection from './checkedOutConnection';
 
 const SLOW_AFTER_MS = 20;
 const PAST_SLOW_MS = 60;
@@ -12,65 +12,65 @@
   });
 
 const start = () => {
-  const observed = { closed: 0, released: 0, slowOrFailed: 0, isSubscribed: true };
+  const seen = { closed: 0, released: 0, slowOrFailed: 0, isSubscribed: true };
   let supersedeTerm = (): void => {};
-  let provide = (): void => {};
+  let give = (): void => {};
   let fail = (_error: Error): void => {};
   const count = (what: 'closed' | 'released' | 'slowOrFailed') => (): void => {
-    observed[what] += 1;
+    seen[what] += 1;
   };
   const pooled = { connection: {}, discard: count('closed'), release: count('released') };
-  const acquired = acquireInTerm({
+  const acquired = acquireWithinTerm({
     acquire: () =>
       new Promise((resolve, reject) => {
-        provide = () => resolve(pooled as unknown as LentConnection);
+        give = () => resolve(pooled as unknown as CheckedOutConnection);
         fail = reject;
       }),
     onTermSuperseded: (listener) => {
       supersedeTerm = listener;
       return () => {
-        observed.isSubscribed = false;
+        seen.isSubscribed = false;
       };
     },
     slowAfterMs: SLOW_AFTER_MS,
     onSlowOrFailed: count('slowOrFailed'),
   });
   return {
-    observed,
+    seen,
     acquired,
     supersedeTerm: () => supersedeTerm(),
-    provide: () => provide(),
+    give: () => give(),
     fail: (e: Error) => fail(e),
   };
 };
 
 describe('acquireWithinTerm', () => {
   it('rejects when the term is superseded, and releases a connection that arrives later', async () => {
-    const { observed, acquired, supersedeTerm, provide } = start();
+    const { seen, acquired, supersedeTerm, give } = start();
     supersedeTerm();
     expect(toRefusal(await acquired.catch((error: unknown) => error))).to.include({
       verdict: 'notRun',
       code: 'noPrimary',
     });
-    provide();
+    give();
     await pause(0);
-    expect(observed.released).to.equal(1);
+    expect(seen.released).to.equal(1);
   });
 
   it('discards a connection in use when the term is superseded', async () => {
-    const { observed, acquired, supersedeTerm, provide } = start();
-    provide();
+    const { seen, acquired, supersedeTerm, give } = start();
+    give();
     await acquired;
     supersedeTerm();
-    expect(observed.closed).to.equal(1);
+    expect(seen.closed).to.equal(1);
   });
 
   it('does not report a connection that is released in time', async () => {
-    const { observed, acquired, provide } = start();
-    provide();
+    const { seen, acquired, give } = start();
+    give();
     (await acquired).release();
     await pause(PAST_SLOW_MS);
-    expect(observed).to.deep.equal({
+    expect(seen).to.deep.equal({
       closed: 0,
       released: 1,
       slowOrFailed: 0,
@@ -80,12 +80,12 @@
 
   it('reports slow use, and a failure to acquire a connection', async () => {
     const slow = start();
-    slow.provide();
+    slow.give();
     await pause(PAST_SLOW_MS);
-    expect(slow.observed.slowOrFailed).to.equal(1);
+    expect(slow.seen.slowOrFailed).to.equal(1);
     const refused = start();
     refused.fail(new Error('refused'));
     await refused.acquired.catch(() => {});
-    expect(refused.observed).to.include({ slowOrFailed: 1, isSubscribed: false });
+    expect(refused.seen).to.include({ slowOrFailed: 1, isSubscribed: false });
   });
 });
--- a/packages/auburngrade/src/groups/acquireInTerm.ts
+++ b/packages/auburngrade/src/groups/acquireWithinTerm.ts
@@ -1,9 +1,9 @@
 import { notRun } from '@auburngrade/coordination';
-import type LentConnection from './lentConnection';
+import type CheckedOutConnection from './checkedOutConnection';
 import type PooledConnection from './pooledConnection';
 
 interface AcquireOptions {
-  acquire(): Promise<LentConnection>;
+  acquire(): Promise<CheckedOutConnection>;
   /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
   onTermSuperseded(listener: () => void): () => void;
   /** Called when `acquire` fails, or when waiting for and using the connection exceeds `slowAfterMs`. */
@@ -19,42 +19,42 @@
  * the account is not charged for the time of an interrupted statement.
  * @throws RefusalError `noPrimary` when the term ends first, else what `acquire` throws.
  */
-const acquireInTerm = (options: AcquireOptions): Promise<PooledConnection> =>
+const acquireWithinTerm = (options: AcquireOptions): Promise<PooledConnection> =>
   new Promise((resolve, reject) => {
-    let connectionInUse: LentConnection | undefined;
+    let pooled: CheckedOutConnection | undefined;
     let isSuperseded = false;
     const slowTimer = setTimeout(options.onSlowOrFailed, options.slowAfterMs);
     const unsubscribe = options.onTermSuperseded(() => {
       isSuperseded = true;
       clearTimeout(slowTimer);
-      connectionInUse?.discard();
+      pooled?.discard();
       reject(notRun('noPrimary', 'the primary of this term has been replaced', RETRY_AFTER_MS));
     });
-    const stopObserving = (): void => {
+    const stop = (): void => {
       clearTimeout(slowTimer);
       unsubscribe();
     };
 
-    const handOut = (acquired: LentConnection): void => {
+    const handOut = (acquired: CheckedOutConnection): void => {
       if (isSuperseded) {
         acquired.release();
         return;
       }
-      connectionInUse = acquired;
+      pooled = acquired;
       resolve({
         connection: acquired.connection,
         release: () => {
-          stopObserving();
+          stop();
           acquired.release();
         },
       });
     };
 
     options.acquire().then(handOut, (error: unknown) => {
-      stopObserving();
+      stop();
       options.onSlowOrFailed();
       reject(error);
     });
   });
 
-export default acquireInTerm;
+export default acquireWithinTerm;
--- a/packages/auburngrade/src/groups/lentConnection.ts
+++ b/packages/auburngrade/src/groups/checkedOutConnection.ts
@@ -1,9 +1,9 @@
 import type PooledConnection from './pooledConnection';
 
-/** A connection checked out of a pool; call either `release` or `discard`, once. */
-interface LentConnection extends PooledConnection {
+/** A connection of a pool; either `release` or `discard` ends its use. */
+interface CheckedOutConnection extends PooledConnection {
   /** Closes the connection, for an unresponsive member; the account is not charged for the time. */
   discard(): void;
 }
 
-export default LentConnection;
+export default CheckedOutConnection;
--- a/packages/auburngrade/src/groups/createAcknowledger.spec.ts
+++ b/packages/auburngrade/src/groups/createAcknowledgementWaiter.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { MemberStatus } from '@auburngrade/coordination';
-import createAcknowledger from './createAcknowledger';
+import createAcknowledgementWaiter from './createAcknowledgementWaiter';
 import type StatusPoller from './statusPoller';
 
 const MEMBERS = ['m1', 'm2', 'm3'];
@@ -26,7 +26,7 @@
         {
           latest: () => latest.get(member),
           unansweredSinceMs: () => undefined,
-          update: () => {},
+          note: () => {},
           // The waiter's own first poll finds the position not yet replicated.
           poll: async () => {
             latest.set(member, { ...statusOf(member), position: 0 });
@@ -35,7 +35,7 @@
       ]),
     );
     const startedAtMs = nowMs();
-    const acknowledger = createAcknowledger(pollers, () => MEMBERS, nowMs);
+    const acknowledger = createAcknowledgementWaiter(pollers, () => MEMBERS, nowMs);
     const acknowledged = acknowledger.wait(1, 5, startedAtMs, startedAtMs + DEADLINE_MS);
     await new Promise((resolve) => {
       setTimeout(resolve, 0);
--- a/packages/auburngrade/src/groups/createAcknowledger.ts
+++ b/packages/auburngrade/src/groups/createAcknowledgementWaiter.ts
@@ -18,7 +18,7 @@
  * is polled in its own loop, so an unresponsive member delays no other; one status serves
  * every waiting write.
  */
-const createAcknowledger = (
+const createAcknowledgementWaiter = (
   pollers: ReadonlyMap<string, StatusPoller>,
   voters: () => readonly string[],
   nowMs: () => number,
@@ -99,13 +99,13 @@
         startPollLoops();
       }),
     /** Fails waits under terms before `term`: superseded terms acknowledge no more writes. */
-    failBefore: (term: number): void =>
+    failBeforeTerm: (term: number): void =>
       waiters.forEach((waiter) => {
         if (waiter.term < term) waiter.settle(false);
       }),
-    isWaitedFor: () => waiters.size > 0,
+    hasWaiters: () => waiters.size > 0,
     close: (): void => waiters.forEach((waiter) => waiter.settle(false)),
   };
 };
 
-export default createAcknowledger;
+export default createAcknowledgementWaiter;
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -1,6 +1,6 @@
 import { createFairQueue, notRun } from '@auburngrade/coordination';
 import { EndpointError, type Endpoint, type EndpointConnection } from '@auburngrade/endpoint';
-import type LentConnection from './lentConnection';
+import type CheckedOutConnection from './checkedOutConnection';
 import type PoolOptions from './poolOptions';
 
 interface PendingAcquire {
@@ -16,7 +16,7 @@
   chargedMs: number;
 }
 
-/** Time reserved for a statement, as a multiple of the average of its account. */
+/** A queued statement is given at least this multiple of its account's average time to run. */
 const SERVICE_TIME_FACTOR = 3;
 /** Upper bound of the reserved share of a deadline, for accounts whose average is near it. */
 const MAX_SERVICE_RATIO = 0.5;
@@ -109,7 +109,7 @@
     else closeConnection(connection);
   };
 
-  /** Opens a connection for the request that is next by then; not bound to a queued deadline. */
+  /** Opens a connection for the request next in turn by then; queued deadlines do not bound it. */
   const openConnection = async (): Promise<void> => {
     openCount += 1;
     openingCount += 1;
@@ -156,13 +156,13 @@
     queueKey: string,
     chargedMs: number,
     drainTimeoutMs: number,
-  ): LentConnection => {
+  ): CheckedOutConnection => {
     const startedAtMs = nowMs();
-    let isOver = false;
+    let isSettled = false;
     drainTimeoutMsByConnection.set(connection, drainTimeoutMs);
     const finish = (settleCharge: () => void): void => {
-      if (isOver) return;
-      isOver = true;
+      if (isSettled) return;
+      isSettled = true;
       drainTimeoutMsByConnection.delete(connection);
       settleCharge();
       release(connection);
@@ -185,25 +185,25 @@
     weight: number,
     deadlineAtMs: number,
     drainTimeoutMs: number,
-  ): Promise<LentConnection> =>
+  ): Promise<CheckedOutConnection> =>
     new Promise((resolve, reject) => {
       const enqueuedAtMs = nowMs();
       const timeoutMs = Math.max(0, deadlineAtMs - enqueuedAtMs);
       let timer: NodeJS.Timeout | undefined;
-      let isOver = false;
+      let isSettled = false;
       const pending: PendingAcquire = {
         enqueuedAtMs,
         timeoutMs,
         assign: (connection, chargedMs) => {
           clearTimeout(timer);
           const checkedOut = checkOut(connection, queueKey, chargedMs, drainTimeoutMs);
-          if (isOver) checkedOut.release();
+          if (isSettled) checkedOut.release();
           else resolve(checkedOut);
-          isOver = true;
+          isSettled = true;
         },
         refuse: (error) => {
           clearTimeout(timer);
-          isOver = true;
+          isSettled = true;
           reject(error);
         },
       };
@@ -243,7 +243,7 @@
       account: string | undefined,
       deadlineAtMs: number,
       drainTimeoutMs = DEFAULT_DRAIN_TIMEOUT_MS,
-    ): Promise<LentConnection> => {
+    ): Promise<CheckedOutConnection> => {
       const weight = account === undefined ? 1 : options.weightOf(account);
       return enqueue(queueKeyOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
--- a/packages/auburngrade/src/groups/createGroupHolder.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -8,11 +8,11 @@
   type TermRecord,
 } from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
-import acquireInTerm from './acquireInTerm';
+import acquireWithinTerm from './acquireWithinTerm';
 import activeMemberNames from './activeMemberNames';
-import createAcknowledger from './createAcknowledger';
+import createAcknowledgementWaiter from './createAcknowledgementWaiter';
 import createMemberHandle from './createMemberHandle';
-import isHandleSuitable from './isHandleSuitable';
+import isHandleReusable from './isHandleReusable';
 import type MemberHandle from './memberHandle';
 import type PoolSettings from './poolSettings';
 import poolSettingsSchema from './poolSettingsSchema';
@@ -25,7 +25,7 @@
 const SLOW_PRIMARY_USE_MS = 100;
 
 /** Client of one database group: connection pools, member status polls and the term record. */
-const createGroupHolder = (
+const createGroupClient = (
   name: string,
   group: Group,
   configuration: ConfigurationState,
@@ -55,7 +55,7 @@
   const pollers = new Map([...handles].map(([member, { poller }]) => [member, poller]));
   const record = (): TermRecord | undefined => configuration.get('term', name);
   const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
-  const acknowledger = createAcknowledger(pollers, voters, nowMs);
+  const acknowledger = createAcknowledgementWaiter(pollers, voters, nowMs);
 
   const onTermOver = (term: number, listener: () => void): (() => void) => {
     const unsubscribeTerm = configuration.onChange(() => {
@@ -110,7 +110,7 @@
     });
 
   const unsubscribe = configuration.onChange(() => {
-    acknowledger.failBefore(record()?.term ?? 0);
+    acknowledger.failBeforeTerm(record()?.term ?? 0);
     drainLeavingMembers();
   });
   const pollTimer = setInterval(pollDueMembers, POLL_CHECK_INTERVAL_MS);
@@ -150,7 +150,7 @@
       return poller.unansweredSinceMs() === undefined ? poller.latest() : undefined;
     },
     /** Records a status that was returned along with another statement. */
-    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.update(status),
+    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
     /** Whether a request has released a data connection of the member since a monotonic time. */
     hasReleasedSince: (member: string, sinceMs: number): boolean =>
       handleOf(member).data.lastReleasedAtMs() >= sinceMs,
@@ -182,7 +182,7 @@
     ): Promise<PooledConnection> => {
       markUsed();
       const { data, poller } = handleOf(primary);
-      return acquireInTerm({
+      return acquireWithinTerm({
         acquire: () => data.acquire(account, deadlineAtMs),
         onTermSuperseded: (listener) => onTermOver(term, listener),
         slowAfterMs: SLOW_PRIMARY_USE_MS,
@@ -202,7 +202,7 @@
     /** Hands over a member's handle to the client of the group's next document, if reusable there. */
     handOverMember: (member: Member, nextGroup: Group): MemberHandle | undefined => {
       const handle = handles.get(member.name);
-      if (!handle || !isHandleSuitable(handle, member, nextGroup)) return undefined;
+      if (!handle || !isHandleReusable(handle, member, nextGroup)) return undefined;
       handedOverMembers.add(member.name);
       return handle;
     },
@@ -210,13 +210,13 @@
      * Refuses new statements; resolves once all connections are closed. Running statements and
      * waits for acknowledgements may finish within `forceCloseAfterMs`.
      */
-    retire: async (forceCloseAfterMs: number): Promise<void> => {
+    drain: async (forceCloseAfterMs: number): Promise<void> => {
       const deadlineAtMs = nowMs() + forceCloseAfterMs;
       const ownedHandles = listOwnedHandles();
       if (handedOverMembers.size > 0) stopPolling();
       ownedHandles.forEach(({ data }) => data.close(forceCloseAfterMs));
       const isDraining = (): boolean =>
-        acknowledger.isWaitedFor() || ownedHandles.some(({ data }) => data.openCount() > 0);
+        acknowledger.hasWaiters() || ownedHandles.some(({ data }) => data.openCount() > 0);
       while (isDraining() && nowMs() < deadlineAtMs) await sleep(DRAIN_CHECK_INTERVAL_MS);
       close(0);
       while (ownedHandles.some(({ control, data }) => control.openCount() + data.openCount() > 0)) {
@@ -228,4 +228,4 @@
   };
 };
 
-export default createGroupHolder;
+export default createGroupClient;
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -1,6 +1,6 @@
 import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
-import createGroupHolder from './createGroupHolder';
+import createGroupClient from './createGroupClient';
 import type GroupHolder from './groupHolder';
 import type PoolSettings from './poolSettings';
 
@@ -35,7 +35,7 @@
   ): Promise<void> => {
     const draining = drainingClients.get(name) ?? new Set();
     drainingClients.set(name, draining.add(groupClient));
-    await groupClient.retire(forceCloseAfterMs);
+    await groupClient.drain(forceCloseAfterMs);
     draining.delete(groupClient);
     if (draining.size === 0) drainingClients.delete(name);
   };
@@ -56,7 +56,7 @@
     if (!mayHold(name)) throw notRun('noConnection', `this VM holds no slot of group ${name}`);
     const existing = clients.get(name);
     if (existing && existing.group === group) return existing;
-    const created = createGroupHolder(
+    const created = createGroupClient(
       name,
       group,
       configuration,
--- a/packages/auburngrade/src/groups/createStatusPoller.ts
+++ b/packages/auburngrade/src/groups/createStatusPoller.ts
@@ -17,7 +17,7 @@
   let failureCount = 0;
   let nextAttemptAtMs = 0;
 
-  const update = (status: MemberStatus): void => {
+  const note = (status: MemberStatus): void => {
     if (latest && latest.askedAtMs > status.askedAtMs) return;
     latest = status;
     unansweredSinceMs = undefined;
@@ -35,7 +35,7 @@
     unansweredSinceMs ??= nowMs();
     const { connection, release } = await pool.acquire(undefined, nowMs() + POLL_TIMEOUT_MS);
     try {
-      update(await readMemberStatus(connection, member, POLL_TIMEOUT_MS, nowMs));
+      note(await readMemberStatus(connection, member, POLL_TIMEOUT_MS, nowMs));
     } finally {
       release();
     }
@@ -55,7 +55,7 @@
     /** Start of the first poll since the last answer, as monotonic time; undefined when answered. */
     unansweredSinceMs: () => unansweredSinceMs,
     /** Records a status that was returned along with another statement, unless it is older. */
-    update,
+    note,
     /** Resolves after a poll that began after this call, even if it failed or was still backing off. */
     poll: (): Promise<void> => {
       if (!runningPoll) return startPoll();
--- a/packages/auburngrade/src/groups/groupHolder.ts
+++ b/packages/auburngrade/src/groups/groupHolder.ts
@@ -1,6 +1,6 @@
-import type createGroupHolder from './createGroupHolder';
+import type createGroupClient from './createGroupClient';
 
 /** Client of one database group, kept while this VM holds a slot of it. */
-type GroupHolder = ReturnType<typeof createGroupHolder>;
+type GroupHolder = ReturnType<typeof createGroupClient>;
 
 export default GroupHolder;
--- a/packages/auburngrade/src/groups/isHandleSuitable.ts
+++ b/packages/auburngrade/src/groups/isHandleReusable.ts
@@ -2,7 +2,7 @@
 import type MemberHandle from './memberHandle';
 
 /** Whether a handle from the group's previous document can serve the member in the new one. */
-const isHandleSuitable = (handle: MemberHandle, member: Member, group: Group): boolean =>
+const isHandleReusable = (handle: MemberHandle, member: Member, group: Group): boolean =>
   handle.member.host === member.host &&
   handle.member.port === member.port &&
   handle.group.database === group.database &&
@@ -10,4 +10,4 @@
   connectionShare(handle.group) === connectionShare(group) &&
   !(handle.data.isClosed() && member.state === 'active');
 
-export default isHandleSuitable;
+export default isHandleReusable;
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -21,7 +21,7 @@
 import insertRequestSql from './insertRequestSql';
 import joinStatements from './joinStatements';
 import quoteLiteral from './quoteLiteral';
-import requestFingerprint from './requestFingerprint';
+import computeRequestFingerprint from './computeRequestFingerprint';
 import requestRecordId from './requestRecordId';
 import rollBack from '../execution/rollBack';
 
@@ -121,7 +121,7 @@
     const record = groupClient.record();
     if (!record?.primary || record.state !== 'active') return undefined;
     const { finding, position } = await locate(groupClient, request, record, record.primary);
-    const judgement = judgeRequest(finding, requestFingerprint(request));
+    const judgement = judgeRequest(finding, computeRequestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
       throw notRun('transactionAborted', 'the request had no effect; its id is used up');
--- a/packages/auburngrade/src/promotion/createTimeline.ts
+++ b/packages/auburngrade/src/promotion/createFailoverTimer.ts
@@ -1,12 +1,12 @@
 import type FailoverPart from './failoverPart';
 
 /** Measures the consecutive parts of one change of primary, in milliseconds. */
-const createTimeline = (startedAtMs: number) => {
+const createFailoverTimer = (startedAtMs: number) => {
   const partsMs: Partial<Record<FailoverPart, number>> = {};
   let markedAtMs = startedAtMs;
 
   return {
-    /** Ends a part; the next one starts now. A part that was ended before stays as it is. */
+    /** Ends a part and starts the next; a part that ended before keeps its duration. */
     end: (part: FailoverPart, nowMs: number): void => {
       if (partsMs[part] !== undefined) return;
       partsMs[part] = Math.round(nowMs - markedAtMs);
@@ -19,4 +19,4 @@
   };
 };
 
-export default createTimeline;
+export default createFailoverTimer;
--- a/packages/auburngrade/src/promotion/createPlan.ts
+++ b/packages/auburngrade/src/promotion/createPromotionPlan.ts
@@ -3,30 +3,30 @@
 import type GroupHolder from '../groups/groupHolder';
 import type PromotionReason from './promotionReason';
 
-/** Prepares one promotion attempt. */
-const createPlan = (
+/** Plans one promotion attempt under a term above the record's and every fence seen so far. */
+const createPromotionPlan = (
   groupClient: GroupHolder,
   record: TermRecord,
   revision: number,
   promoter: string,
   reason: PromotionReason,
 ): PromotionPlan => {
-  const fences = groupClient.statuses().map(({ fencedTerm }) => fencedTerm);
+  const fencedTerms = groupClient.statuses().map(({ fencedTerm }) => fencedTerm);
   const members = activeMemberNames(groupClient.group);
-  const isKept = reason === 'members' && record.primary !== undefined;
+  const isPrimaryKept = reason === 'members' && record.primary !== undefined;
   return {
     promoter,
-    term: Math.max(record.term, ...fences) + 1,
+    term: Math.max(record.term, ...fencedTerms) + 1,
     base: record,
     baseRevision: revision,
     voters: [...groupClient.voters()],
     members,
-    eligible: isKept
+    eligible: isPrimaryKept
       ? members.toSorted((a, b) => Number(b === record.primary) - Number(a === record.primary))
       : members,
-    avoided: isKept ? undefined : record.primary,
+    avoided: isPrimaryKept ? undefined : record.primary,
     isPlanned: reason === 'leaving',
   };
 };
 
-export default createPlan;
+export default createPromotionPlan;
--- a/packages/auburngrade/src/promotion/createRecordWriter.ts
+++ b/packages/auburngrade/src/promotion/createTermRecordWriter.ts
@@ -7,7 +7,7 @@
 import type { Platform } from '@auburngrade/platform';
 import sleep from '../time/sleep';
 
-type Written = { kind: 'written'; revision: number } | { kind: 'lost' };
+type WriteOutcome = { kind: 'written'; revision: number } | { kind: 'lost' };
 
 const FIRST_RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 500;
@@ -15,8 +15,8 @@
 const isSameRecord = (found: Partial<TermRecord>, record: TermRecord): boolean =>
   found.term === record.term && found.promoter === record.promoter && found.state === record.state;
 
-/** Writes a group's term record; a lost answer is resolved by reading the record again. */
-const createRecordWriter = (
+/** Writes a group's term record by compare-and-swap; re-reads it when the reply is lost. */
+const createTermRecordWriter = (
   platform: Platform,
   configuration: ConfigurationState,
   group: string,
@@ -24,62 +24,65 @@
 ) => {
   const key = documentKinds.term.prefix + group;
 
-  const take = (entry: ConfigurationEntry): void => configuration.applyChanges(0, [entry]);
+  const applyEntry = (entry: ConfigurationEntry): void => configuration.applyChanges(0, [entry]);
 
-  const isSame = (entry: ConfigurationEntry | undefined, record: TermRecord): boolean => {
+  const holdsRecord = (entry: ConfigurationEntry | undefined, record: TermRecord): boolean => {
     if (entry?.valueJson === undefined) return false;
     return isSameRecord(JSON.parse(entry.valueJson) as Partial<TermRecord>, record);
   };
 
-  /** Whether the platform's watch has shown the record already. */
-  const isSeen = (record: TermRecord): boolean => {
+  /** Whether the configuration watch has already delivered the record. */
+  const isAlreadyObserved = (record: TermRecord): boolean => {
     const known = configuration.get('term', group);
     return known !== undefined && isSameRecord(known, record);
   };
 
-  const settle = (entry: ConfigurationEntry | undefined, record: TermRecord): Written => {
-    if (entry) take(entry);
-    return entry && isSame(entry, record)
+  const toWriteOutcome = (
+    entry: ConfigurationEntry | undefined,
+    record: TermRecord,
+  ): WriteOutcome => {
+    if (entry) applyEntry(entry);
+    return entry && holdsRecord(entry, record)
       ? { kind: 'written', revision: entry.modRevision }
       : { kind: 'lost' };
   };
 
-  const read = async (): Promise<ConfigurationEntry | undefined> => {
+  const readEntry = async (): Promise<ConfigurationEntry | undefined> => {
     const { entries } = await platform.range(key, timeoutMs);
     return entries.find((entry) => entry.key === key);
   };
 
-  /** Undefined while it is open whether the write took effect. */
-  const attempt = async (
+  /** Returns undefined while it is unknown whether the write took effect. */
+  const tryWrite = async (
     record: TermRecord,
     expectedRevision: number,
-  ): Promise<Written | undefined> => {
+  ): Promise<WriteOutcome | undefined> => {
     const valueJson = JSON.stringify(record);
     const put = { key, valueJson, expectedRevision };
     const outcome = await platform.compareAndSwap([put], timeoutMs);
     if (outcome.kind === 'applied') {
-      return settle({ key, valueJson, modRevision: outcome.revision }, record);
+      return toWriteOutcome({ key, valueJson, modRevision: outcome.revision }, record);
     }
-    if (outcome.kind === 'conflict') return settle(outcome.current[0], record);
-    if (isSeen(record)) {
+    if (outcome.kind === 'conflict') return toWriteOutcome(outcome.current[0], record);
+    if (isAlreadyObserved(record)) {
       return { kind: 'written', revision: configuration.revisionOf('term', group) ?? 0 };
     }
-    const found = await read().catch(() => undefined);
+    const found = await readEntry().catch(() => undefined);
     if (!found || found.modRevision === expectedRevision) return undefined;
-    return settle(found, record);
+    return toWriteOutcome(found, record);
   };
 
   return {
-    /** Tries until the outcome is known or `isWanted` says no more. */
+    /** Retries until the outcome is known; `lost` once `isStillWanted` returns false. */
     write: async (
       record: TermRecord,
       expectedRevision: number,
-      isWanted: () => boolean,
-    ): Promise<Written> => {
+      isStillWanted: () => boolean,
+    ): Promise<WriteOutcome> => {
       let delayMs = FIRST_RETRY_DELAY_MS;
-      while (isWanted()) {
-        const written = await attempt(record, expectedRevision);
-        if (written) return written;
+      while (isStillWanted()) {
+        const outcome = await tryWrite(record, expectedRevision);
+        if (outcome) return outcome;
         await sleep(delayMs);
         delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
       }
@@ -88,4 +91,4 @@
   };
 };
 
-export default createRecordWriter;
+export default createTermRecordWriter;
--- a/packages/auburngrade/src/promotion/plannedReason.ts
+++ b/packages/auburngrade/src/promotion/findPlannedChangeReason.ts
@@ -11,25 +11,29 @@
   view.status.logTerm === primary.status.logTerm &&
   view.status.position >= primary.status.position - MAX_CATCH_UP_ENTRIES;
 
-/** Why the operators' document asks for a change of primary or of voters, if it does. */
-const plannedReason = (
+/**
+ * Returns why the group's document requires a change of primary or voters, if it does. Added
+ * voters must first be close to the primary's log position.
+ */
+const findPlannedChangeReason = (
   groupClient: GroupHolder,
   record: TermRecord,
 ): PromotionReason | undefined => {
-  const active = activeMemberNames(groupClient.group);
+  const activeNames = activeMemberNames(groupClient.group);
   const views = groupClient.views();
   const primary = views.find(({ member }) => member === record.primary);
-  if (record.primary !== undefined && !active.includes(record.primary)) return 'leaving';
+  if (record.primary !== undefined && !activeNames.includes(record.primary)) return 'leaving';
   const voters = groupClient.voters();
-  const added = active.filter((name) => !voters.includes(name));
-  const isChanged = added.length > 0 || voters.some((name) => !active.includes(name));
-  const isReady = added.every((name) =>
+  const addedNames = activeNames.filter((name) => !voters.includes(name));
+  const hasVoterChanges =
+    addedNames.length > 0 || voters.some((name) => !activeNames.includes(name));
+  const areAddedCaughtUp = addedNames.every((name) =>
     isCaughtUp(
       views.find(({ member }) => member === name),
       primary,
     ),
   );
-  return isChanged && isReady ? 'members' : undefined;
+  return hasVoterChanges && areAddedCaughtUp ? 'members' : undefined;
 };
 
-export default plannedReason;
+export default findPlannedChangeReason;
--- a/packages/auburngrade/src/routing/createAttempts.spec.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.spec.ts
@@ -1,6 +1,6 @@
 import { RefusalError, notRun } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import createAttempts from './createAttempts';
+import createRequestAttempts from './createRequestAttempts';
 
 const later = <Value>(value: Value, delayMs: number): Promise<Value> =>
   new Promise((resolve) => {
@@ -17,19 +17,19 @@
   };
 
   it('fails an attempt whose VM is silent as one that may have run', async () => {
-    const { make } = createAttempts<string>();
+    const { run: make } = createRequestAttempts<string>();
     const outcome = await codeOf(make('waco-1', silent(later('late', 1_000))));
     expect(outcome).to.equal('mayHaveRun peerUnreachable');
   });
 
   it('takes the late answer of a silent VM during the next attempt', async () => {
-    const { make } = createAttempts<string>();
+    const { run: make } = createRequestAttempts<string>();
     await codeOf(make('waco-1', silent(later('first', 20))));
     expect(await make('temple-1', () => later('second', 1_000))).to.equal('first');
   });
 
   it('takes the late answer after the last attempt, within the time given', async () => {
-    const { make, lateAnswer } = createAttempts<string>();
+    const { run: make, waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
     await codeOf(make('waco-1', silent(later('first', 50))));
     const refusal = notRun('queueFull', 'full');
     expect(await codeOf(lateAnswer(5, refusal))).to.equal('notRun queueFull');
@@ -37,7 +37,7 @@
   });
 
   it('gives the refusal at once when no VM is silent', async () => {
-    const { lateAnswer } = createAttempts<string>();
+    const { waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
     expect(await codeOf(lateAnswer(10_000, notRun('queueFull', 'full')))).to.equal(
       'notRun queueFull',
     );
--- a/packages/auburngrade/src/routing/createAttempts.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.ts
@@ -5,11 +5,11 @@
  * as failed, but its answer is taken when it comes after all: repeats carry the request's id,
  * so that all attempts together have one effect.
  */
-const createAttempts = <Result>() => {
+const createRequestAttempts = <Result>() => {
   const unanswered = new Set<Promise<Result>>();
   return {
     /** Makes an attempt; resolves with the first answer to any. @throws RefusalError */
-    make: (target: string, attempt: (onSilent: () => void) => Promise<Result>): Promise<Result> =>
+    run: (target: string, attempt: (onSilent: () => void) => Promise<Result>): Promise<Result> =>
       new Promise((resolve, reject) => {
         unanswered.forEach((earlier) => earlier.then(resolve, () => {}));
         const answer = attempt(() => {
@@ -19,7 +19,7 @@
         answer.then(resolve, reject);
       }),
     /** The answer of a silent VM that comes within a time, else the given refusal. */
-    lateAnswer: (waitMs: number, refusal: Error): Promise<Result> =>
+    waitForLateAnswer: (waitMs: number, refusal: Error): Promise<Result> =>
       new Promise((resolve, reject) => {
         const giveUp = (): void => reject(refusal);
         if (unanswered.size === 0) giveUp();
@@ -31,4 +31,4 @@
   };
 };
 
-export default createAttempts;
+export default createRequestAttempts;
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -19,7 +19,7 @@
 import type Membership from '../membership/membership';
 import createRemoteTransaction from '../transactions/createRemoteTransaction';
 import type Transaction from '../transactions/transaction';
-import createAttempts from './createAttempts';
+import createRequestAttempts from './createRequestAttempts';
 import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
 import type RoutingMetrics from './routingMetrics';
@@ -116,7 +116,7 @@
   ): Promise<Result> => {
     if (!options.hasGroup(group)) throw notRun('unknownGroup', `no group ${group}`);
     const failed = new Set<string>();
-    const attempts = createAttempts<Result>();
+    const attempts = createRequestAttempts<Result>();
     let refusal: Refusal | undefined;
     budget.deposit();
     for (let count = 1; ; count += 1) {
@@ -127,7 +127,7 @@
           throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
         }
         if (target !== vm) metrics.forwards.inc({ group });
-        return await attempts.make(target, (onSilent) => attempt(target, onSilent));
+        return await attempts.run(target, (onSilent) => attempt(target, onSilent));
       } catch (error) {
         const latest = toRefusal(error);
         refusal = mergeRefusals(refusal, latest);
@@ -138,7 +138,7 @@
         const state = { refusal: latest, attempts: count, nowMs: nowMs(), deadlineAtMs, random };
         const decision = decideRetry(state);
         if (decision.kind === 'giveUp' || !budget.withdraw()) {
-          return attempts.lateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
+          return attempts.waitForLateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
         }
         metrics.retries.inc({ group, code: latest.code });
         await sleep(decision.delayMs);
