--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -27,13 +27,13 @@
   nowMs(): number;
 }
 
-const STALE_TERM_STATE = 'AG001';
-const AVOID_MS = 2_000;
-const CONFIRM_STEP_MS = 5;
+const SQLSTATE_STALE_TERM = 'AG001';
+const MEMBER_AVOIDANCE_MS = 2_000;
+const CONFIRM_POLL_INTERVAL_MS = 5;
 const RETRY_AFTER_MS = 200;
 
 const toRefusalError = (error: EndpointError): RefusalError => {
-  if (error.sqlState === STALE_TERM_STATE) {
+  if (error.sqlState === SQLSTATE_STALE_TERM) {
     return notRun('noPrimary', error.message, RETRY_AFTER_MS);
   }
   if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
@@ -41,15 +41,19 @@
   return mayHaveRun('connectionLost', error.message);
 };
 
-/** Runs reads on an endpoint that is as fresh as the session and the profile ask. */
+/** Runs reads on an endpoint that meets the freshness required by the session and the profile. */
 const createReadExecutor = (options: ReadExecutorOptions) => {
   const { vm, nowMs } = options;
   const hedge = createReadHedge(nowMs);
-  const failures = createRecentFailures(AVOID_MS, nowMs);
-  const tracker = createFreshnessTracker(options.held);
-  const planner = createReadPlanner({ ...options, tracker, avoided: failures.names });
+  const recentFailures = createRecentFailures(MEMBER_AVOIDANCE_MS, nowMs);
+  const freshnessTracker = createFreshnessTracker(options.held);
+  const readPlanner = createReadPlanner({
+    ...options,
+    freshnessTracker,
+    avoided: recentFailures.names,
+  });
 
-  const run = async (
+  const runOnMember = async (
     groupClient: GroupHolder,
     request: StatementRequest,
     { member, term }: ReadPlan,
@@ -68,52 +72,52 @@
     }
   };
 
-  const runOrAvoid = async (
+  const runOrMarkFailed = async (
     groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadProgress,
   ): Promise<QueryResult> => {
     try {
-      return await run(groupClient, request, plan, progress);
+      return await runOnMember(groupClient, request, plan, progress);
     } catch (error) {
       if (!(error instanceof EndpointError)) {
-        if (toRefusal(error).code === 'noConnection') failures.add(plan.member);
+        if (toRefusal(error).code === 'noConnection') recentFailures.add(plan.member);
         throw error;
       }
-      if (error.kind !== 'statementFailed') failures.add(plan.member);
+      if (error.kind !== 'statementFailed') recentFailures.add(plan.member);
       throw toRefusalError(error);
     }
   };
 
-  /** Waits until a majority has answered, since the read was sent, without a later fence. */
+  /** Waits until polls sent after the read show the primary and a majority without a later fence. */
   const confirmPrimary = async (
     groupClient: GroupHolder,
     request: Pick<StatementRequest, 'deadlineAtMs'>,
     sentAtMs: number,
   ): Promise<void> => {
     while (nowMs() < request.deadlineAtMs) {
-      const confirmedAtMs = tracker.observe(groupClient).at(-1)?.askedAtMs;
+      const confirmedAtMs = freshnessTracker.observe(groupClient).at(-1)?.askedAtMs;
       if (confirmedAtMs !== undefined && confirmedAtMs >= sentAtMs) return;
-      await Promise.race([groupClient.poll(), sleep(CONFIRM_STEP_MS)]);
+      await Promise.race([groupClient.poll(), sleep(CONFIRM_POLL_INTERVAL_MS)]);
     }
-    throw mayHaveRun('noFreshEndpoint', 'no majority confirmed the primary in time');
+    throw mayHaveRun('noFreshEndpoint', 'no majority confirmed the primary before the deadline');
   };
 
-  const attempt = async (
+  const tryPlan = async (
     groupClient: GroupHolder,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadProgress,
   ): Promise<QueryResult | undefined> => {
     const sentAtMs = nowMs();
-    const rows = await runOrAvoid(groupClient, request, plan, progress);
+    const rows = await runOrMarkFailed(groupClient, request, plan, progress);
     if (plan.isConfirmed) {
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term !== plan.term) return undefined;
     }
-    const isTooOld = plan.freshUntilMs !== undefined && nowMs() > plan.freshUntilMs;
-    return isTooOld ? undefined : rows;
+    const isTooStale = plan.freshUntilMs !== undefined && nowMs() > plan.freshUntilMs;
+    return isTooStale ? undefined : rows;
   };
 
   const executeOnce = async (
@@ -121,14 +125,14 @@
     request: StatementRequest,
     progress: ReadProgress,
   ): Promise<StatementOutcome> => {
-    let plan = await planner.plan(groupClient, request, false);
-    let rows = await attempt(groupClient, request, plan, progress);
+    let plan = await readPlanner.plan(groupClient, request, false);
+    let rows = await tryPlan(groupClient, request, plan, progress);
     if (!rows) {
-      // The answer took too long to vouch for its age: the primary is always young enough.
-      plan = await planner.plan(groupClient, request, true);
-      rows = await attempt(groupClient, request, plan, progress);
+      // The answer came too late to prove its age: retry on the primary, which is always fresh.
+      plan = await readPlanner.plan(groupClient, request, true);
+      rows = await tryPlan(groupClient, request, plan, progress);
     }
-    if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer is not known');
+    if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer could not be determined');
     const { member: endpoint, role } = plan;
     return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
   };
@@ -139,21 +143,21 @@
       groupClient: GroupHolder,
       request: StatementRequest,
     ): Promise<StatementOutcome> => {
-      const first: ReadProgress = { member: undefined, isSent: false };
-      const answer = executeOnce(groupClient, request, first);
-      if (!(await hedge.isStuck(groupClient, request, first, answer))) return answer;
-      // Its connection may have gone silent for good; whichever answer comes first is taken.
-      if (first.member !== undefined) failures.add(first.member);
-      const second = executeOnce(groupClient, request, { member: undefined, isSent: false });
-      return Promise.any([answer, second]).catch(() => answer);
+      const firstProgress: ReadProgress = { member: undefined, isSent: false };
+      const answer = executeOnce(groupClient, request, firstProgress);
+      if (!(await hedge.isHedgeDue(groupClient, request, firstProgress, answer))) return answer;
+      // The first connection may be dead: send a second read and take the first answer.
+      if (firstProgress.member !== undefined) recentFailures.add(firstProgress.member);
+      const hedgedAnswer = executeOnce(groupClient, request, { member: undefined, isSent: false });
+      return Promise.any([answer, hedgedAnswer]).catch(() => answer);
     },
-    /** The member for a read-only transaction. @throws RefusalError */
+    /** Chooses the member for a read-only transaction. @throws RefusalError */
     plan: async (groupClient: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
       const freshness = options.configuration.get('profile', request.profile)?.freshness;
-      // A stated age would run out while the transaction is open.
-      return planner.plan(groupClient, request, freshness?.kind !== 'session');
+      // A bounded age would expire while the transaction is open, so it runs on the primary.
+      return readPlanner.plan(groupClient, request, freshness?.kind !== 'session');
     },
-    /** Waits for what has to hold once an answer of a read-only transaction is there. */
+    /** Confirms the primary after an answer in a read-only transaction, if the plan requires it. */
     confirm: async (
       groupClient: GroupHolder,
       request: Pick<StatementRequest, 'deadlineAtMs'>,
@@ -163,9 +167,9 @@
       if (!plan.isConfirmed) return;
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term === plan.term) return;
-      throw notRun('transactionAborted', 'the primary has been replaced');
+      throw notRun('transactionAborted', 'the primary was replaced during the transaction');
     },
-    close: tracker.close,
+    close: freshnessTracker.close,
   };
 };
 
--- a/packages/auburngrade/src/outcome/computeRequestFingerprint.ts
+++ b/packages/auburngrade/src/outcome/computeRequestFingerprint.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import type { StatementRequest } from '@auburngrade/coordination';
 
-/** Tells whether a repeated request id names the same statement with the same parameters. */
+/** SHA-256 of statement and parameters; tells a repeated request from a reused request id. */
 const computeRequestFingerprint = ({
   sql,
   parameters,
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -25,7 +25,7 @@
 import requestRecordId from './requestRecordId';
 import rollBack from '../execution/rollBack';
 
-interface Located {
+interface LookupResult {
   finding: RequestFinding;
   position: number;
 }
@@ -34,13 +34,13 @@
 const RETRY_DELAY_MS = 20;
 const EMPTY_RESULT: QueryResult = { columns: [], rows: [], command: '', rowCount: 0 };
 
-const toRecord = (result: QueryResult | undefined): RequestRecord | undefined => {
-  const [state, stored, fingerprint] = result?.rows[0] ?? [];
+const toRequestRecord = (result: QueryResult | undefined): RequestRecord | undefined => {
+  const [state, storedResult, fingerprint] = result?.rows[0] ?? [];
   if (state !== 'run' && state !== 'cancelled') return undefined;
-  return { state, result: stored ?? null, fingerprint: fingerprint ?? null };
+  return { state, result: storedResult ?? null, fingerprint: fingerprint ?? null };
 };
 
-/** Finds out on the current primary whether a request ran, and cancels it when it did not. */
+/** Determines on the current primary whether a request ran; cancels its id if it did not. */
 const createOutcomeLookup = (vm: string, nowMs: () => number) => {
   const runScript = async (
     groupClient: GroupHolder,
@@ -56,13 +56,13 @@
     return { results, position: status.position, askedAtMs };
   };
 
-  const find = async (
+  const cancelOrFind = async (
     groupClient: GroupHolder,
     request: StatementRequest,
     { term }: TermRecord,
     primary: string,
     connection: EndpointConnection,
-  ): Promise<Located> => {
+  ): Promise<LookupResult> => {
     const run = (statements: string[]) =>
       runScript(
         groupClient,
@@ -71,13 +71,16 @@
         joinStatements(term, statements),
         request.deadlineAtMs,
       );
-    const held = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
+    const waitForMajority = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
       groupClient.waitAcknowledged(term, position, request.deadlineAtMs, askedAtMs);
     try {
       const insert = insertRequestSql(request, 'cancelled');
       const inserted = await run(['BEGIN READ WRITE', insert, 'COMMIT', MEMBER_STATUS_SQL]);
       const { position } = inserted;
-      return { finding: { kind: 'cancelledNow', isHeld: await held(inserted) }, position };
+      return {
+        finding: { kind: 'cancelledNow', isHeld: await waitForMajority(inserted) },
+        position,
+      };
     } catch (error) {
       await rollBack(connection);
       if (!(error instanceof EndpointError) || error.sqlState !== UNIQUE_VIOLATION) throw error;
@@ -86,17 +89,20 @@
     const select = `SELECT state, result, fingerprint FROM auburngrade_request WHERE id = ${id}`;
     const selected = await run([select, MEMBER_STATUS_SQL]);
     const { position } = selected;
-    const record = toRecord(selected.results[0]);
+    const record = toRequestRecord(selected.results[0]);
     if (!record) return { finding: { kind: 'unreachable' }, position };
-    return { finding: { kind: 'found', record, isHeld: await held(selected) }, position };
+    return {
+      finding: { kind: 'found', record, isHeld: await waitForMajority(selected) },
+      position,
+    };
   };
 
-  const locate = async (
+  const lookUpOnPrimary = async (
     groupClient: GroupHolder,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
-  ): Promise<Located> => {
+  ): Promise<LookupResult> => {
     try {
       const { account, deadlineAtMs } = request;
       const pooled = await groupClient.acquirePrimary(
@@ -105,7 +111,7 @@
         deadlineAtMs,
       );
       try {
-        return await find(groupClient, request, record, primary, pooled.connection);
+        return await cancelOrFind(groupClient, request, record, primary, pooled.connection);
       } finally {
         pooled.release();
       }
@@ -120,14 +126,19 @@
   ): Promise<StatementOutcome | undefined> => {
     const record = groupClient.record();
     if (!record?.primary || record.state !== 'active') return undefined;
-    const { finding, position } = await locate(groupClient, request, record, record.primary);
+    const { finding, position } = await lookUpOnPrimary(
+      groupClient,
+      request,
+      record,
+      record.primary,
+    );
     const judgement = judgeRequest(finding, computeRequestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
-      throw notRun('transactionAborted', 'the request had no effect; its id is used up');
+      throw notRun('transactionAborted', 'the request had no effect; its request id is cancelled');
     }
     if (judgement.kind === 'otherStatement') {
-      throw notRun('duplicateRequest', 'the request id was used for another statement');
+      throw notRun('duplicateRequest', 'the request id was already used for another statement');
     }
     return {
       rows:
@@ -139,9 +150,9 @@
 
   return {
     /**
-     * Gives the outcome of a request that ran.
-     * @throws RefusalError `notRun` when it can have no effect any more, `mayHaveRun`
-     * when there was no proof before the deadline.
+     * Returns the outcome of a request that ran.
+     * @throws RefusalError `notRun` when the request can no longer take effect, `mayHaveRun`
+     * when its outcome was not determined before the deadline.
      */
     resolve: async (
       groupClient: GroupHolder,
@@ -152,7 +163,10 @@
         if (outcome) return outcome;
         await sleep(RETRY_DELAY_MS);
       }
-      throw mayHaveRun('outcomeUnknown', 'no proof of the outcome before the deadline');
+      throw mayHaveRun(
+        'outcomeUnknown',
+        'the outcome of the request could not be determined before the deadline',
+      );
     },
   };
 };
--- a/packages/auburngrade/src/outcome/insertRequestSql.ts
+++ b/packages/auburngrade/src/outcome/insertRequestSql.ts
@@ -3,7 +3,7 @@
 import computeRequestFingerprint from './computeRequestFingerprint';
 import requestRecordId from './requestRecordId';
 
-/** Inserts the row of a request's id; fails when the id has one. */
+/** SQL that inserts the row of a request id; it fails with a unique violation if one exists. */
 const insertRequestSql = (request: StatementRequest, state: RequestRecord['state']): string => {
   const values = [requestRecordId(request), state, computeRequestFingerprint(request)].map(
     quoteLiteral,
--- a/packages/auburngrade/src/outcome/joinStatements.ts
+++ b/packages/auburngrade/src/outcome/joinStatements.ts
@@ -1,4 +1,4 @@
-/** Joins statements into one script in which each carries the term. */
+/** Joins statements to one script, each prefixed by the term comment that members check. */
 const joinStatements = (term: number, statements: string[]): string =>
   statements.map((statement) => `/*term=${term}*/${statement}`).join(';');
 
--- a/packages/auburngrade/src/outcome/requestRecordId.ts
+++ b/packages/auburngrade/src/outcome/requestRecordId.ts
@@ -1,6 +1,6 @@
 import type { StatementRequest } from '@auburngrade/coordination';
 
-/** The id under which a request's effect is recorded: ids of one client account are its own. */
+/** Row id of a request in `auburngrade_request`, scoped to its client account. */
 const requestRecordId = ({
   account,
   requestId,
--- a/packages/auburngrade/src/routing/createFreshnessTracker.ts
+++ b/packages/auburngrade/src/routing/createFreshnessTracker.ts
@@ -3,29 +3,29 @@
 
 const OBSERVE_INTERVAL_MS = 500;
 
-/** Keeps per group the watermarks by which the age of a replica's data is bounded. */
-const createFreshnessTracker = (held: () => GroupHolder[]) => {
-  const byGroup = new Map<string, readonly Watermark[]>();
+/** Keeps, per group, the watermarks that bound the age of a replica's data. */
+const createFreshnessTracker = (listGroupClients: () => GroupHolder[]) => {
+  const watermarksByGroup = new Map<string, readonly Watermark[]>();
 
   const observe = (groupClient: GroupHolder): readonly Watermark[] => {
-    const known = byGroup.get(groupClient.name) ?? [];
+    const known = watermarksByGroup.get(groupClient.name) ?? [];
     const record = groupClient.record();
     const names = groupClient.group.members.map(({ name }) => name);
-    const next = record && confirmWatermark(groupClient.statuses(), names, record);
-    if (!next) return known;
-    const watermarks = addWatermark(known, next);
-    byGroup.set(groupClient.name, watermarks);
+    const watermark = record && confirmWatermark(groupClient.statuses(), names, record);
+    if (!watermark) return known;
+    const watermarks = addWatermark(known, watermark);
+    watermarksByGroup.set(groupClient.name, watermarks);
     return watermarks;
   };
 
-  // Replicas that lag are dated by what the primary held a while ago.
-  const timer = setInterval(() => held().forEach(observe), OBSERVE_INTERVAL_MS);
-  timer.unref();
+  // Watermarks are also recorded without reads: lagging replicas are dated by older ones.
+  const observeTimer = setInterval(() => listGroupClients().forEach(observe), OBSERVE_INTERVAL_MS);
+  observeTimer.unref();
 
   return {
-    /** The group's watermarks, brought up to date with the last status polls. */
+    /** Updates a group's watermarks from the latest status polls, and returns them. */
     observe,
-    close: (): void => clearInterval(timer),
+    close: (): void => clearInterval(observeTimer),
   };
 };
 
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -19,45 +19,45 @@
   /** How long a read waits for a replica to catch up before it goes to the primary. */
   catchUpWaitMs: number;
   configuration: ConfigurationState;
-  tracker: FreshnessTracker;
+  freshnessTracker: FreshnessTracker;
   avoided(): ReadonlySet<string>;
   nowMs(): number;
 }
 
 type ReadPolicy = Pick<Profile, 'freshness' | 'endpoints'>;
 
-const POLL_STEP_MS = 2;
-const RECORD_POLL_STEP_MS = 20;
-/** How long a read waits for a term record that its session already knows. */
-const RECORD_WAIT_MS = 1_000;
+const CATCH_UP_CHECK_INTERVAL_MS = 2;
+const TERM_RECORD_CHECK_INTERVAL_MS = 20;
+/** How long a read waits for a term record that its session token shows to exist. */
+const MAX_TERM_RECORD_WAIT_MS = 1_000;
 const RETRY_AFTER_MS = 500;
-/** How many watermarks a stated age spans, so that a lagging replica has one to date it by. */
-const WATERMARKS_PER_AGE = 5;
-const MIN_SPACING_MS = 20;
+/** Watermarks per `maxAgeMs`: enough that a lagging replica has a recent one to be dated by. */
+const WATERMARKS_PER_MAX_AGE = 5;
+const MIN_WATERMARK_SPACING_MS = 20;
 
-/** Without the profile's document the strictest freshness holds. */
-const UNKNOWN_PROFILE: ReadPolicy = {
+/** Used when the profile's document is missing: the strictest freshness. */
+const MISSING_PROFILE_POLICY: ReadPolicy = {
   ...profileSchema.parse({}),
   freshness: { kind: 'primary' },
 };
 
-/** Finds the member for a read: a fresh replica, at once or after a short wait, else the primary. */
+/** Chooses the member for a read: a fresh replica, after a short wait if needed, else the primary. */
 const createReadPlanner = (options: ReadPlannerOptions) => {
-  const { configuration, tracker, nowMs } = options;
+  const { configuration, freshnessTracker, nowMs } = options;
 
-  const stateOf = (
+  const readStateOf = (
     groupClient: GroupHolder,
     request: TransactionRequest,
     { freshness, endpoints }: ReadPolicy,
   ): ReadState => {
     const record = groupClient.record();
     if (!record)
-      throw notRun('noPrimary', `group ${groupClient.name} has no term yet`, RETRY_AFTER_MS);
+      throw notRun('noPrimary', `group ${groupClient.name} has no term record yet`, RETRY_AFTER_MS);
     return {
       record,
       members: groupClient.group.members,
       statuses: groupClient.statuses(),
-      watermarks: tracker.observe(groupClient),
+      watermarks: freshnessTracker.observe(groupClient),
       tokenEntry: request.sessionToken[request.group],
       freshness,
       maxLagPositions: endpoints.joinMaxLagPositions,
@@ -68,24 +68,25 @@
     };
   };
 
-  const awaitTarget = async (
+  const waitForTarget = async (
     groupClient: GroupHolder,
     request: TransactionRequest,
     policy: ReadPolicy,
   ): Promise<{ target: ReadTarget; state: ReadState }> => {
     const startedAtMs = nowMs();
-    const limitOf = (target: ReadTarget): number => {
-      const waitMs = target.kind === 'recordBehind' ? RECORD_WAIT_MS : options.catchUpWaitMs;
+    const waitUntilMs = (target: ReadTarget): number => {
+      const waitMs =
+        target.kind === 'recordBehind' ? MAX_TERM_RECORD_WAIT_MS : options.catchUpWaitMs;
       return Math.min(startedAtMs + waitMs, request.deadlineAtMs);
     };
     for (;;) {
-      const state = stateOf(groupClient, request, policy);
+      const state = readStateOf(groupClient, request, policy);
       const target = chooseEndpoint(state);
-      const isSettled = target.kind === 'serve' || policy.freshness.kind === 'primary';
-      if (isSettled || nowMs() >= limitOf(target)) return { target, state };
-      // One member that does not answer must not delay what the others can show.
-      if (target.kind === 'recordBehind') await sleep(RECORD_POLL_STEP_MS);
-      else await Promise.race([groupClient.poll(), sleep(POLL_STEP_MS)]);
+      const isFinal = target.kind === 'serve' || policy.freshness.kind === 'primary';
+      if (isFinal || nowMs() >= waitUntilMs(target)) return { target, state };
+      // Do not wait for all polls: an unresponsive member must not delay the statuses of others.
+      if (target.kind === 'recordBehind') await sleep(TERM_RECORD_CHECK_INTERVAL_MS);
+      else await Promise.race([groupClient.poll(), sleep(CATCH_UP_CHECK_INTERVAL_MS)]);
     }
   };
 
@@ -99,24 +100,24 @@
     return state.nowMs - ageMs + state.freshness.maxAgeMs;
   };
 
-  const primaryPlan = (state: ReadState, primary: string): ReadPlan => {
+  const planOnPrimary = (state: ReadState, primary: string): ReadPlan => {
     const untilMs = freshUntilMs(state, primary);
-    const isVouched = untilMs !== undefined && untilMs > nowMs();
+    const isWithinMaxAge = untilMs !== undefined && untilMs > nowMs();
     return {
       member: primary,
       role: 'primary',
       term: state.record.term,
-      freshUntilMs: isVouched ? untilMs : undefined,
-      isConfirmed: state.freshness.kind !== 'session' && !isVouched,
+      freshUntilMs: isWithinMaxAge ? untilMs : undefined,
+      isConfirmed: state.freshness.kind !== 'session' && !isWithinMaxAge,
     };
   };
 
-  /** Keeps watermarks closely spaced while reads of a stated age come in. */
-  const refreshAhead = (groupClient: GroupHolder, state: ReadState): void => {
+  /** Polls the group if its latest watermark is old, to space watermarks closely for `maxAge` reads. */
+  const refreshWatermarks = (groupClient: GroupHolder, state: ReadState): void => {
     if (state.freshness.kind !== 'maxAge') return;
-    const lastAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
-    const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_AGE;
-    if (lastAgeMs > Math.max(MIN_SPACING_MS, spacingMs)) groupClient.poll();
+    const latestAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
+    const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_MAX_AGE;
+    if (latestAgeMs > Math.max(MIN_WATERMARK_SPACING_MS, spacingMs)) groupClient.poll();
   };
 
   return {
@@ -126,21 +127,30 @@
       request: TransactionRequest,
       isPrimaryOnly: boolean,
     ): Promise<ReadPlan> => {
-      const profile = configuration.get('profile', request.profile) ?? UNKNOWN_PROFILE;
+      const profile = configuration.get('profile', request.profile) ?? MISSING_PROFILE_POLICY;
       const policy: ReadPolicy = isPrimaryOnly
         ? { ...profile, freshness: { kind: 'primary' } }
         : profile;
-      const { target, state } = await awaitTarget(groupClient, request, policy);
-      refreshAhead(groupClient, state);
+      const { target, state } = await waitForTarget(groupClient, request, policy);
+      refreshWatermarks(groupClient, state);
       if (target.kind === 'recordBehind') {
-        throw notRun('noFreshEndpoint', 'the session is ahead of the known term', RETRY_AFTER_MS);
+        throw notRun(
+          'noFreshEndpoint',
+          'the session token has a later term than this VM knows',
+          RETRY_AFTER_MS,
+        );
       }
       if (target.kind === 'notFresh') {
-        if (target.primary !== undefined) return primaryPlan(state, target.primary);
-        throw notRun('noFreshEndpoint', 'no endpoint is fresh enough', RETRY_AFTER_MS);
+        if (target.primary !== undefined) return planOnPrimary(state, target.primary);
+        throw notRun(
+          'noFreshEndpoint',
+          'no endpoint is fresh enough for the request',
+          RETRY_AFTER_MS,
+        );
       }
       const [member] = target.members;
-      if (member === undefined) throw new Error('a target without members');
+      if (member === undefined)
+        throw new Error('chooseEndpoint returned a serve target without members');
       return {
         member,
         role: 'replica',
--- a/packages/auburngrade/src/routing/createRequestAttempts.spec.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import createRequestAttempts from './createRequestAttempts';
 
-const later = <Value>(value: Value, delayMs: number): Promise<Value> =>
+const resolveLater = <Value>(value: Value, delayMs: number): Promise<Value> =>
   new Promise((resolve) => {
     setTimeout(() => resolve(value), delayMs);
   });
@@ -10,33 +10,33 @@
 const codeOf = (attempt: Promise<string>): Promise<string> =>
   attempt.catch((error: RefusalError) => `${error.refusal.verdict} ${error.refusal.code}`);
 
-describe('createAttempts', () => {
-  const silent = (answer: Promise<string>) => (onSilent: () => void) => {
+describe('createRequestAttempts', () => {
+  const silentAttempt = (answer: Promise<string>) => (onSilent: () => void) => {
     setTimeout(onSilent, 1);
     return answer;
   };
 
-  it('fails an attempt whose VM is silent as one that may have run', async () => {
+  it('rejects an attempt at a silent VM with mayHaveRun', async () => {
     const { run: make } = createRequestAttempts<string>();
-    const outcome = await codeOf(make('waco-1', silent(later('late', 1_000))));
+    const outcome = await codeOf(make('waco-1', silentAttempt(resolveLater('late', 1_000))));
     expect(outcome).to.equal('mayHaveRun peerUnreachable');
   });
 
-  it('takes the late answer of a silent VM during the next attempt', async () => {
+  it('uses the late answer of a silent VM during the next attempt', async () => {
     const { run: make } = createRequestAttempts<string>();
-    await codeOf(make('waco-1', silent(later('first', 20))));
-    expect(await make('temple-1', () => later('second', 1_000))).to.equal('first');
+    await codeOf(make('waco-1', silentAttempt(resolveLater('first', 20))));
+    expect(await make('temple-1', () => resolveLater('second', 1_000))).to.equal('first');
   });
 
-  it('takes the late answer after the last attempt, within the time given', async () => {
+  it('uses the late answer after the last attempt, within the given time', async () => {
     const { run: make, waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
-    await codeOf(make('waco-1', silent(later('first', 50))));
+    await codeOf(make('waco-1', silentAttempt(resolveLater('first', 50))));
     const refusal = notRun('queueFull', 'full');
     expect(await codeOf(lateAnswer(5, refusal))).to.equal('notRun queueFull');
     expect(await codeOf(lateAnswer(500, refusal))).to.equal('first');
   });
 
-  it('gives the refusal at once when no VM is silent', async () => {
+  it('rejects with the refusal at once when no VM is silent', async () => {
     const { waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
     expect(await codeOf(lateAnswer(10_000, notRun('queueFull', 'full')))).to.equal(
       'notRun queueFull',
--- a/packages/auburngrade/src/routing/createRequestAttempts.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.ts
@@ -1,30 +1,30 @@
 import { mayHaveRun } from '@auburngrade/coordination';
 
 /**
- * The attempts of one request at different VMs. An attempt whose VM has fallen silent counts
- * as failed, but its answer is taken when it comes after all: repeats carry the request's id,
- * so that all attempts together have one effect.
+ * Tracks the attempts of one request at different VMs. An attempt at a VM that stops responding
+ * counts as failed, but its late answer is still used: all attempts carry the same request id,
+ * so together they take effect at most once.
  */
 const createRequestAttempts = <Result>() => {
-  const unanswered = new Set<Promise<Result>>();
+  const silentAnswers = new Set<Promise<Result>>();
   return {
-    /** Makes an attempt; resolves with the first answer to any. @throws RefusalError */
-    run: (target: string, attempt: (onSilent: () => void) => Promise<Result>): Promise<Result> =>
+    /** Runs an attempt; resolves with the first answer to any attempt so far. @throws RefusalError */
+    run: (vm: string, attempt: (onSilent: () => void) => Promise<Result>): Promise<Result> =>
       new Promise((resolve, reject) => {
-        unanswered.forEach((earlier) => earlier.then(resolve, () => {}));
+        silentAnswers.forEach((earlier) => earlier.then(resolve, () => {}));
         const answer = attempt(() => {
-          unanswered.add(answer);
-          reject(mayHaveRun('peerUnreachable', `VM ${target} does not answer`));
+          silentAnswers.add(answer);
+          reject(mayHaveRun('peerUnreachable', `VM ${vm} does not answer`));
         });
         answer.then(resolve, reject);
       }),
-    /** The answer of a silent VM that comes within a time, else the given refusal. */
+    /** Waits up to `waitMs` for the answer of a silent VM; rejects with `refusal` without one. */
     waitForLateAnswer: (waitMs: number, refusal: Error): Promise<Result> =>
       new Promise((resolve, reject) => {
         const giveUp = (): void => reject(refusal);
-        if (unanswered.size === 0) giveUp();
+        if (silentAnswers.size === 0) giveUp();
         const timer = setTimeout(giveUp, Math.max(0, waitMs));
-        Promise.any(unanswered)
+        Promise.any(silentAnswers)
           .then(resolve, giveUp)
           .finally(() => clearTimeout(timer));
       }),
