--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -57,7 +57,7 @@
   const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
   const acknowledger = createAcknowledgementWaiter(pollers, voters, nowMs);
 
-  const onTermOver = (term: number, listener: () => void): (() => void) => {
+  const onTermSuperseded = (term: number, listener: () => void): (() => void) => {
     const unsubscribeTerm = configuration.onChange(() => {
       if ((record()?.term ?? term) <= term) return;
       unsubscribeTerm();
@@ -141,7 +141,7 @@
     statuses,
     poll,
     /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
-    onTermOver,
+    onTermOver: onTermSuperseded,
     /** Latest status of each member, as polled by this VM. */
     views,
     pollMember: async (member: string): Promise<MemberStatus | undefined> => {
@@ -184,7 +184,7 @@
       const { data, poller } = handleOf(primary);
       return acquireWithinTerm({
         acquire: () => data.acquire(account, deadlineAtMs),
-        onTermSuperseded: (listener) => onTermOver(term, listener),
+        onTermSuperseded: (listener) => onTermSuperseded(term, listener),
         slowAfterMs: SLOW_PRIMARY_USE_MS,
         onSlowOrFailed: poller.poll,
       });
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -22,7 +22,7 @@
   const drainingClients = new Map<string, Set<GroupHolder>>();
 
   /** Closes a group's clients; connections in use close on release or after `forceCloseAfterMs`. */
-  const release = (name: string, forceCloseAfterMs?: number): void => {
+  const closeGroup = (name: string, forceCloseAfterMs?: number): void => {
     clients.get(name)?.close(forceCloseAfterMs);
     drainingClients.get(name)?.forEach((groupClient) => groupClient.close(forceCloseAfterMs));
     clients.delete(name);
@@ -41,7 +41,7 @@
   };
 
   /** Drains a group's clients: running statements may finish within `forceCloseAfterMs`. */
-  const retire = async (name: string, forceCloseAfterMs: number): Promise<void> => {
+  const drainGroup = async (name: string, forceCloseAfterMs: number): Promise<void> => {
     const groupClient = clients.get(name);
     clients.delete(name);
     const draining = [...(drainingClients.get(name) ?? [])];
@@ -76,10 +76,10 @@
     get,
     /** Whether this VM may have connections to a group now. */
     mayHold,
-    release,
-    retire,
+    release: closeGroup,
+    retire: drainGroup,
     held: (): GroupHolder[] => [...clients.values()],
-    close: (): void => [...clients.keys()].forEach((name) => release(name)),
+    close: (): void => [...clients.keys()].forEach((name) => closeGroup(name)),
   };
 };
 
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -74,7 +74,7 @@
     [...promoters.keys()].filter((group) => !ranks.has(group)).forEach(closePromoter);
   };
 
-  const updateRanksSoon = (): void => {
+  const scheduleRankUpdate = (): void => {
     rankTimer ??= setTimeout(updateRanks, RANK_UPDATE_DELAY_MS);
   };
 
@@ -119,7 +119,7 @@
     const isRankRelevant = changed.some(({ key }) =>
       RANK_RELEVANT_PREFIXES.some((prefix) => key.startsWith(prefix)),
     );
-    if (isRankRelevant) updateRanksSoon();
+    if (isRankRelevant) scheduleRankUpdate();
   };
 
   return {
@@ -132,7 +132,7 @@
       ];
     },
     /** Called by the slot keeper when this VM gains or loses a slot without a document change. */
-    updateRanksSoon,
+    updateRanksSoon: scheduleRankUpdate,
     /** Handles a suspicion message: returns this VM's view of a group's primary. */
     answerSuspicion: async (_fromVm: string, body: unknown): Promise<unknown> => {
       const { group, term } = suspicionMessageSchema.parse(body);
