--- a/packages/auburngrade/src/execution/createReadHedge.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.ts
@@ -21,7 +21,7 @@
     sinceMs: number,
   ): boolean => member !== undefined && !isSent && groupClient.hasReleasedSince(member, sinceMs);
 
-  /** Polls the member of a slow read; resolves with false once the member leaves the poll unanswered. */
+  /** Polls the member of a slow read; resolves to false once the poll goes unanswered. */
   const pollWhenSlow = (
     groupClient: HedgeGroupClient,
     progress: ReadProgress,
--- a/packages/auburngrade/src/groups/acquireWithinTerm.ts
+++ b/packages/auburngrade/src/groups/acquireWithinTerm.ts
@@ -6,7 +6,7 @@
   acquire(): Promise<CheckedOutConnection>;
   /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
   onTermSuperseded(listener: () => void): () => void;
-  /** Called when `acquire` fails, or when waiting for and using the connection exceeds `slowAfterMs`. */
+  /** Called when `acquire` fails, or the wait and the use together exceed `slowAfterMs`. */
   onSlowOrFailed(): void;
   slowAfterMs: number;
 }
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -22,7 +22,7 @@
 const MAX_SERVICE_RATIO = 0.5;
 /** For callers that pass none; equals the default of a profile. */
 const DEFAULT_DRAIN_TIMEOUT_MS = 3_000;
-/** Queue shared by requests without an account: unauthenticated routes and the VM's own statements. */
+/** Queue shared by requests without an account: open routes and the VM's own statements. */
 const SHARED_QUEUE_KEY = '';
 const DEFAULT_OPTIONS: PoolOptions = {
   order: 'fair',
@@ -98,7 +98,7 @@
     return next;
   };
 
-  /** Refuses the next request with `noConnection`, so that its caller tries another member or VM. */
+  /** Refuses the next request with `noConnection`; its caller may try another member or VM. */
   const refuseNext = (message: string): void => {
     const next = nextServiceable();
     if (next) refuseQueued(next, notRun('noConnection', message));
--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -199,7 +199,7 @@
       deadlineAtMs: number,
       committedAtMs = nowMs(),
     ): Promise<boolean> => acknowledger.wait(term, position, committedAtMs, deadlineAtMs),
-    /** Hands over a member's handle to the client of the group's next document, if reusable there. */
+    /** Hands a member's handle to the client of the group's next document, if reusable. */
     handOverMember: (member: Member, nextGroup: Group): MemberHandle | undefined => {
       const handle = handles.get(member.name);
       if (!handle || !isHandleReusable(handle, member, nextGroup)) return undefined;
--- a/packages/auburngrade/src/groups/createStatusPoller.ts
+++ b/packages/auburngrade/src/groups/createStatusPoller.ts
@@ -2,7 +2,7 @@
 import { readMemberStatus } from '@auburngrade/endpoint';
 import type ConnectionPool from './connectionPool';
 
-/** Below the default `suspectAfterMs`: a stuck connection is replaced before it causes suspicion. */
+/** Below the default `suspectAfterMs`, to replace a stuck connection before it causes suspicion. */
 const POLL_TIMEOUT_MS = 350;
 const FIRST_RETRY_DELAY_MS = 50;
 /** Back-off limit: each attempt may leave a connection open at a member behind a dead link. */
@@ -52,11 +52,11 @@
 
   return {
     latest: () => latest,
-    /** Start of the first poll since the last answer, as monotonic time; undefined when answered. */
+    /** Monotonic start of the first poll without an answer since; undefined if none. */
     unansweredSinceMs: () => unansweredSinceMs,
     /** Records a status that was returned along with another statement, unless it is older. */
     note,
-    /** Resolves after a poll that began after this call, even if it failed or was still backing off. */
+    /** Resolves after a poll begun after this call, also if it failed or was skipped by back-off. */
     poll: (): Promise<void> => {
       if (!runningPoll) return startPoll();
       queuedPoll ??= runningPoll.then(() => {
--- a/packages/auburngrade/src/outcome/joinStatements.ts
+++ b/packages/auburngrade/src/outcome/joinStatements.ts
@@ -1,4 +1,4 @@
-/** Joins statements to one script, each prefixed by the term comment that members check. */
+/** Joins statements into one script in which each carries the term. */
 const joinStatements = (term: number, statements: string[]): string =>
   statements.map((statement) => `/*term=${term}*/${statement}`).join(';');
 
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -104,7 +104,7 @@
     }
   };
 
-  /** How long the change named by `key` has been due without interruption; a new key restarts it. */
+  /** How long the change named by `key` has been due without interruption, in ms. */
   const measureChangeDueMs = (key: string): number => {
     if (changeKey !== key) {
       changeKey = key;
--- a/packages/auburngrade/src/promotion/createPeerViewCollector.ts
+++ b/packages/auburngrade/src/promotion/createPeerViewCollector.ts
@@ -6,7 +6,7 @@
 const ASK_TIMEOUT_MS = 250;
 const SUSPICION_KIND = 'suspicion';
 
-/** Asks the other VMs with slots of a group for their view of its primary; failures are `unknown`. */
+/** Asks the other VMs with slots of a group how they see its primary; `unknown` on failure. */
 const createPeerViewCollector = (vm: string, membership: Membership, sendMessage: SendMessage) => {
   const askPeer = async (peer: string, group: string, term: number): Promise<PrimaryView> => {
     try {
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -131,7 +131,7 @@
         setInterval(ensureTermRecords, TERM_RECORD_CHECK_INTERVAL_MS),
       ];
     },
-    /** Called by the slot keeper when this VM gains or loses a slot without a document change. */
+    /** To be called when this VM gains or loses a slot by time alone, without a document change. */
     updateRanksSoon: scheduleRankUpdate,
     /** Handles a suspicion message: returns this VM's view of a group's primary. */
     answerSuspicion: async (_fromVm: string, body: unknown): Promise<unknown> => {
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -41,7 +41,7 @@
   freshness: { kind: 'primary' },
 };
 
-/** Chooses the member for a read: a fresh replica, after a short wait if needed, else the primary. */
+/** Chooses the member for a read: a fresh replica, at once or after a short wait, else the primary. */
 const createReadPlanner = (options: ReadPlannerOptions) => {
   const { configuration, freshnessTracker, nowMs } = options;
 
@@ -112,7 +112,7 @@
     };
   };
 
-  /** Polls the group if its latest watermark is old, to space watermarks closely for `maxAge` reads. */
+  /** Polls the group if its latest watermark is old, to keep them closely spaced for `maxAge`. */
   const refreshWatermarks = (groupClient: GroupHolder, state: ReadState): void => {
     if (state.freshness.kind !== 'maxAge') return;
     const latestAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
--- a/packages/auburngrade/src/routing/createRequestAttempts.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.ts
@@ -8,7 +8,7 @@
 const createRequestAttempts = <Result>() => {
   const silentAnswers = new Set<Promise<Result>>();
   return {
-    /** Runs an attempt; resolves with the first answer to any attempt so far. @throws RefusalError */
+    /** Runs an attempt; resolves with the first answer to any so far. @throws RefusalError */
     run: (vm: string, attempt: (onSilent: () => void) => Promise<Result>): Promise<Result> =>
       new Promise((resolve, reject) => {
         silentAnswers.forEach((earlier) => earlier.then(resolve, () => {}));
--- a/packages/auburngrade/src/routing/readPlan.ts
+++ b/packages/auburngrade/src/routing/readPlan.ts
@@ -4,7 +4,7 @@
   role: 'primary' | 'replica';
   /** The term in which the member was chosen; sent with the statement. */
   term: number;
-  /** Monotonic time by which the answer must arrive to be fresh enough; undefined without a bound. */
+  /** Monotonic time by which the answer must arrive to be fresh; undefined without a bound. */
   freshUntilMs: number | undefined;
   /** Whether a majority must confirm after the read that the primary had not been replaced. */
   isConfirmed: boolean;
