--- a/packages/auburngrade/src/promotion/createMemberControl.ts
+++ b/packages/auburngrade/src/promotion/createMemberControl.ts
@@ -47,7 +47,7 @@
     fence: (member: string, term: number): Promise<MemberStatus> =>
       runForStatus(member, `SELECT auburngrade_fence(${term})`),
 
-    /** Promotes; writes the term's first entry, which later shows how much earlier log holds. */
+    /** Promotes; writes the term's first entry, which shows how much of the earlier log is valid. */
     promote: async (member: string, term: number): Promise<PromotionResult> => {
       const statusBefore = await runForStatus(member, `SELECT auburngrade_promote(${term})`);
       const termComment = `/*term=${term}*/`;
