--- a/packages/auburngrade/src/groups/groupHolder.ts
+++ b/packages/auburngrade/src/groups/groupHolder.ts
@@ -1,6 +1,6 @@
-import type createGroupHolder from './createGroupHolder';
+import type createGroupClient from './createGroupClient';
 
-/** What a VM that holds a slot of a database group keeps. */
-type GroupHolder = ReturnType<typeof createGroupHolder>;
+/** Client of one database group, kept while this VM holds a slot of it. */
+type GroupHolder = ReturnType<typeof createGroupClient>;
 
 export default GroupHolder;
--- a/packages/auburngrade/src/groups/isHandleSuitable.ts
+++ b/packages/auburngrade/src/groups/isHandleReusable.ts
@@ -1,8 +1,8 @@
 import { connectionShare, type Group, type Member } from '@auburngrade/coordination';
 import type MemberHandle from './memberHandle';
 
-/** Whether connections that were opened by one document suit a member by another. */
-const isHandleSuitable = (handle: MemberHandle, member: Member, group: Group): boolean =>
+/** Whether a handle from the group's previous document can serve the member in the new one. */
+const isHandleReusable = (handle: MemberHandle, member: Member, group: Group): boolean =>
   handle.member.host === member.host &&
   handle.member.port === member.port &&
   handle.group.database === group.database &&
@@ -10,4 +10,4 @@
   connectionShare(handle.group) === connectionShare(group) &&
   !(handle.data.isClosed() && member.state === 'active');
 
-export default isHandleSuitable;
+export default isHandleReusable;
