--- a/packages/sessions/src/group/refused.ts
+++ b/packages/sessions/src/group/refused.ts
@@ -1,7 +1,7 @@
 import type RefusalCode from '../seams/refusalCode';
 import type StatementResult from '../seams/statementResult';
 
-/** A refusal of a statement. */
+/** Creates the result of a refused statement; `message` is shown to the caller. */
 const refused = (code: RefusalCode, message: string): StatementResult => ({
   kind: 'refused',
   code,
--- a/packages/sessions/src/standIns/createMemberStandIn.ts
+++ b/packages/sessions/src/standIns/createMemberStandIn.ts
@@ -6,150 +6,160 @@
 import MemberLinkError from '../seams/memberLinkError';
 import type MemberReply from '../seams/memberReply';
 
-type Failure = NonNullable<MemberReply['failure']>['kind'];
+type FailureKind = NonNullable<MemberReply['failure']>['kind'];
 
-/** What a member did with a statement that a caller sent. */
-interface MemberRun {
+/** A caller's statement that a fake member ran. */
+interface StatementRun {
   endpoint: string;
   connection: number;
   account: string;
   requestId: string;
   text: string;
   values: string;
-  inTransaction: boolean;
+  isInTransaction: boolean;
 }
 
-/** How a member misbehaves with the next statement that matches. */
-interface Fault {
+/** A fault of an endpoint's next statement: a failure reply, a broken connection or no reply. */
+interface InjectedFault {
   endpoint: string;
-  kind: Failure | 'breakBefore' | 'breakAfter' | 'noAnswer';
+  kind: FailureKind | 'breakBefore' | 'breakAfter' | 'noAnswer';
 }
 
-interface Member {
+interface FakeMember {
   endpoint: GroupEndpoint;
   isPrimary: boolean;
   received: LogPosition;
-  isDark: boolean;
+  isUnreachable: boolean;
 }
 
-/** Members of a group in memory, behind the product's own seam; keeps a journal of what they ran. */
+/** In-memory fake of a group's members behind a `MemberDialer`; records which statements ran. */
 const createMemberStandIn = (endpoints: readonly GroupEndpoint[]) => {
-  const members = new Map<string, Member>(
+  const members = new Map<string, FakeMember>(
     endpoints.map((endpoint) => [
       endpoint.id,
       {
         endpoint,
         isPrimary: endpoint.claimsPrimary,
         received: { term: 1, number: 1 },
-        isDark: false,
+        isUnreachable: false,
       },
     ]),
   );
-  const runs: MemberRun[] = [];
+  const runs: StatementRun[] = [];
   const committed: string[] = [];
-  const faults: Fault[] = [];
-  let opened = 0;
-  let attempts = 0;
+  const faults: InjectedFault[] = [];
+  let openedCount = 0;
+  let attemptCount = 0;
 
-  const open = async (endpoint: GroupEndpoint, account: string): Promise<MemberConnection> => {
-    attempts += 1;
+  const openConnection = async (
+    endpoint: GroupEndpoint,
+    account: string,
+  ): Promise<MemberConnection> => {
+    attemptCount += 1;
     const member = members.get(endpoint.id);
-    if (!member || member.isDark) throw new MemberLinkError('silent', 'the member is dark');
-    opened += 1;
-    const connection = opened;
+    if (!member || member.isUnreachable)
+      throw new MemberLinkError('silent', 'the fake member is unreachable');
+    openedCount += 1;
+    const connectionNumber = openedCount;
     const values = new Map<string, string>();
     const prepared = new Map<string, string>();
     const listeners: (() => void)[] = [];
-    const rejects = new Set<(error: Error) => void>();
-    let written: string[] = [];
-    let state: MemberReply['state'] = 'idle';
+    const pendingRejects = new Set<(error: Error) => void>();
+    let uncommittedWrites: string[] = [];
+    let transactionState: MemberReply['state'] = 'idle';
     let isEnded = false;
 
-    const end = (): void => {
+    const endConnection = (): void => {
       isEnded = true;
-      rejects.forEach((reject) => reject(new MemberLinkError('broken', 'the connection ended')));
+      pendingRejects.forEach((reject) =>
+        reject(new MemberLinkError('broken', 'the fake connection was closed')),
+      );
       listeners.forEach((listener) => listener());
     };
-    const reply = (changes: Partial<MemberReply> = {}): MemberReply => ({
+    const buildReply = (changes: Partial<MemberReply> = {}): MemberReply => ({
       rows: [],
       signature: '-',
-      state,
+      state: transactionState,
       position: member.received,
       ...changes,
     });
-    const fail = (kind: Failure): MemberReply => {
-      if (state === 'open' && kind !== 'busy') state = 'failed';
-      return reply({ signature: undefined, failure: { kind, message: kind } });
+    const buildFailure = (kind: FailureKind): MemberReply => {
+      if (transactionState === 'open' && kind !== 'busy') transactionState = 'failed';
+      return buildReply({ signature: undefined, failure: { kind, message: kind } });
     };
-    const commit = (texts: string[]): void => {
+    const commitWrites = (texts: string[]): void => {
       if (texts.length === 0) return;
       committed.push(...texts);
       member.received = { ...member.received, number: member.received.number + 1 };
     };
 
-    const textOf = (command: MemberCommand): string => {
+    const getText = (command: MemberCommand): string => {
       if (command.kind === 'execute') return prepared.get(command.name) ?? '';
       return command.kind === 'forward' ? command.text : '';
     };
 
-    const runForwarded = (command: MemberCommand & { requestId: string }): MemberReply => {
-      const text = textOf(command);
-      if (command.kind === 'execute' && !prepared.has(command.name)) return fail('noStatement');
+    const runStatement = (command: MemberCommand & { requestId: string }): MemberReply => {
+      const text = getText(command);
+      if (command.kind === 'execute' && !prepared.has(command.name))
+        return buildFailure('noStatement');
       const isWrite = text.startsWith('WRITE');
       if (
         'notBefore' in command &&
         command.notBefore &&
         comparePositions(member.received, command.notBefore) < 0
       ) {
-        return fail('lagging');
+        return buildFailure('lagging');
       }
-      if (isWrite && !member.isPrimary) return fail('readOnly');
+      if (isWrite && !member.isPrimary) return buildFailure('readOnly');
       runs.push({
         endpoint: endpoint.id,
-        connection,
+        connection: connectionNumber,
         account,
         requestId: command.requestId,
         text,
         values: [...values].map(([name, value]) => `${name}=${value}`).join(),
-        inTransaction: state === 'open',
+        isInTransaction: transactionState === 'open',
       });
       if (text === 'COMMIT') {
-        commit(written);
-        written = [];
-        state = 'idle';
-      } else if (isWrite && state === 'open') {
-        written.push(text);
+        commitWrites(uncommittedWrites);
+        uncommittedWrites = [];
+        transactionState = 'idle';
+      } else if (isWrite && transactionState === 'open') {
+        uncommittedWrites.push(text);
       } else if (isWrite) {
-        commit([text]);
+        commitWrites([text]);
       }
-      return reply({ rows: [`row of ${text}`], signature: `${endpoint.id}/${command.requestId}` });
+      return buildReply({
+        rows: [`row of ${text}`],
+        signature: `${endpoint.id}/${command.requestId}`,
+      });
     };
 
-    const run = (command: MemberCommand): MemberReply => {
+    const runCommand = (command: MemberCommand): MemberReply => {
       switch (command.kind) {
         case 'forward':
         case 'execute':
-          return runForwarded(command);
+          return runStatement(command);
         case 'begin':
-          if (!command.isReadOnly && !member.isPrimary) return fail('readOnly');
-          state = 'open';
-          return reply();
+          if (!command.isReadOnly && !member.isPrimary) return buildFailure('readOnly');
+          transactionState = 'open';
+          return buildReply();
         case 'rollback':
-          written = [];
-          state = 'idle';
-          return reply();
+          uncommittedWrites = [];
+          transactionState = 'idle';
+          return buildReply();
         case 'reset':
           values.clear();
           prepared.clear();
-          return reply();
+          return buildReply();
         case 'setValue':
           values.set(command.name, command.value);
-          return reply();
+          return buildReply();
         case 'prepare':
           prepared.set(command.name, `${command.isWrite ? 'WRITE' : 'READ'} ${command.shape}`);
-          return reply();
+          return buildReply();
         default:
-          return reply({ rows: ['status'] });
+          return buildReply({ rows: ['status'] });
       }
     };
 
@@ -158,39 +168,41 @@
       send: (command) =>
         new Promise((resolve, reject) => {
           if (isEnded) {
-            reject(new MemberLinkError('broken', 'the connection ended'));
+            reject(new MemberLinkError('broken', 'the fake connection was closed'));
             return;
           }
-          rejects.add(reject);
-          if (member.isDark) return;
-          const isForwarded = command.kind === 'forward' || command.kind === 'execute';
-          const index = isForwarded
+          pendingRejects.add(reject);
+          if (member.isUnreachable) return;
+          const isStatement = command.kind === 'forward' || command.kind === 'execute';
+          const faultIndex = isStatement
             ? faults.findIndex((fault) => fault.endpoint === endpoint.id)
             : -1;
-          const fault = index < 0 ? undefined : faults.splice(index, 1)[0];
+          const fault = faultIndex < 0 ? undefined : faults.splice(faultIndex, 1)[0];
           setImmediate(() => {
             if (fault?.kind === 'breakBefore') {
-              end();
+              endConnection();
               return;
             }
             const isFailure = fault && !['breakAfter', 'noAnswer'].includes(fault.kind);
-            const answer = isFailure ? fail(fault.kind as Failure) : run(command);
-            if (fault?.kind === 'breakAfter') end();
+            const answer = isFailure
+              ? buildFailure(fault.kind as FailureKind)
+              : runCommand(command);
+            if (fault?.kind === 'breakAfter') endConnection();
             else if (fault?.kind !== 'noAnswer') resolve(answer);
-            rejects.delete(reject);
-            if (fault?.kind === 'noAnswer') rejects.add(reject);
+            pendingRejects.delete(reject);
+            if (fault?.kind === 'noAnswer') pendingRejects.add(reject);
           });
         }),
       close: () => {
-        if (!isEnded) end();
+        if (!isEnded) endConnection();
       },
       onEnd: (listener) => listeners.push(listener),
     };
   };
 
-  class StandInDialer extends MemberDialer {
+  class FakeDialer extends MemberDialer {
     override open(...[endpoint, account]: Parameters<MemberDialer['open']>) {
-      return open(endpoint, account);
+      return openConnection(endpoint, account);
     }
 
     override readStatus(reply: MemberReply) {
@@ -206,19 +218,19 @@
   }
 
   return {
-    dialer: new StandInDialer() as MemberDialer,
+    dialer: new FakeDialer() as MemberDialer,
     runs,
     committed,
-    openedConnections: () => opened,
-    attemptedConnections: () => attempts,
-    addFault: (endpoint: string, kind: Fault['kind']): void => {
+    countOpenedConnections: () => openedCount,
+    countConnectionAttempts: () => attemptCount,
+    addFault: (endpoint: string, kind: InjectedFault['kind']): void => {
       faults.push({ endpoint, kind });
     },
-    setDark: (endpoint: string, isDark: boolean): void => {
+    setUnreachable: (endpoint: string, isUnreachable: boolean): void => {
       const member = members.get(endpoint);
-      if (member) member.isDark = isDark;
+      if (member) member.isUnreachable = isUnreachable;
     },
-    /** Lets replicas receive what the primary has. */
+    /** Brings all replicas to the primary's log position. */
     replicate: (): void => {
       const primary = [...members.values()].find(({ isPrimary }) => isPrimary);
       members.forEach((entry) => {
