docs: reword the doc comments of the seams folder

The local type Cause of memberLinkError is now MemberLinkErrorReason. EndpointStatus no longer mentions heldTerm, a field that does not exist.

--- a/packages/sessions/src/seams/callerConnection.ts
+++ b/packages/sessions/src/seams/callerConnection.ts
@@ -2,7 +2,7 @@
 import type StatementResult from './statementResult';
 import type TransactionState from './transactionState';
 
-/** A caller's open connection, as a session answers on it. */
+/** A caller's open connection, on which its session sends results. */
 interface CallerConnection {
   accept(): void;
   /** Refuses the session and closes the connection. */
--- a/packages/sessions/src/seams/failoverCaller.ts
+++ b/packages/sessions/src/seams/failoverCaller.ts
@@ -1,6 +1,6 @@
-/** Makes a named endpoint the primary of its group. */
+/** Client of the platform's failover service. */
 abstract class FailoverCaller {
-  /** Resolves with the outcome: `mayHaveRun` when no usable answer came. */
+  /** Promotes an endpoint to primary; resolves with `mayHaveRun` when there is no usable reply. */
   abstract promote(
     group: string,
     endpointId: string,
--- a/packages/sessions/src/seams/groupEndpoint.ts
+++ b/packages/sessions/src/seams/groupEndpoint.ts
@@ -1,15 +1,16 @@
-/** An endpoint of a group, as it registers itself. */
+/** An endpoint of a group, as registered in the platform's store. */
 interface GroupEndpoint {
   id: string;
   group: string;
   /** `host:port`. */
   address: string;
   dataCentre: string;
-  /** Statements that it runs at the same time. */
+  /** Number of statements that it runs concurrently. */
   slots: number;
   isLeaving: boolean;
+  /** Whether it registered itself as primary; its status decides. */
   claimsPrimary: boolean;
-  /** Unix time in ms of its start: a new value is a new process under the same id. */
+  /** Unix time of its start; a new value means a new process under the same id. */
   bornAtMs: number;
 }
 
--- a/packages/sessions/src/seams/memberLinkError.ts
+++ b/packages/sessions/src/seams/memberLinkError.ts
@@ -1,11 +1,12 @@
 import type MemberReply from './memberReply';
 
-type Cause = 'refused' | 'silent' | 'broken' | NonNullable<MemberReply['failure']>['kind'];
+type MemberLinkErrorReason =
+  'refused' | 'silent' | 'broken' | NonNullable<MemberReply['failure']>['kind'];
 
-/** A connection to an endpoint could not be opened, or ended before a reply was whole. */
+/** A connection to an endpoint could not be opened, or ended before a reply was complete. */
 class MemberLinkError extends Error {
   constructor(
-    readonly reason: Cause,
+    readonly reason: MemberLinkErrorReason,
     message: string,
   ) {
     super(message);
--- a/packages/sessions/src/seams/memberStatus.ts
+++ b/packages/sessions/src/seams/memberStatus.ts
@@ -1,9 +1,10 @@
 import type { LogPosition } from '@auburngrade/coordination';
 
-/** What an endpoint says of itself. `heldTerm` is the newest term that it was told to wait for. */
+/** An endpoint's reported status. */
 interface EndpointStatus {
   isPrimary: boolean;
   term: number;
+  /** Last log position that it received. */
   received: LogPosition;
   connections: number;
 }
