--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -12,7 +12,7 @@
 const CATCH_UP_TIMEOUT_MS = 1_000;
 /** A promotion takes effect within a few hundred ms of the call. */
 const PROMOTION_TIMEOUT_MS = 3_000;
-const PROMOTION_POLL_INTERVAL_MS = 60;
+const PROMOTION_POLL_MS = 60;
 /** Delay before a replica is promoted when no endpoint is primary: a starting one may still be. */
 const NO_PRIMARY_GRACE_MS = 600;
 
@@ -71,9 +71,9 @@
 
   /** Waits until work at the leaving primary has ended, at most for the drain timeout. */
   const awaitOpenWork = async (leavingId: string): Promise<void> => {
-    const deadlineMs = nowMs() + PLANNED_DRAIN_TIMEOUT_MS;
-    while (options.countOpenWork(leavingId) > 0 && nowMs() < deadlineMs)
-      await sleep(PROMOTION_POLL_INTERVAL_MS / 2);
+    const untilMs = nowMs() + PLANNED_DRAIN_TIMEOUT_MS;
+    while (options.countOpenWork(leavingId) > 0 && nowMs() < untilMs)
+      await sleep(PROMOTION_POLL_MS / 2);
   };
 
   const findMostCurrentReplica = async (excludedId: string | undefined) => {
@@ -85,14 +85,14 @@
   };
 
   const awaitPromotion = async (id: string): Promise<boolean> => {
-    const deadlineMs = nowMs() + PROMOTION_TIMEOUT_MS;
-    while (!isClosed && nowMs() < deadlineMs) {
+    const untilMs = nowMs() + PROMOTION_TIMEOUT_MS;
+    while (!isClosed && nowMs() < untilMs) {
       const [reply] = await probeEndpoints([id]);
       if (reply?.status.isPrimary) {
         acceptPrimary(id, reply.status.received, reply.askedAtMs);
         return true;
       }
-      await sleep(PROMOTION_POLL_INTERVAL_MS);
+      await sleep(PROMOTION_POLL_MS);
     }
     return false;
   };
@@ -104,7 +104,7 @@
       const connection = await pool.acquire(options.controlAccount(), '');
       const timeoutTimer = setTimeout(
         () => pool.closeConnection(connection),
-        PROMOTION_POLL_INTERVAL_MS * 10,
+        PROMOTION_POLL_MS * 10,
       );
       await pool.send(connection, { kind: 'demote', term });
       clearTimeout(timeoutTimer);
@@ -129,14 +129,14 @@
       isReplacing = true;
       await awaitOpenWork(oldPrimaryId);
       const [oldPrimary] = await probeEndpoints([oldPrimaryId]);
-      const deadlineMs = nowMs() + CATCH_UP_TIMEOUT_MS;
+      const untilMs = nowMs() + CATCH_UP_TIMEOUT_MS;
       while (
         oldPrimary &&
         candidate &&
         comparePositions(candidate.status.received, oldPrimary.status.received) < 0 &&
-        nowMs() < deadlineMs
+        nowMs() < untilMs
       ) {
-        await sleep(PROMOTION_POLL_INTERVAL_MS / 2);
+        await sleep(PROMOTION_POLL_MS / 2);
         candidate = await findMostCurrentReplica(oldPrimaryId);
       }
     }
