--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -180,7 +180,7 @@
   const canOpenConnection = (): boolean =>
     connections.size + openingConnections < maxConnections && nowMs() >= connectPausedUntilMs;
 
-  /** Closes the connection that has been idle longest; returns false when none is idle. */
+  /** Makes room by closing the connection idle for longest; returns false when none is idle. */
   const evictOldestIdle = (): boolean => {
     const [oldest] = [...idleConnections].sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs);
     if (!oldest) return false;
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -8,7 +8,7 @@
 const CHECK_INTERVAL_MS = 100;
 /** How long open work at a leaving primary may continue before the primary is replaced. */
 const PLANNED_DRAIN_TIMEOUT_MS = 1_000;
-/** How long a planned replacement waits for the best replica to catch up. */
+/** How long a planned replacement waits for a replica to catch up before it proceeds anyway. */
 const CATCH_UP_TIMEOUT_MS = 1_000;
 /** A promotion takes effect within a few hundred ms of the call. */
 const PROMOTION_TIMEOUT_MS = 3_000;
--- a/packages/sessions/src/limits/createRateLimiter.ts
+++ b/packages/sessions/src/limits/createRateLimiter.ts
@@ -6,7 +6,7 @@
 
 type Limits = FleetConfiguration['limits'];
 
-/** Enforces account rate limits: one bucket each, also charged with what other VMs admitted. */
+/** Enforces account rate limits: one token bucket each, also charged with what other VMs admit. */
 const createRateLimiter = (nowMs: () => number) => {
   const startedAtMs = nowMs();
   const buckets = new Map<string, ReturnType<typeof createFleetBucket>>();
