refactor: name the division of an account's rate by the terms of the field

Comments, test titles and local names: keeper -> allocator, holder -> consumer, share -> quota or allocation, part by demand -> fair share, lapse -> expire, forfeit -> reclaim, mint -> claim. createShareBucket -> createQuotaBucket (add, remove, putBack, unitsForOneToken -> addUnits, removeUnits, refundToken, minUnitsForToken), demand meter perS -> ratePerS, Allotment -> Allocation.

--- a/packages/coordination/src/rate/createFleetBucket.spec.ts
+++ b/packages/coordination/src/rate/createFleetBucket.spec.ts
@@ -4,33 +4,36 @@
 const limit = { ratePerS: 40, burst: 40 };
 const REPORT_MS = 250;
 const STEP_MS = 5;
-/** What the operator's rule allows in a window of 5 s, and what it adds to the limit. */
+/** Window over which the acceptance rule limits admissions: the limit plus 10 % and 20 requests. */
 const WINDOW_MS = 5_000;
-const allowed = (limit.ratePerS * 5 + limit.burst) * 1.1 + 20;
+const maxAdmitted = (limit.ratePerS * 5 + limit.burst) * 1.1 + 20;
 
-/** Three VMs are offered one account's operations at a rate; returns the most admitted in a window. */
-const mostInWindow = (offeredPerS: number, isCharged: boolean): number => {
+/** Offers one account's requests to three VMs; returns the most admitted in any window. */
+const maxAdmittedInWindow = (offeredPerS: number, isCharged: boolean): number => {
   const buckets = [0, 1, 2].map(() => createFleetBucket(limit, 0));
-  const reported = [0, 0, 0];
+  const unreportedAdmissions = [0, 0, 0];
   const admittedAtMs: number[] = [];
-  let owed = 0;
+  let dueRequests = 0;
   for (let nowMs = 10_000; nowMs < 30_000; nowMs += STEP_MS) {
-    owed += (offeredPerS * STEP_MS) / 1_000;
-    for (; owed >= 1; owed -= 1) {
-      const index = Math.floor(owed + nowMs / STEP_MS) % 3;
+    dueRequests += (offeredPerS * STEP_MS) / 1_000;
+    for (; dueRequests >= 1; dueRequests -= 1) {
+      const index = Math.floor(dueRequests + nowMs / STEP_MS) % 3;
       if (buckets[index]?.take(nowMs)) {
         admittedAtMs.push(nowMs);
-        reported[index] = (reported[index] ?? 0) + 1;
+        unreportedAdmissions[index] = (unreportedAdmissions[index] ?? 0) + 1;
       }
     }
     if (isCharged && nowMs % REPORT_MS === 0) {
       buckets.forEach((bucket, index) =>
         bucket.charge(
-          reported.reduce((sum, count, other) => (other === index ? sum : sum + count), 0),
+          unreportedAdmissions.reduce(
+            (sum, count, other) => (other === index ? sum : sum + count),
+            0,
+          ),
           nowMs,
         ),
       );
-      reported.fill(0);
+      unreportedAdmissions.fill(0);
     }
   }
   return Math.max(
@@ -44,27 +47,27 @@
   describe('with one account at 7.5 times its usual rate on three VMs', () => {
     const offeredPerS = 7.5 * 25;
 
-    it('stays within the limit and its tolerance', () => {
-      expect(mostInWindow(offeredPerS, true)).to.be.at.most(allowed);
+    it('admits no more than the limit and its tolerance', () => {
+      expect(maxAdmittedInWindow(offeredPerS, true)).to.be.at.most(maxAdmitted);
     });
 
-    it('would not, if what others admit were not charged', () => {
-      expect(mostInWindow(offeredPerS, false)).to.be.above(allowed);
+    it('exceeds the tolerance if admissions of other VMs are not charged', () => {
+      expect(maxAdmittedInWindow(offeredPerS, false)).to.be.above(maxAdmitted);
     });
   });
 
-  it('admits all of an account that keeps to its rate', () => {
-    expect(mostInWindow(35, true)).to.be.at.least(35 * 5 - 1);
+  it('admits all requests of an account below its rate', () => {
+    expect(maxAdmittedInWindow(35, true)).to.be.at.least(35 * 5 - 1);
   });
 
-  it('begins empty', () => {
+  it('starts without tokens', () => {
     const bucket = createFleetBucket(limit, 0);
     expect(bucket.take(0)).to.equal(false);
     expect(bucket.dueInMs(0)).to.equal(25);
     expect(bucket.take(25)).to.equal(true);
   });
 
-  it('gives a VM its part while others cannot report', () => {
+  it('refills at a fraction of the rate while other VMs cannot report', () => {
     const bucket = createFleetBucket(limit, 0);
     bucket.setShare(0.25, 0);
     expect(bucket.dueInMs(0)).to.equal(100);
--- a/packages/coordination/src/rate/createFleetBucket.ts
+++ b/packages/coordination/src/rate/createFleetBucket.ts
@@ -3,35 +3,34 @@
 const MS_PER_S = 1_000;
 
 /**
- * A token bucket that every spending VM keeps for the whole limit: a VM takes for what it admits,
- * and charges what the others report. It begins empty, since it cannot know what was spent before.
- * What others admit between two reports may drive it below zero, and is paid back by waiting.
- *
- * Load pattern: one client account far above its rate on several VMs at once.
+ * A replica of one account's fleet-wide token bucket. Each admitting VM has one: it takes a token
+ * for each request that it admits and charges the admissions that other VMs report. The bucket
+ * starts empty because earlier admissions are unknown. Late charges may make the balance negative;
+ * refills repay it. Handles an account far above its rate on several VMs at once.
  */
 const createFleetBucket = (initialLimit: RateLimit, createdAtMs: number) => {
   let limit = initialLimit;
-  let share = 1;
+  let limitFraction = 1;
   let tokens = 0;
-  let filledAtMs = createdAtMs;
+  let refilledAtMs = createdAtMs;
 
   const refill = (nowMs: number): void => {
-    const elapsedMs = Math.max(0, nowMs - filledAtMs);
-    filledAtMs = Math.max(filledAtMs, nowMs);
-    const filled = tokens + (elapsedMs * limit.ratePerS * share) / MS_PER_S;
-    tokens = Math.min(Math.max(1, limit.burst * share), filled);
+    const elapsedMs = Math.max(0, nowMs - refilledAtMs);
+    refilledAtMs = Math.max(refilledAtMs, nowMs);
+    const refilledTokens = tokens + (elapsedMs * limit.ratePerS * limitFraction) / MS_PER_S;
+    tokens = Math.min(Math.max(1, limit.burst * limitFraction), refilledTokens);
   };
 
   return {
-    setLimit: (next: RateLimit, nowMs: number): void => {
+    setLimit: (newLimit: RateLimit, nowMs: number): void => {
       refill(nowMs);
-      limit = next;
+      limit = newLimit;
       tokens = Math.min(tokens, limit.burst);
     },
-    /** The part of the limit that this VM may spend while others cannot report, from 0 to 1. */
-    setShare: (next: number, nowMs: number): void => {
+    /** Sets the fraction of the limit, 0 to 1, for this VM while other VMs cannot report. */
+    setShare: (newFraction: number, nowMs: number): void => {
       refill(nowMs);
-      share = next;
+      limitFraction = newFraction;
     },
     take: (nowMs: number): boolean => {
       refill(nowMs);
@@ -39,16 +38,17 @@
       tokens -= 1;
       return true;
     },
+    /** Deducts tokens for admissions reported by other VMs; a negative count refunds tokens. */
     charge: (admitted: number, nowMs: number): void => {
       refill(nowMs);
-      const floor = -(limit.burst + limit.ratePerS);
-      tokens = Math.min(Math.max(1, limit.burst), Math.max(floor, tokens - admitted));
+      const minTokens = -(limit.burst + limit.ratePerS);
+      tokens = Math.min(Math.max(1, limit.burst), Math.max(minTokens, tokens - admitted));
     },
-    /** Time until a token is here. */
+    /** Milliseconds until a token is available; infinite at a rate of 0. */
     dueInMs: (nowMs: number): number => {
       refill(nowMs);
       if (tokens >= 1) return 0;
-      const ratePerMs = (limit.ratePerS * share) / MS_PER_S;
+      const ratePerMs = (limit.ratePerS * limitFraction) / MS_PER_S;
       return ratePerMs > 0 ? Math.ceil((1 - tokens) / ratePerMs) : Number.POSITIVE_INFINITY;
     },
   };
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createShareKeeper.ts
@@ -1,5 +1,5 @@
 import createDemandMeter from './createDemandMeter';
-import createShareBucket from './createShareBucket';
+import createQuotaBucket from './createQuotaBucket';
 import type RateLimit from './rateLimit';
 import type ShareGrant from './shareGrant';
 import type ShareSync from './shareSync';
@@ -7,167 +7,176 @@
 import type LeaseRecord from '../witness/leaseRecord';
 import WHOLE_UNITS from './wholeUnits';
 
-interface ShareKeeperOptions {
+interface QuotaAllocatorOptions {
   limit: RateLimit;
   epoch: number;
-  /** VMs that may hold units of an earlier epoch and have not reported yet. */
+  /** VMs that may still hold units of an earlier epoch and have not reported in this one. */
   unreported: ReadonlySet<string>;
-  /** Those of them that may still act as the keeper of an earlier epoch. */
+  /** Those of them that may still be active as the allocator of an earlier epoch. */
   former: ReadonlySet<string>;
-  /** What this VM itself held before it became the keeper. */
+  /** Units that this VM held before it became the allocator. */
   ownUnits: number;
   ownTokens: number;
   leaseMs: number;
-  /** The VM's lease, under which it keeps the ledger. */
+  /** The VM's lease; the allocator is active only while it is valid. */
   lease: VmLease;
-  /** When units of the VMs that never report have certainly lapsed. */
+  /** When units of VMs that never report have certainly expired. */
   lapsedAtMs: number;
   nowMs: number;
 }
 
-interface Allotment {
+interface Allocation {
   incarnation: number;
   units: number;
   sequence: number;
   demandPerS: number;
-  leaseEndsAtMs: number;
+  leaseExpiresAtMs: number;
   /** The lease under which the units are held. */
   lease: LeaseRecord;
 }
 
-/** A holder's clock may run this much slower than the keeper's. */
+/** A consumer's clock may run slower than the allocator's by this ratio. */
 const CLOCK_MARGIN_RATIO = 0.01;
 const CLOCK_MARGIN_MS = 1_000;
-/** A holder with this many times its part by demand is asked to give back the rest. */
-const EXCESS_RATIO = 1.25;
-/** Demand that an idle VM counts with, so that parts are defined without any. */
-const IDLE_DEMAND_PER_S = 0.001;
+/** A consumer with more than this multiple of its fair share is told to return the excess. */
+const RECALL_EXCESS_RATIO = 1.25;
+/** Added to the total demand so that fair shares are defined when all VMs are idle. */
+const DEMAND_FLOOR_PER_S = 0.001;
 /**
- * The demand counts as above the rate from this many times it: reports are sent right after
- * requests, so their sum is above the true demand.
+ * Total demand counts as over the rate only above this multiple of it. Consumers report right
+ * after requests, so the sum of their reports exceeds the true demand.
  */
-const OVER_RATE_RATIO = 1.5;
-const MAX_RECALLS = 4;
+const OVER_RATE_DEMAND_RATIO = 1.5;
+const MAX_RECALL_TARGETS = 4;
 
 /**
- * Keeps the ledger of one account's shares for an epoch. The ledger's units of a
- * holder are an upper bound of what it holds; the rest is the keeper's own share.
- * At most one keeper of an account is in office: a later one refuses reports until each
- * earlier one has certainly ended, and one whose VM's lease has lapsed never acts again.
+ * Allocates one account's quota units to VMs for one epoch. The units recorded for a consumer
+ * are an upper bound of what it holds; the allocator uses the rest itself. At most one
+ * allocator of an account is active: a new one refuses reports until every earlier one has
+ * certainly stopped, and one whose VM's lease has expired stays inactive.
  */
-const createShareKeeper = (options: ShareKeeperOptions) => {
-  const bucket = createShareBucket(options.limit, options.nowMs);
+const createShareKeeper = (options: QuotaAllocatorOptions) => {
+  const bucket = createQuotaBucket(options.limit, options.nowMs);
   const demand = createDemandMeter();
-  const ledger = new Map<string, Allotment>();
-  const unreported = new Set(options.unreported);
-  const former = new Set(options.former);
-  const standing = options.lease.standing(options.nowMs);
-  let isLost = standing === undefined;
-  let isMinted = false;
-  let confirmedAtMs = options.nowMs;
-  bucket.add(options.ownUnits, options.ownTokens, options.nowMs);
+  const allocations = new Map<string, Allocation>();
+  const unreportedVms = new Set(options.unreported);
+  const formerAllocators = new Set(options.former);
+  const leaseGeneration = options.lease.standing(options.nowMs);
+  let hasLeaseExpired = leaseGeneration === undefined;
+  let areAllUnitsClaimed = false;
+  let epochConfirmedAtMs = options.nowMs;
+  bucket.addUnits(options.ownUnits, options.ownTokens, options.nowMs);
 
-  const isInOffice = (nowMs: number): boolean => {
-    if (!isLost && options.lease.standing(nowMs) !== standing) {
-      isLost = true;
-      bucket.remove(bucket.units(), nowMs);
+  const isActive = (nowMs: number): boolean => {
+    if (!hasLeaseExpired && options.lease.standing(nowMs) !== leaseGeneration) {
+      hasLeaseExpired = true;
+      bucket.removeUnits(bucket.units(), nowMs);
     }
-    return !isLost;
+    return !hasLeaseExpired;
   };
 
-  const sumOf = (parts: Iterable<{ units: number }>): number =>
-    [...parts].reduce((sum, { units }) => sum + units, 0);
+  const sumUnits = (holdings: Iterable<{ units: number }>): number =>
+    [...holdings].reduce((sum, { units }) => sum + units, 0);
 
-  /** Claims the units that nobody holds any more, once that is certain. */
-  const mint = (nowMs: number): void => {
-    if (isMinted || !isInOffice(nowMs)) return;
-    if (unreported.size > 0 && confirmedAtMs < options.lapsedAtMs) return;
-    isMinted = true;
-    unreported.clear();
-    former.clear();
-    const rest = WHOLE_UNITS - sumOf(ledger.values()) - bucket.units();
-    // Only before the first epoch nothing can have been spent yet.
-    bucket.add(rest, options.epoch === 1 ? options.limit.burst : 0, nowMs);
+  /** Claims the units of earlier epochs once certainly no other VM holds them. */
+  const claimFreeUnits = (nowMs: number): void => {
+    if (areAllUnitsClaimed || !isActive(nowMs)) return;
+    if (unreportedVms.size > 0 && epochConfirmedAtMs < options.lapsedAtMs) return;
+    areAllUnitsClaimed = true;
+    unreportedVms.clear();
+    formerAllocators.clear();
+    const freeUnits = WHOLE_UNITS - sumUnits(allocations.values()) - bucket.units();
+    // Only in the first epoch can no tokens have been spent before.
+    bucket.addUnits(freeUnits, options.epoch === 1 ? options.limit.burst : 0, nowMs);
   };
 
-  /** Takes back units that their holder has certainly lost. */
-  const forfeit = (entry: Allotment, nowMs: number): void => {
-    bucket.add(entry.units, 0, nowMs);
-    Object.assign(entry, { units: 0, demandPerS: 0 });
+  /** Takes back units that the consumer has certainly lost. */
+  const reclaimUnits = (allocation: Allocation, nowMs: number): void => {
+    bucket.addUnits(allocation.units, 0, nowMs);
+    Object.assign(allocation, { units: 0, demandPerS: 0 });
   };
 
-  const reclaim = (nowMs: number): void => {
-    if (!isInOffice(nowMs)) return;
-    [...ledger.values()]
-      .filter(({ units, leaseEndsAtMs }) => units > 0 && nowMs >= leaseEndsAtMs)
-      .forEach((entry) => forfeit(entry, nowMs));
+  const reclaimExpired = (nowMs: number): void => {
+    if (!isActive(nowMs)) return;
+    [...allocations.values()]
+      .filter(({ units, leaseExpiresAtMs }) => units > 0 && nowMs >= leaseExpiresAtMs)
+      .forEach((allocation) => reclaimUnits(allocation, nowMs));
   };
 
   const totalDemandPerS = (nowMs: number): number =>
-    [...ledger.values()].reduce((sum, entry) => sum + entry.demandPerS, demand.perS(nowMs));
+    [...allocations.values()].reduce(
+      (sum, allocation) => sum + allocation.demandPerS,
+      demand.ratePerS(nowMs),
+    );
 
-  /** Whether some requests are refused wherever the units are. */
+  /** Whether demand exceeds the rate, so that moving units cannot avoid refusals. */
   const isOverRate = (nowMs: number): boolean =>
-    totalDemandPerS(nowMs) > options.limit.ratePerS * OVER_RATE_RATIO;
+    totalDemandPerS(nowMs) > options.limit.ratePerS * OVER_RATE_DEMAND_RATIO;
 
-  const partOf = (demandPerS: number, nowMs: number): number =>
-    Math.floor((WHOLE_UNITS * demandPerS) / (totalDemandPerS(nowMs) + IDLE_DEMAND_PER_S));
+  const fairUnitsOf = (demandPerS: number, nowMs: number): number =>
+    Math.floor((WHOLE_UNITS * demandPerS) / (totalDemandPerS(nowMs) + DEMAND_FLOOR_PER_S));
 
-  const open = (sync: ShareSync, nowMs: number): Allotment => {
-    const known = ledger.get(sync.vm);
-    if (known && known.incarnation === sync.incarnation) return known;
-    if (known) forfeit(known, nowMs);
-    const isAdopted = unreported.delete(sync.vm);
-    former.delete(sync.vm);
-    const entry = {
-      incarnation: sync.incarnation,
-      units: isAdopted ? sync.heldUnits : 0,
+  const openAllocation = (report: ShareSync, nowMs: number): Allocation => {
+    const existing = allocations.get(report.vm);
+    if (existing && existing.incarnation === report.incarnation) return existing;
+    if (existing) reclaimUnits(existing, nowMs);
+    const isAdopted = unreportedVms.delete(report.vm);
+    formerAllocators.delete(report.vm);
+    const allocation = {
+      incarnation: report.incarnation,
+      units: isAdopted ? report.heldUnits : 0,
       sequence: 0,
       demandPerS: 0,
-      leaseEndsAtMs: 0,
-      lease: sync.lease,
+      leaseExpiresAtMs: 0,
+      lease: report.lease,
     };
-    ledger.set(sync.vm, entry);
-    return entry;
+    allocations.set(report.vm, allocation);
+    return allocation;
   };
 
-  /** Units for the tokens that a holder needs beyond its part; `waiting` requests wait here. */
+  /** Units for the tokens that a consumer needs beyond its fair share. */
   const unitsForTokens = (
-    entry: Allotment,
+    allocation: Allocation,
     neededTokens: number,
-    waiting: number,
+    waitingRequests: number,
     nowMs: number,
   ): number => {
     if (neededTokens === 0) return 0;
     const tokens = bucket.tokens(nowMs);
-    if (tokens < 1) return waiting > 0 || isOverRate(nowMs) ? 0 : bucket.units();
-    const forTokens = Math.ceil((bucket.units() * Math.min(neededTokens, tokens)) / tokens);
-    const forOneToken = bucket.unitsForOneToken() - entry.units;
-    return Math.min(bucket.units(), Math.max(forTokens, forOneToken));
+    if (tokens < 1) return waitingRequests > 0 || isOverRate(nowMs) ? 0 : bucket.units();
+    const unitsForNeed = Math.ceil((bucket.units() * Math.min(neededTokens, tokens)) / tokens);
+    const unitsForOneToken = bucket.minUnitsForToken() - allocation.units;
+    return Math.min(bucket.units(), Math.max(unitsForNeed, unitsForOneToken));
   };
 
-  const grant = (
-    entry: Allotment,
-    sync: ShareSync,
+  const decideGrant = (
+    allocation: Allocation,
+    report: ShareSync,
     hasReturned: boolean,
-    waiting: number,
+    waitingRequests: number,
     nowMs: number,
   ): ShareGrant => {
-    const part = partOf(entry.demandPerS, nowMs);
-    const spare = Math.max(0, bucket.units() - partOf(demand.perS(nowMs), nowMs));
-    // What was given up for others to use must not go back at once.
-    const byPart = hasReturned ? 0 : Math.min(Math.max(0, part - entry.units), spare);
-    const added = Math.max(byPart, unitsForTokens(entry, sync.neededTokens, waiting, nowMs));
-    const tokens = added === 0 ? 0 : bucket.remove(added, nowMs);
-    const units = entry.units + added;
-    Object.assign(entry, { units });
-    const isExcess = added === 0 && sync.neededTokens === 0 && units > part * EXCESS_RATIO;
-    const { epoch, sequence } = sync;
+    const fairUnits = fairUnitsOf(allocation.demandPerS, nowMs);
+    const spareUnits = Math.max(0, bucket.units() - fairUnitsOf(demand.ratePerS(nowMs), nowMs));
+    // Units just released for other VMs must not return to the same consumer at once.
+    const unitsByFairShare = hasReturned
+      ? 0
+      : Math.min(Math.max(0, fairUnits - allocation.units), spareUnits);
+    const addedUnits = Math.max(
+      unitsByFairShare,
+      unitsForTokens(allocation, report.neededTokens, waitingRequests, nowMs),
+    );
+    const tokens = addedUnits === 0 ? 0 : bucket.removeUnits(addedUnits, nowMs);
+    const units = allocation.units + addedUnits;
+    Object.assign(allocation, { units });
+    const isExcess =
+      addedUnits === 0 && report.neededTokens === 0 && units > fairUnits * RECALL_EXCESS_RATIO;
+    const { epoch, sequence } = report;
     return {
       kind: 'granted',
       epoch,
       sequence,
-      units: isExcess ? part : units,
+      units: isExcess ? fairUnits : units,
       tokens,
       hasAskedAll: true,
     };
@@ -175,115 +184,126 @@
 
   return {
     epoch: options.epoch,
-    units: (nowMs: number): number => (isInOffice(nowMs) ? bucket.units() : 0),
-    isMinted: () => isMinted,
-    /** False for good once the VM's lease has lapsed. */
-    isInOffice,
-    /** VMs whose units of an earlier epoch are not known yet. */
-    unreported: (): string[] => [...unreported],
-    /** Notes that a VM runs as a later process: what the earlier one held is forfeited. */
+    units: (nowMs: number): number => (isActive(nowMs) ? bucket.units() : 0),
+    isMinted: () => areAllUnitsClaimed,
+    /** Whether this allocator is active; permanently false once the VM's lease has expired. */
+    isInOffice: isActive,
+    /** VMs whose units of an earlier epoch are still unknown. */
+    unreported: (): string[] => [...unreportedVms],
+    /** Reclaims the units of a VM's earlier process when a later one is seen. */
     noteIncarnation: (vm: string, incarnation: number, nowMs: number): void => {
-      const known = ledger.get(vm);
-      if (!known || known.incarnation >= incarnation || !isInOffice(nowMs)) return;
-      forfeit(known, nowMs);
-      Object.assign(known, { incarnation, sequence: 0 });
+      const existing = allocations.get(vm);
+      if (!existing || existing.incarnation >= incarnation || !isActive(nowMs)) return;
+      reclaimUnits(existing, nowMs);
+      Object.assign(existing, { incarnation, sequence: 0 });
     },
-    /** What the ledger says of a holder, to be compared once its lease has lapsed. */
-    allotmentOf: (vm: string): Readonly<Allotment> | undefined => {
-      const entry = ledger.get(vm);
-      return entry && { ...entry };
+    /** Returns a copy of a consumer's allocation, to be compared once its lease has expired. */
+    allotmentOf: (vm: string): Readonly<Allocation> | undefined => {
+      const allocation = allocations.get(vm);
+      return allocation && { ...allocation };
     },
-    /** Takes back what a VM held whose lease has lapsed since `seen`, unless it reported again. */
-    noteLapsed: (vm: string, seen: Readonly<Allotment>, nowMs: number): void => {
-      const entry = ledger.get(vm);
-      const isSame = entry?.incarnation === seen.incarnation && entry.sequence === seen.sequence;
-      if (entry && isSame && isInOffice(nowMs)) forfeit(entry, nowMs);
+    /** Reclaims the units of a VM whose lease expired, unless it has reported since `observed`. */
+    noteLapsed: (vm: string, observed: Readonly<Allocation>, nowMs: number): void => {
+      const allocation = allocations.get(vm);
+      const isSame =
+        allocation?.incarnation === observed.incarnation &&
+        allocation.sequence === observed.sequence;
+      if (allocation && isSame && isActive(nowMs)) reclaimUnits(allocation, nowMs);
     },
-    /** Notes that a VM holds nothing of an earlier epoch any more and keeps no ledger of one. */
+    /** Records that a VM holds no units of an earlier epoch and is not the allocator of one. */
     noteGone: (vm: string, nowMs: number): void => {
-      unreported.delete(vm);
-      former.delete(vm);
-      mint(nowMs);
+      unreportedVms.delete(vm);
+      formerAllocators.delete(vm);
+      claimFreeUnits(nowMs);
     },
-    /** True when units wait for the platform to confirm this epoch. */
-    needsConfirmation: (nowMs: number): boolean => !isMinted && nowMs >= options.lapsedAtMs,
-    /** Notes that a read of the platform, sent at `sentAtMs`, still showed this epoch. */
+    /** Whether unclaimed units wait for the configuration store to confirm this epoch. */
+    needsConfirmation: (nowMs: number): boolean =>
+      !areAllUnitsClaimed && nowMs >= options.lapsedAtMs,
+    /** Records that a read of the configuration store, sent at `sentAtMs`, returned this epoch. */
     confirm: (sentAtMs: number, nowMs: number): void => {
-      confirmedAtMs = Math.max(confirmedAtMs, sentAtMs);
-      mint(nowMs);
-      reclaim(nowMs);
+      epochConfirmedAtMs = Math.max(epochConfirmedAtMs, sentAtMs);
+      claimFreeUnits(nowMs);
+      reclaimExpired(nowMs);
     },
-    demandPerS: (nowMs: number) => demand.perS(nowMs),
+    demandPerS: (nowMs: number) => demand.ratePerS(nowMs),
     setLimit: (limit: RateLimit, nowMs: number): void => {
       Object.assign(options, { limit });
       bucket.setLimit(limit, nowMs);
     },
     count: (nowMs: number) => demand.count(nowMs),
     take: (nowMs: number): boolean => {
-      mint(nowMs);
-      reclaim(nowMs);
-      return isInOffice(nowMs) && bucket.take(nowMs);
+      claimFreeUnits(nowMs);
+      reclaimExpired(nowMs);
+      return isActive(nowMs) && bucket.take(nowMs);
     },
     putBack: (nowMs: number): void => {
-      if (isInOffice(nowMs)) bucket.putBack(nowMs);
+      if (isActive(nowMs)) bucket.refundToken(nowMs);
     },
-    tokens: (nowMs: number): number => (isInOffice(nowMs) ? bucket.tokens(nowMs) : 0),
+    tokens: (nowMs: number): number => (isActive(nowMs) ? bucket.tokens(nowMs) : 0),
     tokenDueInMs: (nowMs: number) => bucket.tokenDueInMs(nowMs),
-    /** VMs that may hold units, besides this one. */
-    holding: (): string[] => [...ledger].filter(([, { units }]) => units > 0).map(([name]) => name),
-    /** Takes a holder's report and decides its units while `waiting` requests wait here. */
-    sync: (sync: ShareSync, nowMs: number, waiting = 0): ShareGrant => {
-      if (sync.epoch !== options.epoch) return { kind: 'refused', reason: 'another epoch' };
-      if (!isInOffice(nowMs)) return { kind: 'refused', reason: 'no longer the keeper' };
-      if (former.size > 0 && !former.has(sync.vm)) {
+    /** VMs other than this one that may hold units. */
+    holding: (): string[] =>
+      [...allocations].filter(([, { units }]) => units > 0).map(([vm]) => vm),
+    /** Processes a consumer's report and grants units; `waitingRequests` wait on this VM. */
+    sync: (report: ShareSync, nowMs: number, waitingRequests = 0): ShareGrant => {
+      if (report.epoch !== options.epoch) return { kind: 'refused', reason: 'another epoch' };
+      if (!isActive(nowMs)) return { kind: 'refused', reason: 'no longer the keeper' };
+      if (formerAllocators.size > 0 && !formerAllocators.has(report.vm)) {
         return { kind: 'refused', reason: 'an earlier keeper may still act' };
       }
-      const known = ledger.get(sync.vm);
-      if (known && sync.incarnation < known.incarnation) {
+      const existing = allocations.get(report.vm);
+      if (existing && report.incarnation < existing.incarnation) {
         return { kind: 'refused', reason: 'an earlier incarnation' };
       }
-      if (known?.incarnation === sync.incarnation && sync.sequence <= known.sequence) {
+      if (existing?.incarnation === report.incarnation && report.sequence <= existing.sequence) {
         return { kind: 'refused', reason: 'an older report' };
       }
-      const entry = open(sync, nowMs);
-      entry.sequence = sync.sequence;
-      entry.demandPerS = sync.demandPerS;
-      entry.lease = sync.lease;
-      const margin = options.leaseMs * CLOCK_MARGIN_RATIO + CLOCK_MARGIN_MS;
-      entry.leaseEndsAtMs = nowMs + options.leaseMs + margin;
-      const returned = Math.max(0, entry.units - sync.heldUnits);
-      entry.units -= returned;
-      if (returned > 0) bucket.add(returned, sync.releasedTokens, nowMs);
-      mint(nowMs);
-      reclaim(nowMs);
-      return grant(entry, sync, returned > 0, waiting, nowMs);
+      const allocation = openAllocation(report, nowMs);
+      allocation.sequence = report.sequence;
+      allocation.demandPerS = report.demandPerS;
+      allocation.lease = report.lease;
+      const marginMs = options.leaseMs * CLOCK_MARGIN_RATIO + CLOCK_MARGIN_MS;
+      allocation.leaseExpiresAtMs = nowMs + options.leaseMs + marginMs;
+      const returnedUnits = Math.max(0, allocation.units - report.heldUnits);
+      allocation.units -= returnedUnits;
+      if (returnedUnits > 0) bucket.addUnits(returnedUnits, report.releasedTokens, nowMs);
+      claimFreeUnits(nowMs);
+      reclaimExpired(nowMs);
+      return decideGrant(allocation, report, returnedUnits > 0, waitingRequests, nowMs);
     },
-    /** The holders with most units beyond their part, to be asked for what they do not need. */
+    /**
+     * Consumers to recall units from: those with the most units above their fair share. `partUnits`
+     * is that fair share, or all units while the account is over its rate.
+     */
     recallable: (
       isAsked: (vm: string) => boolean,
       nowMs: number,
     ): { vm: string; partUnits: number }[] =>
-      [...ledger]
+      [...allocations]
         .filter(([vm, { units }]) => units > 0 && isAsked(vm))
         .map(([vm, { units, demandPerS }]) => {
-          const part = partOf(demandPerS, nowMs);
-          return { vm, partUnits: isOverRate(nowMs) ? WHOLE_UNITS : part, excess: units - part };
+          const fairUnits = fairUnitsOf(demandPerS, nowMs);
+          return {
+            vm,
+            partUnits: isOverRate(nowMs) ? WHOLE_UNITS : fairUnits,
+            excess: units - fairUnits,
+          };
         })
         .sort((a, b) => b.excess - a.excess)
-        .slice(0, MAX_RECALLS)
+        .slice(0, MAX_RECALL_TARGETS)
         .map(({ vm, partUnits }) => ({ vm, partUnits })),
-    /** The holder with most units, to be the next keeper. */
+    /** The consumer with the most units, proposed as the next allocator. */
     successor: (): { vm: string; incarnation: number } | undefined => {
-      const [first] = [...ledger]
+      const [largest] = [...allocations]
         .filter(([, { units }]) => units > 0)
         .sort(([, a], [, b]) => b.units - a.units);
-      return first && { vm: first[0], incarnation: first[1].incarnation };
+      return largest && { vm: largest[0], incarnation: largest[1].incarnation };
     },
-    /** Ends the epoch here: what this VM goes on holding as an ordinary holder. */
+    /** Removes and returns this VM's own units and tokens, which it retains as a consumer. */
     resign: (nowMs: number): { units: number; tokens: number } => {
-      if (!isInOffice(nowMs)) return { units: 0, tokens: 0 };
+      if (!isActive(nowMs)) return { units: 0, tokens: 0 };
       const units = bucket.units();
-      return { units, tokens: bucket.remove(units, nowMs) };
+      return { units, tokens: bucket.removeUnits(units, nowMs) };
     },
   };
 };
--- a/packages/coordination/src/rate/shareHolder.ts
+++ b/packages/coordination/src/rate/shareHolder.ts
@@ -1,6 +1,6 @@
 import type createShareHolder from './createShareHolder';
 
-/** A VM's share of an account's rate. */
+/** A VM's consumer of an account's quota units. */
 type ShareHolder = ReturnType<typeof createShareHolder>;
 
 export default ShareHolder;
--- a/packages/coordination/src/rate/shareKeeper.ts
+++ b/packages/coordination/src/rate/shareKeeper.ts
@@ -1,6 +1,6 @@
 import type createShareKeeper from './createShareKeeper';
 
-/** The ledger of one account's shares. */
+/** The allocator of one account's quota units. */
 type ShareKeeper = ReturnType<typeof createShareKeeper>;
 
 export default ShareKeeper;
--- a/packages/coordination/src/rate/shareRecord.ts
+++ b/packages/coordination/src/rate/shareRecord.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type shareRecordSchema from './shareRecordSchema';
 
-/** Which VM keeps the shares of an account's rate. */
+/** The stored record of an account's quota allocator and consumers. */
 type ShareRecord = z.infer<typeof shareRecordSchema>;
 
 export default ShareRecord;
