--- a/packages/coordination/src/witness/certainLeaseMs.ts
+++ b/packages/coordination/src/witness/certainLeaseMs.ts
@@ -1,8 +1,8 @@
-/** A VM's clock may run this much slower than another's. */
+/** A VM's clock may run slower than another VM's by this ratio. */
 const CLOCK_MARGIN_RATIO = 0.01;
 const CLOCK_MARGIN_MS = 50;
 
-/** After this time on any VM's clock a lease of `leaseMs` has certainly lapsed on every other. */
+/** Time on any VM's clock after which a lease of `leaseMs` has certainly expired on every other. */
 const certainLeaseMs = (leaseMs: number): number =>
   leaseMs * (1 + CLOCK_MARGIN_RATIO) + CLOCK_MARGIN_MS;
 
--- a/packages/coordination/src/witness/isSeatPoor.ts
+++ b/packages/coordination/src/witness/isSeatPoor.ts
@@ -1,13 +1,14 @@
 import type WitnessGroups from './witnessGroups';
 
-const countOf = (groups: WitnessGroups): number => groups.flat().length;
+const witnessCount = (groups: WitnessGroups): number => groups.flat().length;
 
-/** Whether a VM should change its witnesses: some are no longer listed, or more can be had. */
+/** Whether a VM should replace its witnesses: some are not registered, or more are available. */
 const isSeatPoor = (
-  present: WitnessGroups,
-  wanted: WitnessGroups,
-  listed: ReadonlySet<string>,
+  currentGroups: WitnessGroups,
+  desiredGroups: WitnessGroups,
+  registeredVms: ReadonlySet<string>,
 ): boolean =>
-  countOf(present) < countOf(wanted) || present.flat().some((witness) => !listed.has(witness));
+  witnessCount(currentGroups) < witnessCount(desiredGroups) ||
+  currentGroups.flat().some((witness) => !registeredVms.has(witness));
 
 export default isSeatPoor;
--- a/packages/coordination/src/witness/lapseProvenAtMs.ts
+++ b/packages/coordination/src/witness/lapseProvenAtMs.ts
@@ -3,33 +3,35 @@
 import type WitnessGroups from './witnessGroups';
 import type WitnessPromise from './witnessPromise';
 
-interface Answer {
-  /** The asking VM's clock when the answer came. */
+interface ReceivedPromise {
+  /** Time of receipt on the asking VM's clock. */
   receivedAtMs: number;
   promise: WitnessPromise;
 }
 
 /**
- * When the lease of a VM with these witnesses has certainly lapsed, on the asking VM's clock;
- * undefined when too few promised. The answers must come from one round shorter than the VM's lease, whose length is `leaseMs`.
+ * Returns when the lease of a VM with these witnesses has certainly expired, on the asking VM's
+ * clock; undefined when too few witnesses promised. All answers must come from one round of
+ * requests that took less than `leaseMs`, the length of the VM's lease.
  */
 const lapseProvenAtMs = (
   groups: WitnessGroups,
-  answers: ReadonlyMap<string, Answer>,
+  answers: ReadonlyMap<string, ReceivedPromise>,
   leaseMs: number,
 ): number | undefined => {
-  const groupLapsesAtMs = (group: readonly string[]): number => {
-    const renewedAtMs = group.flatMap((witness) => {
+  const groupExpiresAtMs = (group: readonly string[]): number => {
+    const renewalTimesMs = group.flatMap((witness) => {
       const answer = answers.get(witness);
       return answer?.promise.isPromised ? [answer.receivedAtMs - answer.promise.renewedAgeMs] : [];
     });
-    const earliestFirst = renewedAtMs.sort((a, b) => a - b);
-    const last = earliestFirst[promiseQuorum(group.length) - 1] ?? Number.POSITIVE_INFINITY;
-    return last + certainLeaseMs(leaseMs);
+    const earliestFirst = renewalTimesMs.sort((a, b) => a - b);
+    const quorumRenewedAtMs =
+      earliestFirst[promiseQuorum(group.length) - 1] ?? Number.POSITIVE_INFINITY;
+    return quorumRenewedAtMs + certainLeaseMs(leaseMs);
   };
   if (groups.length === 0) return undefined;
-  const lapsesAtMs = Math.max(...groups.map(groupLapsesAtMs));
-  return Number.isFinite(lapsesAtMs) ? lapsesAtMs : undefined;
+  const expiresAtMs = Math.max(...groups.map(groupExpiresAtMs));
+  return Number.isFinite(expiresAtMs) ? expiresAtMs : undefined;
 };
 
 export default lapseProvenAtMs;
--- a/packages/coordination/src/witness/leaseTermOf.ts
+++ b/packages/coordination/src/witness/leaseTermOf.ts
@@ -1,7 +1,7 @@
 import type LeaseTerm from './leaseTerm';
 import UNSTATED_LEASE_MS from './unstatedLeaseMs';
 
-/** Names a term of a lease of this length to other VMs. */
+/** Builds the lease term sent to other VMs; omits the length if it is `UNSTATED_LEASE_MS`. */
 const leaseTermOf = (term: number, leaseMs: number): LeaseTerm =>
   leaseMs === UNSTATED_LEASE_MS ? { term } : { term, leaseMs };
 
--- a/packages/coordination/src/witness/reckonedLeaseMs.ts
+++ b/packages/coordination/src/witness/reckonedLeaseMs.ts
@@ -2,8 +2,8 @@
 import UNSTATED_LEASE_MS from './unstatedLeaseMs';
 
 /**
- * The length that another VM's lease counts with. Where it is not stated, a VM of an earlier
- * version may have the same setting as this one, so the longer of the two counts.
+ * The length to assume for another VM's lease. If it is omitted, the VM may run an earlier version
+ * with the same setting as this VM, so the longer of that setting and `UNSTATED_LEASE_MS` counts.
  */
 const reckonedLeaseMs = ({ leaseMs }: LeaseTerm, ownLeaseMs: number): number =>
   leaseMs ?? Math.max(ownLeaseMs, UNSTATED_LEASE_MS);
