--- a/packages/coordination/src/membership/chooseHolders.spec.ts
+++ b/packages/coordination/src/membership/chooseHolders.spec.ts
@@ -6,11 +6,11 @@
 
 const DATA_CENTRES = ['a', 'b', 'c', 'd'];
 
-const fleetOf = (counts: readonly number[]) =>
+const createVms = (counts: readonly number[]) =>
   new Map(
     counts.map((count, index) => {
       const name = DATA_CENTRES[index] as string;
-      const ids = Array.from({ length: count }, (_, at) => `${name}-${at}`);
+      const ids = Array.from({ length: count }, (_, vmIndex) => `${name}-${vmIndex}`);
       return [name, ids.map((id) => ({ id, hash: hashText(id) }))];
     }),
   );
@@ -18,37 +18,37 @@
 const countsArbitrary = fc.array(fc.nat({ max: 6 }), { minLength: 4, maxLength: 4 });
 
 describe('chooseHolders', () => {
-  it('takes one VM in each data centre of the members before a second one', () => {
+  it('chooses one VM in each data centre of the members before any second one', () => {
     fc.assert(
       fc.property(
         countsArbitrary,
         fc.string(),
         fc.integer({ min: 1, max: 5 }),
         (counts, group, slots) => {
-          const chosen = chooseHolders(fleetOf(counts), group, ['a', 'b', 'a'], slots);
+          const chosen = chooseHolders(createVms(counts), group, ['a', 'b', 'a'], slots);
           const total = counts.reduce((sum, count) => sum + count, 0);
-          const near = counts.slice(0, 2).filter((count) => count > 0).length;
-          const covered = new Set(
+          const coveredCount = counts.slice(0, 2).filter((count) => count > 0).length;
+          const coveredDataCentres = new Set(
             chosen.map((id) => id[0]).filter((name) => name === 'a' || name === 'b'),
           );
           expect(new Set(chosen).size).to.equal(Math.min(slots, total));
-          expect(covered.size).to.equal(Math.min(near, slots));
+          expect(coveredDataCentres.size).to.equal(Math.min(coveredCount, slots));
         },
       ),
     );
   });
 
-  it('moves only the places of a VM that leaves', () => {
-    const before = fleetOf([6, 6, 6, 6]);
+  it('replaces only the VM that leaves', () => {
+    const before = createVms([6, 6, 6, 6]);
     const after = new Map(before).set('a', (before.get('a') ?? []).slice(1));
     Array.from({ length: 300 }, (_, index) => `group-${index}`).forEach((group) => {
-      const held = chooseHolders(before, group, ['a', 'b', 'c'], 3);
-      const holds = chooseHolders(after, group, ['a', 'b', 'c'], 3);
-      expect(holds).to.include.members(held.filter((id) => id !== 'a-0'));
+      const holdersBefore = chooseHolders(before, group, ['a', 'b', 'c'], 3);
+      const holdersAfter = chooseHolders(after, group, ['a', 'b', 'c'], 3);
+      expect(holdersAfter).to.include.members(holdersBefore.filter((id) => id !== 'a-0'));
     });
   });
 
-  it('changes by a VM that joins only where that one may be chosen', () => {
+  it('does not change when a VM joins that cannot be chosen', () => {
     fc.assert(
       fc.property(
         countsArbitrary,
@@ -56,32 +56,35 @@
         fc.integer({ min: 1, max: 5 }),
         fc.constantFrom(...DATA_CENTRES),
         (counts, group, slots, dataCentre) => {
-          const near = ['a', 'b', 'a'];
-          const before = fleetOf(counts);
+          const memberDataCentres = ['a', 'b', 'a'];
+          const before = createVms(counts);
           const joining = { id: `${dataCentre}-new`, hash: hashText(`${dataCentre}-new`) };
           const after = new Map(before);
           after.set(dataCentre, [...(before.get(dataCentre) ?? []), joining]);
-          const held = chooseHolders(before, group, near, slots);
-          const holds = chooseHolders(after, group, near, slots);
-          const chosen = held.map((id) => ({ dataCentre: id[0] ?? '', hash: hashText(id) }));
-          const choice = { groupHash: hashText(group), near, slots, chosen };
+          const holdersBefore = chooseHolders(before, group, memberDataCentres, slots);
+          const holdersAfter = chooseHolders(after, group, memberDataCentres, slots);
+          const chosen = holdersBefore.map((id) => ({
+            dataCentre: id[0] ?? '',
+            hash: hashText(id),
+          }));
+          const choice = { groupHash: hashText(group), near: memberDataCentres, slots, chosen };
           if (mayBeChosen({ dataCentre, hash: joining.hash }, choice)) return;
-          expect(holds).to.deep.equal(held);
+          expect(holdersAfter).to.deep.equal(holdersBefore);
         },
       ),
       { numRuns: 2_000 },
     );
   });
 
-  it('spreads groups evenly', () => {
-    const held = new Map<string, number>();
-    const fleet = fleetOf([6, 6, 6, 6]);
+  it('distributes groups evenly over VMs', () => {
+    const groupsByVm = new Map<string, number>();
+    const vms = createVms([6, 6, 6, 6]);
     Array.from({ length: 6_000 }, (_, index) => `group-${index}`).forEach((group) =>
-      chooseHolders(fleet, group, ['a', 'b', 'c'], 3).forEach((id) =>
-        held.set(id, (held.get(id) ?? 0) + 1),
+      chooseHolders(vms, group, ['a', 'b', 'c'], 3).forEach((id) =>
+        groupsByVm.set(id, (groupsByVm.get(id) ?? 0) + 1),
       ),
     );
-    const counts = [...held.values()];
+    const counts = [...groupsByVm.values()];
     expect(counts).to.have.length(18);
     expect(Math.max(...counts)).to.be.below(1.2 * 1_000);
     expect(Math.min(...counts)).to.be.above(0.8 * 1_000);
--- a/packages/coordination/src/membership/chooseHolders.ts
+++ b/packages/coordination/src/membership/chooseHolders.ts
@@ -1,7 +1,7 @@
 import hashText from './hashText';
 import rendezvousScore from './rendezvousScore';
 
-interface Ranked {
+interface RankedVm {
   id: string;
   dataCentre: string;
   score: number;
@@ -10,52 +10,63 @@
 /** VMs by data centre, each with the hash of its id. */
 type VmHashes = ReadonlyMap<string, readonly { id: string; hash: number }[]>;
 
-const isBefore = (a: Ranked, b: Ranked): boolean =>
+const ranksBefore = (a: RankedVm, b: RankedVm): boolean =>
   a.score > b.score || (a.score === b.score && a.id < b.id);
 
-/** Inserts a ranked VM in its place and keeps the best `count`. */
-const insert = (best: Ranked[], next: Ranked, count: number): void => {
-  let at = best.length;
-  while (at > 0 && isBefore(next, best[at - 1] as Ranked)) at -= 1;
-  best.splice(at, 0, next);
+/** Inserts a VM by rank and keeps the first `count`. */
+const insertRanked = (best: RankedVm[], next: RankedVm, count: number): void => {
+  let position = best.length;
+  while (position > 0 && ranksBefore(next, best[position - 1] as RankedVm)) position -= 1;
+  best.splice(position, 0, next);
   if (best.length > count) best.pop();
 };
 
-const bestIn = (vms: VmHashes, dataCentre: string, groupHash: number, count: number): Ranked[] => {
-  const best: Ranked[] = [];
-  let leastScore = -1;
+const highestRankedIn = (
+  vms: VmHashes,
+  dataCentre: string,
+  groupHash: number,
+  count: number,
+): RankedVm[] => {
+  const best: RankedVm[] = [];
+  let minScore = -1;
   for (const { id, hash } of vms.get(dataCentre) ?? []) {
     const score = rendezvousScore(hash, groupHash);
-    // Most candidates end here, so nothing is allocated before.
-    if (score >= leastScore) {
-      insert(best, { id, dataCentre, score }, count);
-      if (best.length === count) leastScore = best[count - 1]?.score ?? -1;
+    // Most candidates fail this check, so nothing is allocated before it.
+    if (score >= minScore) {
+      insertRanked(best, { id, dataCentre, score }, count);
+      if (best.length === count) minScore = best[count - 1]?.score ?? -1;
     }
   }
   return best;
 };
 
-const byRank = (a: Ranked, b: Ranked): number => (isBefore(a, b) ? -1 : 1);
+const compareRank = (a: RankedVm, b: RankedVm): number => (ranksBefore(a, b) ? -1 : 1);
 
 /**
- * Chooses the VMs that hold connections to a group by rendezvous hashing: first one in
- * each data centre of its members, then further ones there, then ones elsewhere.
+ * Chooses the VMs that should hold a group's connection slots by rendezvous hashing: first one in
+ * each data centre of the group's members, then more in these data centres, then in other ones.
  */
 const chooseHolders = (
   vms: VmHashes,
   group: string,
   memberDataCentres: readonly string[],
-  slots: number,
+  slotCount: number,
 ): string[] => {
   const groupHash = hashText(group);
-  const near = [...new Set(memberDataCentres)].map((name) => bestIn(vms, name, groupHash, slots));
-  const firsts = near.flatMap(([first]) => (first ? [first] : [])).sort(byRank);
-  const others = near.flatMap(([, ...rest]) => rest).sort(byRank);
-  const chosen = [...firsts, ...others].slice(0, slots);
-  if (chosen.length < slots) {
-    const elsewhere = [...vms.keys()].filter((name) => !memberDataCentres.includes(name));
-    const far = elsewhere.flatMap((name) => bestIn(vms, name, groupHash, slots)).sort(byRank);
-    chosen.push(...far.slice(0, slots - chosen.length));
+  const rankedByMemberDataCentre = [...new Set(memberDataCentres)].map((name) =>
+    highestRankedIn(vms, name, groupHash, slotCount),
+  );
+  const firstOfEach = rankedByMemberDataCentre
+    .flatMap(([first]) => (first ? [first] : []))
+    .sort(compareRank);
+  const remaining = rankedByMemberDataCentre.flatMap(([, ...rest]) => rest).sort(compareRank);
+  const chosen = [...firstOfEach, ...remaining].slice(0, slotCount);
+  if (chosen.length < slotCount) {
+    const otherDataCentres = [...vms.keys()].filter((name) => !memberDataCentres.includes(name));
+    const rankedElsewhere = otherDataCentres
+      .flatMap((name) => highestRankedIn(vms, name, groupHash, slotCount))
+      .sort(compareRank);
+    chosen.push(...rankedElsewhere.slice(0, slotCount - chosen.length));
   }
   return chosen.map(({ id }) => id);
 };
--- a/packages/coordination/src/membership/mayBeChosen.ts
+++ b/packages/coordination/src/membership/mayBeChosen.ts
@@ -1,29 +1,31 @@
 import rendezvousScore from './rendezvousScore';
 
-interface PlacedVm {
+interface VmPlacement {
   dataCentre: string;
   hash: number;
 }
 
-interface Choice {
+interface HolderChoice {
   groupHash: number;
   /** Data centres of the group's active members. */
   near: readonly string[];
   slots: number;
-  chosen: readonly PlacedVm[];
+  chosen: readonly VmPlacement[];
 }
 
 /**
- * Whether a VM that joins could change a group's choice of holders. It may say so without
- * need, but never misses a change, so that one change of the list costs a score for each
- * group and a new choice for few.
+ * Whether a joining VM could change a group's chosen slot holders. May return true needlessly but
+ * never misses a change, so a registration costs one score per group and a new choice for few.
  */
-const mayBeChosen = (joining: PlacedVm, { groupHash, near, slots, chosen }: Choice): boolean => {
+const mayBeChosen = (
+  joining: VmPlacement,
+  { groupHash, near, slots, chosen }: HolderChoice,
+): boolean => {
   if (chosen.length < slots) return true;
-  const isNear = near.includes(joining.dataCentre);
-  const isCovered = chosen.some(({ dataCentre }) => dataCentre === joining.dataCentre);
-  const isFar = chosen.some(({ dataCentre }) => !near.includes(dataCentre));
-  if (isNear && (isFar || !isCovered)) return true;
+  const isInMemberDataCentre = near.includes(joining.dataCentre);
+  const hasHolderInDataCentre = chosen.some(({ dataCentre }) => dataCentre === joining.dataCentre);
+  const hasHolderElsewhere = chosen.some(({ dataCentre }) => !near.includes(dataCentre));
+  if (isInMemberDataCentre && (hasHolderElsewhere || !hasHolderInDataCentre)) return true;
   const score = rendezvousScore(joining.hash, groupHash);
   return chosen.some(({ hash }) => score >= rendezvousScore(hash, groupHash));
 };
