--- a/packages/coordination/src/load/createIsolationGauge.ts
+++ b/packages/coordination/src/load/createIsolationGauge.ts
@@ -1,29 +1,28 @@
-/** Without a group in reach for this long a VM is isolated: two samples, so that one late answer is none. */
+/** A VM is isolated after this time without a reachable group: two samples, so one may be late. */
 const ISOLATED_AFTER_MS = 100;
-/** A process that is younger, and reaches the store, may start together with the whole fleet. */
-const SETTLED_AFTER_MS = 1_500;
-/** The balancer asks once a second and takes a VM out after two refusals. */
-const BALANCER_NOTICE_MS = 2_200;
+/** Grace period after start, as all VMs may be starting; only while the store is reachable. */
+const STARTUP_GRACE_MS = 1_500;
+/** The load balancer checks once a second and removes a VM after two failed checks. */
+const BALANCER_DETECTION_MS = 2_200;
 
-/** `connected`, `isolated` (callers are better off elsewhere), `left` (the balancer knows it by now). */
-type Isolation = 'connected' | 'isolated' | 'left';
+/** `isolated`: callers should use other VMs. `left`: the load balancer has removed this VM. */
+type IsolationState = 'connected' | 'isolated' | 'left';
 
 /**
- * Tells when a VM can serve no group, neither itself nor through another VM, so that its callers
- * are better off with VMs that can. A silence shorter than two questions of the balancer changes nothing.
- *
- * Load pattern: a data centre that is cut off from the others for seconds while its callers reach it.
+ * Detects when a VM can serve no group, itself or through another VM, so that its callers should
+ * go to other VMs. An outage shorter than two health checks of the load balancer has no effect.
+ * Handles a data centre partitioned from the others for seconds that callers still reach.
  */
 const createIsolationGauge = (startedAtMs: number) => {
-  let connectedAtMs = startedAtMs;
+  let lastConnectedAtMs = startedAtMs;
 
   return {
-    observe: (isServable: boolean, isStoreReached: boolean, nowMs: number): Isolation => {
-      const isStarting = isStoreReached && nowMs - startedAtMs < SETTLED_AFTER_MS;
-      if (isServable || isStarting) connectedAtMs = nowMs;
-      const silentMs = nowMs - connectedAtMs;
-      if (silentMs < ISOLATED_AFTER_MS) return 'connected';
-      return silentMs < ISOLATED_AFTER_MS + BALANCER_NOTICE_MS ? 'isolated' : 'left';
+    observe: (canServeGroup: boolean, isStoreReachable: boolean, nowMs: number): IsolationState => {
+      const isStarting = isStoreReachable && nowMs - startedAtMs < STARTUP_GRACE_MS;
+      if (canServeGroup || isStarting) lastConnectedAtMs = nowMs;
+      const isolatedForMs = nowMs - lastConnectedAtMs;
+      if (isolatedForMs < ISOLATED_AFTER_MS) return 'connected';
+      return isolatedForMs < ISOLATED_AFTER_MS + BALANCER_DETECTION_MS ? 'isolated' : 'left';
     },
   };
 };
--- a/packages/coordination/src/load/createStrainGauge.spec.ts
+++ b/packages/coordination/src/load/createStrainGauge.spec.ts
@@ -6,14 +6,14 @@
 describe('createStrainGauge', () => {
   const observe = (
     gauge: ReturnType<typeof createStrainGauge>,
-    latenessMs: number,
+    lagMs: number,
     fromMs: number,
     toMs: number,
   ): void => {
-    for (let nowMs = fromMs; nowMs < toMs; nowMs += SAMPLE_MS) gauge.observe(latenessMs, nowMs);
+    for (let nowMs = fromMs; nowMs < toMs; nowMs += SAMPLE_MS) gauge.observe(lagMs, nowMs);
   };
 
-  it('is strained within a second of lasting lateness', () => {
+  it('is strained within 1 s of constant event-loop lag', () => {
     const gauge = createStrainGauge();
     observe(gauge, 40, 0, 1_000);
     expect(gauge.isStrained()).to.equal(true);
@@ -26,7 +26,7 @@
     expect(gauge.isStrained()).to.equal(false);
   });
 
-  it('is eased only after seconds with time to spare', () => {
+  it('recovers only after the lag has been low for 3 s', () => {
     const gauge = createStrainGauge();
     observe(gauge, 40, 0, 1_000);
     observe(gauge, 0, 1_000, 3_000);
