--- a/packages/coordination/src/slots/connectionShare.ts
+++ b/packages/coordination/src/slots/connectionShare.ts
@@ -1,17 +1,17 @@
 import smallestBudget from './smallestBudget';
 import CONTROL_CONNECTIONS from './controlConnections';
 
-interface Budgeted {
+interface BudgetedGroup {
   connectionBudget: number;
   slots: number;
   members: readonly unknown[];
 }
 
 /**
- * Connections for statements that the VM of one slot may have open to each member, beside
- * its control connection; 0 when the budget is too small for the slots.
+ * Connections for statements that the holder of one slot may open to each member, in addition to
+ * its control connection; 0 if the budget is too small for the number of slots.
  */
-const connectionShare = (group: Budgeted): number => {
+const connectionShare = (group: BudgetedGroup): number => {
   if (group.connectionBudget < smallestBudget(group)) return 0;
   const perMember = Math.floor(group.connectionBudget / group.slots / group.members.length);
   return perMember - CONTROL_CONNECTIONS;
--- a/packages/coordination/src/slots/ownSlot.ts
+++ b/packages/coordination/src/slots/ownSlot.ts
@@ -1,6 +1,6 @@
 import type SlotsRecord from './slotsRecord';
 
-/** The slot that this start of a VM holds by the record; -1: none. */
+/** Index of the slot that the record assigns to this incarnation of a VM, or -1. */
 const ownSlot = (record: SlotsRecord | undefined, vm: string, incarnation: number): number =>
   record?.holders.findIndex((holder) => holder?.vm === vm && holder.incarnation === incarnation) ??
   -1;
--- a/packages/coordination/src/slots/slotsSchema.ts
+++ b/packages/coordination/src/slots/slotsSchema.ts
@@ -2,13 +2,13 @@
 
 const slotHolderSchema = z.strictObject({
   vm: z.string().min(1),
-  /** The start of the VM that holds the slot. */
+  /** Incarnation of the VM that holds the slot. */
   incarnation: z.number().int().nonnegative(),
-  /** Whether the slot was taken from a VM that had not given it back. */
+  /** Whether the slot was taken from a VM that had not released it. */
   isTakenOver: z.boolean(),
 });
 
-/** Which VMs hold a group's slots, by slot; null: nobody, and nobody has connections by it. */
+/** The holder of each of a group's slots; null for a free slot, which has no connections open. */
 const slotsSchema = z.strictObject({ holders: z.array(slotHolderSchema.nullable()).max(16) });
 
 export default slotsSchema;
--- a/packages/coordination/src/slots/smallestBudget.ts
+++ b/packages/coordination/src/slots/smallestBudget.ts
@@ -1,9 +1,9 @@
 import CONTROL_CONNECTIONS from './controlConnections';
 
-const MIN_DATA_CONNECTIONS = 1;
+const MIN_STATEMENT_CONNECTIONS_PER_MEMBER = 1;
 
-/** The smallest budget that gives the VM of each slot what it needs at each member. */
+/** The smallest connection budget with which each slot holder can serve every member. */
 const smallestBudget = (group: { slots: number; members: readonly unknown[] }): number =>
-  group.slots * group.members.length * (CONTROL_CONNECTIONS + MIN_DATA_CONNECTIONS);
+  group.slots * group.members.length * (CONTROL_CONNECTIONS + MIN_STATEMENT_CONNECTIONS_PER_MEMBER);
 
 export default smallestBudget;
--- a/packages/coordination/src/slots/withHolder.ts
+++ b/packages/coordination/src/slots/withHolder.ts
@@ -1,6 +1,6 @@
 import type SlotsRecord from './slotsRecord';
 
-/** The record with another holder of one slot. */
+/** Returns a copy of the record with one slot's holder replaced. */
 const withHolder = (
   record: SlotsRecord | undefined,
   slot: number,
