--- a/packages/coordination/src/fairQueue/fairShares.spec.ts
+++ b/packages/coordination/src/fairQueue/fairShares.spec.ts
@@ -11,18 +11,18 @@
 const LIMITS = { perAccount: 10_000, total: 20_000 };
 const NO_DEADLINE_MS = Number.POSITIVE_INFINITY;
 
-/** Serves all queued requests one after the other until the accounts' queues run out. */
+/** Serves queued requests one after the other until `isDone` or no request is left. */
 const serveUntil = (
   requests: Request[],
   weights: Record<string, number>,
-  isOver: (servedMs: Map<string, number>) => boolean,
+  isDone: (servedMs: Map<string, number>) => boolean,
 ): Map<string, number> => {
   const queue = createFairQueue<Request>(LIMITS, 1);
   const servedMs = new Map<string, number>();
   requests.forEach((request) => {
     queue.offer(request, request.account, weights[request.account] ?? 1, NO_DEADLINE_MS);
   });
-  while (!isOver(servedMs)) {
+  while (!isDone(servedMs)) {
     const turn = queue.next();
     if (!turn) break;
     const { account, serviceMs } = turn.item;
@@ -32,8 +32,8 @@
   return servedMs;
 };
 
-describe('fair queue', () => {
-  describe('with accounts that always have requests queued', () => {
+describe('createFairQueue', () => {
+  describe('with accounts that are always backlogged', () => {
     it('divides the service time by weight, whatever the requests cost', () => {
       const costs = fc.record({
         small: fc.double({ min: 0.5, max: 30, noNaN: true }),
@@ -62,7 +62,7 @@
   });
 
   describe('with one request behind many of another account', () => {
-    it('serves it after at most one round', () => {
+    it('serves the single request among the next five', () => {
       const queue = createFairQueue<string>(LIMITS, 1);
       for (let id = 0; id < 1_000; id += 1) queue.offer('large', 'large', 1, NO_DEADLINE_MS);
       queue.offer('small', 'small', 1, NO_DEADLINE_MS);
@@ -75,8 +75,8 @@
     });
   });
 
-  describe('with an account that was served for long and then had nothing queued', () => {
-    it('forgets that service once the others have had as much', () => {
+  describe('with an account that was idle after much service', () => {
+    it('ignores that service once the other accounts have received as much', () => {
       const queue = createFairQueue<string>(LIMITS, 1);
       const serve = (costMs: number): string | undefined => {
         const turn = queue.next();
@@ -92,8 +92,8 @@
     });
   });
 
-  describe('at its bounds', () => {
-    it('refuses at entry when an account has too many or the wait is too long', () => {
+  describe('at its limits', () => {
+    it('refuses a request if the queue is full or the expected wait exceeds the deadline', () => {
       const queue = createFairQueue<string>({ perAccount: 2, total: 3 }, 1);
       expect(queue.offer('a1', 'a', 1, 1_000)).to.equal(undefined);
       expect(queue.offer('a2', 'a', 1, 1_000)).to.equal(undefined);
@@ -106,7 +106,7 @@
       expect(slow.offer('other', 'b', 1, 20)).to.equal(undefined);
     });
 
-    it('keeps every request until it is served or removed', () => {
+    it('keeps every queued request until it is served', () => {
       const step = fc.record({ account: fc.constantFrom('a', 'b', 'c'), take: fc.boolean() });
       fc.assert(
         fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
