--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -9,7 +9,7 @@
 import createEqualPartsAdmission from './createEqualPartsAdmission';
 import createShareAdmission from './createShareAdmission';
 import createShareService from './createShareService';
-import limitOfShare from './limitOfShare';
+import findShareLimit from './findShareLimit';
 
 interface AdmissionOptions {
   settings: Settings;
@@ -24,7 +24,7 @@
   logger: Logger;
 }
 
-/** Creates the admission that the settings choose, and the services of shares and leases behind it. */
+/** Creates the rate limiter of the configured mode, and its share and lease services. */
 const createAdmission = (options: AdmissionOptions) => {
   const { settings, configuration, vmCount, nowMs } = options;
   const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
@@ -41,7 +41,7 @@
     leaseMs: shareLeaseMs,
     maxWaitMs,
     maxSilentWaitMs,
-    limitOf: (name) => limitOfShare(configuration, name),
+    limitOf: (name) => findShareLimit(configuration, name),
   });
   const admission: Admission =
     mode === 'shares'
@@ -52,7 +52,7 @@
     shares,
     leases,
     messageHandlers: new Map([...shares.handlers, ...leases.messageHandlers]),
-    /** Whether this VM may give out rates since its start; equal parts need no lease. */
+    /** Whether this VM has held its lease since start-up; mode `equalParts` needs none. */
     isReady: (): boolean => mode !== 'shares' || leases.hasStood(),
     start: (): void => {
       if (mode === 'shares') leases.start(shares);
--- a/packages/auburngrade/src/admission/createShareAdmission.ts
+++ b/packages/auburngrade/src/admission/createShareAdmission.ts
@@ -3,7 +3,7 @@
 import type createShareService from './createShareService';
 import PROFILE_SEPARATOR from './profileSeparator';
 
-/** Admits requests by shares of each client account's rate that move between VMs. */
+/** Creates the rate limiter that spends this VM's share of each rate; shares follow demand. */
 const createShareAdmission = (
   configuration: ConfigurationState,
   shares: ReturnType<typeof createShareService>,
@@ -13,8 +13,8 @@
     if (!shortage) return;
     const message =
       shortage.code === 'rateExceeded'
-        ? `rate of account ${account} exceeded`
-        : `no share of the rate of account ${account} can be had now`;
+        ? `account ${account} is over its rate`
+        : `the rate of account ${account} is temporarily unavailable on this VM`;
     throw notRun(shortage.code, message, shortage.retryAfterMs);
   };
 
@@ -22,7 +22,7 @@
     admit: async (account, profileName, deadlineAtMs): Promise<void> => {
       if (account === undefined) return;
       if (!configuration.get('account', account)) {
-        throw notRun('unauthenticated', `no client account ${account}`);
+        throw notRun('unauthenticated', `client account ${account} does not exist`);
       }
       await take(account, account, deadlineAtMs);
       if (!configuration.get('profile', profileName)?.limit) return;
--- a/packages/auburngrade/src/admission/createShareRoles.ts
+++ b/packages/auburngrade/src/admission/createShareRoles.ts
@@ -13,47 +13,47 @@
   incarnation: number;
   configuration: ConfigurationState;
   leaseMs: number;
-  /** The VM's lease, under which it holds units and keeps ledgers. */
+  /** This VM's lease; units and keeper roles are lost when it lapses. */
   lease: VmLease;
   /** Monotonic time of the platform's last confirmation of the known configuration. */
   confirmedAtMs(): number;
   nowMs(): number;
 }
 
-/** A holder's lease may begin a lease after the claim; clocks may differ by the margin. */
-const LAPSE_LEASES = 2.02;
+/** A holder's lease may start one lease after the claim; the rest allows for clock drift. */
+const LAPSE_LEASE_RATIO = 2.02;
 const LAPSE_MARGIN_MS = 5_000;
 
-/** Makes this VM the keeper or a holder of a share, as the platform's record says. */
+/** Creates the functions that derive this VM's role, keeper or holder, from a share's record. */
 const createShareRoles = (options: ShareRolesOptions) => {
   const { vm, incarnation, configuration, leaseMs, lease, confirmedAtMs, nowMs } = options;
 
-  const unreportedOf = (state: ShareState, record: ShareRecord): Set<string> => {
+  const findUnreportedVms = (state: ShareState, record: ShareRecord): Set<string> => {
     if (state.claim?.epoch === record.epoch) return state.claim.unreported;
     return new Set((record.holding ?? record.holders).filter((holder) => holder !== vm));
   };
 
   const becomeKeeper = (state: ShareState, record: ShareRecord): void => {
     const now = nowMs();
-    const own = state.holder?.resign(now) ?? state.keeper?.resign(now);
+    const ownBalance = state.holder?.resign(now) ?? state.keeper?.resign(now);
     const keeper = createShareKeeper({
       limit: state.limit,
       epoch: record.epoch,
-      unreported: unreportedOf(state, record),
+      unreported: findUnreportedVms(state, record),
       former: new Set(record.former.filter((earlier) => earlier !== vm)),
-      ownUnits: own?.units ?? 0,
-      ownTokens: own?.tokens ?? 0,
+      ownUnits: ownBalance?.units ?? 0,
+      ownTokens: ownBalance?.tokens ?? 0,
       leaseMs,
       lease,
-      lapsedAtMs: now + leaseMs * LAPSE_LEASES + LAPSE_MARGIN_MS,
+      lapsedAtMs: now + leaseMs * LAPSE_LEASE_RATIO + LAPSE_MARGIN_MS,
       nowMs: now,
     });
-    updateShareState(state, { keeper, holder: undefined, isPassing: false });
+    updateShareState(state, { keeper, holder: undefined, isTransferring: false });
   };
 
   const becomeHolder = (state: ShareState): void => {
     const now = nowMs();
-    const own = state.keeper?.resign(now);
+    const ownBalance = state.keeper?.resign(now);
     const holder = createShareHolder({
       share: state.name,
       vm,
@@ -62,39 +62,39 @@
       leaseMs,
       lease,
       nowMs: now,
-      initialUnits: own?.units,
-      initialTokens: own?.tokens,
-      leaseEndsAtMs: own ? state.authorityAtMs + 2 * leaseMs : undefined,
+      initialUnits: ownBalance?.units,
+      initialTokens: ownBalance?.tokens,
+      leaseEndsAtMs: ownBalance ? state.authorityConfirmedAtMs + 2 * leaseMs : undefined,
     });
-    updateShareState(state, { holder, keeper: undefined, isPassing: false, isSyncDue: true });
+    updateShareState(state, { holder, keeper: undefined, isTransferring: false, isSyncDue: true });
   };
 
-  /** A keeper whose VM's lease has lapsed never acts again in its epoch. */
-  const noteLoss = (state: ShareState): void => {
+  /** A keeper whose VM's lease has lapsed must never act again in its epoch. */
+  const dropLapsedKeeper = (state: ShareState): void => {
     if (!state.keeper || state.keeper.isInOffice(nowMs())) return;
     updateShareState(state, { lostEpoch: state.keeper.epoch, keeper: undefined });
   };
 
   return {
-    /** Brings the state's role in line with the record, and gives the record. */
+    /** Updates the role to match the share's record and returns the record. */
     refresh: (state: ShareState): ShareRecord | undefined => {
       const record = configuration.get('share', state.name);
-      noteLoss(state);
+      dropLapsedKeeper(state);
       if (!record) return undefined;
       const isKeeper = record.keeper === vm && record.incarnation === incarnation;
       if (!isKeeper) {
         if (!state.holder) becomeHolder(state);
         return record;
       }
-      const authorityAtMs = Math.max(state.authorityAtMs, confirmedAtMs());
-      updateShareState(state, { authorityAtMs });
+      const authorityConfirmedAtMs = Math.max(state.authorityConfirmedAtMs, confirmedAtMs());
+      updateShareState(state, { authorityConfirmedAtMs });
       if (record.epoch === state.lostEpoch) return record;
       if (state.keeper?.epoch !== record.epoch) becomeKeeper(state, record);
       return record;
     },
-    /** False when another VM may have become the keeper without this VM's knowledge. */
+    /** False when another VM may have become the keeper without this VM having learned of it. */
     hasAuthority: (state: ShareState): boolean =>
-      !state.isPassing && nowMs() < state.authorityAtMs + leaseMs,
+      !state.isTransferring && nowMs() < state.authorityConfirmedAtMs + leaseMs,
   };
 };
 
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -1,33 +1,33 @@
 import type { VmLease } from '@auburngrade/coordination';
-import createKeeperClaims from './createKeeperClaims';
-import createPauseGuard from './createPauseGuard';
-import createShareExchange from './createShareExchange';
+import createShareRecordWriter from './createShareRecordWriter';
+import createPauseDetector from './createPauseDetector';
+import createShareProtocol from './createShareProtocol';
 import createShareHandOver from './createShareHandOver';
 import createShareRoles from './createShareRoles';
 import createShareState from './createShareState';
-import createShareTaking from './createShareTaking';
-import createShareUpkeep from './createShareUpkeep';
+import createTokenAcquirer from './createTokenAcquirer';
+import createShareMaintenance from './createShareMaintenance';
 import type ShareServiceOptions from './shareServiceOptions';
 import type ShareState from './shareState';
 import updateShareState from './updateShareState';
 
-const TICK_MS = 200;
-const MS_PER_S = 1_000;
+const MAINTENANCE_INTERVAL_MS = 200;
+const UNKNOWN_SHARE_RETRY_MS = 1_000;
 
-/** The shares of client accounts' rates that this VM keeps or holds. */
+/** Creates the service for all shares of rates of which this VM is the keeper or a holder. */
 const createShareService = (options: ShareServiceOptions) => {
   const { platformTimeoutMs, limitOf, nowMs, logger } = options;
   const states = new Map<string, ShareState>();
-  const guard = createPauseGuard(nowMs);
+  const pauseDetector = createPauseDetector(nowMs);
   const lease: VmLease = options.leases.lease;
-  let trustedConfirmationMs = Number.NEGATIVE_INFINITY;
+  let trustedConfirmationAtMs = Number.NEGATIVE_INFINITY;
 
   const confirmedAtMs = (): number => {
-    if (guard.isSteady()) trustedConfirmationMs = options.confirmedAtMs();
-    return trustedConfirmationMs;
+    if (pauseDetector.isCaughtUp()) trustedConfirmationAtMs = options.confirmedAtMs();
+    return trustedConfirmationAtMs;
   };
 
-  const stateOf = (name: string): ShareState | undefined => {
+  const findOrCreateState = (name: string): ShareState | undefined => {
     const limit = limitOf(name);
     if (!limit) return undefined;
     const state = states.get(name) ?? createShareState(name, limit);
@@ -40,60 +40,61 @@
     return state;
   };
 
-  const claims = createKeeperClaims({ ...options, lease, timeoutMs: platformTimeoutMs });
+  const recordWriter = createShareRecordWriter({ ...options, lease, timeoutMs: platformTimeoutMs });
   const roles = createShareRoles({ ...options, lease, confirmedAtMs });
-  const exchange = createShareExchange({ ...options, claims, roles, stateOf });
-  const parts = { ...options, claims, roles, exchange };
-  const taking = createShareTaking(parts);
-  const upkeep = createShareUpkeep(parts);
-  const handOverOne = createShareHandOver(parts);
+  const protocol = createShareProtocol({ ...options, recordWriter, roles, findOrCreateState });
+  const componentOptions = { ...options, recordWriter, roles, protocol };
+  const tokenAcquirer = createTokenAcquirer(componentOptions);
+  const maintainShare = createShareMaintenance(componentOptions);
+  const handOverShare = createShareHandOver(componentOptions);
 
-  const busy = new Set<string>();
-  const tick = (): void => {
+  const sharesInMaintenance = new Set<string>();
+  const maintainAll = (): void => {
     states.forEach((state, name) => {
-      if (busy.has(name) || !limitOf(name)) return;
-      busy.add(name);
-      upkeep(state)
+      if (sharesInMaintenance.has(name) || !limitOf(name)) return;
+      sharesInMaintenance.add(name);
+      maintainShare(state)
         .catch((error: Error) => logger.debug('share.tickFailed', { message: error.message }))
-        .finally(() => busy.delete(name));
+        .finally(() => sharesInMaintenance.delete(name));
     });
   };
-  const timer = setInterval(tick, TICK_MS);
-  timer.unref();
+  const maintenanceTimer = setInterval(maintainAll, MAINTENANCE_INTERVAL_MS);
+  maintenanceTimer.unref();
 
-  const unitsOf = ({ keeper, holder }: ShareState): number =>
+  const countUnits = ({ keeper, holder }: ShareState): number =>
     (keeper ?? holder)?.units(nowMs()) ?? 0;
 
   return {
-    /** Takes one token; resolves with undefined when it was there. */
+    /** Takes one token; resolves with undefined on success, else with the reason for the refusal. */
     take: async (name: string, deadlineAtMs: number) => {
-      const state = stateOf(name);
-      if (!state) return { code: 'shareUnavailable' as const, retryAfterMs: MS_PER_S };
-      return taking.take(state, deadlineAtMs);
+      const state = findOrCreateState(name);
+      if (!state)
+        return { code: 'shareUnavailable' as const, retryAfterMs: UNKNOWN_SHARE_RETRY_MS };
+      return tokenAcquirer.take(state, deadlineAtMs);
     },
-    /** Gives back a token of a request that was refused for another reason. */
+    /** Returns a token of a request that was then refused for another reason. */
     putBack: (name: string): void => {
       const state = states.get(name);
-      if (state) taking.putBack(state);
+      if (state) tokenAcquirer.putBack(state);
     },
-    /** Handlers of the messages between VMs. */
-    handlers: exchange.handlers,
-    /** Whether this VM holds no unit and keeps no ledger. */
+    /** Handlers of messages from other VMs, by message kind. */
+    handlers: protocol.handlers,
+    /** Whether this VM holds no units and is no share's keeper. */
     isIdle: (): boolean =>
-      [...states.values()].every((state) => !state.keeper && unitsOf(state) === 0),
-    /** Hands units and ledgers over to other VMs. */
+      [...states.values()].every((state) => !state.keeper && countUnits(state) === 0),
+    /** Hands units and keeper roles over to other VMs. */
     handOver: async (): Promise<void> => {
-      await Promise.all([...states.values()].map(handOverOne));
+      await Promise.all([...states.values()].map(handOverShare));
     },
     stop: (): void => {
-      clearInterval(timer);
-      guard.stop();
+      clearInterval(maintenanceTimer);
+      pauseDetector.stop();
     },
     describe: () =>
       Object.fromEntries(
         [...states].map(([name, state]) => [
           name,
-          { role: state.keeper ? 'keeper' : 'holder', units: unitsOf(state) },
+          { role: state.keeper ? 'keeper' : 'holder', units: countUnits(state) },
         ]),
       ),
   };
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createShareState.ts
@@ -1,7 +1,7 @@
 import type { RateLimit } from '@auburngrade/coordination';
 import type ShareState from './shareState';
 
-/** Creates the state of a share that this VM knows nothing of yet. */
+/** Creates the initial state of a share, with no role on this VM. */
 const createShareState = (name: string, limit: RateLimit): ShareState => ({
   name,
   limit,
@@ -9,26 +9,26 @@
   keeper: undefined,
   claim: undefined,
   lostEpoch: 0,
-  isPassing: false,
+  isTransferring: false,
   prunedEpoch: 0,
-  replacing: undefined,
-  authorityAtMs: Number.NEGATIVE_INFINITY,
+  pendingReplacement: undefined,
+  authorityConfirmedAtMs: Number.NEGATIVE_INFINITY,
   waiting: 0,
-  gathering: undefined,
-  gatheringSinceMs: Number.NEGATIVE_INFINITY,
-  isAnswered: false,
-  gatherAfterMs: 0,
-  syncing: undefined,
-  gatherBackoffMs: 0,
-  claimAfterMs: 0,
-  confirmAfterMs: 0,
-  collectAfterMs: 0,
-  isGivingBack: false,
+  pendingTokenRequest: undefined,
+  tokenRequestSentAtMs: Number.NEGATIVE_INFINITY,
+  isLastRequestAnswered: false,
+  nextTokenRequestAtMs: 0,
+  pendingSync: undefined,
+  tokenRequestBackoffMs: 0,
+  nextClaimAtMs: 0,
+  nextConfirmationAtMs: 0,
+  nextCollectionAtMs: 0,
+  isReleaseScheduled: false,
   lastSyncAtMs: Number.NEGATIVE_INFINITY,
   lastDemandPerS: 0,
   isSyncDue: false,
   unreachableSinceMs: undefined,
-  silentUntilMs: new Map(),
+  skipRecallUntilMs: new Map(),
 });
 
 export default createShareState;
--- a/packages/auburngrade/src/admission/noKeeper.ts
+++ b/packages/auburngrade/src/admission/noKeeper.ts
@@ -1,4 +1,4 @@
-/** Stands in a share's record for a keeper that has left and handed everything over. */
+/** `keeper` in a share's record after the last keeper released all units and named no successor. */
 const NO_KEEPER = '-';
 
 export default NO_KEEPER;
--- a/packages/auburngrade/src/admission/shareServiceOptions.ts
+++ b/packages/auburngrade/src/admission/shareServiceOptions.ts
@@ -4,7 +4,7 @@
 import type PeerRegistry from '../routing/peerRegistry';
 import type LeaseService from '../witness/leaseService';
 
-/** What the service of shares works with. */
+/** Dependencies and settings of the share service. */
 interface ShareServiceOptions {
   vm: string;
   incarnation: number;
@@ -15,10 +15,11 @@
   leases: LeaseService;
   leaseMs: number;
   maxWaitMs: number;
-  /** The same while another VM that may have tokens does not answer. */
+  /** Longest wait of a request while a VM that may have tokens does not answer. */
   maxSilentWaitMs: number;
+  /** Monotonic time of the platform's last confirmation of the known configuration. */
   confirmedAtMs(): number;
-  /** The limit of a share by its name. */
+  /** Finds a share's limit by the share's name; undefined when it has none. */
   limitOf(name: string): RateLimit | undefined;
   nowMs(): number;
   logger: Logger;
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/shareState.ts
@@ -1,43 +1,47 @@
 import type { RateLimit, ShareHolder, ShareKeeper } from '@auburngrade/coordination';
 
-/** What a VM knows of one share: it is the keeper's or a holder's, never both. */
+/**
+ * State of one share on this VM. The share's keeper owns the ledger that divides the rate into
+ * units; the holders spend units granted by the keeper. This VM has one role, never both.
+ */
 interface ShareState {
   name: string;
   limit: RateLimit;
   holder: ShareHolder | undefined;
   keeper: ShareKeeper | undefined;
-  /** The epoch that this VM has tried to claim, and who may hold units of earlier ones. */
+  /** Epoch that this VM last tried to claim, and the VMs that may hold units of earlier epochs. */
   claim: { epoch: number; unreported: Set<string> } | undefined;
-  /** The epoch in which this VM was the keeper until its lease lapsed. */
+  /** Epoch in which this VM lost the keeper role because its lease lapsed. */
   lostEpoch: number;
-  /** Whether this VM names another keeper and so acts as one no more. */
-  isPassing: boolean;
-  /** The epoch whose record names no VM any more that left long ago. */
+  /** Whether this VM is transferring the keeper role and has stopped acting as the keeper. */
+  isTransferring: boolean;
+  /** Epoch in which VMs that left the fleet have been removed from the record. */
   prunedEpoch: number;
-  /** Tries to show that the present keeper's lease has lapsed. */
-  replacing: Promise<void> | undefined;
-  /** Last confirmation by the platform that this VM is the keeper. */
-  authorityAtMs: number;
+  /** Attempt in progress to prove that the keeper's lease has lapsed and to claim the share. */
+  pendingReplacement: Promise<void> | undefined;
+  /** Time of the platform's last confirmation that this VM is the keeper. */
+  authorityConfirmedAtMs: number;
+  /** Number of requests that wait for a token. */
   waiting: number;
-  gathering: Promise<boolean> | undefined;
-  gatheringSinceMs: number;
-  /** Whether the last attempt to gather tokens was answered by the keeper. */
-  isAnswered: boolean;
-  gatherAfterMs: number;
-  /** The report under way. */
-  syncing: Promise<boolean> | undefined;
-  gatherBackoffMs: number;
-  claimAfterMs: number;
-  confirmAfterMs: number;
-  collectAfterMs: number;
-  /** Whether units are to be given back once the report under way is answered. */
-  isGivingBack: boolean;
+  pendingTokenRequest: Promise<boolean> | undefined;
+  tokenRequestSentAtMs: number;
+  /** Whether all VMs asked by the last token request answered. */
+  isLastRequestAnswered: boolean;
+  nextTokenRequestAtMs: number;
+  /** Report to the keeper that is in progress. */
+  pendingSync: Promise<boolean> | undefined;
+  tokenRequestBackoffMs: number;
+  nextClaimAtMs: number;
+  nextConfirmationAtMs: number;
+  nextCollectionAtMs: number;
+  /** Whether units will be released once the report in progress is answered. */
+  isReleaseScheduled: boolean;
   lastSyncAtMs: number;
   lastDemandPerS: number;
   isSyncDue: boolean;
   unreachableSinceMs: number | undefined;
-  /** VMs that did not answer a recall, and until when they are not asked again. */
-  silentUntilMs: Map<string, number>;
+  /** Per VM that did not answer a recall: the time before which no recall is sent to it. */
+  skipRecallUntilMs: Map<string, number>;
 }
 
 export default ShareState;
--- a/packages/auburngrade/src/admission/updateShareState.ts
+++ b/packages/auburngrade/src/admission/updateShareState.ts
@@ -1,6 +1,6 @@
 import type ShareState from './shareState';
 
-/** Changes fields of a share's state. */
+/** Assigns fields of a share's state in place. */
 const updateShareState = (state: ShareState, changes: Partial<ShareState>): void => {
   Object.assign(state, changes);
 };
