--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -53,7 +53,7 @@
     leases,
     messageHandlers: new Map([...shares.handlers, ...leases.messageHandlers]),
     /** Whether this VM has held its lease since start-up; mode `equalParts` needs none. */
-    isReady: (): boolean => mode !== 'shares' || leases.hasStood(),
+    isReady: (): boolean => mode !== 'shares' || leases.hasBeenHeld(),
     start: (): void => {
       if (mode === 'shares') leases.start(shares);
     },
--- a/packages/auburngrade/src/membership/createListView.spec.ts
+++ b/packages/auburngrade/src/membership/createListView.spec.ts
@@ -1,15 +1,19 @@
 import { createConfigurationState, type ConfigurationState } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import createLeaseSeat from '../witness/createLeaseSeat';
+import createWitnessSelector from '../witness/createWitnessSelector';
 import createListView from './createListView';
 
-const VM = JSON.stringify({ dataCentre: 'waco', host: 'h', callerPort: 1, vmPort: 2 });
-const vmAt = (name: string, modRevision: number, valueJson: string | undefined = VM) => ({
+const VM_JSON = JSON.stringify({ dataCentre: 'waco', host: 'h', callerPort: 1, vmPort: 2 });
+const createVmEntry = (
+  name: string,
+  modRevision: number,
+  valueJson: string | undefined = VM_JSON,
+) => ({
   key: `/platform/vms/${name}`,
   valueJson,
   modRevision,
 });
-const accountAt = (modRevision: number) => ({
+const createAccountEntry = (modRevision: number) => ({
   key: '/auburngrade/account/ranch',
   valueJson: JSON.stringify({ limit: { ratePerS: 1, burst: 1 } }),
   modRevision,
@@ -20,29 +24,29 @@
 
   beforeEach(() => {
     configuration = createConfigurationState();
-    configuration.applyChanges(1, [vmAt('waco-1', 1)]);
+    configuration.applyChanges(1, [createVmEntry('waco-1', 1)]);
   });
 
-  it('gives what the list says now, worked out once for each change of the list', () => {
-    let count = 0;
+  it('returns the current value and recomputes it once per change of the VM list', () => {
+    let computations = 0;
     const view = createListView(configuration, () => {
-      count += 1;
+      computations += 1;
       return configuration.names('vm');
     });
     expect([view(), view()]).to.deep.equal([['waco-1'], ['waco-1']]);
-    configuration.applyChanges(2, [accountAt(2)]);
+    configuration.applyChanges(2, [createAccountEntry(2)]);
     view();
-    expect(count).to.equal(1);
-    configuration.applyChanges(3, [vmAt('waco-2', 3)]);
+    expect(computations).to.equal(1);
+    configuration.applyChanges(3, [createVmEntry('waco-2', 3)]);
     expect(view()).to.deep.equal(['waco-1', 'waco-2']);
-    configuration.applySnapshot(4, [vmAt('waco-2', 3)]);
+    configuration.applySnapshot(4, [createVmEntry('waco-2', 3)]);
     expect(view()).to.deep.equal(['waco-2']);
-    expect(count).to.equal(3);
+    expect(computations).to.equal(3);
   });
 
-  it('keeps the seat of a lease from reading the list at each look', async () => {
+  it('saves the witness selector from reading the VM list at each update', async () => {
     let reads = 0;
-    const counted = {
+    const countingConfiguration = {
       ...configuration,
       list: (kind: Parameters<typeof configuration.list>[0]) => {
         reads += 1;
@@ -50,12 +54,12 @@
       },
     } as ConfigurationState;
     const record = { term: 1, groups: [['waco-1']] };
-    const seat = createLeaseSeat({
+    const selector = createWitnessSelector({
       vm: 'waco-2',
       dataCentre: 'waco',
       incarnation: 1,
       leaseMs: 3_000,
-      configuration: counted,
+      configuration: countingConfiguration,
       records: { read: async () => undefined, write: async () => true },
       lease: {
         record: () => record,
@@ -67,8 +71,8 @@
       },
       nowMs: () => 0,
     });
-    const use = { isIdle: () => true, handOver: async () => {} };
-    for (let look = 0; look < 10; look += 1) await seat.update(use);
+    const resources = { isIdle: () => true, handOver: async () => {} };
+    for (let update = 0; update < 10; update += 1) await selector.update(resources);
     expect(reads).to.equal(1);
   });
 });
--- a/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
@@ -8,10 +8,10 @@
 import type Membership from '../membership/membership';
 import createSlotKeeper from './createSlotKeeper';
 
-const GROUPS = 150;
-const LONGER_THAN_BURSTS_MS = 300;
+const GROUP_COUNT = 150;
+const AFTER_BURST_DELAY_MS = 300;
 
-const groupAt = (index: number, revision: number) => ({
+const createGroupEntry = (index: number, revision: number) => ({
   key: `/auburngrade/group/group-${index}`,
   valueJson: JSON.stringify({
     connectionBudget: 20 + revision,
@@ -21,16 +21,18 @@
 });
 
 describe('createSlotKeeper', () => {
-  let asked: string[];
-  let keeper: ReturnType<typeof createSlotKeeper>;
+  let reconciledGroups: string[];
+  let slotKeeper: ReturnType<typeof createSlotKeeper>;
   let configuration: ReturnType<typeof createConfigurationState>;
 
   beforeEach(async () => {
-    asked = [];
+    reconciledGroups = [];
     configuration = createConfigurationState();
-    const groups = Array.from({ length: GROUPS }, (_, index) => groupAt(index, index + 1));
-    configuration.applyChanges(GROUPS, groups);
-    keeper = createSlotKeeper({
+    const groups = Array.from({ length: GROUP_COUNT }, (_, index) =>
+      createGroupEntry(index, index + 1),
+    );
+    configuration.applyChanges(GROUP_COUNT, groups);
+    slotKeeper = createSlotKeeper({
       vm: 'waco-1',
       incarnation: 1,
       platform: {} as Platform,
@@ -43,28 +45,28 @@
       nowMs: () => 0,
     });
     const chosen = (group: string): string[] => {
-      asked.push(group);
+      reconciledGroups.push(group);
       return ['waco-2'];
     };
     const membership = { chosen, isListed: () => true } as unknown as Membership;
-    keeper.start({ membership, groups: {} as GroupRegistry, onHoldingChanged: () => {} });
-    await waitFor('a look at every group', () => asked.length === GROUPS);
-    asked = [];
+    slotKeeper.start({ membership, groups: {} as GroupRegistry, onHoldingChanged: () => {} });
+    await waitFor('reconciliation of every group', () => reconciledGroups.length === GROUP_COUNT);
+    reconciledGroups = [];
   });
 
-  afterEach(() => keeper.stop());
+  afterEach(() => slotKeeper.stop());
 
-  it('looks at a changed group, and at no other', async () => {
-    configuration.applyChanges(GROUPS + 1, [groupAt(7, GROUPS + 1)]);
-    await sleep(LONGER_THAN_BURSTS_MS);
-    expect(asked).to.deep.equal(['group-7']);
+  it('reconciles a changed group and no other', async () => {
+    configuration.applyChanges(GROUP_COUNT + 1, [createGroupEntry(7, GROUP_COUNT + 1)]);
+    await sleep(AFTER_BURST_DELAY_MS);
+    expect(reconciledGroups).to.deep.equal(['group-7']);
   });
 
-  it('looks at every group after a change of the list', async () => {
+  it('reconciles every group after a change of the VM list', async () => {
     const valueJson = JSON.stringify({ dataCentre: 'waco', host: 'h', callerPort: 1, vmPort: 2 });
-    configuration.applyChanges(GROUPS + 1, [
-      { key: '/platform/vms/waco-3', valueJson, modRevision: GROUPS + 1 },
+    configuration.applyChanges(GROUP_COUNT + 1, [
+      { key: '/platform/vms/waco-3', valueJson, modRevision: GROUP_COUNT + 1 },
     ]);
-    await waitFor('a look at every group', () => asked.length === GROUPS);
+    await waitFor('reconciliation of every group', () => reconciledGroups.length === GROUP_COUNT);
   });
 });
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -6,8 +6,8 @@
 import type Membership from '../membership/membership';
 import type MessageHandler from '../membership/messageHandler';
 import sleep from '../time/sleep';
-import createSlotHoldings from './createSlotHoldings';
-import createSlotWriter from './createSlotWriter';
+import createSlotTracker from './createSlotTracker';
+import createSlotRecordWriter from './createSlotRecordWriter';
 
 interface SlotKeeperOptions {
   vm: string;
@@ -15,206 +15,213 @@
   platform: Platform;
   platformTimeoutMs: number;
   configuration: ConfigurationState;
-  /** Time at which the configuration was complete, as far as this VM can prove. */
+  /** Latest time at which this VM can prove that its configuration was complete. */
   completeAtMs(): number;
-  /** Makes a write known to witnesses; whether a majority of them has it. */
+  /** Tells this data centre's witnesses of a write; resolves with whether a majority knows it. */
   announce(revision: number): Promise<boolean>;
+  /** Sends a message to another VM and resolves with the body of its reply. */
   exchange(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
   logger: Logger;
   nowMs(): number;
 }
 
-/** The parts of the VM that themselves ask which slots it holds. */
-interface SlotUsers {
+/** Components passed to `start` because they depend on the slots themselves. */
+interface SlotDependents {
   membership: Membership;
   groups: GroupRegistry;
-  /** Told when this VM came to hold a slot or lost one. */
+  /** Called after this VM gained or lost the use of a slot. */
   onHoldingChanged(): void;
 }
 
-const ASK_KIND = 'slotWanted';
-const ASK_TIMEOUT_MS = 500;
+const SLOT_WANTED_KIND = 'slotWanted';
+const SLOT_WANTED_TIMEOUT_MS = 500;
 const CHECK_INTERVAL_MS = 250;
-/** Changes of the list and of groups come in bursts. */
-const LIST_DELAY_MS = 100;
-/** A step that had no effect is tried again, at times that differ between VMs. */
+/** Combines changes of the VM list and of groups, which come in bursts. */
+const RECONCILE_ALL_DELAY_MS = 100;
+/** Mean delay before an action without effect is retried; jitter spreads the VMs. */
 const RETRY_DELAY_MS = 1_000;
-/** Groups looked at before other work gets its turn. */
-const GROUPS_PER_TURN = 200;
-/** What runs when a slot is given back may go on for this long. */
-const GIVE_BACK_CUT_MS = 10_000;
-const GIVE_BACK_RETRY_DELAY_MS = 300;
-/** Tries at a planned stop; without an answer another VM takes the slot over. */
-const MAX_GIVE_BACK_TRIES = 5;
+/** Groups reconciled before the event loop may run other work. */
+const GROUPS_PER_BATCH = 200;
+/** Statements running when a slot is released may continue for this long. */
+const RELEASE_GRACE_MS = 10_000;
+const RELEASE_RETRY_DELAY_MS = 300;
+/** Attempts to write a release; if all fail, another VM takes the slot over. */
+const MAX_RELEASE_ATTEMPTS = 5;
 
-const wantedSchema = z.strictObject({ group: z.string().min(1) });
+const slotWantedSchema = z.strictObject({ group: z.string().min(1) });
 
-/** Takes, keeps and gives back this VM's slots of database groups. */
+/** Creates the controller that takes and releases this VM's slots of database groups. */
 const createSlotKeeper = (options: SlotKeeperOptions) => {
   const { vm, incarnation, configuration, logger } = options;
-  const writer = createSlotWriter(options.platform, configuration, options.platformTimeoutMs);
-  const pending = new Set<string>();
-  const busy = new Set<string>();
-  let users: SlotUsers | undefined;
+  const recordWriter = createSlotRecordWriter(
+    options.platform,
+    configuration,
+    options.platformTimeoutMs,
+  );
+  const pendingGroups = new Set<string>();
+  const busyGroups = new Set<string>();
+  let dependents: SlotDependents | undefined;
   let isStopped = false;
-  let timer: NodeJS.Timeout | undefined;
+  let retryTimer: NodeJS.Timeout | undefined;
   let checkTimer: NodeJS.Timeout | undefined;
-  let listTimer: NodeJS.Timeout | undefined;
-  let stopListening = (): void => {};
+  let reconcileAllTimer: NodeJS.Timeout | undefined;
+  let unsubscribe = (): void => {};
 
-  const holdings = createSlotHoldings({
+  const tracker = createSlotTracker({
     ...options,
-    cut: (group) => users?.groups.release(group, 0),
-    onHoldingChanged: () => users?.onHoldingChanged(),
+    closeConnections: (group) => dependents?.groups.release(group, 0),
+    onHoldingChanged: () => dependents?.onHoldingChanged(),
   });
 
   /**
-   * Frees a slot without connections. A write whose answer was lost may have taken effect, so
-   * the slot is not used again whatever the answer.
+   * Clears a slot's holder once its connections are closed. A write whose answer was lost may
+   * have taken effect, so the slot is not used again even if every attempt fails.
    */
-  const freeSlot = async (group: string, slot: number): Promise<void> => {
-    const isHeld = (): boolean => holdings.slotOf(group) === slot;
-    for (let tries = 0; tries < MAX_GIVE_BACK_TRIES && isHeld(); tries += 1) {
-      if ((await writer.write(group, slot, null)) !== undefined) return;
-      await sleep(GIVE_BACK_RETRY_DELAY_MS);
+  const clearSlot = async (group: string, slot: number): Promise<void> => {
+    const isHeld = (): boolean => tracker.findOwnSlot(group) === slot;
+    for (let attempt = 0; attempt < MAX_RELEASE_ATTEMPTS && isHeld(); attempt += 1) {
+      if ((await recordWriter.write(group, slot, null)) !== undefined) return;
+      await sleep(RELEASE_RETRY_DELAY_MS);
     }
   };
 
-  /** Closes the group's connections, then frees its slot; a slot not yet usable stays taken over. */
-  const giveBack = async (group: string): Promise<void> => {
-    const slot = holdings.slotOf(group);
+  /** Closes the group's connections, then clears its slot; one not yet usable is kept. */
+  const releaseSlot = async (group: string): Promise<void> => {
+    const slot = tracker.findOwnSlot(group);
     if (slot < 0) return;
-    if (!holdings.isClosing(group)) {
-      if (!holdings.isUsable(group)) return;
-      holdings.beginClosing(group);
-      await users?.groups.retire(group, GIVE_BACK_CUT_MS);
+    if (!tracker.isClosing(group)) {
+      if (!tracker.isUsable(group)) return;
+      tracker.beginClosing(group);
+      await dependents?.groups.retire(group, RELEASE_GRACE_MS);
       logger.info('slot.closed', { group, slot });
     }
-    await freeSlot(group, slot);
-    if (holdings.isClosing(group)) pending.add(group);
+    await clearSlot(group, slot);
+    if (tracker.isClosing(group)) pendingGroups.add(group);
   };
 
-  const ask = async (group: string, others: string[]): Promise<void> => {
+  const requestRelease = async (group: string, otherVms: string[]): Promise<void> => {
     await Promise.allSettled(
-      others.map((other) => options.exchange(other, ASK_KIND, { group }, ASK_TIMEOUT_MS)),
+      otherVms.map((otherVm) =>
+        options.exchange(otherVm, SLOT_WANTED_KIND, { group }, SLOT_WANTED_TIMEOUT_MS),
+      ),
     );
-    pending.add(group);
+    pendingGroups.add(group);
   };
 
-  const take = async (group: string, slot: number, isTakenOver: boolean): Promise<void> => {
+  const takeSlot = async (group: string, slot: number, isTakenOver: boolean): Promise<void> => {
     const holder = { vm, incarnation, isTakenOver };
-    const revision = await writer.write(group, slot, holder);
-    if (revision === undefined) pending.add(group);
+    const revision = await recordWriter.write(group, slot, holder);
+    if (revision === undefined) pendingGroups.add(group);
   };
 
-  const step = async (group: string): Promise<void> => {
+  const applyDecision = async (group: string): Promise<void> => {
     const document = configuration.get('group', group);
-    if (!document || !users) return;
-    const { membership } = users;
+    if (!document || !dependents) return;
+    const { membership } = dependents;
     const decision = decideSlot({
       vm,
       incarnation,
       slots: document.slots,
       record: configuration.get('slots', group),
-      isClosing: holdings.isClosing(group),
+      isClosing: tracker.isClosing(group),
       chosen: membership.chosen(group),
       isListed: membership.isListed,
     });
-    if (decision.kind === 'giveBack') await giveBack(group);
-    else if (decision.kind === 'ask') await ask(group, decision.vms);
-    else if (decision.kind === 'take') await take(group, decision.slot, decision.isTakenOver);
+    if (decision.kind === 'giveBack') await releaseSlot(group);
+    else if (decision.kind === 'ask') await requestRelease(group, decision.vms);
+    else if (decision.kind === 'take') await takeSlot(group, decision.slot, decision.isTakenOver);
   };
 
-  const consider = (group: string): void => {
-    if (isStopped || busy.has(group)) return;
-    busy.add(group);
-    pending.delete(group);
-    step(group)
+  const reconcile = (group: string): void => {
+    if (isStopped || busyGroups.has(group)) return;
+    busyGroups.add(group);
+    pendingGroups.delete(group);
+    applyDecision(group)
       .catch((error: Error) => {
-        pending.add(group);
+        pendingGroups.add(group);
         logger.warn('slot.stepFailed', { group, message: error.message });
       })
-      .finally(() => busy.delete(group));
+      .finally(() => busyGroups.delete(group));
   };
 
-  /** Whether this VM has, or should have, a slot of the group. */
-  const isConcerned = (group: string): boolean =>
-    holdings.has(group) || (users?.membership.chosen(group).includes(vm) ?? false);
+  /** Whether this VM holds, or should hold, a slot of the group. */
+  const isRelevant = (group: string): boolean =>
+    tracker.has(group) || (dependents?.membership.chosen(group).includes(vm) ?? false);
 
-  const considerAll = async (): Promise<void> => {
-    listTimer = undefined;
+  const reconcileAll = async (): Promise<void> => {
+    reconcileAllTimer = undefined;
     const groups = configuration.names('group');
-    for (let at = 0; at < groups.length && !isStopped; at += GROUPS_PER_TURN) {
+    for (let start = 0; start < groups.length && !isStopped; start += GROUPS_PER_BATCH) {
       groups
-        .slice(at, at + GROUPS_PER_TURN)
-        .filter(isConcerned)
-        .forEach(consider);
+        .slice(start, start + GROUPS_PER_BATCH)
+        .filter(isRelevant)
+        .forEach(reconcile);
       await sleep(0);
     }
   };
 
-  const considerAllSoon = (): void => {
-    listTimer ??= setTimeout(considerAll, LIST_DELAY_MS);
+  const scheduleReconcileAll = (): void => {
+    reconcileAllTimer ??= setTimeout(reconcileAll, RECONCILE_ALL_DELAY_MS);
   };
 
-  /** The list of VMs decides about every group, a group's own documents about that one only. */
+  /** The VM list affects every group; the documents of a group only that group. */
   const onChange = (changed: readonly { key: string }[]): void => {
-    const isBurst = changed.length > GROUPS_PER_TURN;
-    if (isBurst) considerAllSoon();
+    const isBurst = changed.length > GROUPS_PER_BATCH;
+    if (isBurst) scheduleReconcileAll();
     changed.forEach(({ key }) => {
       if (key.startsWith(documentKinds.slots.prefix)) {
         const group = key.slice(documentKinds.slots.prefix.length);
-        holdings.follow(group);
-        if (!isBurst) consider(group);
+        tracker.follow(group);
+        if (!isBurst) reconcile(group);
       } else if (key.startsWith(documentKinds.group.prefix)) {
         const group = key.slice(documentKinds.group.prefix.length);
-        if (!isBurst && isConcerned(group)) consider(group);
-      } else if (key.startsWith(documentKinds.vm.prefix)) considerAllSoon();
+        if (!isBurst && isRelevant(group)) reconcile(group);
+      } else if (key.startsWith(documentKinds.vm.prefix)) scheduleReconcileAll();
     });
   };
 
-  /** Another VM should hold a slot of the group by its view of the list. */
-  const answerWanted: MessageHandler = async (fromVm, body) => {
-    const { group } = wantedSchema.parse(body);
-    const chosen = users?.membership.chosen(group) ?? [];
+  /** Releases a slot for another VM if this VM's list too assigns one to it and none to this VM. */
+  const handleSlotWanted: MessageHandler = async (fromVm, body) => {
+    const { group } = slotWantedSchema.parse(body);
+    const chosen = dependents?.membership.chosen(group) ?? [];
     const isAgreed = chosen.includes(fromVm) && !chosen.includes(vm);
-    if (isAgreed && !busy.has(group)) {
-      busy.add(group);
-      await giveBack(group).finally(() => busy.delete(group));
+    if (isAgreed && !busyGroups.has(group)) {
+      busyGroups.add(group);
+      await releaseSlot(group).finally(() => busyGroups.delete(group));
     }
     return {};
   };
 
-  const retryLater = (): void => {
-    timer = setTimeout(
+  const scheduleRetry = (): void => {
+    retryTimer = setTimeout(
       () => {
-        [...pending].forEach(consider);
-        retryLater();
+        [...pendingGroups].forEach(reconcile);
+        scheduleRetry();
       },
       RETRY_DELAY_MS * (0.5 + Math.random()),
     );
   };
 
   return {
-    isUsable: holdings.isUsable,
+    isUsable: tracker.isUsable,
     /** Groups whose slots this VM uses now. */
-    describe: holdings.used,
-    messageHandlers: [[ASK_KIND, answerWanted]] as [string, MessageHandler][],
-    start: (slotUsers: SlotUsers): void => {
-      users = slotUsers;
-      checkTimer = setInterval(holdings.refreshAll, CHECK_INTERVAL_MS);
-      stopListening = configuration.onChange(onChange);
-      considerAllSoon();
-      retryLater();
+    describe: tracker.namesInUse,
+    messageHandlers: [[SLOT_WANTED_KIND, handleSlotWanted]] as [string, MessageHandler][],
+    start: (slotDependents: SlotDependents): void => {
+      dependents = slotDependents;
+      checkTimer = setInterval(tracker.refreshAll, CHECK_INTERVAL_MS);
+      unsubscribe = configuration.onChange(onChange);
+      scheduleReconcileAll();
+      scheduleRetry();
     },
-    /** Gives all slots back at a planned stop. */
+    /** Releases all slots at a planned stop. */
     stop: async (): Promise<void> => {
-      clearTimeout(timer);
-      clearTimeout(listTimer);
-      stopListening();
-      await Promise.allSettled(holdings.names().map(giveBack));
+      clearTimeout(retryTimer);
+      clearTimeout(reconcileAllTimer);
+      unsubscribe();
+      await Promise.allSettled(tracker.names().map(releaseSlot));
       isStopped = true;
-      holdings.stop();
+      tracker.stop();
       clearInterval(checkTimer);
     },
   };
--- a/packages/auburngrade/src/slots/createSlotWriter.ts
+++ b/packages/auburngrade/src/slots/createSlotRecordWriter.ts
@@ -8,13 +8,13 @@
 
 type SlotHolder = SlotsRecord['holders'][number];
 
-/** Writes records of slots; what the platform answers is taken into the configuration at once. */
-const createSlotWriter = (
+/** Creates the writer of slots records; it applies the platform's answers to the configuration. */
+const createSlotRecordWriter = (
   platform: Platform,
   configuration: ConfigurationState,
   timeoutMs: number,
 ) => {
-  const putOf = (group: string, slot: number, holder: SlotHolder) => {
+  const buildPut = (group: string, slot: number, holder: SlotHolder) => {
     const record = withHolder(configuration.get('slots', group), slot, holder);
     return {
       key: documentKinds.slots.prefix + group,
@@ -25,11 +25,11 @@
 
   return {
     /**
-     * Sets the holder of a slot while the record is the one that this VM knows. Resolves with
-     * the write's revision; undefined: not written, or not known, and the record will tell.
+     * Sets the holder of a slot if the record has not changed since this VM read it. Resolves
+     * with the write's revision; undefined when it was not written or its outcome is unknown.
      */
     write: async (group: string, slot: number, holder: SlotHolder): Promise<number | undefined> => {
-      const put = putOf(group, slot, holder);
+      const put = buildPut(group, slot, holder);
       const outcome = await platform.compareAndSwap([put], timeoutMs);
       if (outcome.kind === 'conflict') configuration.applyChanges(0, outcome.current);
       if (outcome.kind !== 'applied') return undefined;
@@ -42,4 +42,4 @@
   };
 };
 
-export default createSlotWriter;
+export default createSlotRecordWriter;
--- /dev/null
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -0,0 +1,107 @@
+import { createHeldSlots, ownSlot, type ConfigurationState } from '@auburngrade/coordination';
+import type Logger from '../log/logger';
+import sleep from '../time/sleep';
+
+interface SlotTrackerOptions {
+  vm: string;
+  incarnation: number;
+  configuration: ConfigurationState;
+  /** Latest time at which this VM can prove that its configuration was complete. */
+  completeAtMs(): number;
+  /** Tells this data centre's witnesses of a write; resolves with whether a majority knows it. */
+  announce(revision: number): Promise<boolean>;
+  /** Closes a group's connections at once: another VM may use the slot from now on. */
+  closeConnections(group: string): void;
+  /** Called after this VM gained or lost the use of a slot. */
+  onHoldingChanged(): void;
+  logger: Logger;
+  nowMs(): number;
+}
+
+const ANNOUNCE_RETRY_DELAY_MS = 500;
+
+/** Creates the tracker of the slots recorded for this VM and of whether it may use them now. */
+const createSlotTracker = (options: SlotTrackerOptions) => {
+  const { vm, incarnation, configuration, closeConnections, onHoldingChanged, logger, nowMs } =
+    options;
+  const heldSlots = createHeldSlots();
+  let isStopped = false;
+
+  const findOwnSlot = (group: string): number =>
+    ownSlot(configuration.get('slots', group), vm, incarnation);
+
+  const readConditions = (group: string) => ({
+    nowMs: nowMs(),
+    completeAtMs: options.completeAtMs(),
+    // The slots record remains after its group is deleted.
+    isServed: !isStopped && configuration.get('group', group) !== undefined,
+  });
+
+  const isUsable = (group: string): boolean => heldSlots.isUsable(group, readConditions(group));
+
+  const refreshUse = (group: string): void => {
+    const { isChanged, isCut } = heldSlots.refresh(group, readConditions(group));
+    if (isCut) closeConnections(group);
+    if (!isChanged) return;
+    logger.info(isCut ? 'slot.lapsed' : 'slot.usable', { group });
+    onHoldingChanged();
+  };
+
+  /**
+   * Announces a takeover to the witnesses until a majority knows it. A former holder cut off from
+   * the platform relies on the witnesses, so the slot is not used before.
+   */
+  const announceTakeover = async (group: string, revision: number): Promise<void> => {
+    while (!isStopped && heldSlots.isHeldBy(group, revision)) {
+      if (await options.announce(revision)) {
+        heldSlots.noteAnnounced(group, revision, nowMs());
+        return;
+      }
+      await sleep(ANNOUNCE_RETRY_DELAY_MS);
+    }
+  };
+
+  const handleTaken = (group: string, slot: number): void => {
+    const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
+    const revision = configuration.revisionOf('slots', group) ?? 0;
+    heldSlots.take(group, revision, isTakenOver, nowMs());
+    logger.info('slot.taken', { group, slot, isTakenOver });
+    if (isTakenOver) announceTakeover(group, revision);
+    refreshUse(group);
+  };
+
+  const handleLost = (group: string): void => {
+    const wasInUse = heldSlots.lose(group);
+    logger.info('slot.lost', { group });
+    closeConnections(group);
+    if (wasInUse) onHoldingChanged();
+  };
+
+  return {
+    findOwnSlot,
+    isUsable,
+    has: heldSlots.has,
+    /** Groups of which the record gives this VM a slot. */
+    names: heldSlots.names,
+    /** Groups whose slots this VM uses now. */
+    namesInUse: heldSlots.inUse,
+    refreshAll: (): void => heldSlots.names().forEach(refreshUse),
+    /** Updates the slot of a group after a change of its record. */
+    follow: (group: string): void => {
+      const slot = findOwnSlot(group);
+      if (slot >= 0 && !heldSlots.has(group)) handleTaken(group, slot);
+      if (slot < 0 && heldSlots.has(group)) handleLost(group);
+    },
+    isClosing: heldSlots.isClosing,
+    /** Stops using a slot that is about to be released. */
+    beginClosing: (group: string): void => {
+      heldSlots.beginClosing(group);
+      onHoldingChanged();
+    },
+    stop: (): void => {
+      isStopped = true;
+    },
+  };
+};
+
+export default createSlotTracker;
--- a/packages/auburngrade/src/witness/createHeartbeats.ts
+++ b/packages/auburngrade/src/witness/createHeartbeatSender.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod';
 import type SendMessage from '../membership/sendMessage';
 
-interface HeartbeatOptions {
+interface HeartbeatSenderOptions {
   lease: VmLease;
   leaseMs: number;
   send: SendMessage;
@@ -16,17 +16,17 @@
 }
 
 const HEARTBEAT_KIND = 'lease.renew';
-/** Two stages of heartbeats and another beat fit into what is left of a lease. */
+/** Lets two stages of heartbeats and one more round finish before the lease lapses. */
 const TIMEOUTS_PER_LEASE = 6;
 
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
 
-/** Renews this VM's lease at no more of its witnesses than it takes. */
-const createHeartbeats = ({ lease, leaseMs, send, nowMs }: HeartbeatOptions) => {
+/** Creates the sender of heartbeats, which renew this VM's lease at a quorum of its witnesses. */
+const createHeartbeatSender = ({ lease, leaseMs, send, nowMs }: HeartbeatSenderOptions) => {
   const timeoutMs = leaseMs / TIMEOUTS_PER_LEASE;
-  const failed = new Set<string>();
+  const failedWitnesses = new Set<string>();
 
-  const beatOne = async (witness: string): Promise<void> => {
+  const sendHeartbeat = async (witness: string): Promise<void> => {
     const sentAtMs = nowMs();
     const term = lease.record()?.term ?? 0;
     try {
@@ -34,37 +34,40 @@
       const reply = await send(witness, HEARTBEAT_KIND, body, timeoutMs);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
-        failed.delete(witness);
+        failedWitnesses.delete(witness);
         lease.renew(witness, term, sentAtMs, nowMs());
-      } else failed.add(witness);
+      } else failedWitnesses.add(witness);
     } catch {
-      failed.add(witness);
+      failedWitnesses.add(witness);
     }
   };
 
-  /** Those that answered last time come first. */
-  const inOrder = (group: readonly string[]): string[] => [
-    ...group.filter((witness) => !failed.has(witness)),
-    ...group.filter((witness) => failed.has(witness)),
+  /** Puts the witnesses that renewed the lease last time first. */
+  const orderByLastResult = (group: readonly string[]): string[] => [
+    ...group.filter((witness) => !failedWitnesses.has(witness)),
+    ...group.filter((witness) => failedWitnesses.has(witness)),
   ];
 
-  /** Resolves with whether a group renewed the lease. */
-  const beat = async (): Promise<boolean> => {
+  /**
+   * Sends heartbeats to a quorum of each witness group, then to the rest if needed, or to all at
+   * once when the lease has lapsed. Resolves with whether a group renewed the lease.
+   */
+  const renewLease = async (): Promise<boolean> => {
     const groups = lease.record()?.groups ?? [];
     const sinceMs = nowMs();
     const isRenewed = (): boolean => groups.some((group) => lease.isRenewedBy(group, sinceMs));
     const stages = groups.flatMap((group) => {
-      const ordered = inOrder(group);
-      const enough = renewalQuorum(group.length);
-      return [ordered.slice(0, enough), ordered.slice(enough)];
+      const ordered = orderByLastResult(group);
+      const quorum = renewalQuorum(group.length);
+      return [ordered.slice(0, quorum), ordered.slice(quorum)];
     });
     if (lease.standing(nowMs()) === undefined) {
-      await Promise.all(stages.flat().map(beatOne));
+      await Promise.all(stages.flat().map(sendHeartbeat));
       return isRenewed();
     }
     for (const stage of stages) {
       if (isRenewed()) return true;
-      await Promise.all(stage.map(beatOne));
+      await Promise.all(stage.map(sendHeartbeat));
     }
     return groups.length === 0 || isRenewed();
   };
@@ -72,8 +75,8 @@
   return {
     kind: HEARTBEAT_KIND,
     parse: (body: unknown): LeaseTerm => leaseTermSchema.parse(body),
-    beat,
+    beat: renewLease,
   };
 };
 
-export default createHeartbeats;
+export default createHeartbeatSender;
