--- a/packages/auburngrade/src/authentication/whileKeyIsValid.ts
+++ b/packages/auburngrade/src/authentication/whileKeyIsValid.ts
@@ -1,18 +1,18 @@
 interface KeyValidity {
-  /** @throws RefusalError when the key is not valid any more. */
+  /** @throws RefusalError when the key is no longer valid. */
   check(): void;
-  /** Calls the listener whenever keys may have changed; returns the function that stops it. */
+  /** Calls the listener whenever keys may have changed; returns the function to unsubscribe. */
   onKeysChanged(listener: () => void): () => void;
 }
 
-/** Waits for what a request needs before it runs, but no longer than its key is valid. */
+/** Waits for `work`, which a request needs before it runs; rejects once its key is invalid. */
 const whileKeyIsValid = async (
   work: Promise<void>,
   { check, onKeysChanged }: KeyValidity,
 ): Promise<void> => {
-  let stop = (): void => {};
-  const invalid = new Promise<never>((_resolve, reject) => {
-    stop = onKeysChanged(() => {
+  let unsubscribe = (): void => {};
+  const keyInvalid = new Promise<never>((_resolve, reject) => {
+    unsubscribe = onKeysChanged(() => {
       try {
         check();
       } catch (error) {
@@ -21,9 +21,9 @@
     });
   });
   try {
-    await Promise.race([work, invalid]);
+    await Promise.race([work, keyInvalid]);
   } finally {
-    stop();
+    unsubscribe();
   }
 };
 
--- a/packages/auburngrade/src/authentication/withKeyCheck.ts
+++ b/packages/auburngrade/src/authentication/withKeyCheck.ts
@@ -2,16 +2,16 @@
 import type PooledConnection from '../groups/pooledConnection';
 import CheckedConnection from './checkedConnection';
 
-/** A group's holder whose connections send a caller's statement only while its key is good. */
+/** Wraps a group's holder so that its connections run `check` before each statement of a caller. */
 const withKeyCheck = (holder: GroupHolder, check: () => void): GroupHolder => {
-  const checked = async (acquired: Promise<PooledConnection>): Promise<PooledConnection> => {
+  const wrapAcquired = async (acquired: Promise<PooledConnection>): Promise<PooledConnection> => {
     const { connection, release } = await acquired;
     return { connection: new CheckedConnection(connection, check), release };
   };
   return {
     ...holder,
-    acquire: (...wanted) => checked(holder.acquire(...wanted)),
-    acquirePrimary: (...wanted) => checked(holder.acquirePrimary(...wanted)),
+    acquire: (...args) => wrapAcquired(holder.acquire(...args)),
+    acquirePrimary: (...args) => wrapAcquired(holder.acquirePrimary(...args)),
   };
 };
 
--- a/packages/auburngrade/src/keys/createVouching.ts
+++ b/packages/auburngrade/src/keys/createVouching.ts
@@ -12,7 +12,7 @@
 import createListView from '../membership/createListView';
 import type MessageHandler from '../membership/messageHandler';
 
-interface VouchingOptions {
+interface KeyFreshnessOptions {
   settings: Settings;
   configuration: ConfigurationState;
   /** Sends a message of a registered kind to another VM. */
@@ -20,46 +20,55 @@
   nowMs(): number;
 }
 
-/** What this VM knows about the platform from itself and its sources. */
-interface Confirmation {
+/** What this VM knows of the platform, directly or from its configuration sources. */
+interface PlatformStatus {
+  /** Time of the platform's last confirmation of the configuration. */
   confirmedAtMs(): number;
+  /** Time at which this VM or a source last reached the platform. */
   reachedAtMs(): number;
   isRelay(): boolean;
 }
 
-const REACH_KIND = 'platformReach';
-const WITHDRAWAL_KIND = 'withdrawalNotice';
+const REACH_REPORT_KIND = 'platformReach';
+const WITHDRAWAL_NOTICE_KIND = 'withdrawalNotice';
 const POLL_INTERVAL_MS = 500;
 const POLL_TIMEOUT_MS = 500;
-/** A relay asks the witnesses once the platform has been silent for longer. */
-const ASK_AFTER_MS = 1_200;
+/** A relay asks the witnesses when the platform has been unreachable for longer. */
+const MIN_PLATFORM_SILENCE_MS = 1_200;
 const NOTICE_TIMEOUT_MS = 1_000;
 
 const noticeSchema = z.strictObject({ revision: z.number().int().positive() });
 
-/** Knows whether this VM's configuration is recent enough to accept keys by it. */
-const createVouching = ({ settings, configuration, exchange, nowMs }: VouchingOptions) => {
+/**
+ * Creates the service that tells whether this VM's configuration is recent enough to accept keys:
+ * the platform confirmed it, or the witnesses prove an outage in which no key can be withdrawn.
+ */
+const createVouching = ({ settings, configuration, exchange, nowMs }: KeyFreshnessOptions) => {
   const startedAtMs = nowMs();
   let outageAtMs = Number.NEGATIVE_INFINITY;
   let noticedAtMs = Number.NEGATIVE_INFINITY;
   let noticedRevision = 0;
-  let confirmation: Confirmation | undefined;
-  let timer: NodeJS.Timeout | undefined;
+  let platformStatus: PlatformStatus | undefined;
+  let pollTimer: NodeJS.Timeout | undefined;
 
-  const confirmedAtMs = (): number => confirmation?.confirmedAtMs() ?? Number.NEGATIVE_INFINITY;
+  const confirmedAtMs = (): number => platformStatus?.confirmedAtMs() ?? Number.NEGATIVE_INFINITY;
 
-  const heardOfPlatformAtMs = (): number =>
-    Math.max(confirmedAtMs(), confirmation?.reachedAtMs() ?? Number.NEGATIVE_INFINITY, noticedAtMs);
+  const lastPlatformContactAtMs = (): number =>
+    Math.max(
+      confirmedAtMs(),
+      platformStatus?.reachedAtMs() ?? Number.NEGATIVE_INFINITY,
+      noticedAtMs,
+    );
 
   const knownRevision = (): number => Math.max(configuration.revision(), noticedRevision);
 
-  const notice = (revision: number): void => {
+  const recordNotice = (revision: number): void => {
     noticedRevision = Math.max(noticedRevision, revision);
     noticedAtMs = nowMs();
   };
 
-  const report = (): ReachReport => {
-    const reachedAgeMs = nowMs() - heardOfPlatformAtMs();
+  const buildReport = (): ReachReport => {
+    const reachedAgeMs = nowMs() - lastPlatformContactAtMs();
     return {
       reachedAgeMs: Number.isFinite(reachedAgeMs) ? reachedAgeMs : null,
       revision: knownRevision(),
@@ -67,7 +76,7 @@
     };
   };
 
-  const witnesses = createListView(configuration, (): Map<string, string[]> => {
+  const findWitnesses = createListView(configuration, (): Map<string, string[]> => {
     const vms = new Map<string, string[]>();
     configuration.list('vm').forEach(({ dataCentre, state }, id) => {
       if (state === 'live') vms.set(dataCentre, [...(vms.get(dataCentre) ?? []), id]);
@@ -75,89 +84,93 @@
     return new Map([...vms].map(([name, ids]) => [name, witnessesOf(ids, name)]));
   });
 
-  const ask = async (witness: string) => {
+  const requestReport = async (witness: string) => {
     const askedAtMs = nowMs();
-    if (witness === settings.vm) return { witness, askedAtMs, report: report() };
-    const reply = await exchange(witness, REACH_KIND, {}, POLL_TIMEOUT_MS);
+    if (witness === settings.vm) return { witness, askedAtMs, report: buildReport() };
+    const reply = await exchange(witness, REACH_REPORT_KIND, {}, POLL_TIMEOUT_MS);
     return { witness, askedAtMs, report: reachReportSchema.parse(reply) };
   };
 
-  const poll = async (): Promise<void> => {
-    if (!confirmation?.isRelay() || nowMs() - heardOfPlatformAtMs() < ASK_AFTER_MS) return;
-    const asked = witnesses();
-    const settled = await Promise.allSettled([...asked.values()].flat().map(ask));
-    const answers = settled.flatMap((item) => (item.status === 'fulfilled' ? [item.value] : []));
-    const provenAtMs = outageProvenAtMs(asked, answers, configuration.revision());
+  const pollWitnesses = async (): Promise<void> => {
+    if (!platformStatus?.isRelay() || nowMs() - lastPlatformContactAtMs() < MIN_PLATFORM_SILENCE_MS)
+      return;
+    const witnessesByDataCentre = findWitnesses();
+    const settled = await Promise.allSettled(
+      [...witnessesByDataCentre.values()].flat().map(requestReport),
+    );
+    const reports = settled.flatMap((item) => (item.status === 'fulfilled' ? [item.value] : []));
+    const provenAtMs = outageProvenAtMs(witnessesByDataCentre, reports, configuration.revision());
     outageAtMs = Math.max(outageAtMs, provenAtMs ?? Number.NEGATIVE_INFINITY);
   };
 
-  const pollLater = (): void => {
-    timer = setTimeout(() => {
-      poll().finally(pollLater);
+  const schedulePoll = (): void => {
+    pollTimer = setTimeout(() => {
+      pollWitnesses().finally(schedulePoll);
     }, POLL_INTERVAL_MS);
   };
 
   const messageHandlers: [string, MessageHandler][] = [
-    [REACH_KIND, async () => report()],
+    [REACH_REPORT_KIND, async () => buildReport()],
     [
-      WITHDRAWAL_KIND,
+      WITHDRAWAL_NOTICE_KIND,
       async (_fromVm, body) => {
-        notice(noticeSchema.parse(body).revision);
+        recordNotice(noticeSchema.parse(body).revision);
         return {};
       },
     ],
   ];
 
-  /** Tells the witnesses of this data centre; whether a majority of them knows now. */
-  const tellWitnesses = async (revision: number): Promise<boolean> => {
-    const own = witnesses().get(settings.dataCentre) ?? [settings.vm];
-    const told = new Set([settings.vm]);
+  /** Sends a notice to this data centre's witnesses; resolves with whether a majority has it. */
+  const notifyWitnesses = async (revision: number): Promise<boolean> => {
+    const localWitnesses = findWitnesses().get(settings.dataCentre) ?? [settings.vm];
+    const notifiedVms = new Set([settings.vm]);
     await Promise.allSettled(
-      own
+      localWitnesses
         .filter((id) => id !== settings.vm)
         .map(async (id) => {
-          await exchange(id, WITHDRAWAL_KIND, { revision }, NOTICE_TIMEOUT_MS);
-          told.add(id);
+          await exchange(id, WITHDRAWAL_NOTICE_KIND, { revision }, NOTICE_TIMEOUT_MS);
+          notifiedVms.add(id);
         }),
     );
-    return isMajorityOf(told, own);
+    return isMajorityOf(notifiedVms, localWitnesses);
   };
 
-  /** Time at which the configuration was complete, as far as this VM can prove. */
+  /** Latest time at which this VM can prove that its configuration was complete. */
   const completeAtMs = (): number => Math.max(confirmedAtMs(), outageAtMs);
 
   return {
     messageHandlers,
     completeAtMs,
-    /** Makes a write known to this data centre's witnesses; whether a majority of them has it. */
+    /** Tells this data centre's witnesses of a write; resolves with whether a majority has it. */
     announce: (revision: number): Promise<boolean> => {
-      notice(revision);
-      return tellWitnesses(revision);
+      recordNotice(revision);
+      return notifyWitnesses(revision);
     },
-    start: (from: Confirmation): void => {
-      confirmation = from;
-      pollLater();
+    start: (status: PlatformStatus): void => {
+      platformStatus = status;
+      schedulePoll();
     },
-    stop: (): void => clearTimeout(timer),
+    stop: (): void => clearTimeout(pollTimer),
     isVouched: (): boolean =>
       settings.keys.whenUnvouched === 'serve' ||
       isVouched(
         { nowMs: nowMs(), confirmedAtMs: confirmedAtMs(), outageAtMs },
         settings.keys.maxUnconfirmedMs,
       ),
-    /** Takes over what the source of this VM's configuration proved. */
+    /** Applies the outage time proven by this VM's configuration source. */
     hearOutage: (provenAtMs: number): void => {
       outageAtMs = Math.max(outageAtMs, provenAtMs);
     },
+    /** Age of the last proven outage time; -1 without one. */
     outageAgeMs: (): number => {
       const ageMs = Math.ceil(nowMs() - outageAtMs);
       return Number.isFinite(ageMs) ? ageMs : -1;
     },
-    /** Makes a withdrawal known before it is confirmed; resolves with what the operator is told. */
+    /** Announces a withdrawal before it is confirmed; resolves with the message for the operator. */
     announceWithdrawal: async (revision: number): Promise<string> => {
-      notice(revision);
+      recordNotice(revision);
       const boundS = settings.keys.maxUnconfirmedMs / 1_000;
-      if (await tellWitnesses(revision)) return `in force everywhere within ${boundS} s`;
+      if (await notifyWitnesses(revision)) return `in force everywhere within ${boundS} s`;
       return `in force within ${boundS} s on every VM that hears of the platform; VMs cut off during an outage could not be told`;
     },
   };
--- a/packages/auburngrade/src/membership/createListView.ts
+++ b/packages/auburngrade/src/membership/createListView.ts
@@ -1,20 +1,20 @@
 import { documentKinds, type ConfigurationState } from '@auburngrade/coordination';
 
 /**
- * A value worked out from the list of VMs: again when it is asked for after a change of the
- * list, and not each time, as the list grows with the fleet.
+ * Caches a value computed from the VM list until the list changes: computing it at each call
+ * would cost time in proportion to the fleet.
  */
 const createListView = <Value>(
   configuration: ConfigurationState,
-  workOut: () => Value,
+  compute: () => Value,
 ): (() => Value) => {
-  let known: { value: Value } | undefined;
+  let cached: { value: Value } | undefined;
   configuration.onChange((changed) => {
-    if (changed.some(({ key }) => key.startsWith(documentKinds.vm.prefix))) known = undefined;
+    if (changed.some(({ key }) => key.startsWith(documentKinds.vm.prefix))) cached = undefined;
   });
   return () => {
-    known ??= { value: workOut() };
-    return known.value;
+    cached ??= { value: compute() };
+    return cached.value;
   };
 };
 
