--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -41,7 +41,7 @@
     leaseMs: shareLeaseMs,
     maxWaitMs,
     maxSilentWaitMs,
-    limitOf: (name) => findShareLimit(configuration, name),
+    findLimit: (name) => findShareLimit(configuration, name),
   });
   const admission: Admission =
     mode === 'shares'
--- a/packages/auburngrade/src/admission/createPauseDetector.ts
+++ b/packages/auburngrade/src/admission/createPauseDetector.ts
@@ -22,7 +22,7 @@
   timer.unref();
 
   return {
-    /** False for 5 s after a pause: confirmations read then may be stale. */
+    /** False until CATCH_UP_MS after a pause: confirmations read then may be stale. */
     isCaughtUp: (): boolean => {
       check();
       return nowMs() >= trustedAtMs;
--- a/packages/auburngrade/src/admission/createShareHandOver.ts
+++ b/packages/auburngrade/src/admission/createShareHandOver.ts
@@ -31,8 +31,8 @@
   };
 
   /**
-   * Transfers the keeper role, and stops acting as the keeper even if the write fails. Resolves
-   * with whether units are left to release.
+   * Transfers the keeper role; from the attempt on, whatever its outcome, this VM no longer acts
+   * as the keeper. Resolves with whether units are left to release.
    */
   const transferLedger = async (state: ShareState): Promise<boolean> => {
     const { keeper } = state;
--- a/packages/auburngrade/src/admission/createShareRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createShareRecordWriter.ts
@@ -61,8 +61,8 @@
       if (nowMs() < state.nextClaimAtMs || lease.standing(nowMs()) === undefined) return;
       updateShareState(state, { nextClaimAtMs: nowMs() + CLAIM_INTERVAL_MS });
       const record = configuration.get('share', state.name);
-      const known = record ? [...record.holders, record.keeper] : [];
-      const earlierVms = known.filter((holder) => holder !== NO_KEEPER);
+      const recordedVms = record ? [...record.holders, record.keeper] : [];
+      const earlierVms = recordedVms.filter((holder) => holder !== NO_KEEPER);
       const actingKeepers = record ? [...record.former, record.keeper] : [];
       const former = actingKeepers.filter((keeper) => ![NO_KEEPER, vm, lapsedVm].includes(keeper));
       const listedVms = configuration.names('vm').slice(0, MAX_LISTED_HOLDERS);
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -16,7 +16,7 @@
 
 /** Creates the service for all shares of rates of which this VM is the keeper or a holder. */
 const createShareService = (options: ShareServiceOptions) => {
-  const { platformTimeoutMs, limitOf, nowMs, logger } = options;
+  const { platformTimeoutMs, findLimit, nowMs, logger } = options;
   const states = new Map<string, ShareState>();
   const pauseDetector = createPauseDetector(nowMs);
   const lease: VmLease = options.leases.lease;
@@ -28,7 +28,7 @@
   };
 
   const findOrCreateState = (name: string): ShareState | undefined => {
-    const limit = limitOf(name);
+    const limit = findLimit(name);
     if (!limit) return undefined;
     const state = states.get(name) ?? createShareState(name, limit);
     states.set(name, state);
@@ -51,7 +51,7 @@
   const sharesInMaintenance = new Set<string>();
   const maintainAll = (): void => {
     states.forEach((state, name) => {
-      if (sharesInMaintenance.has(name) || !limitOf(name)) return;
+      if (sharesInMaintenance.has(name) || !findLimit(name)) return;
       sharesInMaintenance.add(name);
       maintainShare(state)
         .catch((error: Error) => logger.debug('share.tickFailed', { message: error.message }))
@@ -65,7 +65,7 @@
     (keeper ?? holder)?.units(nowMs()) ?? 0;
 
   return {
-    /** Takes one token; resolves with undefined on success, else with the reason for the refusal. */
+    /** Takes one token; resolves with undefined on success, else with the refusal. */
     take: async (name: string, deadlineAtMs: number) => {
       const state = findOrCreateState(name);
       if (!state)
--- a/packages/auburngrade/src/admission/shareServiceOptions.ts
+++ b/packages/auburngrade/src/admission/shareServiceOptions.ts
@@ -20,7 +20,7 @@
   /** Monotonic time of the platform's last confirmation of the known configuration. */
   confirmedAtMs(): number;
   /** Finds a share's limit by the share's name; undefined when it has none. */
-  limitOf(name: string): RateLimit | undefined;
+  findLimit(name: string): RateLimit | undefined;
   nowMs(): number;
   logger: Logger;
 }
