--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -146,7 +146,7 @@
   };
 
   /** VMs that should hold the group's slots by this VM's view of the list. */
-  const chosen = (group: string): string[] => {
+  const findChosenVms = (group: string): string[] => {
     const choice = choices.get(group) ?? computeChoice(group);
     choices.set(group, choice);
     return choice.chosen.map(({ id }) => id);
@@ -170,7 +170,7 @@
 
   return {
     live,
-    chosen,
+    findChosenVms,
     holders,
     isListed: (id: string): boolean => configuration.get('vm', id) !== undefined,
   };
--- a/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
@@ -44,11 +44,11 @@
       logger: { info: () => {}, warn: () => {}, debug: () => {} } as unknown as Logger,
       nowMs: () => 0,
     });
-    const chosen = (group: string): string[] => {
+    const findChosenVms = (group: string): string[] => {
       reconciledGroups.push(group);
       return ['waco-2'];
     };
-    const membership = { chosen, isListed: () => true } as unknown as Membership;
+    const membership = { findChosenVms, isListed: () => true } as unknown as Membership;
     slotKeeper.start({ membership, groups: {} as GroupRegistry, onHoldingChanged: () => {} });
     await waitFor('reconciliation of every group', () => reconciledGroups.length === GROUP_COUNT);
     reconciledGroups = [];
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -124,7 +124,7 @@
       slots: document.slots,
       record: configuration.get('slots', group),
       isClosing: tracker.isClosing(group),
-      chosen: membership.chosen(group),
+      chosen: membership.findChosenVms(group),
       isListed: membership.isListed,
     });
     if (decision.kind === 'giveBack') await releaseSlot(group);
@@ -146,7 +146,7 @@
 
   /** Whether this VM holds, or should hold, a slot of the group. */
   const isRelevant = (group: string): boolean =>
-    tracker.has(group) || (dependents?.membership.chosen(group).includes(vm) ?? false);
+    tracker.has(group) || (dependents?.membership.findChosenVms(group).includes(vm) ?? false);
 
   const reconcileAll = async (): Promise<void> => {
     reconcileAllTimer = undefined;
@@ -183,7 +183,7 @@
   /** Releases a slot for another VM if this VM's list too assigns one to it and none to this VM. */
   const handleSlotWanted: MessageHandler = async (fromVm, body) => {
     const { group } = slotWantedSchema.parse(body);
-    const chosen = dependents?.membership.chosen(group) ?? [];
+    const chosen = dependents?.membership.findChosenVms(group) ?? [];
     const isAgreed = chosen.includes(fromVm) && !chosen.includes(vm);
     if (isAgreed && !busyGroups.has(group)) {
       busyGroups.add(group);
