--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -63,7 +63,7 @@
   const findListedVms = createListView(configuration, () => new Set(configuration.names('vm')));
 
   /** A VM without an earlier record was never a witness, so it can't have lost a promise. */
-  const startWitness = (hasEarlierRecord: boolean): void => {
+  const openWitness = (hasEarlierRecord: boolean): void => {
     witness ??= createWitness({ leaseMs, startedAtMs, mayHavePromised: hasEarlierRecord });
   };
 
@@ -71,12 +71,12 @@
     const groups = findWantedGroups();
     const isLoading = configuration.revision() === 0 || groups.length === 0;
     if (isLoading && nowMs() - startedAtMs < LONE_VM_WAIT_MS) return;
-    const earlierRecord = await records.read(vm);
+    const earlier = await records.read(vm);
     term = Math.max(term + 1, incarnation);
     const record = { ...leaseTermOf(term, leaseMs), groups };
-    const isWritten = await records.write(vm, record, earlierRecord?.revision ?? 0);
+    const isWritten = await records.write(vm, record, earlier?.revision ?? 0);
     if (!isWritten) return;
-    startWitness(earlierRecord !== undefined);
+    openWitness(earlier !== undefined);
     lease.seat(record, nowMs());
     outdatedSinceMs = undefined;
     acquiredAtMs = nowMs();
