--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -26,7 +26,7 @@
 }
 
 /** Components passed to `start` because they depend on the slots themselves. */
-interface SlotDependents {
+interface SlotUsers {
   membership: Membership;
   groups: GroupRegistry;
   /** Called after this VM gained or lost the use of a slot. */
@@ -53,14 +53,10 @@
 /** Creates the controller that takes and releases this VM's slots of database groups. */
 const createSlotKeeper = (options: SlotKeeperOptions) => {
   const { vm, incarnation, configuration, logger } = options;
-  const recordWriter = createSlotRecordWriter(
-    options.platform,
-    configuration,
-    options.platformTimeoutMs,
-  );
+  const writer = createSlotRecordWriter(options.platform, configuration, options.platformTimeoutMs);
   const pendingGroups = new Set<string>();
   const busyGroups = new Set<string>();
-  let dependents: SlotDependents | undefined;
+  let users: SlotUsers | undefined;
   let isStopped = false;
   let retryTimer: NodeJS.Timeout | undefined;
   let checkTimer: NodeJS.Timeout | undefined;
@@ -69,8 +65,8 @@
 
   const tracker = createSlotTracker({
     ...options,
-    closeConnections: (group) => dependents?.groups.release(group, 0),
-    onHoldingChanged: () => dependents?.onHoldingChanged(),
+    closeConnections: (group) => users?.groups.release(group, 0),
+    onHoldingChanged: () => users?.onHoldingChanged(),
   });
 
   /**
@@ -80,7 +76,7 @@
   const clearSlot = async (group: string, slot: number): Promise<void> => {
     const isHeld = (): boolean => tracker.findOwnSlot(group) === slot;
     for (let attempt = 0; attempt < MAX_RELEASE_ATTEMPTS && isHeld(); attempt += 1) {
-      if ((await recordWriter.write(group, slot, null)) !== undefined) return;
+      if ((await writer.write(group, slot, null)) !== undefined) return;
       await sleep(RELEASE_RETRY_DELAY_MS);
     }
   };
@@ -92,7 +88,7 @@
     if (!tracker.isClosing(group)) {
       if (!tracker.isUsable(group)) return;
       tracker.beginClosing(group);
-      await dependents?.groups.retire(group, RELEASE_GRACE_MS);
+      await users?.groups.retire(group, RELEASE_GRACE_MS);
       logger.info('slot.closed', { group, slot });
     }
     await clearSlot(group, slot);
@@ -110,14 +106,14 @@
 
   const takeSlot = async (group: string, slot: number, isTakenOver: boolean): Promise<void> => {
     const holder = { vm, incarnation, isTakenOver };
-    const revision = await recordWriter.write(group, slot, holder);
+    const revision = await writer.write(group, slot, holder);
     if (revision === undefined) pendingGroups.add(group);
   };
 
   const applyDecision = async (group: string): Promise<void> => {
     const document = configuration.get('group', group);
-    if (!document || !dependents) return;
-    const { membership } = dependents;
+    if (!document || !users) return;
+    const { membership } = users;
     const decision = decideSlot({
       vm,
       incarnation,
@@ -146,7 +142,7 @@
 
   /** Whether this VM holds, or should hold, a slot of the group. */
   const isRelevant = (group: string): boolean =>
-    tracker.has(group) || (dependents?.membership.findChosenVms(group).includes(vm) ?? false);
+    tracker.has(group) || (users?.membership.findChosenVms(group).includes(vm) ?? false);
 
   const reconcileAll = async (): Promise<void> => {
     reconcileAllTimer = undefined;
@@ -183,7 +179,7 @@
   /** Releases a slot for another VM if this VM's list too assigns one to it and none to this VM. */
   const handleSlotWanted: MessageHandler = async (fromVm, body) => {
     const { group } = slotWantedSchema.parse(body);
-    const chosen = dependents?.membership.findChosenVms(group) ?? [];
+    const chosen = users?.membership.findChosenVms(group) ?? [];
     const isAgreed = chosen.includes(fromVm) && !chosen.includes(vm);
     if (isAgreed && !busyGroups.has(group)) {
       busyGroups.add(group);
@@ -207,8 +203,8 @@
     /** Groups whose slots this VM uses now. */
     describe: tracker.namesInUse,
     messageHandlers: [[SLOT_WANTED_KIND, handleSlotWanted]] as [string, MessageHandler][],
-    start: (slotDependents: SlotDependents): void => {
-      dependents = slotDependents;
+    start: (slotUsers: SlotUsers): void => {
+      users = slotUsers;
       checkTimer = setInterval(tracker.refreshAll, CHECK_INTERVAL_MS);
       unsubscribe = configuration.onChange(onChange);
       scheduleReconcileAll();
