--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -61,7 +61,7 @@
   let retryTimer: NodeJS.Timeout | undefined;
   let checkTimer: NodeJS.Timeout | undefined;
   let reconcileAllTimer: NodeJS.Timeout | undefined;
-  let unsubscribe = (): void => {};
+  let stopListening = (): void => {};
 
   const tracker = createSlotTracker({
     ...options,
@@ -95,10 +95,10 @@
     if (tracker.isClosing(group)) pendingGroups.add(group);
   };
 
-  const requestRelease = async (group: string, otherVms: string[]): Promise<void> => {
+  const requestRelease = async (group: string, others: string[]): Promise<void> => {
     await Promise.allSettled(
-      otherVms.map((otherVm) =>
-        options.exchange(otherVm, SLOT_WANTED_KIND, { group }, SLOT_WANTED_TIMEOUT_MS),
+      others.map((other) =>
+        options.exchange(other, SLOT_WANTED_KIND, { group }, SLOT_WANTED_TIMEOUT_MS),
       ),
     );
     pendingGroups.add(group);
@@ -206,7 +206,7 @@
     start: (slotUsers: SlotUsers): void => {
       users = slotUsers;
       checkTimer = setInterval(tracker.refreshAll, CHECK_INTERVAL_MS);
-      unsubscribe = configuration.onChange(onChange);
+      stopListening = configuration.onChange(onChange);
       scheduleReconcileAll();
       scheduleRetry();
     },
@@ -214,7 +214,7 @@
     stop: async (): Promise<void> => {
       clearTimeout(retryTimer);
       clearTimeout(reconcileAllTimer);
-      unsubscribe();
+      stopListening();
       await Promise.allSettled(tracker.names().map(releaseSlot));
       isStopped = true;
       tracker.stop();
