--- a/packages/coordination/src/outcome/judgeRequest.spec.ts
+++ b/packages/coordination/src/outcome/judgeRequest.spec.ts
@@ -4,7 +4,7 @@
 
 const FINGERPRINT = 'same';
 
-const found = (chosen: Partial<RequestRecord>, isHeld = true) =>
+const judgeFoundRow = (chosen: Partial<RequestRecord>, isHeld = true) =>
   judgeRequest(
     {
       kind: 'found',
@@ -14,44 +14,49 @@
     FINGERPRINT,
   );
 
-describe('the outcome of a request by a lookup', () => {
-  describe('that nothing proves', () => {
-    it('is open when the primary was not reached', () => {
+describe('judgeRequest', () => {
+  describe('without a row that a majority holds', () => {
+    it('returns open when the primary was unreachable', () => {
       expect(judgeRequest({ kind: 'unreachable' }, FINGERPRINT)).to.deep.equal({ kind: 'open' });
     });
 
-    it('is open while no majority holds the cancellation', () => {
+    it('returns open while no majority holds the cancellation', () => {
       const judgement = judgeRequest({ kind: 'cancelledNow', isHeld: false }, FINGERPRINT);
       expect(judgement).to.deep.equal({ kind: 'open' });
     });
 
-    it('is open while no majority holds the row', () => {
-      expect(found({}, false)).to.deep.equal({ kind: 'open' });
-      expect(found({ state: 'cancelled' }, false)).to.deep.equal({ kind: 'open' });
-      expect(found({ fingerprint: 'other' }, false)).to.deep.equal({ kind: 'open' });
+    it('returns open while no majority holds the row', () => {
+      expect(judgeFoundRow({}, false)).to.deep.equal({ kind: 'open' });
+      expect(judgeFoundRow({ state: 'cancelled' }, false)).to.deep.equal({ kind: 'open' });
+      expect(judgeFoundRow({ fingerprint: 'other' }, false)).to.deep.equal({ kind: 'open' });
     });
   });
 
-  describe('that a majority holds', () => {
-    it('is cancelled by the lookup itself or by an earlier one', () => {
+  describe('with a row that a majority holds', () => {
+    it('returns cancelled for a cancellation by this or an earlier lookup', () => {
       const judgement = judgeRequest({ kind: 'cancelledNow', isHeld: true }, FINGERPRINT);
       expect(judgement).to.deep.equal({ kind: 'cancelled' });
-      expect(found({ state: 'cancelled', result: null })).to.deep.equal({ kind: 'cancelled' });
+      expect(judgeFoundRow({ state: 'cancelled', result: null })).to.deep.equal({
+        kind: 'cancelled',
+      });
     });
 
-    it('gives the stored answer of a request that ran', () => {
-      expect(found({})).to.deep.equal({ kind: 'ran', result: '"answer"' });
-      expect(found({ result: null })).to.deep.equal({ kind: 'ran', result: null });
+    it('returns the stored reply of a request that ran', () => {
+      expect(judgeFoundRow({})).to.deep.equal({ kind: 'ran', result: '"answer"' });
+      expect(judgeFoundRow({ result: null })).to.deep.equal({ kind: 'ran', result: null });
     });
 
-    it('tells another statement under the id apart, whatever became of it', () => {
-      expect(found({ fingerprint: 'other' })).to.deep.equal({ kind: 'otherStatement' });
-      const cancelled = found({ fingerprint: 'other', state: 'cancelled' });
+    it('detects another statement with the same id, whether it ran or was cancelled', () => {
+      expect(judgeFoundRow({ fingerprint: 'other' })).to.deep.equal({ kind: 'otherStatement' });
+      const cancelled = judgeFoundRow({ fingerprint: 'other', state: 'cancelled' });
       expect(cancelled).to.deep.equal({ kind: 'otherStatement' });
     });
 
-    it('takes a row without a fingerprint for the same statement', () => {
-      expect(found({ fingerprint: null })).to.deep.equal({ kind: 'ran', result: '"answer"' });
+    it('treats a row without a fingerprint as the same statement', () => {
+      expect(judgeFoundRow({ fingerprint: null })).to.deep.equal({
+        kind: 'ran',
+        result: '"answer"',
+      });
     });
   });
 });
--- a/packages/coordination/src/outcome/judgeRequest.ts
+++ b/packages/coordination/src/outcome/judgeRequest.ts
@@ -1,17 +1,18 @@
 import type RequestFinding from './requestFinding';
 
-type RequestJudgement =
+type RequestResolution =
   | { kind: 'ran'; result: string | null }
   | { kind: 'cancelled' }
   | { kind: 'otherStatement' }
   | { kind: 'open' };
 
 /**
- * Judges a request by a lookup. Only what a majority holds counts: any later primary
- * has it too. A held cancellation means that the id's effect can never commit, as
- * both rows would have the same key. Everything else leaves the outcome open.
+ * Determines the outcome of a request from a lookup of its row. Only a row that a majority
+ * holds is conclusive, as any later primary has it too. A cancellation held by a majority
+ * rules out a later commit, as both rows would have the same key. Otherwise the outcome is
+ * `open`: unknown until a later lookup.
  */
-const judgeRequest = (finding: RequestFinding, fingerprint: string): RequestJudgement => {
+const judgeRequest = (finding: RequestFinding, fingerprint: string): RequestResolution => {
   if (finding.kind === 'unreachable' || !finding.isHeld) return { kind: 'open' };
   if (finding.kind === 'cancelledNow') return { kind: 'cancelled' };
   const { record } = finding;
--- a/packages/coordination/src/outcome/requestFinding.ts
+++ b/packages/coordination/src/outcome/requestFinding.ts
@@ -1,9 +1,9 @@
 import type RequestRecord from './requestRecord';
 
 /**
- * What a lookup found on the primary of the current term. It tries to insert a row
- * that cancels the id: `cancelledNow` when that succeeded, `found` when there was a
- * row. `isHeld` says whether a majority holds the log up to there in this term.
+ * Result of a request lookup on the primary of the current term. The lookup tries to insert
+ * a row that cancels the id: `cancelledNow` if the insert succeeded, `found` if a row existed.
+ * `isHeld`: a majority of the members has acknowledged the log up to that row in this term.
  */
 type RequestFinding =
   | { kind: 'cancelledNow'; isHeld: boolean }
--- a/packages/coordination/src/outcome/requestRecord.ts
+++ b/packages/coordination/src/outcome/requestRecord.ts
@@ -1,10 +1,10 @@
-/** The row that a request's id has on a primary. */
+/** Row of a request id in the request table of a primary. */
 interface RequestRecord {
-  /** `run` was written with the effect, `cancelled` by a lookup that found no row. */
+  /** `run` is written in the statement's transaction, `cancelled` by a lookup that found no row. */
   state: 'run' | 'cancelled';
-  /** The stored answer, as JSON. */
+  /** The stored reply as JSON; null when none was stored. */
   result: string | null;
-  /** Tells statements under one id apart; absent when it was not recorded. */
+  /** Hash that tells different statements with one id apart; null when not recorded. */
   fingerprint: string | null;
 }
 
--- a/packages/coordination/src/ownership/countByDataCentre.ts
+++ b/packages/coordination/src/ownership/countByDataCentre.ts
@@ -1,6 +1,6 @@
 import type VmView from './vmView';
 
-/** Groups that the VMs of each data centre own together. */
+/** Counts the groups owned in each data centre, given the owned groups of each VM. */
 const countByDataCentre = (
   vms: readonly VmView[],
   ownedCounts: ReadonlyMap<string, number>,
--- a/packages/coordination/src/ownership/createHearing.ts
+++ b/packages/coordination/src/ownership/createHearing.ts
@@ -1,22 +1,28 @@
-/** `silent` counts for replacing a VM, `heard` confirms its heartbeats, `unsure` does neither. */
-type Statement = 'silent' | 'unsure' | 'heard';
+/** `silent` is a vote to replace a VM, `heard` confirms its heartbeats, `unsure` does neither. */
+type ReachabilityReport = 'silent' | 'unsure' | 'heard';
 
 /**
- * What a VM says of the others. One that it called silent is not confirmed for a while even when it is
- * heard again, since others may still count what was said before.
+ * Decides how this VM reports its peers in heartbeats. A peer reported silent is not confirmed for
+ * `confirmationDelayMs` after it is heard again, since other VMs may still count the earlier report.
  */
-const createHearing = (holdMs: number) => {
-  const silentAtMs = new Map<string, number>();
+const createHearing = (confirmationDelayMs: number) => {
+  const lastReportedSilentAtMs = new Map<string, number>();
 
   return {
-    /** What to say of a VM; `mayTell` once this process can tell a silent VM. */
-    state: (vm: string, isHeard: boolean, mayTell: boolean, nowMs: number): Statement => {
+    /** Returns the report on a VM; `canDetectSilence` once this process has run long enough to detect it. */
+    state: (
+      vm: string,
+      isHeard: boolean,
+      canDetectSilence: boolean,
+      nowMs: number,
+    ): ReachabilityReport => {
       if (!isHeard) {
-        if (mayTell) silentAtMs.set(vm, nowMs);
+        if (canDetectSilence) lastReportedSilentAtMs.set(vm, nowMs);
         return 'silent';
       }
-      const silentMs = nowMs - (silentAtMs.get(vm) ?? Number.NEGATIVE_INFINITY);
-      return silentMs > holdMs ? 'heard' : 'unsure';
+      const sinceSilentReportMs =
+        nowMs - (lastReportedSilentAtMs.get(vm) ?? Number.NEGATIVE_INFINITY);
+      return sinceSilentReportMs > confirmationDelayMs ? 'heard' : 'unsure';
     },
   };
 };
--- a/packages/coordination/src/ownership/isOwnerGone.spec.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.spec.ts
@@ -16,44 +16,46 @@
 });
 
 const owner = { vm: 'a', incarnation: 'a-1', isSettled: true };
-const silent = { isHeard: false };
+const unheard = { isHeard: false };
 
 describe('isOwnerGone', () => {
-  describe('of an owner that is heard', () => {
-    it('keeps it', () => {
+  describe('when this VM receives heartbeats of the owner', () => {
+    it('keeps the owner', () => {
       expect(isOwnerGone(owner, [view('b', []), view('a', []), view('c', [])])).to.equal(false);
     });
 
-    it('replaces it once its VM runs another process', () => {
+    it('replaces the owner once its VM has restarted', () => {
       const restarted = view('a', [], { incarnation: 'a-2' });
       expect(isOwnerGone(owner, [view('b', ['a']), restarted])).to.equal(true);
     });
 
-    it('keeps a process that its new record names before its VM was heard of', () => {
+    it('keeps the owner of a new record while only the previous incarnation is known', () => {
       const old = view('a', [], { incarnation: 'a-0' });
       expect(isOwnerGone({ ...owner, isSettled: false }, [view('b', []), old])).to.equal(false);
     });
   });
 
-  describe('of an owner that is silent', () => {
-    it('replaces it when more than half of the others do not hear it', () => {
-      const vms = [view('b', ['c']), view('c', ['b']), view('a', [], silent), view('d', ['a'])];
+  describe('when this VM receives no heartbeats of the owner', () => {
+    it('replaces the owner when more than half of the other VMs do not hear it', () => {
+      const vms = [view('b', ['c']), view('c', ['b']), view('a', [], unheard), view('d', ['a'])];
       expect(isOwnerGone(owner, vms)).to.equal(true);
     });
 
-    it('keeps it when half of the others hear it', () => {
+    it('keeps the owner when half of the other VMs hear it', () => {
       const vms = [view('b', []), view('c', []), view('d', ['a']), view('e', ['a'])];
-      expect(isOwnerGone(owner, [...vms, view('a', [], silent)])).to.equal(false);
+      expect(isOwnerGone(owner, [...vms, view('a', [], unheard)])).to.equal(false);
     });
 
-    it('keeps it as seen by a VM that is cut off with a minority', () => {
-      const cutOff = ['c', 'd', 'e'].map((vm) => view(vm, [], silent));
-      expect(isOwnerGone(owner, [view('b', []), ...cutOff, view('a', [], silent)])).to.equal(false);
+    it('keeps the owner when this VM is partitioned with a minority', () => {
+      const cutOff = ['c', 'd', 'e'].map((vm) => view(vm, [], unheard));
+      expect(isOwnerGone(owner, [view('b', []), ...cutOff, view('a', [], unheard)])).to.equal(
+        false,
+      );
     });
 
-    it('does not count VMs that started a moment ago', () => {
-      const young = { isSettled: false };
-      const vms = [view('b', [], young), view('c', [], young), view('a', [], silent)];
+    it('does not count VMs that started too recently to detect silence', () => {
+      const unsettled = { isSettled: false };
+      const vms = [view('b', [], unsettled), view('c', [], unsettled), view('a', [], unheard)];
       expect(isOwnerGone(owner, vms)).to.equal(false);
     });
   });
--- a/packages/coordination/src/ownership/isOwnerGone.ts
+++ b/packages/coordination/src/ownership/isOwnerGone.ts
@@ -1,26 +1,26 @@
 import type VmView from './vmView';
 
-interface GroupOwner {
+interface RecordedOwner {
   vm: string;
   incarnation: string;
-  /** The record that names it is not new: what is known of the VM is at least as recent. */
+  /** The ownership record is old enough that this VM's view of the owner is at least as recent. */
   isSettled: boolean;
 }
 
 /**
- * Whether the owner of a group has to be replaced: its VM runs another process now, or more than half
- * of the other VMs do not hear it. An owner that still reaches half of them therefore stays, and one
- * that does not knows that it may be replaced.
+ * Whether the owner of a group is lost and has to be replaced: its VM has restarted, or more than half
+ * of the other VMs receive no heartbeats from it. An owner that half of them still confirm stays; one
+ * without these confirmations loses its peer lease, and so knows that it may be replaced.
  */
-const isOwnerGone = (owner: GroupOwner, vms: readonly VmView[]): boolean => {
+const isOwnerGone = (owner: RecordedOwner, vms: readonly VmView[]): boolean => {
   const view = vms.find(({ vm }) => vm === owner.vm);
   if (view && view.incarnation !== owner.incarnation) return owner.isSettled;
   if (view?.isHeard) return false;
   const others = vms.filter(({ vm }) => vm !== owner.vm);
-  const without = others.filter(
+  const notHearingOwner = others.filter(
     ({ isHeard, isSettled, hears }) => isHeard && isSettled && !hears.has(owner.vm),
   );
-  return without.length * 2 > others.length;
+  return notHearingOwner.length * 2 > others.length;
 };
 
 export default isOwnerGone;
--- a/packages/coordination/src/placement/choosePlacement.spec.ts
+++ b/packages/coordination/src/placement/choosePlacement.spec.ts
@@ -23,29 +23,31 @@
   notBefore: { term: 1, number: 10 },
   excluded: new Set<string>(),
 };
-const chosen = (members: MemberLoad[], placement = read): string | undefined =>
+const chooseId = (members: MemberLoad[], placement = read): string | undefined =>
   choosePlacement(members, placement, 0)?.id;
 
 describe('choosePlacement', () => {
-  describe('of a read', () => {
-    it('takes a replica before the primary', () => {
-      expect(chosen([primary, member('r')])).to.equal('r');
+  describe('for a read', () => {
+    it('prefers a replica over the primary', () => {
+      expect(chooseId([primary, member('r')])).to.equal('r');
     });
 
-    it('takes the primary when the replicas have much more under way', () => {
-      expect(chosen([primary, member('r', { underWay: 3 })])).to.equal('p');
+    it('chooses the primary when the replicas are much more loaded', () => {
+      expect(chooseId([primary, member('r', { underWay: 3 })])).to.equal('p');
     });
 
-    it('takes a replica that has caught up before one that lags', () => {
+    it('prefers a replica that has caught up over one that lags', () => {
       const lagging = member('l', { position: { term: 1, number: 3 } });
-      expect(chosen([lagging, member('r', { underWay: 1 })])).to.equal('r');
+      expect(chooseId([lagging, member('r', { underWay: 1 })])).to.equal('r');
     });
 
-    it('takes no replica while no fresh position is known', () => {
-      expect(chosen([member('r')], { ...read, notBefore: undefined as never })).to.equal(undefined);
+    it('chooses no replica while the required position is unknown', () => {
+      expect(chooseId([member('r')], { ...read, notBefore: undefined as never })).to.equal(
+        undefined,
+      );
     });
 
-    it('takes no endpoint that is down, leaving, paused, full or excluded', () => {
+    it('chooses no endpoint that is down, leaving, paused, full or excluded', () => {
       const members = [
         member('a', { isDown: true }),
         member('b', { isLeaving: true }),
@@ -54,20 +56,20 @@
         member('e', { canConnect: false }),
         member('f'),
       ];
-      expect(chosen(members, { ...read, excluded: new Set(['f']) })).to.equal(undefined);
+      expect(chooseId(members, { ...read, excluded: new Set(['f']) })).to.equal(undefined);
     });
   });
 
-  describe('of what only the primary serves', () => {
-    it('waits for the primary', () => {
+  describe('for a statement that only the primary can serve', () => {
+    it('chooses no endpoint while the primary is full', () => {
       const full = member('p', { isPrimary: true, underWay: 4 });
-      expect(chosen([full, member('r')], { ...read, needsPrimary: true })).to.equal(undefined);
+      expect(chooseId([full, member('r')], { ...read, needsPrimary: true })).to.equal(undefined);
     });
   });
 
-  describe('under reads beyond what the primary alone can serve', () => {
-    /** Serves arrivals every 5 ms for 10 s with three endpoints; returns how many were placed at once. */
-    const placed = (withReplicas: boolean): number => {
+  describe('with more reads than the primary alone can serve', () => {
+    /** Simulates reads every 5 ms for 10 s on three endpoints; returns how many found a free slot. */
+    const countPlacedStatements = (withReplicas: boolean): number => {
       const members = [primary, member('r'), member('s')].map((entry) => ({ ...entry }));
       const running: { id: string; untilMs: number }[] = [];
       let count = 0;
@@ -79,8 +81,12 @@
             if (ended) ended.underWay -= 1;
           });
         running.splice(0, running.length, ...running.filter(({ untilMs }) => untilMs > nowMs));
-        const found = choosePlacement(members, { ...read, needsPrimary: !withReplicas }, nowMs);
-        const target = members.find(({ id }) => id === found?.id);
+        const chosenMember = choosePlacement(
+          members,
+          { ...read, needsPrimary: !withReplicas },
+          nowMs,
+        );
+        const target = members.find(({ id }) => id === chosenMember?.id);
         if (target) {
           target.underWay += 1;
           running.push({ id: target.id, untilMs: nowMs + 40 });
@@ -90,8 +96,8 @@
       return count;
     };
 
-    it('serves at least one and a half times as many', () => {
-      expect(placed(true)).to.be.at.least(placed(false) * 1.5);
+    it('places at least 1.5 times as many with replicas as without', () => {
+      expect(countPlacedStatements(true)).to.be.at.least(countPlacedStatements(false) * 1.5);
     });
   });
 });
--- a/packages/coordination/src/placement/choosePlacement.ts
+++ b/packages/coordination/src/placement/choosePlacement.ts
@@ -2,60 +2,66 @@
 import type LogPosition from '../position/logPosition';
 import type MemberLoad from './memberLoad';
 
-interface Placement {
-  /** Only the primary can serve it. */
+interface StatementPlacement {
+  /** Only the primary can serve the statement. */
   needsPrimary: boolean;
-  /** Position that a replica's log must hold. */
+  /** Position the statement must see: lagging replicas cost more; if undefined, none is eligible. */
   notBefore: LogPosition | undefined;
+  /** Ids of endpoints not to use. */
   excluded: ReadonlySet<string>;
 }
 
-/** One statement more than the slots hides the way to the endpoint and back. */
+/** One statement beyond the slots hides the network round trip to the endpoint. */
 const PIPELINED_STATEMENTS = 1;
-/** Weight of the primary's load for reads: writes have no other place to go. */
-const PRIMARY_READ_COST = 1.5;
-/** Cost of opening a connection, in slots: it occupies one for about half of a statement. */
-const CONNECT_COST = 0.5;
+/** Factor on the primary's cost for reads: only the primary can serve writes. */
+const PRIMARY_READ_COST_FACTOR = 1.5;
+/** Cost of opening a connection, in slots: it occupies a slot for about half a statement. */
+const CONNECT_COST_SLOTS = 0.5;
 
-const hasRoom = ({ underWay, slots, canConnect, isPausedUntilMs }: MemberLoad, nowMs: number) =>
-  underWay < slots + PIPELINED_STATEMENTS && canConnect && isPausedUntilMs <= nowMs;
+const canAcceptStatement = (
+  { underWay, slots, canConnect, isPausedUntilMs }: MemberLoad,
+  nowMs: number,
+) => underWay < slots + PIPELINED_STATEMENTS && canConnect && isPausedUntilMs <= nowMs;
 
-const costOf = (member: MemberLoad, placement: Placement): number => {
+const estimateCost = (member: MemberLoad, placement: StatementPlacement): number => {
   const load = (member.underWay + 1) / Math.max(1, member.slots);
-  const lags =
+  const isLagging =
     placement.notBefore &&
     !member.isPrimary &&
     (!member.position || comparePositions(member.position, placement.notBefore) < 0);
   return (
     load *
       member.latencyMs *
-      (member.isPrimary && !placement.needsPrimary ? PRIMARY_READ_COST : 1) +
-    (member.hasIdleConnection ? 0 : (CONNECT_COST * member.latencyMs) / Math.max(1, member.slots)) +
-    (lags ? member.latencyMs : 0)
+      (member.isPrimary && !placement.needsPrimary ? PRIMARY_READ_COST_FACTOR : 1) +
+    (member.hasIdleConnection
+      ? 0
+      : (CONNECT_COST_SLOTS * member.latencyMs) / Math.max(1, member.slots)) +
+    (isLagging ? member.latencyMs : 0)
   );
 };
 
 /**
- * Chooses the endpoint for a statement among those with a free slot: the one with the least load
- * for its speed, a replica before the primary, one that has caught up before one that lags.
+ * Chooses the endpoint for a statement among those with a free slot, `undefined` if there is none.
+ * The lowest estimated cost wins: load times latency, with extra cost for a read on the primary,
+ * a new connection and a lagging replica.
  *
- * Load pattern: reads above what the primary alone can serve, replicas far behind, a slow endpoint.
+ * Load pattern: reads beyond the primary's capacity, replicas far behind, a slow endpoint.
  */
 const choosePlacement = (
   members: readonly MemberLoad[],
-  placement: Placement,
+  placement: StatementPlacement,
   nowMs: number,
 ): MemberLoad | undefined => {
-  const able = members.filter(
+  const candidates = members.filter(
     (member) =>
       !member.isDown &&
       !placement.excluded.has(member.id) &&
       (member.isPrimary || (!placement.needsPrimary && placement.notBefore && !member.isLeaving)) &&
-      hasRoom(member, nowMs),
+      canAcceptStatement(member, nowMs),
   );
-  return able.reduce<MemberLoad | undefined>(
+  return candidates.reduce<MemberLoad | undefined>(
     (best, member) =>
-      best && costOf(best, placement) <= costOf(member, placement) ? best : member,
+      best && estimateCost(best, placement) <= estimateCost(member, placement) ? best : member,
     undefined,
   );
 };
--- a/packages/coordination/src/placement/memberLoad.ts
+++ b/packages/coordination/src/placement/memberLoad.ts
@@ -1,17 +1,17 @@
 import type LogPosition from '../position/logPosition';
 
-/** An endpoint as the placement of a statement sees it. */
+/** Load and availability of an endpoint, as input of `choosePlacement`; times are in ms. */
 interface MemberLoad {
   id: string;
   isPrimary: boolean;
   isLeaving: boolean;
   isDown: boolean;
-  /** Statements under way, and how many the endpoint runs at a time. */
+  /** Statements sent and not yet answered, and how many the endpoint executes concurrently. */
   underWay: number;
   slots: number;
   canConnect: boolean;
   hasIdleConnection: boolean;
-  /** The last position that it reported. */
+  /** Log position last reported by the endpoint. */
   position: LogPosition | undefined;
   latencyMs: number;
   isPausedUntilMs: number;
--- a/packages/coordination/src/placement/waitingWork.ts
+++ b/packages/coordination/src/placement/waitingWork.ts
@@ -1,8 +1,9 @@
-/** A statement that waits for a slot. Times are on the VM's steady clock, in ms. */
+/** A statement queued for a slot. Times are on this process's monotonic clock, in ms. */
 interface WaitingWork {
   /** Part of a transaction that already holds a connection. */
   isInTransaction: boolean;
   arrivedAtMs: number;
+  /** Time by which the statement should have completed. */
   targetAtMs: number;
   priority: number;
 }
--- a/packages/coordination/src/promotion/createFollowRepair.spec.ts
+++ b/packages/coordination/src/promotion/createFollowRepair.spec.ts
@@ -24,42 +24,45 @@
   unansweredSinceMs: undefined,
 });
 
-const dueAt = (repair: ReturnType<typeof createFollowRepair>, atMs: number, position: number) =>
-  repair.due(RECORD, [view('m1', 9, atMs), view('m2', position, atMs)]);
+const membersDueAt = (
+  repair: ReturnType<typeof createFollowRepair>,
+  atMs: number,
+  position: number,
+) => repair.due(RECORD, [view('m1', 9, atMs), view('m2', position, atMs)]);
 
-describe('members that are told again whom to follow', () => {
-  it('are those that stay behind from one poll to the next', () => {
+describe('createFollowRepair', () => {
+  it('returns a replica that lags without progress for 300 ms of polls', () => {
     const repair = createFollowRepair();
-    expect(dueAt(repair, 0, 5)).to.deep.equal([]);
-    expect(dueAt(repair, 299, 5)).to.deep.equal([]);
-    expect(dueAt(repair, 300, 5)).to.deep.equal(['m2']);
+    expect(membersDueAt(repair, 0, 5)).to.deep.equal([]);
+    expect(membersDueAt(repair, 299, 5)).to.deep.equal([]);
+    expect(membersDueAt(repair, 300, 5)).to.deep.equal(['m2']);
   });
 
-  it('are not those that were not polled again', () => {
+  it('does not return a replica that was not polled again', () => {
     const repair = createFollowRepair();
     const views = [view('m1', 9, 0), view('m2', 5, 0)];
     Array.from({ length: 10 }, () => expect(repair.due(RECORD, views)).to.deep.equal([]));
   });
 
-  it('are not those that make progress or have caught up', () => {
+  it('does not return a replica that makes progress or has caught up', () => {
     const repair = createFollowRepair();
     [5, 6, 7, 8, 9, 9].forEach((position, index) =>
-      expect(dueAt(repair, index * 500, position)).to.deep.equal([]),
+      expect(membersDueAt(repair, index * 500, position)).to.deep.equal([]),
     );
   });
 
-  it('are those under an older term', () => {
+  it('returns a replica fenced at an older term', () => {
     const repair = createFollowRepair();
     const views = (atMs: number) => [view('m1', 9, atMs), view('m2', 9, atMs, 1)];
     expect(repair.due(RECORD, views(0))).to.deep.equal([]);
     expect(repair.due(RECORD, views(500))).to.deep.equal(['m2']);
   });
 
-  it('are told less and less often', () => {
+  it('doubles the delay before it returns the same replica again', () => {
     const repair = createFollowRepair();
-    const toldAtMs = Array.from({ length: 40 }, (_, index) => index * 100).filter(
-      (atMs) => dueAt(repair, atMs, 5).length > 0,
+    const repairedAtMs = Array.from({ length: 40 }, (_, index) => index * 100).filter(
+      (atMs) => membersDueAt(repair, atMs, 5).length > 0,
     );
-    expect(toldAtMs).to.deep.equal([300, 900, 2_100]);
+    expect(repairedAtMs).to.deep.equal([300, 900, 2_100]);
   });
 });
--- a/packages/coordination/src/promotion/createFollowRepair.ts
+++ b/packages/coordination/src/promotion/createFollowRepair.ts
@@ -2,42 +2,50 @@
 import compareLogs from './compareLogs';
 import type MemberView from './memberView';
 
-interface Tracked {
+/** Last observed log end of a replica that is out of sync. */
+interface ReplicaProgress {
   term: number;
   logTerm: number;
   position: number;
+  /** Time of the first poll with this log end, or of the last repair. */
   sinceMs: number;
   waitMs: number;
 }
 
-const FIRST_WAIT_MS = 300;
-const MAX_WAIT_MS = 60_000;
+const INITIAL_RETRY_DELAY_MS = 300;
+const MAX_RETRY_DELAY_MS = 60_000;
 
 /**
- * Finds members that have to be told again whom to follow: those that came back under
- * an older term, and those that stay behind the primary without progress. The wait
- * doubles, since following anew restarts what a slow member had under way.
+ * Finds replicas to which the `follow` command has to be sent again: those that reconnected
+ * under an older term, and those that lag behind the primary without progress. The delay
+ * doubles each time, since `follow` restarts the replication that a slow replica has begun.
  */
 const createFollowRepair = () => {
-  const tracked = new Map<string, Tracked>();
+  const progressByMember = new Map<string, ReplicaProgress>();
 
-  const isAstray = ({ status }: MemberView, record: TermRecord, primary: MemberView): boolean => {
+  const isOutOfSync = (
+    { status }: MemberView,
+    record: TermRecord,
+    primary: MemberView,
+  ): boolean => {
     if (!status || !primary.status || status.fencedTerm > record.term) return false;
     if (status.role === 'primary' || status.fencedTerm < record.term) return true;
     return compareLogs(status, primary.status) !== 0;
   };
 
-  /** Progress is judged from one poll to a later one, and not by the time between. */
-  const isDue = (view: MemberView, record: TermRecord): boolean => {
+  /** Compares the results of two polls, so time without a new poll does not count as a stall. */
+  const isRepairDue = (view: MemberView, record: TermRecord): boolean => {
     const { status } = view;
     if (!status) return false;
     const { logTerm, position, askedAtMs } = status;
-    const known = tracked.get(view.member);
+    const previous = progressByMember.get(view.member);
     const hasMoved =
-      known?.term !== record.term || known.logTerm !== logTerm || known.position !== position;
-    if (!known || hasMoved) {
-      const waitMs = known?.term === record.term ? known.waitMs : FIRST_WAIT_MS;
-      tracked.set(view.member, {
+      previous?.term !== record.term ||
+      previous.logTerm !== logTerm ||
+      previous.position !== position;
+    if (!previous || hasMoved) {
+      const waitMs = previous?.term === record.term ? previous.waitMs : INITIAL_RETRY_DELAY_MS;
+      progressByMember.set(view.member, {
         term: record.term,
         logTerm,
         position,
@@ -46,14 +54,14 @@
       });
       return false;
     }
-    if (askedAtMs - known.sinceMs < known.waitMs) return false;
-    known.sinceMs = askedAtMs;
-    known.waitMs = Math.min(MAX_WAIT_MS, known.waitMs * 2);
+    if (askedAtMs - previous.sinceMs < previous.waitMs) return false;
+    previous.sinceMs = askedAtMs;
+    previous.waitMs = Math.min(MAX_RETRY_DELAY_MS, previous.waitMs * 2);
     return true;
   };
 
   return {
-    /** Names of members that must follow the record's primary anew. */
+    /** Returns the members to which the caller must send `follow` for the record's primary. */
     due: (record: TermRecord, views: readonly MemberView[]): string[] => {
       const primary = views.find(({ member }) => member === record.primary);
       if (record.state !== 'active' || primary?.status?.role !== 'primary') return [];
@@ -61,8 +69,8 @@
       return views
         .filter((view) => view !== primary && view.unansweredSinceMs === undefined)
         .filter((view) => {
-          if (isAstray(view, record, primary)) return isDue(view, record);
-          tracked.delete(view.member);
+          if (isOutOfSync(view, record, primary)) return isRepairDue(view, record);
+          progressByMember.delete(view.member);
           return false;
         })
         .map(({ member }) => member);
--- a/packages/coordination/src/promotion/createPrimaryJudge.spec.ts
+++ b/packages/coordination/src/promotion/createPrimaryJudge.spec.ts
@@ -13,15 +13,15 @@
   history: [{ term: 2, startPosition: 0 }],
 };
 
-/** A judge that is asked every tick about members whose state a test sets. */
-const createBench = () => {
-  const judge = createPrimaryJudge(TIMINGS);
+/** Runs a detector on simulated time, polling members whose state the test sets. */
+const createDetectorHarness = () => {
+  const detector = createPrimaryJudge(TIMINGS);
   const positions: Record<string, number> = { m1: 10, m2: 10, m3: 10 };
-  const silentSinceMs: Record<string, number> = {};
+  const unansweredSinceMsByMember: Record<string, number> = {};
   let nowMs = 1_000;
   let role: 'primary' | 'replica' = 'primary';
   let fencedTerm = 2;
-  let frozen: MemberView[] | undefined;
+  let frozenViews: MemberView[] | undefined;
 
   const viewOf = (member: string): MemberView => ({
     member,
@@ -31,142 +31,142 @@
       fencedTerm,
       logTerm: 2,
       position: positions[member] ?? 0,
-      askedAtMs: silentSinceMs[member] ?? nowMs,
+      askedAtMs: unansweredSinceMsByMember[member] ?? nowMs,
     },
-    unansweredSinceMs: silentSinceMs[member],
+    unansweredSinceMs: unansweredSinceMsByMember[member],
   });
 
-  const views = (): MemberView[] => frozen ?? ['m1', 'm2', 'm3'].map(viewOf);
+  const views = (): MemberView[] => frozenViews ?? ['m1', 'm2', 'm3'].map(viewOf);
 
-  const judgeNow = (record = RECORD) => {
-    judge.observe(views(), nowMs);
-    return judge.judge(record);
+  const assessNow = (record = RECORD) => {
+    detector.observe(views(), nowMs);
+    return detector.judge(record);
   };
 
   return {
-    judge,
+    detector,
     positions,
-    judgeNow,
-    silence: (member: string): void => {
-      silentSinceMs[member] = nowMs;
+    assessNow,
+    stopAnswering: (member: string): void => {
+      unansweredSinceMsByMember[member] = nowMs;
     },
     demote: (term: number): void => {
       role = 'replica';
       fencedTerm = term;
     },
-    /** From now on no member is polled, as when a group is idle. */
-    freeze: (): void => {
-      frozen = views();
+    /** Stops polling all members, as in an idle group. */
+    stopPolling: (): void => {
+      frozenViews = views();
     },
     pause: (forMs: number): void => {
       nowMs += forMs;
     },
     run: (forMs: number, record = RECORD) => {
-      let judgement = judgeNow(record);
+      let assessment = assessNow(record);
       for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += TICK_MS) {
         nowMs += TICK_MS;
-        judgement = judgeNow(record);
+        assessment = assessNow(record);
       }
-      return judgement;
+      return assessment;
     },
-    isAnswering: (member: string): boolean => judge.isAnswering(viewOf(member)),
+    isAnswering: (member: string): boolean => detector.isAnswering(viewOf(member)),
   };
 };
 
-describe('the judgement of a primary by one VM', () => {
-  let bench: ReturnType<typeof createBench>;
+describe('createPrimaryJudge', () => {
+  let harness: ReturnType<typeof createDetectorHarness>;
 
   beforeEach(() => {
-    bench = createBench();
-    bench.run(1_000);
+    harness = createDetectorHarness();
+    harness.run(1_000);
   });
 
-  it('is present while it answers, and unknown once a poll has no answer yet', () => {
-    expect(bench.judgeNow()).to.deep.equal({ view: 'present', reason: undefined });
-    bench.silence('m1');
-    expect(bench.run(300)).to.deep.equal({ view: 'unknown', reason: undefined });
+  it('reports present while the primary answers, and unknown while a poll is unanswered', () => {
+    expect(harness.assessNow()).to.deep.equal({ view: 'present', reason: undefined });
+    harness.stopAnswering('m1');
+    expect(harness.run(300)).to.deep.equal({ view: 'unknown', reason: undefined });
   });
 
-  it('is unknown when the record names no known member', () => {
-    expect(bench.judgeNow({ ...RECORD, primary: 'm9' }).view).to.equal('unknown');
+  it('reports unknown when the record names no known member', () => {
+    expect(harness.assessNow({ ...RECORD, primary: 'm9' }).view).to.equal('unknown');
   });
 
-  describe('that is silent', () => {
-    it('is gone after the time for a suspicion', () => {
-      bench.silence('m1');
-      expect(bench.run(500).view).to.equal('unknown');
-      expect(bench.run(100)).to.deep.equal({ view: 'gone', reason: 'silent' });
+  describe('when a member does not answer', () => {
+    it('reports gone after suspectAfterMs', () => {
+      harness.stopAnswering('m1');
+      expect(harness.run(500).view).to.equal('unknown');
+      expect(harness.run(100)).to.deep.equal({ view: 'gone', reason: 'silent' });
     });
 
-    it('is not judged by a time in which this process stood still', () => {
-      bench.silence('m1');
-      bench.pause(5_000);
-      expect(bench.judgeNow().view).to.equal('unknown');
-      expect(bench.run(300).view).to.equal('unknown');
-      expect(bench.run(100).reason).to.equal('silent');
+    it('does not count a pause of this process towards the time-out', () => {
+      harness.stopAnswering('m1');
+      harness.pause(5_000);
+      expect(harness.assessNow().view).to.equal('unknown');
+      expect(harness.run(300).view).to.equal('unknown');
+      expect(harness.run(100).reason).to.equal('silent');
     });
 
-    it('is gone although this process stands still again and again', () => {
-      bench.silence('m1');
-      const judgements = Array.from({ length: 4 }, () => {
-        bench.pause(400);
-        return bench.judgeNow().reason;
+    it('reports gone although this process pauses repeatedly', () => {
+      harness.stopAnswering('m1');
+      const assessments = Array.from({ length: 4 }, () => {
+        harness.pause(400);
+        return harness.assessNow().reason;
       });
-      expect(judgements).to.include('silent');
+      expect(assessments).to.include('silent');
     });
 
-    it('is not counted as answering', () => {
-      bench.silence('m2');
-      bench.run(500);
-      expect(bench.isAnswering('m2')).to.equal(true);
-      bench.run(100);
-      expect(bench.isAnswering('m2')).to.equal(false);
+    it('does not count it as answering after suspectAfterMs', () => {
+      harness.stopAnswering('m2');
+      harness.run(500);
+      expect(harness.isAnswering('m2')).to.equal(true);
+      harness.run(100);
+      expect(harness.isAnswering('m2')).to.equal(false);
     });
   });
 
-  describe('that reports the role replica', () => {
-    it('is gone after the time for a suspicion', () => {
-      bench.demote(2);
-      expect(bench.run(500).view).to.equal('present');
-      expect(bench.run(100)).to.deep.equal({ view: 'gone', reason: 'demoted' });
+  describe('when the primary reports the role replica', () => {
+    it('reports gone after suspectAfterMs', () => {
+      harness.demote(2);
+      expect(harness.run(500).view).to.equal('present');
+      expect(harness.run(100)).to.deep.equal({ view: 'gone', reason: 'demoted' });
     });
 
-    it('is left alone when it obeys a later term', () => {
-      bench.demote(3);
-      expect(bench.run(5_000).reason).to.equal(undefined);
+    it('does not report gone when the primary is fenced at a later term', () => {
+      harness.demote(3);
+      expect(harness.run(5_000).reason).to.equal(undefined);
     });
   });
 
-  describe('whose log no majority comes to hold', () => {
+  describe('when no majority catches up with the log of the primary', () => {
     beforeEach(() => {
-      bench.positions.m1 = 20;
+      harness.positions.m1 = 20;
     });
 
-    it('is gone after the time for a stall', () => {
-      expect(bench.run(2_900).reason).to.equal(undefined);
-      expect(bench.run(200)).to.deep.equal({ view: 'gone', reason: 'unconfirmed' });
+    it('reports gone after stallAfterMs', () => {
+      expect(harness.run(2_900).reason).to.equal(undefined);
+      expect(harness.run(200)).to.deep.equal({ view: 'gone', reason: 'unconfirmed' });
     });
 
-    it('is present when one replica catches up', () => {
-      bench.run(2_000);
-      bench.positions.m2 = 20;
-      expect(bench.run(5_000).reason).to.equal(undefined);
+    it('does not report gone when one replica catches up', () => {
+      harness.run(2_000);
+      harness.positions.m2 = 20;
+      expect(harness.run(5_000).reason).to.equal(undefined);
     });
 
-    it('is present when too few others answer to replace it', () => {
-      bench.silence('m3');
-      expect(bench.run(5_000).reason).to.equal(undefined);
+    it('does not report gone when too few other voters answer to replace it', () => {
+      harness.stopAnswering('m3');
+      expect(harness.run(5_000).reason).to.equal(undefined);
     });
 
-    it('is not judged by statuses from before the wait', () => {
-      bench.freeze();
-      expect(bench.run(10_000).reason).to.equal(undefined);
+    it('ignores statuses polled before the stall time-out', () => {
+      harness.stopPolling();
+      expect(harness.run(10_000).reason).to.equal(undefined);
     });
 
-    it('waits twice as long after each replacement for a stall', () => {
-      bench.judge.noteStallReplacement();
-      expect(bench.run(5_900).reason).to.equal(undefined);
-      expect(bench.run(200).reason).to.equal('unconfirmed');
+    it('doubles the time-out after a replacement for a stall', () => {
+      harness.detector.noteStallReplacement();
+      expect(harness.run(5_900).reason).to.equal(undefined);
+      expect(harness.run(200).reason).to.equal('unconfirmed');
     });
   });
 });
--- a/packages/coordination/src/promotion/createPrimaryJudge.ts
+++ b/packages/coordination/src/promotion/createPrimaryJudge.ts
@@ -4,132 +4,141 @@
 import type MemberView from './memberView';
 import type PrimaryView from './primaryView';
 
+/** Log end of the primary that a majority must reach. */
 interface Checkpoint {
   logTerm: number;
   position: number;
+  /** Monotonic time. */
   sinceMs: number;
+  /** Running time: monotonic time without pauses of this process. */
   sinceOwnMs: number;
 }
-interface Silence {
+/** Period in which a member has not answered, from its first unanswered poll. */
+interface UnansweredPeriod {
   sinceMs: number;
   sinceOwnMs: number;
 }
-interface Judgement {
+interface Assessment {
   view: PrimaryView;
   reason: 'silent' | 'unconfirmed' | 'demoted' | undefined;
 }
 
-/** Of the time between two observations no more than this counts: the rest was a pause of this process. */
-const MAX_STEP_MS = 200;
+/** Upper bound on the time counted between two observations: the rest was a pause of this process. */
+const MAX_COUNTED_STEP_MS = 200;
 const MAX_STALL_DOUBLINGS = 5;
 
-const isVoterAt = (view: MemberView, voters: readonly string[], checkpoint: Checkpoint): boolean =>
+const isVoterAtCheckpoint = (
+  view: MemberView,
+  voters: readonly string[],
+  checkpoint: Checkpoint,
+): boolean =>
   voters.includes(view.member) &&
   view.status !== undefined &&
   compareLogs(view.status, checkpoint) >= 0;
 
 /**
- * Judges a group's primary from this VM's polls: gone when it stays silent, when it
- * has lost its role, or when it answers but no majority comes to hold its log, which
- * is how a primary looks that is cut from its own members. Times are counted on an own
- * clock that does not run on while this process stands still.
+ * Failure detector for a group's primary, fed by this VM's polls. The primary is `gone` when
+ * it does not answer, when it has lost its role, or when it answers but no majority catches
+ * up with its log, the symptom of a primary partitioned from its replicas. Periods are
+ * measured in running time, which excludes pauses of this process.
  */
 const createPrimaryJudge = (timings: FailoverTimings) => {
-  const silences = new Map<string, Silence>();
+  const unansweredPeriods = new Map<string, UnansweredPeriod>();
   let views: readonly MemberView[] = [];
-  let observedAtMs: number | undefined;
-  let ownMs = 0;
+  let lastObservedAtMs: number | undefined;
+  let runningTimeMs = 0;
   let term = 0;
   let checkpoint: Checkpoint | undefined;
-  let demotedSinceOwnMs: number | undefined;
+  /** In running time. */
+  let demotedAtMs: number | undefined;
   let stallDoublings = 0;
 
-  const noteTerm = (record: TermRecord): void => {
+  const resetOnNewTerm = (record: TermRecord): void => {
     if (record.term === term) return;
     term = record.term;
     checkpoint = undefined;
-    demotedSinceOwnMs = undefined;
+    demotedAtMs = undefined;
   };
 
-  const noteSilence = (
+  const trackUnansweredPolls = (
     { member, unansweredSinceMs }: MemberView,
     nowMs: number,
     stepMs: number,
   ): void => {
     if (unansweredSinceMs === undefined) {
-      silences.delete(member);
+      unansweredPeriods.delete(member);
       return;
     }
-    if (silences.get(member)?.sinceMs === unansweredSinceMs) return;
-    const sinceOwnMs = ownMs - Math.min(stepMs, nowMs - unansweredSinceMs);
-    silences.set(member, { sinceMs: unansweredSinceMs, sinceOwnMs });
+    if (unansweredPeriods.get(member)?.sinceMs === unansweredSinceMs) return;
+    const sinceOwnMs = runningTimeMs - Math.min(stepMs, nowMs - unansweredSinceMs);
+    unansweredPeriods.set(member, { sinceMs: unansweredSinceMs, sinceOwnMs });
   };
 
-  const isSilent = ({ member }: MemberView): boolean => {
-    const silence = silences.get(member);
-    return silence !== undefined && ownMs - silence.sinceOwnMs >= timings.suspectAfterMs;
+  const isUnresponsive = ({ member }: MemberView): boolean => {
+    const period = unansweredPeriods.get(member);
+    return period !== undefined && runningTimeMs - period.sinceOwnMs >= timings.suspectAfterMs;
   };
 
   const isDemoted = ({ status }: MemberView): boolean => {
     const hasLostRole = status?.role === 'replica' && status.fencedTerm <= term;
-    demotedSinceOwnMs = hasLostRole ? (demotedSinceOwnMs ?? ownMs) : undefined;
-    return demotedSinceOwnMs !== undefined && ownMs - demotedSinceOwnMs >= timings.suspectAfterMs;
+    demotedAtMs = hasLostRole ? (demotedAtMs ?? runningTimeMs) : undefined;
+    return demotedAtMs !== undefined && runningTimeMs - demotedAtMs >= timings.suspectAfterMs;
   };
 
-  /** Others that could replace the primary, by polls from after the wait. */
-  const answeringSince = (atMs: number, primary: MemberView, voters: readonly string[]) =>
+  /** Other voters that answered a poll sent at `atMs` or later. */
+  const listVotersAnsweredSince = (atMs: number, primary: MemberView, voters: readonly string[]) =>
     views.filter(
       (view) =>
         view !== primary &&
         voters.includes(view.member) &&
-        !isSilent(view) &&
+        !isUnresponsive(view) &&
         (view.status?.askedAtMs ?? 0) >= atMs,
     );
 
   const isStalled = (primary: MemberView, voters: readonly string[]): boolean => {
     const { status } = primary;
-    if (!status || observedAtMs === undefined) return false;
+    if (!status || lastObservedAtMs === undefined) return false;
     const { logTerm, position } = status;
-    const majority = voters.length / 2;
-    checkpoint ??= { logTerm, position, sinceMs: observedAtMs, sinceOwnMs: ownMs };
-    const mark = checkpoint;
-    if (views.filter((view) => isVoterAt(view, voters, mark)).length > majority) {
+    const halfOfVoters = voters.length / 2;
+    checkpoint ??= { logTerm, position, sinceMs: lastObservedAtMs, sinceOwnMs: runningTimeMs };
+    const target = checkpoint;
+    if (views.filter((view) => isVoterAtCheckpoint(view, voters, target)).length > halfOfVoters) {
       checkpoint = undefined;
       stallDoublings = 0;
       return false;
     }
     const waitMs = timings.stallAfterMs * 2 ** stallDoublings;
-    if (ownMs - mark.sinceOwnMs < waitMs) return false;
-    return answeringSince(mark.sinceMs + waitMs, primary, voters).length > majority;
+    if (runningTimeMs - target.sinceOwnMs < waitMs) return false;
+    return listVotersAnsweredSince(target.sinceMs + waitMs, primary, voters).length > halfOfVoters;
   };
 
   return {
-    /** Takes in what this VM's polls tell now; to be called at short intervals. */
-    observe: (latest: readonly MemberView[], nowMs: number): void => {
-      const stepMs = Math.min(MAX_STEP_MS, nowMs - (observedAtMs ?? nowMs));
-      observedAtMs = nowMs;
-      ownMs += stepMs;
-      views = latest;
-      views.forEach((view) => noteSilence(view, nowMs, stepMs));
+    /** Records this VM's latest poll results; call at intervals below `MAX_COUNTED_STEP_MS`. */
+    observe: (latestViews: readonly MemberView[], nowMs: number): void => {
+      const stepMs = Math.min(MAX_COUNTED_STEP_MS, nowMs - (lastObservedAtMs ?? nowMs));
+      lastObservedAtMs = nowMs;
+      runningTimeMs += stepMs;
+      views = latestViews;
+      views.forEach((view) => trackUnansweredPolls(view, nowMs, stepMs));
     },
-    /** Judges by the views of the last observation. */
-    judge: (record: TermRecord): Judgement => {
-      noteTerm(record);
+    /** Assesses the record's primary by the last observation. */
+    judge: (record: TermRecord): Assessment => {
+      resetOnNewTerm(record);
       const primary = views.find(({ member }) => member === record.primary);
       if (!primary) return { view: 'unknown', reason: undefined };
-      if (isSilent(primary)) return { view: 'gone', reason: 'silent' };
+      if (isUnresponsive(primary)) return { view: 'gone', reason: 'silent' };
       if (isDemoted(primary)) return { view: 'gone', reason: 'demoted' };
       const voters = record.voters ?? views.map(({ member }) => member);
       if (isStalled(primary, voters)) return { view: 'gone', reason: 'unconfirmed' };
       const hasAnswered = primary.status !== undefined && primary.unansweredSinceMs === undefined;
       return { view: hasAnswered ? 'present' : 'unknown', reason: undefined };
     },
-    /** Lengthens the wait before the next replacement for a stall, so that slow replicas cause few. */
+    /** Doubles the stall time-out after a replacement, so that slow replicas cause few replacements. */
     noteStallReplacement: (): void => {
       stallDoublings = Math.min(MAX_STALL_DOUBLINGS, stallDoublings + 1);
     },
-    /** Whether a member answers this VM's polls. */
-    isAnswering: (view: MemberView): boolean => view.status !== undefined && !isSilent(view),
+    /** Whether a member has answered a poll, and no poll has been unanswered for `suspectAfterMs`. */
+    isAnswering: (view: MemberView): boolean => view.status !== undefined && !isUnresponsive(view),
   };
 };
 
--- a/packages/coordination/src/promotion/isReplacementAgreed.spec.ts
+++ b/packages/coordination/src/promotion/isReplacementAgreed.spec.ts
@@ -2,7 +2,7 @@
 import isReplacementAgreed from './isReplacementAgreed';
 import type PrimaryView from './primaryView';
 
-describe('agreement on a replacement by a VM that sees the primary gone', () => {
+describe('isReplacementAgreed', () => {
   const cases: [PrimaryView[], boolean][] = [
     [[], true],
     [['unknown', 'unknown'], true],
@@ -16,9 +16,9 @@
     [['gone', 'gone', 'present', 'present', 'present'], true],
   ];
 
-  cases.forEach(([others, isAgreed]) => {
-    it(`is ${isAgreed ? 'there' : 'missing'} when others answer ${others.join(', ') || 'nothing'}`, () => {
-      expect(isReplacementAgreed(others)).to.equal(isAgreed);
+  cases.forEach(([peerViews, isAgreed]) => {
+    it(`${isAgreed ? 'allows' : 'refuses'} a replacement when other VMs answer ${peerViews.join(', ') || 'nothing'}`, () => {
+      expect(isReplacementAgreed(peerViews)).to.equal(isAgreed);
     });
   });
 });
--- a/packages/coordination/src/promotion/primaryView.ts
+++ b/packages/coordination/src/promotion/primaryView.ts
@@ -1,6 +1,6 @@
 /**
- * How one VM sees a group's primary: `gone` when it should be replaced, `unknown`
- * while there is too little to judge by.
+ * One VM's assessment of a group's primary: `gone` when it should be replaced, `unknown`
+ * while polls give too little evidence.
  */
 type PrimaryView = 'present' | 'gone' | 'unknown';
 
--- a/packages/coordination/src/transaction/checkStep.ts
+++ b/packages/coordination/src/transaction/checkStep.ts
@@ -6,8 +6,8 @@
   kind === 'begin' || kind === 'statement' ? 'open' : 'ended';
 
 /**
- * Takes one step of a transaction: steps are numbered without gaps, a transaction begins once
- * and takes no step after its end.
+ * Validates the next step of an interactive transaction and returns the progress after it. Step
+ * numbers have no gaps, the first step is `begin`, and no step may follow a commit or rollback.
  * @throws RefusalError `badRequest` or `transactionAborted`; the step has no effect.
  */
 const checkStep = (
@@ -16,13 +16,16 @@
   kind: StepKind | undefined,
 ): TransactionProgress => {
   if (step !== progress.lastStep + 1) {
-    throw notRun('badRequest', `step ${step} follows step ${progress.lastStep}`);
+    throw notRun('badRequest', `step ${step} is out of order after step ${progress.lastStep}`);
   }
-  if (kind === undefined) throw notRun('badRequest', 'the step is empty');
+  if (kind === undefined) throw notRun('badRequest', 'the transaction step has no content');
   if (progress.phase === 'ended') throw notRun('transactionAborted', 'the transaction has ended');
   const isBeginExpected = progress.phase === 'new';
   if (isBeginExpected !== (kind === 'begin')) {
-    throw notRun('badRequest', isBeginExpected ? 'no transaction is open' : 'already begun');
+    throw notRun(
+      'badRequest',
+      isBeginExpected ? 'the first step must be a begin' : 'the transaction has already begun',
+    );
   }
   return { phase: phaseAfter(kind), lastStep: step };
 };
--- a/packages/coordination/src/verdict/mayHaveRun.ts
+++ b/packages/coordination/src/verdict/mayHaveRun.ts
@@ -1,7 +1,7 @@
 import type Refusal from './refusal';
 import RefusalError from './refusalError';
 
-/** Builds the error for a request whose effect could not be established. */
+/** Creates the error for a request that may or may not have taken effect. */
 const mayHaveRun = (code: Refusal['code'], message: string): RefusalError =>
   new RefusalError({ verdict: 'mayHaveRun', code, message });
 
