--- a/packages/coordination/src/routing/holderState.ts
+++ b/packages/coordination/src/routing/holderState.ts
@@ -1,15 +1,16 @@
-/** What a VM knows when it chooses which holder of a group's connections runs a statement. */
+/** Input of `orderHolders`: what this VM knows about the VMs that can run a group's statements. */
 interface HolderState {
-  /** VMs that hold connections to the group. */
+  /** VMs that hold a connection slot of the group. */
   holders: readonly { id: string; dataCentre: string }[];
-  /** This VM and its data centre. */
+  /** Id of this VM. */
   vm: string;
+  /** Data centre of this VM. */
   dataCentre: string;
-  /** VMs that said they are shutting down. */
+  /** VMs that announced their shutdown. */
   leaving: ReadonlySet<string>;
-  /** VMs that failed a moment ago or at an earlier attempt of the same request. */
+  /** VMs that failed recently or in an earlier attempt of the same request. */
   failed: ReadonlySet<string>;
-  /** A number in [0, 1) that spreads statements over equal holders. */
+  /** Random number in [0, 1); spreads statements over holders of equal rank. */
   random: number;
 }
 
