--- a/packages/coordination/src/retry/retryState.ts
+++ b/packages/coordination/src/retry/retryState.ts
@@ -1,13 +1,14 @@
 import type Refusal from '../verdict/refusal';
 
-/** What is known when an attempt of a request has failed. */
+/** Input of `decideRetry`: the failed attempt of a request. */
 interface RetryState {
   refusal: Refusal;
   /** Attempts made so far, at least 1. */
   attempts: number;
   nowMs: number;
+  /** Deadline of the request, on the same clock as `nowMs`. */
   deadlineAtMs: number;
-  /** A number in [0, 1) that spreads the delays. */
+  /** Random number in [0, 1); the jitter of the delay. */
   random: number;
 }
 
