--- a/packages/coordination/src/polling/membersToPoll.spec.ts
+++ b/packages/coordination/src/polling/membersToPoll.spec.ts
@@ -15,21 +15,22 @@
 interface Case {
   record?: TermRecord | undefined;
   activeMembers?: string[];
-  /** Changes to the status of one member. */
+  /** Status fields that differ for one member. */
   changed?: Partial<MemberStatus> & { member: string };
+  /** Member that does not answer. */
   silent?: string;
-  usedAgoMs?: number;
-  /** The age of every status. */
-  agoMs: number;
+  sinceRequestMs?: number;
+  /** Age of every member's status. */
+  statusAgeMs: number;
 }
 
 const NOW_MS = 100_000;
 
-const polled = (chosen: Case): string[] =>
+const listPolledMembers = (chosen: Case): string[] =>
   membersToPoll({
     record: 'record' in chosen ? chosen.record : RECORD,
     activeMembers: chosen.activeMembers ?? NAMES,
-    usedAtMs: NOW_MS - (chosen.usedAgoMs ?? 50_000),
+    usedAtMs: NOW_MS - (chosen.sinceRequestMs ?? 50_000),
     nowMs: NOW_MS,
     views: NAMES.map((member) => ({
       member,
@@ -39,50 +40,50 @@
         fencedTerm: 2,
         logTerm: 2,
         position: 7,
-        askedAtMs: NOW_MS - chosen.agoMs,
+        askedAtMs: NOW_MS - chosen.statusAgeMs,
         ...(chosen.changed?.member === member ? chosen.changed : {}),
       },
       unansweredSinceMs: chosen.silent === member ? NOW_MS : undefined,
     })),
   });
 
-describe('members whose status has to be polled', () => {
-  describe('in a group without requests', () => {
-    it('are the primary every 8 s and the replicas every minute', () => {
-      expect(polled({ agoMs: 7_999 })).to.deep.equal([]);
-      expect(polled({ agoMs: 8_000 })).to.deep.equal(['m1']);
-      expect(polled({ agoMs: 60_000 })).to.deep.equal(NAMES);
+describe('membersToPoll', () => {
+  describe('in an idle group', () => {
+    it('polls the primary every 8 s and the replicas every minute', () => {
+      expect(listPolledMembers({ statusAgeMs: 7_999 })).to.deep.equal([]);
+      expect(listPolledMembers({ statusAgeMs: 8_000 })).to.deep.equal(['m1']);
+      expect(listPolledMembers({ statusAgeMs: 60_000 })).to.deep.equal(NAMES);
     });
   });
 
   describe('in a group with requests', () => {
-    it('are all whose status is half a second old, for 5 s after the last request', () => {
-      expect(polled({ agoMs: 499, usedAgoMs: 0 })).to.deep.equal([]);
-      expect(polled({ agoMs: 500, usedAgoMs: 4_999 })).to.deep.equal(NAMES);
-      expect(polled({ agoMs: 500, usedAgoMs: 5_000 })).to.deep.equal([]);
+    it('polls all members every half second, for 5 s after the last request', () => {
+      expect(listPolledMembers({ statusAgeMs: 499, sinceRequestMs: 0 })).to.deep.equal([]);
+      expect(listPolledMembers({ statusAgeMs: 500, sinceRequestMs: 4_999 })).to.deep.equal(NAMES);
+      expect(listPolledMembers({ statusAgeMs: 500, sinceRequestMs: 5_000 })).to.deep.equal([]);
     });
   });
 
-  describe('in a group where something is under way', () => {
-    const cases: [string, Omit<Case, 'agoMs'>][] = [
-      ['no term is recorded', { record: undefined }],
-      ['a promotion is under way', { record: { ...RECORD, state: 'promoting' } }],
+  describe('in a group that is not settled', () => {
+    const cases: [string, Omit<Case, 'statusAgeMs'>][] = [
+      ['there is no term record', { record: undefined }],
+      ['a promotion is in progress', { record: { ...RECORD, state: 'promoting' } }],
       ['the members differ from the voters', { activeMembers: ['m1', 'm2'] }],
-      ['the primary has lost its role', { changed: { member: 'm1', role: 'replica' } }],
-      ['a replica thinks that it is the primary', { changed: { member: 'm2', role: 'primary' } }],
-      ['a replica obeys an older term', { changed: { member: 'm3', fencedTerm: 1 } }],
-      ['a replica is behind', { changed: { member: 'm3', position: 6 } }],
+      ['the primary reports the role of a replica', { changed: { member: 'm1', role: 'replica' } }],
+      ['a replica reports the role of the primary', { changed: { member: 'm2', role: 'primary' } }],
+      ['a replica is fenced at an older term', { changed: { member: 'm3', fencedTerm: 1 } }],
+      ['a replica lags behind the primary', { changed: { member: 'm3', position: 6 } }],
       ['a member does not answer', { silent: 'm2' }],
     ];
 
-    cases.forEach(([what, chosen]) => {
-      it(`are all every half second: ${what}`, () => {
-        expect(polled({ ...chosen, agoMs: 500 })).to.deep.equal(NAMES);
+    cases.forEach(([reason, chosen]) => {
+      it(`polls all members every half second: ${reason}`, () => {
+        expect(listPolledMembers({ ...chosen, statusAgeMs: 500 })).to.deep.equal(NAMES);
       });
     });
 
-    it('are at once those that did not answer', () => {
-      expect(polled({ silent: 'm2', agoMs: 10 })).to.deep.equal(['m2']);
+    it('polls a member that did not answer again at once', () => {
+      expect(listPolledMembers({ silent: 'm2', statusAgeMs: 10 })).to.deep.equal(['m2']);
     });
   });
 });
--- a/packages/coordination/src/polling/membersToPoll.ts
+++ b/packages/coordination/src/polling/membersToPoll.ts
@@ -4,37 +4,39 @@
 
 interface PollingState {
   record: TermRecord | undefined;
-  /** Members by the group's document that may vote. */
+  /** Names of the members whose state in the group's document is `active`. */
   activeMembers: readonly string[];
   views: readonly MemberView[];
-  /** When this VM last served a request of the group; times are on its own clock. */
+  /** When this VM last served a request of the group, on the same clock as `nowMs`. */
   usedAtMs: number;
   nowMs: number;
 }
 
-const BUSY_INTERVAL_MS = 500;
-/** A group stays busy for so long after a request. */
-const BUSY_AFTER_USE_MS = 5_000;
-const IDLE_PRIMARY_INTERVAL_MS = 8_000;
-const IDLE_REPLICA_INTERVAL_MS = 60_000;
+const BUSY_POLL_INTERVAL_MS = 500;
+/** How long after its last request a group counts as busy. */
+const BUSY_AFTER_REQUEST_MS = 5_000;
+const IDLE_PRIMARY_POLL_INTERVAL_MS = 8_000;
+const IDLE_REPLICA_POLL_INTERVAL_MS = 60_000;
 
 /**
- * The members whose status has to be polled now. A group that serves requests or in which
- * something is under way is polled often; else its primary seldom, so that its loss is
- * noticed, and its replicas more seldom. A poll without an answer is repeated.
+ * Returns the members whose status has to be polled now. A group that serves requests or is
+ * not settled is polled often. In an idle group the primary is polled rarely, to detect its
+ * loss, and the replicas even less. A member that has not answered is polled again at once.
  */
 const membersToPoll = (state: PollingState): string[] => {
   const { record, activeMembers, views, usedAtMs, nowMs } = state;
   const isBusy =
-    nowMs - usedAtMs < BUSY_AFTER_USE_MS || !isGroupSettled(record, activeMembers, views);
-  const intervalMsOf = (member: string): number => {
-    if (isBusy) return BUSY_INTERVAL_MS;
-    return member === record?.primary ? IDLE_PRIMARY_INTERVAL_MS : IDLE_REPLICA_INTERVAL_MS;
+    nowMs - usedAtMs < BUSY_AFTER_REQUEST_MS || !isGroupSettled(record, activeMembers, views);
+  const getPollIntervalMs = (member: string): number => {
+    if (isBusy) return BUSY_POLL_INTERVAL_MS;
+    return member === record?.primary
+      ? IDLE_PRIMARY_POLL_INTERVAL_MS
+      : IDLE_REPLICA_POLL_INTERVAL_MS;
   };
   return views
     .filter(({ member, status, unansweredSinceMs }) => {
       if (!status || unansweredSinceMs !== undefined) return true;
-      return nowMs - status.askedAtMs >= intervalMsOf(member);
+      return nowMs - status.askedAtMs >= getPollIntervalMs(member);
     })
     .map(({ member }) => member);
 };
