--- a/packages/coordination/src/position/laterPosition.ts
+++ b/packages/coordination/src/position/laterPosition.ts
@@ -1,7 +1,7 @@
 import comparePositions from './comparePositions';
 import type LogPosition from './logPosition';
 
-/** The position that is ahead; one that is missing is behind all others. */
+/** Returns the greater position; a missing one is less than any other. */
 const laterPosition = (
   a: LogPosition | undefined,
   b: LogPosition | undefined,
