refactor: plain wording in coordination/keys

VouchingFacts -> CompletenessTimes, Answer -> WitnessAnswer, counts -> provesOutage; names of the model in the test, comments and test titles.

--- a/packages/coordination/src/keys/isVouched.spec.ts
+++ b/packages/coordination/src/keys/isVouched.spec.ts
@@ -7,28 +7,37 @@
 import witnessesOf from './witnessesOf';
 
 const MAX_UNCONFIRMED_MS = 4_500;
-const DEAD_WITHIN_MS = 5_000;
+const MAX_WITHDRAWAL_DELAY_MS = 5_000;
 const STEP_MS = 250;
 const DATA_CENTRES = new Map([
   ['north', ['n1', 'n2', 'n3']],
   ['south', ['s1', 's2']],
 ]);
 const VMS = [...DATA_CENTRES.values()].flat();
-const NEVER_MS = Number.NEGATIVE_INFINITY;
+const NEVER_AT_MS = Number.NEGATIVE_INFINITY;
 
 interface ModelVm {
   id: string;
   isPaused: boolean;
   reachesPlatform: boolean;
   revision: number;
-  noticedRevision: number;
-  noticedAtMs: number;
+  notifiedRevision: number;
+  notifiedAtMs: number;
   confirmedAtMs: number;
   outageAtMs: number;
 }
 
 const stepArbitrary = fc.record({
-  action: fc.constantFrom('cut', 'heal', 'pause', 'wake', 'isolate', 'join', 'split', 'withdraw'),
+  action: fc.constantFrom(
+    'losePlatform',
+    'regainPlatform',
+    'pause',
+    'resume',
+    'isolate',
+    'reconnect',
+    'partition',
+    'withdraw',
+  ),
   vm: fc.nat({ max: VMS.length - 1 }),
   scope: fc.constantFrom('vm', 'dataCentre', 'fleet'),
   repeats: fc.integer({ min: 1, max: 24 }),
@@ -38,75 +47,75 @@
 type Step = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
 
 const witnesses = new Map([...DATA_CENTRES].map(([name, ids]) => [name, witnessesOf(ids, name)]));
-const dataCentreOf = (id: string): string => (id.startsWith('n') ? 'north' : 'south');
+const findDataCentre = (id: string): string => (id.startsWith('n') ? 'north' : 'south');
 
 interface Outcome {
-  /** Longest time after a confirmed withdrawal at which a VM accepted the key. */
-  worstAgeMs: number;
-  /** VMs that accept keys at the end. */
+  /** Longest time after a confirmed withdrawal at which a VM still accepted the key. */
+  longestDelayMs: number;
+  /** Number of VMs that accept keys at the end. */
   acceptingVms: number;
 }
 
-/** Runs VMs under cuts, pauses and outages. */
+/** Simulates VMs under network partitions, pauses and platform outages. */
 const runFleet = (steps: readonly Step[]): Outcome => {
   let nowMs = 100_000;
   let platformRevision = 1;
-  let confirmedWithdrawalAtMs = NEVER_MS;
+  let confirmedWithdrawalAtMs = NEVER_AT_MS;
   let withdrawnRevision = 0;
-  let worst = NEVER_MS;
+  let longestDelayMs = NEVER_AT_MS;
   const isolated = new Set<string>();
-  let isSplit = false;
+  let isPartitioned = false;
   let inFlight: { dueAtMs: number; target: ModelVm; deliver(): void }[] = [];
   const vms: ModelVm[] = VMS.map((id) => ({
     id,
     isPaused: false,
     reachesPlatform: true,
     revision: 1,
-    noticedRevision: 0,
-    noticedAtMs: NEVER_MS,
+    notifiedRevision: 0,
+    notifiedAtMs: NEVER_AT_MS,
     confirmedAtMs: nowMs,
-    outageAtMs: NEVER_MS,
+    outageAtMs: NEVER_AT_MS,
   }));
 
-  const linked = (a: ModelVm, b: ModelVm): boolean => {
+  const areConnected = (a: ModelVm, b: ModelVm): boolean => {
     if (a === b) return true;
     if (a.isPaused || b.isPaused || isolated.has(a.id) || isolated.has(b.id)) return false;
-    return !isSplit || dataCentreOf(a.id) === dataCentreOf(b.id);
+    return !isPartitioned || findDataCentre(a.id) === findDataCentre(b.id);
   };
 
-  const targetsOf = (chosen: ModelVm, scope: Step['scope']): ModelVm[] => {
+  const listTargets = (chosen: ModelVm, scope: Step['scope']): ModelVm[] => {
     if (scope === 'vm') return [chosen];
     if (scope === 'fleet') return vms;
-    return vms.filter(({ id }) => dataCentreOf(id) === dataCentreOf(chosen.id));
+    return vms.filter(({ id }) => findDataCentre(id) === findDataCentre(chosen.id));
   };
 
-  const later = (target: ModelVm, delaySteps: number, deliver: () => void): void => {
+  const deliverLater = (target: ModelVm, delaySteps: number, deliver: () => void): void => {
     inFlight.push({ dueAtMs: nowMs + delaySteps * STEP_MS, target, deliver });
   };
 
-  const reportOf = (vm: ModelVm): ReachReport => ({
-    reachedAgeMs: nowMs - Math.max(vm.confirmedAtMs, vm.noticedAtMs),
-    revision: Math.max(vm.revision, vm.noticedRevision),
+  const createReport = (vm: ModelVm): ReachReport => ({
+    reachedAgeMs: nowMs - Math.max(vm.confirmedAtMs, vm.notifiedAtMs),
+    revision: Math.max(vm.revision, vm.notifiedRevision),
     uptimeMs: nowMs,
   });
 
   const confirm = (vm: ModelVm, delaySteps: number): void => {
     if (vm.isPaused || !vm.reachesPlatform) return;
     const [askedAtMs, revision] = [nowMs, platformRevision];
-    later(vm, delaySteps, () => {
+    deliverLater(vm, delaySteps, () => {
       Object.assign(vm, { revision: Math.max(vm.revision, revision) });
       Object.assign(vm, { confirmedAtMs: Math.max(vm.confirmedAtMs, askedAtMs) });
     });
   };
 
   const follow = (vm: ModelVm, source: ModelVm, delaySteps: number): void => {
-    if (vm === source || !linked(vm, source)) return;
-    const provedAtMs = { confirmed: source.confirmedAtMs, outage: source.outageAtMs };
+    if (vm === source || !areConnected(vm, source)) return;
+    const sourceTimes = { confirmed: source.confirmedAtMs, outage: source.outageAtMs };
     const { revision } = source;
-    later(vm, delaySteps, () => {
+    deliverLater(vm, delaySteps, () => {
       Object.assign(vm, { revision: Math.max(vm.revision, revision) });
-      Object.assign(vm, { confirmedAtMs: Math.max(vm.confirmedAtMs, provedAtMs.confirmed) });
-      Object.assign(vm, { outageAtMs: Math.max(vm.outageAtMs, provedAtMs.outage) });
+      Object.assign(vm, { confirmedAtMs: Math.max(vm.confirmedAtMs, sourceTimes.confirmed) });
+      Object.assign(vm, { outageAtMs: Math.max(vm.outageAtMs, sourceTimes.outage) });
     });
   };
 
@@ -114,30 +123,32 @@
     if (vm.isPaused) return;
     const askedAtMs = nowMs;
     const answers = vms
-      .filter((other) => linked(vm, other))
-      .map((other) => ({ witness: other.id, askedAtMs, report: reportOf(other) }));
-    later(vm, delaySteps, () => {
+      .filter((other) => areConnected(vm, other))
+      .map((other) => ({ witness: other.id, askedAtMs, report: createReport(other) }));
+    deliverLater(vm, delaySteps, () => {
       const provenAtMs = outageProvenAtMs(witnesses, answers, vm.revision);
-      Object.assign(vm, { outageAtMs: Math.max(vm.outageAtMs, provenAtMs ?? NEVER_MS) });
+      Object.assign(vm, { outageAtMs: Math.max(vm.outageAtMs, provenAtMs ?? NEVER_AT_MS) });
     });
   };
 
   const withdraw = (vm: ModelVm): void => {
     if (vm.isPaused || !vm.reachesPlatform) return;
     platformRevision += 1;
-    const own = witnesses.get(dataCentreOf(vm.id)) ?? [];
-    const told = vms.filter((other) => own.includes(other.id) && linked(vm, other));
-    [vm, ...told].forEach((other) => {
-      Object.assign(other, { noticedRevision: platformRevision });
-      Object.assign(other, { noticedAtMs: nowMs });
+    const ownWitnesses = witnesses.get(findDataCentre(vm.id)) ?? [];
+    const notifiedVms = vms.filter(
+      (other) => ownWitnesses.includes(other.id) && areConnected(vm, other),
+    );
+    [vm, ...notifiedVms].forEach((other) => {
+      Object.assign(other, { notifiedRevision: platformRevision });
+      Object.assign(other, { notifiedAtMs: nowMs });
     });
-    const isConfirmed = isMajorityOf(new Set(told.map(({ id }) => id)), own);
-    if (!isConfirmed || confirmedWithdrawalAtMs > NEVER_MS) return;
+    const isConfirmed = isMajorityOf(new Set(notifiedVms.map(({ id }) => id)), ownWitnesses);
+    if (!isConfirmed || confirmedWithdrawalAtMs > NEVER_AT_MS) return;
     confirmedWithdrawalAtMs = nowMs;
     withdrawnRevision = platformRevision;
   };
 
-  const isServing = (vm: ModelVm): boolean =>
+  const isAcceptingKeys = (vm: ModelVm): boolean =>
     !vm.isPaused && isVouched({ nowMs, ...vm }, MAX_UNCONFIRMED_MS);
 
   const advance = (repeat: number, answerDelaySteps: number): void => {
@@ -147,37 +158,40 @@
       askWitnesses(vm, answerDelaySteps);
     });
     nowMs += STEP_MS;
-    const due = inFlight.filter((item) => item.dueAtMs <= nowMs && !item.target.isPaused);
-    inFlight = inFlight.filter((item) => !due.includes(item));
-    due.forEach(({ deliver }) => deliver());
-    const isWrong = vms.some((vm) => isServing(vm) && vm.revision < withdrawnRevision);
-    if (isWrong) worst = Math.max(worst, nowMs - confirmedWithdrawalAtMs);
+    const dueMessages = inFlight.filter((item) => item.dueAtMs <= nowMs && !item.target.isPaused);
+    inFlight = inFlight.filter((item) => !dueMessages.includes(item));
+    dueMessages.forEach(({ deliver }) => deliver());
+    const isWithdrawnKeyAccepted = vms.some(
+      (vm) => isAcceptingKeys(vm) && vm.revision < withdrawnRevision,
+    );
+    if (isWithdrawnKeyAccepted)
+      longestDelayMs = Math.max(longestDelayMs, nowMs - confirmedWithdrawalAtMs);
   };
 
   steps.forEach(({ action, vm: index, scope, repeats, answerDelaySteps }) => {
     const chosen = vms[index] as ModelVm;
-    const targets = targetsOf(chosen, scope);
-    if (action === 'split') isSplit = scope !== 'fleet';
+    const targets = listTargets(chosen, scope);
+    if (action === 'partition') isPartitioned = scope !== 'fleet';
     targets.forEach((vm) => {
-      if (action === 'cut') Object.assign(vm, { reachesPlatform: false });
-      if (action === 'heal') Object.assign(vm, { reachesPlatform: true });
+      if (action === 'losePlatform') Object.assign(vm, { reachesPlatform: false });
+      if (action === 'regainPlatform') Object.assign(vm, { reachesPlatform: true });
       if (action === 'isolate' && scope === 'vm') isolated.add(vm.id);
-      if (action === 'join') isolated.delete(vm.id);
+      if (action === 'reconnect') isolated.delete(vm.id);
       if (action === 'pause' && scope === 'vm') Object.assign(vm, { isPaused: true });
-      if (action === 'wake') Object.assign(vm, { isPaused: false });
+      if (action === 'resume') Object.assign(vm, { isPaused: false });
     });
     if (action === 'withdraw') withdraw(chosen);
     for (let repeat = 0; repeat < repeats; repeat += 1) advance(repeat, answerDelaySteps);
   });
-  return { worstAgeMs: worst, acceptingVms: vms.filter(isServing).length };
+  return { longestDelayMs, acceptingVms: vms.filter(isAcceptingKeys).length };
 };
 
 describe('isVouched', () => {
-  describe('over cuts, pauses, late answers and outages', () => {
-    it('accepts no key withdrawn longer ago than the bound', () => {
+  describe('under partitions, pauses, delayed answers and outages', () => {
+    it('rejects a withdrawn key on every VM within 5 s of the confirmed withdrawal', () => {
       fc.assert(
         fc.property(fc.array(stepArbitrary, { maxLength: 40 }), (steps) => {
-          expect(runFleet(steps).worstAgeMs).to.be.at.most(DEAD_WITHIN_MS);
+          expect(runFleet(steps).longestDelayMs).to.be.at.most(MAX_WITHDRAWAL_DELAY_MS);
         }),
         { numRuns: 2_000 },
       );
@@ -185,9 +199,9 @@
   });
 
   describe('while no VM reaches the platform', () => {
-    it('stays vouched by a majority of the witnesses, however long the outage', () => {
+    it('accepts keys for the whole outage, proven by a majority of the witnesses', () => {
       const outage = Array.from({ length: 40 }, () => ({
-        action: 'cut' as const,
+        action: 'losePlatform' as const,
         vm: 0,
         scope: 'fleet' as const,
         repeats: 12,
@@ -199,24 +213,24 @@
 });
 
 describe('outageProvenAtMs', () => {
-  const answersOf = (ids: string[], report: Partial<ReachReport> = {}) =>
+  const createAnswers = (ids: string[], report: Partial<ReachReport> = {}) =>
     ids.map((witness) => ({
       witness,
       askedAtMs: 90_000,
       report: { reachedAgeMs: 60_000, revision: 7, uptimeMs: 90_000, ...report },
     }));
 
-  it('needs a majority in every data centre', () => {
-    expect(outageProvenAtMs(witnesses, answersOf(VMS), 7)).to.equal(90_000);
-    expect(outageProvenAtMs(witnesses, answersOf(['n1', 'n2', 'n3']), 7)).to.equal(undefined);
-    expect(outageProvenAtMs(witnesses, answersOf(['n1', 's1', 's2']), 7)).to.equal(undefined);
+  it('requires a majority of the witnesses in every data centre', () => {
+    expect(outageProvenAtMs(witnesses, createAnswers(VMS), 7)).to.equal(90_000);
+    expect(outageProvenAtMs(witnesses, createAnswers(['n1', 'n2', 'n3']), 7)).to.equal(undefined);
+    expect(outageProvenAtMs(witnesses, createAnswers(['n1', 's1', 's2']), 7)).to.equal(undefined);
   });
 
-  it('leaves out witnesses that know more, heard of the platform or just started', () => {
-    expect(outageProvenAtMs(witnesses, answersOf(VMS), 6)).to.equal(undefined);
-    const refused: Partial<ReachReport>[] = [{ reachedAgeMs: 100 }, { uptimeMs: 100 }];
-    refused.forEach((report) =>
-      expect(outageProvenAtMs(witnesses, answersOf(VMS, report), 7)).to.equal(undefined),
+  it('ignores witnesses that know a later revision, reached the platform or just started', () => {
+    expect(outageProvenAtMs(witnesses, createAnswers(VMS), 6)).to.equal(undefined);
+    const rejectedReports: Partial<ReachReport>[] = [{ reachedAgeMs: 100 }, { uptimeMs: 100 }];
+    rejectedReports.forEach((report) =>
+      expect(outageProvenAtMs(witnesses, createAnswers(VMS, report), 7)).to.equal(undefined),
     );
   });
 });
--- a/packages/coordination/src/keys/isVouched.ts
+++ b/packages/coordination/src/keys/isVouched.ts
@@ -1,18 +1,18 @@
-interface VouchingFacts {
+interface CompletenessTimes {
   nowMs: number;
-  /** Time at which the platform confirmed the configuration. */
+  /** Time at which the platform confirmed that the configuration was complete. */
   confirmedAtMs: number;
-  /** Time up to which no withdrawal can be missing because no VM reaches the platform. */
+  /** Time up to which no key withdrawal can be missing because no VM reached the platform. */
   outageAtMs: number;
 }
 
 /**
- * Whether keys may be accepted by the configuration as it stands: it was complete at a
- * time no further back than the bound. All times are of this process's monotonic clock.
+ * Whether this VM's configuration is recent enough to accept keys: it was known to contain every
+ * key withdrawal at most `maxUnconfirmedMs` ago. Times are on this process's monotonic clock.
  */
-const isVouched = (facts: VouchingFacts, maxUnconfirmedMs: number): boolean => {
-  const completeAtMs = Math.max(facts.confirmedAtMs, facts.outageAtMs);
-  return facts.nowMs - completeAtMs <= maxUnconfirmedMs;
+const isVouched = (times: CompletenessTimes, maxUnconfirmedMs: number): boolean => {
+  const completeAtMs = Math.max(times.confirmedAtMs, times.outageAtMs);
+  return times.nowMs - completeAtMs <= maxUnconfirmedMs;
 };
 
 export default isVouched;
--- a/packages/coordination/src/keys/outageProvenAtMs.ts
+++ b/packages/coordination/src/keys/outageProvenAtMs.ts
@@ -1,40 +1,44 @@
 import isMajorityOf from './isMajorityOf';
 import type ReachReport from './reachReport';
 
-interface Answer {
+interface WitnessAnswer {
   witness: string;
-  /** Monotonic time of the asking VM just before it asked. */
+  /** Time just before the request was sent, on the requesting VM's monotonic clock. */
   askedAtMs: number;
   report: ReachReport;
 }
 
-/** A witness that heard of the platform more recently does not count as cut off from it. */
+/** A witness that heard from the platform more recently does not prove an outage. */
 const MIN_REACHED_AGE_MS = 1_200;
-/** A witness that started later may have lost what it was told before. */
+/** A witness with a shorter uptime may have lost a withdrawal notice in its restart. */
 const MIN_UPTIME_MS = 5_000;
 
-const counts = ({ report }: Answer, revision: number): boolean =>
+const provesOutage = ({ report }: WitnessAnswer, revision: number): boolean =>
   (report.reachedAgeMs === null || report.reachedAgeMs >= MIN_REACHED_AGE_MS) &&
   report.uptimeMs >= MIN_UPTIME_MS &&
   report.revision <= revision;
 
 /**
- * The time up to which no withdrawal can be missing from a configuration at `revision`:
- * in each data centre a majority of the witnesses hears nothing of the platform and knows
- * nothing newer. A withdrawal is told to a majority of them before it is confirmed.
+ * Returns the time up to which no key withdrawal can be missing from a configuration at
+ * `revision`, or undefined if that is not proven. It is proven if in each data centre a majority
+ * of the witnesses has not heard from the platform and knows no later revision: a withdrawal is
+ * confirmed only after a majority of one data centre's witnesses was notified.
  */
 const outageProvenAtMs = (
   witnessesByDataCentre: ReadonlyMap<string, readonly string[]>,
-  answers: readonly Answer[],
+  answers: readonly WitnessAnswer[],
   revision: number,
 ): number | undefined => {
-  const counted = answers.filter((answer) => counts(answer, revision));
-  const heard = new Set(counted.map(({ witness }) => witness));
-  const witnesses = [...witnessesByDataCentre.values()];
-  if (witnesses.length === 0 || !witnesses.every((ids) => isMajorityOf(heard, ids))) {
+  const validAnswers = answers.filter((answer) => provesOutage(answer, revision));
+  const answeringWitnesses = new Set(validAnswers.map(({ witness }) => witness));
+  const witnessGroups = [...witnessesByDataCentre.values()];
+  if (
+    witnessGroups.length === 0 ||
+    !witnessGroups.every((ids) => isMajorityOf(answeringWitnesses, ids))
+  ) {
     return undefined;
   }
-  return Math.min(...counted.map(({ askedAtMs }) => askedAtMs));
+  return Math.min(...validAnswers.map(({ askedAtMs }) => askedAtMs));
 };
 
 export default outageProvenAtMs;
--- a/packages/coordination/src/keys/reachReportSchema.ts
+++ b/packages/coordination/src/keys/reachReportSchema.ts
@@ -1,11 +1,12 @@
 import { z } from 'zod';
 
-/** A witness's answer during an outage. */
+/** A witness's report on whether it has heard from the platform, sent during an outage. */
 const reachReportSchema = z.strictObject({
-  /** Time since it last heard, from any side, that the platform answered a VM; null: never. */
+  /** Time since the platform last answered a VM, as far as the witness knows; null: never. */
   reachedAgeMs: z.number().nonnegative().nullable(),
-  /** Highest revision that it knows of, of its configuration or told with a withdrawal. */
+  /** Highest revision it knows, from its configuration or from a withdrawal notice. */
   revision: z.number().int().nonnegative(),
+  /** Time since the witness's process started. */
   uptimeMs: z.number().nonnegative(),
 });
 
--- a/packages/coordination/src/keys/witnessesOf.ts
+++ b/packages/coordination/src/keys/witnessesOf.ts
@@ -1,9 +1,9 @@
 import relayRank from '../relay/relayRank';
 
-/** VMs of a data centre of which a majority is told of each withdrawal. */
+/** A majority of these VMs is notified before a key withdrawal is confirmed. */
 const WITNESSES_PER_DATA_CENTRE = 3;
 
-/** The VMs of a data centre that are told of withdrawals and asked about them during an outage. */
+/** Returns the VMs of a data centre that are notified of writes and queried during an outage. */
 const witnessesOf = (vms: Iterable<string>, dataCentre: string): string[] =>
   relayRank(vms, dataCentre).slice(0, WITNESSES_PER_DATA_CENTRE);
 
