--- a/packages/coordination/src/relay/createSourceReturn.ts
+++ b/packages/coordination/src/relay/createSourceReturn.ts
@@ -1,19 +1,20 @@
 /**
- * Decides when a VM that follows a further source goes back to the one that it prefers: once
- * it has preferred that one for `delayMs`. Differing delays keep VMs from moving at once.
+ * Decides when a VM that follows a fallback source returns to its preferred one: once that has
+ * been the preferred source for `delayMs`. Callers randomise the delay so that VMs do not all
+ * switch at the same time.
  */
 const createSourceReturn = (delayMs: number) => {
-  let preferred: string | undefined;
-  let sinceMs = 0;
+  let preferredSource: string | undefined;
+  let preferredSinceMs = 0;
 
   return {
-    /** Whether to leave `current`; `best` is the preferred source, undefined if it has failed. */
+    /** Whether to switch from `current` to `best`, the preferred source; undefined if it failed. */
     isDue: (current: string, best: string | undefined, nowMs: number): boolean => {
-      if (best !== preferred) {
-        preferred = best;
-        sinceMs = nowMs;
+      if (best !== preferredSource) {
+        preferredSource = best;
+        preferredSinceMs = nowMs;
       }
-      return best !== undefined && best !== current && nowMs - sinceMs >= delayMs;
+      return best !== undefined && best !== current && nowMs - preferredSinceMs >= delayMs;
     },
   };
 };
--- a/packages/coordination/src/relay/relayRank.ts
+++ b/packages/coordination/src/relay/relayRank.ts
@@ -1,6 +1,6 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
 
-/** Order in which the VMs of a data centre relay configuration; the first ones watch the platform. */
+/** Returns a data centre's VMs in the order in which they become relays of the configuration. */
 const relayRank = (vms: Iterable<string>, dataCentre: string): string[] =>
   rankByRendezvous(vms, `relay/${dataCentre}`);
 
--- a/packages/coordination/src/relay/sourcesElsewhere.ts
+++ b/packages/coordination/src/relay/sourcesElsewhere.ts
@@ -1,15 +1,18 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
 import relayRank from './relayRank';
 
-/** One relay of each other data centre, in an order of the VM's own. */
+/**
+ * Returns the first relay of each other data centre, as sources of configuration. The order
+ * differs between VMs, which spreads them over the relays.
+ */
 const sourcesElsewhere = (
   vm: string,
   dataCentre: string,
   vmsByDataCentre: ReadonlyMap<string, readonly string[]>,
 ): string[] => {
   const relays = [...vmsByDataCentre]
-    .filter(([other]) => other !== dataCentre)
-    .map(([other, vms]) => relayRank(vms, other)[0])
+    .filter(([otherDataCentre]) => otherDataCentre !== dataCentre)
+    .map(([otherDataCentre, vms]) => relayRank(vms, otherDataCentre)[0])
     .filter((id): id is string => id !== undefined);
   return rankByRendezvous(relays, vm);
 };
--- a/packages/coordination/src/relay/sourcesInRank.ts
+++ b/packages/coordination/src/relay/sourcesInRank.ts
@@ -1,24 +1,24 @@
 import RELAYS_PER_DATA_CENTRE from './relaysPerDataCentre';
 
-/** How many VMs follow one VM at most while all are reachable. */
-const FAN_OUT = 8;
+/** Maximum number of VMs that follow one VM while all are reachable. */
+const MAX_FOLLOWERS_PER_VM = 8;
 
-const positionsFor = (position: number): number[] => {
-  if (position < RELAYS_PER_DATA_CENTRE) return position === 0 ? [1] : [0];
-  const parent = Math.floor((position - RELAYS_PER_DATA_CENTRE) / FAN_OUT);
-  return [parent, parent + 1, 0, 1];
+const listSourceIndexes = (rankIndex: number): number[] => {
+  if (rankIndex < RELAYS_PER_DATA_CENTRE) return rankIndex === 0 ? [1] : [0];
+  const parentIndex = Math.floor((rankIndex - RELAYS_PER_DATA_CENTRE) / MAX_FOLLOWERS_PER_VM);
+  return [parentIndex, parentIndex + 1, 0, 1];
 };
 
 /**
- * The VMs of its data centre from which a VM takes configuration, best first: the order
- * forms a tree below the relays, so that a VM serves a bounded number of others.
+ * Returns the VMs of its data centre from which a VM receives configuration, preferred first.
+ * The ranked VMs form a tree below the relays, so that each serves a bounded number of others.
  */
-const sourcesInRank = (vm: string, rank: readonly string[]): string[] => {
-  const listedAt = rank.indexOf(vm);
-  const position = listedAt < 0 ? rank.length : listedAt;
-  const sources = positionsFor(position)
-    .filter((at) => at < position || position < RELAYS_PER_DATA_CENTRE)
-    .map((at) => rank[at])
+const sourcesInRank = (vm: string, rankedVms: readonly string[]): string[] => {
+  const listedIndex = rankedVms.indexOf(vm);
+  const rankIndex = listedIndex < 0 ? rankedVms.length : listedIndex;
+  const sources = listSourceIndexes(rankIndex)
+    .filter((sourceIndex) => sourceIndex < rankIndex || rankIndex < RELAYS_PER_DATA_CENTRE)
+    .map((sourceIndex) => rankedVms[sourceIndex])
     .filter((id): id is string => id !== undefined && id !== vm);
   return [...new Set(sources)];
 };
