--- a/packages/coordination/src/configuration/changeIdsOf.ts
+++ b/packages/coordination/src/configuration/changeIdsOf.ts
@@ -1,6 +1,6 @@
 import storedDocumentSchema from './storedDocumentSchema';
 
-/** Ids of the latest changes kept with a stored value, newest first. */
+/** Returns the change ids of a stored value, newest first. @throws SyntaxError */
 const changeIdsOf = (valueJson: string | undefined): string[] => {
   if (valueJson === undefined) return [];
   const parsed = storedDocumentSchema.safeParse(JSON.parse(valueJson));
--- a/packages/coordination/src/configuration/documentIn.ts
+++ b/packages/coordination/src/configuration/documentIn.ts
@@ -1,6 +1,6 @@
 import storedDocumentSchema from './storedDocumentSchema';
 
-/** The document in a stored value, with or without its change ids. @throws SyntaxError */
+/** Returns the document of a stored value, with or without change ids. @throws SyntaxError */
 const documentIn = (valueJson: string): unknown => {
   const value: unknown = JSON.parse(valueJson);
   const parsed = storedDocumentSchema.safeParse(value);
--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -8,9 +8,9 @@
 import vmSchema from './vmSchema';
 
 /**
- * Registers each kind of document with its key prefix at the platform and its schema.
- * Operators write the `writable` kinds. Changes of `urgent` kinds are passed on to followers
- * at once; the others wait for the follower's next request.
+ * The kinds of stored documents, each with its key prefix in the platform's store and its
+ * schema. Operators may write the `writable` kinds. Changes of `urgent` kinds are sent to
+ * followers at once; other changes wait for the follower's next request.
  */
 const documentKinds = {
   profile: {
--- a/packages/coordination/src/configuration/toStoredValue.ts
+++ b/packages/coordination/src/configuration/toStoredValue.ts
@@ -1,15 +1,15 @@
 import changeIdsOf from './changeIdsOf';
 
-/** How many changes back a lost answer can still be resolved. */
-const KEPT_CHANGE_IDS = 16;
+/** A write whose reply was lost can be recognised until this many later changes were made. */
+const MAX_CHANGE_IDS = 16;
 
-/** Builds the stored value of a document changed by `changeId` from `previousJson`. */
+/** Builds a document's stored value: adds `changeId` to the change ids of `previousJson`. */
 const toStoredValue = (
   document: unknown,
   changeId: string,
   previousJson: string | undefined,
 ): string => {
-  const changeIds = [changeId, ...changeIdsOf(previousJson)].slice(0, KEPT_CHANGE_IDS);
+  const changeIds = [changeId, ...changeIdsOf(previousJson)].slice(0, MAX_CHANGE_IDS);
   return JSON.stringify({ document, changeIds });
 };
 
