--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -14,7 +14,7 @@
   get<Kind extends DocumentKind>(kind: Kind, name: string): DocumentOf<Kind> | undefined;
   revisionOf(kind: DocumentKind, name: string): number | undefined;
   names(kind: DocumentKind): string[];
-  /** Parses every document of the kind; `names` is cheaper if only names are needed. */
+  /** Parses every document of the kind; listing only the names is cheaper. */
   list<Kind extends DocumentKind>(kind: Kind): Map<string, DocumentOf<Kind>>;
   entries(): ConfigurationEntry[];
   /** Returns what a follower that knows every change up to `revision` has to receive. */
