--- a/packages/auburngrade/src/configuration/createConfigurationSpread.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -16,9 +16,9 @@
 import type Settings from '../settings/settings';
 import createConfigurationFeed from './createConfigurationFeed';
 import createPlatformFollower from './createPlatformFollower';
-import createRelayFollower from './createRelayFollower';
+import createPeerFollower from './createPeerFollower';
 
-interface ConfigurationSpreadOptions {
+interface ConfigurationDistributionOptions {
   settings: Settings;
   platform: Platform;
   configuration: ConfigurationState;
@@ -32,27 +32,27 @@
 }
 
 /** A relay takes configuration from another VM too when the platform's last word is older. */
-const RELAY_UNCONFIRMED_MS = 1_500;
+const RELAY_MAX_CONFIRMATION_AGE_MS = 1_500;
 /** A fresh VM asks its peers for this long before it turns to the platform, and up to twice as long by chance. */
-const FIRST_ASK_PEERS_MS = 1_000;
+const INITIAL_PEER_WAIT_MS = 1_000;
 
 /** A follower goes back to the source that it prefers after this long, and up to twice as long by chance. */
-const RETURN_TO_SOURCE_MS = 3_000;
+const SOURCE_RETURN_DELAY_MS = 3_000;
 
 /**
  * Keeps this VM's configuration up to date and hands it on: two VMs of a data centre
  * watch the platform, the others follow them in a tree.
  */
-const createConfigurationSpread = (options: ConfigurationSpreadOptions) => {
+const createConfigurationDistribution = (options: ConfigurationDistributionOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
-  const health = createPeerHealth();
-  const sourceReturn = createSourceReturn(RETURN_TO_SOURCE_MS * (1 + Math.random()));
+  const peerHealth = createPeerHealth();
+  const sourceReturn = createSourceReturn(SOURCE_RETURN_DELAY_MS * (1 + Math.random()));
   const startedAtMs = nowMs();
-  const askPeersMs = FIRST_ASK_PEERS_MS * (1 + Math.random());
-  const isSeed = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
-  let heardAtMs = Number.NEGATIVE_INFINITY;
+  const peerWaitMs = INITIAL_PEER_WAIT_MS * (1 + Math.random());
+  const isSeedVm = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
+  let peerConfirmedAtMs = Number.NEGATIVE_INFINITY;
 
-  const ranks = createListView(configuration, (): Map<string, string[]> => {
+  const listRankings = createListView(configuration, (): Map<string, string[]> => {
     const ids = new Map<string, string[]>();
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
@@ -60,14 +60,14 @@
     return new Map([...ids].map(([dataCentre, vms]) => [dataCentre, relayRank(vms, dataCentre)]));
   });
 
-  const ownRank = (): string[] => ranks().get(settings.dataCentre) ?? [];
+  const listOwnRanking = (): string[] => listRankings().get(settings.dataCentre) ?? [];
 
   const isPlatformNeeded = (): boolean => {
     if (configuration.revision() === 0) {
-      const isAlone = settings.peers.length === 0 || isSeed;
-      return isAlone || nowMs() - startedAtMs > askPeersMs;
+      const hasNoOtherPeer = settings.peers.length === 0 || isSeedVm;
+      return hasNoOtherPeer || nowMs() - startedAtMs > peerWaitMs;
     }
-    return isRelay(settings.vm, ownRank(), health.unreachable());
+    return isRelay(settings.vm, listOwnRanking(), peerHealth.unreachable());
   };
 
   const platformFollower = createPlatformFollower({
@@ -80,66 +80,71 @@
   });
 
   const isPeerNeeded = (): boolean =>
-    !isPlatformNeeded() || nowMs() - platformFollower.confirmedAtMs() > RELAY_UNCONFIRMED_MS;
+    !isPlatformNeeded() ||
+    nowMs() - platformFollower.confirmedAtMs() > RELAY_MAX_CONFIRMATION_AGE_MS;
 
-  const addressOf = (id: string): string | undefined => {
+  const findAddress = (id: string): string | undefined => {
     const listed = configuration.get('vm', id);
     if (!listed) return settings.peers.includes(id) ? id : undefined;
     return `${listed.host}:${listed.vmPort}`;
   };
 
-  const near = createListView(configuration, () => sourcesInRank(settings.vm, ownRank()));
-  const far = createListView(configuration, () =>
-    sourcesElsewhere(settings.vm, settings.dataCentre, ranks()),
+  const listLocalSources = createListView(configuration, () =>
+    sourcesInRank(settings.vm, listOwnRanking()),
+  );
+  const listRemoteSources = createListView(configuration, () =>
+    sourcesElsewhere(settings.vm, settings.dataCentre, listRankings()),
   );
 
-  const sources = (): string[] => {
+  const listSources = (): string[] => {
     // A relay that lost the platform shares this with the other one when the data centre is cut off.
-    const listed = isPlatformNeeded() ? [...far(), ...near()] : [...near(), ...far()];
+    const listed = isPlatformNeeded()
+      ? [...listRemoteSources(), ...listLocalSources()]
+      : [...listLocalSources(), ...listRemoteSources()];
     const self = `${settings.host}:${settings.vmPort}`;
     return listed.length > 0 ? listed : settings.peers.filter((peer) => peer !== self);
   };
 
-  const resolve = (address: string): string => {
+  const resolveAddress = (address: string): string => {
     const separator = address.lastIndexOf(':');
     const port = Number(address.slice(separator + 1));
-    const reached = addresses.resolve(address.slice(0, separator), port);
-    return `${reached.host}:${reached.port}`;
+    const resolved = addresses.resolve(address.slice(0, separator), port);
+    return `${resolved.host}:${resolved.port}`;
   };
 
   /** Followers that stayed with a relay would take it more than its share of the tree. */
   const isReturnDue = (current: string): boolean => {
-    const [best] = sources();
-    const usable = best === undefined || health.hasFailed(best) ? undefined : best;
-    return sourceReturn.isDue(current, usable, nowMs());
+    const [best] = listSources();
+    const usableBest = best === undefined || peerHealth.hasFailed(best) ? undefined : best;
+    return sourceReturn.isDue(current, usableBest, nowMs());
   };
 
-  const relayFollower = createRelayFollower({
+  const relayFollower = createPeerFollower({
     vm: settings.vm,
     state: configuration,
     chooseSource: () => {
       if (!isPeerNeeded()) return undefined;
-      const id = health.choose(sources(), nowMs());
-      const address = id === undefined ? undefined : addressOf(id);
+      const id = peerHealth.choose(listSources(), nowMs());
+      const address = id === undefined ? undefined : findAddress(id);
       return id === undefined || address === undefined
         ? undefined
-        : { id, address: resolve(address) };
+        : { id, address: resolveAddress(address) };
     },
-    isStillWanted: (id) => isPeerNeeded() && sources().includes(id) && !isReturnDue(id),
+    shouldKeepSource: (id) => isPeerNeeded() && listSources().includes(id) && !isReturnDue(id),
     open: (address, listener) => createFollowClient(address, listener, options.vmCredentials),
-    onSuccess: health.succeed,
+    onSuccess: peerHealth.succeed,
     onFailure: (id, reason) => {
-      health.fail(id, reason, nowMs());
+      peerHealth.fail(id, reason, nowMs());
       options.logger.info('configuration.sourceLost', { source: id, reason });
     },
     onConfirmed: (confirmedAtMs, outageAtMs) => {
-      heardAtMs = Math.max(heardAtMs, confirmedAtMs);
+      peerConfirmedAtMs = Math.max(peerConfirmedAtMs, confirmedAtMs);
       options.onOutage(outageAtMs);
     },
     nowMs,
   });
 
-  const confirmedAtMs = (): number => Math.max(heardAtMs, platformFollower.confirmedAtMs());
+  const confirmedAtMs = (): number => Math.max(peerConfirmedAtMs, platformFollower.confirmedAtMs());
 
   const feed = createConfigurationFeed(configuration, () => {
     const ageMs = Math.ceil(nowMs() - confirmedAtMs());
@@ -173,4 +178,4 @@
   };
 };
 
-export default createConfigurationSpread;
+export default createConfigurationDistribution;
--- a/packages/auburngrade/src/configuration/createConfigurationFeed.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationFeed.ts
@@ -7,21 +7,21 @@
 import type { ConfigurationUpdate, FollowRequest, FollowSession } from '@auburngrade/vm';
 
 /** What a VM states about how recent its configuration is; -1 when it does not know. */
-interface StatedAges {
+interface ConfirmationAges {
   confirmedAgeMs: number;
   outageAgeMs: number;
 }
 
 const ENTRIES_PER_UPDATE = 1_000;
 
-const toWire = ({ key, valueJson, modRevision }: ConfigurationEntry) => ({
+const toUpdateEntry = ({ key, valueJson, modRevision }: ConfigurationEntry) => ({
   key,
   valueJson: valueJson ?? '',
   modRevision,
   deleted: valueJson === undefined,
 });
 
-const pagesOf = (entries: readonly ConfigurationEntry[]): ConfigurationEntry[][] => {
+const splitIntoPages = (entries: readonly ConfigurationEntry[]): ConfigurationEntry[][] => {
   const pageCount = Math.max(1, Math.ceil(entries.length / ENTRIES_PER_UPDATE));
   return Array.from({ length: pageCount }, (_, page) =>
     entries.slice(page * ENTRIES_PER_UPDATE, (page + 1) * ENTRIES_PER_UPDATE),
@@ -32,7 +32,7 @@
  * Serves this VM's configuration to the VMs that follow it. Changes are gathered until the
  * follower's next request; urgent ones are sent at once, with those that waited.
  */
-const createConfigurationFeed = (state: ConfigurationState, statedAges: () => StatedAges) => {
+const createConfigurationFeed = (state: ConfigurationState, readAges: () => ConfirmationAges) => {
   const sessions = new Set<FollowSession>();
 
   const open = (send: (update: ConfigurationUpdate) => void): FollowSession => {
@@ -42,38 +42,38 @@
     let sentRevision = 0;
 
     const sendDifference = ({ isSnapshot, entries }: ConfigurationDifference): void => {
-      const pages = pagesOf(entries);
+      const pages = splitIntoPages(entries);
       sentRevision = state.revision();
       pages.forEach((page, index) =>
         send({
-          ...statedAges(),
+          ...readAges(),
           revision: sentRevision,
           snapshot: isSnapshot,
-          entries: page.map(toWire),
+          entries: page.map(toUpdateEntry),
           more: index < pages.length - 1,
           ping,
         }),
       );
     };
 
-    const sendWaiting = (): void => {
+    const sendPending = (): void => {
       const entries = batch.take();
       sendDifference(entries ? { isSnapshot: false, entries } : state.since(sentRevision));
     };
 
-    const stopChanges = state.onChange((changed) => {
-      if (sentRevision > 0 && batch.add(changed)) sendWaiting();
+    const unsubscribe = state.onChange((changed) => {
+      if (sentRevision > 0 && batch.add(changed)) sendPending();
     });
 
     const session: FollowSession = {
       onRequest: (request: FollowRequest) => {
         ping = request.ping;
-        if (sentRevision > 0) sendWaiting();
+        if (sentRevision > 0) sendPending();
         else if (state.revision() > 0) sendDifference(state.since(request.fromRevision));
         else sendDifference({ isSnapshot: false, entries: [] });
       },
       close: () => {
-        stopChanges();
+        unsubscribe();
         sessions.delete(session);
       },
     };
--- a/packages/auburngrade/src/configuration/createPlatformFollower.ts
+++ b/packages/auburngrade/src/configuration/createPlatformFollower.ts
@@ -27,28 +27,28 @@
 const createPlatformFollower = (options: PlatformFollowerOptions) => {
   const { platform, state, timeoutMs, nowMs, logger } = options;
   let isStopped = false;
-  let endCurrent = (): void => {};
+  let endCurrentWatch = (): void => {};
   let confirmedAtMs = Number.NEGATIVE_INFINITY;
   let reachedAtMs = Number.NEGATIVE_INFINITY;
   let retryDelayMs = FIRST_RETRY_DELAY_MS;
   let probes: { askedAtMs: number; revision: number }[] = [];
 
-  const reached = (): void => {
+  const recordReached = (): void => {
     reachedAtMs = nowMs();
     retryDelayMs = FIRST_RETRY_DELAY_MS;
   };
 
   /** A probe confirms the state as of its asking once every change up to its revision is known. */
   const confirmProbes = (): void => {
-    const known = probes.filter(({ revision }) => revision <= state.revision());
+    const confirmed = probes.filter(({ revision }) => revision <= state.revision());
     probes = probes.filter(({ revision }) => revision > state.revision());
-    confirmedAtMs = Math.max(confirmedAtMs, ...known.map(({ askedAtMs }) => askedAtMs));
+    confirmedAtMs = Math.max(confirmedAtMs, ...confirmed.map(({ askedAtMs }) => askedAtMs));
   };
 
   const readAll = async (): Promise<number> => {
     const askedAtMs = nowMs();
     const ranges = await Promise.all(PREFIXES.map((prefix) => platform.range(prefix, timeoutMs)));
-    reached();
+    recordReached();
     const revision = Math.min(...ranges.map((range) => range.revision));
     const entries = ranges.flatMap((range) => range.entries);
     if (revision < state.revision()) {
@@ -60,10 +60,10 @@
     return Math.max(revision, state.revision());
   };
 
-  const probe = async (): Promise<void> => {
+  const runProbe = async (): Promise<void> => {
     const askedAtMs = nowMs();
     const { revision } = await platform.range(PROBE_PREFIX, timeoutMs);
-    reached();
+    recordReached();
     if (revision < state.revision()) throw new Error(`platform went back to revision ${revision}`);
     probes.push({ askedAtMs, revision });
     confirmProbes();
@@ -77,41 +77,41 @@
   const watchAll = (fromRevision: number): Promise<string> =>
     new Promise((resolve) => {
       const revisions = new Map(PREFIXES.map((prefix) => [prefix, fromRevision]));
-      const stops: (() => void)[] = [];
+      const stopWatches: (() => void)[] = [];
       let timer: NodeJS.Timeout | undefined;
 
       const end = (reason: string): void => {
         clearTimeout(timer);
-        stops.forEach((stop) => stop());
+        stopWatches.forEach((stop) => stop());
         resolve(reason);
       };
-      const advance = (prefix: string, revision: number): number => {
+      const advanceRevision = (prefix: string, revision: number): number => {
         revisions.set(prefix, Math.max(revision, revisions.get(prefix) ?? 0));
         return Math.min(...revisions.values());
       };
-      const probeLater = (): void => {
+      const scheduleProbe = (): void => {
         timer = setTimeout(() => {
           if (!options.isNeeded()) end('no longer a relay');
-          else probe().then(probeLater, (error: Error) => end(error.message));
+          else runProbe().then(scheduleProbe, (error: Error) => end(error.message));
         }, PROBE_INTERVAL_MS);
       };
 
-      endCurrent = () => end('stopped');
+      endCurrentWatch = () => end('stopped');
       PREFIXES.forEach((prefix) => {
         const stop = platform.watch(prefix, fromRevision, {
           onChanges: (revision, entries) => {
-            state.applyChanges(advance(prefix, revision), entries);
+            state.applyChanges(advanceRevision(prefix, revision), entries);
             confirmProbes();
           },
           onProgress: (revision) => {
-            state.applyChanges(advance(prefix, revision), []);
+            state.applyChanges(advanceRevision(prefix, revision), []);
             confirmProbes();
           },
           onEnd: end,
         });
-        stops.push(stop);
+        stopWatches.push(stop);
       });
-      probeLater();
+      scheduleProbe();
     });
 
   const followOnce = async (): Promise<void> => {
@@ -142,7 +142,7 @@
     reachedAtMs: () => reachedAtMs,
     stop: (): void => {
       isStopped = true;
-      endCurrent();
+      endCurrentWatch();
     },
   };
 };
--- a/packages/auburngrade/src/configuration/unknownReferences.ts
+++ b/packages/auburngrade/src/configuration/findUnknownReferences.ts
@@ -1,16 +1,18 @@
 import type { ConfigurationState, DocumentKind, Profile } from '@auburngrade/coordination';
 
 /** Names in a profile that no document bears yet; the profile is accepted with a warning. */
-const unknownReferences = (
+const findUnknownReferences = (
   configuration: ConfigurationState,
   kind: DocumentKind,
   document: unknown,
 ): string[] => {
   if (kind !== 'profile') return [];
   const { accounts, groups } = document as Profile;
-  const missing = (of: 'account' | 'group', names: string[]): string[] =>
-    names.filter((name) => !configuration.get(of, name)).map((name) => `${of} ${name}`);
-  return [...missing('account', accounts), ...missing('group', groups)];
+  const listMissing = (referencedKind: 'account' | 'group', names: string[]): string[] =>
+    names
+      .filter((name) => !configuration.get(referencedKind, name))
+      .map((name) => `${referencedKind} ${name}`);
+  return [...listMissing('account', accounts), ...listMissing('group', groups)];
 };
 
-export default unknownReferences;
+export default findUnknownReferences;
--- a/packages/auburngrade/src/daemon/createStatementPath.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -21,7 +21,7 @@
 import type createLeavingNotices from '../shutdown/createLeavingNotices';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 
-interface StatementPathOptions {
+interface StatementServiceOptions {
   settings: Settings;
   configuration: ConfigurationState;
   groups: GroupRegistry;
@@ -36,30 +36,35 @@
 }
 
 /** The way of an admitted statement or transaction to an endpoint, here or through another VM. */
-const createStatementPath = (options: StatementPathOptions) => {
+const createStatementService = (options: StatementServiceOptions) => {
   const { settings, configuration, groups, terms, notices, metrics, nowMs } = options;
-  const reads = createReadExecutor({
+  const readExecutor = createReadExecutor({
     ...settings,
     ...settings.reads,
     configuration,
     held: groups.held,
     nowMs,
   });
-  const primaries = createPrimaryWaiter(configuration, nowMs);
-  const writes = createWriteExecutor(settings.vm, nowMs);
+  const primaryWaiter = createPrimaryWaiter(configuration, nowMs);
+  const writeExecutor = createWriteExecutor(settings.vm, nowMs);
 
   const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     await options.awaitConfiguration(request.deadlineAtMs);
     const holder = groups.get(request.group);
     await terms.ensureRecord(holder);
-    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
     return withKeyCheck(holder, () => options.recheckKey(request.keyHash));
   };
-  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
+  const transactions = createLocalTransactions({
+    vm: settings.vm,
+    getGroupClient: holderOf,
+    reads: readExecutor,
+    nowMs,
+  });
 
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
     const holder = await holderOf(request);
-    const outcome = await (request.write ? writes : reads).execute(holder, request);
+    const outcome = await (request.write ? writeExecutor : readExecutor).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
     metrics.served.inc({ group: request.group, role, mode });
@@ -87,8 +92,8 @@
     executeLocally,
     beginLocally: transactions.begin,
     abortTransactions: transactions.abortAll,
-    close: reads.close,
+    close: readExecutor.close,
   };
 };
 
-export default createStatementPath;
+export default createStatementService;
--- a/packages/auburngrade/src/daemon/limitHeap.ts
+++ b/packages/auburngrade/src/daemon/limitHeap.ts
@@ -2,7 +2,7 @@
 import type Settings from '../settings/settings';
 
 /** The old generation is collected once it has grown by this much since the last time. */
-const GROWING_PERCENT = 20;
+const HEAP_GROWING_PERCENT = 20;
 
 /**
  * Keeps the heap of a VM near what is in use, by flags that the engine reads while it runs.
@@ -10,7 +10,7 @@
  */
 const limitHeap = ({ heap }: Settings): void => {
   if (heap.mode === 'default') return;
-  setFlagsFromString(`--heap-growing-percent=${GROWING_PERCENT}`);
+  setFlagsFromString(`--heap-growing-percent=${HEAP_GROWING_PERCENT}`);
   setFlagsFromString('--semi-space-growth-factor=1');
 };
 
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -4,7 +4,7 @@
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
-import createConfigurationSpread from '../configuration/createConfigurationSpread';
+import createConfigurationDistribution from '../configuration/createConfigurationDistribution';
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermKeeper from '../groups/createTermKeeper';
@@ -26,9 +26,9 @@
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
 import loadTls from '../tls/loadTls';
-import createKeyWatch from '../transactions/createKeyWatch';
+import createKeyRecheckScheduler from '../transactions/createKeyRecheckScheduler';
 import type Settings from '../settings/settings';
-import createStatementPath from './createStatementPath';
+import createStatementService from './createStatementService';
 import limitHeap from './limitHeap';
 import startServers from './startServers';
 
@@ -42,37 +42,37 @@
   const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
-  const peers = createPeerRegistry(configuration, addresses, tls.vmClients);
+  const peerRegistry = createPeerRegistry(configuration, addresses, tls.vmClients);
   const incarnation = Date.now();
-  const exchange = createExchange(settings.vm, incarnation, peers);
-  const vouching = createVouching({ settings, configuration, exchange, nowMs });
-  const follower = createConfigurationSpread({
+  const sendMessage = createExchange(settings.vm, incarnation, peerRegistry);
+  const keyFreshness = createVouching({ settings, configuration, exchange: sendMessage, nowMs });
+  const configurationDistribution = createConfigurationDistribution({
     settings,
     platform,
     configuration,
     addresses,
     vmCredentials: tls.vmClients,
-    outageAgeMs: vouching.outageAgeMs,
-    onOutage: vouching.hearOutage,
+    outageAgeMs: keyFreshness.outageAgeMs,
+    onOutage: keyFreshness.hearOutage,
     nowMs,
     logger,
   });
-  const slots = createSlotKeeper({
+  const slotController = createSlotKeeper({
     vm: settings.vm,
     incarnation,
     platform,
     platformTimeoutMs: timeoutMs,
     configuration,
-    completeAtMs: vouching.completeAtMs,
-    announce: vouching.announce,
-    exchange,
+    completeAtMs: keyFreshness.completeAtMs,
+    announce: keyFreshness.announce,
+    exchange: sendMessage,
     logger,
     nowMs,
   });
   const membership = createMembership({
     vm: settings.vm,
     configuration,
-    isOwnSlotUsable: slots.isUsable,
+    isOwnSlotUsable: slotController.isUsable,
     nowMs,
   });
   const groups = createGroupRegistry(
@@ -81,14 +81,14 @@
     addresses,
     nowMs,
     settings.pools,
-    slots.isUsable,
+    slotController.isUsable,
   );
-  const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
-  const work = createWorkTracker();
-  const notices = createLeavingNotices({
+  const termRecordInitialiser = createTermKeeper(platform, configuration, timeoutMs, logger);
+  const workTracker = createWorkTracker();
+  const leavingNotices = createLeavingNotices({
     vm: settings.vm,
     membership,
-    send: exchange,
+    send: sendMessage,
     nowMs,
   });
 
@@ -100,69 +100,69 @@
     configuration,
     membership,
     groups,
-    heldGroups: slots.describe,
-    terms,
-    send: exchange,
+    heldGroups: slotController.describe,
+    terms: termRecordInitialiser,
+    send: sendMessage,
     timings: settings.failover,
     metrics: createFailoverMetrics(metrics.registry),
     logger,
     nowMs,
   });
 
-  const authenticator = createAuthenticator(configuration, vouching.isVouched);
-  const loading = createConfigurationWaiter(configuration, nowMs);
-  const statements = createStatementPath({
+  const authenticator = createAuthenticator(configuration, keyFreshness.isVouched);
+  const configurationWaiter = createConfigurationWaiter(configuration, nowMs);
+  const statements = createStatementService({
     settings,
     configuration,
     groups,
-    terms,
+    terms: termRecordInitialiser,
     membership,
-    peers,
-    notices,
+    peers: peerRegistry,
+    notices: leavingNotices,
     recheckKey: authenticator.recheck,
-    awaitConfiguration: loading.wait,
+    awaitConfiguration: configurationWaiter.wait,
     metrics,
     nowMs,
   });
-  const rates = createAdmission({
+  const admissionService = createAdmission({
     settings,
     incarnation,
     configuration,
     platform,
-    peers,
-    send: exchange,
+    peers: peerRegistry,
+    send: sendMessage,
     vmCount: () => membership.live().length,
-    confirmedAtMs: follower.confirmedAtMs,
+    confirmedAtMs: configurationDistribution.confirmedAtMs,
     nowMs,
     logger,
   });
   const callerHandler = createCallerHandler({
     settings,
     authenticator,
-    admission: rates.admission,
+    admission: admissionService.admission,
     execute: statements.execute,
     begin: statements.begin,
-    enter: work.enter,
-    awaitConfiguration: loading.wait,
-    onKeysChanged: createKeyWatch(configuration),
+    beginWork: workTracker.enter,
+    awaitConfiguration: configurationWaiter.wait,
+    onKeysChanged: createKeyRecheckScheduler(configuration),
     metrics,
     nowMs,
   });
   const operatorHandler = createOperatorHandler({
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
-    announceWithdrawal: vouching.announceWithdrawal,
-    describe: () => ({
+    announceWithdrawal: keyFreshness.announceWithdrawal,
+    describeVm: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
-      shares: rates.shares.describe(),
-      lease: rates.leases.describe(),
-      confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
-      configuration: follower.describe(),
-      areKeysVouched: vouching.isVouched(),
-      outageAgeMs: vouching.outageAgeMs(),
-      slots: slots.describe(),
+      shares: admissionService.shares.describe(),
+      lease: admissionService.leases.describe(),
+      confirmedAgeMs: Math.round(nowMs() - configurationDistribution.confirmedAtMs()),
+      configuration: configurationDistribution.describe(),
+      areKeysVouched: keyFreshness.isVouched(),
+      outageAgeMs: keyFreshness.outageAgeMs(),
+      slots: slotController.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -171,36 +171,39 @@
     vm: settings.vm,
     incarnation,
     executeLocally: statements.executeLocally,
-    openFollowSession: follower.openFollowSession,
+    openFollowSession: configurationDistribution.openFollowSession,
     beginLocally: statements.beginLocally,
-    enter: work.enter,
+    beginWork: workTracker.enter,
     messageHandlers: new Map<string, MessageHandler>([
-      ...rates.messageHandlers,
+      ...admissionService.messageHandlers,
       ['suspicion', promotions.answerSuspicion],
-      [notices.kind, notices.receive],
-      ...vouching.messageHandlers,
-      ...slots.messageHandlers,
+      [leavingNotices.kind, leavingNotices.receive],
+      ...keyFreshness.messageHandlers,
+      ...slotController.messageHandlers,
       [PING_KIND, async () => ({})],
     ]),
     nowMs,
   });
 
-  follower.start();
-  vouching.start(follower);
-  rates.start();
+  configurationDistribution.start();
+  keyFreshness.start(configurationDistribution);
+  admissionService.start();
   createConfigurationMetrics(metrics.registry, {
     ...configuration,
-    ...follower,
-    areKeysVouched: vouching.isVouched,
+    ...configurationDistribution,
+    areKeysVouched: keyFreshness.isVouched,
     nowMs,
   });
   promotions.start();
-  slots.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
+  slotController.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
   const servers = await startServers({
     settings,
     tls,
     registry: metrics.registry,
-    isReady: () => work.phase() === 'serving' && loading.isLoaded() && rates.isReady(),
+    isReady: () =>
+      workTracker.phase() === 'serving' &&
+      configurationWaiter.isLoaded() &&
+      admissionService.isReady(),
     callerHandler,
     peerHandler,
     operatorHandler,
@@ -210,23 +213,23 @@
 
   return async () => {
     await drainWork({
-      tracker: work,
+      tracker: workTracker,
       timings: settings.shutdown,
       announce: async () => {
-        await Promise.all([notices.announce(), rates.shares.handOver()]);
+        await Promise.all([leavingNotices.announce(), admissionService.shares.handOver()]);
       },
       abortAll: statements.abortTransactions,
     });
     await servers.stop();
     promotions.stop();
-    await slots.stop();
-    await rates.shares.handOver();
-    rates.stop();
-    follower.stop();
-    vouching.stop();
+    await slotController.stop();
+    await admissionService.shares.handOver();
+    admissionService.stop();
+    configurationDistribution.stop();
+    keyFreshness.stop();
     statements.close();
     groups.close();
-    peers.close();
+    peerRegistry.close();
     platform.close();
     servers.closeHttp();
     logger.info('daemon.stopped');
--- a/packages/auburngrade/src/log/createEventBudget.ts
+++ b/packages/auburngrade/src/log/createEventBudget.ts
@@ -1,5 +1,5 @@
 /** Lines of one event in a second, before further ones are only counted. */
-const LINES_PER_EVENT_AND_SECOND = 20;
+const MAX_LINES_PER_EVENT_PER_S = 20;
 const WINDOW_MS = 1_000;
 
 /**
@@ -11,16 +11,16 @@
 
   return {
     admit: (event: string, nowMs: number): { isAdmitted: boolean; leftOutBefore: number } => {
-      const known = windows.get(event);
-      if (!known || nowMs - known.startedAtMs >= WINDOW_MS) {
+      const currentWindow = windows.get(event);
+      if (!currentWindow || nowMs - currentWindow.startedAtMs >= WINDOW_MS) {
         windows.set(event, { startedAtMs: nowMs, written: 1, leftOut: 0 });
-        return { isAdmitted: true, leftOutBefore: known?.leftOut ?? 0 };
+        return { isAdmitted: true, leftOutBefore: currentWindow?.leftOut ?? 0 };
       }
-      if (known.written >= LINES_PER_EVENT_AND_SECOND) {
-        known.leftOut += 1;
+      if (currentWindow.written >= MAX_LINES_PER_EVENT_PER_S) {
+        currentWindow.leftOut += 1;
         return { isAdmitted: false, leftOutBefore: 0 };
       }
-      known.written += 1;
+      currentWindow.written += 1;
       return { isAdmitted: true, leftOutBefore: 0 };
     },
     /** Events with lines left out in windows that have passed; they are not told again. */
--- a/packages/auburngrade/src/metrics/createMetrics.ts
+++ b/packages/auburngrade/src/metrics/createMetrics.ts
@@ -2,7 +2,7 @@
 import createRequestMetrics from './createRequestMetrics';
 
 /** The library's default of 10 ms wakes an idle process 100 times a second. */
-const EVENT_LOOP_LOOK_INTERVAL_MS = 100;
+const EVENT_LOOP_SAMPLE_INTERVAL_MS = 100;
 
 /** Creates the metrics of a daemon. */
 const createMetrics = () => {
@@ -10,7 +10,7 @@
   collectDefaultMetrics({
     register: registry,
     prefix: 'auburngrade_',
-    eventLoopMonitoringPrecision: EVENT_LOOP_LOOK_INTERVAL_MS,
+    eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL_MS,
   });
   return {
     registry,
--- a/packages/auburngrade/src/serving/checkRequest.ts
+++ b/packages/auburngrade/src/serving/checkRequest.ts
@@ -8,7 +8,7 @@
   requestId: string;
 }
 
-const REQUEST_ID = /^[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}$/;
+const REQUEST_ID_PATTERN = /^[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}$/;
 
 /**
  * Checks what statements and transactions have in common.
@@ -22,7 +22,7 @@
   if (timeoutMs < 1 || timeoutMs > requests.maxTimeoutMs) {
     throw notRun('badDeadline', `timeout_ms must lie between 1 and ${requests.maxTimeoutMs}`);
   }
-  if (requestId !== '' && !REQUEST_ID.test(requestId)) {
+  if (requestId !== '' && !REQUEST_ID_PATTERN.test(requestId)) {
     throw notRun('badRequest', 'request_id must be a lower-case UUID');
   }
 };
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -31,7 +31,7 @@
   execute(request: StatementRequest): Promise<StatementOutcome>;
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; refuses it while the VM shuts down. */
-  enter(): () => void;
+  beginWork(): () => void;
   /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
@@ -55,9 +55,9 @@
       account: 'none',
       mode: statement.accessMode === AccessMode.WRITE ? 'write' : 'read',
     };
-    let leave = (): void => {};
+    let endWork = (): void => {};
     try {
-      leave = this.options.enter();
+      endWork = this.options.beginWork();
       checkRequest(statement, this.options.settings);
       checkStatement(statement, this.options.settings);
       const sessionToken = decodeSessionToken(statement.sessionToken);
@@ -96,7 +96,7 @@
       this.options.metrics.requests.inc({ ...labels, verdict, code });
       return toOutcome(requestId, statement.sessionToken, { kind: 'refused', refusal });
     } finally {
-      leave();
+      endWork();
     }
   }
 
--- a/packages/auburngrade/src/serving/createConfigurationWaiter.ts
+++ b/packages/auburngrade/src/serving/createConfigurationWaiter.ts
@@ -10,9 +10,9 @@
     new Promise((resolve) => {
       const timer = setTimeout(resolve, Math.max(0, waitMs));
       timer.unref();
-      const stop = configuration.onChange(() => {
+      const unsubscribe = configuration.onChange(() => {
         clearTimeout(timer);
-        stop();
+        unsubscribe();
         resolve();
       });
     });
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -19,8 +19,8 @@
   type WithdrawKeyRequest,
 } from '@auburngrade/operator';
 import type createDocumentWriter from '../configuration/createDocumentWriter';
-import refusedChange from '../configuration/refusedChange';
-import unknownReferences from '../configuration/unknownReferences';
+import createRefusedChange from '../configuration/createRefusedChange';
+import findUnknownReferences from '../configuration/findUnknownReferences';
 
 interface OperatorHandlerOptions {
   configuration: ConfigurationState;
@@ -28,18 +28,18 @@
   /** Makes a confirmed withdrawal known; resolves with what is to be told about when it is in force. */
   announceWithdrawal(revision: number): Promise<string>;
   /** Describes this VM's state for `status`. */
-  describe(): Record<string, unknown>;
+  describeVm(): Record<string, unknown>;
 }
 
 const KEY_BYTES = 32;
 const KEY_ID_CHARS = 16;
-const KEY_ID = /^[0-9a-f]{16,64}$/;
+const KEY_ID_PATTERN = /^[0-9a-f]{16,64}$/;
 const MAX_CHANGE_ID_CHARS = 64;
 
-const isKind = (kind: string): kind is DocumentKind => Object.hasOwn(documentKinds, kind);
+const isDocumentKind = (kind: string): kind is DocumentKind => Object.hasOwn(documentKinds, kind);
 
-const isWritable = (kind: string): kind is DocumentKind =>
-  isKind(kind) && documentKinds[kind].writable;
+const isWritableKind = (kind: string): kind is DocumentKind =>
+  isDocumentKind(kind) && documentKinds[kind].writable;
 
 const parseJson = (text: string): unknown => {
   try {
@@ -55,7 +55,7 @@
     return await run();
   } catch (error) {
     const { verdict, code, message } = toRefusal(error);
-    return { ...refusedChange(code, message), verdict };
+    return { ...createRefusedChange(code, message), verdict };
   }
 };
 
@@ -66,30 +66,32 @@
 
   override async put(request: PutDocument): Promise<Change> {
     const { kind, name, bodyJson, expectedRevision, changeId } = request;
-    if (!isWritable(kind)) return refusedChange('badRequest', `no documents of kind ${kind}`);
+    if (!isWritableKind(kind))
+      return createRefusedChange('badRequest', `no documents of kind ${kind}`);
     if (!nameSchema.safeParse(name).success || changeId.length > MAX_CHANGE_ID_CHARS) {
-      return refusedChange('badRequest', 'the name or the change id is malformed');
+      return createRefusedChange('badRequest', 'the name or the change id is malformed');
     }
     const parsed = documentKinds[kind].schema.safeParse(parseJson(bodyJson));
     if (!parsed.success) {
       const problems = parsed.error.issues.map(
         ({ path, message }) => `${path.join('.') || '(document)'}: ${message}`,
       );
-      return refusedChange('badRequest', problems.join('; '));
+      return createRefusedChange('badRequest', problems.join('; '));
     }
     const document = parsed.data;
     const { configuration, writer } = this.options;
     const change = await toChange(() =>
       writer.write({ kind, name, document, expectedRevision, changeId }),
     );
-    const missing = unknownReferences(configuration, kind, document);
+    const missing = findUnknownReferences(configuration, kind, document);
     if (change.verdict !== 'ran' || missing.length === 0) return change;
     return { ...change, message: `not known yet: ${missing.join(', ')}` };
   }
 
   override async delete(request: DeleteDocument): Promise<Change> {
     const { kind, name, expectedRevision, changeId } = request;
-    if (!isWritable(kind)) return refusedChange('badRequest', `no documents of kind ${kind}`);
+    if (!isWritableKind(kind))
+      return createRefusedChange('badRequest', `no documents of kind ${kind}`);
     const { writer } = this.options;
     return toChange(() =>
       writer.write({ kind, name, document: undefined, expectedRevision, changeId }),
@@ -98,7 +100,7 @@
 
   override async list({ kind }: ListDocuments): Promise<DocumentList> {
     const { configuration } = this.options;
-    const documents = isKind(kind)
+    const documents = isDocumentKind(kind)
       ? [...configuration.list(kind)].map(([name, document]) => ({
           kind,
           name,
@@ -115,7 +117,7 @@
     const { writer } = this.options;
     const change = await toChange(async () => {
       if (!(await writer.read('account', account))) {
-        return refusedChange('badRequest', `no client account ${account}`);
+        return createRefusedChange('badRequest', `no client account ${account}`);
       }
       const document = { account, withdrawn: false };
       return writer.write({ kind: 'key', name, document, expectedRevision: 0, changeId });
@@ -129,7 +131,8 @@
   }
 
   override async withdrawKey({ keyId, changeId }: WithdrawKeyRequest): Promise<Change> {
-    if (!KEY_ID.test(keyId)) return refusedChange('badRequest', 'the key id is malformed');
+    if (!KEY_ID_PATTERN.test(keyId))
+      return createRefusedChange('badRequest', 'the key id is malformed');
     const { writer, announceWithdrawal } = this.options;
     const change = await toChange(async () => {
       const { hash, document, revision } = await writer.findKey(keyId);
@@ -146,7 +149,7 @@
   }
 
   override async status(): Promise<StatusReply> {
-    return { bodyJson: JSON.stringify(this.options.describe()) };
+    return { bodyJson: JSON.stringify(this.options.describeVm()) };
   }
 }
 
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -26,7 +26,7 @@
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
   beginLocally(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; refuses it while the VM shuts down. */
-  enter(): () => void;
+  beginWork(): () => void;
   /** Handlers of messages between VMs by their registered kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
   /** Serves configuration to another VM. */
@@ -40,9 +40,9 @@
   }
 
   override async execute(statement: ForwardedStatement): Promise<ForwardedOutcome> {
-    let leave = (): void => {};
+    let endWork = (): void => {};
     try {
-      leave = this.options.enter();
+      endWork = this.options.beginWork();
       const outcome = await this.options.executeLocally({
         requestId: statement.requestId,
         account: statement.account || undefined,
@@ -60,7 +60,7 @@
       const refusal = toRefusal(error);
       return { verdict: refusal.verdict, bodyJson: JSON.stringify(refusal) };
     } finally {
-      leave();
+      endWork();
     }
   }
 
--- a/packages/auburngrade/src/shutdown/drainWork.ts
+++ b/packages/auburngrade/src/shutdown/drainWork.ts
@@ -16,18 +16,18 @@
  * closed port while the balancer still sends them here.
  */
 const drainWork = async ({ tracker, timings, announce, abortAll }: DrainOptions): Promise<void> => {
-  const idle = new Promise<void>((resolve) => {
+  const workEnded = new Promise<void>((resolve) => {
     tracker.drain(resolve);
   });
-  const notice = Promise.all([announce(), sleep(timings.noticeMs)]);
+  const noticePeriod = Promise.all([announce(), sleep(timings.noticeMs)]);
   let timer: NodeJS.Timeout | undefined;
-  const bound = new Promise<void>((resolve) => {
+  const drainTimeout = new Promise<void>((resolve) => {
     timer = setTimeout(resolve, timings.drainTimeoutMs);
   });
-  await Promise.race([idle, bound]);
+  await Promise.race([workEnded, drainTimeout]);
   clearTimeout(timer);
   abortAll();
-  await notice;
+  await noticePeriod;
   tracker.stop();
 };
 
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -13,7 +13,7 @@
 interface ForwardedTransactionOptions {
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; refuses it while the VM shuts down. */
-  enter(): () => void;
+  beginWork(): () => void;
   vm: string;
   nowMs(): number;
 }
@@ -32,19 +32,19 @@
 /** Serves one transaction that another VM admitted and forwards step by step. */
 const createForwardedTransaction = ({
   begin,
-  enter,
+  beginWork: enter,
   vm,
   nowMs,
 }: ForwardedTransactionOptions): StepHandler<ForwardedStep, ForwardedReply> => {
   let progress: TransactionProgress = { phase: 'new', lastStep: 0 };
   let transaction: Transaction | undefined;
-  let isLost = false;
-  let leave = (): void => {};
+  let isStreamLost = false;
+  let endWork = (): void => {};
 
   const open = async (request: TransactionRequest): Promise<StatementOutcome> => {
-    leave = enter();
+    endWork = enter();
     transaction = await begin(request);
-    if (isLost) transaction.abort();
+    if (isStreamLost) transaction.abort();
     const rows = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
     const servedBy = { vm, endpoint: '', role: 'primary' as const };
     return { rows, sessionToken: request.sessionToken, servedBy };
@@ -57,8 +57,8 @@
     if (body?.$case === 'commit') return transaction.commit();
     if (body?.$case === 'rollback') return transaction.rollback();
     const { sql, parameters } = body!.statement;
-    const texts = parameters.map(({ text }) => text ?? null);
-    return transaction.run(sql, texts);
+    const parameterTexts = parameters.map(({ text }) => text ?? null);
+    return transaction.run(sql, parameterTexts);
   };
 
   return {
@@ -72,13 +72,13 @@
         const bodyJson = JSON.stringify(refusal);
         return { step: step.step, outcome: { verdict: refusal.verdict, bodyJson } };
       } finally {
-        if (progress.phase === 'ended') leave();
+        if (progress.phase === 'ended') endWork();
       }
     },
     abort: () => {
-      isLost = true;
+      isStreamLost = true;
       transaction?.abort();
-      leave();
+      endWork();
     },
   };
 };
--- a/packages/auburngrade/src/transactions/createKeyWatch.ts
+++ b/packages/auburngrade/src/transactions/createKeyRecheckScheduler.ts
@@ -7,15 +7,15 @@
 const RECHECK_INTERVAL_MS = 400;
 
 /** Gives the function by which an idle transaction or a waiting request has its key checked. */
-const createKeyWatch = (configuration: ConfigurationState) => {
+const createKeyRecheckScheduler = (configuration: ConfigurationState) => {
   const rechecks = new Set<() => void>();
   const recheckAll = (): void => rechecks.forEach((recheck) => recheck());
   configuration.onChange((changed) => {
     const prefixes = [documentKinds.key.prefix, documentKinds.profile.prefix];
-    const isConcerned = changed.some(({ key }) =>
+    const hasKeyChange = changed.some(({ key }) =>
       prefixes.some((prefix) => key.startsWith(prefix)),
     );
-    if (isConcerned) recheckAll();
+    if (hasKeyChange) recheckAll();
   });
   setInterval(recheckAll, RECHECK_INTERVAL_MS).unref();
 
@@ -25,4 +25,4 @@
   };
 };
 
-export default createKeyWatch;
+export default createKeyRecheckScheduler;
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -26,13 +26,13 @@
 
 interface LocalTransactionOptions {
   vm: string;
-  holder: GroupHolder;
+  groupClient: GroupHolder;
   request: TransactionRequest;
   plan: ReadPlan;
-  pooled: PooledConnection;
+  pooledConnection: PooledConnection;
   /** Resolves once an answer to what was sent at this time may be given. */
-  confirm(sentAtMs: number): Promise<void>;
-  lookup: ReturnType<typeof createOutcomeLookup>;
+  confirmResult(sentAtMs: number): Promise<void>;
+  outcomeLookup: ReturnType<typeof createOutcomeLookup>;
   onEnd(): void;
   nowMs(): number;
 }
@@ -40,15 +40,15 @@
 /** A connection that went silent is given up so early that another can be tried. */
 const BEGIN_TIMEOUT_MS = 1_000;
 const ROLLBACK_TIMEOUT_MS = 1_000;
-const ABORTED_STATE = '25P02';
-const STALE_TERM_STATE = 'AG001';
-const UNIQUE_STATE = '23505';
+const FAILED_TRANSACTION_SQLSTATE = '25P02';
+const STALE_TERM_SQLSTATE = 'AG001';
+const UNIQUE_VIOLATION_SQLSTATE = '23505';
 const RETRY_AFTER_MS = 200;
-const ROLLED_BACK: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
-const COMMITTED: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
+const ROLLBACK_RESULT: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
+const COMMIT_RESULT: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
 
 /** A transaction's id is recorded like that of a statement; its text is the same for all. */
-const asStatement = (request: TransactionRequest): StatementRequest => ({
+const toCommitStatement = (request: TransactionRequest): StatementRequest => ({
   ...request,
   sql: 'COMMIT',
   parameters: [],
@@ -61,78 +61,83 @@
 
   private isCommitting = false;
 
-  private stopWatching = (): void => {};
+  private stopTermWatch = (): void => {};
 
   constructor(private readonly options: LocalTransactionOptions) {
     super();
   }
 
   async begin(): Promise<void> {
-    const { request, plan, holder } = this.options;
-    this.stopWatching = holder.onTermOver(plan.term, () => this.abort());
+    const { request, plan, groupClient: holder } = this.options;
+    this.stopTermWatch = holder.onTermOver(plan.term, () => this.abort());
     const statements = request.write
-      ? ['BEGIN READ WRITE', insertRequestSql(asStatement(request), 'run')]
+      ? ['BEGIN READ WRITE', insertRequestSql(toCommitStatement(request), 'run')]
       : ['BEGIN READ ONLY'];
     try {
-      await this.script(joinStatements(plan.term, statements), BEGIN_TIMEOUT_MS);
+      await this.runScript(joinStatements(plan.term, statements), BEGIN_TIMEOUT_MS);
     } catch (error) {
       this.abort();
-      if (error instanceof EndpointError && error.sqlState === UNIQUE_STATE) {
-        await this.refuseRepeat();
+      if (error instanceof EndpointError && error.sqlState === UNIQUE_VIOLATION_SQLSTATE) {
+        await this.rejectDuplicate();
       }
-      throw this.refusalOf(error, true);
+      throw this.toStatementRefusal(error, true);
     }
   }
 
   override async run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
-    this.checkOpen();
+    this.assertOpen();
     if (isSessionControl(sql)) {
       throw notRun('badRequest', 'a statement may not control the transaction or the session');
     }
-    const { pooled, plan, confirm, nowMs } = this.options;
+    const { pooledConnection: pooled, plan, confirmResult: confirm, nowMs } = this.options;
     const sentAtMs = nowMs();
     try {
-      const timeoutMs = this.timeLeftMs();
+      const timeoutMs = this.remainingMs();
       const text = `/*term=${plan.term}*/${sql}`;
-      const rows = await this.exclusively(() =>
+      const rows = await this.trackRunning(() =>
         pooled.connection.query(text, parameters, timeoutMs),
       );
       await confirm(sentAtMs);
-      return this.outcome(rows);
+      return this.createOutcome(rows);
     } catch (error) {
       if (!pooled.connection.isUsable()) this.abort();
-      throw this.refusalOf(error, false);
+      throw this.toStatementRefusal(error, false);
     }
   }
 
   override async commit(): Promise<StatementOutcome> {
-    this.checkOpen();
-    const { request, plan, holder, lookup, nowMs } = this.options;
+    this.assertOpen();
+    const { request, plan, groupClient: holder, outcomeLookup: lookup, nowMs } = this.options;
     const askedAtMs = nowMs();
     this.isCommitting = true;
     let position: number;
     try {
-      const results = await this.script(this.commitSql());
-      position = this.notePosition(results.at(-1), askedAtMs);
+      const results = await this.runScript(this.buildCommitSql());
+      position = this.recordPosition(results.at(-1), askedAtMs);
       this.end();
     } catch (error) {
       this.isCommitting = false;
       this.abort();
-      if (!request.write || this.isRefused(error)) throw this.commitRefusalOf(error);
-      return lookup.resolve(holder, asStatement(request));
+      if (!request.write || this.isCommitExcluded(error)) throw this.toCommitRefusal(error);
+      return lookup.resolve(holder, toCommitStatement(request));
     }
-    if (!request.write) return this.outcome(COMMITTED);
+    if (!request.write) return this.createOutcome(COMMIT_RESULT);
     const { sessionToken, group, deadlineAtMs } = request;
-    const isHeld = await holder.waitAcknowledged(plan.term, position, deadlineAtMs, askedAtMs);
-    if (!isHeld) return lookup.resolve(holder, asStatement(request));
+    const isAcknowledged = await holder.waitAcknowledged(
+      plan.term,
+      position,
+      deadlineAtMs,
+      askedAtMs,
+    );
+    if (!isAcknowledged) return lookup.resolve(holder, toCommitStatement(request));
     const token = advanceSessionToken(sessionToken, group, plan.term, position);
-    return { ...this.outcome(COMMITTED), sessionToken: token };
+    return { ...this.createOutcome(COMMIT_RESULT), sessionToken: token };
   }
 
   override async rollback(): Promise<StatementOutcome> {
-    this.checkOpen();
+    this.assertOpen();
     this.abort();
-    return this.outcome(ROLLED_BACK);
+    return this.createOutcome(ROLLBACK_RESULT);
   }
 
   /**
@@ -141,9 +146,9 @@
    */
   override abort(): void {
     if (this.hasEnded || this.isCommitting) return;
-    const { pooled, onEnd } = this.options;
+    const { pooledConnection: pooled, onEnd } = this.options;
     this.hasEnded = true;
-    this.stopWatching();
+    this.stopTermWatch();
     const finish = (): void => {
       pooled.release();
       onEnd();
@@ -161,18 +166,18 @@
 
   private end(): void {
     this.hasEnded = true;
-    this.stopWatching();
-    this.options.pooled.release();
+    this.stopTermWatch();
+    this.options.pooledConnection.release();
     this.options.onEnd();
   }
 
-  private script(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
-    const { connection } = this.options.pooled;
-    const timeoutMs = Math.min(limitMs, this.timeLeftMs());
-    return this.exclusively(() => connection.script(sql, timeoutMs));
+  private runScript(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
+    const { connection } = this.options.pooledConnection;
+    const timeoutMs = Math.min(limitMs, this.remainingMs());
+    return this.trackRunning(() => connection.script(sql, timeoutMs));
   }
 
-  private async exclusively<Result>(work: () => Promise<Result>): Promise<Result> {
+  private async trackRunning<Result>(work: () => Promise<Result>): Promise<Result> {
     this.isRunning = true;
     try {
       return await work();
@@ -181,24 +186,24 @@
     }
   }
 
-  private checkOpen(): void {
+  private assertOpen(): void {
     if (this.hasEnded) throw notRun('transactionAborted', 'the transaction has been rolled back');
   }
 
-  private timeLeftMs(): number {
+  private remainingMs(): number {
     return Math.max(1, this.options.request.deadlineAtMs - this.options.nowMs());
   }
 
-  private outcome(rows: QueryResult): StatementOutcome {
+  private createOutcome(rows: QueryResult): StatementOutcome {
     const { vm, request, plan } = this.options;
     const servedBy = { vm, endpoint: plan.member, role: plan.role };
     return { rows, sessionToken: request.sessionToken, servedBy };
   }
 
   /** Before the commit is sent nothing of the transaction can take effect. */
-  private refusalOf(error: unknown, isBegin: boolean): unknown {
+  private toStatementRefusal(error: unknown, isBegin: boolean): unknown {
     if (!(error instanceof EndpointError)) return error;
-    if (error.sqlState === STALE_TERM_STATE) {
+    if (error.sqlState === STALE_TERM_SQLSTATE) {
       return notRun('noPrimary', error.message, RETRY_AFTER_MS);
     }
     if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
@@ -207,39 +212,40 @@
   }
 
   /** Whether the endpoint certainly did not commit: it answered so, or was never asked. */
-  private isRefused(error: unknown): boolean {
+  private isCommitExcluded(error: unknown): boolean {
     return (
       error instanceof EndpointError &&
       (error.kind === 'notSent' || error.kind === 'statementFailed')
     );
   }
 
-  private commitRefusalOf(error: unknown): RefusalError {
-    const isFailed = error instanceof EndpointError && error.sqlState === ABORTED_STATE;
+  private toCommitRefusal(error: unknown): RefusalError {
+    const isFailed =
+      error instanceof EndpointError && error.sqlState === FAILED_TRANSACTION_SQLSTATE;
     const message = error instanceof Error ? error.message : String(error);
     return notRun('transactionAborted', isFailed ? 'a statement had failed' : message);
   }
 
   /** The status comes without a term, so that a fence after the commit can't hide its success. */
-  private commitSql(): string {
+  private buildCommitSql(): string {
     const { request, plan } = this.options;
-    const result = quoteLiteral(JSON.stringify(COMMITTED));
+    const result = quoteLiteral(JSON.stringify(COMMIT_RESULT));
     const id = quoteLiteral(requestRecordId(request));
     const update = `UPDATE auburngrade_request SET result = ${result} WHERE id = ${id}`;
     const statements = request.write ? [update, 'COMMIT'] : ['COMMIT'];
     return `${joinStatements(plan.term, statements)};${MEMBER_STATUS_SQL}`;
   }
 
-  private notePosition(result: QueryResult | undefined, askedAtMs: number): number {
+  private recordPosition(result: QueryResult | undefined, askedAtMs: number): number {
     const status = toMemberStatus(this.options.plan.member, result, askedAtMs);
-    this.options.holder.noteStatus(status);
+    this.options.groupClient.noteStatus(status);
     return status.position;
   }
 
   /** Says what became of an earlier transaction with the same request id. */
-  private async refuseRepeat(): Promise<never> {
-    const { lookup, holder, request } = this.options;
-    await lookup.resolve(holder, asStatement(request));
+  private async rejectDuplicate(): Promise<never> {
+    const { outcomeLookup: lookup, groupClient: holder, request } = this.options;
+    await lookup.resolve(holder, toCommitStatement(request));
     throw mayHaveRun('duplicateRequest', 'a transaction of this request id has committed');
   }
 }
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -9,12 +9,12 @@
 interface LocalTransactionsOptions {
   vm: string;
   /** The group's holder, ready to take statements. */
-  holderOf(request: TransactionRequest): Promise<GroupHolder>;
+  getGroupClient(request: TransactionRequest): Promise<GroupHolder>;
   reads: Pick<ReturnType<typeof createReadExecutor>, 'plan' | 'confirm'>;
   nowMs(): number;
 }
 
-const primaryPlan = (holder: GroupHolder): ReadPlan => {
+const createPrimaryPlan = (holder: GroupHolder): ReadPlan => {
   const record = holder.record();
   if (!record?.primary || record.state !== 'active') {
     throw notRun('noPrimary', `group ${holder.name} has no primary`);
@@ -29,41 +29,46 @@
 };
 
 /** The interactive transactions that run on this VM's own connections. */
-const createLocalTransactions = ({ vm, holderOf, reads, nowMs }: LocalTransactionsOptions) => {
-  const open = new Set<Transaction>();
+const createLocalTransactions = ({
+  vm,
+  getGroupClient: holderOf,
+  reads,
+  nowMs,
+}: LocalTransactionsOptions) => {
+  const openTransactions = new Set<Transaction>();
   const lookup = createOutcomeLookup(vm, nowMs);
 
   return {
     /** @throws RefusalError */
     begin: async (request: TransactionRequest): Promise<Transaction> => {
       const holder = await holderOf(request);
-      const plan = request.write ? primaryPlan(holder) : await reads.plan(holder, request);
+      const plan = request.write ? createPrimaryPlan(holder) : await reads.plan(holder, request);
       const { account, deadlineAtMs, profile } = request;
       const pooled = await holder.acquire(plan.member, account, deadlineAtMs, profile);
-      let forget = (): void => {};
+      let removeTransaction = (): void => {};
       const transaction = await createLocalTransaction({
         vm,
-        holder,
+        groupClient: holder,
         request,
         plan,
-        pooled,
-        lookup,
-        confirm: (sentAtMs) => reads.confirm(holder, request, plan, sentAtMs),
-        onEnd: () => forget(),
+        pooledConnection: pooled,
+        outcomeLookup: lookup,
+        confirmResult: (sentAtMs) => reads.confirm(holder, request, plan, sentAtMs),
+        onEnd: () => removeTransaction(),
         nowMs,
       });
       const timer = setTimeout(() => transaction.abort(), request.deadlineAtMs - nowMs());
       timer.unref();
-      open.add(transaction);
-      forget = () => {
+      openTransactions.add(transaction);
+      removeTransaction = () => {
         clearTimeout(timer);
-        open.delete(transaction);
+        openTransactions.delete(transaction);
       };
       return transaction;
     },
-    openCount: () => open.size,
+    openCount: () => openTransactions.size,
     /** Rolls back all that are open. */
-    abortAll: (): void => open.forEach((transaction) => transaction.abort()),
+    abortAll: (): void => openTransactions.forEach((transaction) => transaction.abort()),
   };
 };
 
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -14,7 +14,7 @@
 type RemoteStream = Awaited<ReturnType<RemoteVm['transact']>>;
 type StepBody = NonNullable<ForwardedStep['body']>;
 
-const lostBeforeCommit = (error: Error): RefusalError =>
+const toStreamLostRefusal = (error: Error): RefusalError =>
   notRun('transactionAborted', `the stream to the holder was lost: ${error.message}`);
 
 class RemoteTransaction extends Transaction {
@@ -35,20 +35,20 @@
       timeoutMs,
     };
     const refuse = (error: Error): RefusalError => notRun('peerUnreachable', error.message);
-    return this.step({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
+    return this.runStep({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
   }
 
   override run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
-    const texts = parameters.map((text) => ({ text: text ?? undefined }));
-    const statement = { sql, parameters: texts };
-    return this.step({ $case: 'statement', statement }, lostBeforeCommit);
+    const wireParameters = parameters.map((text) => ({ text: text ?? undefined }));
+    const statement = { sql, parameters: wireParameters };
+    return this.runStep({ $case: 'statement', statement }, toStreamLostRefusal);
   }
 
   override async commit(): Promise<StatementOutcome> {
-    const isSent = !this.stream.isLost();
-    const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
-      !isSent || isNeverSent(error)
-        ? lostBeforeCommit(error)
+    const wasStreamOpen = !this.stream.isLost();
+    const outcome = await this.runStep({ $case: 'commit', commit: {} }, (error) =>
+      !wasStreamOpen || isNeverSent(error)
+        ? toStreamLostRefusal(error)
         : mayHaveRun('outcomeUnknown', error.message),
     );
     this.stream.end();
@@ -56,7 +56,7 @@
   }
 
   override async rollback(): Promise<StatementOutcome> {
-    const outcome = await this.step({ $case: 'rollback', rollback: {} }, lostBeforeCommit);
+    const outcome = await this.runStep({ $case: 'rollback', rollback: {} }, toStreamLostRefusal);
     this.stream.end();
     return outcome;
   }
@@ -65,7 +65,7 @@
     this.stream.cancel();
   }
 
-  private async step(
+  private async runStep(
     body: StepBody,
     refuse: (error: Error) => RefusalError,
     onSilent?: () => void,
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -32,7 +32,7 @@
   admission: Admission;
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Refuses new transactions while the VM shuts down; else the work counts until `leave`. */
-  enter(): () => void;
+  beginWork(): () => void;
   /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
@@ -40,7 +40,7 @@
   nowMs(): number;
 }
 
-interface Opened {
+interface OpenTransaction {
   transaction: Transaction;
   request: TransactionRequest;
   /** Ends what belongs to the transaction on this VM. */
@@ -49,7 +49,7 @@
 
 type Body = NonNullable<TransactionStep['body']>;
 
-const BEGUN = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
+const BEGIN_RESULT = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
 
 /**
  * Serves one interactive transaction of a caller. The key is checked again at each step and
@@ -61,28 +61,28 @@
 ): TransactionHandler => {
   const { settings, authenticator, admission, nowMs } = options;
   let progress: TransactionProgress = { phase: 'new', lastStep: 0 };
-  let opened: Opened | undefined;
-  let revoked: Refusal | undefined;
+  let openTransaction: OpenTransaction | undefined;
+  let keyRefusal: Refusal | undefined;
   let requestId = '';
   let sessionToken = '';
-  let hasStatement = false;
-  let isLost = false;
+  let hasRunStatement = false;
+  let isStreamLost = false;
 
-  const end = (): void => {
-    opened?.close();
-    opened = undefined;
+  const closeTransaction = (): void => {
+    openTransaction?.close();
+    openTransaction = undefined;
   };
 
   const abort = (): void => {
-    opened?.transaction.abort();
-    end();
+    openTransaction?.transaction.abort();
+    closeTransaction();
   };
 
   const recheck = (profile: string, group: string): void => {
     try {
       authenticator.authenticate(key, profile, group);
     } catch (error) {
-      revoked = toRefusal(error);
+      keyRefusal = toRefusal(error);
       abort();
     }
   };
@@ -101,20 +101,20 @@
     deadlineAtMs: nowMs() + begin.timeoutMs,
   });
 
-  const open = async (request: TransactionRequest, profile: string): Promise<Opened> => {
-    const leave = options.enter();
+  const open = async (request: TransactionRequest, profile: string): Promise<OpenTransaction> => {
+    const endWork = options.beginWork();
     try {
       const transaction = await options.begin(request);
-      const stopWatching = options.onKeysChanged(() => recheck(profile, request.group));
+      const stopKeyRechecks = options.onKeysChanged(() => recheck(profile, request.group));
       const timer = setTimeout(abort, request.deadlineAtMs - nowMs());
       const close = (): void => {
         clearTimeout(timer);
-        stopWatching();
-        leave();
+        stopKeyRechecks();
+        endWork();
       };
       return { transaction, request, close };
     } catch (error) {
-      leave();
+      endWork();
       throw error;
     }
   };
@@ -130,22 +130,22 @@
       check: () => authenticator.authenticate(key, step.profile, step.group),
       onKeysChanged: options.onKeysChanged,
     });
-    opened = await open(request, step.profile);
-    if (isLost) abort();
+    openTransaction = await open(request, step.profile);
+    if (isStreamLost) abort();
     const servedBy = { vm: settings.vm, endpoint: '', role: 'primary' as const };
-    return { rows: BEGUN, sessionToken: request.sessionToken, servedBy };
+    return { rows: BEGIN_RESULT, sessionToken: request.sessionToken, servedBy };
   };
 
   const runStatement = async (
-    { transaction, request }: Opened,
+    { transaction, request }: OpenTransaction,
     statement: Extract<Body, { $case: 'statement' }>['statement'],
   ): Promise<StatementOutcome> => {
     checkStatement(statement, settings);
     // The first statement is covered by what was admitted at the begin.
-    if (hasStatement) {
+    if (hasRunStatement) {
       await admission.admit(request.account, request.profile, request.deadlineAtMs);
     }
-    hasStatement = true;
+    hasRunStatement = true;
     const parameters = statement.parameters.map(({ text }) => text ?? null);
     return transaction.run(statement.sql, parameters);
   };
@@ -153,35 +153,36 @@
   const run = async ({ step, body }: TransactionStep): Promise<StatementOutcome> => {
     progress = checkStep(progress, step, body?.$case);
     if (body?.$case === 'begin') return begin(body.begin);
-    if (opened) recheck(opened.request.profile, opened.request.group);
-    if (revoked) throw notRun(revoked.code, revoked.message);
-    if (!opened) throw notRun('transactionAborted', 'the transaction has been rolled back');
-    if (body?.$case === 'statement') return runStatement(opened, body.statement);
-    const { transaction } = opened;
+    if (openTransaction) recheck(openTransaction.request.profile, openTransaction.request.group);
+    if (keyRefusal) throw notRun(keyRefusal.code, keyRefusal.message);
+    if (!openTransaction)
+      throw notRun('transactionAborted', 'the transaction has been rolled back');
+    if (body?.$case === 'statement') return runStatement(openTransaction, body.statement);
+    const { transaction } = openTransaction;
     try {
       return await (body?.$case === 'commit' ? transaction.commit() : transaction.rollback());
     } finally {
-      end();
+      closeTransaction();
     }
   };
 
-  const reply = async (step: TransactionStep): Promise<TransactionReply> => {
+  const handleStep = async (step: TransactionStep): Promise<TransactionReply> => {
     try {
       const outcome = await run(step);
       const answer = toOutcome(requestId, sessionToken, { kind: 'ran', outcome });
       return { step: step.step, outcome: answer };
     } catch (error) {
       const refusal = toRefusal(error);
-      if (!opened) progress = { ...progress, phase: 'ended' };
+      if (!openTransaction) progress = { ...progress, phase: 'ended' };
       const outcome = toOutcome(requestId, sessionToken, { kind: 'refused', refusal });
       return { step: step.step, outcome };
     }
   };
 
   return {
-    step: reply,
+    step: handleStep,
     abort: () => {
-      isLost = true;
+      isStreamLost = true;
       abort();
     },
   };
