--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -25,10 +25,10 @@
   settings: Settings;
   configuration: ConfigurationState;
   groups: GroupRegistry;
-  terms: ReturnType<typeof createTermKeeper>;
+  termRecordInitialiser: ReturnType<typeof createTermKeeper>;
   membership: Membership;
   peers: PeerRegistry;
-  notices: ReturnType<typeof createLeavingNotices>;
+  leavingNotices: ReturnType<typeof createLeavingNotices>;
   recheckKey: ReturnType<typeof createAuthenticator>['recheck'];
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   metrics: Metrics;
@@ -37,7 +37,15 @@
 
 /** The way of an admitted statement or transaction to an endpoint, here or through another VM. */
 const createStatementService = (options: StatementServiceOptions) => {
-  const { settings, configuration, groups, terms, notices, metrics, nowMs } = options;
+  const {
+    settings,
+    configuration,
+    groups,
+    termRecordInitialiser: terms,
+    leavingNotices: notices,
+    metrics,
+    nowMs,
+  } = options;
   const readExecutor = createReadExecutor({
     ...settings,
     ...settings.reads,
@@ -48,23 +56,26 @@
   const primaryWaiter = createPrimaryWaiter(configuration, nowMs);
   const writeExecutor = createWriteExecutor(settings.vm, nowMs);
 
-  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
+  const getGroupClient = async (request: TransactionRequest): Promise<GroupHolder> => {
     await options.awaitConfiguration(request.deadlineAtMs);
-    const holder = groups.get(request.group);
-    await terms.ensureRecord(holder);
+    const groupClient = groups.get(request.group);
+    await terms.ensureRecord(groupClient);
     if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
-    return withKeyCheck(holder, () => options.recheckKey(request.keyHash));
+    return withKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
   };
   const transactions = createLocalTransactions({
     vm: settings.vm,
-    getGroupClient: holderOf,
+    getGroupClient,
     reads: readExecutor,
     nowMs,
   });
 
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
-    const holder = await holderOf(request);
-    const outcome = await (request.write ? writeExecutor : readExecutor).execute(holder, request);
+    const groupClient = await getGroupClient(request);
+    const outcome = await (request.write ? writeExecutor : readExecutor).execute(
+      groupClient,
+      request,
+    );
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
     metrics.served.inc({ group: request.group, role, mode });
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -32,7 +32,7 @@
 /** Serves one transaction that another VM admitted and forwards step by step. */
 const createForwardedTransaction = ({
   begin,
-  beginWork: enter,
+  beginWork,
   vm,
   nowMs,
 }: ForwardedTransactionOptions): StepHandler<ForwardedStep, ForwardedReply> => {
@@ -42,7 +42,7 @@
   let endWork = (): void => {};
 
   const open = async (request: TransactionRequest): Promise<StatementOutcome> => {
-    endWork = enter();
+    endWork = beginWork();
     transaction = await begin(request);
     if (isStreamLost) transaction.abort();
     const rows = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -68,8 +68,8 @@
   }
 
   async begin(): Promise<void> {
-    const { request, plan, groupClient: holder } = this.options;
-    this.stopTermWatch = holder.onTermOver(plan.term, () => this.abort());
+    const { request, plan, groupClient } = this.options;
+    this.stopTermWatch = groupClient.onTermOver(plan.term, () => this.abort());
     const statements = request.write
       ? ['BEGIN READ WRITE', insertRequestSql(toCommitStatement(request), 'run')]
       : ['BEGIN READ ONLY'];
@@ -89,25 +89,25 @@
     if (isSessionControl(sql)) {
       throw notRun('badRequest', 'a statement may not control the transaction or the session');
     }
-    const { pooledConnection: pooled, plan, confirmResult: confirm, nowMs } = this.options;
+    const { pooledConnection, plan, confirmResult, nowMs } = this.options;
     const sentAtMs = nowMs();
     try {
       const timeoutMs = this.remainingMs();
       const text = `/*term=${plan.term}*/${sql}`;
       const rows = await this.trackRunning(() =>
-        pooled.connection.query(text, parameters, timeoutMs),
+        pooledConnection.connection.query(text, parameters, timeoutMs),
       );
-      await confirm(sentAtMs);
+      await confirmResult(sentAtMs);
       return this.createOutcome(rows);
     } catch (error) {
-      if (!pooled.connection.isUsable()) this.abort();
+      if (!pooledConnection.connection.isUsable()) this.abort();
       throw this.toStatementRefusal(error, false);
     }
   }
 
   override async commit(): Promise<StatementOutcome> {
     this.assertOpen();
-    const { request, plan, groupClient: holder, outcomeLookup: lookup, nowMs } = this.options;
+    const { request, plan, groupClient, outcomeLookup, nowMs } = this.options;
     const askedAtMs = nowMs();
     this.isCommitting = true;
     let position: number;
@@ -119,17 +119,17 @@
       this.isCommitting = false;
       this.abort();
       if (!request.write || this.isCommitExcluded(error)) throw this.toCommitRefusal(error);
-      return lookup.resolve(holder, toCommitStatement(request));
+      return outcomeLookup.resolve(groupClient, toCommitStatement(request));
     }
     if (!request.write) return this.createOutcome(COMMIT_RESULT);
     const { sessionToken, group, deadlineAtMs } = request;
-    const isAcknowledged = await holder.waitAcknowledged(
+    const isAcknowledged = await groupClient.waitAcknowledged(
       plan.term,
       position,
       deadlineAtMs,
       askedAtMs,
     );
-    if (!isAcknowledged) return lookup.resolve(holder, toCommitStatement(request));
+    if (!isAcknowledged) return outcomeLookup.resolve(groupClient, toCommitStatement(request));
     const token = advanceSessionToken(sessionToken, group, plan.term, position);
     return { ...this.createOutcome(COMMIT_RESULT), sessionToken: token };
   }
@@ -146,21 +146,21 @@
    */
   override abort(): void {
     if (this.hasEnded || this.isCommitting) return;
-    const { pooledConnection: pooled, onEnd } = this.options;
+    const { pooledConnection, onEnd } = this.options;
     this.hasEnded = true;
     this.stopTermWatch();
     const finish = (): void => {
-      pooled.release();
+      pooledConnection.release();
       onEnd();
     };
-    if (this.isRunning || !pooled.connection.isUsable()) {
-      pooled.connection.close();
+    if (this.isRunning || !pooledConnection.connection.isUsable()) {
+      pooledConnection.connection.close();
       finish();
       return;
     }
-    pooled.connection
+    pooledConnection.connection
       .script('ROLLBACK', ROLLBACK_TIMEOUT_MS)
-      .catch(() => pooled.connection.close())
+      .catch(() => pooledConnection.connection.close())
       .finally(finish);
   }
 
@@ -244,8 +244,8 @@
 
   /** Says what became of an earlier transaction with the same request id. */
   private async rejectDuplicate(): Promise<never> {
-    const { outcomeLookup: lookup, groupClient: holder, request } = this.options;
-    await lookup.resolve(holder, toCommitStatement(request));
+    const { outcomeLookup, groupClient, request } = this.options;
+    await outcomeLookup.resolve(groupClient, toCommitStatement(request));
     throw mayHaveRun('duplicateRequest', 'a transaction of this request id has committed');
   }
 }
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -14,10 +14,10 @@
   nowMs(): number;
 }
 
-const createPrimaryPlan = (holder: GroupHolder): ReadPlan => {
-  const record = holder.record();
+const createPrimaryPlan = (groupClient: GroupHolder): ReadPlan => {
+  const record = groupClient.record();
   if (!record?.primary || record.state !== 'active') {
-    throw notRun('noPrimary', `group ${holder.name} has no primary`);
+    throw notRun('noPrimary', `group ${groupClient.name} has no primary`);
   }
   return {
     member: record.primary,
@@ -31,29 +31,36 @@
 /** The interactive transactions that run on this VM's own connections. */
 const createLocalTransactions = ({
   vm,
-  getGroupClient: holderOf,
+  getGroupClient,
   reads,
   nowMs,
 }: LocalTransactionsOptions) => {
   const openTransactions = new Set<Transaction>();
-  const lookup = createOutcomeLookup(vm, nowMs);
+  const outcomeLookup = createOutcomeLookup(vm, nowMs);
 
   return {
     /** @throws RefusalError */
     begin: async (request: TransactionRequest): Promise<Transaction> => {
-      const holder = await holderOf(request);
-      const plan = request.write ? createPrimaryPlan(holder) : await reads.plan(holder, request);
+      const groupClient = await getGroupClient(request);
+      const plan = request.write
+        ? createPrimaryPlan(groupClient)
+        : await reads.plan(groupClient, request);
       const { account, deadlineAtMs, profile } = request;
-      const pooled = await holder.acquire(plan.member, account, deadlineAtMs, profile);
+      const pooledConnection = await groupClient.acquire(
+        plan.member,
+        account,
+        deadlineAtMs,
+        profile,
+      );
       let removeTransaction = (): void => {};
       const transaction = await createLocalTransaction({
         vm,
-        groupClient: holder,
+        groupClient,
         request,
         plan,
-        pooledConnection: pooled,
-        outcomeLookup: lookup,
-        confirmResult: (sentAtMs) => reads.confirm(holder, request, plan, sentAtMs),
+        pooledConnection,
+        outcomeLookup,
+        confirmResult: (sentAtMs) => reads.confirm(groupClient, request, plan, sentAtMs),
         onEnd: () => removeTransaction(),
         nowMs,
       });
