--- a/packages/auburngrade/src/configuration/configurationTree.spec.ts
+++ b/packages/auburngrade/src/configuration/configurationTree.spec.ts
@@ -8,9 +8,9 @@
 
 const DEPTH = 3;
 const IN_FORCE_MS = 6_000;
-/** Up to this age of the last proof keys are accepted. */
+/** Keys are accepted while the last outage proof is at most this old. */
 const MAX_UNCONFIRMED_MS = 4_500;
-/** Requests of followers come twice a second. */
+/** Interval at which followers send requests. */
 const REQUEST_INTERVAL_MS = 500;
 const CHANGE_COUNT = 40;
 const CHANGE_PERIOD_MS = 2_000;
@@ -34,11 +34,11 @@
   stop(): void;
 }
 
-describe('a tree of followers', () => {
+describe('a chain of configuration followers', () => {
   let relay: ConfigurationState;
   let links: Link[];
 
-  /** A VM that follows the one before it. */
+  /** Starts a VM that follows `source`. */
   const startFollower = (
     source: ConfigurationState,
     ages: () => { confirmedAgeMs: number; outageAgeMs: number },
@@ -93,7 +93,7 @@
     links.forEach(({ stop }) => stop());
   });
 
-  it('has changes in force at the bottom in time, gathered between requests', async () => {
+  it('delivers changes to the last follower in time, batched between requests', async () => {
     const [first, , last] = links;
     const before = first?.sent.length ?? 0;
     const startedAtMs = nowMs();
@@ -110,7 +110,7 @@
     expect((first?.sent.length ?? 0) - before).to.be.at.most(requests);
   });
 
-  it('passes on the list of VMs at once, with the changes before it', async () => {
+  it('forwards a change of the VM list at once, with the changes queued before it', async () => {
     const startedAtMs = nowMs();
     relay.applyChanges(2, [createAccountEntry('ranch', 2)]);
     relay.applyChanges(3, [createVmEntry(3)]);
@@ -119,7 +119,7 @@
     expect(links.at(-1)?.state.get('account', 'ranch')?.limit.ratePerS).to.equal(2);
   });
 
-  it('keeps the proof of an outage recent enough at the bottom to accept keys', async () => {
+  it('keeps the outage proof at the last follower recent enough to accept keys', async () => {
     await waitFor('a proof', () => (links.at(-1)?.outageAtMs() ?? 0) > 0);
     let oldestMs = 0;
     for (let index = 0; index < CHANGE_COUNT; index += 1) {
--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -24,24 +24,24 @@
   configuration: ConfigurationState;
   addresses: AddressBook;
   vmCredentials?: ChannelCredentials;
-  /** Age in milliseconds of the knowledge that no VM reaches the platform; -1: not known. */
+  /** Age in milliseconds of the latest proof that no VM reaches the platform; -1 without one. */
   outageAgeMs(): number;
   onOutage(outageAtMs: number): void;
   nowMs(): number;
   logger: Logger;
 }
 
-/** A relay takes configuration from another VM too when the platform's last word is older. */
+/** A relay also follows another VM once the platform's last confirmation is older than this. */
 const RELAY_MAX_CONFIRMATION_AGE_MS = 1_500;
-/** A fresh VM asks its peers for this long before it turns to the platform, and up to twice as long by chance. */
+/** A VM without configuration asks its peers for this long, randomised up to twice, before it reads the platform. */
 const INITIAL_PEER_WAIT_MS = 1_000;
 
-/** A follower goes back to the source that it prefers after this long, and up to twice as long by chance. */
+/** Delay, randomised up to twice, after which a follower returns to its preferred source. */
 const SOURCE_RETURN_DELAY_MS = 3_000;
 
 /**
- * Keeps this VM's configuration up to date and hands it on: two VMs of a data centre
- * watch the platform, the others follow them in a tree.
+ * Keeps this VM's configuration up to date and serves it to followers: two VMs of each data
+ * centre, the relays, watch the platform; the other VMs follow them in a tree.
  */
 const createConfigurationDistribution = (options: ConfigurationDistributionOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
@@ -97,7 +97,7 @@
   );
 
   const listSources = (): string[] => {
-    // A relay that lost the platform shares this with the other one when the data centre is cut off.
+    // If the data centre is cut off from the platform, the other local relay has lost it too.
     const listed = isPlatformNeeded()
       ? [...listRemoteSources(), ...listLocalSources()]
       : [...listLocalSources(), ...listRemoteSources()];
@@ -112,7 +112,7 @@
     return `${resolved.host}:${resolved.port}`;
   };
 
-  /** Followers that stayed with a relay would take it more than its share of the tree. */
+  /** Without a return, followers that failed over to a relay would overload it beyond its place in the tree. */
   const isReturnDue = (current: string): boolean => {
     const [best] = listSources();
     const usableBest = best === undefined || peerHealth.hasFailed(best) ? undefined : best;
@@ -159,9 +159,9 @@
       platformFollower.start();
       relayFollower.start();
     },
-    /** Monotonic time at which the platform confirmed the known revision, to this VM or its source. */
+    /** Monotonic time at which the platform last confirmed the known revision to this VM or its source. */
     confirmedAtMs,
-    /** Monotonic time of the platform's last answer to this VM. */
+    /** Monotonic time of the platform's last reply to this VM. */
     reachedAtMs: platformFollower.reachedAtMs,
     isRelay: isPlatformNeeded,
     followerCount: feed.followerCount,
--- a/packages/auburngrade/src/configuration/createConfigurationFeed.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationFeed.ts
@@ -6,7 +6,7 @@
 } from '@auburngrade/coordination';
 import type { ConfigurationUpdate, FollowRequest, FollowSession } from '@auburngrade/vm';
 
-/** What a VM states about how recent its configuration is; -1 when it does not know. */
+/** Ages in milliseconds of a VM's configuration and outage proof; -1 when unknown. */
 interface ConfirmationAges {
   confirmedAgeMs: number;
   outageAgeMs: number;
@@ -29,8 +29,8 @@
 };
 
 /**
- * Serves this VM's configuration to the VMs that follow it. Changes are gathered until the
- * follower's next request; urgent ones are sent at once, with those that waited.
+ * Serves this VM's configuration to its followers. Changes are batched until the follower's
+ * next request; an urgent change is sent at once, together with the batch.
  */
 const createConfigurationFeed = (state: ConfigurationState, readAges: () => ConfirmationAges) => {
   const sessions = new Set<FollowSession>();
@@ -38,7 +38,7 @@
   const open = (send: (update: ConfigurationUpdate) => void): FollowSession => {
     const batch = createChangeBatch();
     let ping = 0;
-    /** Revision that the follower was told; 0 until it was told the first one. */
+    /** Revision last sent to the follower; 0 before the first. */
     let sentRevision = 0;
 
     const sendDifference = ({ isSnapshot, entries }: ConfigurationDifference): void => {
--- a/packages/auburngrade/src/configuration/createConfigurationMetrics.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationMetrics.ts
@@ -11,7 +11,7 @@
 
 const MS_PER_S = 1_000;
 
-/** Registers what a VM knows about the age of its configuration; read when metrics are scraped. */
+/** Registers gauges for the revision, age and source of a VM's configuration; read at each scrape. */
 const createConfigurationMetrics = (registry: Registry, readings: ConfigurationReadings): void => {
   const gauge = (name: string, help: string, read: () => number): void => {
     const created: Gauge = new Gauge({
--- a/packages/auburngrade/src/configuration/createDocumentWriter.ts
+++ b/packages/auburngrade/src/configuration/createDocumentWriter.ts
@@ -17,9 +17,9 @@
   name: string;
   /** Undefined deletes the document. */
   document: unknown;
-  /** Revision that the document must still have; 0: absent; -1: whatever it has now. */
+  /** Revision that the document must have; 0: it must be absent; -1: any. */
   expectedRevision: number;
-  /** Identifies the change when its answer was lost; empty: a new one. */
+  /** Identifies the change in a retry after a lost reply; empty: an id is generated. */
   changeId: string;
 }
 
@@ -31,7 +31,7 @@
 }
 
 const ANY_REVISION = -1;
-/** How long a change is retried while its outcome is unknown. */
+/** Period for which a write with unknown outcome is retried. */
 const RESOLVE_TIMEOUT_MS = 4_000;
 const RETRY_DELAY_MS = 100;
 
@@ -44,13 +44,13 @@
 
 const createConflictChange = (current: ConfigurationEntry | undefined): Change => {
   if (current?.valueJson === undefined)
-    return createRefusedChange('conflict', 'the document is absent');
+    return createRefusedChange('conflict', 'the document does not exist');
   const document = JSON.stringify(documentIn(current.valueJson));
   const message = `the document is at revision ${current.modRevision}: ${document}`;
   return { ...createRefusedChange('conflict', message), revision: current.modRevision };
 };
 
-/** Writes operators' documents to the platform; a lost answer is resolved by the change's id. */
+/** Writes operators' documents to the platform; after a lost reply the change id gives the outcome. */
 const createDocumentWriter = ({ platform, timeoutMs, nowMs }: DocumentWriterOptions) => {
   /** @throws RefusalError `platformUnavailable` */
   const readEntry = async (kind: DocumentKind, name: string) => {
@@ -60,8 +60,8 @@
   };
 
   /**
-   * Repeats the same conditional write until its outcome is known. A conflict after a lost
-   * answer tells: the stored value carries the change's id, or the write can apply no more.
+   * Retries the same conditional write until its outcome is known. A conflict after a lost
+   * reply decides it: either the stored value has the change id, or the write can no longer apply.
    */
   const swapUntilResolved = async (
     put: { key: string; valueJson: string | undefined; expectedRevision: number },
@@ -98,7 +98,7 @@
 
   return {
     read: readEntry,
-    /** @throws RefusalError `platformUnavailable` when nothing was written. */
+    /** @throws RefusalError `platformUnavailable` if the current document cannot be read. */
     write: async (change: DocumentChange): Promise<Change> => {
       const { kind, name, document, expectedRevision } = change;
       const changeId = change.changeId || randomUUID();
@@ -115,14 +115,15 @@
         document === undefined ? undefined : toStoredValue(document, changeId, current?.valueJson);
       return swapUntilResolved({ key, valueJson, expectedRevision: currentRevision }, changeId);
     },
-    /** The only key whose hash starts with the id. @throws RefusalError */
+    /** Finds the only key whose hash starts with the id. @throws RefusalError `badRequest` or `platformUnavailable` */
     findKey: async (
       keyId: string,
     ): Promise<{ hash: string; document: unknown; revision: number }> => {
       const { prefix } = documentKinds.key;
       const { entries } = await platform.range(prefix + keyId, timeoutMs);
       const [entry, duplicate] = entries;
-      if (!entry?.valueJson || duplicate) throw notRun('badRequest', `no one key ${keyId}`);
+      if (!entry?.valueJson || duplicate)
+        throw notRun('badRequest', `key id ${keyId} does not match exactly one key`);
       return {
         hash: entry.key.slice(prefix.length),
         document: documentIn(entry.valueJson),
--- a/packages/auburngrade/src/configuration/createPeerFollower.ts
+++ b/packages/auburngrade/src/configuration/createPeerFollower.ts
@@ -17,14 +17,14 @@
 interface PeerFollowerOptions {
   vm: string;
   state: ConfigurationState;
-  /** Chooses a source, or none while the VM needs none. */
+  /** Returns the VM to follow, or undefined while none is needed. */
   chooseSource(): { id: string; address: string } | undefined;
-  /** Whether the source is still the right one to follow. */
+  /** Whether to continue following the source; checked before each ping. */
   shouldKeepSource(id: string): boolean;
   open(address: string, listener: FollowListener): FollowStream;
   onSuccess(id: string): void;
   onFailure(id: string, reason: Exclude<EndReason, 'notNeeded'>): void;
-  /** Told the monotonic times that an update proves; -Infinity when it proves none. */
+  /** Receives the monotonic times proven by an update; -Infinity where it proves none. */
   onConfirmed(confirmedAtMs: number, outageAtMs: number): void;
   nowMs(): number;
 }
@@ -34,7 +34,7 @@
 const MAX_CONFIRMATION_AGE_MS = 2_500;
 const IDLE_DELAY_MS = 100;
 const MAX_JITTER_MS = 100;
-/** Pings whose sending times are kept. */
+/** Number of latest pings whose send times are kept. */
 const MAX_TRACKED_PINGS = 32;
 
 const toEntries = (update: ConfigurationUpdate): ConfigurationEntry[] =>
@@ -44,7 +44,7 @@
     valueJson: deleted ? undefined : valueJson,
   }));
 
-/** Keeps the configuration up to date from another VM, and from a further one when that fails. */
+/** Keeps the configuration up to date from another VM; after a failure it chooses a source again. */
 const createPeerFollower = (options: PeerFollowerOptions) => {
   const { vm, state, nowMs } = options;
   let isStopped = false;
@@ -71,7 +71,7 @@
         resolve(reason);
       };
 
-      /** An age was stated after the echoed ping was sent, so it is counted from then. */
+      /** The age was determined after the echoed ping was sent, so subtracting it from that time is safe. */
       const computeProvenAtMs = (update: ConfigurationUpdate, ageMs: number): number => {
         const echoedPingSentAtMs = pingSentAtMs.get(update.ping);
         return echoedPingSentAtMs === undefined || ageMs < 0
@@ -138,7 +138,7 @@
     start: (): void => {
       run();
     },
-    /** Id of the VM that is followed now. */
+    /** Id of the VM being followed; undefined while there is none. */
     source: () => sourceId,
     stop: (): void => {
       isStopped = true;
--- a/packages/auburngrade/src/configuration/createPlatformFollower.ts
+++ b/packages/auburngrade/src/configuration/createPlatformFollower.ts
@@ -7,23 +7,23 @@
   platform: Platform;
   state: ConfigurationState;
   timeoutMs: number;
-  /** Whether this VM is to watch the platform itself. */
+  /** Whether this VM should watch the platform itself. */
   isNeeded(): boolean;
   nowMs(): number;
   logger: Logger;
 }
 
 const PREFIXES = ['/auburngrade/', '/platform/vms/'];
-/** A prefix without keys: reading it gives the platform's present revision. */
+/** A prefix without keys; reading it returns only the platform's current revision. */
 const PROBE_PREFIX = '/auburngrade-revision/';
 const PROBE_INTERVAL_MS = 1_000;
-/** A watch that stays behind the platform's revision for longer is replaced. */
+/** A watch that lags behind the platform's revision for longer than this is restarted. */
 const WATCH_LAG_TIMEOUT_MS = 2_000;
 const IDLE_DELAY_MS = 100;
 const FIRST_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2_000;
 
-/** Keeps a configuration state up to date from the platform: a read, then a watch, again after each end. */
+/** Keeps the configuration up to date from the platform: a full read, then watches; restarts when one ends. */
 const createPlatformFollower = (options: PlatformFollowerOptions) => {
   const { platform, state, timeoutMs, nowMs, logger } = options;
   let isStopped = false;
@@ -38,7 +38,7 @@
     retryDelayMs = FIRST_RETRY_DELAY_MS;
   };
 
-  /** A probe confirms the state as of its asking once every change up to its revision is known. */
+  /** A probe confirms the state at its start time once every change up to its revision is known. */
   const confirmProbes = (): void => {
     const confirmed = probes.filter(({ revision }) => revision <= state.revision());
     probes = probes.filter(({ revision }) => revision > state.revision());
@@ -64,16 +64,16 @@
     const askedAtMs = nowMs();
     const { revision } = await platform.range(PROBE_PREFIX, timeoutMs);
     recordReached();
-    if (revision < state.revision()) throw new Error(`platform went back to revision ${revision}`);
+    if (revision < state.revision()) throw new Error(`platform revision went back to ${revision}`);
     probes.push({ askedAtMs, revision });
     confirmProbes();
     const [oldest] = probes;
     if (oldest && nowMs() - oldest.askedAtMs > WATCH_LAG_TIMEOUT_MS) {
-      throw new Error('the watch is behind the platform');
+      throw new Error('a watch lags behind the platform revision');
     }
   };
 
-  /** Follows both prefixes; the state is complete up to the lower of their revisions. */
+  /** Watches both prefixes until one ends; the state is complete up to the lower of their revisions. */
   const watchAll = (fromRevision: number): Promise<string> =>
     new Promise((resolve) => {
       const revisions = new Map(PREFIXES.map((prefix) => [prefix, fromRevision]));
@@ -91,7 +91,7 @@
       };
       const scheduleProbe = (): void => {
         timer = setTimeout(() => {
-          if (!options.isNeeded()) end('no longer a relay');
+          if (!options.isNeeded()) end('this VM is no longer a relay');
           else runProbe().then(scheduleProbe, (error: Error) => end(error.message));
         }, PROBE_INTERVAL_MS);
       };
@@ -136,9 +136,9 @@
     start: (): void => {
       run();
     },
-    /** Monotonic time at which the platform confirmed the known revision. */
+    /** Monotonic time at which the platform last confirmed the known revision. */
     confirmedAtMs: () => confirmedAtMs,
-    /** Monotonic time of the last answer of the platform. */
+    /** Monotonic time of the platform's last reply. */
     reachedAtMs: () => reachedAtMs,
     stop: (): void => {
       isStopped = true;
--- a/packages/auburngrade/src/configuration/createRefusedChange.ts
+++ b/packages/auburngrade/src/configuration/createRefusedChange.ts
@@ -1,6 +1,6 @@
 import type { Change } from '@auburngrade/operator';
 
-/** A change that had no effect. */
+/** Creates the reply to a change that was refused and had no effect. */
 const createRefusedChange = (code: string, message: string): Change => ({
   verdict: 'notRun',
   revision: 0,
--- a/packages/auburngrade/src/configuration/findUnknownReferences.ts
+++ b/packages/auburngrade/src/configuration/findUnknownReferences.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationState, DocumentKind, Profile } from '@auburngrade/coordination';
 
-/** Names in a profile that no document bears yet; the profile is accepted with a warning. */
+/** Lists accounts and groups that a profile names but that do not exist yet; callers only warn. */
 const findUnknownReferences = (
   configuration: ConfigurationState,
   kind: DocumentKind,
--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -25,7 +25,7 @@
   settings: Settings;
   configuration: ConfigurationState;
   groups: GroupRegistry;
-  termRecordInitialiser: ReturnType<typeof createTermKeeper>;
+  terms: ReturnType<typeof createTermKeeper>;
   membership: Membership;
   peers: PeerRegistry;
   leavingNotices: ReturnType<typeof createLeavingNotices>;
@@ -35,14 +35,14 @@
   nowMs(): number;
 }
 
-/** The way of an admitted statement or transaction to an endpoint, here or through another VM. */
+/** Runs admitted statements and transactions on endpoints, from this VM or through another. */
 const createStatementService = (options: StatementServiceOptions) => {
   const {
     settings,
     configuration,
     groups,
-    termRecordInitialiser: terms,
-    leavingNotices: notices,
+    terms: termRecordInitialiser,
+    leavingNotices,
     metrics,
     nowMs,
   } = options;
@@ -59,7 +59,7 @@
   const getGroupClient = async (request: TransactionRequest): Promise<GroupHolder> => {
     await options.awaitConfiguration(request.deadlineAtMs);
     const groupClient = groups.get(request.group);
-    await terms.ensureRecord(groupClient);
+    await termRecordInitialiser.ensureRecord(groupClient);
     if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
     return withKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
   };
@@ -87,8 +87,8 @@
     membership: options.membership,
     peers: options.peers,
     hasGroup: (name) => configuration.get('group', name) !== undefined,
-    leaving: notices.leaving,
-    markLeaving: notices.add,
+    leaving: leavingNotices.leaving,
+    markLeaving: leavingNotices.add,
     executeLocally,
     beginLocally: transactions.begin,
     metrics: createRoutingMetrics(metrics.registry),
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -32,7 +32,7 @@
 import limitHeap from './limitHeap';
 import startServers from './startServers';
 
-/** Starts a VM's daemon; resolves with the function that shuts it down. */
+/** Starts a VM's daemon; resolves with a function that drains work and shuts the daemon down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
   const logger = createLogger(settings);
@@ -115,10 +115,10 @@
     settings,
     configuration,
     groups,
-    termRecordInitialiser,
+    terms: termRecordInitialiser,
     membership,
     peers: peerRegistry,
-    leavingNotices: leavingNotices,
+    leavingNotices,
     recheckKey: authenticator.recheck,
     awaitConfiguration: configurationWaiter.wait,
     metrics,
--- a/packages/auburngrade/src/daemon/startServers.ts
+++ b/packages/auburngrade/src/daemon/startServers.ts
@@ -23,13 +23,13 @@
   operatorHandler: OperatorHandler;
 }
 
-/** Time for the last answers to leave once all work has ended. */
+/** Time for the last replies to be sent after all work has ended. */
 const SERVER_STOP_GRACE_MS = 500;
-/** Statements up to this much over the limit get a refusal that names it. */
+/** Statements over the limit by up to this much still reach the check, whose refusal names the limit. */
 const MESSAGE_MARGIN_BYTES = 4_194_304;
 const UNLIMITED_MESSAGE_BYTES = -1;
 
-/** Opens the ports of a daemon. */
+/** Starts the gRPC and HTTP servers of a daemon. */
 const startServers = async (options: ServersOptions) => {
   const { settings, tls, callerHandler, peerHandler, operatorHandler } = options;
   const httpServer = startHttpServer(
@@ -66,7 +66,7 @@
   ]);
 
   return {
-    /** Closes all ports but the one for metrics and health, once their last answers have left. */
+    /** Stops the gRPC servers once their last replies are sent; metrics and health stay available. */
     stop: async (): Promise<void> => {
       endFollowSessions();
       await Promise.all(servers.map((server) => stopServer(server, SERVER_STOP_GRACE_MS)));
--- a/packages/auburngrade/src/explain/explainRequest.ts
+++ b/packages/auburngrade/src/explain/explainRequest.ts
@@ -1,8 +1,8 @@
 import type LogLine from './logLine';
 
-/** What a VM believed at the time of a request was decided by changes this long before at most. */
+/** State changes up to this long before a request count as its context. */
 const CONTEXT_PERIOD_MS = 15_000;
-/** Changes of belief that decide what becomes of requests, by the first word of the event. */
+/** Events whose state changes affect the outcome of requests, by the first word of the event name. */
 const CONTEXT_EVENT_PREFIXES = [
   'group',
   'primary',
@@ -15,9 +15,9 @@
 ];
 
 interface Explanation {
-  /** The lines that name the request, in order. */
+  /** Lines that name the request, in chronological order. */
   life: LogLine[];
-  /** Changes before it of what the VMs in question believed of its group, in order. */
+  /** State changes that may have affected the request, in chronological order. */
   context: LogLine[];
 }
 
@@ -27,8 +27,8 @@
   CONTEXT_EVENT_PREFIXES.includes(event.split('.')[0] ?? '');
 
 /**
- * Puts the life of one request together from the logs of several VMs: its own lines, and the changes
- * of belief before it on the VMs that decided, of its group or of no group in particular.
+ * Collects the log lines of one request from the logs of several VMs, and the state changes before
+ * and during it: those of its groups on any VM, and those without a group on the VMs that logged it.
  */
 const explainRequest = (lines: readonly LogLine[], request: string): Explanation => {
   const life = lines.filter((line) => line.request === request).sort(compareTime);
--- a/packages/auburngrade/src/log/openStandardOutput.ts
+++ b/packages/auburngrade/src/log/openStandardOutput.ts
@@ -1,13 +1,13 @@
 import { fstatSync } from 'node:fs';
 import { Socket } from 'node:net';
 
-/** Lines that wait for a slow reader; more are dropped and counted. */
+/** Bytes buffered for a slow reader; lines beyond it are dropped. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
 const STDOUT_FD = 1;
 
 /**
- * Writes lines to standard output without ever blocking: a pipe whose reader stopped would hold up
- * the whole process otherwise. Returns false for a line that was dropped.
+ * Returns a function that writes a line to standard output without blocking; otherwise a pipe whose
+ * reader has stopped would block the whole process. It returns false for a dropped line.
  */
 const openStandardOutput = (): ((line: string) => boolean) => {
   const stats = fstatSync(STDOUT_FD);
@@ -15,7 +15,7 @@
     stats.isFIFO() || stats.isSocket()
       ? new Socket({ fd: STDOUT_FD, readable: false, writable: true })
       : process.stdout;
-  // The reader went away: there is nobody left to tell.
+  // The reader has closed the pipe, so the error cannot be logged.
   stream.on('error', () => undefined);
   return (line) => {
     if (stream.writableLength > MAX_BUFFERED_BYTES || stream.destroyed) return false;
--- a/packages/auburngrade/src/metrics/createMetrics.ts
+++ b/packages/auburngrade/src/metrics/createMetrics.ts
@@ -1,10 +1,10 @@
 import { Counter, Registry, collectDefaultMetrics } from 'prom-client';
 import createRequestMetrics from './createRequestMetrics';
 
-/** The library's default of 10 ms wakes an idle process 100 times a second. */
+/** prom-client's default of 10 ms wakes an idle process 100 times a second. */
 const EVENT_LOOP_SAMPLE_INTERVAL_MS = 100;
 
-/** Creates the metrics of a daemon. */
+/** Creates the registry and the metrics of a daemon. */
 const createMetrics = () => {
   const registry = new Registry();
   collectDefaultMetrics({
--- a/packages/auburngrade/src/serving/checkRequest.ts
+++ b/packages/auburngrade/src/serving/checkRequest.ts
@@ -11,7 +11,7 @@
 const REQUEST_ID_PATTERN = /^[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}$/;
 
 /**
- * Checks what statements and transactions have in common.
+ * Checks the fields that statements and transactions have in common.
  * @throws RefusalError `badRequest` or `badDeadline`
  */
 const checkRequest = (request: CheckedRequest, { requests }: Settings): void => {
@@ -20,7 +20,7 @@
     throw notRun('badRequest', 'access_mode must be READ or WRITE');
   }
   if (timeoutMs < 1 || timeoutMs > requests.maxTimeoutMs) {
-    throw notRun('badDeadline', `timeout_ms must lie between 1 and ${requests.maxTimeoutMs}`);
+    throw notRun('badDeadline', `timeout_ms must be between 1 and ${requests.maxTimeoutMs}`);
   }
   if (requestId !== '' && !REQUEST_ID_PATTERN.test(requestId)) {
     throw notRun('badRequest', 'request_id must be a lower-case UUID');
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -30,11 +30,11 @@
   admission: Admission;
   execute(request: StatementRequest): Promise<StatementOutcome>;
   begin(request: TransactionRequest): Promise<Transaction>;
-  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
-  /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
+  /** Waits until this VM has loaded its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
-  /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
+  /** Calls `recheck` whenever keys may have changed; returns a function that unsubscribes. */
   onKeysChanged(recheck: () => void): () => void;
   metrics: Metrics;
   nowMs(): number;
@@ -105,7 +105,7 @@
   }
 }
 
-/** Creates what the VM does for its callers: check, authenticate, admit, run, answer. */
+/** Creates the handler of callers' requests: validates, authenticates, admits, runs and replies. */
 const createCallerHandler = (options: CallerHandlerOptions): CallerHandler =>
   new DaemonCallerHandler(options);
 
--- a/packages/auburngrade/src/serving/createConfigurationWaiter.ts
+++ b/packages/auburngrade/src/serving/createConfigurationWaiter.ts
@@ -2,7 +2,7 @@
 
 const RETRY_AFTER_MS = 500;
 
-/** Holds requests to a VM that has just started back until it has its configuration. */
+/** Delays requests on a newly started VM until its configuration is loaded. */
 const createConfigurationWaiter = (configuration: ConfigurationState, nowMs: () => number) => {
   const isLoaded = (): boolean => configuration.revision() > 0;
 
@@ -19,7 +19,7 @@
 
   return {
     isLoaded,
-    /** @throws RefusalError `configurationMissing` when none came before the deadline. */
+    /** @throws RefusalError `configurationMissing` if none is loaded by the deadline. */
     wait: async (deadlineAtMs: number): Promise<void> => {
       while (!isLoaded() && nowMs() < deadlineAtMs) await waitForChange(deadlineAtMs - nowMs());
       if (isLoaded()) return;
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -25,9 +25,9 @@
 interface OperatorHandlerOptions {
   configuration: ConfigurationState;
   writer: ReturnType<typeof createDocumentWriter>;
-  /** Makes a confirmed withdrawal known; resolves with what is to be told about when it is in force. */
+  /** Notifies other VMs of a stored withdrawal; resolves with the message on when it takes effect. */
   announceWithdrawal(revision: number): Promise<string>;
-  /** Describes this VM's state for `status`. */
+  /** Returns this VM's state for the `status` reply. */
   describeVm(): Record<string, unknown>;
 }
 
@@ -49,7 +49,7 @@
   }
 };
 
-/** Turns a refusal that was thrown into the reply. */
+/** Converts a thrown refusal into the reply. */
 const toChange = async (run: () => Promise<Change>): Promise<Change> => {
   try {
     return await run();
@@ -67,9 +67,15 @@
   override async put(request: PutDocument): Promise<Change> {
     const { kind, name, bodyJson, expectedRevision, changeId } = request;
     if (!isWritableKind(kind))
-      return createRefusedChange('badRequest', `no documents of kind ${kind}`);
+      return createRefusedChange(
+        'badRequest',
+        `documents of kind ${kind} do not exist or are read-only`,
+      );
     if (!nameSchema.safeParse(name).success || changeId.length > MAX_CHANGE_ID_CHARS) {
-      return createRefusedChange('badRequest', 'the name or the change id is malformed');
+      return createRefusedChange(
+        'badRequest',
+        'the document name is malformed or the change id is too long',
+      );
     }
     const parsed = documentKinds[kind].schema.safeParse(parseJson(bodyJson));
     if (!parsed.success) {
@@ -85,13 +91,16 @@
     );
     const missing = findUnknownReferences(configuration, kind, document);
     if (change.verdict !== 'ran' || missing.length === 0) return change;
-    return { ...change, message: `not known yet: ${missing.join(', ')}` };
+    return { ...change, message: `referenced but not defined yet: ${missing.join(', ')}` };
   }
 
   override async delete(request: DeleteDocument): Promise<Change> {
     const { kind, name, expectedRevision, changeId } = request;
     if (!isWritableKind(kind))
-      return createRefusedChange('badRequest', `no documents of kind ${kind}`);
+      return createRefusedChange(
+        'badRequest',
+        `documents of kind ${kind} do not exist or are read-only`,
+      );
     const { writer } = this.options;
     return toChange(() =>
       writer.write({ kind, name, document: undefined, expectedRevision, changeId }),
@@ -117,7 +126,7 @@
     const { writer } = this.options;
     const change = await toChange(async () => {
       if (!(await writer.read('account', account))) {
-        return createRefusedChange('badRequest', `no client account ${account}`);
+        return createRefusedChange('badRequest', `client account ${account} does not exist`);
       }
       const document = { account, withdrawn: false };
       return writer.write({ kind: 'key', name, document, expectedRevision: 0, changeId });
@@ -132,7 +141,10 @@
 
   override async withdrawKey({ keyId, changeId }: WithdrawKeyRequest): Promise<Change> {
     if (!KEY_ID_PATTERN.test(keyId))
-      return createRefusedChange('badRequest', 'the key id is malformed');
+      return createRefusedChange(
+        'badRequest',
+        'the key id must be 16 to 64 lower-case hexadecimal digits',
+      );
     const { writer, announceWithdrawal } = this.options;
     const change = await toChange(async () => {
       const { hash, document, revision } = await writer.findKey(keyId);
@@ -153,7 +165,7 @@
   }
 }
 
-/** Creates what the VM does for operators. */
+/** Creates the handler of operators' requests: documents, keys and status. */
 const createOperatorHandler = (options: OperatorHandlerOptions): OperatorHandler =>
   new DaemonOperatorHandler(options);
 
--- a/packages/auburngrade/src/serving/toOutcome.ts
+++ b/packages/auburngrade/src/serving/toOutcome.ts
@@ -6,7 +6,7 @@
 type RequestResult =
   { kind: 'ran'; outcome: StatementOutcome } | { kind: 'refused'; refusal: Refusal };
 
-/** Builds the message that a caller gets. `sessionToken` is returned unchanged with a refusal. */
+/** Builds the reply to a caller. A refusal returns `sessionToken` unchanged. */
 const toOutcome = (requestId: string, sessionToken: string, result: RequestResult): Outcome => {
   if (result.kind === 'refused') {
     const { verdict, code, message, retryAfterMs } = result.refusal;
--- a/packages/auburngrade/src/shutdown/createLeavingNotices.ts
+++ b/packages/auburngrade/src/shutdown/createLeavingNotices.ts
@@ -11,20 +11,20 @@
 }
 
 const LEAVING_KIND = 'leaving';
-/** A VM that was restarted under the same name is used again after this time. */
+/** Retention of a notice; a VM restarted under the same name is used again after it. */
 const LEAVING_RETENTION_MS = 15_000;
 const NOTICE_TIMEOUT_MS = 500;
-/** Bounds the cost in a large fleet; VMs beyond it learn of the shutdown from a refusal. */
+/** Bounds the cost in a large fleet; the other VMs learn of the shutdown from a refusal. */
 const MAX_NOTICES = 64;
 
-/** Tells other VMs of this one's shutdown, and remembers which others shut down. */
+/** Notifies other VMs of this one's shutdown and keeps track of the VMs that are shutting down. */
 const createLeavingNotices = (options: LeavingNoticesOptions) => {
   const { vm, membership, send, nowMs } = options;
   const leavingVms = createRecentFailures(LEAVING_RETENTION_MS, nowMs);
 
   return {
     kind: LEAVING_KIND,
-    /** Answers another VM's notice. */
+    /** Records another VM's notice; the reply is empty. */
     receive: async (_fromVm: string, body: unknown): Promise<unknown> => {
       leavingVms.add(leavingMessageSchema.parse(body).vm);
       return {};
--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -6,7 +6,7 @@
   groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
 }
 
-/** Adds what a VM on the platform is and does now to its metrics. */
+/** Registers gauges for sessions, configuration version and group load of a VM on the platform. */
 const addSiteGauges = (registry: Registry, readings: VmReadings): void => {
   const registers = [registry];
   const gauge = (name: string, help: string, read: () => number): void => {
--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -18,7 +18,7 @@
 
 const INCARNATION_BYTES = 6;
 
-/** Runs a VM of the proxy on the platform whose settings file the environment names. */
+/** Runs a VM of the proxy on the platform; AUBURNGRADE_NODE_FILE names its settings file. */
 const main = async (): Promise<void> => {
   const settingsPath = process.env.AUBURNGRADE_NODE_FILE;
   if (settingsPath === undefined) throw new Error('AUBURNGRADE_NODE_FILE is not set');
--- a/packages/auburngrade/src/site/observeStatement.ts
+++ b/packages/auburngrade/src/site/observeStatement.ts
@@ -2,10 +2,10 @@
 import type createRequestMetrics from '../metrics/createRequestMetrics';
 
 const MS_PER_S = 1_000;
-/** Refusals that do not promise that the statement had no effect. */
+/** Refusal codes after which the statement may have taken effect. */
 const UNCERTAIN_CODES: ReadonlySet<string> = new Set(['inDoubt', 'failed', 'timedOut']);
 
-/** Counts a statement under the names that the product's own interfaces use; a database is a profile. */
+/** Records a statement in the request metrics; the database is reported as the profile. */
 const observeStatement = (
   { requests, latencyS }: ReturnType<typeof createRequestMetrics>,
   { database, account, isInTransaction, result, tookMs }: StatementObservation,
--- a/packages/auburngrade/src/time/answerWithin.ts
+++ b/packages/auburngrade/src/time/answerWithin.ts
@@ -1,4 +1,4 @@
-/** Resolves with what the work gives, or with false when that takes longer than `waitMs`. */
+/** Resolves with the result of `work`, or with false if that takes longer than `waitMs`. */
 const answerWithin = (waitMs: number, work: Promise<boolean>): Promise<boolean> =>
   new Promise((resolve, reject) => {
     const timer = setTimeout(() => resolve(false), Math.max(0, waitMs));
--- a/packages/auburngrade/src/tls/loadTls.ts
+++ b/packages/auburngrade/src/tls/loadTls.ts
@@ -7,7 +7,7 @@
 type ServerTls = Exclude<Settings['tls']['callers'], 'plain'>;
 type MutualTls = Exclude<Settings['tls']['vms'], 'plain'>;
 
-/** Credentials of a daemon's servers, and of its calls to other VMs. */
+/** Credentials of a daemon's servers and of its connections to other VMs. */
 interface Tls {
   callers: ServerCredentials;
   operators: ServerCredentials;
@@ -50,7 +50,7 @@
         },
   );
 
-/** Reads the files that the TLS settings name. @throws Error that names the setting and the file. */
+/** Reads the TLS files named in the settings. @throws Error with the setting and the file */
 const loadTls = ({ tls }: Pick<Settings, 'tls'>, logger: Logger): Tls => {
   const { callers, operators, vms } = tls;
   const plainConnections = Object.entries(tls).filter(([, value]) => value === 'plain');
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -12,7 +12,7 @@
 
 interface ForwardedTransactionOptions {
   begin(request: TransactionRequest): Promise<Transaction>;
-  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
   vm: string;
   nowMs(): number;
@@ -29,7 +29,7 @@
   deadlineAtMs: nowMs + begin.timeoutMs,
 });
 
-/** Serves one transaction that another VM admitted and forwards step by step. */
+/** Serves one transaction that another VM has admitted and forwards step by step. */
 const createForwardedTransaction = ({
   begin,
   beginWork,
--- a/packages/auburngrade/src/transactions/createKeyRecheckScheduler.ts
+++ b/packages/auburngrade/src/transactions/createKeyRecheckScheduler.ts
@@ -1,12 +1,12 @@
 import { documentKinds, type ConfigurationState } from '@auburngrade/coordination';
 
 /**
- * Also without a change of configuration a key may cease to be vouched for, 4.5 s after the last
- * confirmation; the rest of 5 s is for the check.
+ * Without any configuration change, keys stop being accepted 4.5 s after the last confirmation.
+ * Work must end within 5 s, which leaves 500 ms for the recheck.
  */
 const RECHECK_INTERVAL_MS = 400;
 
-/** Gives the function by which an idle transaction or a waiting request has its key checked. */
+/** Returns a function with which idle transactions and waiting requests subscribe to key rechecks. */
 const createKeyRecheckScheduler = (configuration: ConfigurationState) => {
   const rechecks = new Set<() => void>();
   const recheckAll = (): void => rechecks.forEach((recheck) => recheck());
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -30,14 +30,14 @@
   request: TransactionRequest;
   plan: ReadPlan;
   pooledConnection: PooledConnection;
-  /** Resolves once an answer to what was sent at this time may be given. */
+  /** Resolves once the result of a statement sent at this time may be returned. */
   confirmResult(sentAtMs: number): Promise<void>;
   outcomeLookup: ReturnType<typeof createOutcomeLookup>;
   onEnd(): void;
   nowMs(): number;
 }
 
-/** A connection that went silent is given up so early that another can be tried. */
+/** Short, so that after a begin on an unresponsive connection another one can be tried. */
 const BEGIN_TIMEOUT_MS = 1_000;
 const ROLLBACK_TIMEOUT_MS = 1_000;
 const FAILED_TRANSACTION_SQLSTATE = '25P02';
@@ -47,7 +47,7 @@
 const ROLLBACK_RESULT: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
 const COMMIT_RESULT: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
 
-/** A transaction's id is recorded like that of a statement; its text is the same for all. */
+/** The record of a transaction has the same form as that of a statement, with COMMIT as its text. */
 const toCommitStatement = (request: TransactionRequest): StatementRequest => ({
   ...request,
   sql: 'COMMIT',
@@ -87,7 +87,10 @@
   override async run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
     this.assertOpen();
     if (isSessionControl(sql)) {
-      throw notRun('badRequest', 'a statement may not control the transaction or the session');
+      throw notRun(
+        'badRequest',
+        'the statement is a transaction or session control command, which is not allowed',
+      );
     }
     const { pooledConnection, plan, confirmResult, nowMs } = this.options;
     const sentAtMs = nowMs();
@@ -98,7 +101,7 @@
         pooledConnection.connection.query(text, parameters, timeoutMs),
       );
       await confirmResult(sentAtMs);
-      return this.createOutcome(rows);
+      return this.outcome(rows);
     } catch (error) {
       if (!pooledConnection.connection.isUsable()) this.abort();
       throw this.toStatementRefusal(error, false);
@@ -121,7 +124,7 @@
       if (!request.write || this.isCommitExcluded(error)) throw this.toCommitRefusal(error);
       return outcomeLookup.resolve(groupClient, toCommitStatement(request));
     }
-    if (!request.write) return this.createOutcome(COMMIT_RESULT);
+    if (!request.write) return this.outcome(COMMIT_RESULT);
     const { sessionToken, group, deadlineAtMs } = request;
     const isAcknowledged = await groupClient.waitAcknowledged(
       plan.term,
@@ -131,18 +134,18 @@
     );
     if (!isAcknowledged) return outcomeLookup.resolve(groupClient, toCommitStatement(request));
     const token = advanceSessionToken(sessionToken, group, plan.term, position);
-    return { ...this.createOutcome(COMMIT_RESULT), sessionToken: token };
+    return { ...this.outcome(COMMIT_RESULT), sessionToken: token };
   }
 
   override async rollback(): Promise<StatementOutcome> {
     this.assertOpen();
     this.abort();
-    return this.createOutcome(ROLLBACK_RESULT);
+    return this.outcome(ROLLBACK_RESULT);
   }
 
   /**
-   * A connection with a statement still running is closed; else it is rolled back and kept.
-   * A commit that was sent runs on to its end or its deadline.
+   * Closes the connection if a statement is still running on it; otherwise rolls back and
+   * releases it. A commit that has been sent continues until it is answered or times out.
    */
   override abort(): void {
     if (this.hasEnded || this.isCommitting) return;
@@ -194,13 +197,13 @@
     return Math.max(1, this.options.request.deadlineAtMs - this.options.nowMs());
   }
 
-  private createOutcome(rows: QueryResult): StatementOutcome {
+  private outcome(rows: QueryResult): StatementOutcome {
     const { vm, request, plan } = this.options;
     const servedBy = { vm, endpoint: plan.member, role: plan.role };
     return { rows, sessionToken: request.sessionToken, servedBy };
   }
 
-  /** Before the commit is sent nothing of the transaction can take effect. */
+  /** Always `notRun`: nothing in the transaction can take effect before the commit is sent. */
   private toStatementRefusal(error: unknown, isBegin: boolean): unknown {
     if (!(error instanceof EndpointError)) return error;
     if (error.sqlState === STALE_TERM_SQLSTATE) {
@@ -211,7 +214,7 @@
     return notRun('transactionAborted', error.message);
   }
 
-  /** Whether the endpoint certainly did not commit: it answered so, or was never asked. */
+  /** Whether the endpoint certainly did not commit: it returned an error, or the commit was not sent. */
   private isCommitExcluded(error: unknown): boolean {
     return (
       error instanceof EndpointError &&
@@ -223,10 +226,13 @@
     const isFailed =
       error instanceof EndpointError && error.sqlState === FAILED_TRANSACTION_SQLSTATE;
     const message = error instanceof Error ? error.message : String(error);
-    return notRun('transactionAborted', isFailed ? 'a statement had failed' : message);
+    return notRun(
+      'transactionAborted',
+      isFailed ? 'an earlier statement of the transaction failed' : message,
+    );
   }
 
-  /** The status comes without a term, so that a fence after the commit can't hide its success. */
+  /** The status query carries no term, so that a fence set after the commit cannot hide its success. */
   private buildCommitSql(): string {
     const { request, plan } = this.options;
     const result = quoteLiteral(JSON.stringify(COMMIT_RESULT));
@@ -242,15 +248,18 @@
     return status.position;
   }
 
-  /** Says what became of an earlier transaction with the same request id. */
+  /** Rejects with the outcome of the earlier transaction that has the same request id. */
   private async rejectDuplicate(): Promise<never> {
     const { outcomeLookup, groupClient, request } = this.options;
     await outcomeLookup.resolve(groupClient, toCommitStatement(request));
-    throw mayHaveRun('duplicateRequest', 'a transaction of this request id has committed');
+    throw mayHaveRun(
+      'duplicateRequest',
+      'a transaction with this request id has already committed',
+    );
   }
 }
 
-/** Begins a transaction on a connection that is its own until it ends. @throws RefusalError */
+/** Begins a transaction that keeps its connection checked out until it ends. @throws RefusalError */
 const createLocalTransaction = async (options: LocalTransactionOptions): Promise<Transaction> => {
   const transaction = new LocalTransaction(options);
   await transaction.begin();
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -8,7 +8,7 @@
 
 interface LocalTransactionsOptions {
   vm: string;
-  /** The group's holder, ready to take statements. */
+  /** Returns the client of the request's group once it can run statements. @throws RefusalError */
   getGroupClient(request: TransactionRequest): Promise<GroupHolder>;
   reads: Pick<ReturnType<typeof createReadExecutor>, 'plan' | 'confirm'>;
   nowMs(): number;
@@ -28,7 +28,7 @@
   };
 };
 
-/** The interactive transactions that run on this VM's own connections. */
+/** Begins and tracks the interactive transactions that run on this VM's own connections. */
 const createLocalTransactions = ({
   vm,
   getGroupClient,
@@ -74,7 +74,7 @@
       return transaction;
     },
     openCount: () => openTransactions.size,
-    /** Rolls back all that are open. */
+    /** Rolls back all open transactions. */
     abortAll: (): void => openTransactions.forEach((transaction) => transaction.abort()),
   };
 };
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -15,14 +15,17 @@
 type StepBody = NonNullable<ForwardedStep['body']>;
 
 const toStreamLostRefusal = (error: Error): RefusalError =>
-  notRun('transactionAborted', `the stream to the holder was lost: ${error.message}`);
+  notRun(
+    'transactionAborted',
+    `the stream to the VM that runs the transaction was lost: ${error.message}`,
+  );
 
 class RemoteTransaction extends Transaction {
   constructor(private readonly stream: RemoteStream) {
     super();
   }
 
-  /** A lost begin has no effect: without its stream the other VM rolls back. */
+  /** A begin whose reply is lost has no effect: the other VM rolls back when the stream closes. */
   begin(request: TransactionRequest, timeoutMs: number): Promise<StatementOutcome> {
     const begin = {
       account: request.account ?? '',
@@ -35,18 +38,18 @@
       timeoutMs,
     };
     const refuse = (error: Error): RefusalError => notRun('peerUnreachable', error.message);
-    return this.runStep({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
+    return this.step({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
   }
 
   override run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
     const wireParameters = parameters.map((text) => ({ text: text ?? undefined }));
     const statement = { sql, parameters: wireParameters };
-    return this.runStep({ $case: 'statement', statement }, toStreamLostRefusal);
+    return this.step({ $case: 'statement', statement }, toStreamLostRefusal);
   }
 
   override async commit(): Promise<StatementOutcome> {
     const wasStreamOpen = !this.stream.isLost();
-    const outcome = await this.runStep({ $case: 'commit', commit: {} }, (error) =>
+    const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
       !wasStreamOpen || isNeverSent(error)
         ? toStreamLostRefusal(error)
         : mayHaveRun('outcomeUnknown', error.message),
@@ -56,7 +59,7 @@
   }
 
   override async rollback(): Promise<StatementOutcome> {
-    const outcome = await this.runStep({ $case: 'rollback', rollback: {} }, toStreamLostRefusal);
+    const outcome = await this.step({ $case: 'rollback', rollback: {} }, toStreamLostRefusal);
     this.stream.end();
     return outcome;
   }
@@ -65,7 +68,7 @@
     this.stream.cancel();
   }
 
-  private async runStep(
+  private async step(
     body: StepBody,
     refuse: (error: Error) => RefusalError,
     onSilent?: () => void,
@@ -80,7 +83,7 @@
   }
 }
 
-/** Begins a transaction on another VM. @throws RefusalError */
+/** Begins a transaction on another VM, over a stream of its own. @throws RefusalError */
 const createRemoteTransaction = async (
   client: RemoteVm,
   request: TransactionRequest,
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -31,11 +31,11 @@
   authenticator: ReturnType<typeof createAuthenticator>;
   admission: Admission;
   begin(request: TransactionRequest): Promise<Transaction>;
-  /** Refuses new transactions while the VM shuts down; else the work counts until `leave`. */
+  /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
-  /** Waits until this VM has its configuration. @throws RefusalError `configurationMissing` */
+  /** Waits until this VM has loaded its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
-  /** Calls `recheck` whenever keys may have changed; returns the function that stops it. */
+  /** Calls `recheck` whenever keys may have changed; returns a function that unsubscribes. */
   onKeysChanged(recheck: () => void): () => void;
   nowMs(): number;
 }
@@ -43,7 +43,7 @@
 interface OpenTransaction {
   transaction: Transaction;
   request: TransactionRequest;
-  /** Ends what belongs to the transaction on this VM. */
+  /** Stops the transaction's timer and key checks and ends its counted work. */
   close(): void;
 }
 
@@ -52,8 +52,8 @@
 const BEGIN_RESULT = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
 
 /**
- * Serves one interactive transaction of a caller. The key is checked again at each step and
- * whenever keys change, so that a withdrawn key also ends a transaction that is idle.
+ * Serves one interactive transaction of a caller. The key is rechecked at each step and
+ * whenever keys change, so that withdrawing a key also ends an idle transaction.
  */
 const createTransactionHandler = (
   options: TransactionHandlerOptions,
@@ -141,7 +141,7 @@
     statement: Extract<Body, { $case: 'statement' }>['statement'],
   ): Promise<StatementOutcome> => {
     checkStatement(statement, settings);
-    // The first statement is covered by what was admitted at the begin.
+    // The begin was admitted already and covers the first statement.
     if (hasRunStatement) {
       await admission.admit(request.account, request.profile, request.deadlineAtMs);
     }
