--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -112,14 +112,14 @@
     return `${resolved.host}:${resolved.port}`;
   };
 
-  /** Without a return, followers that failed over to a relay would overload it beyond its place in the tree. */
+  /** Otherwise followers that failed over to a relay would stay and exceed its share of the tree. */
   const isReturnDue = (current: string): boolean => {
     const [best] = listSources();
     const usableBest = best === undefined || peerHealth.hasFailed(best) ? undefined : best;
     return sourceReturn.isDue(current, usableBest, nowMs());
   };
 
-  const relayFollower = createPeerFollower({
+  const peerFollower = createPeerFollower({
     vm: settings.vm,
     state: configuration,
     chooseSource: () => {
@@ -157,7 +157,7 @@
   return {
     start: (): void => {
       platformFollower.start();
-      relayFollower.start();
+      peerFollower.start();
     },
     /** Monotonic time at which the platform last confirmed the known revision to this VM or its source. */
     confirmedAtMs,
@@ -168,12 +168,12 @@
     openFollowSession: feed.open,
     describe: () => ({
       isRelay: isPlatformNeeded(),
-      source: relayFollower.source() ?? null,
+      source: peerFollower.source() ?? null,
       followers: feed.followerCount(),
     }),
     stop: (): void => {
       platformFollower.stop();
-      relayFollower.stop();
+      peerFollower.stop();
     },
   };
 };
--- a/packages/auburngrade/src/transactions/createKeyRecheckScheduler.ts
+++ b/packages/auburngrade/src/transactions/createKeyRecheckScheduler.ts
@@ -2,7 +2,7 @@
 
 /**
  * Without any configuration change, keys stop being accepted 4.5 s after the last confirmation.
- * Work must end within 5 s, which leaves 500 ms for the recheck.
+ * The rest of the 5 s bound is for the recheck.
  */
 const RECHECK_INTERVAL_MS = 400;
 
