--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -14,15 +14,18 @@
 type RemoteStream = Awaited<ReturnType<RemoteVm['transact']>>;
 type StepBody = NonNullable<ForwardedStep['body']>;
 
-const lostBeforeCommit = (error: Error): RefusalError =>
-  notRun('transactionAborted', `the stream to the holder was lost: ${error.message}`);
+const toStreamLostRefusal = (error: Error): RefusalError =>
+  notRun(
+    'transactionAborted',
+    `the stream to the VM that runs the transaction was lost: ${error.message}`,
+  );
 
 class RemoteTransaction extends Transaction {
   constructor(private readonly stream: RemoteStream) {
     super();
   }
 
-  /** A lost begin has no effect: without its stream the other VM rolls back. */
+  /** A begin whose reply is lost has no effect: the other VM rolls back when the stream closes. */
   begin(request: TransactionRequest, timeoutMs: number): Promise<StatementOutcome> {
     const begin = {
       account: request.account ?? '',
@@ -39,16 +42,16 @@
   }
 
   override run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
-    const texts = parameters.map((text) => ({ text: text ?? undefined }));
-    const statement = { sql, parameters: texts };
-    return this.step({ $case: 'statement', statement }, lostBeforeCommit);
+    const wireParameters = parameters.map((text) => ({ text: text ?? undefined }));
+    const statement = { sql, parameters: wireParameters };
+    return this.step({ $case: 'statement', statement }, toStreamLostRefusal);
   }
 
   override async commit(): Promise<StatementOutcome> {
-    const isSent = !this.stream.isLost();
+    const wasStreamOpen = !this.stream.isLost();
     const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
-      !isSent || isNeverSent(error)
-        ? lostBeforeCommit(error)
+      !wasStreamOpen || isNeverSent(error)
+        ? toStreamLostRefusal(error)
         : mayHaveRun('outcomeUnknown', error.message),
     );
     this.stream.end();
@@ -56,7 +59,7 @@
   }
 
   override async rollback(): Promise<StatementOutcome> {
-    const outcome = await this.step({ $case: 'rollback', rollback: {} }, lostBeforeCommit);
+    const outcome = await this.step({ $case: 'rollback', rollback: {} }, toStreamLostRefusal);
     this.stream.end();
     return outcome;
   }
@@ -80,7 +83,7 @@
   }
 }
 
-/** Begins a transaction on another VM. @throws RefusalError */
+/** Begins a transaction on another VM, over a stream of its own. @throws RefusalError */
 const createRemoteTransaction = async (
   client: RemoteVm,
   request: TransactionRequest,
