--- a/packages/auburngrade/src/admission/createShareHandOver.ts
+++ b/packages/auburngrade/src/admission/createShareHandOver.ts
@@ -4,7 +4,7 @@
 import type createShareProtocol from './createShareProtocol';
 import type createShareRoles from './createShareRoles';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 interface ShareHandOverOptions {
   recordWriter: ReturnType<typeof createShareRecordWriter>;
--- a/packages/auburngrade/src/admission/createShareProtocol.ts
+++ b/packages/auburngrade/src/admission/createShareProtocol.ts
@@ -12,10 +12,10 @@
 import answerWithin from '../time/answerWithin';
 import type LeaseService from '../witness/leaseService';
 import type createShareRecordWriter from './createShareRecordWriter';
-import NO_KEEPER from './noKeeper';
+import NO_KEEPER from './noAllocator';
 import type createShareRoles from './createShareRoles';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 interface ShareProtocolOptions {
   vm: string;
--- a/packages/auburngrade/src/admission/createShareRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createShareRecordWriter.ts
@@ -6,9 +6,9 @@
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
-import NO_KEEPER from './noKeeper';
+import NO_KEEPER from './noAllocator';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 interface ShareRecordWriterOptions {
   vm: string;
--- a/packages/auburngrade/src/admission/createShareRoles.ts
+++ b/packages/auburngrade/src/admission/createShareRoles.ts
@@ -6,7 +6,7 @@
   type VmLease,
 } from '@auburngrade/coordination';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 interface ShareRolesOptions {
   vm: string;
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createShareService.ts
@@ -9,7 +9,7 @@
 import createShareMaintenance from './createShareMaintenance';
 import type ShareServiceOptions from './shareServiceOptions';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 const MAINTENANCE_INTERVAL_MS = 200;
 const UNKNOWN_SHARE_RETRY_MS = 1_000;
--- a/packages/auburngrade/src/admission/createTokenAcquirer.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.ts
@@ -4,7 +4,7 @@
 import type createShareProtocol from './createShareProtocol';
 import type createShareRoles from './createShareRoles';
 import type ShareState from './shareState';
-import updateShareState from './updateShareState';
+import updateShareState from './updateQuotaState';
 
 interface TokenAcquirerOptions {
   /** Longest wait of a request for tokens when all VMs asked have answered. */
