refactor: use the quota terms in admission

Files and symbols: createShare* -> createQuota*, ShareState -> QuotaState, findShareLimit -> findQuotaLimit, NO_KEEPER -> NO_ALLOCATOR, updateShareState -> updateQuotaState. Roles: keeper -> allocator, holder -> consumer (ShareState.holder -> QuotaState.consumer; the property keeper is an outer name and stays). Messages: sync -> report, protocol.sync -> reportInTurn. putBack -> refundToken, hasBeenHeld -> hasBeenValid, lapsed -> expired, listed -> registered.

--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -7,9 +7,9 @@
 import type SendMessage from '../membership/sendMessage';
 import type Admission from './admission';
 import createEqualPartsAdmission from './createEqualPartsAdmission';
-import createShareAdmission from './createShareAdmission';
-import createShareService from './createShareService';
-import findShareLimit from './findShareLimit';
+import createQuotaAdmission from './createQuotaAdmission';
+import createQuotaService from './createQuotaService';
+import findQuotaLimit from './findQuotaLimit';
 
 interface AdmissionOptions {
   settings: Settings;
@@ -24,7 +24,7 @@
   logger: Logger;
 }
 
-/** Creates the rate limiter of the configured mode, and its share and lease services. */
+/** Creates the rate limiter of the configured mode, and its quota and lease services. */
 const createAdmission = (options: AdmissionOptions) => {
   const { settings, configuration, vmCount, nowMs } = options;
   const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
@@ -35,30 +35,30 @@
     platformTimeoutMs: settings.platform.timeoutMs,
   };
   const leases = createLeaseService({ ...common, leaseMs: vmLeaseMs });
-  const shares = createShareService({
+  const quotas = createQuotaService({
     ...common,
     leases,
     leaseMs: shareLeaseMs,
     maxWaitMs,
     maxSilentWaitMs,
-    findLimit: (name) => findShareLimit(configuration, name),
+    findLimit: (name) => findQuotaLimit(configuration, name),
   });
   const admission: Admission =
     mode === 'shares'
-      ? createShareAdmission(configuration, shares)
+      ? createQuotaAdmission(configuration, quotas)
       : createEqualPartsAdmission(configuration, vmCount, nowMs);
   return {
     admission,
-    shares,
+    shares: quotas,
     leases,
-    messageHandlers: new Map([...shares.handlers, ...leases.messageHandlers]),
-    /** Whether this VM has held its lease since start-up; mode `equalParts` needs none. */
-    isReady: (): boolean => mode !== 'shares' || leases.hasBeenHeld(),
+    messageHandlers: new Map([...quotas.messageHandlers, ...leases.messageHandlers]),
+    /** Whether this VM's lease has been valid since start-up; mode `equalParts` needs none. */
+    isReady: (): boolean => mode !== 'shares' || leases.hasBeenValid(),
     start: (): void => {
-      if (mode === 'shares') leases.start(shares);
+      if (mode === 'shares') leases.start(quotas);
     },
     stop: (): void => {
-      shares.stop();
+      quotas.stop();
       leases.stop();
     },
   };
--- a/packages/auburngrade/src/admission/createShareAdmission.ts
+++ b/packages/auburngrade/src/admission/createQuotaAdmission.ts
@@ -1,15 +1,15 @@
 import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import type Admission from './admission';
-import type createShareService from './createShareService';
+import type createQuotaService from './createQuotaService';
 import PROFILE_SEPARATOR from './profileSeparator';
 
-/** Creates the rate limiter that spends this VM's share of each rate; shares follow demand. */
-const createShareAdmission = (
+/** Creates the rate limiter that uses this VM's quota units of each account; units follow demand. */
+const createQuotaAdmission = (
   configuration: ConfigurationState,
-  shares: ReturnType<typeof createShareService>,
+  quotas: ReturnType<typeof createQuotaService>,
 ): Admission => {
   const take = async (name: string, account: string, deadlineAtMs: number): Promise<void> => {
-    const shortage = await shares.take(name, deadlineAtMs);
+    const shortage = await quotas.take(name, deadlineAtMs);
     if (!shortage) return;
     const message =
       shortage.code === 'rateExceeded'
@@ -29,11 +29,11 @@
       try {
         await take(`${account}${PROFILE_SEPARATOR}${profileName}`, account, deadlineAtMs);
       } catch (error) {
-        shares.putBack(account);
+        quotas.refundToken(account);
         throw error;
       }
     },
   };
 };
 
-export default createShareAdmission;
+export default createQuotaAdmission;
--- a/packages/auburngrade/src/admission/createShareService.ts
+++ b/packages/auburngrade/src/admission/createQuotaService.ts
@@ -1,23 +1,23 @@
 import type { VmLease } from '@auburngrade/coordination';
-import createShareRecordWriter from './createShareRecordWriter';
+import createQuotaRecordWriter from './createQuotaRecordWriter';
 import createPauseDetector from './createPauseDetector';
-import createShareProtocol from './createShareProtocol';
-import createShareHandOver from './createShareHandOver';
-import createShareRoles from './createShareRoles';
-import createShareState from './createShareState';
+import createQuotaProtocol from './createQuotaProtocol';
+import createQuotaHandOver from './createQuotaHandOver';
+import createQuotaRoles from './createQuotaRoles';
+import createQuotaState from './createQuotaState';
 import createTokenAcquirer from './createTokenAcquirer';
-import createShareMaintenance from './createShareMaintenance';
-import type ShareServiceOptions from './shareServiceOptions';
-import type ShareState from './shareState';
-import updateShareState from './updateQuotaState';
+import createQuotaMaintenance from './createQuotaMaintenance';
+import type QuotaServiceOptions from './quotaServiceOptions';
+import type QuotaState from './quotaState';
+import updateQuotaState from './updateQuotaState';
 
 const MAINTENANCE_INTERVAL_MS = 200;
-const UNKNOWN_SHARE_RETRY_MS = 1_000;
+const UNKNOWN_QUOTA_RETRY_MS = 1_000;
 
-/** Creates the service for all shares of rates of which this VM is the keeper or a holder. */
-const createShareService = (options: ShareServiceOptions) => {
+/** Creates the service for all quotas of which this VM is the allocator or a consumer. */
+const createQuotaService = (options: QuotaServiceOptions) => {
   const { platformTimeoutMs, findLimit, nowMs, logger } = options;
-  const states = new Map<string, ShareState>();
+  const states = new Map<string, QuotaState>();
   const pauseDetector = createPauseDetector(nowMs);
   const lease: VmLease = options.leases.lease;
   let trustedConfirmationAtMs = Number.NEGATIVE_INFINITY;
@@ -27,64 +27,64 @@
     return trustedConfirmationAtMs;
   };
 
-  const findOrCreateState = (name: string): ShareState | undefined => {
+  const findOrCreateState = (name: string): QuotaState | undefined => {
     const limit = findLimit(name);
     if (!limit) return undefined;
-    const state = states.get(name) ?? createShareState(name, limit);
+    const state = states.get(name) ?? createQuotaState(name, limit);
     states.set(name, state);
     if (state.limit !== limit) {
-      updateShareState(state, { limit });
-      state.holder?.setLimit(limit, nowMs());
+      updateQuotaState(state, { limit });
+      state.consumer?.setLimit(limit, nowMs());
       state.keeper?.setLimit(limit, nowMs());
     }
     return state;
   };
 
-  const recordWriter = createShareRecordWriter({ ...options, lease, timeoutMs: platformTimeoutMs });
-  const roles = createShareRoles({ ...options, lease, confirmedAtMs });
-  const protocol = createShareProtocol({ ...options, recordWriter, roles, findOrCreateState });
+  const recordWriter = createQuotaRecordWriter({ ...options, lease, timeoutMs: platformTimeoutMs });
+  const roles = createQuotaRoles({ ...options, lease, confirmedAtMs });
+  const protocol = createQuotaProtocol({ ...options, recordWriter, roles, findOrCreateState });
   const componentOptions = { ...options, recordWriter, roles, protocol };
   const tokenAcquirer = createTokenAcquirer(componentOptions);
-  const maintainShare = createShareMaintenance(componentOptions);
-  const handOverShare = createShareHandOver(componentOptions);
+  const maintainQuota = createQuotaMaintenance(componentOptions);
+  const handOverQuota = createQuotaHandOver(componentOptions);
 
-  const sharesInMaintenance = new Set<string>();
+  const quotasInMaintenance = new Set<string>();
   const maintainAll = (): void => {
     states.forEach((state, name) => {
-      if (sharesInMaintenance.has(name) || !findLimit(name)) return;
-      sharesInMaintenance.add(name);
-      maintainShare(state)
+      if (quotasInMaintenance.has(name) || !findLimit(name)) return;
+      quotasInMaintenance.add(name);
+      maintainQuota(state)
         .catch((error: Error) => logger.debug('share.tickFailed', { message: error.message }))
-        .finally(() => sharesInMaintenance.delete(name));
+        .finally(() => quotasInMaintenance.delete(name));
     });
   };
   const maintenanceTimer = setInterval(maintainAll, MAINTENANCE_INTERVAL_MS);
   maintenanceTimer.unref();
 
-  const countUnits = ({ keeper, holder }: ShareState): number =>
-    (keeper ?? holder)?.units(nowMs()) ?? 0;
+  const countUnits = ({ keeper: allocator, consumer }: QuotaState): number =>
+    (allocator ?? consumer)?.units(nowMs()) ?? 0;
 
   return {
     /** Takes one token; resolves with undefined on success, else with the refusal. */
     take: async (name: string, deadlineAtMs: number) => {
       const state = findOrCreateState(name);
       if (!state)
-        return { code: 'shareUnavailable' as const, retryAfterMs: UNKNOWN_SHARE_RETRY_MS };
+        return { code: 'shareUnavailable' as const, retryAfterMs: UNKNOWN_QUOTA_RETRY_MS };
       return tokenAcquirer.take(state, deadlineAtMs);
     },
-    /** Returns a token of a request that was then refused for another reason. */
-    putBack: (name: string): void => {
+    /** Refunds the token of a request that was then refused for another reason. */
+    refundToken: (name: string): void => {
       const state = states.get(name);
-      if (state) tokenAcquirer.putBack(state);
+      if (state) tokenAcquirer.refundToken(state);
     },
     /** Handlers of messages from other VMs, by message kind. */
-    handlers: protocol.handlers,
-    /** Whether this VM holds no units and is no share's keeper. */
+    messageHandlers: protocol.messageHandlers,
+    /** Whether this VM holds no units and is no quota's allocator. */
     isIdle: (): boolean =>
       [...states.values()].every((state) => !state.keeper && countUnits(state) === 0),
-    /** Hands units and keeper roles over to other VMs. */
+    /** Hands units and allocator roles over to other VMs. */
     handOver: async (): Promise<void> => {
-      await Promise.all([...states.values()].map(handOverShare));
+      await Promise.all([...states.values()].map(handOverQuota));
     },
     stop: (): void => {
       clearInterval(maintenanceTimer);
@@ -100,4 +100,4 @@
   };
 };
 
-export default createShareService;
+export default createQuotaService;
--- a/packages/auburngrade/src/admission/createShareState.ts
+++ b/packages/auburngrade/src/admission/createQuotaState.ts
@@ -1,11 +1,11 @@
 import type { RateLimit } from '@auburngrade/coordination';
-import type ShareState from './shareState';
+import type QuotaState from './quotaState';
 
-/** Creates the initial state of a share, with no role on this VM. */
-const createShareState = (name: string, limit: RateLimit): ShareState => ({
+/** Creates the initial state of a quota, with no role on this VM. */
+const createQuotaState = (name: string, limit: RateLimit): QuotaState => ({
   name,
   limit,
-  holder: undefined,
+  consumer: undefined,
   keeper: undefined,
   claim: undefined,
   lostEpoch: 0,
@@ -18,17 +18,17 @@
   tokenRequestSentAtMs: Number.NEGATIVE_INFINITY,
   isLastRequestAnswered: false,
   nextTokenRequestAtMs: 0,
-  pendingSync: undefined,
+  pendingReport: undefined,
   tokenRequestBackoffMs: 0,
   nextClaimAtMs: 0,
   nextConfirmationAtMs: 0,
   nextCollectionAtMs: 0,
   isReleaseScheduled: false,
-  lastSyncAtMs: Number.NEGATIVE_INFINITY,
+  lastReportAtMs: Number.NEGATIVE_INFINITY,
   lastDemandPerS: 0,
-  isSyncDue: false,
+  isReportDue: false,
   unreachableSinceMs: undefined,
   skipRecallUntilMs: new Map(),
 });
 
-export default createShareState;
+export default createQuotaState;
--- a/packages/auburngrade/src/admission/createTokenAcquirer.spec.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.spec.ts
@@ -1,8 +1,8 @@
 import type { ShareHolder } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import type createShareProtocol from './createShareProtocol';
-import type createShareRoles from './createShareRoles';
-import createShareState from './createShareState';
+import type createQuotaProtocol from './createQuotaProtocol';
+import type createQuotaRoles from './createQuotaRoles';
+import createQuotaState from './createQuotaState';
 import createTokenAcquirer from './createTokenAcquirer';
 
 const MAX_WAIT_MS = 40;
@@ -12,10 +12,10 @@
 describe('createTokenAcquirer', () => {
   const nowMs = (): number => performance.now();
 
-  /** A holder without tokens whose keeper answers from `respondsFromMs` on with `grantedTokens`. */
+  /** A consumer without tokens whose allocator answers from `respondsFromMs` on with `grantedTokens`. */
   const createAcquirer = (respondsFromMs: number, grantedTokens: number) => {
     let availableTokens = 0;
-    const holder = {
+    const consumer = {
       take: () => {
         if (availableTokens < 1) return false;
         availableTokens -= 1;
@@ -24,8 +24,8 @@
       tokenDueInMs: () => (availableTokens >= 1 ? 0 : NEVER_MS),
       count: () => {},
     } as unknown as ShareHolder;
-    const state = { ...createShareState('ranch', { ratePerS: 100, burst: 100 }), holder };
-    const sync = async (): Promise<boolean> => {
+    const state = { ...createQuotaState('ranch', { ratePerS: 100, burst: 100 }), consumer };
+    const reportInTurn = async (): Promise<boolean> => {
       if (nowMs() < respondsFromMs) return false;
       availableTokens = grantedTokens;
       return true;
@@ -33,22 +33,22 @@
     const acquirer = createTokenAcquirer({
       maxWaitMs: MAX_WAIT_MS,
       maxSilentWaitMs: MAX_SILENT_WAIT_MS,
-      roles: { refresh: () => undefined } as unknown as ReturnType<typeof createShareRoles>,
-      protocol: { claimIfOrphaned: async () => {}, sync } as unknown as ReturnType<
-        typeof createShareProtocol
+      roles: { refresh: () => undefined } as unknown as ReturnType<typeof createQuotaRoles>,
+      protocol: { claimIfOrphaned: async () => {}, reportInTurn } as unknown as ReturnType<
+        typeof createQuotaProtocol
       >,
       nowMs,
     });
     return { state, acquirer };
   };
 
-  describe('when the keeper does not answer', () => {
-    it('waits until the keeper answers, beyond the normal wait', async () => {
+  describe('when the allocator does not answer', () => {
+    it('waits until the allocator answers, beyond the normal wait', async () => {
       const { state, acquirer } = createAcquirer(nowMs() + 3 * MAX_WAIT_MS, 1);
       expect(await acquirer.take(state, nowMs() + NEVER_MS)).to.equal(undefined);
     });
 
-    it('stops at the request’s deadline and reports an unavailable share, not an exceeded rate', async () => {
+    it('stops at the request’s deadline and reports an unavailable quota, not an exceeded rate', async () => {
       const { state, acquirer } = createAcquirer(Number.POSITIVE_INFINITY, 0);
       const startedAtMs = nowMs();
       const shortage = await acquirer.take(state, startedAtMs + 2 * MAX_WAIT_MS);
@@ -68,7 +68,7 @@
     });
   });
 
-  describe('when the keeper has no tokens', () => {
+  describe('when the allocator has no tokens', () => {
     it('refuses with an exceeded rate within the normal wait', async () => {
       const { state, acquirer } = createAcquirer(0, 0);
       const startedAtMs = nowMs();
--- a/packages/auburngrade/src/admission/createTokenAcquirer.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.ts
@@ -1,18 +1,18 @@
 import type { ShareHolder, ShareKeeper } from '@auburngrade/coordination';
 import answerWithin from '../time/answerWithin';
 import sleep from '../time/sleep';
-import type createShareProtocol from './createShareProtocol';
-import type createShareRoles from './createShareRoles';
-import type ShareState from './shareState';
-import updateShareState from './updateQuotaState';
+import type createQuotaProtocol from './createQuotaProtocol';
+import type createQuotaRoles from './createQuotaRoles';
+import type QuotaState from './quotaState';
+import updateQuotaState from './updateQuotaState';
 
 interface TokenAcquirerOptions {
   /** Longest wait of a request for tokens when all VMs asked have answered. */
   maxWaitMs: number;
   /** Longest wait of a request while a VM that may have tokens does not answer. */
   maxSilentWaitMs: number;
-  roles: ReturnType<typeof createShareRoles>;
-  protocol: ReturnType<typeof createShareProtocol>;
+  roles: ReturnType<typeof createQuotaRoles>;
+  protocol: ReturnType<typeof createQuotaProtocol>;
   nowMs(): number;
 }
 
@@ -33,24 +33,24 @@
   const { maxWaitMs, maxSilentWaitMs, roles, protocol, nowMs } = options;
 
   /** Returns the bucket that this VM may take tokens from now. */
-  const findUsableBucket = (state: ShareState): ShareHolder | ShareKeeper | undefined => {
+  const findUsableBucket = (state: QuotaState): ShareHolder | ShareKeeper | undefined => {
     roles.refresh(state);
     if (state.keeper) return roles.hasAuthority(state) ? state.keeper : undefined;
-    return state.holder;
+    return state.consumer;
   };
 
   /** Resolves with whether all VMs asked answered. */
-  const sendTokenRequest = async (state: ShareState): Promise<boolean> => {
+  const sendTokenRequest = async (state: QuotaState): Promise<boolean> => {
     await protocol.claimIfOrphaned(state);
-    if (!state.keeper) return protocol.sync(state, true);
+    if (!state.keeper) return protocol.reportInTurn(state, true);
     return protocol.recall(state);
   };
 
-  const computeBackoffMs = (state: ShareState): number =>
+  const computeBackoffMs = (state: QuotaState): number =>
     Math.min(MAX_BACKOFF_MS, Math.max(MIN_BACKOFF_MS, state.tokenRequestBackoffMs * 2));
 
   /** Asks other VMs for tokens; resolves with whether a token is available here now. */
-  const requestTokens = (state: ShareState): Promise<boolean> => {
+  const requestTokens = (state: QuotaState): Promise<boolean> => {
     if (state.pendingTokenRequest) return state.pendingTokenRequest;
     if (nowMs() < state.nextTokenRequestAtMs) return Promise.resolve(false);
     const pendingTokenRequest = sendTokenRequest(state)
@@ -58,7 +58,7 @@
         const hasToken = findUsableBucket(state)?.tokenDueInMs(nowMs()) === 0;
         const tokenRequestBackoffMs = hasToken ? 0 : computeBackoffMs(state);
         const nextTokenRequestAtMs = nowMs() + tokenRequestBackoffMs;
-        updateShareState(state, {
+        updateQuotaState(state, {
           isLastRequestAnswered,
           tokenRequestBackoffMs,
           nextTokenRequestAtMs,
@@ -66,37 +66,37 @@
         return hasToken;
       })
       .finally(() => {
-        updateShareState(state, { pendingTokenRequest: undefined });
+        updateQuotaState(state, { pendingTokenRequest: undefined });
       });
-    updateShareState(state, { pendingTokenRequest, tokenRequestSentAtMs: nowMs() });
+    updateQuotaState(state, { pendingTokenRequest, tokenRequestSentAtMs: nowMs() });
     return pendingTokenRequest;
   };
 
   /** Delay until the next attempt after other VMs had no tokens. */
-  const computeRetryDelayMs = (state: ShareState): number => {
-    // No answer: the keeper may be starting or being replaced, so retry soon.
+  const computeRetryDelayMs = (state: QuotaState): number => {
+    // No answer: the allocator may be starting or being replaced, so retry soon.
     if (!state.isLastRequestAnswered) return MIN_BACKOFF_MS;
     const dueInMs = findUsableBucket(state)?.tokenDueInMs(nowMs()) ?? Number.POSITIVE_INFINITY;
     return Math.max(1, dueInMs) * state.waiting;
   };
 
   /** Whether the account's whole rate could serve all requests waiting here within `maxWaitMs`. */
-  const canServeWaitingRequests = (state: ShareState): boolean =>
+  const canServeWaitingRequests = (state: QuotaState): boolean =>
     state.waiting <= (state.limit.ratePerS * maxWaitMs) / MS_PER_S;
 
   /** Whether a VM that may have tokens did not answer the last token request or is late. */
-  const isAnswerMissing = (state: ShareState): boolean =>
+  const isAnswerMissing = (state: QuotaState): boolean =>
     !state.isLastRequestAnswered ||
     (state.pendingTokenRequest !== undefined &&
       nowMs() - state.tokenRequestSentAtMs >= LATE_ANSWER_MS);
 
   /** No more requests wait for an unresponsive VM than the whole rate could serve in `maxWaitMs`. */
-  const computeMaxWaitMs = (state: ShareState): number =>
+  const computeMaxWaitMs = (state: QuotaState): number =>
     isAnswerMissing(state) && canServeWaitingRequests(state)
       ? Math.max(maxWaitMs, maxSilentWaitMs)
       : maxWaitMs;
 
-  const takeOrWait = async (state: ShareState, deadlineAtMs: number): Promise<boolean> => {
+  const takeOrWait = async (state: QuotaState, deadlineAtMs: number): Promise<boolean> => {
     const startedAtMs = nowMs();
     const waitEndsAtMs = (): number =>
       Math.min(deadlineAtMs, startedAtMs + computeMaxWaitMs(state));
@@ -110,7 +110,7 @@
     return findUsableBucket(state)?.take(nowMs()) ?? false;
   };
 
-  const describeShortage = (state: ShareState): Shortage => {
+  const describeShortage = (state: QuotaState): Shortage => {
     const bucket = findUsableBucket(state);
     const tokenIntervalMs = Math.ceil(MS_PER_S / state.limit.ratePerS);
     const retryAfterMs = Math.max(1, bucket?.tokenDueInMs(nowMs()) ?? tokenIntervalMs);
@@ -120,17 +120,17 @@
 
   return {
     /** Takes one token; resolves with undefined on success. */
-    take: async (state: ShareState, deadlineAtMs: number): Promise<Shortage | undefined> => {
+    take: async (state: QuotaState, deadlineAtMs: number): Promise<Shortage | undefined> => {
       roles.refresh(state);
-      (state.keeper ?? state.holder)?.count(nowMs());
-      updateShareState(state, { waiting: state.waiting + 1 });
+      (state.keeper ?? state.consumer)?.count(nowMs());
+      updateQuotaState(state, { waiting: state.waiting + 1 });
       try {
         return (await takeOrWait(state, deadlineAtMs)) ? undefined : describeShortage(state);
       } finally {
-        updateShareState(state, { waiting: state.waiting - 1 });
+        updateQuotaState(state, { waiting: state.waiting - 1 });
       }
     },
-    putBack: (state: ShareState): void => {
+    refundToken: (state: QuotaState): void => {
       findUsableBucket(state)?.putBack(nowMs());
     },
   };
--- a/packages/auburngrade/src/admission/noAllocator.ts
+++ b/packages/auburngrade/src/admission/noAllocator.ts
@@ -1,4 +1,4 @@
-/** `keeper` in a share's record after the last keeper released all units and named no successor. */
-const NO_KEEPER = '-';
+/** `keeper` in a quota's record after the last allocator released all units without a successor. */
+const NO_ALLOCATOR = '-';
 
-export default NO_KEEPER;
+export default NO_ALLOCATOR;
--- a/packages/auburngrade/src/admission/shareServiceOptions.ts
+++ b/packages/auburngrade/src/admission/quotaServiceOptions.ts
@@ -4,8 +4,8 @@
 import type PeerRegistry from '../routing/peerRegistry';
 import type LeaseService from '../witness/leaseService';
 
-/** Dependencies and settings of the share service. */
-interface ShareServiceOptions {
+/** Dependencies and settings of the quota service. */
+interface QuotaServiceOptions {
   vm: string;
   incarnation: number;
   configuration: ConfigurationState;
@@ -17,12 +17,12 @@
   maxWaitMs: number;
   /** Longest wait of a request while a VM that may have tokens does not answer. */
   maxSilentWaitMs: number;
-  /** Monotonic time of the platform's last confirmation of the known configuration. */
+  /** Monotonic time of the configuration store's last confirmation of the known configuration. */
   confirmedAtMs(): number;
-  /** Finds a share's limit by the share's name; undefined when it has none. */
+  /** Finds a quota's limit by the quota's name; undefined when it has none. */
   findLimit(name: string): RateLimit | undefined;
   nowMs(): number;
   logger: Logger;
 }
 
-export default ShareServiceOptions;
+export default QuotaServiceOptions;
--- a/packages/auburngrade/src/admission/shareState.ts
+++ b/packages/auburngrade/src/admission/quotaState.ts
@@ -1,25 +1,25 @@
 import type { RateLimit, ShareHolder, ShareKeeper } from '@auburngrade/coordination';
 
 /**
- * State of one share on this VM. The share's keeper owns the ledger that divides the rate into
- * units; the holders spend units granted by the keeper. This VM has one role, never both.
+ * State of one quota on this VM, as its allocator (`keeper`, as in the stored record), which divides
+ * the rate into units, or as a consumer, which uses units granted to it; never as both.
  */
-interface ShareState {
+interface QuotaState {
   name: string;
   limit: RateLimit;
-  holder: ShareHolder | undefined;
+  consumer: ShareHolder | undefined;
   keeper: ShareKeeper | undefined;
   /** Epoch that this VM last tried to claim, and the VMs that may hold units of earlier epochs. */
-  claim: { epoch: number; unreported: Set<string> } | undefined;
-  /** Epoch in which this VM lost the keeper role because its lease lapsed. */
+  claim: { epoch: number; unreportedVms: Set<string> } | undefined;
+  /** Epoch in which this VM lost the allocator role because its lease expired. */
   lostEpoch: number;
-  /** Whether this VM is transferring the keeper role and has stopped acting as the keeper. */
+  /** Whether this VM is transferring the allocator role and no longer acts as the allocator. */
   isTransferring: boolean;
-  /** Epoch in which VMs that left the fleet have been removed from the record. */
+  /** Epoch in which unregistered VMs have been removed from the record. */
   prunedEpoch: number;
-  /** Attempt in progress to prove that the keeper's lease has lapsed and to claim the share. */
+  /** Attempt in progress to prove that the allocator's lease has expired and to claim the quota. */
   pendingReplacement: Promise<void> | undefined;
-  /** Time of the platform's last confirmation that this VM is the keeper. */
+  /** Time of the configuration store's last confirmation that this VM is the allocator. */
   authorityConfirmedAtMs: number;
   /** Number of requests that wait for a token. */
   waiting: number;
@@ -28,20 +28,20 @@
   /** Whether all VMs asked by the last token request answered. */
   isLastRequestAnswered: boolean;
   nextTokenRequestAtMs: number;
-  /** Report to the keeper that is in progress. */
-  pendingSync: Promise<boolean> | undefined;
+  /** Report to the allocator that is in progress. */
+  pendingReport: Promise<boolean> | undefined;
   tokenRequestBackoffMs: number;
   nextClaimAtMs: number;
   nextConfirmationAtMs: number;
   nextCollectionAtMs: number;
   /** Whether units will be released once the report in progress is answered. */
   isReleaseScheduled: boolean;
-  lastSyncAtMs: number;
+  lastReportAtMs: number;
   lastDemandPerS: number;
-  isSyncDue: boolean;
+  isReportDue: boolean;
   unreachableSinceMs: number | undefined;
   /** Per VM that did not answer a recall: the time before which no recall is sent to it. */
   skipRecallUntilMs: Map<string, number>;
 }
 
-export default ShareState;
+export default QuotaState;
--- a/packages/auburngrade/src/admission/updateQuotaState.ts
+++ b/packages/auburngrade/src/admission/updateQuotaState.ts
@@ -1,8 +1,8 @@
-import type ShareState from './shareState';
+import type QuotaState from './quotaState';
 
-/** Assigns fields of a share's state in place. */
-const updateShareState = (state: ShareState, changes: Partial<ShareState>): void => {
+/** Assigns fields of a quota's state in place. */
+const updateQuotaState = (state: QuotaState, changes: Partial<QuotaState>): void => {
   Object.assign(state, changes);
 };
 
-export default updateShareState;
+export default updateQuotaState;
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -118,7 +118,7 @@
       sendHeartbeats();
     },
     /** Whether this VM has held its lease at any time since its start. */
-    hasBeenHeld: lease.hasStood,
+    hasBeenValid: lease.hasStood,
     stop: (): void => {
       isStopped = true;
       clearTimeout(heartbeatTimer);
