refactor: use expiry and validity of leases in the VM's lease service

createLapseProver -> createExpiryProver (moved), lapsesAtMs -> expiresAtMs, isHeld/wasHeld -> isValid/wasValid, findListedVms -> findRegisteredVms. Comments: shares -> quota units, platform -> configuration store. The member beat and the log event lease.lapsed are outer names and stay.

--- a/packages/auburngrade/src/witness/createLapseProver.ts
+++ b/packages/auburngrade/src/witness/createExpiryProver.ts
@@ -12,7 +12,7 @@
 import type createLeaseRecordStore from './createLeaseRecordStore';
 import type SendMessage from '../membership/sendMessage';
 
-interface LapseProverOptions {
+interface ExpiryProverOptions {
   vm: string;
   /** Length of this VM's own lease. */
   leaseMs: number;
@@ -28,8 +28,8 @@
 
 const promiseRequestSchema = leaseTermSchema.extend({ vm: z.string().min(1) });
 
-/** Creates the prover of lapsed leases: the witnesses promise not to renew a VM's lease again. */
-const createLapseProver = (options: LapseProverOptions) => {
+/** Creates the prover of expiry: witnesses promise not to renew a VM's lease again. */
+const createExpiryProver = (options: ExpiryProverOptions) => {
   const { vm, leaseMs, records, promise, send, nowMs } = options;
   const pendingProofs = new Map<string, Promise<boolean>>();
 
@@ -57,15 +57,15 @@
   };
 
   const proveAndWait = async (target: string, lease: LeaseRecord): Promise<boolean> => {
-    const lapsesAtMs = await collectPromises(target, lease);
-    if (lapsesAtMs === undefined) return false;
-    await sleep(lapsesAtMs - nowMs());
-    while (nowMs() < lapsesAtMs) await sleep(1);
+    const expiresAtMs = await collectPromises(target, lease);
+    if (expiresAtMs === undefined) return false;
+    await sleep(expiresAtMs - nowMs());
+    while (nowMs() < expiresAtMs) await sleep(1);
     return true;
   };
 
   /**
-   * Resolves with true once the lease of that term is proven to have lapsed, and with false when
+   * Resolves with true once the lease of that term is proven to have expired, and false when
    * its witnesses don't prove it. Concurrent calls for the same lease share one proof.
    */
   const prove = (target: string, lease: LeaseRecord): Promise<boolean> => {
@@ -82,7 +82,7 @@
     parse: (body: unknown) => promiseRequestSchema.parse(body),
     prove,
     /**
-     * Proves the same for the lease that the platform has recorded. A VM without a record, or
+     * Proves the same for the lease recorded in the configuration store. A VM without a record, or
      * whose record changed meanwhile, has lost whatever it held before.
      */
     proveByRecord: async (target: string): Promise<boolean> => {
@@ -95,4 +95,4 @@
   };
 };
 
-export default createLapseProver;
+export default createExpiryProver;
--- a/packages/auburngrade/src/witness/createHeartbeatSender.ts
+++ b/packages/auburngrade/src/witness/createHeartbeatSender.ts
@@ -16,7 +16,7 @@
 }
 
 const HEARTBEAT_KIND = 'lease.renew';
-/** Lets two stages of heartbeats and one more round finish before the lease lapses. */
+/** Lets two stages of heartbeats and one more round finish before the lease expires. */
 const TIMEOUTS_PER_LEASE = 6;
 
 const renewalSchema = z.strictObject({ isRenewed: z.boolean() });
@@ -50,7 +50,7 @@
 
   /**
    * Sends heartbeats to a quorum of each witness group, then to the rest if needed, or to all at
-   * once when the lease has lapsed. Resolves with whether a group renewed the lease.
+   * once when the lease has expired. Resolves with whether a group renewed the lease.
    */
   const renewLease = async (): Promise<boolean> => {
     const groups = lease.record()?.groups ?? [];
--- a/packages/auburngrade/src/witness/createLeaseRecordStore.ts
+++ b/packages/auburngrade/src/witness/createLeaseRecordStore.ts
@@ -3,13 +3,13 @@
 
 interface StoredLease {
   record: LeaseRecord;
-  /** Revision of the record at the platform. */
+  /** Revision of the record in the configuration store. */
   revision: number;
 }
 
 const KEY_PREFIX = '/auburngrade/lease/';
 
-/** Creates the store of lease records at the platform, which name each VM's witnesses. */
+/** Creates access to the lease records in the configuration store, which name each VM's witnesses. */
 const createLeaseRecordStore = (platform: Platform, timeoutMs: number) => ({
   /** Reads the current record. @throws RefusalError `platformUnavailable`. */
   read: async (vm: string): Promise<StoredLease | undefined> => {
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -9,7 +9,7 @@
 import type Logger from '../log/logger';
 import type MessageHandler from '../membership/messageHandler';
 import createHeartbeatSender from './createHeartbeatSender';
-import createLapseProver from './createLapseProver';
+import createExpiryProver from './createExpiryProver';
 import createLeaseRecordStore from './createLeaseRecordStore';
 import createWitnessSelector from './createWitnessSelector';
 import type SendMessage from '../membership/sendMessage';
@@ -45,7 +45,7 @@
   const heartbeatSender = createHeartbeatSender({ ...options, lease });
   const promise = (vm: string, term: LeaseTerm): WitnessPromise =>
     witnessSelector.witness()?.promise(vm, term, nowMs()) ?? NO_PROMISE;
-  const lapseProver = createLapseProver({ ...options, records, promise });
+  const expiryProver = createExpiryProver({ ...options, records, promise });
   const intervals = new Set<NodeJS.Timeout>();
   let heartbeatTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
@@ -65,11 +65,11 @@
     run();
   };
 
-  let wasHeld = false;
+  let wasValid = false;
   const logLeaseChange = (): void => {
-    const isHeld = lease.standing(nowMs()) !== undefined;
-    if (isHeld !== wasHeld) logger.info(isHeld ? 'lease.renewed' : 'lease.lapsed');
-    wasHeld = isHeld;
+    const isValid = lease.standing(nowMs()) !== undefined;
+    if (isValid !== wasValid) logger.info(isValid ? 'lease.renewed' : 'lease.lapsed');
+    wasValid = isValid;
   };
 
   /** Sends heartbeats at a fixed interval from start to start, and sooner after a failed round. */
@@ -95,9 +95,9 @@
       },
     ],
     [
-      lapseProver.kind,
+      expiryProver.kind,
       async (_fromVm, body) => {
-        const { vm, ...term } = lapseProver.parse(body);
+        const { vm, ...term } = expiryProver.parse(body);
         return promise(vm, term);
       },
     ],
@@ -106,9 +106,9 @@
   return {
     lease,
     messageHandlers,
-    prove: lapseProver.prove,
-    proveByRecord: lapseProver.proveByRecord,
-    /** Starts to renew the lease; `resources` is what this VM holds under it. */
+    prove: expiryProver.prove,
+    proveByRecord: expiryProver.proveByRecord,
+    /** Starts to renew the lease; `resources` are the units and roles held under it. */
     start: (resources: Parameters<typeof witnessSelector.update>[0]): void => {
       repeatEvery(WITNESS_UPDATE_INTERVAL_MS, async () => {
         const earlierRecord = lease.record();
@@ -117,7 +117,7 @@
       });
       sendHeartbeats();
     },
-    /** Whether this VM has held its lease at any time since its start. */
+    /** Whether this VM's lease has been valid at any time since its start. */
     hasBeenValid: lease.hasStood,
     stop: (): void => {
       isStopped = true;
--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -22,27 +22,27 @@
   nowMs(): number;
 }
 
-/** What this VM holds under its lease: its shares of rates. */
+/** What this VM holds under its lease: quota units and allocator roles. */
 interface LeasedResources {
   isIdle(): boolean;
-  /** Hands everything held over to other VMs. */
+  /** Hands these units and roles over to other VMs. */
   handOver(): Promise<void>;
 }
 
-/** A VM that holds shares replaces outdated witnesses (some left, or more exist) after this time. */
+/** A VM that holds units replaces outdated witnesses (some left, or more exist) after this time. */
 const REPLACE_AFTER_MS = 10_000;
-/** The same with fewer than MIN_SAFE_WITNESSES: the loss of one VM may cost the shares. */
+/** The same with fewer than MIN_SAFE_WITNESSES: the loss of one VM may cost the units. */
 const URGENT_REPLACE_AFTER_MS = 1_000;
 const MIN_SAFE_WITNESSES = 2;
-/** Shortest interval between attempts to acquire a lease in a new term after a lapse. */
+/** Shortest interval between attempts to acquire a lease in a new term after it expired. */
 const REACQUIRE_INTERVAL_MS = 1_000;
-/** A VM that knows no other VM waits this long for the list before it runs without witnesses. */
+/** A VM that knows no other VM waits this long for the VM list before it runs without witnesses. */
 const LONE_VM_WAIT_MS = 1_000;
 
 /**
- * Creates the selector of this VM's witnesses, the VMs that renew its lease, which it records at
- * the platform. They change only while this VM holds nothing, so that a proof by the recorded
- * witnesses that the lease has lapsed covers everything held under it.
+ * Creates the selector of this VM's witnesses, the VMs that renew its lease, which it records in
+ * the configuration store. They change only while this VM holds nothing, so that a proof of expiry
+ * by the recorded witnesses covers everything held under the lease.
  */
 const createWitnessSelector = (options: WitnessSelectorOptions) => {
   const { vm, dataCentre, incarnation, leaseMs, configuration, records, lease, nowMs } = options;
@@ -55,12 +55,12 @@
   const listLiveVms = () =>
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
-      .map(([id, listedVm]) => ({ id, dataCentre: listedVm.dataCentre }));
+      .map(([id, registeredVm]) => ({ id, dataCentre: registeredVm.dataCentre }));
 
   const findWantedGroups = createListView(configuration, (): WitnessGroups =>
     witnessGroupsOf(listLiveVms(), vm, dataCentre),
   );
-  const findListedVms = createListView(configuration, () => new Set(configuration.names('vm')));
+  const findRegisteredVms = createListView(configuration, () => new Set(configuration.names('vm')));
 
   /** A VM without an earlier record was never a witness, so it can't have lost a promise. */
   const openWitness = (hasEarlierRecord: boolean): void => {
@@ -86,7 +86,7 @@
     const isOutdated = isSeatPoor(
       lease.record()?.groups ?? [],
       findWantedGroups(),
-      findListedVms(),
+      findRegisteredVms(),
     );
     outdatedSinceMs = isOutdated ? (outdatedSinceMs ?? nowMs()) : undefined;
     return isOutdated;
@@ -99,7 +99,7 @@
       nowMs() - (outdatedSinceMs ?? nowMs()) >=
       (isUrgent ? URGENT_REPLACE_AFTER_MS : REPLACE_AFTER_MS);
     if (!resources.isIdle() && !isOverdue) return;
-    // Fails if the platform is unreachable, before anything is handed over.
+    // Fails if the configuration store is unreachable, before anything is handed over.
     await records.read(vm);
     if (!resources.isIdle()) await resources.handOver();
     lease.seat(undefined, nowMs());
@@ -110,12 +110,12 @@
     /** This VM in its role as a witness of others; undefined until its own lease is recorded. */
     witness: (): Witness | undefined => witness,
     /**
-     * Selects witnesses when there are none, and replaces outdated ones. After a lapse, a
+     * Selects witnesses when there are none, and replaces outdated ones. After expiry, a
      * new term allows renewal by witnesses that promised not to renew the old one.
      */
     update: async (resources: LeasedResources): Promise<void> => {
-      const hasLapsed = lease.standing(nowMs()) === undefined;
-      if (!lease.record() || (hasLapsed && nowMs() - acquiredAtMs > REACQUIRE_INTERVAL_MS))
+      const hasExpired = lease.standing(nowMs()) === undefined;
+      if (!lease.record() || (hasExpired && nowMs() - acquiredAtMs > REACQUIRE_INTERVAL_MS))
         await acquireLease();
       else await replaceWitnesses(resources);
     },
