refactor: use registered VMs and the settled slot terms in slots and membership

isListed -> isRegisteredVm, ListedVm -> RegisteredVm, findOwnSlot of the tracker -> findSlotIndex (the name is taken by the new name of ownSlot), isClosing/beginClosing -> isReleasing/startReleasing, names/namesInUse -> groupNames/groupNamesInUse, near -> memberDataCentres, handleTaken/handleLost -> handleSlotAdded/handleSlotRemoved.

--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -9,7 +9,7 @@
   type Vm,
 } from '@auburngrade/coordination';
 
-interface ListedVm extends Vm {
+interface RegisteredVm extends Vm {
   id: string;
 }
 
@@ -40,14 +40,14 @@
   `${group}/${vm}/${incarnation}`;
 
 /**
- * Creates this VM's view of the fleet: the live VMs of the platform's list, the VMs that should
+ * Creates this VM's view of the fleet: the registered VMs that are live, the VMs that should
  * hold a group's slots by that list, and the VMs that hold them by the slots record.
  */
 const createMembership = ({ vm, configuration, isOwnSlotUsable, nowMs }: MembershipOptions) => {
   const choices = new Map<string, Choice>();
   /** When each takeover of a slot was first seen; the new holder must wait before it uses the slot. */
   const takeoverSeenAtMs = new Map<string, number>();
-  let liveVms: ListedVm[] | undefined;
+  let liveVms: RegisteredVm[] | undefined;
   let placedVms = new Map<string, PlacedVm>();
   let placedByDataCentre: Map<string, PlacedVm[]> | undefined;
   const internedDataCentres = new Map<string, string[]>();
@@ -65,10 +65,10 @@
     nowMs() - (takeoverSeenAtMs.get(formatHolderKey(group, holder)) ?? Number.NEGATIVE_INFINITY) <
       slotTimings.takeOverMs;
 
-  const live = (): ListedVm[] => {
+  const live = (): RegisteredVm[] => {
     liveVms ??= [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
-      .map(([id, listedVm]) => ({ id, ...listedVm }));
+      .map(([id, registeredVm]) => ({ id, ...registeredVm }));
     return liveVms;
   };
 
@@ -126,9 +126,9 @@
   });
 
   /** Shares equal lists of data centres between choices to save memory. */
-  const internDataCentres = (near: string[]): string[] => {
-    const key = near.join();
-    const interned = internedDataCentres.get(key) ?? near;
+  const internDataCentres = (dataCentres: string[]): string[] => {
+    const key = dataCentres.join();
+    const interned = internedDataCentres.get(key) ?? dataCentres;
     internedDataCentres.set(key, interned);
     return interned;
   };
@@ -137,15 +137,15 @@
     const document = configuration.get('group', group);
     if (!document) return NO_CHOICE;
     const { members, slots } = document;
-    const active = members.filter(({ state }) => state === 'active');
-    const near = internDataCentres(active.map(({ dataCentre }) => dataCentre));
-    const ids = chooseHolders(listPlacedByDataCentre(), group, near, slots);
+    const activeMembers = members.filter(({ state }) => state === 'active');
+    const memberDataCentres = internDataCentres(activeMembers.map(({ dataCentre }) => dataCentre));
+    const ids = chooseHolders(listPlacedByDataCentre(), group, memberDataCentres, slots);
     // The copy drops the spare capacity of an array that has grown.
     const chosenVms = ids.flatMap((id) => placedVms.get(id) ?? []).slice();
-    return { groupHash: hashText(group), near, slots, chosen: chosenVms };
+    return { groupHash: hashText(group), near: memberDataCentres, slots, chosen: chosenVms };
   };
 
-  /** VMs that should hold the group's slots by this VM's view of the list. */
+  /** VMs that should hold the group's slots by the VM list that this VM knows. */
   const findChosenVms = (group: string): string[] => {
     const choice = choices.get(group) ?? computeChoice(group);
     choices.set(group, choice);
@@ -153,11 +153,11 @@
   };
 
   /** VMs recorded as holders, in slot order; pending takeovers only if there are no others. */
-  const holders = (group: string): ListedVm[] => {
+  const holders = (group: string): RegisteredVm[] => {
     const record = configuration.get('slots', group);
     const recordedHolders = (record?.holders ?? []).flatMap((holder) => {
       const entry = holder && configuration.get('vm', holder.vm);
-      return entry ? [{ holder, listedVm: { id: holder.vm, ...entry } }] : [];
+      return entry ? [{ holder, registeredVm: { id: holder.vm, ...entry } }] : [];
     });
     const usableHolders = recordedHolders.filter(
       ({ holder }) => holder.vm !== vm || isOwnSlotUsable(group),
@@ -165,14 +165,16 @@
     const readyHolders = usableHolders.filter(
       ({ holder }) => holder.vm === vm || !isTakeoverPending(group, holder),
     );
-    return (readyHolders.length > 0 ? readyHolders : usableHolders).map(({ listedVm }) => listedVm);
+    return (readyHolders.length > 0 ? readyHolders : usableHolders).map(
+      ({ registeredVm }) => registeredVm,
+    );
   };
 
   return {
     live,
     findChosenVms,
     holders,
-    isListed: (id: string): boolean => configuration.get('vm', id) !== undefined,
+    isRegisteredVm: (id: string): boolean => configuration.get('vm', id) !== undefined,
   };
 };
 
--- a/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
@@ -48,7 +48,7 @@
       reconciledGroups.push(group);
       return ['waco-2'];
     };
-    const membership = { findChosenVms, isListed: () => true } as unknown as Membership;
+    const membership = { findChosenVms, isRegisteredVm: () => true } as unknown as Membership;
     slotKeeper.start({ membership, groups: {} as GroupRegistry, onHoldingChanged: () => {} });
     await waitFor('reconciliation of every group', () => reconciledGroups.length === GROUP_COUNT);
     reconciledGroups = [];
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -17,7 +17,7 @@
   configuration: ConfigurationState;
   /** Latest time at which this VM can prove that its configuration was complete. */
   completeAtMs(): number;
-  /** Tells this data centre's witnesses of a write; resolves with whether a majority knows it. */
+  /** Notifies the data centre's witnesses of a write; resolves with whether a majority knows it. */
   announce(revision: number): Promise<boolean>;
   /** Sends a message to another VM and resolves with the body of its reply. */
   exchange(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
@@ -74,7 +74,7 @@
    * have taken effect, so the slot is not used again even if every attempt fails.
    */
   const clearSlot = async (group: string, slot: number): Promise<void> => {
-    const isHeld = (): boolean => tracker.findOwnSlot(group) === slot;
+    const isHeld = (): boolean => tracker.findSlotIndex(group) === slot;
     for (let attempt = 0; attempt < MAX_RELEASE_ATTEMPTS && isHeld(); attempt += 1) {
       if ((await writer.write(group, slot, null)) !== undefined) return;
       await sleep(RELEASE_RETRY_DELAY_MS);
@@ -83,16 +83,16 @@
 
   /** Closes the group's connections, then clears its slot; one not yet usable is kept. */
   const releaseSlot = async (group: string): Promise<void> => {
-    const slot = tracker.findOwnSlot(group);
+    const slot = tracker.findSlotIndex(group);
     if (slot < 0) return;
-    if (!tracker.isClosing(group)) {
+    if (!tracker.isReleasing(group)) {
       if (!tracker.isUsable(group)) return;
-      tracker.beginClosing(group);
+      tracker.startReleasing(group);
       await users?.groups.retire(group, RELEASE_GRACE_MS);
       logger.info('slot.closed', { group, slot });
     }
     await clearSlot(group, slot);
-    if (tracker.isClosing(group)) pendingGroups.add(group);
+    if (tracker.isReleasing(group)) pendingGroups.add(group);
   };
 
   const requestRelease = async (group: string, others: string[]): Promise<void> => {
@@ -119,9 +119,9 @@
       incarnation,
       slots: document.slots,
       record: configuration.get('slots', group),
-      isClosing: tracker.isClosing(group),
+      isClosing: tracker.isReleasing(group),
       chosen: membership.findChosenVms(group),
-      isListed: membership.isListed,
+      isListed: membership.isRegisteredVm,
     });
     if (decision.kind === 'giveBack') await releaseSlot(group);
     else if (decision.kind === 'ask') await requestRelease(group, decision.vms);
@@ -179,8 +179,8 @@
   /** Releases a slot for another VM if this VM's list too assigns one to it and none to this VM. */
   const handleSlotWanted: MessageHandler = async (fromVm, body) => {
     const { group } = slotWantedSchema.parse(body);
-    const chosen = users?.membership.findChosenVms(group) ?? [];
-    const isAgreed = chosen.includes(fromVm) && !chosen.includes(vm);
+    const chosenVms = users?.membership.findChosenVms(group) ?? [];
+    const isAgreed = chosenVms.includes(fromVm) && !chosenVms.includes(vm);
     if (isAgreed && !busyGroups.has(group)) {
       busyGroups.add(group);
       await releaseSlot(group).finally(() => busyGroups.delete(group));
@@ -201,7 +201,7 @@
   return {
     isUsable: tracker.isUsable,
     /** Groups whose slots this VM uses now. */
-    describe: tracker.namesInUse,
+    describe: tracker.groupNamesInUse,
     messageHandlers: [[SLOT_WANTED_KIND, handleSlotWanted]] as [string, MessageHandler][],
     start: (slotUsers: SlotUsers): void => {
       users = slotUsers;
@@ -215,7 +215,7 @@
       clearTimeout(retryTimer);
       clearTimeout(reconcileAllTimer);
       stopListening();
-      await Promise.allSettled(tracker.names().map(releaseSlot));
+      await Promise.allSettled(tracker.groupNames().map(releaseSlot));
       isStopped = true;
       tracker.stop();
       clearInterval(checkTimer);
--- a/packages/auburngrade/src/slots/createSlotRecordWriter.ts
+++ b/packages/auburngrade/src/slots/createSlotRecordWriter.ts
@@ -8,7 +8,7 @@
 
 type SlotHolder = SlotsRecord['holders'][number];
 
-/** Creates the writer of slots records; it applies the platform's answers to the configuration. */
+/** Creates the writer of slots records; applies the store's answers to the configuration. */
 const createSlotRecordWriter = (
   platform: Platform,
   configuration: ConfigurationState,
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -8,7 +8,7 @@
   configuration: ConfigurationState;
   /** Latest time at which this VM can prove that its configuration was complete. */
   completeAtMs(): number;
-  /** Tells this data centre's witnesses of a write; resolves with whether a majority knows it. */
+  /** Notifies the data centre's witnesses of a write; resolves with whether a majority knows it. */
   announce(revision: number): Promise<boolean>;
   /** Closes a group's connections at once: another VM may use the slot from now on. */
   closeConnections(group: string): void;
@@ -22,12 +22,19 @@
 
 /** Creates the tracker of the slots recorded for this VM and of whether it may use them now. */
 const createSlotTracker = (options: SlotTrackerOptions) => {
-  const { vm, incarnation, configuration, closeConnections, onHoldingChanged, logger, nowMs } =
-    options;
+  const {
+    vm,
+    incarnation,
+    configuration,
+    closeConnections,
+    onHoldingChanged: onSlotUseChanged,
+    logger,
+    nowMs,
+  } = options;
   const heldSlots = createHeldSlots();
   let isStopped = false;
 
-  const findOwnSlot = (group: string): number =>
+  const findSlotIndex = (group: string): number =>
     ownSlot(configuration.get('slots', group), vm, incarnation);
 
   const readConditions = (group: string) => ({
@@ -40,16 +47,19 @@
   const isUsable = (group: string): boolean => heldSlots.isUsable(group, readConditions(group));
 
   const refreshUse = (group: string): void => {
-    const { isChanged, isCut } = heldSlots.refresh(group, readConditions(group));
-    if (isCut) closeConnections(group);
+    const { isChanged, isCut: mustCloseConnections } = heldSlots.refresh(
+      group,
+      readConditions(group),
+    );
+    if (mustCloseConnections) closeConnections(group);
     if (!isChanged) return;
-    logger.info(isCut ? 'slot.lapsed' : 'slot.usable', { group });
-    onHoldingChanged();
+    logger.info(mustCloseConnections ? 'slot.lapsed' : 'slot.usable', { group });
+    onSlotUseChanged();
   };
 
   /**
-   * Announces a takeover to the witnesses until a majority knows it. A former holder cut off from
-   * the platform relies on the witnesses, so the slot is not used before.
+   * Announces a takeover to the witnesses until a majority knows it. A previous holder partitioned
+   * from the configuration store relies on the witnesses, so the slot is not used before.
    */
   const announceTakeover = async (group: string, revision: number): Promise<void> => {
     while (!isStopped && heldSlots.isHeldBy(group, revision)) {
@@ -61,7 +71,7 @@
     }
   };
 
-  const handleTaken = (group: string, slot: number): void => {
+  const handleSlotAdded = (group: string, slot: number): void => {
     const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
     const revision = configuration.revisionOf('slots', group) ?? 0;
     heldSlots.take(group, revision, isTakenOver, nowMs());
@@ -70,33 +80,33 @@
     refreshUse(group);
   };
 
-  const handleLost = (group: string): void => {
+  const handleSlotRemoved = (group: string): void => {
     const wasInUse = heldSlots.lose(group);
     logger.info('slot.lost', { group });
     closeConnections(group);
-    if (wasInUse) onHoldingChanged();
+    if (wasInUse) onSlotUseChanged();
   };
 
   return {
-    findOwnSlot,
+    findSlotIndex,
     isUsable,
     has: heldSlots.has,
     /** Groups of which the record gives this VM a slot. */
-    names: heldSlots.names,
+    groupNames: heldSlots.names,
     /** Groups whose slots this VM uses now. */
-    namesInUse: heldSlots.inUse,
+    groupNamesInUse: heldSlots.inUse,
     refreshAll: (): void => heldSlots.names().forEach(refreshUse),
     /** Updates the slot of a group after a change of its record. */
     follow: (group: string): void => {
-      const slot = findOwnSlot(group);
-      if (slot >= 0 && !heldSlots.has(group)) handleTaken(group, slot);
-      if (slot < 0 && heldSlots.has(group)) handleLost(group);
+      const slot = findSlotIndex(group);
+      if (slot >= 0 && !heldSlots.has(group)) handleSlotAdded(group, slot);
+      if (slot < 0 && heldSlots.has(group)) handleSlotRemoved(group);
     },
-    isClosing: heldSlots.isClosing,
+    isReleasing: heldSlots.isClosing,
     /** Stops using a slot that is about to be released. */
-    beginClosing: (group: string): void => {
+    startReleasing: (group: string): void => {
       heldSlots.beginClosing(group);
-      onHoldingChanged();
+      onSlotUseChanged();
     },
     stop: (): void => {
       isStopped = true;
--- a/packages/auburngrade/src/witness/createLeaseRecordStore.ts
+++ b/packages/auburngrade/src/witness/createLeaseRecordStore.ts
@@ -9,7 +9,7 @@
 
 const KEY_PREFIX = '/auburngrade/lease/';
 
-/** Creates access to the lease records in the configuration store, which name each VM's witnesses. */
+/** Creates access to the stored lease records, which name each VM's witnesses. */
 const createLeaseRecordStore = (platform: Platform, timeoutMs: number) => ({
   /** Reads the current record. @throws RefusalError `platformUnavailable`. */
   read: async (vm: string): Promise<StoredLease | undefined> => {
