--- a/packages/caller/src/createCallerService.ts
+++ b/packages/caller/src/createCallerService.ts
@@ -13,13 +13,13 @@
   type TransactionReply,
   type TransactionStep,
 } from './generated/auburngrade/caller/v1/caller';
-import keyOfMetadata from './keyOfMetadata';
+import readBearerKey from './readBearerKey';
 import type TransactionHandler from './transactionHandler';
-import UnparsableRequest from './unparsableRequest';
+import MalformedRequest from './malformedRequest';
 
-type Parsed<Message> = Message | UnparsableRequest;
+type Parsed<Message> = Message | MalformedRequest;
 
-const refuseUnparsable = ({ message }: UnparsableRequest): Outcome =>
+const refuseUnparsable = ({ message }: MalformedRequest): Outcome =>
   Outcome.fromPartial({
     verdict: Verdict.NOT_RUN,
     refusal: { code: 'badRequest', message, retryAfterMs: 0 },
@@ -29,7 +29,7 @@
   handler: TransactionHandler,
 ): StepHandler<Parsed<TransactionStep>, TransactionReply> => ({
   step: async (step) =>
-    step instanceof UnparsableRequest
+    step instanceof MalformedRequest
       ? { step: 0, outcome: refuseUnparsable(step) }
       : handler.step(step),
   abort: () => handler.abort(),
@@ -41,16 +41,16 @@
     { request, metadata }: ServerUnaryCall<Parsed<Statement>, Outcome>,
     callback: sendUnaryData<Outcome>,
   ) => {
-    if (request instanceof UnparsableRequest) {
+    if (request instanceof MalformedRequest) {
       callback(null, refuseUnparsable(request));
       return;
     }
     handler
-      .execute(request, keyOfMetadata(metadata))
+      .execute(request, readBearerKey(metadata))
       .then((outcome) => callback(null, outcome), callback);
   },
   transact: (stream: ServerDuplexStream<Parsed<TransactionStep>, TransactionReply>) => {
-    serveSteps(stream, guardSteps(handler.openTransaction(keyOfMetadata(stream.metadata))));
+    serveSteps(stream, guardSteps(handler.openTransaction(readBearerKey(stream.metadata))));
   },
 });
 
--- a/packages/caller/src/proxyDefinition.ts
+++ b/packages/caller/src/proxyDefinition.ts
@@ -1,13 +1,13 @@
 import { ProxyService } from './generated/auburngrade/caller/v1/caller';
-import UnparsableRequest from './unparsableRequest';
+import MalformedRequest from './malformedRequest';
 
 const orUnparsable =
   <Request>(parse: (bytes: Buffer) => Request) =>
-  (bytes: Buffer): Request | UnparsableRequest => {
+  (bytes: Buffer): Request | MalformedRequest => {
     try {
       return parse(bytes);
     } catch {
-      return new UnparsableRequest();
+      return new MalformedRequest();
     }
   };
 
--- a/packages/vm/src/createPeerChannel.ts
+++ b/packages/vm/src/createPeerChannel.ts
@@ -1,6 +1,6 @@
 import { connectivityState, type ChannelCredentials } from '@grpc/grpc-js';
 import { ForwardClient, PeerClient } from './generated/auburngrade/vm/v1/vm';
-import NeverSentError from './neverSentError';
+import NotSentError from './notSentError';
 
 const CHANNEL_OPTIONS = {
   // Pings go out only while calls are open: a silent link fails them within two seconds.
@@ -50,7 +50,7 @@
         if (state === connectivityState.READY) {
           resolve();
         } else if (state === connectivityState.TRANSIENT_FAILURE || isClosed) {
-          reject(new NeverSentError(`no connection to ${address}`));
+          reject(new NotSentError(`no connection to ${address}`));
         } else {
           channel.watchConnectivityState(state, deadlineAtMs, (error) => {
             if (!error) {
@@ -58,7 +58,7 @@
               return;
             }
             reopen();
-            reject(new NeverSentError(`no connection to ${address} within ${STUCK_AFTER_MS} ms`));
+            reject(new NotSentError(`no connection to ${address} within ${STUCK_AFTER_MS} ms`));
           });
         }
       };
@@ -68,7 +68,7 @@
   const waitBriefly = (connected: Promise<void>): Promise<void> =>
     new Promise((resolve, reject) => {
       const message = `no connection to ${address} within ${CALL_WAIT_MS} ms`;
-      const timer = setTimeout(() => reject(new NeverSentError(message)), CALL_WAIT_MS);
+      const timer = setTimeout(() => reject(new NotSentError(message)), CALL_WAIT_MS);
       connected.then(resolve, reject).finally(() => clearTimeout(timer));
     });
 
--- a/packages/vm/src/neverSentError.ts
+++ b/packages/vm/src/notSentError.ts
@@ -1,9 +1,9 @@
 /** A call that certainly never left this VM. */
-class NeverSentError extends Error {
+class NotSentError extends Error {
   constructor(message: string) {
     super(message);
     this.name = 'NeverSentError';
   }
 }
 
-export default NeverSentError;
+export default NotSentError;
