--- a/packages/caller/src/createCallerService.ts
+++ b/packages/caller/src/createCallerService.ts
@@ -17,40 +17,43 @@
 import type TransactionHandler from './transactionHandler';
 import MalformedRequest from './malformedRequest';
 
-type Parsed<Message> = Message | MalformedRequest;
+type OrMalformed<Message> = Message | MalformedRequest;
 
-const refuseUnparsable = ({ message }: MalformedRequest): Outcome =>
+const toBadRequestOutcome = ({ message }: MalformedRequest): Outcome =>
   Outcome.fromPartial({
     verdict: Verdict.NOT_RUN,
     refusal: { code: 'badRequest', message, retryAfterMs: 0 },
   });
 
-const guardSteps = (
+const refuseMalformedSteps = (
   handler: TransactionHandler,
-): StepHandler<Parsed<TransactionStep>, TransactionReply> => ({
+): StepHandler<OrMalformed<TransactionStep>, TransactionReply> => ({
   step: async (step) =>
     step instanceof MalformedRequest
-      ? { step: 0, outcome: refuseUnparsable(step) }
+      ? { step: 0, outcome: toBadRequestOutcome(step) }
       : handler.step(step),
   abort: () => handler.abort(),
 });
 
-/** Adapts a CallerHandler to `proxyDefinition`; steps of one transaction run in order. */
+/** Adapts a CallerHandler to `proxyDefinition`; the steps of a transaction run in order. */
 const createCallerService = (handler: CallerHandler): UntypedServiceImplementation => ({
   execute: (
-    { request, metadata }: ServerUnaryCall<Parsed<Statement>, Outcome>,
+    { request, metadata }: ServerUnaryCall<OrMalformed<Statement>, Outcome>,
     callback: sendUnaryData<Outcome>,
   ) => {
     if (request instanceof MalformedRequest) {
-      callback(null, refuseUnparsable(request));
+      callback(null, toBadRequestOutcome(request));
       return;
     }
     handler
       .execute(request, readBearerKey(metadata))
       .then((outcome) => callback(null, outcome), callback);
   },
-  transact: (stream: ServerDuplexStream<Parsed<TransactionStep>, TransactionReply>) => {
-    serveSteps(stream, guardSteps(handler.openTransaction(readBearerKey(stream.metadata))));
+  transact: (stream: ServerDuplexStream<OrMalformed<TransactionStep>, TransactionReply>) => {
+    serveSteps(
+      stream,
+      refuseMalformedSteps(handler.openTransaction(readBearerKey(stream.metadata))),
+    );
   },
 });
 
--- a/packages/caller/src/proxyDefinition.ts
+++ b/packages/caller/src/proxyDefinition.ts
@@ -1,7 +1,7 @@
 import { ProxyService } from './generated/auburngrade/caller/v1/caller';
 import MalformedRequest from './malformedRequest';
 
-const orUnparsable =
+const orMalformed =
   <Request>(parse: (bytes: Buffer) => Request) =>
   (bytes: Buffer): Request | MalformedRequest => {
     try {
@@ -11,15 +11,16 @@
     }
   };
 
-/** The service for callers, which answers a message that does not parse like any bad request. */
+/** Definition of the Proxy service. A malformed message is parsed to a MalformedRequest, so that the
+ * handler can answer it with a `badRequest` refusal. */
 const proxyDefinition = {
   execute: {
     ...ProxyService.execute,
-    requestDeserialize: orUnparsable(ProxyService.execute.requestDeserialize),
+    requestDeserialize: orMalformed(ProxyService.execute.requestDeserialize),
   },
   transact: {
     ...ProxyService.transact,
-    requestDeserialize: orUnparsable(ProxyService.transact.requestDeserialize),
+    requestDeserialize: orMalformed(ProxyService.transact.requestDeserialize),
   },
 } as const;
 
--- a/packages/platform/src/conditionalPut.ts
+++ b/packages/platform/src/conditionalPut.ts
@@ -1,4 +1,4 @@
-/** One conditional write: applied only while the key still has `expectedRevision` (0: absent). */
+/** One conditional write, applied only if the key has `expectedRevision` (0: the key is absent). */
 interface ConditionalPut {
   key: string;
   /** Undefined deletes the key. */
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -3,18 +3,18 @@
 import type WatchListener from './watchListener';
 import type WriteOutcome from './writeOutcome';
 
-/** The platform's key-value service, as far as this project needs it. */
+/** Client of the configuration store: the platform's key-value service with revisions and watches. */
 abstract class Platform {
-  /** Reads all keys below the prefix. @throws RefusalError `platformUnavailable`. */
+  /** Reads all keys with the prefix, at one revision. @throws RefusalError `platformUnavailable`. */
   abstract range(prefix: string, timeoutMs: number): Promise<RangeOutcome>;
 
-  /** Applies all writes or none. */
+  /** Applies all writes or none; failures are part of the outcome. */
   abstract compareAndSwap(puts: ConditionalPut[], timeoutMs: number): Promise<WriteOutcome>;
 
-  /** Follows changes below the prefix after `fromRevision`; returns the function that ends it. */
+  /** Watches keys with the prefix for changes after `fromRevision`; returns a cancel function. */
   abstract watch(prefix: string, fromRevision: number, listener: WatchListener): () => void;
 
-  /** Replaces connections that no longer answer; open watches end. */
+  /** Replaces all connections, for use when they no longer answer; open watches end. */
   reconnect(): void {}
 
   abstract close(): void;
