--- a/packages/vm/src/notSentError.ts
+++ b/packages/vm/src/notSentError.ts
@@ -1,4 +1,4 @@
-/** A call that certainly never left this VM. */
+/** Failure of a call that was never sent, so that a retry cannot repeat an effect. */
 class NotSentError extends Error {
   constructor(message: string) {
     super(message);
