--- a/packages/platform/src/createEtcdPlatform.ts
+++ b/packages/platform/src/createEtcdPlatform.ts
@@ -6,7 +6,7 @@
   type ServiceError,
 } from '@grpc/grpc-js';
 import { notRun, type ConfigurationEntry } from '@auburngrade/coordination';
-import type ConditionalPut from './conditionalPut';
+import type ConditionalWrite from './conditionalWrite';
 import {
   Compare,
   Compare_CompareResult,
@@ -41,28 +41,28 @@
   'grpc.max_reconnect_backoff_ms': 1_000,
 };
 
-const toCompare = (put: ConditionalPut): Compare =>
+const toCompare = (write: ConditionalWrite): Compare =>
   Compare.fromPartial({
     result: Compare_CompareResult.EQUAL,
     target: Compare_CompareTarget.MOD,
-    key: Buffer.from(put.key),
-    targetUnion: { $case: 'modRevision', modRevision: put.expectedRevision },
+    key: Buffer.from(write.key),
+    targetUnion: { $case: 'modRevision', modRevision: write.expectedRevision },
   });
 
-const toWriteOperation = (put: ConditionalPut): RequestOp => {
-  const key = Buffer.from(put.key);
-  if (put.valueJson === undefined) {
+const toWriteOperation = (write: ConditionalWrite): RequestOp => {
+  const key = Buffer.from(write.key);
+  if (write.valueJson === undefined) {
     return RequestOp.fromPartial({
       request: { $case: 'requestDeleteRange', requestDeleteRange: { key } },
     });
   }
-  const value = Buffer.from(put.valueJson);
+  const value = Buffer.from(write.valueJson);
   return RequestOp.fromPartial({ request: { $case: 'requestPut', requestPut: { key, value } } });
 };
 
-const toReadOperation = (put: ConditionalPut): RequestOp =>
+const toReadOperation = (write: ConditionalWrite): RequestOp =>
   RequestOp.fromPartial({
-    request: { $case: 'requestRange', requestRange: { key: Buffer.from(put.key) } },
+    request: { $case: 'requestRange', requestRange: { key: Buffer.from(write.key) } },
   });
 
 const currentEntriesOf = (response: TxnResponse): ConfigurationEntry[] =>
@@ -129,11 +129,11 @@
     });
   }
 
-  override compareAndSwap(puts: ConditionalPut[], timeoutMs: number): Promise<WriteOutcome> {
+  override compareAndSwap(writes: ConditionalWrite[], timeoutMs: number): Promise<WriteOutcome> {
     const request = {
-      compare: puts.map(toCompare),
-      success: puts.map(toWriteOperation),
-      failure: puts.map(toReadOperation),
+      compare: writes.map(toCompare),
+      success: writes.map(toWriteOperation),
+      failure: writes.map(toReadOperation),
     };
     const { kv } = this;
     return new Promise((resolve) => {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,5 @@
 export { default as Platform } from './platform';
-export type { default as ConditionalPut } from './conditionalPut';
+export type { default as ConditionalWrite } from './conditionalWrite';
 export type { default as WriteOutcome } from './writeOutcome';
 export type { default as RangeOutcome } from './rangeOutcome';
 export type { default as WatchListener } from './watchListener';
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -1,4 +1,4 @@
-import type ConditionalPut from './conditionalPut';
+import type ConditionalWrite from './conditionalWrite';
 import type RangeOutcome from './rangeOutcome';
 import type WatchListener from './watchListener';
 import type WriteOutcome from './writeOutcome';
@@ -9,7 +9,7 @@
   abstract range(prefix: string, timeoutMs: number): Promise<RangeOutcome>;
 
   /** Applies all writes or none; failures are part of the outcome. */
-  abstract compareAndSwap(puts: ConditionalPut[], timeoutMs: number): Promise<WriteOutcome>;
+  abstract compareAndSwap(writes: ConditionalWrite[], timeoutMs: number): Promise<WriteOutcome>;
 
   /** Watches keys with the prefix for changes after `fromRevision`; returns a cancel function. */
   abstract watch(prefix: string, fromRevision: number, listener: WatchListener): () => void;
