--- a/packages/caller/src/proxyDefinition.ts
+++ b/packages/caller/src/proxyDefinition.ts
@@ -1,25 +1,26 @@
 import { ProxyService } from './generated/auburngrade/caller/v1/caller';
-import UnparsableRequest from './unparsableRequest';
+import MalformedRequest from './malformedRequest';
 
-const orUnparsable =
+const orMalformed =
   <Request>(parse: (bytes: Buffer) => Request) =>
-  (bytes: Buffer): Request | UnparsableRequest => {
+  (bytes: Buffer): Request | MalformedRequest => {
     try {
       return parse(bytes);
     } catch {
-      return new UnparsableRequest();
+      return new MalformedRequest();
     }
   };
 
-/** The service for callers, which answers a message that does not parse like any bad request. */
+/** Definition of the Proxy service. A malformed message is parsed to a MalformedRequest, so that the
+ * handler can answer it with a `badRequest` refusal. */
 const proxyDefinition = {
   execute: {
     ...ProxyService.execute,
-    requestDeserialize: orUnparsable(ProxyService.execute.requestDeserialize),
+    requestDeserialize: orMalformed(ProxyService.execute.requestDeserialize),
   },
   transact: {
     ...ProxyService.transact,
-    requestDeserialize: orUnparsable(ProxyService.transact.requestDeserialize),
+    requestDeserialize: orMalformed(ProxyService.transact.requestDeserialize),
   },
 } as const;
 
