--- a/packages/auburngrade/src/authentication/withKeyCheck.ts
+++ b/packages/auburngrade/src/authentication/withKeyCheck.ts
@@ -1,9 +1,9 @@
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type PooledConnection from '../groups/pooledConnection';
 import CheckedConnection from './checkedConnection';
 
 /** Wraps a group's holder so that its connections run `check` before each statement of a caller. */
-const withKeyCheck = (holder: GroupHolder, check: () => void): GroupHolder => {
+const withKeyCheck = (holder: GroupClient, check: () => void): GroupClient => {
   const wrapAcquired = async (acquired: Promise<PooledConnection>): Promise<PooledConnection> => {
     const { connection, release } = await acquired;
     return { connection: new CheckedConnection(connection, check), release };
--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -8,8 +8,8 @@
 import withKeyCheck from '../authentication/withKeyCheck';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
-import type createTermKeeper from '../groups/createTermKeeper';
-import type GroupHolder from '../groups/groupHolder';
+import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
+import type GroupClient from '../groups/groupClient';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Membership from '../membership/membership';
 import type Metrics from '../metrics/metrics';
@@ -25,7 +25,7 @@
   settings: Settings;
   configuration: ConfigurationState;
   groups: GroupRegistry;
-  terms: ReturnType<typeof createTermKeeper>;
+  terms: ReturnType<typeof createTermRecordInitializer>;
   membership: Membership;
   peers: PeerRegistry;
   leavingNotices: ReturnType<typeof createLeavingNotices>;
@@ -50,16 +50,16 @@
     ...settings,
     ...settings.reads,
     configuration,
-    held: groups.held,
+    listGroupClients: groups.listClients,
     nowMs,
   });
   const primaryWaiter = createPrimaryWaiter(configuration, nowMs);
   const writeExecutor = createWriteExecutor(settings.vm, nowMs);
 
-  const getGroupClient = async (request: TransactionRequest): Promise<GroupHolder> => {
+  const getGroupClient = async (request: TransactionRequest): Promise<GroupClient> => {
     await options.awaitConfiguration(request.deadlineAtMs);
     const groupClient = groups.get(request.group);
-    await termRecordInitialiser.ensureRecord(groupClient);
+    await termRecordInitialiser.ensureTermRecord(groupClient);
     if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
     return withKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
   };
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -7,7 +7,7 @@
 import createConfigurationDistribution from '../configuration/createConfigurationDistribution';
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createGroupRegistry from '../groups/createGroupRegistry';
-import createTermKeeper from '../groups/createTermKeeper';
+import createTermRecordInitializer from '../groups/createTermRecordInitializer';
 import createVouching from '../keys/createVouching';
 import createLogger from '../log/createLogger';
 import createExchange from '../membership/createExchange';
@@ -83,7 +83,7 @@
     settings.pools,
     slotController.isUsable,
   );
-  const termRecordInitialiser = createTermKeeper(platform, configuration, timeoutMs, logger);
+  const termRecordInitialiser = createTermRecordInitializer(platform, configuration, timeoutMs, logger);
   const workTracker = createWorkTracker();
   const leavingNotices = createLeavingNotices({
     vm: settings.vm,
@@ -100,7 +100,7 @@
     configuration,
     membership,
     groups,
-    heldGroups: slotController.describe,
+    listHeldGroups: slotController.describe,
     terms: termRecordInitialiser,
     send: sendMessage,
     timings: settings.failover,
@@ -176,7 +176,7 @@
     beginWork: workTracker.enter,
     messageHandlers: new Map<string, MessageHandler>([
       ...admissionService.messageHandlers,
-      ['suspicion', promotions.answerSuspicion],
+      ['suspicion', promotions.handleSuspicionMessage],
       [leavingNotices.kind, leavingNotices.receive],
       ...keyFreshness.messageHandlers,
       ...slotController.messageHandlers,
@@ -195,7 +195,7 @@
     nowMs,
   });
   promotions.start();
-  slotController.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
+  slotController.start({ membership, groups, onHoldingChanged: promotions.scheduleRankUpdate });
   const servers = await startServers({
     settings,
     tls,
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -9,7 +9,7 @@
   type TransactionRequest,
 } from '@auburngrade/coordination';
 import { EndpointError, type QueryResult } from '@auburngrade/endpoint';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import createFreshnessTracker from '../routing/createFreshnessTracker';
 import createReadPlanner from '../routing/createReadPlanner';
 import createRecentFailures from '../routing/createRecentFailures';
@@ -23,7 +23,7 @@
   dataCentre: string;
   catchUpWaitMs: number;
   configuration: ConfigurationState;
-  held(): GroupHolder[];
+  listGroupClients(): GroupClient[];
   nowMs(): number;
 }
 
@@ -46,7 +46,7 @@
   const { vm, nowMs } = options;
   const hedge = createReadHedge(nowMs);
   const recentFailures = createRecentFailures(MEMBER_AVOIDANCE_MS, nowMs);
-  const freshnessTracker = createFreshnessTracker(options.held);
+  const freshnessTracker = createFreshnessTracker(options.listGroupClients);
   const readPlanner = createReadPlanner({
     ...options,
     freshnessTracker,
@@ -54,7 +54,7 @@
   });
 
   const runOnMember = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     { member, term }: ReadPlan,
     progress: ReadProgress,
@@ -73,7 +73,7 @@
   };
 
   const runOrMarkFailed = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadProgress,
@@ -92,7 +92,7 @@
 
   /** Waits until polls sent after the read show the primary and a majority without a later fence. */
   const confirmPrimary = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: Pick<StatementRequest, 'deadlineAtMs'>,
     sentAtMs: number,
   ): Promise<void> => {
@@ -105,14 +105,14 @@
   };
 
   const tryPlan = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     plan: ReadPlan,
     progress: ReadProgress,
   ): Promise<QueryResult | undefined> => {
     const sentAtMs = nowMs();
     const rows = await runOrMarkFailed(groupClient, request, plan, progress);
-    if (plan.isConfirmed) {
+    if (plan.isConfirmationRequired) {
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term !== plan.term) return undefined;
     }
@@ -121,7 +121,7 @@
   };
 
   const executeOnce = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     progress: ReadProgress,
   ): Promise<StatementOutcome> => {
@@ -140,7 +140,7 @@
   return {
     /** @throws RefusalError */
     execute: async (
-      groupClient: GroupHolder,
+      groupClient: GroupClient,
       request: StatementRequest,
     ): Promise<StatementOutcome> => {
       const firstProgress: ReadProgress = { member: undefined, isSent: false };
@@ -152,19 +152,19 @@
       return Promise.any([answer, hedgedAnswer]).catch(() => answer);
     },
     /** Chooses the member for a read-only transaction. @throws RefusalError */
-    plan: async (groupClient: GroupHolder, request: TransactionRequest): Promise<ReadPlan> => {
+    plan: async (groupClient: GroupClient, request: TransactionRequest): Promise<ReadPlan> => {
       const freshness = options.configuration.get('profile', request.profile)?.freshness;
       // A bounded age would expire while the transaction is open, so it runs on the primary.
       return readPlanner.plan(groupClient, request, freshness?.kind !== 'session');
     },
     /** Confirms the primary after an answer in a read-only transaction, if the plan requires it. */
     confirm: async (
-      groupClient: GroupHolder,
+      groupClient: GroupClient,
       request: Pick<StatementRequest, 'deadlineAtMs'>,
       plan: ReadPlan,
       sentAtMs: number,
     ): Promise<void> => {
-      if (!plan.isConfirmed) return;
+      if (!plan.isConfirmationRequired) return;
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term === plan.term) return;
       throw notRun('transactionAborted', 'the primary was replaced during the transaction');
--- a/packages/auburngrade/src/execution/createReadHedge.ts
+++ b/packages/auburngrade/src/execution/createReadHedge.ts
@@ -1,9 +1,9 @@
 import type { StatementRequest } from '@auburngrade/coordination';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import sleep from '../time/sleep';
 import type ReadProgress from './readProgress';
 
-type HedgeGroupClient = Pick<GroupHolder, 'hasReleasedSince' | 'pollMember'>;
+type HedgeGroupClient = Pick<GroupClient, 'hasReleasedSince' | 'pollMember'>;
 
 /** After this long without an answer, the member of the read is polled. */
 const SLOW_READ_MS = 100;
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -12,12 +12,12 @@
   type EndpointConnection,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import createOutcomeLookup from '../outcome/createOutcomeLookup';
-import insertRequestSql from '../outcome/insertRequestSql';
-import joinStatements from '../outcome/joinStatements';
+import buildInsertRequestSql from '../outcome/buildInsertRequestSql';
+import joinStatementsWithTerm from '../outcome/joinStatementsWithTerm';
 import quoteLiteral from '../outcome/quoteLiteral';
-import requestRecordId from '../outcome/requestRecordId';
+import buildRequestRecordId from '../outcome/buildRequestRecordId';
 import rollBack from './rollBack';
 
 interface CommittedWrite {
@@ -42,8 +42,8 @@
     request: StatementRequest,
     term: number,
   ): Promise<boolean> => {
-    const insert = insertRequestSql(request, 'run');
-    const script = joinStatements(term, ['BEGIN READ WRITE', insert]);
+    const insert = buildInsertRequestSql(request, 'run');
+    const script = joinStatementsWithTerm(term, ['BEGIN READ WRITE', insert]);
     try {
       const timeoutMs = Math.min(BEGIN_TIMEOUT_MS, request.deadlineAtMs - nowMs());
       await connection.script(script, timeoutMs);
@@ -55,21 +55,21 @@
   };
 
   const commit = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     connection: EndpointConnection,
     request: StatementRequest,
     { term, primary }: TermRecord,
     rows: QueryResult,
   ): Promise<CommittedWrite> => {
-    const id = quoteLiteral(requestRecordId(request));
+    const id = quoteLiteral(buildRequestRecordId(request));
     const result = quoteLiteral(JSON.stringify(rows));
     const update = `UPDATE auburngrade_request SET result = ${result} WHERE id = ${id}`;
     // The status query carries no term, so that a later fence cannot make a committed script fail.
-    const script = `${joinStatements(term, [update, 'COMMIT'])};${MEMBER_STATUS_SQL}`;
+    const script = `${joinStatementsWithTerm(term, [update, 'COMMIT'])};${MEMBER_STATUS_SQL}`;
     const askedAtMs = nowMs();
     const results = await connection.script(script, request.deadlineAtMs - askedAtMs);
     const status = toMemberStatus(primary ?? '', results.at(-1), askedAtMs);
-    groupClient.noteStatus(status);
+    groupClient.recordStatus(status);
     return { rows, position: status.position, askedAtMs };
   };
 
@@ -87,7 +87,7 @@
 
   /** Returns undefined when the outcome is only known after a lookup of the request id. */
   const runTransaction = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     connection: EndpointConnection,
     request: StatementRequest,
     record: TermRecord,
@@ -115,7 +115,7 @@
   };
 
   const runOnPrimary = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
@@ -133,7 +133,7 @@
   return {
     /** Runs a write in the current term; callers first wait for a primary. @throws RefusalError */
     execute: async (
-      groupClient: GroupHolder,
+      groupClient: GroupClient,
       request: StatementRequest,
     ): Promise<StatementOutcome> => {
       const record = groupClient.record();
@@ -145,7 +145,7 @@
       if (!committed) return outcomeLookup.resolve(groupClient, request);
       const { rows, position, askedAtMs } = committed;
       const { group, sessionToken, deadlineAtMs } = request;
-      const isAcknowledged = await groupClient.waitAcknowledged(
+      const isAcknowledged = await groupClient.waitForAcknowledgement(
         term,
         position,
         deadlineAtMs,
--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -141,7 +141,7 @@
     statuses,
     poll,
     /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
-    onTermOver: onTermSuperseded,
+    onTermSuperseded: onTermSuperseded,
     /** Latest status of each member, as polled by this VM. */
     views,
     pollMember: async (member: string): Promise<MemberStatus | undefined> => {
@@ -150,7 +150,7 @@
       return poller.unansweredSinceMs() === undefined ? poller.latest() : undefined;
     },
     /** Records a status that was returned along with another statement. */
-    noteStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
+    recordStatus: (status: MemberStatus): void => pollers.get(status.member)?.note(status),
     /** Whether a request has released a data connection of the member since a monotonic time. */
     hasReleasedSince: (member: string, sinceMs: number): boolean =>
       handleOf(member).data.lastReleasedAtMs() >= sinceMs,
@@ -193,7 +193,7 @@
      * Resolves to whether a majority of the voters holds the position before the deadline;
      * only polls that began after `committedAtMs` count.
      */
-    waitAcknowledged: (
+    waitForAcknowledgement: (
       term: number,
       position: number,
       deadlineAtMs: number,
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -1,7 +1,7 @@
 import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
 import createGroupClient from './createGroupClient';
-import type GroupHolder from './groupHolder';
+import type GroupClient from './groupClient';
 import type PoolSettings from './poolSettings';
 
 /** Limit for statements that still run on a replaced client when its group's document changes. */
@@ -16,10 +16,10 @@
   poolSettings: PoolSettings | undefined,
   mayHold: (group: string) => boolean,
 ) => {
-  const clients = new Map<string, GroupHolder>();
+  const clients = new Map<string, GroupClient>();
 
   /** Clients by group that wait for running statements to finish; a group may have several. */
-  const drainingClients = new Map<string, Set<GroupHolder>>();
+  const drainingClients = new Map<string, Set<GroupClient>>();
 
   /** Closes a group's clients; connections in use close on release or after `forceCloseAfterMs`. */
   const closeGroup = (name: string, forceCloseAfterMs?: number): void => {
@@ -30,7 +30,7 @@
 
   const drainClient = async (
     name: string,
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     forceCloseAfterMs: number,
   ): Promise<void> => {
     const draining = drainingClients.get(name) ?? new Set();
@@ -50,7 +50,7 @@
   };
 
   /** @throws RefusalError `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
-  const get = (name: string): GroupHolder => {
+  const get = (name: string): GroupClient => {
     const group = configuration.get('group', name);
     if (!group) throw notRun('unknownGroup', `group ${name} does not exist`);
     if (!mayHold(name)) throw notRun('noConnection', `this VM holds no slot of group ${name}`);
@@ -77,8 +77,8 @@
     /** Whether this VM may have connections to a group now. */
     mayHold,
     release: closeGroup,
-    retire: drainGroup,
-    held: (): GroupHolder[] => [...clients.values()],
+    drainGroup: drainGroup,
+    listClients: (): GroupClient[] => [...clients.values()],
     close: (): void => [...clients.keys()].forEach((name) => closeGroup(name)),
   };
 };
--- a/packages/auburngrade/src/groups/createTermKeeper.ts
+++ b/packages/auburngrade/src/groups/createTermRecordInitializer.ts
@@ -1,16 +1,16 @@
 import { documentKinds, type ConfigurationState, type TermRecord } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
-import type GroupHolder from './groupHolder';
+import type GroupClient from './groupClient';
 
 /** Writes the first term record of a group that has no record but exactly one primary. */
-const createTermKeeper = (
+const createTermRecordInitializer = (
   platform: Platform,
   configuration: ConfigurationState,
   timeoutMs: number,
   logger: Logger,
 ) => ({
-  ensureRecord: async (groupClient: GroupHolder): Promise<void> => {
+  ensureTermRecord: async (groupClient: GroupClient): Promise<void> => {
     if (configuration.get('term', groupClient.name)) return;
     await groupClient.poll();
     const primaries = groupClient.statuses().filter(({ role }) => role === 'primary');
@@ -35,4 +35,4 @@
   },
 });
 
-export default createTermKeeper;
+export default createTermRecordInitializer;
--- a/packages/auburngrade/src/groups/groupHolder.ts
+++ b/packages/auburngrade/src/groups/groupClient.ts
@@ -1,6 +1,6 @@
 import type createGroupClient from './createGroupClient';
 
 /** Client of one database group, kept while this VM holds a slot of it. */
-type GroupHolder = ReturnType<typeof createGroupClient>;
+type GroupClient = ReturnType<typeof createGroupClient>;
 
-export default GroupHolder;
+export default GroupClient;
--- a/packages/auburngrade/src/outcome/insertRequestSql.ts
+++ b/packages/auburngrade/src/outcome/buildInsertRequestSql.ts
@@ -1,14 +1,14 @@
 import type { RequestRecord, StatementRequest } from '@auburngrade/coordination';
 import quoteLiteral from './quoteLiteral';
 import computeRequestFingerprint from './computeRequestFingerprint';
-import requestRecordId from './requestRecordId';
+import buildRequestRecordId from './buildRequestRecordId';
 
 /** SQL that inserts the row of a request id; it fails with a unique violation if one exists. */
-const insertRequestSql = (request: StatementRequest, state: RequestRecord['state']): string => {
-  const values = [requestRecordId(request), state, computeRequestFingerprint(request)].map(
+const buildInsertRequestSql = (request: StatementRequest, state: RequestRecord['state']): string => {
+  const values = [buildRequestRecordId(request), state, computeRequestFingerprint(request)].map(
     quoteLiteral,
   );
   return `INSERT INTO auburngrade_request (id, state, fingerprint) VALUES (${values.join(', ')})`;
 };
 
-export default insertRequestSql;
+export default buildInsertRequestSql;
--- a/packages/auburngrade/src/outcome/requestRecordId.ts
+++ b/packages/auburngrade/src/outcome/buildRequestRecordId.ts
@@ -1,9 +1,9 @@
 import type { StatementRequest } from '@auburngrade/coordination';
 
 /** Row id of a request in `auburngrade_request`, scoped to its client account. */
-const requestRecordId = ({
+const buildRequestRecordId = ({
   account,
   requestId,
 }: Pick<StatementRequest, 'account' | 'requestId'>): string => `${account ?? ''}/${requestId}`;
 
-export default requestRecordId;
+export default buildRequestRecordId;
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -16,13 +16,13 @@
   type EndpointConnection,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import sleep from '../time/sleep';
-import insertRequestSql from './insertRequestSql';
-import joinStatements from './joinStatements';
+import buildInsertRequestSql from './buildInsertRequestSql';
+import joinStatementsWithTerm from './joinStatementsWithTerm';
 import quoteLiteral from './quoteLiteral';
 import computeRequestFingerprint from './computeRequestFingerprint';
-import requestRecordId from './requestRecordId';
+import buildRequestRecordId from './buildRequestRecordId';
 import rollBack from '../execution/rollBack';
 
 interface LookupResult {
@@ -43,7 +43,7 @@
 /** Determines on the current primary whether a request ran; cancels its id if it did not. */
 const createOutcomeLookup = (vm: string, nowMs: () => number) => {
   const runScript = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     connection: EndpointConnection,
     member: string,
     script: string,
@@ -52,12 +52,12 @@
     const askedAtMs = nowMs();
     const results = await connection.script(script, deadlineAtMs - askedAtMs);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
-    groupClient.noteStatus(status);
+    groupClient.recordStatus(status);
     return { results, position: status.position, askedAtMs };
   };
 
   const cancelOrFind = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     { term }: TermRecord,
     primary: string,
@@ -68,13 +68,13 @@
         groupClient,
         connection,
         primary,
-        joinStatements(term, statements),
+        joinStatementsWithTerm(term, statements),
         request.deadlineAtMs,
       );
     const waitForMajority = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
-      groupClient.waitAcknowledged(term, position, request.deadlineAtMs, askedAtMs);
+      groupClient.waitForAcknowledgement(term, position, request.deadlineAtMs, askedAtMs);
     try {
-      const insert = insertRequestSql(request, 'cancelled');
+      const insert = buildInsertRequestSql(request, 'cancelled');
       const inserted = await run(['BEGIN READ WRITE', insert, 'COMMIT', MEMBER_STATUS_SQL]);
       const { position } = inserted;
       return {
@@ -85,7 +85,7 @@
       await rollBack(connection);
       if (!(error instanceof EndpointError) || error.sqlState !== UNIQUE_VIOLATION) throw error;
     }
-    const id = quoteLiteral(requestRecordId(request));
+    const id = quoteLiteral(buildRequestRecordId(request));
     const select = `SELECT state, result, fingerprint FROM auburngrade_request WHERE id = ${id}`;
     const selected = await run([select, MEMBER_STATUS_SQL]);
     const { position } = selected;
@@ -98,7 +98,7 @@
   };
 
   const lookUpOnPrimary = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
@@ -121,7 +121,7 @@
   };
 
   const lookUpOnce = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: StatementRequest,
   ): Promise<StatementOutcome | undefined> => {
     const record = groupClient.record();
@@ -155,7 +155,7 @@
      * when its outcome was not determined before the deadline.
      */
     resolve: async (
-      groupClient: GroupHolder,
+      groupClient: GroupClient,
       request: StatementRequest,
     ): Promise<StatementOutcome> => {
       while (nowMs() < request.deadlineAtMs) {
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -8,7 +8,7 @@
   type TermRecord,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 import createMemberControl from './createMemberControl';
@@ -20,7 +20,7 @@
 import type PromotionReason from './promotionReason';
 
 interface PromoterOptions {
-  groupClient: GroupHolder;
+  groupClient: GroupClient;
   /** Identifies this process: VM id and incarnation; a restarted VM is another promoter. */
   promoter: string;
   platform: Platform;
--- a/packages/auburngrade/src/promotion/createMemberControl.ts
+++ b/packages/auburngrade/src/promotion/createMemberControl.ts
@@ -5,7 +5,7 @@
   toMemberStatus,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 
 const CONTROL_TIMEOUT_MS = 350;
 
@@ -17,7 +17,7 @@
 }
 
 /** Runs the control statements on group members: fence at a term, promote, follow an upstream. */
-const createMemberControl = (groupClient: GroupHolder, nowMs: () => number) => {
+const createMemberControl = (groupClient: GroupClient, nowMs: () => number) => {
   const runStatements = async (member: string, statements: string[]): Promise<QueryResult[]> => {
     const pooled = await groupClient.acquireControl(member, nowMs() + CONTROL_TIMEOUT_MS);
     try {
@@ -36,7 +36,7 @@
     const askedAtMs = nowMs();
     const results = await runStatements(member, [statement, MEMBER_STATUS_SQL]);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
-    groupClient.noteStatus(status);
+    groupClient.recordStatus(status);
     return status;
   };
 
--- a/packages/auburngrade/src/promotion/createPromotionDriver.ts
+++ b/packages/auburngrade/src/promotion/createPromotionDriver.ts
@@ -4,14 +4,14 @@
   PromotionEvent,
   PromotionPhase,
 } from '@auburngrade/coordination';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type createMemberControl from './createMemberControl';
 import type createTermRecordWriter from './createTermRecordWriter';
 import type createFailoverTimer from './createFailoverTimer';
 import type FailoverPart from './failoverPart';
 
 interface DriverOptions {
-  groupClient: GroupHolder;
+  groupClient: GroupClient;
   promotion: Promotion;
   control: ReturnType<typeof createMemberControl>;
   writer: ReturnType<typeof createTermRecordWriter>;
--- a/packages/auburngrade/src/promotion/createPromotionPlan.ts
+++ b/packages/auburngrade/src/promotion/createPromotionPlan.ts
@@ -1,11 +1,11 @@
 import type { PromotionPlan, TermRecord } from '@auburngrade/coordination';
 import activeMemberNames from '../groups/activeMemberNames';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type PromotionReason from './promotionReason';
 
 /** Plans one promotion attempt under a term above the record's and every fence seen so far. */
 const createPromotionPlan = (
-  groupClient: GroupHolder,
+  groupClient: GroupClient,
   record: TermRecord,
   revision: number,
   promoter: string,
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -4,7 +4,7 @@
   type Promotion,
   type TermRecord,
 } from '@auburngrade/coordination';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type Logger from '../log/logger';
 import createTraceRecorder from '../traces/createTraceRecorder';
 import recordPromotion from '../traces/recordPromotion';
@@ -17,7 +17,7 @@
 import type PromotionReason from './promotionReason';
 
 interface RunOptions {
-  groupClient: GroupHolder;
+  groupClient: GroupClient;
   /** Identifies this process: VM id and incarnation; a restarted VM is another promoter. */
   promoter: string;
   configuration: ConfigurationState;
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -4,8 +4,8 @@
   type FailoverTimings,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
-import type createTermKeeper from '../groups/createTermKeeper';
-import type GroupHolder from '../groups/groupHolder';
+import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
+import type GroupClient from '../groups/groupClient';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
@@ -25,8 +25,8 @@
   membership: Membership;
   groups: GroupRegistry;
   /** Groups to which this VM may have connections now. */
-  heldGroups(): string[];
-  terms: ReturnType<typeof createTermKeeper>;
+  listHeldGroups(): string[];
+  terms: ReturnType<typeof createTermRecordInitializer>;
   send: SendMessage;
   timings: FailoverTimings;
   metrics: FailoverMetrics;
@@ -67,7 +67,7 @@
   const updateRanks = (): void => {
     rankTimer = undefined;
     ranks.clear();
-    options.heldGroups().forEach((group) => {
+    options.listHeldGroups().forEach((group) => {
       const rank = rankInGroup(group);
       if (rank >= 0) ranks.set(group, rank);
     });
@@ -78,7 +78,7 @@
     rankTimer ??= setTimeout(updateRanks, RANK_UPDATE_DELAY_MS);
   };
 
-  const createPromoter = (groupClient: GroupHolder): GroupPromoter =>
+  const createPromoter = (groupClient: GroupClient): GroupPromoter =>
     createGroupPromoter({
       groupClient,
       promoter: `${vm}/${options.incarnation}`,
@@ -112,7 +112,7 @@
   const ensureTermRecords = (): void =>
     ranks.forEach((_, group) => {
       if (configuration.get('term', group) || !groups.mayHold(group)) return;
-      options.terms.ensureRecord(groups.get(group));
+      options.terms.ensureTermRecord(groups.get(group));
     });
 
   const onChange = (changed: readonly { key: string }[]): void => {
@@ -132,9 +132,9 @@
       ];
     },
     /** To be called when this VM gains or loses a slot by time alone, without a document change. */
-    updateRanksSoon: scheduleRankUpdate,
+    scheduleRankUpdate: scheduleRankUpdate,
     /** Handles a suspicion message: returns this VM's view of a group's primary. */
-    answerSuspicion: async (_fromVm: string, body: unknown): Promise<unknown> => {
+    handleSuspicionMessage: async (_fromVm: string, body: unknown): Promise<unknown> => {
       const { group, term } = suspicionMessageSchema.parse(body);
       return { view: (await promoters.get(group)?.view(term)) ?? 'unknown' };
     },
--- a/packages/auburngrade/src/promotion/findPlannedChangeReason.ts
+++ b/packages/auburngrade/src/promotion/findPlannedChangeReason.ts
@@ -1,6 +1,6 @@
 import type { MemberView, TermRecord } from '@auburngrade/coordination';
 import activeMemberNames from '../groups/activeMemberNames';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type PromotionReason from './promotionReason';
 
 const MAX_CATCH_UP_ENTRIES = 1_000;
@@ -16,7 +16,7 @@
  * voters must first be close to the primary's log position.
  */
 const findPlannedChangeReason = (
-  groupClient: GroupHolder,
+  groupClient: GroupClient,
   record: TermRecord,
 ): PromotionReason | undefined => {
   const activeNames = activeMemberNames(groupClient.group);
--- a/packages/auburngrade/src/routing/createFreshnessTracker.ts
+++ b/packages/auburngrade/src/routing/createFreshnessTracker.ts
@@ -1,13 +1,13 @@
 import { addWatermark, confirmWatermark, type Watermark } from '@auburngrade/coordination';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 
 const OBSERVE_INTERVAL_MS = 500;
 
 /** Keeps, per group, the watermarks that bound the age of a replica's data. */
-const createFreshnessTracker = (listGroupClients: () => GroupHolder[]) => {
+const createFreshnessTracker = (listGroupClients: () => GroupClient[]) => {
   const watermarksByGroup = new Map<string, readonly Watermark[]>();
 
-  const observe = (groupClient: GroupHolder): readonly Watermark[] => {
+  const observe = (groupClient: GroupClient): readonly Watermark[] => {
     const known = watermarksByGroup.get(groupClient.name) ?? [];
     const record = groupClient.record();
     const names = groupClient.group.members.map(({ name }) => name);
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -9,7 +9,7 @@
   type ReadTarget,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type FreshnessTracker from './freshnessTracker';
 import type ReadPlan from './readPlan';
 import sleep from '../time/sleep';
@@ -46,7 +46,7 @@
   const { configuration, freshnessTracker, nowMs } = options;
 
   const readStateOf = (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: TransactionRequest,
     { freshness, endpoints }: ReadPolicy,
   ): ReadState => {
@@ -69,7 +69,7 @@
   };
 
   const waitForTarget = async (
-    groupClient: GroupHolder,
+    groupClient: GroupClient,
     request: TransactionRequest,
     policy: ReadPolicy,
   ): Promise<{ target: ReadTarget; state: ReadState }> => {
@@ -108,12 +108,12 @@
       role: 'primary',
       term: state.record.term,
       freshUntilMs: isWithinMaxAge ? untilMs : undefined,
-      isConfirmed: state.freshness.kind !== 'session' && !isWithinMaxAge,
+      isConfirmationRequired: state.freshness.kind !== 'session' && !isWithinMaxAge,
     };
   };
 
   /** Polls the group if its latest watermark is old, to keep them closely spaced for `maxAge`. */
-  const refreshWatermarks = (groupClient: GroupHolder, state: ReadState): void => {
+  const refreshWatermarks = (groupClient: GroupClient, state: ReadState): void => {
     if (state.freshness.kind !== 'maxAge') return;
     const latestAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
     const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_MAX_AGE;
@@ -123,7 +123,7 @@
   return {
     /** @throws RefusalError `noFreshEndpoint` or `noPrimary`. */
     plan: async (
-      groupClient: GroupHolder,
+      groupClient: GroupClient,
       request: TransactionRequest,
       isPrimaryOnly: boolean,
     ): Promise<ReadPlan> => {
@@ -156,7 +156,7 @@
         role: 'replica',
         term: state.record.term,
         freshUntilMs: freshUntilMs(state, member),
-        isConfirmed: false,
+        isConfirmationRequired: false,
       };
     },
   };
--- a/packages/auburngrade/src/routing/readPlan.ts
+++ b/packages/auburngrade/src/routing/readPlan.ts
@@ -7,7 +7,7 @@
   /** Monotonic time by which the answer must arrive to be fresh; undefined without a bound. */
   freshUntilMs: number | undefined;
   /** Whether a majority must confirm after the read that the primary had not been replaced. */
-  isConfirmed: boolean;
+  isConfirmationRequired: boolean;
 }
 
 export default ReadPlan;
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotKeeper.ts
@@ -88,7 +88,7 @@
     if (!tracker.isReleasing(group)) {
       if (!tracker.isUsable(group)) return;
       tracker.startReleasing(group);
-      await users?.groups.retire(group, RELEASE_GRACE_MS);
+      await users?.groups.drainGroup(group, RELEASE_GRACE_MS);
       logger.info('slot.closed', { group, slot });
     }
     await clearSlot(group, slot);
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -14,19 +14,19 @@
   toMemberStatus,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import type createOutcomeLookup from '../outcome/createOutcomeLookup';
-import insertRequestSql from '../outcome/insertRequestSql';
-import joinStatements from '../outcome/joinStatements';
+import buildInsertRequestSql from '../outcome/buildInsertRequestSql';
+import joinStatementsWithTerm from '../outcome/joinStatementsWithTerm';
 import quoteLiteral from '../outcome/quoteLiteral';
-import requestRecordId from '../outcome/requestRecordId';
+import buildRequestRecordId from '../outcome/buildRequestRecordId';
 import type PooledConnection from '../groups/pooledConnection';
 import type ReadPlan from '../routing/readPlan';
 import Transaction from './transaction';
 
 interface LocalTransactionOptions {
   vm: string;
-  groupClient: GroupHolder;
+  groupClient: GroupClient;
   request: TransactionRequest;
   plan: ReadPlan;
   pooledConnection: PooledConnection;
@@ -69,12 +69,12 @@
 
   async begin(): Promise<void> {
     const { request, plan, groupClient } = this.options;
-    this.stopTermWatch = groupClient.onTermOver(plan.term, () => this.abort());
+    this.stopTermWatch = groupClient.onTermSuperseded(plan.term, () => this.abort());
     const statements = request.write
-      ? ['BEGIN READ WRITE', insertRequestSql(toCommitStatement(request), 'run')]
+      ? ['BEGIN READ WRITE', buildInsertRequestSql(toCommitStatement(request), 'run')]
       : ['BEGIN READ ONLY'];
     try {
-      await this.runScript(joinStatements(plan.term, statements), BEGIN_TIMEOUT_MS);
+      await this.runScript(joinStatementsWithTerm(plan.term, statements), BEGIN_TIMEOUT_MS);
     } catch (error) {
       this.abort();
       if (error instanceof EndpointError && error.sqlState === UNIQUE_VIOLATION_SQLSTATE) {
@@ -126,7 +126,7 @@
     }
     if (!request.write) return this.outcome(COMMIT_RESULT);
     const { sessionToken, group, deadlineAtMs } = request;
-    const isAcknowledged = await groupClient.waitAcknowledged(
+    const isAcknowledged = await groupClient.waitForAcknowledgement(
       plan.term,
       position,
       deadlineAtMs,
@@ -236,15 +236,15 @@
   private buildCommitSql(): string {
     const { request, plan } = this.options;
     const result = quoteLiteral(JSON.stringify(COMMIT_RESULT));
-    const id = quoteLiteral(requestRecordId(request));
+    const id = quoteLiteral(buildRequestRecordId(request));
     const update = `UPDATE auburngrade_request SET result = ${result} WHERE id = ${id}`;
     const statements = request.write ? [update, 'COMMIT'] : ['COMMIT'];
-    return `${joinStatements(plan.term, statements)};${MEMBER_STATUS_SQL}`;
+    return `${joinStatementsWithTerm(plan.term, statements)};${MEMBER_STATUS_SQL}`;
   }
 
   private recordPosition(result: QueryResult | undefined, askedAtMs: number): number {
     const status = toMemberStatus(this.options.plan.member, result, askedAtMs);
-    this.options.groupClient.noteStatus(status);
+    this.options.groupClient.recordStatus(status);
     return status.position;
   }
 
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -1,6 +1,6 @@
 import { notRun, type TransactionRequest } from '@auburngrade/coordination';
 import type createReadExecutor from '../execution/createReadExecutor';
-import type GroupHolder from '../groups/groupHolder';
+import type GroupClient from '../groups/groupClient';
 import createOutcomeLookup from '../outcome/createOutcomeLookup';
 import type ReadPlan from '../routing/readPlan';
 import createLocalTransaction from './createLocalTransaction';
@@ -9,12 +9,12 @@
 interface LocalTransactionsOptions {
   vm: string;
   /** Returns the client of the request's group once it can run statements. @throws RefusalError */
-  getGroupClient(request: TransactionRequest): Promise<GroupHolder>;
+  getGroupClient(request: TransactionRequest): Promise<GroupClient>;
   reads: Pick<ReturnType<typeof createReadExecutor>, 'plan' | 'confirm'>;
   nowMs(): number;
 }
 
-const createPrimaryPlan = (groupClient: GroupHolder): ReadPlan => {
+const createPrimaryPlan = (groupClient: GroupClient): ReadPlan => {
   const record = groupClient.record();
   if (!record?.primary || record.state !== 'active') {
     throw notRun('noPrimary', `group ${groupClient.name} has no primary`);
@@ -24,7 +24,7 @@
     role: 'primary',
     term: record.term,
     freshUntilMs: undefined,
-    isConfirmed: false,
+    isConfirmationRequired: false,
   };
 };
 
