--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -18,7 +18,7 @@
   platform: Platform;
   peers: PeerRegistry;
   send: SendMessage;
-  vmCount(): number;
+  countVms(): number;
   confirmedAtMs(): number;
   nowMs(): number;
   logger: Logger;
@@ -26,7 +26,7 @@
 
 /** Creates the rate limiter of the configured mode, and its quota and lease services. */
 const createAdmission = (options: AdmissionOptions) => {
-  const { settings, configuration, vmCount, nowMs } = options;
+  const { settings, configuration, countVms: vmCount, nowMs } = options;
   const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
   const common = {
     ...options,
--- a/packages/auburngrade/src/authentication/withKeyCheck.ts
+++ b/packages/auburngrade/src/authentication/addKeyCheck.ts
@@ -3,7 +3,7 @@
 import CheckedConnection from './checkedConnection';
 
 /** Wraps a group's holder so that its connections run `check` before each statement of a caller. */
-const withKeyCheck = (holder: GroupClient, check: () => void): GroupClient => {
+const addKeyCheck = (holder: GroupClient, check: () => void): GroupClient => {
   const wrapAcquired = async (acquired: Promise<PooledConnection>): Promise<PooledConnection> => {
     const { connection, release } = await acquired;
     return { connection: new CheckedConnection(connection, check), release };
@@ -15,4 +15,4 @@
   };
 };
 
-export default withKeyCheck;
+export default addKeyCheck;
--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -66,7 +66,7 @@
      * a withdrawal of the key need not be in force yet.
      * @throws RefusalError `unauthenticated` or `keyNotVouched`
      */
-    recheck: (keyHash: string | undefined): void => {
+    recheckKey: (keyHash: string | undefined): void => {
       if (keyHash === undefined) return;
       if (configuration.get('key', keyHash)?.withdrawn) {
         throw notRun('unauthenticated', 'the key was withdrawn');
--- a/packages/auburngrade/src/authentication/whileKeyIsValid.spec.ts
+++ b/packages/auburngrade/src/authentication/waitWhileKeyIsValid.spec.ts
@@ -1,6 +1,6 @@
 import { notRun, toRefusal } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import whileKeyIsValid from './whileKeyIsValid';
+import waitWhileKeyIsValid from './waitWhileKeyIsValid';
 
 describe('whileKeyIsValid', () => {
   const listeners = new Set<() => void>();
@@ -16,7 +16,7 @@
   };
 
   it('rejects a waiting request as soon as its key is withdrawn', async () => {
-    const pendingRequest = whileKeyIsValid(new Promise(() => {}), validity);
+    const pendingRequest = waitWhileKeyIsValid(new Promise(() => {}), validity);
     isValid = false;
     listeners.forEach((listener) => listener());
     const error = await pendingRequest.catch((failure: Error) => failure);
@@ -26,7 +26,7 @@
 
   it('resolves while the key is valid and unsubscribes', async () => {
     isValid = true;
-    await whileKeyIsValid(Promise.resolve(), validity);
+    await waitWhileKeyIsValid(Promise.resolve(), validity);
     expect(listeners.size).to.equal(0);
   });
 });
--- a/packages/auburngrade/src/authentication/whileKeyIsValid.ts
+++ b/packages/auburngrade/src/authentication/waitWhileKeyIsValid.ts
@@ -6,7 +6,7 @@
 }
 
 /** Waits for `work`, which a request needs before it runs; rejects once its key is invalid. */
-const whileKeyIsValid = async (
+const waitWhileKeyIsValid = async (
   work: Promise<void>,
   { check, onKeysChanged }: KeyValidity,
 ): Promise<void> => {
@@ -27,4 +27,4 @@
   }
 };
 
-export default whileKeyIsValid;
+export default waitWhileKeyIsValid;
--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -11,7 +11,7 @@
 import { createFollowClient } from '@auburngrade/vm';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type Logger from '../log/logger';
-import createListView from '../membership/createListView';
+import createVmListCache from '../membership/createVmListCache';
 import type AddressBook from '../settings/addressBook';
 import type Settings from '../settings/settings';
 import createConfigurationFeed from './createConfigurationFeed';
@@ -52,7 +52,7 @@
   const isSeedVm = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
   let peerConfirmedAtMs = Number.NEGATIVE_INFINITY;
 
-  const listRankings = createListView(configuration, (): Map<string, string[]> => {
+  const listRankings = createVmListCache(configuration, (): Map<string, string[]> => {
     const ids = new Map<string, string[]>();
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
@@ -89,10 +89,10 @@
     return `${listed.host}:${listed.vmPort}`;
   };
 
-  const listLocalSources = createListView(configuration, () =>
+  const listLocalSources = createVmListCache(configuration, () =>
     sourcesInRank(settings.vm, listOwnRanking()),
   );
-  const listRemoteSources = createListView(configuration, () =>
+  const listRemoteSources = createVmListCache(configuration, () =>
     sourcesElsewhere(settings.vm, settings.dataCentre, listRankings()),
   );
 
--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -5,7 +5,7 @@
   TransactionRequest,
 } from '@auburngrade/coordination';
 import type createAuthenticator from '../authentication/createAuthenticator';
-import withKeyCheck from '../authentication/withKeyCheck';
+import addKeyCheck from '../authentication/addKeyCheck';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
 import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
@@ -61,7 +61,7 @@
     const groupClient = groups.get(request.group);
     await termRecordInitialiser.ensureTermRecord(groupClient);
     if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
-    return withKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
+    return addKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
   };
   const transactions = createLocalTransactions({
     vm: settings.vm,
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -8,9 +8,9 @@
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermRecordInitializer from '../groups/createTermRecordInitializer';
-import createVouching from '../keys/createVouching';
+import createKeyFreshness from '../keys/createKeyFreshness';
 import createLogger from '../log/createLogger';
-import createExchange from '../membership/createExchange';
+import createMessageSender from '../membership/createMessageSender';
 import createMembership from '../membership/createMembership';
 import type MessageHandler from '../membership/messageHandler';
 import createMetrics from '../metrics/createMetrics';
@@ -21,7 +21,7 @@
 import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
-import createSlotKeeper from '../slots/createSlotKeeper';
+import createSlotController from '../slots/createSlotController';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
@@ -44,8 +44,8 @@
   const addresses = createAddressBook(settings);
   const peerRegistry = createPeerRegistry(configuration, addresses, tls.vmClients);
   const incarnation = Date.now();
-  const sendMessage = createExchange(settings.vm, incarnation, peerRegistry);
-  const keyFreshness = createVouching({ settings, configuration, exchange: sendMessage, nowMs });
+  const sendMessage = createMessageSender(settings.vm, incarnation, peerRegistry);
+  const keyFreshness = createKeyFreshness({ settings, configuration, send: sendMessage, nowMs });
   const configurationDistribution = createConfigurationDistribution({
     settings,
     platform,
@@ -53,19 +53,19 @@
     addresses,
     vmCredentials: tls.vmClients,
     outageAgeMs: keyFreshness.outageAgeMs,
-    onOutage: keyFreshness.hearOutage,
+    onOutage: keyFreshness.applyOutage,
     nowMs,
     logger,
   });
-  const slotController = createSlotKeeper({
+  const slotController = createSlotController({
     vm: settings.vm,
     incarnation,
     platform,
     platformTimeoutMs: timeoutMs,
     configuration,
     completeAtMs: keyFreshness.completeAtMs,
-    announce: keyFreshness.announce,
-    exchange: sendMessage,
+    announceWrite: keyFreshness.announceWrite,
+    send: sendMessage,
     logger,
     nowMs,
   });
@@ -109,7 +109,7 @@
     nowMs,
   });
 
-  const authenticator = createAuthenticator(configuration, keyFreshness.isVouched);
+  const authenticator = createAuthenticator(configuration, keyFreshness.areKeysFresh);
   const configurationWaiter = createConfigurationWaiter(configuration, nowMs);
   const statements = createStatementService({
     settings,
@@ -119,7 +119,7 @@
     membership,
     peers: peerRegistry,
     leavingNotices,
-    recheckKey: authenticator.recheck,
+    recheckKey: authenticator.recheckKey,
     awaitConfiguration: configurationWaiter.wait,
     metrics,
     nowMs,
@@ -131,7 +131,7 @@
     platform,
     peers: peerRegistry,
     send: sendMessage,
-    vmCount: () => membership.live().length,
+    countVms: () => membership.live().length,
     confirmedAtMs: configurationDistribution.confirmedAtMs,
     nowMs,
     logger,
@@ -160,7 +160,7 @@
       lease: admissionService.leases.describe(),
       confirmedAgeMs: Math.round(nowMs() - configurationDistribution.confirmedAtMs()),
       configuration: configurationDistribution.describe(),
-      areKeysVouched: keyFreshness.isVouched(),
+      areKeysVouched: keyFreshness.areKeysFresh(),
       outageAgeMs: keyFreshness.outageAgeMs(),
       slots: slotController.describe(),
       liveVms: membership.live().map(({ id }) => id),
@@ -191,11 +191,11 @@
   createConfigurationMetrics(metrics.registry, {
     ...configuration,
     ...configurationDistribution,
-    areKeysVouched: keyFreshness.isVouched,
+    areKeysVouched: keyFreshness.areKeysFresh,
     nowMs,
   });
   promotions.start();
-  slotController.start({ membership, groups, onHoldingChanged: promotions.scheduleRankUpdate });
+  slotController.start({ membership, groups, onSlotUseChanged: promotions.scheduleRankUpdate });
   const servers = await startServers({
     settings,
     tls,
--- a/packages/auburngrade/src/keys/createVouching.ts
+++ b/packages/auburngrade/src/keys/createKeyFreshness.ts
@@ -9,14 +9,14 @@
 } from '@auburngrade/coordination';
 import { z } from 'zod';
 import type Settings from '../settings/settings';
-import createListView from '../membership/createListView';
+import createVmListCache from '../membership/createVmListCache';
 import type MessageHandler from '../membership/messageHandler';
 
 interface KeyFreshnessOptions {
   settings: Settings;
   configuration: ConfigurationState;
   /** Sends a message of a registered kind to another VM. */
-  exchange(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
+  send(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
   nowMs(): number;
 }
 
@@ -43,7 +43,7 @@
  * Creates the service that tells whether this VM's configuration is recent enough to accept keys:
  * the platform confirmed it, or the witnesses prove an outage in which no key can be withdrawn.
  */
-const createVouching = ({ settings, configuration, exchange, nowMs }: KeyFreshnessOptions) => {
+const createKeyFreshness = ({ settings, configuration, send: exchange, nowMs }: KeyFreshnessOptions) => {
   const startedAtMs = nowMs();
   let outageAtMs = Number.NEGATIVE_INFINITY;
   let noticedAtMs = Number.NEGATIVE_INFINITY;
@@ -76,7 +76,7 @@
     };
   };
 
-  const findWitnesses = createListView(configuration, (): Map<string, string[]> => {
+  const findWitnesses = createVmListCache(configuration, (): Map<string, string[]> => {
     const vms = new Map<string, string[]>();
     configuration.list('vm').forEach(({ dataCentre, state }, id) => {
       if (state === 'live') vms.set(dataCentre, [...(vms.get(dataCentre) ?? []), id]);
@@ -142,7 +142,7 @@
     messageHandlers,
     completeAtMs,
     /** Tells this data centre's witnesses of a write; resolves with whether a majority has it. */
-    announce: (revision: number): Promise<boolean> => {
+    announceWrite: (revision: number): Promise<boolean> => {
       recordNotice(revision);
       return notifyWitnesses(revision);
     },
@@ -151,14 +151,14 @@
       schedulePoll();
     },
     stop: (): void => clearTimeout(pollTimer),
-    isVouched: (): boolean =>
+    areKeysFresh: (): boolean =>
       settings.keys.whenUnvouched === 'serve' ||
       isVouched(
         { nowMs: nowMs(), confirmedAtMs: confirmedAtMs(), outageAtMs },
         settings.keys.maxUnconfirmedMs,
       ),
     /** Applies the outage time proven by this VM's configuration source. */
-    hearOutage: (provenAtMs: number): void => {
+    applyOutage: (provenAtMs: number): void => {
       outageAtMs = Math.max(outageAtMs, provenAtMs);
     },
     /** Age of the last proven outage time; -1 without one. */
@@ -176,4 +176,4 @@
   };
 };
 
-export default createVouching;
+export default createKeyFreshness;
--- a/packages/auburngrade/src/membership/createListView.spec.ts
+++ b/packages/auburngrade/src/membership/createVmListCache.spec.ts
@@ -1,7 +1,7 @@
 import { createConfigurationState, type ConfigurationState } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import createWitnessSelector from '../witness/createWitnessSelector';
-import createListView from './createListView';
+import createVmListCache from './createVmListCache';
 
 const VM_JSON = JSON.stringify({ dataCentre: 'waco', host: 'h', callerPort: 1, vmPort: 2 });
 const createVmEntry = (
@@ -29,7 +29,7 @@
 
   it('returns the current value and recomputes it once per change of the VM list', () => {
     let computations = 0;
-    const view = createListView(configuration, () => {
+    const view = createVmListCache(configuration, () => {
       computations += 1;
       return configuration.names('vm');
     });
--- a/packages/auburngrade/src/membership/createListView.ts
+++ b/packages/auburngrade/src/membership/createVmListCache.ts
@@ -4,7 +4,7 @@
  * Caches a value computed from the VM list until the list changes: computing it at each call
  * would cost time in proportion to the fleet.
  */
-const createListView = <Value>(
+const createVmListCache = <Value>(
   configuration: ConfigurationState,
   compute: () => Value,
 ): (() => Value) => {
@@ -18,4 +18,4 @@
   };
 };
 
-export default createListView;
+export default createVmListCache;
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -13,7 +13,7 @@
   type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import whileKeyIsValid from '../authentication/whileKeyIsValid';
+import waitWhileKeyIsValid from '../authentication/waitWhileKeyIsValid';
 import type Admission from '../admission/admission';
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
@@ -67,7 +67,7 @@
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
       const deadlineAtMs = startedAtMs + statement.timeoutMs;
-      await whileKeyIsValid(
+      await waitWhileKeyIsValid(
         this.options.admission.admit(caller.account, statement.profile, deadlineAtMs),
         {
           check: () => this.options.authenticator.authenticate(key, profile, group),
--- a/packages/auburngrade/src/slots/createSlotKeeper.spec.ts
+++ b/packages/auburngrade/src/slots/createSlotController.spec.ts
@@ -6,7 +6,7 @@
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
-import createSlotKeeper from './createSlotKeeper';
+import createSlotController from './createSlotController';
 
 const GROUP_COUNT = 150;
 const AFTER_BURST_DELAY_MS = 300;
@@ -22,7 +22,7 @@
 
 describe('createSlotKeeper', () => {
   let reconciledGroups: string[];
-  let slotKeeper: ReturnType<typeof createSlotKeeper>;
+  let slotKeeper: ReturnType<typeof createSlotController>;
   let configuration: ReturnType<typeof createConfigurationState>;
 
   beforeEach(async () => {
@@ -32,15 +32,15 @@
       createGroupEntry(index, index + 1),
     );
     configuration.applyChanges(GROUP_COUNT, groups);
-    slotKeeper = createSlotKeeper({
+    slotKeeper = createSlotController({
       vm: 'waco-1',
       incarnation: 1,
       platform: {} as Platform,
       platformTimeoutMs: 1,
       configuration,
       completeAtMs: () => 0,
-      announce: async () => true,
-      exchange: async () => ({}),
+      announceWrite: async () => true,
+      send: async () => ({}),
       logger: { info: () => {}, warn: () => {}, debug: () => {} } as unknown as Logger,
       nowMs: () => 0,
     });
@@ -49,7 +49,7 @@
       return ['waco-2'];
     };
     const membership = { findChosenVms, isRegisteredVm: () => true } as unknown as Membership;
-    slotKeeper.start({ membership, groups: {} as GroupRegistry, onHoldingChanged: () => {} });
+    slotKeeper.start({ membership, groups: {} as GroupRegistry, onSlotUseChanged: () => {} });
     await waitFor('reconciliation of every group', () => reconciledGroups.length === GROUP_COUNT);
     reconciledGroups = [];
   });
--- a/packages/auburngrade/src/slots/createSlotKeeper.ts
+++ b/packages/auburngrade/src/slots/createSlotController.ts
@@ -9,7 +9,7 @@
 import createSlotTracker from './createSlotTracker';
 import createSlotRecordWriter from './createSlotRecordWriter';
 
-interface SlotKeeperOptions {
+interface SlotControllerOptions {
   vm: string;
   incarnation: number;
   platform: Platform;
@@ -18,9 +18,9 @@
   /** Latest time at which this VM can prove that its configuration was complete. */
   completeAtMs(): number;
   /** Notifies the data centre's witnesses of a write; resolves with whether a majority knows it. */
-  announce(revision: number): Promise<boolean>;
+  announceWrite(revision: number): Promise<boolean>;
   /** Sends a message to another VM and resolves with the body of its reply. */
-  exchange(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
+  send(vm: string, kind: string, body: unknown, timeoutMs: number): Promise<unknown>;
   logger: Logger;
   nowMs(): number;
 }
@@ -30,7 +30,7 @@
   membership: Membership;
   groups: GroupRegistry;
   /** Called after this VM gained or lost the use of a slot. */
-  onHoldingChanged(): void;
+  onSlotUseChanged(): void;
 }
 
 const SLOT_WANTED_KIND = 'slotWanted';
@@ -51,7 +51,7 @@
 const slotWantedSchema = z.strictObject({ group: z.string().min(1) });
 
 /** Creates the controller that takes and releases this VM's slots of database groups. */
-const createSlotKeeper = (options: SlotKeeperOptions) => {
+const createSlotController = (options: SlotControllerOptions) => {
   const { vm, incarnation, configuration, logger } = options;
   const writer = createSlotRecordWriter(options.platform, configuration, options.platformTimeoutMs);
   const pendingGroups = new Set<string>();
@@ -66,7 +66,7 @@
   const tracker = createSlotTracker({
     ...options,
     closeConnections: (group) => users?.groups.release(group, 0),
-    onHoldingChanged: () => users?.onHoldingChanged(),
+    onSlotUseChanged: () => users?.onSlotUseChanged(),
   });
 
   /**
@@ -98,7 +98,7 @@
   const requestRelease = async (group: string, others: string[]): Promise<void> => {
     await Promise.allSettled(
       others.map((other) =>
-        options.exchange(other, SLOT_WANTED_KIND, { group }, SLOT_WANTED_TIMEOUT_MS),
+        options.send(other, SLOT_WANTED_KIND, { group }, SLOT_WANTED_TIMEOUT_MS),
       ),
     );
     pendingGroups.add(group);
@@ -223,4 +223,4 @@
   };
 };
 
-export default createSlotKeeper;
+export default createSlotController;
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -9,11 +9,11 @@
   /** Latest time at which this VM can prove that its configuration was complete. */
   completeAtMs(): number;
   /** Notifies the data centre's witnesses of a write; resolves with whether a majority knows it. */
-  announce(revision: number): Promise<boolean>;
+  announceWrite(revision: number): Promise<boolean>;
   /** Closes a group's connections at once: another VM may use the slot from now on. */
   closeConnections(group: string): void;
   /** Called after this VM gained or lost the use of a slot. */
-  onHoldingChanged(): void;
+  onSlotUseChanged(): void;
   logger: Logger;
   nowMs(): number;
 }
@@ -27,7 +27,7 @@
     incarnation,
     configuration,
     closeConnections,
-    onHoldingChanged: onSlotUseChanged,
+    onSlotUseChanged: onSlotUseChanged,
     logger,
     nowMs,
   } = options;
@@ -63,7 +63,7 @@
    */
   const announceTakeover = async (group: string, revision: number): Promise<void> => {
     while (!isStopped && heldSlots.isHeldBy(group, revision)) {
-      if (await options.announce(revision)) {
+      if (await options.announceWrite(revision)) {
         heldSlots.noteAnnounced(group, revision, nowMs());
         return;
       }
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -19,7 +19,7 @@
 import type Admission from '../admission/admission';
 import type Caller from '../authentication/caller';
 import type createAuthenticator from '../authentication/createAuthenticator';
-import whileKeyIsValid from '../authentication/whileKeyIsValid';
+import waitWhileKeyIsValid from '../authentication/waitWhileKeyIsValid';
 import checkRequest from '../serving/checkRequest';
 import checkStatement from '../serving/checkStatement';
 import toOutcome from '../serving/toOutcome';
@@ -126,7 +126,7 @@
     const caller = authenticator.authenticate(key, step.profile, step.group);
     const request = toRequest(step, caller);
     requestId = request.requestId;
-    await whileKeyIsValid(admission.admit(caller.account, step.profile, request.deadlineAtMs), {
+    await waitWhileKeyIsValid(admission.admit(caller.account, step.profile, request.deadlineAtMs), {
       check: () => authenticator.authenticate(key, step.profile, step.group),
       onKeysChanged: options.onKeysChanged,
     });
--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -8,7 +8,7 @@
   type Witness,
   type WitnessGroups,
 } from '@auburngrade/coordination';
-import createListView from '../membership/createListView';
+import createVmListCache from '../membership/createVmListCache';
 import type createLeaseRecordStore from './createLeaseRecordStore';
 
 interface WitnessSelectorOptions {
@@ -57,10 +57,10 @@
       .filter(([, { state }]) => state === 'live')
       .map(([id, registeredVm]) => ({ id, dataCentre: registeredVm.dataCentre }));
 
-  const findWantedGroups = createListView(configuration, (): WitnessGroups =>
+  const findWantedGroups = createVmListCache(configuration, (): WitnessGroups =>
     witnessGroupsOf(listLiveVms(), vm, dataCentre),
   );
-  const findRegisteredVms = createListView(configuration, () => new Set(configuration.names('vm')));
+  const findRegisteredVms = createVmListCache(configuration, () => new Set(configuration.names('vm')));
 
   /** A VM without an earlier record was never a witness, so it can't have lost a promise. */
   const openWitness = (hasEarlierRecord: boolean): void => {
