--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -47,9 +47,9 @@
     groups: () =>
       [...daemon.groups()].map(([group, server]) => ({
         group,
-        waiting: server.waitingCount(),
-        underWay: server.underWay(),
-        transactions: server.openTransactions(),
+        waiting: server.countQueued(),
+        underWay: server.countInFlight(),
+        transactions: server.countOpenTransactions(),
       })),
   });
   const readiness = await startReadinessServer(settings.readinessAddress, daemon.isReady, {
--- a/packages/sessions/src/daemon/createRateUsage.ts
+++ b/packages/sessions/src/daemon/createRateUsage.ts
@@ -59,7 +59,7 @@
         return owner !== undefined && !heard.has(owner);
       });
       const servedHere = names.filter(isServedHere);
-      limiter.setShare(
+      limiter.setLimitFraction(
         unheardGroups.length === 0 ? 1 : servedHere.length / Math.max(1, names.length),
       );
     },
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -1,12 +1,12 @@
 import { createServer } from 'node:net';
 import { expect } from 'chai';
-import type FailoverCaller from '../seams/failoverCaller';
+import type FailoverClient from '../seams/failoverClient';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type SessionStatement from '../seams/sessionStatement';
-import type SiteDecoder from '../seams/siteDecoder';
-import createMemberStandIn from '../standIns/createMemberStandIn';
-import createStoreStandIn from '../standIns/createStoreStandIn';
+import type StoredValueDecoder from '../seams/storedValueDecoder';
+import createFakeMembers from '../standIns/createFakeMembers';
+import createFakeStore from '../standIns/createFakeStore';
 import createSessionDaemon from './createSessionDaemon';
 
 const GROUP = 'auctions';
@@ -17,8 +17,8 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
-  claimsPrimary: id === 'p',
-  bornAtMs: 1,
+  isRegisteredAsPrimary: id === 'p',
+  startedAtUnixMs: 1,
 }));
 const createConfiguration = (version: number, keys: [string, string][]): FleetConfiguration => ({
   version,
@@ -46,13 +46,13 @@
   createConfiguration(2, [['k2', 'ranch']]),
 ];
 
-const decoder: SiteDecoder = {
+const decoder: StoredValueDecoder = {
   configurationKey: 'configuration',
   endpointPrefix: 'endpoints/',
   configuration: (value) => versions[Number(value) - 1],
   endpoint: (key) => ENDPOINTS.find(({ id }) => key === `endpoints/${id}`),
 };
-const failover: FailoverCaller = { promote: async () => 'rejected' };
+const failover: FailoverClient = { promote: async () => 'rejected' };
 
 const findFreePort = (): Promise<number> =>
   new Promise((resolve) => {
@@ -73,8 +73,8 @@
 };
 
 describe('createSessionDaemon', () => {
-  const store = createStoreStandIn();
-  const members = createMemberStandIn(ENDPOINTS);
+  const store = createFakeStore();
+  const members = createFakeMembers(ENDPOINTS);
   const daemons: Awaited<ReturnType<typeof createSessionDaemon>>[] = [];
 
   const ownerIndexes = (): number[] =>
@@ -124,7 +124,7 @@
     const session = daemons[index]?.openSession({
       accept: () => answers.push('accepted'),
       refuse: (code) => answers.push(`refused ${code}`),
-      answer: (result, state) =>
+      sendResult: (result, state) =>
         answers.push(`${result.kind === 'refused' ? result.code : result.kind} ${state}`),
       close: () => answers.push('closed'),
     });
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -16,13 +16,13 @@
 import type CallerConnection from '../seams/callerConnection';
 import type CallerSession from '../seams/callerSession';
 import type EventLog from '../seams/eventLog';
-import type FailoverCaller from '../seams/failoverCaller';
+import type FailoverClient from '../seams/failoverClient';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberDialer from '../seams/memberDialer';
 import type MetadataStore from '../seams/metadataStore';
 import type NodeSettings from '../seams/nodeSettings';
-import type SiteDecoder from '../seams/siteDecoder';
+import type StoredValueDecoder from '../seams/storedValueDecoder';
 import type StatementObservation from '../seams/statementObservation';
 import type StoredItem from '../seams/storedItem';
 import createIsolationMonitor from './createIsolationMonitor';
@@ -57,9 +57,9 @@
   settings: NodeSettings;
   incarnation: string;
   store: MetadataStore;
-  decoder: SiteDecoder;
+  decoder: StoredValueDecoder;
   dialer: MemberDialer;
-  failover: FailoverCaller;
+  failover: FailoverClient;
   log: EventLog;
   /** Called with the result of each statement for a group; not for statements of the session itself. */
   onStatement(observation: StatementObservation): void;
@@ -130,7 +130,7 @@
     wallMs,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
     primaryDataCentre: (group) =>
-      endpoints.find((endpoint) => endpoint.group === group && endpoint.claimsPrimary)?.dataCentre,
+      endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)?.dataCentre,
   });
 
   const getControlAccount = (): string =>
@@ -147,20 +147,20 @@
     log.info('group.opened', { group, record: ownership.getRecord(group) });
     const server = createGroupServer({
       group,
-      holder: settings.vm,
+      ownerVm: settings.vm,
       dialer,
       failover,
       limiter,
       log,
       nowMs,
       controlAccount: getControlAccount,
-      recorded: () => {
+      getRecordedPrimary: () => {
         const { primary, term, fence } = ownership.getRecord(group) ?? UNKNOWN_RECORD;
         return { primary, term, fence };
       },
       record: (next) => ownership.recordPrimary(group, next),
-      mayReplace: () => ownership.mayReplacePrimary(group),
-      isCertain: () => ownership.isAuthoritative(group),
+      canReplacePrimary: () => ownership.mayReplacePrimary(group),
+      isAuthoritative: () => ownership.isAuthoritative(group),
     });
     servers.set(group, server);
     updateGroup(group, server);
@@ -172,7 +172,7 @@
     const isPlanned = record?.isHandedOver === true;
     log.info('group.closed', { group, owner: record?.owner, planned: isPlanned });
     if (isPlanned) {
-      server.retire();
+      server.startDraining();
       retiredServers.add(server);
     } else {
       server.close();
@@ -189,7 +189,7 @@
       if (!ownership.isServedHere(group) || !groups.has(group)) closeGroup(group, server);
     });
     retiredServers.forEach((server) => {
-      if (server.openTransactions() + server.underWay() > 0) return;
+      if (server.countOpenTransactions() + server.countInFlight() > 0) return;
       retiredServers.delete(server);
       server.close();
     });
@@ -294,7 +294,7 @@
     run: async (origin, call, values) => toCallResult(await runCall(origin, call, values)),
     endTransaction: endTransactionOnServers,
     endOrigin: (origin) =>
-      [...servers.values(), ...retiredServers].forEach((server) => server.endOrigin(origin)),
+      [...servers.values(), ...retiredServers].forEach((server) => server.endTransactionsOfSender(origin)),
     onDocument: (document) => {
       documents.putIfNewer(document);
     },
@@ -457,7 +457,7 @@
       const isBusy = (): boolean =>
         sessions.size > 0 ||
         [...servers.values(), ...retiredServers].some(
-          (server) => server.openTransactions() + server.underWay() > 0,
+          (server) => server.countOpenTransactions() + server.countInFlight() > 0,
         );
       let hasEndedTransactions = false;
       while (isBusy() && elapsedMs() < settings.graceMs * SHUTDOWN_GRACE_RATIO) {
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { VmView } from '@auburngrade/coordination';
-import createStoreStandIn from '../standIns/createStoreStandIn';
+import createFakeStore from '../standIns/createFakeStore';
 import createDocuments from './createDocuments';
 import createOwnership from './createOwnership';
 import type Fleet from './fleet';
@@ -19,7 +19,7 @@
 });
 
 const createFixture = () => {
-  const standIn = createStoreStandIn();
+  const standIn = createFakeStore();
   const clock = { ms: 10_000 };
   const nowMs = (): number => clock.ms;
   const documents = createDocuments(nowMs);
--- a/packages/sessions/src/fleet/createRegistration.ts
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -38,7 +38,7 @@
   const renewOrRegister = async (): Promise<void> => {
     if (lease === undefined) {
       await register();
-    } else if (!(await store.keepLease(lease))) {
+    } else if (!(await store.renewLease(lease))) {
       log.warn('vm.leaseEnded', { lease });
       lease = undefined;
       await register();
@@ -71,7 +71,7 @@
     close: async (): Promise<void> => {
       isClosed = true;
       clearTimeout(timer);
-      if (lease !== undefined) await store.endLease(lease);
+      if (lease !== undefined) await store.revokeLease(lease);
     },
   };
 };
--- a/packages/sessions/src/fleet/createStoreWatcher.spec.ts
+++ b/packages/sessions/src/fleet/createStoreWatcher.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import createStoreStandIn from '../standIns/createStoreStandIn';
+import createFakeStore from '../standIns/createFakeStore';
 import createStoreWatcher from './createStoreWatcher';
 
 const sleep = (ms: number): Promise<void> =>
@@ -8,7 +8,7 @@
   });
 
 describe('createStoreWatcher', () => {
-  const store = createStoreStandIn();
+  const store = createFakeStore();
   const seen: string[] = [];
   let watcher: ReturnType<typeof createStoreWatcher>;
 
@@ -39,14 +39,14 @@
   describe('under a burst of changes', () => {
     it('fetches several changes per call and ends with the newest', async () => {
       await sleep(250);
-      const before = store.calls();
+      const before = store.countCalls();
       for (let version = 2; version <= 26; version += 1) {
         store.put('documents/1', String(version));
         await sleep(40);
       }
       await sleep(300);
       expect(seen.at(-1)).to.equal('26');
-      expect(store.calls() - before).to.be.below(9);
+      expect(store.countCalls() - before).to.be.below(9);
     });
   });
 });
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -4,7 +4,7 @@
   type GroupCall,
 } from '../generated/auburngrade/session/v1/session';
 import type CallOutcome from '../group/callOutcome';
-import refused from '../group/refused';
+import createRefusal from '../group/createRefusal';
 import LinkError from '../link/linkError';
 import type PeerLink from '../link/peerLink';
 import type EventLog from '../seams/eventLog';
@@ -83,9 +83,9 @@
     if (!error.isSent) return undefined;
     if (call.action === Action.ACTION_READ && call.transaction === 0) return undefined;
     if (call.transaction !== 0 && call.action !== Action.ACTION_COMMIT) {
-      return refused('aborted', error.message);
+      return createRefusal('aborted', error.message);
     }
-    return refused(call.action === Action.ACTION_READ ? 'failed' : 'inDoubt', error.message);
+    return createRefusal(call.action === Action.ACTION_READ ? 'failed' : 'inDoubt', error.message);
   };
 
   const run = async (
@@ -96,7 +96,7 @@
     const isContinuation = call.transaction !== 0 && !call.opensTransaction;
     if (!isContinuation && options.hasNoReachableGroup()) {
       log.info('request.cutOff', { request: call.requestId, group: call.group });
-      return refused('busy', 'this VM can reach no group; retry in 1000 ms');
+      return createRefusal('busy', 'this VM can reach no group; retry in 1000 ms');
     }
     let owner: string | undefined;
     do {
@@ -106,7 +106,7 @@
         ? openTransactions.get(call.transaction)?.vm
         : options.findServingVm(call.group);
       if (isContinuation && owner === undefined)
-        return refused('aborted', 'the transaction has already ended');
+        return createRefusal('aborted', 'the transaction has already ended');
       if (owner !== undefined) {
         if (call.opensTransaction)
           openTransactions.set(call.transaction, { vm: owner, group: call.group });
@@ -122,7 +122,7 @@
           log.info('request.linkLost', { request: call.requestId, owner, reason: error.message });
           if (result) return result;
         }
-        if (isContinuation) return refused('aborted', 'the VM that ran the transaction lost it');
+        if (isContinuation) return createRefusal('aborted', 'the VM that ran the transaction lost it');
       }
       const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
       unservedSinceMs.set(call.group, sinceMs);
@@ -136,7 +136,7 @@
       owner,
       waitedMs: Math.round(nowMs() - startedAtMs),
     });
-    return refused('busy', 'no reachable VM serves the group; retry in 500 ms');
+    return createRefusal('busy', 'no reachable VM serves the group; retry in 500 ms');
   };
 
   return {
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { Action } from '../generated/auburngrade/session/v1/session';
-import refused from '../group/refused';
+import createRefusal from '../group/createRefusal';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type SessionStatement from '../seams/sessionStatement';
 import type StatementResult from '../seams/statementResult';
@@ -60,7 +60,7 @@
     connection: {
       accept: () => answers.push('accepted'),
       refuse: (code) => answers.push(`refused ${code}`),
-      answer: (result, transactionState) =>
+      sendResult: (result, transactionState) =>
         answers.push(
           `${result.kind === 'refused' ? result.code : result.signature} ${transactionState}`,
         ),
@@ -233,7 +233,7 @@
     it('refuses further statements after a failure and does not commit', async () => {
       start();
       await fixture.run(begin);
-      fixture.state.result = refused('aborted', 'gone');
+      fixture.state.result = createRefusal('aborted', 'gone');
       await fixture.run(write);
       fixture.state.result = undefined;
       await fixture.run(read, commit);
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -1,6 +1,6 @@
 import { laterPosition, type LogPosition } from '@auburngrade/coordination';
 import { Action, type PreparedStatement } from '../generated/auburngrade/session/v1/session';
-import refused from '../group/refused';
+import createRefusal from '../group/createRefusal';
 import type CallerConnection from '../seams/callerConnection';
 import type CallerSession from '../seams/callerSession';
 import type DatabaseRoute from '../seams/databaseRoute';
@@ -41,7 +41,7 @@
 }
 
 const COMPLETE: StatementResult = { kind: 'complete', rows: [], signature: '-' };
-const INVALID_IN_STATE = refused(
+const INVALID_IN_STATE = createRefusal(
   'malformed',
   'the statement is not valid in the current state of the transaction',
 );
@@ -80,7 +80,7 @@
 
   const answer = (result: StatementResult, nextState: TransactionState): void => {
     transactionState = nextState;
-    if (!isEnded) connection.answer(result, nextState);
+    if (!isEnded) connection.sendResult(result, nextState);
   };
 
   /** Refuses and ends the session: its caller may not use the database, or not any more. */
@@ -161,7 +161,7 @@
   const runCommit = async (requestId: string, text: string): Promise<void> => {
     if (transactionState === 'failed') {
       discardTransaction();
-      answer(refused('aborted', 'an earlier statement of the transaction failed'), 'idle');
+      answer(createRefusal('aborted', 'an earlier statement of the transaction failed'), 'idle');
       return;
     }
     if (!transaction) {
@@ -250,7 +250,7 @@
         if (transaction) discardTransaction();
         const nextState = transactionState === 'open' ? 'failed' : transactionState;
         answer(
-          refused('noStatement', 'no prepared statement of that name exists in the session'),
+          createRefusal('noStatement', 'no prepared statement of that name exists in the session'),
           nextState,
         );
         return;
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import createRateLimiter from '../limits/createRateLimiter';
-import FailoverCaller from '../seams/failoverCaller';
+import FailoverClient from '../seams/failoverClient';
 import type GroupEndpoint from '../seams/groupEndpoint';
-import createMemberStandIn from '../standIns/createMemberStandIn';
+import createFakeMembers from '../standIns/createFakeMembers';
 import createGroupServer from './createGroupServer';
 
 const createEndpoint = (id: string, claimsPrimary: boolean): GroupEndpoint => ({
@@ -13,8 +13,8 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
-  claimsPrimary,
-  bornAtMs: 1,
+  isRegisteredAsPrimary: claimsPrimary,
+  startedAtUnixMs: 1,
 });
 const ENDPOINTS = [
   createEndpoint('p', true),
@@ -62,7 +62,7 @@
   });
 
 const createFixture = (limits = new Map<string, { ratePerS: number; burst: number }>()) => {
-  const members = createMemberStandIn(ENDPOINTS);
+  const members = createFakeMembers(ENDPOINTS);
   const promotions: { id: string; fence: number }[] = [];
   const ownerState = {
     isCertain: true,
@@ -72,8 +72,8 @@
     term: 0,
     fence: 0,
   };
-  class FakeFailoverCaller extends FailoverCaller {
-    override async promote(...[, id, , fence]: Parameters<FailoverCaller['promote']>) {
+  class FakeFailoverCaller extends FailoverClient {
+    override async promote(...[, id, , fence]: Parameters<FailoverClient['promote']>) {
       promotions.push({ id, fence });
       setTimeout(() => members.promote(id), 20);
       return 'accepted' as const;
@@ -84,13 +84,13 @@
   limiter.setLimits(limits);
   const server = createGroupServer({
     group: 'lots',
-    holder: 'vm-1',
+    ownerVm: 'vm-1',
     dialer: members.dialer,
     failover: new FakeFailoverCaller(),
     limiter,
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
-    recorded: () => ({
+    getRecordedPrimary: () => ({
       primary: ownerState.primary,
       term: ownerState.term,
       fence: ownerState.fence,
@@ -99,8 +99,8 @@
       if (ownerState.isRecorded) Object.assign(ownerState, nextRecord);
       return ownerState.isRecorded;
     },
-    mayReplace: () => ownerState.mayReplace,
-    isCertain: () => ownerState.isCertain,
+    canReplacePrimary: () => ownerState.mayReplace,
+    isAuthoritative: () => ownerState.isCertain,
     controlAccount: () => 'ranch',
   });
   server.updateEndpoints(ENDPOINTS, 21);
@@ -247,18 +247,18 @@
     it('ends on idle timeout, and when the VM that sent it is gone', async () => {
       await fixture.run(createWrite(firstStatement));
       await fixture.run(createWrite({ transaction: 6, opensTransaction: true }));
-      expect(fixture.server.openTransactions()).to.equal(2);
+      expect(fixture.server.countOpenTransactions()).to.equal(2);
       await sleep(400);
-      expect(fixture.server.openTransactions()).to.equal(0);
+      expect(fixture.server.countOpenTransactions()).to.equal(0);
       await fixture.run(createWrite({ transaction: 7, opensTransaction: true }));
-      fixture.server.endOrigin('vm-2');
-      expect(fixture.server.openTransactions()).to.equal(0);
+      fixture.server.endTransactionsOfSender('vm-2');
+      expect(fixture.server.countOpenTransactions()).to.equal(0);
       expect(fixture.committed).to.have.length(0);
     });
 
     it('continues after another VM has become the owner of the group', async () => {
       await fixture.run(createWrite(firstStatement));
-      fixture.server.retire();
+      fixture.server.startDraining();
       expect(await fixture.run(createCall({}))).to.deep.equal({ kind: 'notOwner' });
       expect((await fixture.run(createCommit(laterStatement))).kind).to.equal('complete');
     });
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -8,11 +8,11 @@
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type createRateLimiter from '../limits/createRateLimiter';
 import type EventLog from '../seams/eventLog';
-import type FailoverCaller from '../seams/failoverCaller';
+import type FailoverClient from '../seams/failoverClient';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberCommand from '../seams/memberCommand';
 import type MemberDialer from '../seams/memberDialer';
-import MemberLinkError from '../seams/memberLinkError';
+import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
 import createMemberPool from './createMemberPool';
@@ -23,7 +23,7 @@
 import type MemberPool from './memberPool';
 import type PooledConnection from './pooledConnection';
 import prepareConnection from './prepareConnection';
-import refused from './refused';
+import createRefusal from './createRefusal';
 import toValuesKey from './toValuesKey';
 
 /** Subtracted from a route's maximum age: covers clock error, network delay and the read itself. */
@@ -48,18 +48,18 @@
 interface GroupServerOptions {
   group: string;
   /** Id of this VM, which owns the group. */
-  holder: string;
+  ownerVm: string;
   dialer: MemberDialer;
-  failover: FailoverCaller;
+  failover: FailoverClient;
   limiter: ReturnType<typeof createRateLimiter>;
   log: EventLog;
   nowMs(): number;
-  recorded(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
+  getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether no earlier owner can still be using another primary. */
-  mayReplace(): boolean;
+  canReplacePrimary(): boolean;
   /** False while another VM may have replaced the primary without this VM knowing. */
-  isCertain(): boolean;
+  isAuthoritative(): boolean;
   /** Client account used for the owner's own commands, such as status. */
   controlAccount(): string;
 }
@@ -197,8 +197,8 @@
   const toCallOutcome = (statement: PendingStatement, reply: MemberReply): CallOutcome =>
     statement.call.action !== Action.ACTION_READ &&
     !statement.call.isReadOnly &&
-    !options.isCertain()
-      ? refused(
+    !options.isAuthoritative()
+      ? createRefusal(
           'inDoubt',
           'outcome unknown: the primary may have been replaced while the statement ran',
         )
@@ -226,7 +226,7 @@
     } else if (statement.attempts >= MAX_ATTEMPTS || nowMs() >= statement.queueDeadlineMs) {
       resolveStatement(
         statement,
-        refused(
+        createRefusal(
           'busy',
           'no endpoint could run the statement within its attempts or queue time; retry in 200 ms',
         ),
@@ -265,13 +265,13 @@
       case 'noStatement':
         return undefined;
       case 'timedOut':
-        return refused(isRead ? 'timedOut' : 'inDoubt', message);
+        return createRefusal(isRead ? 'timedOut' : 'inDoubt', message);
       default:
         if (isRead && call.transaction === 0) {
           excludeEndpoint(statement, pool);
           return undefined;
         }
-        return refused(isRead ? 'failed' : 'inDoubt', message);
+        return createRefusal(isRead ? 'failed' : 'inDoubt', message);
     }
   };
 
@@ -332,7 +332,7 @@
       if (outcome) resolveStatement(statement, outcome);
       else requeue(statement);
     } catch (error) {
-      if (!(error instanceof MemberLinkError)) throw error;
+      if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
       const isRetryable = !isSent || call.action === Action.ACTION_READ;
       const isBeforeDeadline = nowMs() < statement.queueDeadlineMs;
@@ -341,9 +341,9 @@
         requeue(statement);
       } else if (isSent) {
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
-        resolveStatement(statement, refused(code, error.message));
+        resolveStatement(statement, createRefusal(code, error.message));
       } else {
-        resolveStatement(statement, refused('busy', `${error.message}; retry in 200 ms`));
+        resolveStatement(statement, createRefusal('busy', `${error.message}; retry in 200 ms`));
       }
     }
   };
@@ -392,15 +392,15 @@
         isCommit && transaction.hasWritten && reply.failure.kind === 'failed';
       resolveStatement(
         statement,
-        refused(mayHaveCommitted ? 'inDoubt' : 'aborted', reply.failure.message),
+        createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', reply.failure.message),
       );
     } catch (error) {
-      if (!(error instanceof MemberLinkError)) throw error;
+      if (!(error instanceof MemberConnectionError)) throw error;
       transaction.isStatementRunning = false;
       pool.closeConnection(connection);
       endTransaction(transaction, false);
       const mayHaveCommitted = isCommit && isSent && transaction.hasWritten;
-      resolveStatement(statement, refused(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message));
+      resolveStatement(statement, createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message));
     }
   };
 
@@ -433,7 +433,7 @@
         return;
       }
     } catch (error) {
-      if (!(error instanceof MemberLinkError)) throw error;
+      if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
       requeue(statement);
       return;
@@ -467,7 +467,7 @@
         log.warn('request.broken', { request: statement.call.requestId, reason: String(error) });
         resolveStatement(
           statement,
-          refused(
+          createRefusal(
             statement.call.action === Action.ACTION_READ ? 'failed' : 'inDoubt',
             'internal error while running the statement',
           ),
@@ -489,7 +489,7 @@
     if (call.transaction !== 0 && !call.opensTransaction) {
       const transaction = findTransaction(entry);
       if (!transaction) {
-        resolveStatement(entry, refused('aborted', 'the transaction has already ended'));
+        resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
         return true;
       }
       const load = transaction.pool.getLoad(call.account, true);
@@ -497,7 +497,7 @@
       start(entry, transaction.pool, () => runInTransaction(entry, transaction));
       return true;
     }
-    if (!options.isCertain()) return false;
+    if (!options.isAuthoritative()) return false;
     const primary = primaryManager.getAvailablePrimary();
     const needsPrimary = isPrimaryOnly(entry);
     const loads = [...pools.values()].map((pool) =>
@@ -583,7 +583,7 @@
     const reason = primaryManager.getAvailablePrimary()
       ? 'no endpoint slot became free within the queue time limit'
       : 'the group has no available primary';
-    resolveStatement(statement, refused('busy', `${reason}; retry in 300 ms`));
+    resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
   };
 
   const createPoolOptions = (id: string) => ({
@@ -648,7 +648,7 @@
             account: call.account,
             retryInMs,
           });
-          return Promise.resolve(refused('busy', message));
+          return Promise.resolve(createRefusal('busy', message));
         }
       }
       const now = nowMs();
@@ -683,13 +683,13 @@
       if (transaction) endTransaction(transaction, false);
     },
     /** Rolls back all open transactions of a VM process that is gone. */
-    endOrigin: (senderId: string): void => {
+    endTransactionsOfSender: (senderId: string): void => {
       [...transactions.values()]
         .filter(({ id }) => id.startsWith(`${senderId}/`))
         .forEach((transaction) => endTransaction(transaction, false));
     },
     /** Called when another VM has become the owner: only open transactions continue here. */
-    retire: (): void => {
+    startDraining: (): void => {
       isDraining = true;
       primaryManager.close();
       const [inTransaction, rejected] = [
@@ -700,10 +700,10 @@
       rejected.forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
-    openTransactions: () => transactions.size,
-    underWay: () =>
+    countOpenTransactions: () => transactions.size,
+    countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).underWay, 0),
-    waitingCount: () => queue.length,
+    countQueued: () => queue.length,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
       isClosed = true;
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -4,7 +4,7 @@
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberCommand from '../seams/memberCommand';
 import type MemberDialer from '../seams/memberDialer';
-import MemberLinkError from '../seams/memberLinkError';
+import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type EndpointStatus from '../seams/memberStatus';
 import type PooledConnection from './pooledConnection';
@@ -129,7 +129,7 @@
       };
       if (isClosed) {
         memberConnection.close();
-        throw new MemberLinkError('broken', `connection pool of endpoint ${endpoint.id} is closed`);
+        throw new MemberConnectionError('broken', `connection pool of endpoint ${endpoint.id} is closed`);
       }
       lastReplyAtMs = nowMs();
       connections.add(connection);
@@ -139,10 +139,10 @@
         idleConnections.delete(connection);
         onChange();
       });
-      if (memberConnection.openedAt) position = laterPosition(position, memberConnection.openedAt);
+      if (memberConnection.initialPosition) position = laterPosition(position, memberConnection.initialPosition);
       return connection;
     } catch (error) {
-      if (error instanceof MemberLinkError) {
+      if (error instanceof MemberConnectionError) {
         log.info('member.refused', {
           endpoint: endpoint.id,
           reason: error.reason,
@@ -209,15 +209,15 @@
       clearTimeout(replyTimer);
       return dialer.readStatus(reply);
     } catch (error) {
-      if (error instanceof MemberLinkError && error.reason === 'connectionLimit') {
+      if (error instanceof MemberConnectionError && error.reason === 'connectionLimit') {
         lastReplyAtMs = nowMs();
         return undefined;
       }
       failedProbes += 1;
       const isConfirmedDown =
-        error instanceof MemberLinkError && ['refused', 'misrouted'].includes(error.reason);
+        error instanceof MemberConnectionError && ['refused', 'misrouted'].includes(error.reason);
       if (isConfirmedDown || failedProbes >= MAX_FAILED_PROBES) {
-        setDown(true, error instanceof MemberLinkError ? error.reason : String(error));
+        setDown(true, error instanceof MemberConnectionError ? error.reason : String(error));
       }
       return undefined;
     } finally {
@@ -236,7 +236,7 @@
   return {
     endpoint: () => endpoint,
     update: (next: GroupEndpoint, connectionLimit: number): void => {
-      if (next.bornAtMs !== endpoint.bornAtMs || next.address !== endpoint.address) {
+      if (next.startedAtUnixMs !== endpoint.startedAtUnixMs || next.address !== endpoint.address) {
         failedProbes = 0;
         setDown(false, 'endpoint restarted or changed its address');
       }
@@ -278,7 +278,7 @@
         return idleConnection;
       }
       if (!canOpenConnection() && !evictOldestIdle()) {
-        throw new MemberLinkError(
+        throw new MemberConnectionError(
           'connectionLimit',
           `no free connection to endpoint ${endpoint.id}`,
         );
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -1,6 +1,6 @@
 import { comparePositions, type LogPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
-import type FailoverCaller from '../seams/failoverCaller';
+import type FailoverClient from '../seams/failoverClient';
 import type GroupRecord from './groupRecord';
 import type MemberPool from './memberPool';
 
@@ -18,17 +18,17 @@
 
 interface PrimaryManagerOptions {
   group: string;
-  holder: string;
+  ownerVm: string;
   pools: ReadonlyMap<string, MemberPool>;
-  failover: FailoverCaller;
+  failover: FailoverClient;
   log: EventLog;
   nowMs(): number;
   /** The last recorded primary with its term and fence. */
-  recorded(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
+  getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
   /** Records the next primary; returns false when this VM no longer owns the group. */
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether a replacement is safe now: no earlier owner can still be using another primary. */
-  mayReplace(): boolean;
+  canReplacePrimary(): boolean;
   /** Counts open transactions and in-flight statements at an endpoint. */
   countOpenWork(endpointId: string): number;
   onPrimaryFound(endpointId: string, position: LogPosition, askedAtMs: number): void;
@@ -81,7 +81,7 @@
       .filter(([id, pool]) => id !== excludedId && !pool.isDown() && !pool.endpoint().isLeaving)
       .map(([id]) => id);
     const replies = await probeEndpoints(ids);
-    return replies.sort((a, b) => comparePositions(b.status.received, a.status.received))[0];
+    return replies.sort((a, b) => comparePositions(b.status.receivedPosition, a.status.receivedPosition))[0];
   };
 
   const awaitPromotion = async (id: string): Promise<boolean> => {
@@ -89,7 +89,7 @@
     while (!isClosed && nowMs() < untilMs) {
       const [reply] = await probeEndpoints([id]);
       if (reply?.status.isPrimary) {
-        acceptPrimary(id, reply.status.received, reply.askedAtMs);
+        acceptPrimary(id, reply.status.receivedPosition, reply.askedAtMs);
         return true;
       }
       await sleep(PROMOTION_POLL_MS);
@@ -133,7 +133,7 @@
       while (
         oldPrimary &&
         candidate &&
-        comparePositions(candidate.status.received, oldPrimary.status.received) < 0 &&
+        comparePositions(candidate.status.receivedPosition, oldPrimary.status.receivedPosition) < 0 &&
         nowMs() < untilMs
       ) {
         await sleep(PROMOTION_POLL_MS / 2);
@@ -141,17 +141,17 @@
       }
     }
     if (!candidate) return;
-    const fence = options.recorded().fence + 1;
+    const fence = options.getRecordedPrimary().fence + 1;
     // The new primary's term is above all that were seen. The recorded term is only a lower bound,
     // since the promotion that it was recorded for may not have run.
     const seenTerm = Math.max(highestSeenTerm, candidate.status.term);
-    const term = Math.max(seenTerm + 1, options.recorded().term);
+    const term = Math.max(seenTerm + 1, options.getRecordedPrimary().term);
     if (isClosed || !(await options.record({ primary: candidate.id, term, fence }))) return;
     if (isClosed) return;
     primary = undefined;
     isReplacing = true;
     if (oldPrimaryId !== undefined) pools.get(oldPrimaryId)?.closeAll();
-    const outcome = await options.failover.promote(group, candidate.id, options.holder, fence);
+    const outcome = await options.failover.promote(group, candidate.id, options.ownerVm, fence);
     log.warn('primary.promoted', { group, endpoint: candidate.id, fence, outcome, reason });
     if (outcome === 'accepted' || outcome === 'mayHaveRun') {
       const isPromoted = await awaitPromotion(candidate.id);
@@ -162,10 +162,10 @@
 
   /** Accepts the endpoint that reports itself as primary with the highest term, or promotes one. */
   const findPrimary = async (): Promise<void> => {
-    const minTerm = options.recorded().term;
+    const minTerm = options.getRecordedPrimary().term;
     const reachable = [...pools].filter(([, pool]) => !pool.isDown());
     const claimants = reachable.filter(
-      ([id, pool]) => pool.endpoint().claimsPrimary || id === options.recorded().primary,
+      ([id, pool]) => pool.endpoint().isRegisteredAsPrimary || id === options.getRecordedPrimary().primary,
     );
     const probed = claimants.length > 0 ? claimants : reachable;
     const replies = await probeEndpoints(probed.map(([id]) => id));
@@ -173,12 +173,12 @@
       .filter(({ status }) => status.isPrimary && status.term >= minTerm)
       .sort((a, b) => b.status.term - a.status.term);
     if (newestPrimary) {
-      acceptPrimary(newestPrimary.id, newestPrimary.status.received, newestPrimary.askedAtMs);
+      acceptPrimary(newestPrimary.id, newestPrimary.status.receivedPosition, newestPrimary.askedAtMs);
       return;
     }
     noPrimarySinceMs ??= nowMs();
     const isGracePeriodElapsed = nowMs() - noPrimarySinceMs > NO_PRIMARY_GRACE_MS;
-    if (isGracePeriodElapsed && pools.size > 1 && options.mayReplace())
+    if (isGracePeriodElapsed && pools.size > 1 && options.canReplacePrimary())
       await replacePrimary(undefined, 'none');
   };
 
@@ -189,8 +189,8 @@
       primary = undefined;
     }
     if (pool && primary !== undefined) {
-      if (pool.isDown() && options.mayReplace()) await replacePrimary(primary, 'lost');
-      else if (pool.endpoint().isLeaving && options.mayReplace())
+      if (pool.isDown() && options.canReplacePrimary()) await replacePrimary(primary, 'lost');
+      else if (pool.endpoint().isLeaving && options.canReplacePrimary())
         await replacePrimary(primary, 'leaving');
     } else {
       await findPrimary();
--- a/packages/sessions/src/group/prepareConnection.ts
+++ b/packages/sessions/src/group/prepareConnection.ts
@@ -1,4 +1,4 @@
-import MemberLinkError from '../seams/memberLinkError';
+import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberCommand from '../seams/memberCommand';
 import type { PreparedStatement } from '../generated/auburngrade/session/v1/session';
 import type MemberPool from './memberPool';
@@ -47,7 +47,7 @@
   connection.values = new Map(values);
   const replies = await Promise.all(commands.map((command) => pool.send(connection, command)));
   const failure = replies.find((reply) => reply.failure)?.failure;
-  if (failure) throw new MemberLinkError(failure.kind, failure.message);
+  if (failure) throw new MemberConnectionError(failure.kind, failure.message);
 };
 
 /** Returns the name under which a statement is prepared on a connection; empty if it is not. */
--- a/packages/sessions/src/limits/createRateLimiter.ts
+++ b/packages/sessions/src/limits/createRateLimiter.ts
@@ -52,7 +52,7 @@
     /** Deducts operations that another VM admitted. */
     charge: (account: string, count: number): void => getBucket(account)?.charge(count, nowMs()),
     /** Limits this VM to a fraction (0 to 1) of each rate while another VM cannot report. */
-    setShare: (newShareRatio: number): void => {
+    setLimitFraction: (newShareRatio: number): void => {
       if (newShareRatio === shareRatio) return;
       shareRatio = newShareRatio;
       buckets.forEach((bucket) => bucket.setShare(newShareRatio, nowMs()));
--- a/packages/sessions/src/seams/callerConnection.ts
+++ b/packages/sessions/src/seams/callerConnection.ts
@@ -7,7 +7,7 @@
   accept(): void;
   /** Refuses the session and closes the connection. */
   refuse(code: RefusalCode, message: string): void;
-  answer(result: StatementResult, state: TransactionState): void;
+  sendResult(result: StatementResult, state: TransactionState): void;
   close(): void;
 }
 
--- a/packages/sessions/src/seams/failoverCaller.ts
+++ b/packages/sessions/src/seams/failoverClient.ts
@@ -1,5 +1,5 @@
 /** Client of the platform's failover service. */
-abstract class FailoverCaller {
+abstract class FailoverClient {
   /** Promotes an endpoint to primary; resolves with `mayHaveRun` when there is no usable reply. */
   abstract promote(
     group: string,
@@ -9,4 +9,4 @@
   ): Promise<'accepted' | 'rejected' | 'notRun' | 'mayHaveRun'>;
 }
 
-export default FailoverCaller;
+export default FailoverClient;
--- a/packages/sessions/src/seams/groupEndpoint.ts
+++ b/packages/sessions/src/seams/groupEndpoint.ts
@@ -9,9 +9,9 @@
   slots: number;
   isLeaving: boolean;
   /** Whether it registered itself as primary; its status decides. */
-  claimsPrimary: boolean;
+  isRegisteredAsPrimary: boolean;
   /** Unix time of its start; a new value means a new process under the same id. */
-  bornAtMs: number;
+  startedAtUnixMs: number;
 }
 
 export default GroupEndpoint;
--- a/packages/sessions/src/seams/memberConnection.ts
+++ b/packages/sessions/src/seams/memberConnection.ts
@@ -5,7 +5,7 @@
 /** An open connection to an endpoint, bound to one client account. Replies arrive in order. */
 interface MemberConnection {
   /** Log position that the endpoint reported when the connection opened. */
-  readonly openedAt?: LogPosition;
+  readonly initialPosition?: LogPosition;
   /** @throws MemberLinkError when the connection ends before the reply is complete. */
   send(command: MemberCommand): Promise<MemberReply>;
   close(): void;
--- a/packages/sessions/src/seams/memberLinkError.ts
+++ b/packages/sessions/src/seams/memberConnectionError.ts
@@ -4,7 +4,7 @@
   'refused' | 'silent' | 'broken' | NonNullable<MemberReply['failure']>['kind'];
 
 /** A connection to an endpoint could not be opened, or ended before a reply was complete. */
-class MemberLinkError extends Error {
+class MemberConnectionError extends Error {
   constructor(
     readonly reason: MemberLinkErrorReason,
     message: string,
@@ -14,4 +14,4 @@
   }
 }
 
-export default MemberLinkError;
+export default MemberConnectionError;
--- a/packages/sessions/src/seams/memberStatus.ts
+++ b/packages/sessions/src/seams/memberStatus.ts
@@ -5,7 +5,7 @@
   isPrimary: boolean;
   term: number;
   /** Last log position that it received. */
-  received: LogPosition;
+  receivedPosition: LogPosition;
   connections: number;
 }
 
--- a/packages/sessions/src/seams/metadataStore.ts
+++ b/packages/sessions/src/seams/metadataStore.ts
@@ -8,7 +8,7 @@
   /** Required revision of each key; 0 means that the key must not exist. */
   expected: readonly { key: string; revision: number }[];
   puts: readonly { key: string; value: string; lease?: number }[];
-  removes?: readonly string[];
+  deletedKeys?: readonly string[];
 }
 
 type CommitOutcome = { kind: 'committed'; revision: number } | { kind: 'conflict' | 'leaseEnded' };
@@ -27,8 +27,8 @@
   abstract commit(commit: StoreCommit): Promise<CommitOutcome>;
   abstract grantLease(ttlMs: number): Promise<{ lease: number; ttlMs: number }>;
   /** Renews a lease; resolves with false when it has ended. */
-  abstract keepLease(lease: number): Promise<boolean>;
-  abstract endLease(lease: number): Promise<void>;
+  abstract renewLease(lease: number): Promise<boolean>;
+  abstract revokeLease(lease: number): Promise<void>;
 }
 
 export default MetadataStore;
--- a/packages/sessions/src/seams/siteDecoder.ts
+++ b/packages/sessions/src/seams/storedValueDecoder.ts
@@ -2,7 +2,7 @@
 import type GroupEndpoint from './groupEndpoint';
 
 /** Decodes entries that others write to the platform's store; undefined for invalid ones. */
-abstract class SiteDecoder {
+abstract class StoredValueDecoder {
   /** Key of the operator's configuration, and key prefix under which endpoints register. */
   abstract readonly configurationKey: string;
 
@@ -12,4 +12,4 @@
   abstract endpoint(key: string, value: string): GroupEndpoint | undefined;
 }
 
-export default SiteDecoder;
+export default StoredValueDecoder;
--- a/packages/sessions/src/standIns/createMemberStandIn.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -3,7 +3,7 @@
 import type MemberCommand from '../seams/memberCommand';
 import type MemberConnection from '../seams/memberConnection';
 import MemberDialer from '../seams/memberDialer';
-import MemberLinkError from '../seams/memberLinkError';
+import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 
 type FailureKind = NonNullable<MemberReply['failure']>['kind'];
@@ -33,13 +33,13 @@
 }
 
 /** In-memory fake of a group's members behind a `MemberDialer`; records which statements ran. */
-const createMemberStandIn = (endpoints: readonly GroupEndpoint[]) => {
+const createFakeMembers = (endpoints: readonly GroupEndpoint[]) => {
   const members = new Map<string, FakeMember>(
     endpoints.map((endpoint) => [
       endpoint.id,
       {
         endpoint,
-        isPrimary: endpoint.claimsPrimary,
+        isPrimary: endpoint.isRegisteredAsPrimary,
         received: { term: 1, number: 1 },
         isUnreachable: false,
       },
@@ -58,7 +58,7 @@
     attemptCount += 1;
     const member = members.get(endpoint.id);
     if (!member || member.isUnreachable)
-      throw new MemberLinkError('silent', 'the fake member is unreachable');
+      throw new MemberConnectionError('silent', 'the fake member is unreachable');
     openedCount += 1;
     const connectionNumber = openedCount;
     const values = new Map<string, string>();
@@ -72,7 +72,7 @@
     const endConnection = (): void => {
       isEnded = true;
       pendingRejects.forEach((reject) =>
-        reject(new MemberLinkError('broken', 'the fake connection was closed')),
+        reject(new MemberConnectionError('broken', 'the fake connection was closed')),
       );
       listeners.forEach((listener) => listener());
     };
@@ -164,11 +164,11 @@
     };
 
     return {
-      openedAt: member.received,
+      initialPosition: member.received,
       send: (command) =>
         new Promise((resolve, reject) => {
           if (isEnded) {
-            reject(new MemberLinkError('broken', 'the fake connection was closed'));
+            reject(new MemberConnectionError('broken', 'the fake connection was closed'));
             return;
           }
           pendingRejects.add(reject);
@@ -250,4 +250,4 @@
   };
 };
 
-export default createMemberStandIn;
+export default createFakeMembers;
--- a/packages/sessions/src/standIns/createStoreStandIn.ts
+++ b/packages/sessions/src/standIns/createFakeStore.ts
@@ -10,7 +10,7 @@
   });
 
 /** In-memory fake of the platform's store, as a `MetadataStore`. Watches poll; leases never end. */
-const createStoreStandIn = () => {
+const createFakeStore = () => {
   const items = new Map<string, StoredItem>();
   let revision = 1;
   let isDown = false;
@@ -63,12 +63,12 @@
       return { lease: 1, ttlMs };
     }
 
-    override async keepLease() {
+    override async renewLease() {
       await beginCall();
       return true;
     }
 
-    override async endLease() {
+    override async revokeLease() {
       await beginCall();
     }
   }
@@ -83,7 +83,7 @@
       items.set(key, { key, value, revision });
     },
     read: (key: string) => items.get(key),
-    calls: () => callCount,
+    countCalls: () => callCount,
     /** Ends all watches; later calls fail. */
     close: (): void => {
       isClosed = true;
@@ -92,4 +92,4 @@
   };
 };
 
-export default createStoreStandIn;
+export default createFakeStore;
