--- a/packages/auburngrade/src/admission/createQuotaHandOver.ts
+++ b/packages/auburngrade/src/admission/createQuotaHandOver.ts
@@ -39,12 +39,12 @@
     if (!allocator) return true;
     const successor = allocator.successor();
     // Units that have not been reported yet can't be handed over.
-    if (!successor && !allocator.isMinted()) return false;
-    const holding = [...allocator.holding(), ...allocator.unreported()];
-    const ledger = { holding, areAllUnitsClaimed: allocator.isMinted() };
+    if (!successor && !allocator.areAllUnitsClaimed()) return false;
+    const holding = [...allocator.holding(), ...allocator.unreportedVms()];
+    const ledger = { holding, areAllUnitsClaimed: allocator.areAllUnitsClaimed() };
     updateQuotaState(state, { isTransferring: true });
     // The next claimant starts with all units, even if the answer to this write is lost.
-    if (!successor) allocator.resign(nowMs());
+    if (!successor) allocator.drain(nowMs());
     const isTransferred = await recordWriter.transfer(state.name, successor, ledger);
     roles.refresh(state);
     return isTransferred && successor !== undefined;
--- a/packages/auburngrade/src/admission/createQuotaMaintenance.ts
+++ b/packages/auburngrade/src/admission/createQuotaMaintenance.ts
@@ -46,7 +46,7 @@
     );
     const record = roles.refresh(state);
     if (state.keeper && state.keeper.epoch === record?.epoch) {
-      state.keeper.confirm(sentAtMs, nowMs());
+      state.keeper.confirmEpoch(sentAtMs, nowMs());
       updateQuotaState(state, {
         authorityConfirmedAtMs: Math.max(state.authorityConfirmedAtMs, sentAtMs),
       });
@@ -56,11 +56,11 @@
   const shouldConfirm = (state: QuotaState): boolean => {
     if (!state.keeper || nowMs() < state.nextConfirmationAtMs) return false;
     const isConfirmationAgeing = nowMs() - state.authorityConfirmedAtMs > leaseMs / 2;
-    return isConfirmationAgeing || state.keeper.needsConfirmation(nowMs());
+    return isConfirmationAgeing || state.keeper.needsEpochConfirmation(nowMs());
   };
 
   const shouldCollectReports = (state: QuotaState): boolean => {
-    if (!state.keeper || state.keeper.isMinted() || nowMs() < state.nextCollectionAtMs)
+    if (!state.keeper || state.keeper.areAllUnitsClaimed() || nowMs() < state.nextCollectionAtMs)
       return false;
     updateQuotaState(state, { nextCollectionAtMs: nowMs() + COLLECT_INTERVAL_MS });
     return true;
@@ -69,7 +69,7 @@
   /** Once per epoch, removes unregistered VMs that hold no units from the record. */
   const pruneRecord = async (state: QuotaState): Promise<void> => {
     const { keeper: allocator } = state;
-    if (!allocator?.isMinted() || state.prunedEpoch === allocator.epoch) return;
+    if (!allocator?.areAllUnitsClaimed() || state.prunedEpoch === allocator.epoch) return;
     updateQuotaState(state, { prunedEpoch: allocator.epoch });
     const isDone = await recordWriter.prune(state.name, allocator.holding());
     if (!isDone) updateQuotaState(state, { prunedEpoch: 0 });
--- a/packages/auburngrade/src/admission/createQuotaProtocol.ts
+++ b/packages/auburngrade/src/admission/createQuotaProtocol.ts
@@ -1,9 +1,9 @@
 import {
-  shareGrantSchema,
-  shareSyncSchema,
+  quotaGrantSchema,
+  quotaReportSchema,
   type ConfigurationState,
-  type ShareGrant,
-  type ShareRecord,
+  type QuotaGrant,
+  type QuotaRecord,
 } from '@auburngrade/coordination';
 import { z } from 'zod';
 import createMessenger from '../membership/createMessenger';
@@ -92,8 +92,8 @@
     const report = consumer.report(record.epoch, neededTokens, nowMs());
     try {
       const reply = await send(record.keeper, REPORT_KIND, report, MESSAGE_TIMEOUT_MS);
-      const grant = shareGrantSchema.parse(reply.body);
-      consumer.accept(grant, nowMs());
+      const grant = quotaGrantSchema.parse(reply.body);
+      consumer.applyGrant(grant, nowMs());
       const isLowered = grant.kind === 'granted' && grant.units < report.heldUnits;
       updateQuotaState(state, {
         unreachableSinceMs: undefined,
@@ -123,17 +123,17 @@
   /** Reclaims the units of an unresponsive consumer once its lease has expired. */
   const reclaimUnits = async (state: QuotaState, target: string): Promise<void> => {
     const { keeper: allocator } = state;
-    const observedAllocation = allocator?.allotmentOf(target);
+    const observedAllocation = allocator?.allocationOf(target);
     if (!allocator || !observedAllocation || observedAllocation.units === 0) return;
     const hasExpired = await leases.prove(target, observedAllocation.lease);
     if (!hasExpired || !roles.hasAuthority(state)) return;
-    allocator.noteLapsed(target, observedAllocation, nowMs());
+    allocator.reclaimExpiredVm(target, observedAllocation, nowMs());
   };
 
   /** Stops waiting for an unresponsive consumer's report once its lease has expired. */
   const skipExpiredReport = async (state: QuotaState, target: string): Promise<void> => {
     const { keeper: allocator } = state;
-    if (allocator && (await leases.proveByRecord(target))) allocator.noteGone(target, nowMs());
+    if (allocator && (await leases.proveByRecord(target))) allocator.clearUnreported(target, nowMs());
   };
 
   const recallFrom = async (
@@ -146,7 +146,7 @@
       const body = { share: state.name, mustReport, partUnits };
       const reply = await send(target, RECALL_KIND, body, MESSAGE_TIMEOUT_MS);
       recallReplySchema.parse(reply.body);
-      state.keeper?.noteIncarnation(target, reply.incarnation, nowMs());
+      state.keeper?.reclaimEarlierIncarnation(target, reply.incarnation, nowMs());
       return true;
     } catch {
       state.skipRecallUntilMs.set(target, nowMs() + RECALL_PAUSE_MS);
@@ -162,7 +162,7 @@
       nowMs() < (state.skipRecallUntilMs.get(consumer) ?? 0);
     const isRecallTarget = (consumer: string): boolean =>
       consumer !== requestingVm && !isRecallPaused(consumer);
-    const targets = state.keeper?.recallable(isRecallTarget, nowMs()) ?? [];
+    const targets = state.keeper?.recallTargets(isRecallTarget, nowMs()) ?? [];
     const isAnyRecallPaused = state.keeper?.holding().some(isRecallPaused) ?? false;
     const answers = Promise.all(
       targets.map((target) => recallFrom(state, target.vm, false, target.partUnits)),
@@ -173,13 +173,13 @@
     );
     // Until the allocator has claimed all units, VMs that were not asked may hold some.
     const isLastRequestAnswered =
-      areTargetsAnswered && !isAnyRecallPaused && (state.keeper?.isMinted() ?? false);
+      areTargetsAnswered && !isAnyRecallPaused && (state.keeper?.areAllUnitsClaimed() ?? false);
     updateQuotaState(state, { isLastRequestAnswered });
     return isLastRequestAnswered;
   };
 
-  const handleReport = async (_fromVm: string, body: unknown): Promise<ShareGrant> => {
-    const report = shareSyncSchema.parse(body);
+  const handleReport = async (_fromVm: string, body: unknown): Promise<QuotaGrant> => {
+    const report = quotaReportSchema.parse(body);
     const state = findOrCreateState(report.share);
     if (!state) return { kind: 'refused', reason: 'unknown share' };
     roles.refresh(state);
@@ -194,7 +194,7 @@
     const { keeper: allocator } = state;
     if (!allocator || !roles.hasAuthority(state))
       return { kind: 'refused', reason: 'not the keeper' };
-    const grant = allocator.sync(report, nowMs(), state.waiting);
+    const grant = allocator.handleReport(report, nowMs(), state.waiting);
     const hasAskedAll = !isOutOfTokens || state.isLastRequestAnswered;
     return grant.kind === 'granted' ? { ...grant, hasAskedAll } : grant;
   };
@@ -247,14 +247,14 @@
   };
 
   /** Claims the quota once the allocator's lease has expired, unless another VM claimed it first. */
-  const replaceAllocator = async (state: QuotaState, record: ShareRecord): Promise<void> => {
+  const replaceAllocator = async (state: QuotaState, record: QuotaRecord): Promise<void> => {
     const hasExpired = await leases.proveByRecord(record.keeper);
     if (hasExpired && configuration.get('share', state.name)?.epoch === record.epoch) {
       await claimQuota(state, record.keeper);
     }
   };
 
-  const startReplacement = (state: QuotaState, record: ShareRecord): void => {
+  const startReplacement = (state: QuotaState, record: QuotaRecord): void => {
     if (state.pendingReplacement) return;
     const pendingReplacement = replaceAllocator(state, record)
       .catch(() => {})
@@ -262,7 +262,7 @@
     updateQuotaState(state, { pendingReplacement });
   };
 
-  const isUnclaimed = (state: QuotaState, record: ShareRecord): boolean => {
+  const isUnclaimed = (state: QuotaState, record: QuotaRecord): boolean => {
     if (record.keeper === NO_ALLOCATOR) return true;
     if (record.keeper !== vm) return false;
     return record.incarnation !== incarnation || record.epoch === state.lostEpoch;
@@ -273,7 +273,7 @@
     recall,
     /** As the allocator, asks VMs that may hold units of an earlier epoch to report. */
     collectReports: async (state: QuotaState): Promise<void> => {
-      const targets = state.keeper?.isMinted() ? [] : (state.keeper?.unreported() ?? []);
+      const targets = state.keeper?.areAllUnitsClaimed() ? [] : (state.keeper?.unreportedVms() ?? []);
       await Promise.all(targets.map((target) => recallFrom(state, target, true)));
     },
     /** Claims the quota if it has no allocator or that has been unreachable for too long. */
--- a/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
@@ -1,7 +1,7 @@
 import {
   documentKinds,
   type ConfigurationState,
-  type ShareRecord,
+  type QuotaRecord,
   type VmLease,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
@@ -32,7 +32,7 @@
   /** Consumers whose removal from a record is being written, as `quota/vm`. */
   const pendingRemovals = new Set<string>();
 
-  const writeRecord = async (name: string, record: ShareRecord): Promise<string> => {
+  const writeRecord = async (name: string, record: QuotaRecord): Promise<string> => {
     const key = documentKinds.share.prefix + name;
     const expectedRevision = configuration.revisionOf('share', name) ?? 0;
     const put = { key, valueJson: JSON.stringify(record), expectedRevision };
@@ -46,7 +46,7 @@
   };
 
   /** Returns the record if it names this process as the allocator. */
-  const findOwnRecord = (name: string): ShareRecord | undefined => {
+  const findOwnRecord = (name: string): QuotaRecord | undefined => {
     const record = configuration.get('share', name);
     return record?.keeper === vm && record.incarnation === incarnation ? record : undefined;
   };
@@ -58,7 +58,7 @@
      * the present allocator may still be active.
      */
     claim: async (state: QuotaState, expiredVm?: string): Promise<void> => {
-      if (nowMs() < state.nextClaimAtMs || lease.standing(nowMs()) === undefined) return;
+      if (nowMs() < state.nextClaimAtMs || lease.currentGeneration(nowMs()) === undefined) return;
       updateQuotaState(state, { nextClaimAtMs: nowMs() + CLAIM_INTERVAL_MS });
       const record = configuration.get('share', state.name);
       const recordedVms = record ? [...record.holders, record.keeper] : [];
--- a/packages/auburngrade/src/admission/createQuotaRoles.ts
+++ b/packages/auburngrade/src/admission/createQuotaRoles.ts
@@ -1,8 +1,8 @@
 import {
-  createShareHolder,
-  createShareKeeper,
+  createQuotaConsumer,
+  createQuotaAllocator,
   type ConfigurationState,
-  type ShareRecord,
+  type QuotaRecord,
   type VmLease,
 } from '@auburngrade/coordination';
 import type QuotaState from './quotaState';
@@ -28,24 +28,24 @@
 const createQuotaRoles = (options: QuotaRolesOptions) => {
   const { vm, incarnation, configuration, leaseMs, lease, confirmedAtMs, nowMs } = options;
 
-  const findUnreportedVms = (state: QuotaState, record: ShareRecord): Set<string> => {
+  const findUnreportedVms = (state: QuotaState, record: QuotaRecord): Set<string> => {
     if (state.claim?.epoch === record.epoch) return state.claim.unreportedVms;
     return new Set((record.holding ?? record.holders).filter((consumer) => consumer !== vm));
   };
 
-  const becomeAllocator = (state: QuotaState, record: ShareRecord): void => {
+  const becomeAllocator = (state: QuotaState, record: QuotaRecord): void => {
     const now = nowMs();
-    const ownBalance = state.consumer?.resign(now) ?? state.keeper?.resign(now);
-    const allocator = createShareKeeper({
+    const ownBalance = state.consumer?.drain(now) ?? state.keeper?.drain(now);
+    const allocator = createQuotaAllocator({
       limit: state.limit,
       epoch: record.epoch,
-      unreported: findUnreportedVms(state, record),
+      unreportedVms: findUnreportedVms(state, record),
       former: new Set(record.former.filter((earlier) => earlier !== vm)),
-      ownUnits: ownBalance?.units ?? 0,
-      ownTokens: ownBalance?.tokens ?? 0,
+      initialUnits: ownBalance?.units ?? 0,
+      initialTokens: ownBalance?.tokens ?? 0,
       leaseMs,
       lease,
-      lapsedAtMs: now + leaseMs * EXPIRY_LEASE_RATIO + EXPIRY_MARGIN_MS,
+      unreportedExpireAtMs: now + leaseMs * EXPIRY_LEASE_RATIO + EXPIRY_MARGIN_MS,
       nowMs: now,
     });
     updateQuotaState(state, { keeper: allocator, consumer: undefined, isTransferring: false });
@@ -53,8 +53,8 @@
 
   const becomeConsumer = (state: QuotaState): void => {
     const now = nowMs();
-    const ownBalance = state.keeper?.resign(now);
-    const consumer = createShareHolder({
+    const ownBalance = state.keeper?.drain(now);
+    const consumer = createQuotaConsumer({
       share: state.name,
       vm,
       incarnation,
@@ -64,7 +64,7 @@
       nowMs: now,
       initialUnits: ownBalance?.units,
       initialTokens: ownBalance?.tokens,
-      leaseEndsAtMs: ownBalance ? state.authorityConfirmedAtMs + 2 * leaseMs : undefined,
+      leaseExpiresAtMs: ownBalance ? state.authorityConfirmedAtMs + 2 * leaseMs : undefined,
     });
     updateQuotaState(state, {
       consumer,
@@ -76,13 +76,13 @@
 
   /** An allocator whose VM's lease has expired must never become active again in its epoch. */
   const dropExpiredAllocator = (state: QuotaState): void => {
-    if (!state.keeper || state.keeper.isInOffice(nowMs())) return;
+    if (!state.keeper || state.keeper.isActive(nowMs())) return;
     updateQuotaState(state, { lostEpoch: state.keeper.epoch, keeper: undefined });
   };
 
   return {
     /** Updates the role to match the quota's record and returns the record. */
-    refresh: (state: QuotaState): ShareRecord | undefined => {
+    refresh: (state: QuotaState): QuotaRecord | undefined => {
       const record = configuration.get('share', state.name);
       dropExpiredAllocator(state);
       if (!record) return undefined;
--- a/packages/auburngrade/src/admission/createTokenAcquirer.spec.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.spec.ts
@@ -1,4 +1,4 @@
-import type { ShareHolder } from '@auburngrade/coordination';
+import type { QuotaConsumer } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import type createQuotaProtocol from './createQuotaProtocol';
 import type createQuotaRoles from './createQuotaRoles';
@@ -23,7 +23,7 @@
       },
       tokenDueInMs: () => (availableTokens >= 1 ? 0 : NEVER_MS),
       count: () => {},
-    } as unknown as ShareHolder;
+    } as unknown as QuotaConsumer;
     const state = { ...createQuotaState('ranch', { ratePerS: 100, burst: 100 }), consumer };
     const reportInTurn = async (): Promise<boolean> => {
       if (nowMs() < respondsFromMs) return false;
--- a/packages/auburngrade/src/admission/createTokenAcquirer.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.ts
@@ -1,4 +1,4 @@
-import type { ShareHolder, ShareKeeper } from '@auburngrade/coordination';
+import type { QuotaConsumer, QuotaAllocator } from '@auburngrade/coordination';
 import answerWithin from '../time/answerWithin';
 import sleep from '../time/sleep';
 import type createQuotaProtocol from './createQuotaProtocol';
@@ -33,7 +33,7 @@
   const { maxWaitMs, maxSilentWaitMs, roles, protocol, nowMs } = options;
 
   /** Returns the bucket that this VM may take tokens from now. */
-  const findUsableBucket = (state: QuotaState): ShareHolder | ShareKeeper | undefined => {
+  const findUsableBucket = (state: QuotaState): QuotaConsumer | QuotaAllocator | undefined => {
     roles.refresh(state);
     if (state.keeper) return roles.hasAuthority(state) ? state.keeper : undefined;
     return state.consumer;
@@ -131,7 +131,7 @@
       }
     },
     refundToken: (state: QuotaState): void => {
-      findUsableBucket(state)?.putBack(nowMs());
+      findUsableBucket(state)?.refundToken(nowMs());
     },
   };
 };
--- a/packages/auburngrade/src/admission/quotaState.ts
+++ b/packages/auburngrade/src/admission/quotaState.ts
@@ -1,4 +1,4 @@
-import type { RateLimit, ShareHolder, ShareKeeper } from '@auburngrade/coordination';
+import type { RateLimit, QuotaConsumer, QuotaAllocator } from '@auburngrade/coordination';
 
 /**
  * State of one quota on this VM, as its allocator (`keeper`, as in the stored record), which divides
@@ -7,8 +7,8 @@
 interface QuotaState {
   name: string;
   limit: RateLimit;
-  consumer: ShareHolder | undefined;
-  keeper: ShareKeeper | undefined;
+  consumer: QuotaConsumer | undefined;
+  keeper: QuotaAllocator | undefined;
   /** Epoch that this VM last tried to claim, and the VMs that may hold units of earlier epochs. */
   claim: { epoch: number; unreportedVms: Set<string> } | undefined;
   /** Epoch in which this VM lost the allocator role because its lease expired. */
--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -124,7 +124,7 @@
     state: configuration,
     chooseSource: () => {
       if (!isPeerNeeded()) return undefined;
-      const id = peerHealth.choose(listSources(), nowMs());
+      const id = peerHealth.choosePeer(listSources(), nowMs());
       const address = id === undefined ? undefined : findAddress(id);
       return id === undefined || address === undefined
         ? undefined
@@ -132,9 +132,9 @@
     },
     shouldKeepSource: (id) => isPeerNeeded() && listSources().includes(id) && !isReturnDue(id),
     open: (address, listener) => createFollowClient(address, listener, options.vmCredentials),
-    onSuccess: peerHealth.succeed,
+    onSuccess: peerHealth.recordSuccess,
     onFailure: (id, reason) => {
-      peerHealth.fail(id, reason, nowMs());
+      peerHealth.recordFailure(id, reason, nowMs());
       options.logger.info('configuration.sourceLost', { source: id, reason });
     },
     onConfirmed: (confirmedAtMs, outageAtMs) => {
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -89,11 +89,11 @@
 
   /** Dequeues the next request with enough time left; refuses those without. */
   const nextServiceable = (): QueuedRequest | undefined => {
-    let next = queue.next();
+    let next = queue.dequeue();
     while (next && isTooLateToServe(next)) {
       const message = 'too little time is left before the deadline to run the statement';
       refuseQueued(next, notRun('queueTimeout', message, Math.ceil(next.chargedMs)));
-      next = queue.next();
+      next = queue.dequeue();
     }
     return next;
   };
@@ -208,7 +208,7 @@
         },
       };
       const waitMs = timeoutMs - reservedServiceMs(queue.costMs(queueKey), timeoutMs);
-      const refusal = queue.offer(
+      const refusal = queue.enqueue(
         pending,
         queueKey,
         weight,
--- a/packages/auburngrade/src/groups/createMemberHandle.ts
+++ b/packages/auburngrade/src/groups/createMemberHandle.ts
@@ -1,6 +1,6 @@
 import {
   CONTROL_CONNECTIONS,
-  connectionShare,
+  connectionsPerMember,
   slotTimings,
   type Group,
   type Member,
@@ -40,7 +40,7 @@
     connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
     mayOpen: poolOptions.mayOpen,
   });
-  const maxDataConnections = connectionShare(group);
+  const maxDataConnections = connectionsPerMember(group);
   const data = createConnectionPool(createEndpoint('data'), maxDataConnections, nowMs, poolOptions);
   const poller = createStatusPoller(member.name, control, nowMs);
   return { group, member, control, data, poller };
--- a/packages/auburngrade/src/groups/isHandleReusable.ts
+++ b/packages/auburngrade/src/groups/isHandleReusable.ts
@@ -1,4 +1,4 @@
-import { connectionShare, type Group, type Member } from '@auburngrade/coordination';
+import { connectionsPerMember, type Group, type Member } from '@auburngrade/coordination';
 import type MemberHandle from './memberHandle';
 
 /** Whether a handle from the group's previous document can serve the member in the new one. */
@@ -7,7 +7,7 @@
   handle.member.port === member.port &&
   handle.group.database === group.database &&
   handle.group.user === group.user &&
-  connectionShare(handle.group) === connectionShare(group) &&
+  connectionsPerMember(handle.group) === connectionsPerMember(group) &&
   !(handle.data.isClosed() && member.state === 'active');
 
 export default isHandleReusable;
--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -1,8 +1,8 @@
 import {
-  chooseHolders,
+  chooseSlotHolders,
   documentKinds,
   hashText,
-  mayBeChosen,
+  canBecomeSlotHolder,
   slotTimings,
   type ConfigurationState,
   type SlotsRecord,
@@ -28,13 +28,13 @@
 }
 
 /** The VMs that should hold a group's slots, with the inputs of that choice. */
-type Choice = Omit<Parameters<typeof mayBeChosen>[1], 'chosen'> & { chosen: PlacedVm[] };
+type Choice = Omit<Parameters<typeof canBecomeSlotHolder>[1], 'chosen'> & { chosen: PlacedVm[] };
 
 type SlotHolder = NonNullable<SlotsRecord['holders'][number]>;
 
 /** When more VMs change at once, all cached choices are discarded. */
 const MAX_CHANGED_VMS = 100;
-const NO_CHOICE: Choice = { groupHash: 0, near: [], slots: 0, chosen: [] };
+const NO_CHOICE: Choice = { groupHash: 0, memberDataCentres: [], slots: 0, chosen: [] };
 
 const formatHolderKey = (group: string, { vm, incarnation }: SlotHolder): string =>
   `${group}/${vm}/${incarnation}`;
@@ -110,7 +110,7 @@
     choices.forEach((choice, group) => {
       const isAffected =
         choice.chosen.some((placedVm) => leftVms.has(placedVm)) ||
-        joinedVms.some((joinedVm) => mayBeChosen(joinedVm, choice));
+        joinedVms.some((joinedVm) => canBecomeSlotHolder(joinedVm, choice));
       if (isAffected) choices.delete(group);
     });
   };
@@ -139,10 +139,10 @@
     const { members, slots } = document;
     const activeMembers = members.filter(({ state }) => state === 'active');
     const memberDataCentres = internDataCentres(activeMembers.map(({ dataCentre }) => dataCentre));
-    const ids = chooseHolders(listPlacedByDataCentre(), group, memberDataCentres, slots);
+    const ids = chooseSlotHolders(listPlacedByDataCentre(), group, memberDataCentres, slots);
     // The copy drops the spare capacity of an array that has grown.
     const chosenVms = ids.flatMap((id) => placedVms.get(id) ?? []).slice();
-    return { groupHash: hashText(group), near: memberDataCentres, slots, chosen: chosenVms };
+    return { groupHash: hashText(group), memberDataCentres: memberDataCentres, slots, chosen: chosenVms };
   };
 
   /** VMs that should hold the group's slots by the VM list that this VM knows. */
--- a/packages/auburngrade/src/membership/createVmListCache.spec.ts
+++ b/packages/auburngrade/src/membership/createVmListCache.spec.ts
@@ -63,10 +63,10 @@
       records: { read: async () => undefined, write: async () => true },
       lease: {
         record: () => record,
-        seat: () => {},
+        setRecord: () => {},
         renew: () => {},
-        standing: () => 1,
-        hasStood: () => true,
+        currentGeneration: () => 1,
+        hasBeenValid: () => true,
         isRenewedBy: () => true,
       },
       nowMs: () => 0,
--- a/packages/auburngrade/src/slots/createSlotController.ts
+++ b/packages/auburngrade/src/slots/createSlotController.ts
@@ -119,9 +119,9 @@
       incarnation,
       slots: document.slots,
       record: configuration.get('slots', group),
-      isClosing: tracker.isReleasing(group),
-      chosen: membership.findChosenVms(group),
-      isListed: membership.isRegisteredVm,
+      isReleasing: tracker.isReleasing(group),
+      chosenVms: membership.findChosenVms(group),
+      isRegisteredVm: membership.isRegisteredVm,
     });
     if (decision.kind === 'giveBack') await releaseSlot(group);
     else if (decision.kind === 'ask') await requestRelease(group, decision.vms);
--- a/packages/auburngrade/src/slots/createSlotRecordWriter.ts
+++ b/packages/auburngrade/src/slots/createSlotRecordWriter.ts
@@ -1,6 +1,6 @@
 import {
   documentKinds,
-  withHolder,
+  withSlotHolder,
   type ConfigurationState,
   type SlotsRecord,
 } from '@auburngrade/coordination';
@@ -15,7 +15,7 @@
   timeoutMs: number,
 ) => {
   const buildPut = (group: string, slot: number, holder: SlotHolder) => {
-    const record = withHolder(configuration.get('slots', group), slot, holder);
+    const record = withSlotHolder(configuration.get('slots', group), slot, holder);
     return {
       key: documentKinds.slots.prefix + group,
       valueJson: JSON.stringify(record),
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -1,4 +1,4 @@
-import { createHeldSlots, ownSlot, type ConfigurationState } from '@auburngrade/coordination';
+import { createHeldSlots, findAssignedSlot, type ConfigurationState } from '@auburngrade/coordination';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 
@@ -35,7 +35,7 @@
   let isStopped = false;
 
   const findSlotIndex = (group: string): number =>
-    ownSlot(configuration.get('slots', group), vm, incarnation);
+    findAssignedSlot(configuration.get('slots', group), vm, incarnation);
 
   const readConditions = (group: string) => ({
     nowMs: nowMs(),
@@ -47,7 +47,7 @@
   const isUsable = (group: string): boolean => heldSlots.isUsable(group, readConditions(group));
 
   const refreshUse = (group: string): void => {
-    const { isChanged, isCut: mustCloseConnections } = heldSlots.refresh(
+    const { isChanged, mustCloseConnections: mustCloseConnections } = heldSlots.refresh(
       group,
       readConditions(group),
     );
@@ -62,9 +62,9 @@
    * from the configuration store relies on the witnesses, so the slot is not used before.
    */
   const announceTakeover = async (group: string, revision: number): Promise<void> => {
-    while (!isStopped && heldSlots.isHeldBy(group, revision)) {
+    while (!isStopped && heldSlots.isHeldAtRevision(group, revision)) {
       if (await options.announceWrite(revision)) {
-        heldSlots.noteAnnounced(group, revision, nowMs());
+        heldSlots.startTakeOverWait(group, revision, nowMs());
         return;
       }
       await sleep(ANNOUNCE_RETRY_DELAY_MS);
@@ -74,14 +74,14 @@
   const handleSlotAdded = (group: string, slot: number): void => {
     const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
     const revision = configuration.revisionOf('slots', group) ?? 0;
-    heldSlots.take(group, revision, isTakenOver, nowMs());
+    heldSlots.addSlot(group, revision, isTakenOver, nowMs());
     logger.info('slot.taken', { group, slot, isTakenOver });
     if (isTakenOver) announceTakeover(group, revision);
     refreshUse(group);
   };
 
   const handleSlotRemoved = (group: string): void => {
-    const wasInUse = heldSlots.lose(group);
+    const wasInUse = heldSlots.removeSlot(group);
     logger.info('slot.lost', { group });
     closeConnections(group);
     if (wasInUse) onSlotUseChanged();
@@ -92,20 +92,20 @@
     isUsable,
     has: heldSlots.has,
     /** Groups of which the record gives this VM a slot. */
-    groupNames: heldSlots.names,
+    groupNames: heldSlots.groupNames,
     /** Groups whose slots this VM uses now. */
-    groupNamesInUse: heldSlots.inUse,
-    refreshAll: (): void => heldSlots.names().forEach(refreshUse),
+    groupNamesInUse: heldSlots.groupNamesInUse,
+    refreshAll: (): void => heldSlots.groupNames().forEach(refreshUse),
     /** Updates the slot of a group after a change of its record. */
     follow: (group: string): void => {
       const slot = findSlotIndex(group);
       if (slot >= 0 && !heldSlots.has(group)) handleSlotAdded(group, slot);
       if (slot < 0 && heldSlots.has(group)) handleSlotRemoved(group);
     },
-    isReleasing: heldSlots.isClosing,
+    isReleasing: heldSlots.isReleasing,
     /** Stops using a slot that is about to be released. */
     startReleasing: (group: string): void => {
-      heldSlots.beginClosing(group);
+      heldSlots.startReleasing(group);
       onSlotUseChanged();
     },
     stop: (): void => {
--- a/packages/auburngrade/src/witness/createExpiryProver.ts
+++ b/packages/auburngrade/src/witness/createExpiryProver.ts
@@ -1,7 +1,7 @@
 import {
-  lapseProvenAtMs,
+  provenExpiryAtMs,
   leaseTermSchema,
-  reckonedLeaseMs,
+  effectiveLeaseMs,
   witnessPromiseSchema,
   type LeaseRecord,
   type LeaseTerm,
@@ -51,9 +51,9 @@
     };
     await Promise.allSettled([...new Set(groups.flat())].map(collectFrom));
     // After a pause of this process some promises may have expired.
-    const targetLeaseMs = reckonedLeaseMs(lease, leaseMs);
+    const targetLeaseMs = effectiveLeaseMs(lease, leaseMs);
     if (nowMs() - askedAtMs > targetLeaseMs) return undefined;
-    return lapseProvenAtMs(groups, answers, targetLeaseMs);
+    return provenExpiryAtMs(groups, answers, targetLeaseMs);
   };
 
   const proveAndWait = async (target: string, lease: LeaseRecord): Promise<boolean> => {
--- a/packages/auburngrade/src/witness/createHeartbeatSender.ts
+++ b/packages/auburngrade/src/witness/createHeartbeatSender.ts
@@ -1,5 +1,5 @@
 import {
-  leaseTermOf,
+  toLeaseTerm,
   leaseTermSchema,
   renewalQuorum,
   type LeaseTerm,
@@ -30,7 +30,7 @@
     const sentAtMs = nowMs();
     const term = lease.record()?.term ?? 0;
     try {
-      const body = leaseTermOf(term, leaseMs);
+      const body = toLeaseTerm(term, leaseMs);
       const reply = await send(witness, HEARTBEAT_KIND, body, timeoutMs);
       const { isRenewed } = renewalSchema.parse(reply);
       if (isRenewed) {
@@ -61,7 +61,7 @@
       const quorum = renewalQuorum(group.length);
       return [ordered.slice(0, quorum), ordered.slice(quorum)];
     });
-    if (lease.standing(nowMs()) === undefined) {
+    if (lease.currentGeneration(nowMs()) === undefined) {
       await Promise.all(stages.flat().map(sendHeartbeat));
       return isRenewed();
     }
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -67,7 +67,7 @@
 
   let wasValid = false;
   const logLeaseChange = (): void => {
-    const isValid = lease.standing(nowMs()) !== undefined;
+    const isValid = lease.currentGeneration(nowMs()) !== undefined;
     if (isValid !== wasValid) logger.info(isValid ? 'lease.renewed' : 'lease.lapsed');
     wasValid = isValid;
   };
@@ -118,14 +118,14 @@
       sendHeartbeats();
     },
     /** Whether this VM's lease has been valid at any time since its start. */
-    hasBeenValid: lease.hasStood,
+    hasBeenValid: lease.hasBeenValid,
     stop: (): void => {
       isStopped = true;
       clearTimeout(heartbeatTimer);
       intervals.forEach((interval) => clearInterval(interval));
     },
     describe: () => ({
-      isStanding: lease.standing(nowMs()) !== undefined,
+      isStanding: lease.currentGeneration(nowMs()) !== undefined,
       witnesses: lease.record()?.groups ?? [],
     }),
   };
--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -1,8 +1,8 @@
 import {
   createWitness,
-  isSeatPoor,
-  leaseTermOf,
-  witnessGroupsOf,
+  shouldReplaceWitnesses,
+  toLeaseTerm,
+  chooseWitnessGroups,
   type ConfigurationState,
   type VmLease,
   type Witness,
@@ -58,7 +58,7 @@
       .map(([id, registeredVm]) => ({ id, dataCentre: registeredVm.dataCentre }));
 
   const findWantedGroups = createVmListCache(configuration, (): WitnessGroups =>
-    witnessGroupsOf(listLiveVms(), vm, dataCentre),
+    chooseWitnessGroups(listLiveVms(), vm, dataCentre),
   );
   const findRegisteredVms = createVmListCache(configuration, () => new Set(configuration.names('vm')));
 
@@ -73,17 +73,17 @@
     if (isLoading && nowMs() - startedAtMs < LONE_VM_WAIT_MS) return;
     const earlier = await records.read(vm);
     term = Math.max(term + 1, incarnation);
-    const record = { ...leaseTermOf(term, leaseMs), groups };
+    const record = { ...toLeaseTerm(term, leaseMs), groups };
     const isWritten = await records.write(vm, record, earlier?.revision ?? 0);
     if (!isWritten) return;
     openWitness(earlier !== undefined);
-    lease.seat(record, nowMs());
+    lease.setRecord(record, nowMs());
     outdatedSinceMs = undefined;
     acquiredAtMs = nowMs();
   };
 
   const needsReplacement = (): boolean => {
-    const isOutdated = isSeatPoor(
+    const isOutdated = shouldReplaceWitnesses(
       lease.record()?.groups ?? [],
       findWantedGroups(),
       findRegisteredVms(),
@@ -102,7 +102,7 @@
     // Fails if the configuration store is unreachable, before anything is handed over.
     await records.read(vm);
     if (!resources.isIdle()) await resources.handOver();
-    lease.seat(undefined, nowMs());
+    lease.setRecord(undefined, nowMs());
     await acquireLease();
   };
 
@@ -114,7 +114,7 @@
      * new term allows renewal by witnesses that promised not to renew the old one.
      */
     update: async (resources: LeasedResources): Promise<void> => {
-      const hasExpired = lease.standing(nowMs()) === undefined;
+      const hasExpired = lease.currentGeneration(nowMs()) === undefined;
       if (!lease.record() || (hasExpired && nowMs() - acquiredAtMs > REACQUIRE_INTERVAL_MS))
         await acquireLease();
       else await replaceWitnesses(resources);
--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -2,8 +2,8 @@
 import groupSchema from './groupSchema';
 import keySchema from './keySchema';
 import profileSchema from './profileSchema';
-import shareRecordSchema from '../rate/shareRecordSchema';
-import slotsSchema from '../slots/slotsSchema';
+import quotaRecordSchema from '../rate/quotaRecordSchema';
+import slotsRecordSchema from '../slots/slotsRecordSchema';
 import termSchema from './termSchema';
 import vmSchema from './vmSchema';
 
@@ -28,10 +28,10 @@
   key: { prefix: '/auburngrade/key/', schema: keySchema, writable: false, urgent: false },
   group: { prefix: '/auburngrade/group/', schema: groupSchema, writable: true, urgent: false },
   term: { prefix: '/auburngrade/term/', schema: termSchema, writable: false, urgent: true },
-  slots: { prefix: '/auburngrade/slots/', schema: slotsSchema, writable: false, urgent: true },
+  slots: { prefix: '/auburngrade/slots/', schema: slotsRecordSchema, writable: false, urgent: true },
   share: {
     prefix: '/auburngrade/share/',
-    schema: shareRecordSchema,
+    schema: quotaRecordSchema,
     writable: false,
     urgent: true,
   },
--- a/packages/coordination/src/configuration/groupSchema.ts
+++ b/packages/coordination/src/configuration/groupSchema.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import smallestBudget from '../slots/smallestBudget';
+import minConnectionBudget from '../slots/minConnectionBudget';
 import nameSchema from './nameSchema';
 
 const memberSchema = z.strictObject({
@@ -25,7 +25,7 @@
     message: 'member names must be unique',
   })
   .superRefine((group, context) => {
-    const smallest = smallestBudget(group);
+    const smallest = minConnectionBudget(group);
     if (group.connectionBudget >= smallest) return;
     const message = `must be at least ${smallest} for ${group.slots} slots and ${group.members.length} members: each slot needs two connections to each member`;
     context.addIssue({ code: 'custom', path: ['connectionBudget'], message });
--- a/packages/coordination/src/fairQueue/createFairQueue.ts
+++ b/packages/coordination/src/fairQueue/createFairQueue.ts
@@ -92,7 +92,7 @@
     size: () => size,
     sizeOf: (account: string) => flows.get(account)?.items.length ?? 0,
     /** Queues a request, or returns the refusal if it exceeds a limit or would wait too long. */
-    offer: (
+    enqueue: (
       item: Item,
       account: string,
       weight: number,
@@ -109,7 +109,7 @@
       return undefined;
     },
     /** Dequeues a request; the caller passes its `chargedMs` to `end` or `cancel` afterwards. */
-    next: (): Dispatch<Item> | undefined => {
+    dequeue: (): Dispatch<Item> | undefined => {
       const flow = nextFlow();
       const item = flow?.items.shift();
       if (!flow || item === undefined) return undefined;
--- a/packages/coordination/src/fairQueue/fairShares.spec.ts
+++ b/packages/coordination/src/fairQueue/fairShares.spec.ts
@@ -20,10 +20,10 @@
   const queue = createFairQueue<Request>(LIMITS, 1);
   const servedMs = new Map<string, number>();
   requests.forEach((request) => {
-    queue.offer(request, request.account, weights[request.account] ?? 1, NO_DEADLINE_MS);
+    queue.enqueue(request, request.account, weights[request.account] ?? 1, NO_DEADLINE_MS);
   });
   while (!isDone(servedMs)) {
-    const turn = queue.next();
+    const turn = queue.dequeue();
     if (!turn) break;
     const { account, serviceMs } = turn.item;
     servedMs.set(account, (servedMs.get(account) ?? 0) + serviceMs);
@@ -64,10 +64,10 @@
   describe('with one request behind many of another account', () => {
     it('serves the single request among the next five', () => {
       const queue = createFairQueue<string>(LIMITS, 1);
-      for (let id = 0; id < 1_000; id += 1) queue.offer('large', 'large', 1, NO_DEADLINE_MS);
-      queue.offer('small', 'small', 1, NO_DEADLINE_MS);
+      for (let id = 0; id < 1_000; id += 1) queue.enqueue('large', 'large', 1, NO_DEADLINE_MS);
+      queue.enqueue('small', 'small', 1, NO_DEADLINE_MS);
       const order = Array.from({ length: 5 }, () => {
-        const turn = queue.next();
+        const turn = queue.dequeue();
         if (turn) queue.end(turn.account, turn.chargedMs, 5);
         return turn?.item;
       });
@@ -79,15 +79,15 @@
     it('ignores that service once the other accounts have received as much', () => {
       const queue = createFairQueue<string>(LIMITS, 1);
       const serve = (costMs: number): string | undefined => {
-        const turn = queue.next();
+        const turn = queue.dequeue();
         if (turn) queue.end(turn.account, turn.chargedMs, costMs);
         return turn?.account;
       };
-      queue.offer('slow', 'small', 1, NO_DEADLINE_MS);
+      queue.enqueue('slow', 'small', 1, NO_DEADLINE_MS);
       serve(100);
-      for (let id = 0; id < 1_000; id += 1) queue.offer('large', 'large', 1, NO_DEADLINE_MS);
+      for (let id = 0; id < 1_000; id += 1) queue.enqueue('large', 'large', 1, NO_DEADLINE_MS);
       Array.from({ length: 12 }).forEach(() => serve(10));
-      queue.offer('small', 'small', 1, NO_DEADLINE_MS);
+      queue.enqueue('small', 'small', 1, NO_DEADLINE_MS);
       expect([serve(10), serve(10)]).to.include('small');
     });
   });
@@ -95,15 +95,15 @@
   describe('at its limits', () => {
     it('refuses a request if the queue is full or the expected wait exceeds the deadline', () => {
       const queue = createFairQueue<string>({ perAccount: 2, total: 3 }, 1);
-      expect(queue.offer('a1', 'a', 1, 1_000)).to.equal(undefined);
-      expect(queue.offer('a2', 'a', 1, 1_000)).to.equal(undefined);
-      expect(queue.offer('a3', 'a', 1, 1_000)?.code).to.equal('queueFull');
-      expect(queue.offer('b1', 'b', 1, 1_000)).to.equal(undefined);
-      expect(queue.offer('c1', 'c', 1, 1_000)?.code).to.equal('queueFull');
+      expect(queue.enqueue('a1', 'a', 1, 1_000)).to.equal(undefined);
+      expect(queue.enqueue('a2', 'a', 1, 1_000)).to.equal(undefined);
+      expect(queue.enqueue('a3', 'a', 1, 1_000)?.code).to.equal('queueFull');
+      expect(queue.enqueue('b1', 'b', 1, 1_000)).to.equal(undefined);
+      expect(queue.enqueue('c1', 'c', 1, 1_000)?.code).to.equal('queueFull');
       const slow = createFairQueue<string>(LIMITS, 1);
-      for (let id = 0; id < 10; id += 1) slow.offer(`${id}`, 'a', 1, NO_DEADLINE_MS);
-      expect(slow.offer('late', 'a', 1, 20)?.code).to.equal('queueTimeout');
-      expect(slow.offer('other', 'b', 1, 20)).to.equal(undefined);
+      for (let id = 0; id < 10; id += 1) slow.enqueue(`${id}`, 'a', 1, NO_DEADLINE_MS);
+      expect(slow.enqueue('late', 'a', 1, 20)?.code).to.equal('queueTimeout');
+      expect(slow.enqueue('other', 'b', 1, 20)).to.equal(undefined);
     });
 
     it('keeps every queued request until it is served', () => {
@@ -113,7 +113,7 @@
           const queue = createFairQueue<number>(LIMITS, 2);
           const queued = new Set<number>();
           const takeOne = (): void => {
-            const turn = queue.next();
+            const turn = queue.dequeue();
             expect(turn === undefined).to.equal(queued.size === 0);
             if (!turn) return;
             expect(queued.delete(turn.item)).to.equal(true);
@@ -121,7 +121,7 @@
           };
           steps.forEach(({ account, take }, id) => {
             if (take) takeOne();
-            else if (!queue.offer(id, account, 1, NO_DEADLINE_MS)) queued.add(id);
+            else if (!queue.enqueue(id, account, 1, NO_DEADLINE_MS)) queued.add(id);
           });
           while (queued.size > 0) takeOne();
         }),
--- a/packages/coordination/src/load/createIsolationGauge.ts
+++ b/packages/coordination/src/load/createIsolationDetector.ts
@@ -13,7 +13,7 @@
  * go to other VMs. An outage shorter than two health checks of the load balancer has no effect.
  * Handles a data centre partitioned from the others for seconds that callers still reach.
  */
-const createIsolationGauge = (startedAtMs: number) => {
+const createIsolationDetector = (startedAtMs: number) => {
   let lastConnectedAtMs = startedAtMs;
 
   return {
@@ -27,4 +27,4 @@
   };
 };
 
-export default createIsolationGauge;
+export default createIsolationDetector;
--- a/packages/coordination/src/load/createStrainGauge.ts
+++ b/packages/coordination/src/load/createStrainDetector.ts
@@ -12,7 +12,7 @@
  * strained takes several samples and recovering takes seconds. Handles a VM that becomes several
  * times slower while it owns a group.
  */
-const createStrainGauge = () => {
+const createStrainDetector = () => {
   let averageLagMs = 0;
   let isStrained = false;
   let lowLagSinceMs: number | undefined;
@@ -27,8 +27,8 @@
       return isStrained;
     },
     isStrained: () => isStrained,
-    averageMs: () => averageLagMs,
+    averageLagMs: () => averageLagMs,
   };
 };
 
-export default createStrainGauge;
+export default createStrainDetector;
--- a/packages/coordination/src/membership/mayBeChosen.ts
+++ b/packages/coordination/src/membership/canBecomeSlotHolder.ts
@@ -8,7 +8,7 @@
 interface HolderChoice {
   groupHash: number;
   /** Data centres of the group's active members. */
-  near: readonly string[];
+  memberDataCentres: readonly string[];
   slots: number;
   chosen: readonly VmPlacement[];
 }
@@ -17,9 +17,9 @@
  * Whether a joining VM could change a group's chosen slot holders. May return true needlessly but
  * never misses a change, so a registration costs one score per group and a new choice for few.
  */
-const mayBeChosen = (
+const canBecomeSlotHolder = (
   joining: VmPlacement,
-  { groupHash, near, slots, chosen }: HolderChoice,
+  { groupHash, memberDataCentres: near, slots, chosen }: HolderChoice,
 ): boolean => {
   if (chosen.length < slots) return true;
   const isInMemberDataCentre = near.includes(joining.dataCentre);
@@ -30,4 +30,4 @@
   return chosen.some(({ hash }) => score >= rendezvousScore(hash, groupHash));
 };
 
-export default mayBeChosen;
+export default canBecomeSlotHolder;
--- a/packages/coordination/src/membership/chooseHolders.spec.ts
+++ b/packages/coordination/src/membership/chooseSlotHolders.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import chooseHolders from './chooseHolders';
+import chooseSlotHolders from './chooseSlotHolders';
 import hashText from './hashText';
-import mayBeChosen from './mayBeChosen';
+import canBecomeSlotHolder from './canBecomeSlotHolder';
 
 const DATA_CENTRES = ['a', 'b', 'c', 'd'];
 
@@ -25,7 +25,7 @@
         fc.string(),
         fc.integer({ min: 1, max: 5 }),
         (counts, group, slots) => {
-          const chosen = chooseHolders(createVms(counts), group, ['a', 'b', 'a'], slots);
+          const chosen = chooseSlotHolders(createVms(counts), group, ['a', 'b', 'a'], slots);
           const total = counts.reduce((sum, count) => sum + count, 0);
           const coveredCount = counts.slice(0, 2).filter((count) => count > 0).length;
           const coveredDataCentres = new Set(
@@ -42,8 +42,8 @@
     const before = createVms([6, 6, 6, 6]);
     const after = new Map(before).set('a', (before.get('a') ?? []).slice(1));
     Array.from({ length: 300 }, (_, index) => `group-${index}`).forEach((group) => {
-      const holdersBefore = chooseHolders(before, group, ['a', 'b', 'c'], 3);
-      const holdersAfter = chooseHolders(after, group, ['a', 'b', 'c'], 3);
+      const holdersBefore = chooseSlotHolders(before, group, ['a', 'b', 'c'], 3);
+      const holdersAfter = chooseSlotHolders(after, group, ['a', 'b', 'c'], 3);
       expect(holdersAfter).to.include.members(holdersBefore.filter((id) => id !== 'a-0'));
     });
   });
@@ -61,14 +61,14 @@
           const joining = { id: `${dataCentre}-new`, hash: hashText(`${dataCentre}-new`) };
           const after = new Map(before);
           after.set(dataCentre, [...(before.get(dataCentre) ?? []), joining]);
-          const holdersBefore = chooseHolders(before, group, memberDataCentres, slots);
-          const holdersAfter = chooseHolders(after, group, memberDataCentres, slots);
+          const holdersBefore = chooseSlotHolders(before, group, memberDataCentres, slots);
+          const holdersAfter = chooseSlotHolders(after, group, memberDataCentres, slots);
           const chosen = holdersBefore.map((id) => ({
             dataCentre: id[0] ?? '',
             hash: hashText(id),
           }));
           const choice = { groupHash: hashText(group), near: memberDataCentres, slots, chosen };
-          if (mayBeChosen({ dataCentre, hash: joining.hash }, choice)) return;
+          if (canBecomeSlotHolder({ dataCentre, hash: joining.hash }, choice)) return;
           expect(holdersAfter).to.deep.equal(holdersBefore);
         },
       ),
@@ -80,7 +80,7 @@
     const groupsByVm = new Map<string, number>();
     const vms = createVms([6, 6, 6, 6]);
     Array.from({ length: 6_000 }, (_, index) => `group-${index}`).forEach((group) =>
-      chooseHolders(vms, group, ['a', 'b', 'c'], 3).forEach((id) =>
+      chooseSlotHolders(vms, group, ['a', 'b', 'c'], 3).forEach((id) =>
         groupsByVm.set(id, (groupsByVm.get(id) ?? 0) + 1),
       ),
     );
--- a/packages/coordination/src/membership/chooseHolders.ts
+++ b/packages/coordination/src/membership/chooseSlotHolders.ts
@@ -46,7 +46,7 @@
  * Chooses the VMs that should hold a group's connection slots by rendezvous hashing: first one in
  * each data centre of the group's members, then more in these data centres, then in other ones.
  */
-const chooseHolders = (
+const chooseSlotHolders = (
   vms: VmHashes,
   group: string,
   memberDataCentres: readonly string[],
@@ -71,4 +71,4 @@
   return chosen.map(({ id }) => id);
 };
 
-export default chooseHolders;
+export default chooseSlotHolders;
--- a/packages/coordination/src/membership/createPeerHealth.ts
+++ b/packages/coordination/src/membership/createPeerHealth.ts
@@ -15,16 +15,16 @@
 
   return {
     /** Avoids the VM, for twice as long with each consecutive failure up to the maximum. */
-    fail: (id: string, failure: Failure, nowMs: number): void => {
+    recordFailure: (id: string, failure: Failure, nowMs: number): void => {
       const previousDelayMs = failures.get(id)?.delayMs ?? INITIAL_AVOIDANCE_MS / 2;
       const delayMs = Math.min(previousDelayMs * 2, MAX_AVOIDANCE_MS);
       failures.set(id, { failure, delayMs, avoidUntilMs: nowMs + delayMs });
     },
-    succeed: (id: string): void => {
+    recordSuccess: (id: string): void => {
       failures.delete(id);
     },
     /** The first VM that is not avoided, or else the one avoided for the shortest time. */
-    choose: (ids: readonly string[], nowMs: number): string | undefined => {
+    choosePeer: (ids: readonly string[], nowMs: number): string | undefined => {
       const avoidedUntilMs = (id: string): number => failures.get(id)?.avoidUntilMs ?? 0;
       const available = ids.find((id) => avoidedUntilMs(id) <= nowMs);
       return available ?? [...ids].sort((a, b) => avoidedUntilMs(a) - avoidedUntilMs(b))[0];
--- a/packages/coordination/src/rate/allocatorChange.spec.ts
+++ b/packages/coordination/src/rate/allocatorChange.spec.ts
@@ -2,17 +2,17 @@
 import fc from 'fast-check';
 import createVmLease from '../witness/createVmLease';
 import createWitness from '../witness/createWitness';
-import lapseProvenAtMs from '../witness/lapseProvenAtMs';
+import provenExpiryAtMs from '../witness/provenExpiryAtMs';
 import type LeaseRecord from '../witness/leaseRecord';
-import leaseTermOf from '../witness/leaseTermOf';
-import reckonedLeaseMs from '../witness/reckonedLeaseMs';
+import toLeaseTerm from '../witness/toLeaseTerm';
+import effectiveLeaseMs from '../witness/effectiveLeaseMs';
 import UNSTATED_LEASE_MS from '../witness/unstatedLeaseMs';
 import type WitnessPromise from '../witness/witnessPromise';
-import witnessGroupsOf from '../witness/witnessGroupsOf';
-import createShareHolder from './createShareHolder';
-import createShareKeeper from './createShareKeeper';
-import type ShareHolder from './shareHolder';
-import type ShareKeeper from './shareKeeper';
+import chooseWitnessGroups from '../witness/chooseWitnessGroups';
+import createQuotaConsumer from './createQuotaConsumer';
+import createQuotaAllocator from './createQuotaAllocator';
+import type QuotaConsumer from './quotaConsumer';
+import type QuotaAllocator from './quotaAllocator';
 import WHOLE_UNITS from './wholeUnits';
 
 const LEASE_MS = 1_000;
@@ -76,8 +76,8 @@
   leaseMs: number;
   lease: ReturnType<typeof createVmLease>;
   witness: ReturnType<typeof createWitness>;
-  consumer?: ShareHolder;
-  keeper?: ShareKeeper;
+  consumer?: QuotaConsumer;
+  keeper?: QuotaAllocator;
   lostEpoch: number;
   /** Epoch of the quota record as this VM last read it. */
   epoch: number;
@@ -105,10 +105,10 @@
     const leaseMsOfVm = leaseMsByVm[vmIndex(id) % leaseMsByVm.length] ?? [];
     const leaseMs = leaseMsOfVm[incarnation % leaseMsOfVm.length] ?? LEASE_MS;
     const lease = createVmLease(leaseMs);
-    const groups = witnessGroupsOf(fleet, id, dataCentre);
-    const leaseRecord = { ...leaseTermOf(incarnation, leaseMs), groups };
+    const groups = chooseWitnessGroups(fleet, id, dataCentre);
+    const leaseRecord = { ...toLeaseTerm(incarnation, leaseMs), groups };
     leases.set(id, leaseRecord);
-    lease.seat(leaseRecord, nowMs);
+    lease.setRecord(leaseRecord, nowMs);
     const witness = createWitness({ leaseMs, startedAtMs: nowMs, mayHavePromised });
     const initialView = { lostEpoch: 0, epoch: 0, allocatorId: '', proofs: [] };
     return { id, incarnation, leaseMs, lease, witness, ...initialView };
@@ -160,8 +160,8 @@
     if (record.epoch === 0) return;
     const isAllocator = record.keeper === process.id && record.incarnation === process.incarnation;
     if (!isAllocator && !process.consumer) {
-      const retained = process.keeper?.resign(nowMs);
-      const consumer = createShareHolder({
+      const retained = process.keeper?.drain(nowMs);
+      const consumer = createQuotaConsumer({
         ...{ share: 'a', vm: process.id, incarnation: process.incarnation, limit: LIMIT },
         ...{ leaseMs: LONG_LEASE_MS, lease: process.lease, nowMs },
         ...{ initialUnits: retained?.units, initialTokens: retained?.tokens },
@@ -181,8 +181,8 @@
       goneAllocator?.epoch === record.epoch &&
       goneAllocator.vm === record.keeper &&
       leases.get(goneAllocator.vm) === goneAllocator.lease;
-    if (process.lease.standing(nowMs) === undefined || (!isUnclaimed && !isProvenGone)) return;
-    const retained = process.consumer?.resign(nowMs) ?? { units: 0, tokens: 0 };
+    if (process.lease.currentGeneration(nowMs) === undefined || (!isUnclaimed && !isProvenGone)) return;
+    const retained = process.consumer?.drain(nowMs) ?? { units: 0, tokens: 0 };
     const otherVms = fleet.map(({ id }) => id).filter((id) => id !== process.id);
     const remainingVms = new Set(
       record.epoch === 0 ? [] : otherVms.filter((id) => id !== goneAllocator?.vm),
@@ -194,21 +194,21 @@
       incarnation: process.incarnation,
     };
     Object.assign(process, { consumer: undefined, epoch: record.epoch, allocatorId: process.id });
-    const keeper = createShareKeeper({
+    const keeper = createQuotaAllocator({
       ...{
         limit: LIMIT,
         epoch: record.epoch,
-        unreported: unreportedVms,
+        unreportedVms: unreportedVms,
         former: new Set<string>(),
       },
-      ...{ ownUnits: retained.units, ownTokens: retained.tokens, leaseMs: LONG_LEASE_MS },
-      ...{ lease: process.lease, lapsedAtMs: 2 * LONG_LEASE_MS, nowMs },
+      ...{ initialUnits: retained.units, initialTokens: retained.tokens, leaseMs: LONG_LEASE_MS },
+      ...{ lease: process.lease, unreportedExpireAtMs: 2 * LONG_LEASE_MS, nowMs },
     });
     Object.assign(process, { keeper });
   };
 
   const dropInactiveAllocator = (process: VmProcess): void => {
-    if (!process.keeper || process.keeper.isInOffice(nowMs)) return;
+    if (!process.keeper || process.keeper.isActive(nowMs)) return;
     Object.assign(process, { lostEpoch: process.keeper.epoch, keeper: undefined });
   };
 
@@ -221,9 +221,9 @@
       allocatorId,
       (target) => {
         dropInactiveAllocator(target);
-        return target.keeper?.sync(report, nowMs);
+        return target.keeper?.handleReport(report, nowMs);
       },
-      (grant) => grant && consumer.accept(grant, nowMs),
+      (grant) => grant && consumer.applyGrant(grant, nowMs),
     );
   };
 
@@ -244,17 +244,17 @@
   const conclusionAbout = (process: VmProcess, target: string): (() => void) => {
     const { keeper, epoch } = process;
     const lease = leases.get(target);
-    const observed = keeper?.allotmentOf(target);
-    if (keeper && observed) return () => keeper.noteLapsed(target, observed, nowMs);
-    if (keeper) return () => leases.get(target) === lease && keeper.noteGone(target, nowMs);
+    const observed = keeper?.allocationOf(target);
+    if (keeper && observed) return () => keeper.reclaimExpiredVm(target, observed, nowMs);
+    if (keeper) return () => leases.get(target) === lease && keeper.clearUnreported(target, nowMs);
     return () => Object.assign(process, { gone: { epoch, vm: target, lease } });
   };
 
   const requestPromises = (process: VmProcess, target: string): void => {
     const leaseRecord = leases.get(target);
     if (!leaseRecord || target === process.id) return;
-    const { groups, ...term } = process.keeper?.allotmentOf(target)?.lease ?? leaseRecord;
-    const lengthMs = reckonedLeaseMs(term, process.leaseMs);
+    const { groups, ...term } = process.keeper?.allocationOf(target)?.lease ?? leaseRecord;
+    const lengthMs = effectiveLeaseMs(term, process.leaseMs);
     const answers = new Map<string, { receivedAtMs: number; promise: WitnessPromise }>();
     const askedAtMs = nowMs;
     const apply = conclusionAbout(process, target);
@@ -266,7 +266,7 @@
         (promise) => {
           if (nowMs - askedAtMs > ROUND_TIMEOUT_MS) return;
           answers.set(witness, { receivedAtMs: nowMs, promise });
-          const expiresAtMs = lapseProvenAtMs(groups, answers, lengthMs);
+          const expiresAtMs = provenExpiryAtMs(groups, answers, lengthMs);
           if (expiresAtMs !== undefined) process.proofs.push({ target, expiresAtMs, apply });
         },
       ),
@@ -304,12 +304,12 @@
 
   /** Starts a lease of a new term for a VM whose lease has expired, in phases of an odd length. */
   const renewExpiredTerm = ({ id, leaseMs, lease }: VmProcess): void => {
-    if (lease.standing(nowMs) !== undefined || phase.rounds % 2 === 0) return;
+    if (lease.currentGeneration(nowMs) !== undefined || phase.rounds % 2 === 0) return;
     incarnation += 1;
     const groups = leases.get(id)?.groups ?? [];
-    const leaseRecord = { ...leaseTermOf(incarnation, leaseMs), groups };
+    const leaseRecord = { ...toLeaseTerm(incarnation, leaseMs), groups };
     leases.set(id, leaseRecord);
-    lease.seat(leaseRecord, nowMs);
+    lease.setRecord(leaseRecord, nowMs);
   };
 
   const runDuties = (process: VmProcess): void => {
@@ -321,7 +321,7 @@
     requestPromisesIfUnreachable(record.keeper);
     claim(process);
     process.keeper?.holding().forEach(requestPromisesIfUnreachable);
-    process.keeper?.unreported().forEach(requestPromisesIfUnreachable);
+    process.keeper?.unreportedVms().forEach(requestPromisesIfUnreachable);
   };
 
   const round = (neededTokens: number): void => {
--- a/packages/coordination/src/rate/createShareKeeper.ts
+++ b/packages/coordination/src/rate/createQuotaAllocator.ts
@@ -1,8 +1,8 @@
 import createDemandMeter from './createDemandMeter';
 import createQuotaBucket from './createQuotaBucket';
 import type RateLimit from './rateLimit';
-import type ShareGrant from './shareGrant';
-import type ShareSync from './shareSync';
+import type QuotaGrant from './quotaGrant';
+import type QuotaReport from './quotaReport';
 import type VmLease from '../witness/vmLease';
 import type LeaseRecord from '../witness/leaseRecord';
 import WHOLE_UNITS from './wholeUnits';
@@ -11,17 +11,17 @@
   limit: RateLimit;
   epoch: number;
   /** VMs that may still hold units of an earlier epoch and have not reported in this one. */
-  unreported: ReadonlySet<string>;
+  unreportedVms: ReadonlySet<string>;
   /** Those of them that may still be active as the allocator of an earlier epoch. */
   former: ReadonlySet<string>;
   /** Units that this VM held before it became the allocator. */
-  ownUnits: number;
-  ownTokens: number;
+  initialUnits: number;
+  initialTokens: number;
   leaseMs: number;
   /** The VM's lease; the allocator is active only while it is valid. */
   lease: VmLease;
   /** When units of VMs that never report have certainly expired. */
-  lapsedAtMs: number;
+  unreportedExpireAtMs: number;
   nowMs: number;
 }
 
@@ -55,20 +55,20 @@
  * allocator of an account is active: a new one refuses reports until every earlier one has
  * certainly stopped, and one whose VM's lease has expired stays inactive.
  */
-const createShareKeeper = (options: QuotaAllocatorOptions) => {
+const createQuotaAllocator = (options: QuotaAllocatorOptions) => {
   const bucket = createQuotaBucket(options.limit, options.nowMs);
   const demand = createDemandMeter();
   const allocations = new Map<string, Allocation>();
-  const unreportedVms = new Set(options.unreported);
+  const unreportedVms = new Set(options.unreportedVms);
   const formerAllocators = new Set(options.former);
-  const leaseGeneration = options.lease.standing(options.nowMs);
+  const leaseGeneration = options.lease.currentGeneration(options.nowMs);
   let hasLeaseExpired = leaseGeneration === undefined;
   let areAllUnitsClaimed = false;
   let epochConfirmedAtMs = options.nowMs;
-  bucket.addUnits(options.ownUnits, options.ownTokens, options.nowMs);
+  bucket.addUnits(options.initialUnits, options.initialTokens, options.nowMs);
 
   const isActive = (nowMs: number): boolean => {
-    if (!hasLeaseExpired && options.lease.standing(nowMs) !== leaseGeneration) {
+    if (!hasLeaseExpired && options.lease.currentGeneration(nowMs) !== leaseGeneration) {
       hasLeaseExpired = true;
       bucket.removeUnits(bucket.units(), nowMs);
     }
@@ -81,7 +81,7 @@
   /** Claims the units of earlier epochs once certainly no other VM holds them. */
   const claimFreeUnits = (nowMs: number): void => {
     if (areAllUnitsClaimed || !isActive(nowMs)) return;
-    if (unreportedVms.size > 0 && epochConfirmedAtMs < options.lapsedAtMs) return;
+    if (unreportedVms.size > 0 && epochConfirmedAtMs < options.unreportedExpireAtMs) return;
     areAllUnitsClaimed = true;
     unreportedVms.clear();
     formerAllocators.clear();
@@ -116,7 +116,7 @@
   const fairUnitsOf = (demandPerS: number, nowMs: number): number =>
     Math.floor((WHOLE_UNITS * demandPerS) / (totalDemandPerS(nowMs) + DEMAND_FLOOR_PER_S));
 
-  const openAllocation = (report: ShareSync, nowMs: number): Allocation => {
+  const openAllocation = (report: QuotaReport, nowMs: number): Allocation => {
     const existing = allocations.get(report.vm);
     if (existing && existing.incarnation === report.incarnation) return existing;
     if (existing) reclaimUnits(existing, nowMs);
@@ -151,11 +151,11 @@
 
   const decideGrant = (
     allocation: Allocation,
-    report: ShareSync,
+    report: QuotaReport,
     hasReturned: boolean,
     waitingRequests: number,
     nowMs: number,
-  ): ShareGrant => {
+  ): QuotaGrant => {
     const fairUnits = fairUnitsOf(allocation.demandPerS, nowMs);
     const spareUnits = Math.max(0, bucket.units() - fairUnitsOf(demand.ratePerS(nowMs), nowMs));
     // Units just released for other VMs must not return to the same consumer at once.
@@ -185,25 +185,25 @@
   return {
     epoch: options.epoch,
     units: (nowMs: number): number => (isActive(nowMs) ? bucket.units() : 0),
-    isMinted: () => areAllUnitsClaimed,
+    areAllUnitsClaimed: () => areAllUnitsClaimed,
     /** Whether this allocator is active; permanently false once the VM's lease has expired. */
-    isInOffice: isActive,
+    isActive: isActive,
     /** VMs whose units of an earlier epoch are still unknown. */
-    unreported: (): string[] => [...unreportedVms],
+    unreportedVms: (): string[] => [...unreportedVms],
     /** Reclaims the units of a VM's earlier process when a later one is seen. */
-    noteIncarnation: (vm: string, incarnation: number, nowMs: number): void => {
+    reclaimEarlierIncarnation: (vm: string, incarnation: number, nowMs: number): void => {
       const existing = allocations.get(vm);
       if (!existing || existing.incarnation >= incarnation || !isActive(nowMs)) return;
       reclaimUnits(existing, nowMs);
       Object.assign(existing, { incarnation, sequence: 0 });
     },
     /** Returns a copy of a consumer's allocation, to be compared once its lease has expired. */
-    allotmentOf: (vm: string): Readonly<Allocation> | undefined => {
+    allocationOf: (vm: string): Readonly<Allocation> | undefined => {
       const allocation = allocations.get(vm);
       return allocation && { ...allocation };
     },
     /** Reclaims the units of a VM whose lease expired, unless it has reported since `observed`. */
-    noteLapsed: (vm: string, observed: Readonly<Allocation>, nowMs: number): void => {
+    reclaimExpiredVm: (vm: string, observed: Readonly<Allocation>, nowMs: number): void => {
       const allocation = allocations.get(vm);
       const isSame =
         allocation?.incarnation === observed.incarnation &&
@@ -211,16 +211,16 @@
       if (allocation && isSame && isActive(nowMs)) reclaimUnits(allocation, nowMs);
     },
     /** Records that a VM holds no units of an earlier epoch and is not the allocator of one. */
-    noteGone: (vm: string, nowMs: number): void => {
+    clearUnreported: (vm: string, nowMs: number): void => {
       unreportedVms.delete(vm);
       formerAllocators.delete(vm);
       claimFreeUnits(nowMs);
     },
     /** Whether unclaimed units wait for the configuration store to confirm this epoch. */
-    needsConfirmation: (nowMs: number): boolean =>
-      !areAllUnitsClaimed && nowMs >= options.lapsedAtMs,
+    needsEpochConfirmation: (nowMs: number): boolean =>
+      !areAllUnitsClaimed && nowMs >= options.unreportedExpireAtMs,
     /** Records that a read of the configuration store, sent at `sentAtMs`, returned this epoch. */
-    confirm: (sentAtMs: number, nowMs: number): void => {
+    confirmEpoch: (sentAtMs: number, nowMs: number): void => {
       epochConfirmedAtMs = Math.max(epochConfirmedAtMs, sentAtMs);
       claimFreeUnits(nowMs);
       reclaimExpired(nowMs);
@@ -236,7 +236,7 @@
       reclaimExpired(nowMs);
       return isActive(nowMs) && bucket.take(nowMs);
     },
-    putBack: (nowMs: number): void => {
+    refundToken: (nowMs: number): void => {
       if (isActive(nowMs)) bucket.refundToken(nowMs);
     },
     tokens: (nowMs: number): number => (isActive(nowMs) ? bucket.tokens(nowMs) : 0),
@@ -245,7 +245,7 @@
     holding: (): string[] =>
       [...allocations].filter(([, { units }]) => units > 0).map(([vm]) => vm),
     /** Processes a consumer's report and grants units; `waitingRequests` wait on this VM. */
-    sync: (report: ShareSync, nowMs: number, waitingRequests = 0): ShareGrant => {
+    handleReport: (report: QuotaReport, nowMs: number, waitingRequests = 0): QuotaGrant => {
       if (report.epoch !== options.epoch) return { kind: 'refused', reason: 'another epoch' };
       if (!isActive(nowMs)) return { kind: 'refused', reason: 'no longer the keeper' };
       if (formerAllocators.size > 0 && !formerAllocators.has(report.vm)) {
@@ -275,7 +275,7 @@
      * Consumers to recall units from: those with the most units above their fair share. `partUnits`
      * is that fair share, or all units while the account is over its rate.
      */
-    recallable: (
+    recallTargets: (
       isAsked: (vm: string) => boolean,
       nowMs: number,
     ): { vm: string; partUnits: number }[] =>
@@ -300,7 +300,7 @@
       return largest && { vm: largest[0], incarnation: largest[1].incarnation };
     },
     /** Removes and returns this VM's own units and tokens, which it retains as a consumer. */
-    resign: (nowMs: number): { units: number; tokens: number } => {
+    drain: (nowMs: number): { units: number; tokens: number } => {
       if (!isActive(nowMs)) return { units: 0, tokens: 0 };
       const units = bucket.units();
       return { units, tokens: bucket.removeUnits(units, nowMs) };
@@ -308,4 +308,4 @@
   };
 };
 
-export default createShareKeeper;
+export default createQuotaAllocator;
--- a/packages/coordination/src/rate/createShareHolder.ts
+++ b/packages/coordination/src/rate/createQuotaConsumer.ts
@@ -1,8 +1,8 @@
 import createDemandMeter from './createDemandMeter';
 import createQuotaBucket from './createQuotaBucket';
 import type RateLimit from './rateLimit';
-import type ShareGrant from './shareGrant';
-import type ShareSync from './shareSync';
+import type QuotaGrant from './quotaGrant';
+import type QuotaReport from './quotaReport';
 import WHOLE_UNITS from './wholeUnits';
 import type VmLease from '../witness/vmLease';
 
@@ -19,7 +19,7 @@
   initialUnits?: number;
   initialTokens?: number;
   /** When the initial units expire; `nowMs + leaseMs` by default. */
-  leaseEndsAtMs?: number;
+  leaseExpiresAtMs?: number;
 }
 
 /** Reported by a VM that has no lease yet and therefore holds no units. */
@@ -36,7 +36,7 @@
  * to the newest report can add units, so the allocator always knows an upper bound. Tokens
  * in a lost message are lost and refill over time.
  */
-const createShareHolder = (options: QuotaConsumerOptions) => {
+const createQuotaConsumer = (options: QuotaConsumerOptions) => {
   const bucket = createQuotaBucket(options.limit, options.nowMs);
   const demand = createDemandMeter();
   bucket.addUnits(options.initialUnits ?? 0, options.initialTokens ?? 0, options.nowMs);
@@ -45,8 +45,8 @@
   let releasedTokens = 0;
   let sentAtMs = 0;
   let reportedDemandPerS = 0;
-  let leaseExpiresAtMs = options.leaseEndsAtMs ?? options.nowMs + options.leaseMs;
-  let leaseGeneration = options.lease.standing(options.nowMs);
+  let leaseExpiresAtMs = options.leaseExpiresAtMs ?? options.nowMs + options.leaseMs;
+  let leaseGeneration = options.lease.currentGeneration(options.nowMs);
 
   const discardUnits = (nowMs: number): void => {
     bucket.removeUnits(bucket.units(), nowMs);
@@ -55,7 +55,7 @@
 
   /** Discards units of an expired lease and invalidates grants in transit for that lease. */
   const discardExpired = (nowMs: number): void => {
-    const currentGeneration = options.lease.standing(nowMs);
+    const currentGeneration = options.lease.currentGeneration(nowMs);
     if (currentGeneration !== leaseGeneration) {
       leaseGeneration = currentGeneration;
       lastSequence += 1;
@@ -94,7 +94,7 @@
       return bucket.units();
     },
     /** Whether the VM's lease is valid, so that it may hold units. */
-    isStanding: (nowMs: number): boolean => options.lease.standing(nowMs) !== undefined,
+    isStanding: (nowMs: number): boolean => options.lease.currentGeneration(nowMs) !== undefined,
     demandPerS: (nowMs: number) => demand.ratePerS(nowMs),
     setLimit: (limit: RateLimit, nowMs: number) => bucket.setLimit(limit, nowMs),
     count: (nowMs: number) => demand.count(nowMs),
@@ -102,13 +102,13 @@
       discardExpired(nowMs);
       return bucket.take(nowMs);
     },
-    putBack: (nowMs: number): void => {
+    refundToken: (nowMs: number): void => {
       discardExpired(nowMs);
       bucket.refundToken(nowMs);
     },
     tokenDueInMs: (nowMs: number) => bucket.tokenDueInMs(nowMs),
     /** Builds the next report and invalidates answers to earlier ones. Throws on an older epoch. */
-    report: (allocatorEpoch: number, neededTokens: number, nowMs: number): ShareSync => {
+    report: (allocatorEpoch: number, neededTokens: number, nowMs: number): QuotaReport => {
       discardExpired(nowMs);
       if (allocatorEpoch < epoch)
         throw new Error(
@@ -138,7 +138,7 @@
       };
     },
     /** Applies the allocator's answer if it belongs to the newest report. */
-    accept: (grant: ShareGrant, nowMs: number): void => {
+    applyGrant: (grant: QuotaGrant, nowMs: number): void => {
       if (grant.kind === 'refused') return;
       discardExpired(nowMs);
       if (leaseGeneration === undefined) return;
@@ -176,7 +176,7 @@
       lowerTo(0, nowMs);
     },
     /** Removes and returns all units and tokens, when this VM becomes the allocator. */
-    resign: (nowMs: number): { units: number; tokens: number } => {
+    drain: (nowMs: number): { units: number; tokens: number } => {
       discardExpired(nowMs);
       const units = bucket.units();
       return { units, tokens: bucket.removeUnits(units, nowMs) };
@@ -184,4 +184,4 @@
   };
 };
 
-export default createShareHolder;
+export default createQuotaConsumer;
--- a/packages/coordination/src/rate/createFleetBucket.spec.ts
+++ b/packages/coordination/src/rate/createReplicatedBucket.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import createFleetBucket from './createFleetBucket';
+import createReplicatedBucket from './createReplicatedBucket';
 
 const limit = { ratePerS: 40, burst: 40 };
 const REPORT_MS = 250;
@@ -10,7 +10,7 @@
 
 /** Offers one account's requests to three VMs; returns the most admitted in any window. */
 const maxAdmittedInWindow = (offeredPerS: number, isCharged: boolean): number => {
-  const buckets = [0, 1, 2].map(() => createFleetBucket(limit, 0));
+  const buckets = [0, 1, 2].map(() => createReplicatedBucket(limit, 0));
   const unreportedAdmissions = [0, 0, 0];
   const admittedAtMs: number[] = [];
   let dueRequests = 0;
@@ -61,20 +61,20 @@
   });
 
   it('starts without tokens', () => {
-    const bucket = createFleetBucket(limit, 0);
+    const bucket = createReplicatedBucket(limit, 0);
     expect(bucket.take(0)).to.equal(false);
-    expect(bucket.dueInMs(0)).to.equal(25);
+    expect(bucket.tokenDueInMs(0)).to.equal(25);
     expect(bucket.take(25)).to.equal(true);
   });
 
   it('refills at a fraction of the rate while other VMs cannot report', () => {
-    const bucket = createFleetBucket(limit, 0);
-    bucket.setShare(0.25, 0);
-    expect(bucket.dueInMs(0)).to.equal(100);
+    const bucket = createReplicatedBucket(limit, 0);
+    bucket.setLimitFraction(0.25, 0);
+    expect(bucket.tokenDueInMs(0)).to.equal(100);
   });
 
   it('applies a lower limit at once', () => {
-    const bucket = createFleetBucket(limit, 0);
+    const bucket = createReplicatedBucket(limit, 0);
     bucket.setLimit({ ratePerS: 1, burst: 1 }, 10_000);
     expect([bucket.take(10_000), bucket.take(10_000)]).to.deep.equal([true, false]);
   });
--- a/packages/coordination/src/rate/createFleetBucket.ts
+++ b/packages/coordination/src/rate/createReplicatedBucket.ts
@@ -8,7 +8,7 @@
  * starts empty because earlier admissions are unknown. Late charges may make the balance negative;
  * refills repay it. Handles an account far above its rate on several VMs at once.
  */
-const createFleetBucket = (initialLimit: RateLimit, createdAtMs: number) => {
+const createReplicatedBucket = (initialLimit: RateLimit, createdAtMs: number) => {
   let limit = initialLimit;
   let limitFraction = 1;
   let tokens = 0;
@@ -28,7 +28,7 @@
       tokens = Math.min(tokens, limit.burst);
     },
     /** Sets the fraction of the limit, 0 to 1, for this VM while other VMs cannot report. */
-    setShare: (newFraction: number, nowMs: number): void => {
+    setLimitFraction: (newFraction: number, nowMs: number): void => {
       refill(nowMs);
       limitFraction = newFraction;
     },
@@ -45,7 +45,7 @@
       tokens = Math.min(Math.max(1, limit.burst), Math.max(minTokens, tokens - admitted));
     },
     /** Milliseconds until a token is available; infinite at a rate of 0. */
-    dueInMs: (nowMs: number): number => {
+    tokenDueInMs: (nowMs: number): number => {
       refill(nowMs);
       if (tokens >= 1) return 0;
       const ratePerMs = (limit.ratePerS * limitFraction) / MS_PER_S;
@@ -54,4 +54,4 @@
   };
 };
 
-export default createFleetBucket;
+export default createReplicatedBucket;
--- a/packages/coordination/src/rate/expiredLeases.spec.ts
+++ b/packages/coordination/src/rate/expiredLeases.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import createVmLease from '../witness/createVmLease';
-import createShareHolder from './createShareHolder';
-import createShareKeeper from './createShareKeeper';
-import type ShareGrant from './shareGrant';
+import createQuotaConsumer from './createQuotaConsumer';
+import createQuotaAllocator from './createQuotaAllocator';
+import type QuotaGrant from './quotaGrant';
 import WHOLE_UNITS from './wholeUnits';
 
 const LEASE_MS = 1_000;
@@ -19,23 +19,23 @@
   let renewedAtMs = 0;
   let hasPromised = false;
   let proof: { reclaim(): void; expiresAtMs: number } | undefined;
-  const answers: ShareGrant[] = [];
+  const answers: QuotaGrant[] = [];
   const lease = createVmLease(LEASE_MS);
   const allocatorLease = createVmLease(LEASE_MS);
-  allocatorLease.seat({ term: 1, groups: [] }, nowMs);
+  allocatorLease.setRecord({ term: 1, groups: [] }, nowMs);
 
   const renew = (): void => {
     renewedAtMs = nowMs;
     lease.renew('witness', term, nowMs, nowMs);
   };
-  lease.seat({ term, groups: GROUPS }, nowMs);
+  lease.setRecord({ term, groups: GROUPS }, nowMs);
   renew();
 
-  const allocator = createShareKeeper({
-    ...{ limit: LIMIT, epoch: 1, unreported: new Set(), former: new Set(), ownUnits: 0 },
-    ...{ ownTokens: 0, leaseMs: LONG_LEASE_MS, lease: allocatorLease, lapsedAtMs: 0, nowMs },
+  const allocator = createQuotaAllocator({
+    ...{ limit: LIMIT, epoch: 1, unreportedVms: new Set(), former: new Set(), initialUnits: 0 },
+    ...{ initialTokens: 0, leaseMs: LONG_LEASE_MS, lease: allocatorLease, unreportedExpireAtMs: 0, nowMs },
   });
-  const consumer = createShareHolder({
+  const consumer = createQuotaConsumer({
     ...{ share: 'a', vm: 'vm', incarnation: 1, limit: LIMIT },
     ...{ leaseMs: LONG_LEASE_MS, lease, nowMs },
   });
@@ -45,25 +45,25 @@
       nowMs += WAIT_MS;
     },
     renew: () => !hasPromised && renew(),
-    report: () => answers.push(allocator.sync(consumer.report(1, 20, nowMs), nowMs)),
+    report: () => answers.push(allocator.handleReport(consumer.report(1, 20, nowMs), nowMs)),
     deliver: () => {
       const answer = answers.shift();
-      if (answer) consumer.accept(answer, nowMs);
+      if (answer) consumer.applyGrant(answer, nowMs);
     },
     /** The witness promises not to renew the lease of this term again. */
     proveExpiry: () => {
-      const allocation = allocator.allotmentOf('vm');
+      const allocation = allocator.allocationOf('vm');
       if (!allocation || allocation.lease.term !== term) return;
       hasPromised = true;
-      const reclaim = () => allocator.noteLapsed('vm', allocation, nowMs);
+      const reclaim = () => allocator.reclaimExpiredVm('vm', allocation, nowMs);
       proof = { reclaim, expiresAtMs: renewedAtMs + LEASE_MS };
     },
     reclaim: () => proof && nowMs >= proof.expiresAtMs && proof.reclaim(),
     startNextTerm: () => {
-      if (lease.standing(nowMs) !== undefined) return;
+      if (lease.currentGeneration(nowMs) !== undefined) return;
       term += 1;
       hasPromised = false;
-      lease.seat({ term, groups: GROUPS }, nowMs);
+      lease.setRecord({ term, groups: GROUPS }, nowMs);
       renew();
     },
   };
--- a/packages/coordination/src/rate/shareGrantSchema.ts
+++ b/packages/coordination/src/rate/quotaGrantSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 /** The allocator's answer to a report: `units` is the consumer's new total. */
-const shareGrantSchema = z.discriminatedUnion('kind', [
+const quotaGrantSchema = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('granted'),
     epoch: z.number().int().positive(),
@@ -15,4 +15,4 @@
   z.strictObject({ kind: z.literal('refused'), reason: z.string() }),
 ]);
 
-export default shareGrantSchema;
+export default quotaGrantSchema;
--- a/packages/coordination/src/rate/shareRecordSchema.ts
+++ b/packages/coordination/src/rate/quotaRecordSchema.ts
@@ -4,7 +4,7 @@
  * The stored record of an account's quota: `keeper` is the VM that runs the allocator. Only
  * VMs in `holders` may be granted units in this epoch.
  */
-const shareRecordSchema = z.strictObject({
+const quotaRecordSchema = z.strictObject({
   epoch: z.number().int().positive(),
   keeper: z.string().min(1),
   incarnation: z.number().int().nonnegative(),
@@ -15,4 +15,4 @@
   former: z.array(z.string()).default([]),
 });
 
-export default shareRecordSchema;
+export default quotaRecordSchema;
--- a/packages/coordination/src/rate/shareSyncSchema.ts
+++ b/packages/coordination/src/rate/quotaReportSchema.ts
@@ -2,7 +2,7 @@
 import leaseRecordSchema from '../witness/leaseRecordSchema';
 
 /** A consumer's report to the quota allocator, including the tokens it requests. */
-const shareSyncSchema = z.strictObject({
+const quotaReportSchema = z.strictObject({
   /** Key of the quota record. */
   share: z.string().min(1),
   epoch: z.number().int().positive(),
@@ -19,4 +19,4 @@
   neededTokens: z.number().nonnegative(),
 });
 
-export default shareSyncSchema;
+export default quotaReportSchema;
--- a/packages/coordination/src/rate/scarceTokens.spec.ts
+++ b/packages/coordination/src/rate/scarceTokens.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import createVmLease from '../witness/createVmLease';
-import createShareHolder from './createShareHolder';
-import createShareKeeper from './createShareKeeper';
-import type ShareHolder from './shareHolder';
+import createQuotaConsumer from './createQuotaConsumer';
+import createQuotaAllocator from './createQuotaAllocator';
+import type QuotaConsumer from './quotaConsumer';
 import WHOLE_UNITS from './wholeUnits';
 
 const LEASE_MS = 60_000;
@@ -13,22 +13,22 @@
 /** An allocator and two consumers that have spent all but fractions of tokens. */
 const createDepletedQuota = () => {
   const lease = createVmLease(LEASE_MS);
-  lease.seat({ term: 1, groups: [] }, 0);
+  lease.setRecord({ term: 1, groups: [] }, 0);
   const commonOptions = { limit: LIMIT, leaseMs: LEASE_MS, lease, nowMs: 0 };
   const noVms = new Set<string>();
-  const allocator = createShareKeeper({
+  const allocator = createQuotaAllocator({
     ...commonOptions,
     epoch: 1,
-    unreported: noVms,
+    unreportedVms: noVms,
     former: noVms,
-    ownUnits: 0,
-    ownTokens: 0,
-    lapsedAtMs: 0,
+    initialUnits: 0,
+    initialTokens: 0,
+    unreportedExpireAtMs: 0,
   });
-  const startConsumer = (vm: string): ShareHolder =>
-    createShareHolder({ ...commonOptions, share: 'a', vm, incarnation: 1 });
-  const report = (consumer: ShareHolder, neededTokens: number, nowMs: number): void =>
-    consumer.accept(allocator.sync(consumer.report(1, neededTokens, nowMs), nowMs), nowMs);
+  const startConsumer = (vm: string): QuotaConsumer =>
+    createQuotaConsumer({ ...commonOptions, share: 'a', vm, incarnation: 1 });
+  const report = (consumer: QuotaConsumer, neededTokens: number, nowMs: number): void =>
+    consumer.applyGrant(allocator.handleReport(consumer.report(1, neededTokens, nowMs), nowMs), nowMs);
   const consumers = ['vm-1', 'vm-2'].map(startConsumer);
   consumers.forEach((consumer) => consumer.count(0));
   for (let round = 0; round < REPORT_ROUNDS; round += 1) {
@@ -49,7 +49,7 @@
       expect([allocator, requester, other].some((bucketUser) => bucketUser.take(0))).to.equal(
         false,
       );
-      const recallTargets = allocator.recallable((vm) => vm === 'vm-2', 0);
+      const recallTargets = allocator.recallTargets((vm) => vm === 'vm-2', 0);
       other.release(0, recallTargets[0]?.partUnits);
       report(other, 0, 0);
       report(requester, 1, 0);
@@ -62,7 +62,7 @@
       const { keeper: allocator, requester, other, report } = createDepletedQuota();
       for (let count = 0; count < 2 * LIMIT.ratePerS; count += 1) other.count(0);
       report(other, 0, 0);
-      const recallTargets = allocator.recallable((vm) => vm === 'vm-2', 0);
+      const recallTargets = allocator.recallTargets((vm) => vm === 'vm-2', 0);
       expect(recallTargets[0]?.partUnits).to.equal(WHOLE_UNITS);
       expect(other.release(0, recallTargets[0]?.partUnits)).to.equal(false);
       expect(requester.take(0)).to.equal(false);
--- a/packages/coordination/src/rate/unitTransfers.spec.ts
+++ b/packages/coordination/src/rate/unitTransfers.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import createShareHolder from './createShareHolder';
-import createShareKeeper from './createShareKeeper';
-import type ShareGrant from './shareGrant';
-import type ShareHolder from './shareHolder';
-import type ShareSync from './shareSync';
+import createQuotaConsumer from './createQuotaConsumer';
+import createQuotaAllocator from './createQuotaAllocator';
+import type QuotaGrant from './quotaGrant';
+import type QuotaConsumer from './quotaConsumer';
+import type QuotaReport from './quotaReport';
 import createVmLease from '../witness/createVmLease';
 import WHOLE_UNITS from './wholeUnits';
 
@@ -47,25 +47,25 @@
   let limit = LARGE_LIMIT;
   let incarnation = 1;
   const admittedAtMs: number[] = [];
-  const network: ({ to: 'keeper'; sync: ShareSync } | { to: ShareHolder; grant: ShareGrant })[] =
+  const network: ({ to: 'keeper'; sync: QuotaReport } | { to: QuotaConsumer; grant: QuotaGrant })[] =
     [];
   // Without witnesses the VMs' own leases never expire.
   const lease = createVmLease(LEASE_MS);
-  lease.seat({ term: 1, groups: [] }, nowMs);
-  const allocator = createShareKeeper({
+  lease.setRecord({ term: 1, groups: [] }, nowMs);
+  const allocator = createQuotaAllocator({
     lease,
     former: new Set(),
     limit,
     epoch: 1,
-    unreported: new Set(),
-    ownUnits: 0,
-    ownTokens: 0,
+    unreportedVms: new Set(),
+    initialUnits: 0,
+    initialTokens: 0,
     leaseMs: LEASE_MS,
-    lapsedAtMs: 0,
+    unreportedExpireAtMs: 0,
     nowMs,
   });
-  const startConsumer = (name: string): ShareHolder =>
-    createShareHolder({
+  const startConsumer = (name: string): QuotaConsumer =>
+    createQuotaConsumer({
       share: 'a',
       vm: name,
       incarnation,
@@ -83,11 +83,11 @@
     if (!message) return;
     if (!isDuplicate) network.splice(messageIndex, 1);
     if (message.to !== 'keeper') {
-      message.to.accept(message.grant, nowMs);
+      message.to.applyGrant(message.grant, nowMs);
       return;
     }
     const sender = consumers[VMS.indexOf(message.sync.vm)];
-    const grant = allocator.sync(message.sync, nowMs, waitingRequests);
+    const grant = allocator.handleReport(message.sync, nowMs, waitingRequests);
     if (sender) network.push({ to: sender, grant });
   };
 
@@ -104,7 +104,7 @@
     if (step.kind === 'release') {
       consumers[step.vm % VMS.length]?.release(nowMs, step.partUnits, step.waiting);
     }
-    if (step.kind === 'confirm') allocator.confirm(nowMs, nowMs);
+    if (step.kind === 'confirm') allocator.confirmEpoch(nowMs, nowMs);
     if (step.kind === 'limit') {
       limit = step.isLarge ? LARGE_LIMIT : SMALL_LIMIT;
       allBuckets().forEach((bucket) => bucket.setLimit(limit, nowMs));
@@ -129,7 +129,7 @@
       sync(vmIndex, 0);
     });
     while (network.length > 0) deliver(0, false);
-    allocator.confirm(nowMs, nowMs);
+    allocator.confirmEpoch(nowMs, nowMs);
   };
 
   /** Runs rounds without faults: every consumer reports and every message arrives. */
--- a/packages/coordination/src/slots/connectionShare.ts
+++ b/packages/coordination/src/slots/connectionsPerMember.ts
@@ -1,4 +1,4 @@
-import smallestBudget from './smallestBudget';
+import minConnectionBudget from './minConnectionBudget';
 import CONTROL_CONNECTIONS from './controlConnections';
 
 interface BudgetedGroup {
@@ -11,10 +11,10 @@
  * Connections for statements that the holder of one slot may open to each member, in addition to
  * its control connection; 0 if the budget is too small for the number of slots.
  */
-const connectionShare = (group: BudgetedGroup): number => {
-  if (group.connectionBudget < smallestBudget(group)) return 0;
+const connectionsPerMember = (group: BudgetedGroup): number => {
+  if (group.connectionBudget < minConnectionBudget(group)) return 0;
   const perMember = Math.floor(group.connectionBudget / group.slots / group.members.length);
   return perMember - CONTROL_CONNECTIONS;
 };
 
-export default connectionShare;
+export default connectionsPerMember;
--- a/packages/coordination/src/slots/createHeldSlots.spec.ts
+++ b/packages/coordination/src/slots/createHeldSlots.spec.ts
@@ -19,18 +19,18 @@
     };
 
     it('releases the slot again after a lost write, whichever VM is chosen by then', () => {
-      expect(decideSlot({ ...decisionInput, isClosing: true }).kind).to.equal('giveBack');
-      expect(decideSlot({ ...decisionInput, isClosing: false }).kind).to.equal('none');
+      expect(decideSlot({ ...decisionInput, isReleasing: true }).kind).to.equal('giveBack');
+      expect(decideSlot({ ...decisionInput, isReleasing: false }).kind).to.equal('none');
     });
 
     it('never uses the slot again and closes its connections when the lease expires', () => {
       const slots = createHeldSlots();
-      slots.take(GROUP, 1, false, 0);
+      slots.addSlot(GROUP, 1, false, 0);
       expect(slots.refresh(GROUP, conditionsAt(0))).to.deep.equal({
         isChanged: true,
         isCut: false,
       });
-      slots.beginClosing(GROUP);
+      slots.startReleasing(GROUP);
       const conditionsAfterLease = conditionsAt(slotTimings.leaseMs + 1, 0);
       expect(slots.refresh(GROUP, conditionsAt(1_000))).to.deep.equal({
         isChanged: false,
@@ -47,13 +47,13 @@
   describe('with a slot taken over twice', () => {
     it('waits until the later take-over is announced', () => {
       const slots = createHeldSlots();
-      slots.take(GROUP, 1, true, 0);
-      slots.lose(GROUP);
-      slots.take(GROUP, 3, true, 5_000);
-      slots.noteAnnounced(GROUP, 1, 5_000);
+      slots.addSlot(GROUP, 1, true, 0);
+      slots.removeSlot(GROUP);
+      slots.addSlot(GROUP, 3, true, 5_000);
+      slots.startTakeOverWait(GROUP, 1, 5_000);
       const freeAtMs = 5_000 + slotTimings.takeOverMs;
       expect(slots.isUsable(GROUP, conditionsAt(freeAtMs))).to.equal(false);
-      slots.noteAnnounced(GROUP, 3, 5_000);
+      slots.startTakeOverWait(GROUP, 3, 5_000);
       expect(slots.isUsable(GROUP, conditionsAt(freeAtMs - 1))).to.equal(false);
       expect(slots.isUsable(GROUP, conditionsAt(freeAtMs))).to.equal(true);
     });
--- a/packages/coordination/src/slots/createHeldSlots.ts
+++ b/packages/coordination/src/slots/createHeldSlots.ts
@@ -22,7 +22,7 @@
   /** Whether the slot became usable or stopped being usable. */
   isChanged: boolean;
   /** Whether the group's connections must be closed at once. */
-  isCut: boolean;
+  mustCloseConnections: boolean;
 }
 
 const NO_SLOT: HeldSlot = {
@@ -45,32 +45,32 @@
 
   return {
     has: (group: string): boolean => slots.has(group),
-    names: (): string[] => [...slots.keys()],
+    groupNames: (): string[] => [...slots.keys()],
     /** Groups whose slots were usable at the last refresh. */
-    inUse: (): string[] => [...slots].filter(([, { isInUse }]) => isInUse).map(([group]) => group),
+    groupNamesInUse: (): string[] => [...slots].filter(([, { isInUse }]) => isInUse).map(([group]) => group),
     isUsable,
     /** Adds a slot assigned to this VM; one taken over is unusable until the witnesses know it. */
-    take: (group: string, revision: number, isTakenOver: boolean, nowMs: number): void => {
+    addSlot: (group: string, revision: number, isTakenOver: boolean, nowMs: number): void => {
       const freeAtMs = isTakenOver ? Number.POSITIVE_INFINITY : nowMs;
       slots.set(group, { ...NO_SLOT, revision, freeAtMs });
     },
     /** Removes the slot of a group; returns whether it was in use. */
-    lose: (group: string): boolean => {
+    removeSlot: (group: string): boolean => {
       const { isInUse } = slotOf(group);
       slots.delete(group);
       return isInUse;
     },
     /** Whether this VM still holds the slot through that revision of the record. */
-    isHeldBy: (group: string, revision: number): boolean =>
+    isHeldAtRevision: (group: string, revision: number): boolean =>
       slots.has(group) && slotOf(group).revision === revision,
     /** Starts the take-over wait: witnesses know the revision and let the old lease expire. */
-    noteAnnounced: (group: string, revision: number, nowMs: number): void => {
+    startTakeOverWait: (group: string, revision: number, nowMs: number): void => {
       const slot = slots.get(group);
       if (slot?.revision === revision) slot.freeAtMs = nowMs + slotTimings.takeOverMs;
     },
-    isClosing: (group: string): boolean => slotOf(group).isReleasing,
+    isReleasing: (group: string): boolean => slotOf(group).isReleasing,
     /** Stops using a slot permanently, whether or not the write that releases it succeeds. */
-    beginClosing: (group: string): void => {
+    startReleasing: (group: string): void => {
       const slot = slots.get(group);
       if (slot) Object.assign(slot, { isReleasing: true, isInUse: false });
     },
@@ -81,7 +81,7 @@
       const isChanged = isUsableNow !== slot.isInUse;
       const hasLeaseExpired = slot.isReleasing && !isWithinLease(slot, conditions);
       if (slots.has(group)) slot.isInUse = isUsableNow;
-      return { isChanged, isCut: hasLeaseExpired || (isChanged && !isUsableNow) };
+      return { isChanged, mustCloseConnections: hasLeaseExpired || (isChanged && !isUsableNow) };
     },
   };
 };
--- a/packages/coordination/src/slots/decideSlot.ts
+++ b/packages/coordination/src/slots/decideSlot.ts
@@ -1,4 +1,4 @@
-import ownSlot from './ownSlot';
+import findAssignedSlot from './findAssignedSlot';
 import type SlotDecision from './slotDecision';
 import type SlotDecisionInput from './slotDecisionInput';
 
@@ -10,8 +10,8 @@
  * over a slot waits until the previous holder can no longer use it.
  */
 const decideSlot = (input: SlotDecisionInput): SlotDecision => {
-  const { vm, incarnation, slots, record, chosen, isListed, isClosing } = input;
-  const ownIndex = ownSlot(record, vm, incarnation);
+  const { vm, incarnation, slots, record, chosenVms: chosen, isRegisteredVm: isListed, isReleasing: isClosing } = input;
+  const ownIndex = findAssignedSlot(record, vm, incarnation);
   if (ownIndex >= slots || (ownIndex >= 0 && isClosing)) return { kind: 'giveBack' };
   if (ownIndex >= 0 || !chosen.includes(vm)) return { kind: 'none' };
   const holders = Array.from({ length: slots }, (_, slot) => record?.holders[slot] ?? null);
--- a/packages/coordination/src/slots/slotDecisionInput.ts
+++ b/packages/coordination/src/slots/slotDecisionInput.ts
@@ -8,10 +8,10 @@
   slots: number;
   record: SlotsRecord | undefined;
   /** Whether this VM is releasing its slot. */
-  isClosing: boolean;
+  isReleasing: boolean;
   /** VMs that should hold the slots, by rendezvous hashing over the registered VMs. */
-  chosen: readonly string[];
-  isListed(vm: string): boolean;
+  chosenVms: readonly string[];
+  isRegisteredVm(vm: string): boolean;
 }
 
 export default SlotDecisionInput;
--- a/packages/coordination/src/slots/slots.spec.ts
+++ b/packages/coordination/src/slots/slots.spec.ts
@@ -1,12 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import connectionShare from './connectionShare';
+import connectionsPerMember from './connectionsPerMember';
 import decideSlot from './decideSlot';
 import isSlotUsable from './isSlotUsable';
-import ownSlot from './ownSlot';
+import findAssignedSlot from './findAssignedSlot';
 import slotTimings from './slotTimings';
 import type SlotsRecord from './slotsRecord';
-import withHolder from './withHolder';
+import withSlotHolder from './withSlotHolder';
 
 const SLOTS = 2;
 const VMS = ['a', 'b', 'c', 'd'];
@@ -60,7 +60,7 @@
   /** Checks a VM's lease and opens or closes its connections accordingly. */
   const checkLease = (vm: ModelVm): void => {
     const { completeAtMs, freeAtMs } = vm;
-    const ownIndex = ownSlot(vm.record, vm.vm, vm.incarnation);
+    const ownIndex = findAssignedSlot(vm.record, vm.vm, vm.incarnation);
     const isOpen = ownIndex >= 0 && isSlotUsable({ nowMs, completeAtMs, freeAtMs });
     if (isOpen && vm.open < 0) openedCount += 1;
     Object.assign(vm, { open: isOpen ? ownIndex : -1 });
@@ -72,7 +72,7 @@
     const isListed = (other: string): boolean => registered.includes(other);
     const decision = decideSlot({
       ...vm,
-      ...{ slots: SLOTS, record: knownRecord, chosen, isListed, isClosing: false },
+      ...{ slots: SLOTS, record: knownRecord, chosenVms: chosen, isRegisteredVm: isListed, isReleasing: false },
     });
     if (decision.kind !== 'take') return;
     const holder = {
@@ -80,15 +80,15 @@
       incarnation: vm.incarnation,
       isTakenOver: decision.isTakenOver,
     };
-    if (!write(vm, withHolder(knownRecord, decision.slot, holder))) return;
+    if (!write(vm, withSlotHolder(knownRecord, decision.slot, holder))) return;
     Object.assign(vm, { freeAtMs: nowMs + (decision.isTakenOver ? slotTimings.takeOverMs : 0) });
   };
 
   const release = (vm: ModelVm): void => {
-    const ownIndex = ownSlot(vm.record, vm.vm, vm.incarnation);
+    const ownIndex = findAssignedSlot(vm.record, vm.vm, vm.incarnation);
     if (ownIndex < 0 || nowMs < vm.freeAtMs) return;
     Object.assign(vm, { open: -1 });
-    const newRecord = withHolder(vm.record, ownIndex, null);
+    const newRecord = withSlotHolder(vm.record, ownIndex, null);
     // Opens nothing until it knows the write; after a failed one it has to read the record first.
     if (!write(vm, newRecord)) Object.assign(vm, { completeAtMs: Number.NEGATIVE_INFINITY });
   };
@@ -182,7 +182,7 @@
       });
       fc.assert(
         fc.property(group, (budgeted) => {
-          const data = connectionShare(budgeted);
+          const data = connectionsPerMember(budgeted);
           if (data === 0) return;
           const each = (data + 1) * budgeted.members.length;
           expect(each * budgeted.slots).to.be.at.most(budgeted.connectionBudget);
--- a/packages/coordination/src/slots/slotsSchema.ts
+++ b/packages/coordination/src/slots/slotsRecordSchema.ts
@@ -9,6 +9,6 @@
 });
 
 /** The holder of each of a group's slots; null for a free slot, which has no connections open. */
-const slotsSchema = z.strictObject({ holders: z.array(slotHolderSchema.nullable()).max(16) });
+const slotsRecordSchema = z.strictObject({ holders: z.array(slotHolderSchema.nullable()).max(16) });
 
-export default slotsSchema;
+export default slotsRecordSchema;
--- a/packages/coordination/src/witness/witnessGroupsOf.ts
+++ b/packages/coordination/src/witness/chooseWitnessGroups.ts
@@ -24,7 +24,7 @@
  * can be renewed while that data centre is partitioned. With fewer than two there, a second group
  * from other data centres lets the lease survive the loss of the only local witness.
  */
-const witnessGroupsOf = (
+const chooseWitnessGroups = (
   vms: readonly RegisteredVm[],
   vm: string,
   dataCentre: string,
@@ -42,4 +42,4 @@
   return [localGroup, remoteGroup].filter((group) => group.length > 0);
 };
 
-export default witnessGroupsOf;
+export default chooseWitnessGroups;
--- a/packages/coordination/src/witness/createVmLease.ts
+++ b/packages/coordination/src/witness/createVmLease.ts
@@ -39,7 +39,7 @@
   return {
     record: (): LeaseRecord | undefined => record,
     /** Restarts the lease under another record, or none; ends the current generation. */
-    seat: (newRecord: LeaseRecord | undefined, nowMs: number): void => {
+    setRecord: (newRecord: LeaseRecord | undefined, nowMs: number): void => {
       record = newRecord;
       isValid = false;
       renewedAtMs.clear();
@@ -54,12 +54,12 @@
       startGeneration(nowMs);
     },
     /** Number of the current uninterrupted validity period; undefined while expired. */
-    standing: (nowMs: number): number | undefined => {
+    currentGeneration: (nowMs: number): number | undefined => {
       expireIfDue(nowMs);
       return isValid ? generation : undefined;
     },
     /** Whether the lease has been valid at any time since the process started. */
-    hasStood: (): boolean => generation > 0,
+    hasBeenValid: (): boolean => generation > 0,
     /** Whether a quorum of the group renewed the lease by heartbeats sent at or after `sinceMs`. */
     isRenewedBy: (group: readonly string[], sinceMs: number): boolean =>
       groupExpiresAtMs(group) - leaseMs >= sinceMs,
--- a/packages/coordination/src/witness/createWitness.spec.ts
+++ b/packages/coordination/src/witness/createWitness.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import certainLeaseMs from './certainLeaseMs';
+import leaseMsWithMargin from './leaseMsWithMargin';
 import createWitness from './createWitness';
 
 const SHORT_LEASE = { term: 2, leaseMs: 500 };
@@ -13,13 +13,13 @@
   describe('after a restart that may have lost promises', () => {
     it('renews each lease only after the length of that lease', () => {
       const witness = startWitness(true);
-      expect(witness.renew('vm-1', SHORT_LEASE, certainLeaseMs(SHORT_LEASE.leaseMs))).to.equal(
+      expect(witness.renew('vm-1', SHORT_LEASE, leaseMsWithMargin(SHORT_LEASE.leaseMs))).to.equal(
         true,
       );
-      expect(witness.renew('vm-1', LONG_LEASE, certainLeaseMs(LONG_LEASE.leaseMs) - 1)).to.equal(
+      expect(witness.renew('vm-1', LONG_LEASE, leaseMsWithMargin(LONG_LEASE.leaseMs) - 1)).to.equal(
         false,
       );
-      expect(witness.renew('vm-1', LONG_LEASE, certainLeaseMs(LONG_LEASE.leaseMs))).to.equal(true);
+      expect(witness.renew('vm-1', LONG_LEASE, leaseMsWithMargin(LONG_LEASE.leaseMs))).to.equal(true);
     });
   });
 
--- a/packages/coordination/src/witness/createWitness.ts
+++ b/packages/coordination/src/witness/createWitness.ts
@@ -1,6 +1,6 @@
-import certainLeaseMs from './certainLeaseMs';
+import leaseMsWithMargin from './leaseMsWithMargin';
 import type LeaseTerm from './leaseTerm';
-import reckonedLeaseMs from './reckonedLeaseMs';
+import effectiveLeaseMs from './effectiveLeaseMs';
 import type WitnessPromise from './witnessPromise';
 
 interface WitnessOptions {
@@ -33,13 +33,13 @@
   };
 
   const renewsFromMs = (lengthMs: number): number =>
-    mayHavePromised ? startedAtMs + certainLeaseMs(lengthMs) : startedAtMs;
+    mayHavePromised ? startedAtMs + leaseMsWithMargin(lengthMs) : startedAtMs;
 
   return {
     /** Handles a heartbeat; returns whether it renewed the VM's lease of that term. */
     renew: (vm: string, lease: LeaseTerm, nowMs: number): boolean => {
       const { term } = lease;
-      const lengthMs = reckonedLeaseMs(lease, leaseMs);
+      const lengthMs = effectiveLeaseMs(lease, leaseMs);
       const promise = activePromise(vm, nowMs);
       if (nowMs < renewsFromMs(lengthMs) || (promise && term <= promise.term)) return false;
       renewals.set(vm, { term, lengthMs, atMs: nowMs });
@@ -55,7 +55,7 @@
       if (!earlierPromise && isRenewedTerm && renewedAgeMs < lastRenewal.lengthMs * ALIVE_RATIO) {
         return { isPromised: false, renewedAgeMs };
       }
-      const lengthMs = Math.max(reckonedLeaseMs(lease, leaseMs), lastRenewal?.lengthMs ?? 0);
+      const lengthMs = Math.max(effectiveLeaseMs(lease, leaseMs), lastRenewal?.lengthMs ?? 0);
       const untilMs = nowMs + lengthMs * PROMISE_DURATION_RATIO;
       promises.set(vm, {
         term: Math.max(term, earlierPromise?.term ?? 0),
--- a/packages/coordination/src/witness/certainLeaseMs.ts
+++ b/packages/coordination/src/witness/leaseMsWithMargin.ts
@@ -3,7 +3,7 @@
 const CLOCK_MARGIN_MS = 50;
 
 /** Time on any VM's clock after which a lease of `leaseMs` has certainly expired on every other. */
-const certainLeaseMs = (leaseMs: number): number =>
+const leaseMsWithMargin = (leaseMs: number): number =>
   leaseMs * (1 + CLOCK_MARGIN_RATIO) + CLOCK_MARGIN_MS;
 
-export default certainLeaseMs;
+export default leaseMsWithMargin;
--- a/packages/coordination/src/witness/leaseRecordSchema.spec.ts
+++ b/packages/coordination/src/witness/leaseRecordSchema.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { z } from 'zod';
 import leaseRecordSchema from './leaseRecordSchema';
-import leaseTermOf from './leaseTermOf';
-import reckonedLeaseMs from './reckonedLeaseMs';
+import toLeaseTerm from './toLeaseTerm';
+import effectiveLeaseMs from './effectiveLeaseMs';
 import UNSTATED_LEASE_MS from './unstatedLeaseMs';
 
 /** The record schema of earlier versions, which have a fixed lease length. */
@@ -16,20 +16,20 @@
   describe('with a record of an earlier version', () => {
     it('uses the longer of the default length and the local setting', () => {
       const record = leaseRecordSchema.parse(PREVIOUS_RECORD);
-      expect(reckonedLeaseMs(record, 500)).to.equal(UNSTATED_LEASE_MS);
-      expect(reckonedLeaseMs(record, 9_000)).to.equal(9_000);
+      expect(effectiveLeaseMs(record, 500)).to.equal(UNSTATED_LEASE_MS);
+      expect(effectiveLeaseMs(record, 9_000)).to.equal(9_000);
     });
   });
 
   describe('with a record of this version', () => {
     it('writes records of the default length so that earlier versions can read them', () => {
-      const record = { ...PREVIOUS_RECORD, ...leaseTermOf(7, UNSTATED_LEASE_MS) };
+      const record = { ...PREVIOUS_RECORD, ...toLeaseTerm(7, UNSTATED_LEASE_MS) };
       expect(previousSchema.parse(record)).to.deep.equal(PREVIOUS_RECORD);
     });
 
     it('uses the stated length if it is not the default one', () => {
-      const record = { ...PREVIOUS_RECORD, ...leaseTermOf(7, 9_000) };
-      expect(reckonedLeaseMs(leaseRecordSchema.parse(record), 500)).to.equal(9_000);
+      const record = { ...PREVIOUS_RECORD, ...toLeaseTerm(7, 9_000) };
+      expect(effectiveLeaseMs(leaseRecordSchema.parse(record), 500)).to.equal(9_000);
     });
   });
 });
--- a/packages/coordination/src/witness/lapseProvenAtMs.ts
+++ b/packages/coordination/src/witness/provenExpiryAtMs.ts
@@ -1,4 +1,4 @@
-import certainLeaseMs from './certainLeaseMs';
+import leaseMsWithMargin from './leaseMsWithMargin';
 import promiseQuorum from './promiseQuorum';
 import type WitnessGroups from './witnessGroups';
 import type WitnessPromise from './witnessPromise';
@@ -14,7 +14,7 @@
  * clock; undefined when too few witnesses promised. All answers must come from one round of
  * requests that took less than `leaseMs`, the length of the VM's lease.
  */
-const lapseProvenAtMs = (
+const provenExpiryAtMs = (
   groups: WitnessGroups,
   answers: ReadonlyMap<string, ReceivedPromise>,
   leaseMs: number,
@@ -27,11 +27,11 @@
     const earliestFirst = renewalTimesMs.sort((a, b) => a - b);
     const quorumRenewedAtMs =
       earliestFirst[promiseQuorum(group.length) - 1] ?? Number.POSITIVE_INFINITY;
-    return quorumRenewedAtMs + certainLeaseMs(leaseMs);
+    return quorumRenewedAtMs + leaseMsWithMargin(leaseMs);
   };
   if (groups.length === 0) return undefined;
   const expiresAtMs = Math.max(...groups.map(groupExpiresAtMs));
   return Number.isFinite(expiresAtMs) ? expiresAtMs : undefined;
 };
 
-export default lapseProvenAtMs;
+export default provenExpiryAtMs;
--- a/packages/coordination/src/witness/isSeatPoor.ts
+++ b/packages/coordination/src/witness/shouldReplaceWitnesses.ts
@@ -3,7 +3,7 @@
 const witnessCount = (groups: WitnessGroups): number => groups.flat().length;
 
 /** Whether a VM should replace its witnesses: some are not registered, or more are available. */
-const isSeatPoor = (
+const shouldReplaceWitnesses = (
   currentGroups: WitnessGroups,
   desiredGroups: WitnessGroups,
   registeredVms: ReadonlySet<string>,
@@ -11,4 +11,4 @@
   witnessCount(currentGroups) < witnessCount(desiredGroups) ||
   currentGroups.flat().some((witness) => !registeredVms.has(witness));
 
-export default isSeatPoor;
+export default shouldReplaceWitnesses;
--- a/packages/coordination/src/witness/leaseTermOf.ts
+++ b/packages/coordination/src/witness/toLeaseTerm.ts
@@ -2,7 +2,7 @@
 import UNSTATED_LEASE_MS from './unstatedLeaseMs';
 
 /** Builds the lease term sent to other VMs; omits the length if it is `UNSTATED_LEASE_MS`. */
-const leaseTermOf = (term: number, leaseMs: number): LeaseTerm =>
+const toLeaseTerm = (term: number, leaseMs: number): LeaseTerm =>
   leaseMs === UNSTATED_LEASE_MS ? { term } : { term, leaseMs };
 
-export default leaseTermOf;
+export default toLeaseTerm;
--- a/packages/sessions/src/daemon/createIsolationMonitor.ts
+++ b/packages/sessions/src/daemon/createIsolationMonitor.ts
@@ -1,4 +1,4 @@
-import { createIsolationGauge } from '@auburngrade/coordination';
+import { createIsolationDetector } from '@auburngrade/coordination';
 import type createSession from '../front/createSession';
 import type EventLog from '../seams/eventLog';
 
@@ -16,7 +16,7 @@
 /** Detects that this VM can serve no group, itself or through a peer; then moves callers to other VMs. */
 const createIsolationMonitor = (options: IsolationMonitorOptions) => {
   const { sessions, log, nowMs } = options;
-  const gauge = createIsolationGauge(nowMs());
+  const gauge = createIsolationDetector(nowMs());
   let state: ReturnType<typeof gauge.observe> = 'connected';
   /** Sessions opened before the load balancer removed this VM; later callers found no better VM. */
   let sessionsToClose: ReturnType<typeof createSession>[] = [];
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -1,4 +1,4 @@
-import { createStrainGauge } from '@auburngrade/coordination';
+import { createStrainDetector } from '@auburngrade/coordination';
 import createDocuments from '../fleet/createDocuments';
 import createFleet from '../fleet/createFleet';
 import createOwnership from '../fleet/createOwnership';
@@ -319,7 +319,7 @@
   documents.onChange(({ key }) => {
     if (key.startsWith(storeKeys.groupPrefix)) setImmediate(sendHeartbeats);
   });
-  const strainGauge = createStrainGauge();
+  const strainGauge = createStrainDetector();
   let nextSampleDueAtMs = nowMs() + STRAIN_SAMPLE_INTERVAL_MS;
   const strainTimer = setInterval(() => {
     isolationMonitor.observe();
@@ -333,7 +333,7 @@
     if (fleet.isStrained() !== wasStrained) {
       log.info('vm.strain', {
         isStrained: fleet.isStrained(),
-        averageLatenessMs: Math.round(strainGauge.averageMs()),
+        averageLatenessMs: Math.round(strainGauge.averageLagMs()),
         groups: servers.size,
       });
     }
--- a/packages/sessions/src/limits/createRateLimiter.ts
+++ b/packages/sessions/src/limits/createRateLimiter.ts
@@ -1,4 +1,4 @@
-import { createFleetBucket } from '@auburngrade/coordination';
+import { createReplicatedBucket } from '@auburngrade/coordination';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 
 /** Minimum time between the end of a VM's process and the start of the next one. */
@@ -9,7 +9,7 @@
 /** Enforces account rate limits: one token bucket each, also charged with what other VMs admit. */
 const createRateLimiter = (nowMs: () => number) => {
   const startedAtMs = nowMs();
-  const buckets = new Map<string, ReturnType<typeof createFleetBucket>>();
+  const buckets = new Map<string, ReturnType<typeof createReplicatedBucket>>();
   const admitted = new Map<string, number>();
   let limits: Limits = new Map();
   let shareRatio = 1;
@@ -20,8 +20,8 @@
     const existing = buckets.get(account);
     if (existing) return existing;
     // This VM admitted nothing since its previous process ended, so the bucket fills for that time.
-    const created = createFleetBucket(limit, startedAtMs - MIN_RESTART_INTERVAL_MS);
-    created.setShare(shareRatio, startedAtMs);
+    const created = createReplicatedBucket(limit, startedAtMs - MIN_RESTART_INTERVAL_MS);
+    created.setLimitFraction(shareRatio, startedAtMs);
     buckets.set(account, created);
     return created;
   };
@@ -39,7 +39,7 @@
     admit: (account: string): { isAdmitted: boolean; retryInMs: number } => {
       const bucket = getBucket(account);
       if (bucket && !bucket.take(nowMs())) {
-        return { isAdmitted: false, retryInMs: bucket.dueInMs(nowMs()) };
+        return { isAdmitted: false, retryInMs: bucket.tokenDueInMs(nowMs()) };
       }
       admitted.set(account, (admitted.get(account) ?? 0) + 1);
       return { isAdmitted: true, retryInMs: 0 };
@@ -55,7 +55,7 @@
     setLimitFraction: (newShareRatio: number): void => {
       if (newShareRatio === shareRatio) return;
       shareRatio = newShareRatio;
-      buckets.forEach((bucket) => bucket.setShare(newShareRatio, nowMs()));
+      buckets.forEach((bucket) => bucket.setLimitFraction(newShareRatio, nowMs()));
     },
     /** Operations admitted since the process started, by account. */
     admitted: (): ReadonlyMap<string, number> => admitted,
