--- a/packages/auburngrade/src/admission/createEqualPartsAdmission.ts
+++ b/packages/auburngrade/src/admission/createEqualPartsAdmission.ts
@@ -1,4 +1,4 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
 
 interface Bucket {
   tokens: number;
@@ -19,7 +19,7 @@
     admit: async (account: string | undefined, _profileName: string): Promise<void> => {
       if (account === undefined) return;
       const limit = configuration.get('account', account)?.limit;
-      if (!limit) throw notRun('unauthenticated', `client account ${account} does not exist`);
+      if (!limit) throw createNotRunError('unauthenticated', `client account ${account} does not exist`);
       const vmDivisor = Math.max(1, vmCount());
       const burst = Math.max(1, limit.burst / vmDivisor);
       const ratePerMs = limit.ratePerS / vmDivisor / MS_PER_S;
@@ -30,7 +30,7 @@
       buckets.set(account, { tokens: isAdmitted ? tokens - 1 : tokens, filledAtMs: now });
       if (!isAdmitted) {
         const retryAfterMs = Math.ceil((1 - tokens) / ratePerMs);
-        throw notRun(
+        throw createNotRunError(
           'rateExceeded',
           `account ${account} is over this VM's fraction of its rate`,
           retryAfterMs,
--- a/packages/auburngrade/src/admission/createQuotaAdmission.ts
+++ b/packages/auburngrade/src/admission/createQuotaAdmission.ts
@@ -1,4 +1,4 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
 import type Admission from './admission';
 import type createQuotaService from './createQuotaService';
 import PROFILE_SEPARATOR from './profileSeparator';
@@ -15,14 +15,14 @@
       shortage.code === 'rateExceeded'
         ? `account ${account} is over its rate`
         : `the rate of account ${account} is temporarily unavailable on this VM`;
-    throw notRun(shortage.code, message, shortage.retryAfterMs);
+    throw createNotRunError(shortage.code, message, shortage.retryAfterMs);
   };
 
   return {
     admit: async (account, profileName, deadlineAtMs): Promise<void> => {
       if (account === undefined) return;
       if (!configuration.get('account', account)) {
-        throw notRun('unauthenticated', `client account ${account} does not exist`);
+        throw createNotRunError('unauthenticated', `client account ${account} does not exist`);
       }
       await take(account, account, deadlineAtMs);
       if (!configuration.get('profile', profileName)?.limit) return;
--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { notRun, type ConfigurationState, type Profile } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationState, type Profile } from '@auburngrade/coordination';
 import type Caller from './caller';
 
 const FRESHNESS_RETRY_AFTER_MS = 1_000;
@@ -15,24 +15,24 @@
     if (isKeyDataFresh()) return;
     const message =
       'cannot verify that the key is not withdrawn: configuration of this VM may be out of date';
-    throw notRun('keyNotVouched', message, FRESHNESS_RETRY_AFTER_MS);
+    throw createNotRunError('keyNotVouched', message, FRESHNESS_RETRY_AFTER_MS);
   };
 
   const findProfile = (profileName: string): Profile => {
     const profile = configuration.get('profile', profileName);
-    if (!profile) throw notRun('unknownProfile', `profile ${profileName} does not exist`);
+    if (!profile) throw createNotRunError('unknownProfile', `profile ${profileName} does not exist`);
     return profile;
   };
 
   const checkKey = (keyHash: string | undefined, profileName: string): Caller => {
     const profile = findProfile(profileName);
     if (profile.openToAll) return { account: undefined, profile, profileName, keyHash: undefined };
-    if (keyHash === undefined) throw notRun('unauthenticated', 'the profile requires a key');
+    if (keyHash === undefined) throw createNotRunError('unauthenticated', 'the profile requires a key');
     const keyDocument = configuration.get('key', keyHash);
     if (!keyDocument || keyDocument.withdrawn)
-      throw notRun('unauthenticated', 'the key is unknown or withdrawn');
+      throw createNotRunError('unauthenticated', 'the key is unknown or withdrawn');
     if (!profile.accounts.includes(keyDocument.account)) {
-      throw notRun(
+      throw createNotRunError(
         'accountNotAllowed',
         `the profile does not allow account ${keyDocument.account}`,
       );
@@ -45,7 +45,7 @@
     if (groups.length === 0 || groups.includes(group)) return;
     // The later look-up of the group reports an unknown group.
     if (!configuration.get('group', group)) return;
-    throw notRun('groupNotAllowed', `the profile does not allow group ${group}`);
+    throw createNotRunError('groupNotAllowed', `the profile does not allow group ${group}`);
   };
 
   return {
@@ -69,7 +69,7 @@
     recheckKey: (keyHash: string | undefined): void => {
       if (keyHash === undefined) return;
       if (configuration.get('key', keyHash)?.withdrawn) {
-        throw notRun('unauthenticated', 'the key was withdrawn');
+        throw createNotRunError('unauthenticated', 'the key was withdrawn');
       }
       checkFreshness();
     },
--- a/packages/auburngrade/src/authentication/waitWhileKeyIsValid.spec.ts
+++ b/packages/auburngrade/src/authentication/waitWhileKeyIsValid.spec.ts
@@ -1,4 +1,4 @@
-import { notRun, toRefusal } from '@auburngrade/coordination';
+import { createNotRunError, toRefusal } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import waitWhileKeyIsValid from './waitWhileKeyIsValid';
 
@@ -7,7 +7,7 @@
   let isValid = true;
   const validity = {
     check: () => {
-      if (!isValid) throw notRun('unauthenticated', 'the key was withdrawn');
+      if (!isValid) throw createNotRunError('unauthenticated', 'the key was withdrawn');
     },
     onKeysChanged: (listener: () => void) => {
       listeners.add(listener);
--- a/packages/auburngrade/src/configuration/createDocumentWriter.ts
+++ b/packages/auburngrade/src/configuration/createDocumentWriter.ts
@@ -3,7 +3,7 @@
   changeIdsOf,
   documentIn,
   documentKinds,
-  notRun,
+  createNotRunError,
   toStoredValue,
   type ConfigurationEntry,
   type DocumentKind,
@@ -123,7 +123,7 @@
       const { entries } = await platform.range(prefix + keyId, timeoutMs);
       const [entry, duplicate] = entries;
       if (!entry?.valueJson || duplicate)
-        throw notRun('badRequest', `key id ${keyId} does not match exactly one key`);
+        throw createNotRunError('badRequest', `key id ${keyId} does not match exactly one key`);
       return {
         hash: entry.key.slice(prefix.length),
         document: documentIn(entry.valueJson),
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -142,7 +142,7 @@
     admission: admissionService.admission,
     execute: statements.execute,
     begin: statements.begin,
-    beginWork: workTracker.enter,
+    beginWork: workTracker.startWork,
     awaitConfiguration: configurationWaiter.wait,
     onKeysChanged: createKeyRecheckScheduler(configuration),
     metrics,
@@ -173,7 +173,7 @@
     executeLocally: statements.executeLocally,
     openFollowSession: configurationDistribution.openFollowSession,
     beginLocally: statements.beginLocally,
-    beginWork: workTracker.enter,
+    beginWork: workTracker.startWork,
     messageHandlers: new Map<string, MessageHandler>([
       ...admissionService.messageHandlers,
       ['suspicion', promotions.handleSuspicionMessage],
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -1,6 +1,6 @@
 import {
-  mayHaveRun,
-  notRun,
+  createMayHaveRunError,
+  createNotRunError,
   toRefusal,
   type ConfigurationState,
   type RefusalError,
@@ -34,11 +34,11 @@
 
 const toRefusalError = (error: EndpointError): RefusalError => {
   if (error.sqlState === SQLSTATE_STALE_TERM) {
-    return notRun('noPrimary', error.message, RETRY_AFTER_MS);
+    return createNotRunError('noPrimary', error.message, RETRY_AFTER_MS);
   }
-  if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
-  if (error.kind === 'notSent') return notRun('noConnection', error.message, RETRY_AFTER_MS);
-  return mayHaveRun('connectionLost', error.message);
+  if (error.kind === 'statementFailed') return createNotRunError('statementFailed', error.message);
+  if (error.kind === 'notSent') return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
+  return createMayHaveRunError('connectionLost', error.message);
 };
 
 /** Runs reads on an endpoint that meets the freshness required by the session and the profile. */
@@ -101,7 +101,7 @@
       if (confirmedAtMs !== undefined && confirmedAtMs >= sentAtMs) return;
       await Promise.race([groupClient.poll(), sleep(CONFIRM_POLL_INTERVAL_MS)]);
     }
-    throw mayHaveRun('noFreshEndpoint', 'no majority confirmed the primary before the deadline');
+    throw createMayHaveRunError('noFreshEndpoint', 'no majority confirmed the primary before the deadline');
   };
 
   const tryPlan = async (
@@ -132,7 +132,7 @@
       plan = await readPlanner.plan(groupClient, request, true);
       rows = await tryPlan(groupClient, request, plan, progress);
     }
-    if (!rows) throw mayHaveRun('noFreshEndpoint', 'the age of the answer could not be determined');
+    if (!rows) throw createMayHaveRunError('noFreshEndpoint', 'the age of the answer could not be determined');
     const { member: endpoint, role } = plan;
     return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
   };
@@ -167,7 +167,7 @@
       if (!plan.isConfirmationRequired) return;
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term === plan.term) return;
-      throw notRun('transactionAborted', 'the primary was replaced during the transaction');
+      throw createNotRunError('transactionAborted', 'the primary was replaced during the transaction');
     },
     close: freshnessTracker.close,
   };
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -1,6 +1,6 @@
 import {
   advanceSessionToken,
-  notRun,
+  createNotRunError,
   type StatementOutcome,
   type StatementRequest,
   type TermRecord,
@@ -80,9 +80,9 @@
   /** Converts an error before COMMIT was sent to a `notRun` refusal: nothing was committed. */
   const toPreCommitRefusal = (error: unknown): unknown => {
     if (!(error instanceof EndpointError)) return error;
-    if (isNotPrimaryError(error)) return notRun('noPrimary', error.message);
+    if (isNotPrimaryError(error)) return createNotRunError('noPrimary', error.message);
     const code = error.kind === 'statementFailed' ? 'statementFailed' : 'connectionLost';
-    return notRun(code, error.message);
+    return createNotRunError(code, error.message);
   };
 
   /** Returns undefined when the outcome is only known after a lookup of the request id. */
@@ -138,7 +138,7 @@
     ): Promise<StatementOutcome> => {
       const record = groupClient.record();
       if (record?.state !== 'active' || !record.primary) {
-        throw notRun('noPrimary', `group ${groupClient.name} has no primary`);
+        throw createNotRunError('noPrimary', `group ${groupClient.name} has no primary`);
       }
       const { term, primary } = record;
       const committed = await runOnPrimary(groupClient, request, record, primary);
--- a/packages/auburngrade/src/groups/acquireWithinTerm.ts
+++ b/packages/auburngrade/src/groups/acquireWithinTerm.ts
@@ -1,4 +1,4 @@
-import { notRun } from '@auburngrade/coordination';
+import { createNotRunError } from '@auburngrade/coordination';
 import type CheckedOutConnection from './checkedOutConnection';
 import type PooledConnection from './pooledConnection';
 
@@ -28,7 +28,7 @@
       isSuperseded = true;
       clearTimeout(slowTimer);
       pooled?.discard();
-      reject(notRun('noPrimary', 'the primary of this term has been replaced', RETRY_AFTER_MS));
+      reject(createNotRunError('noPrimary', 'the primary of this term has been replaced', RETRY_AFTER_MS));
     });
     const stop = (): void => {
       clearTimeout(slowTimer);
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -1,4 +1,4 @@
-import { createFairQueue, notRun } from '@auburngrade/coordination';
+import { createFairQueue, createNotRunError } from '@auburngrade/coordination';
 import { EndpointError, type Endpoint, type EndpointConnection } from '@auburngrade/endpoint';
 import type CheckedOutConnection from './checkedOutConnection';
 import type PoolOptions from './poolOptions';
@@ -92,7 +92,7 @@
     let next = queue.dequeue();
     while (next && isTooLateToServe(next)) {
       const message = 'too little time is left before the deadline to run the statement';
-      refuseQueued(next, notRun('queueTimeout', message, Math.ceil(next.chargedMs)));
+      refuseQueued(next, createNotRunError('queueTimeout', message, Math.ceil(next.chargedMs)));
       next = queue.dequeue();
     }
     return next;
@@ -101,7 +101,7 @@
   /** Refuses the next request with `noConnection`; its caller may try another member or VM. */
   const refuseNext = (message: string): void => {
     const next = nextServiceable();
-    if (next) refuseQueued(next, notRun('noConnection', message));
+    if (next) refuseQueued(next, createNotRunError('noConnection', message));
   };
 
   const returnToPool = (connection: EndpointConnection): void => {
@@ -217,13 +217,13 @@
       if (refusal) {
         const message =
           'the expected wait for a connection exceeds the deadline or the queue limit';
-        reject(notRun(refusal.code, message, refusal.retryAfterMs));
+        reject(createNotRunError(refusal.code, message, refusal.retryAfterMs));
         return;
       }
       timer = setTimeout(() => {
         queue.remove(pending, queueKey);
         const message = 'no connection became available before the deadline';
-        pending.refuse(notRun('queueTimeout', message, Math.ceil(queue.costMs(queueKey))));
+        pending.refuse(createNotRunError('queueTimeout', message, Math.ceil(queue.costMs(queueKey))));
       }, timeoutMs);
       serveQueue();
     });
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -1,4 +1,4 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
 import createGroupClient from './createGroupClient';
 import type GroupClient from './groupClient';
@@ -52,8 +52,8 @@
   /** @throws RefusalError `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
   const get = (name: string): GroupClient => {
     const group = configuration.get('group', name);
-    if (!group) throw notRun('unknownGroup', `group ${name} does not exist`);
-    if (!mayHold(name)) throw notRun('noConnection', `this VM holds no slot of group ${name}`);
+    if (!group) throw createNotRunError('unknownGroup', `group ${name} does not exist`);
+    if (!mayHold(name)) throw createNotRunError('noConnection', `this VM holds no slot of group ${name}`);
     const existing = clients.get(name);
     if (existing && existing.group === group) return existing;
     const created = createGroupClient(
--- a/packages/auburngrade/src/outcome/buildInsertRequestSql.ts
+++ b/packages/auburngrade/src/outcome/buildInsertRequestSql.ts
@@ -1,10 +1,10 @@
-import type { RequestRecord, StatementRequest } from '@auburngrade/coordination';
+import type { RequestRow, StatementRequest } from '@auburngrade/coordination';
 import quoteLiteral from './quoteLiteral';
 import computeRequestFingerprint from './computeRequestFingerprint';
 import buildRequestRecordId from './buildRequestRecordId';
 
 /** SQL that inserts the row of a request id; it fails with a unique violation if one exists. */
-const buildInsertRequestSql = (request: StatementRequest, state: RequestRecord['state']): string => {
+const buildInsertRequestSql = (request: StatementRequest, state: RequestRow['state']): string => {
   const values = [buildRequestRecordId(request), state, computeRequestFingerprint(request)].map(
     quoteLiteral,
   );
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -1,10 +1,10 @@
 import {
   advanceSessionToken,
-  judgeRequest,
-  mayHaveRun,
-  notRun,
-  type RequestFinding,
-  type RequestRecord,
+  resolveRequestOutcome,
+  createMayHaveRunError,
+  createNotRunError,
+  type RequestLookupResult,
+  type RequestRow,
   type StatementOutcome,
   type StatementRequest,
   type TermRecord,
@@ -26,7 +26,7 @@
 import rollBack from '../execution/rollBack';
 
 interface LookupResult {
-  finding: RequestFinding;
+  finding: RequestLookupResult;
   position: number;
 }
 
@@ -34,7 +34,7 @@
 const RETRY_DELAY_MS = 20;
 const EMPTY_RESULT: QueryResult = { columns: [], rows: [], command: '', rowCount: 0 };
 
-const toRequestRecord = (result: QueryResult | undefined): RequestRecord | undefined => {
+const toRequestRecord = (result: QueryResult | undefined): RequestRow | undefined => {
   const [state, storedResult, fingerprint] = result?.rows[0] ?? [];
   if (state !== 'run' && state !== 'cancelled') return undefined;
   return { state, result: storedResult ?? null, fingerprint: fingerprint ?? null };
@@ -132,13 +132,13 @@
       record,
       record.primary,
     );
-    const judgement = judgeRequest(finding, computeRequestFingerprint(request));
+    const judgement = resolveRequestOutcome(finding, computeRequestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
-      throw notRun('transactionAborted', 'the request had no effect; its request id is cancelled');
+      throw createNotRunError('transactionAborted', 'the request had no effect; its request id is cancelled');
     }
     if (judgement.kind === 'otherStatement') {
-      throw notRun('duplicateRequest', 'the request id was already used for another statement');
+      throw createNotRunError('duplicateRequest', 'the request id was already used for another statement');
     }
     return {
       rows:
@@ -163,7 +163,7 @@
         if (outcome) return outcome;
         await sleep(RETRY_DELAY_MS);
       }
-      throw mayHaveRun(
+      throw createMayHaveRunError(
         'outcomeUnknown',
         'the outcome of the request could not be determined before the deadline',
       );
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -1,10 +1,10 @@
 import {
-  createFollowRepair,
-  createPrimaryJudge,
+  createReplicationRepair,
+  createPrimaryFailureDetector,
   isReplacementAgreed,
   type ConfigurationState,
   type FailoverTimings,
-  type PrimaryView,
+  type PrimaryHealth,
   type TermRecord,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
@@ -46,8 +46,8 @@
 /** Detects loss of one group's primary, runs its promotions and repairs its followers. */
 const createGroupPromoter = (options: PromoterOptions) => {
   const { groupClient, promoter, configuration, timings, logger, nowMs } = options;
-  const failureDetector = createPrimaryJudge(timings);
-  const followRepair = createFollowRepair();
+  const failureDetector = createPrimaryFailureDetector(timings);
+  const followRepair = createReplicationRepair();
   const control = createMemberControl(groupClient, nowMs);
   const writer = createTermRecordWriter(
     options.platform,
@@ -56,7 +56,7 @@
     options.platformTimeoutMs,
   );
   let activeRun: ReturnType<typeof createPromotionRun>;
-  let view: PrimaryView = 'unknown';
+  let view: PrimaryHealth = 'unknown';
   let changeDueSinceMs: number | undefined;
   let changeKey = '';
   let nextAttemptAtMs = 0;
@@ -77,7 +77,7 @@
   };
 
   const startRun = (record: TermRecord, reason: PromotionReason, dueSinceMs: number): void => {
-    if (reason === 'unconfirmed') failureDetector.noteStallReplacement();
+    if (reason === 'unconfirmed') failureDetector.recordStallReplacement();
     activeRun = createPromotionRun(
       { ...options, control, writer, onFinished },
       record,
@@ -143,7 +143,7 @@
   };
 
   const startDueReplacement = (record: TermRecord): void => {
-    const judgement = failureDetector.judge(record);
+    const judgement = failureDetector.assess(record);
     view = judgement.view;
     if (!judgement.reason) {
       startDuePlannedChange(record);
@@ -158,7 +158,7 @@
   const repairFollowers = (record: TermRecord): void => {
     const upstream = groupClient.group.members.find(({ name }) => name === record.primary);
     if (!upstream) return;
-    followRepair.due(record, groupClient.views()).forEach((member) => {
+    followRepair.listMembersToRepair(record, groupClient.views()).forEach((member) => {
       logger.info('member.followAgain', { group: groupClient.name, member, term: record.term });
       control.follow(member, record.term, upstream).catch(() => {});
     });
@@ -168,10 +168,10 @@
     record.term > activeRun.promotion.term ||
     (record.term === activeRun.promotion.term && record.promoter !== promoter);
 
-  const isRunActive = (): boolean => activeRun !== undefined && !activeRun.promotion.isOver();
+  const isRunActive = (): boolean => activeRun !== undefined && !activeRun.promotion.isFinished();
 
   /** Polls the primary before answering, since an idle group's last poll may be old. */
-  const recheckPrimary = async (record: TermRecord): Promise<PrimaryView> => {
+  const recheckPrimary = async (record: TermRecord): Promise<PrimaryHealth> => {
     if (!record.primary || view !== 'present') return view;
     const status = await Promise.race([
       groupClient.pollMember(record.primary),
@@ -183,7 +183,7 @@
   return {
     groupClient,
     /** Returns this VM's view to another VM that sees the primary of `term` gone. */
-    view: async (term: number): Promise<PrimaryView> => {
+    view: async (term: number): Promise<PrimaryHealth> => {
       const record = groupClient.record();
       if (!record || record.term < term) return 'unknown';
       return record.term > term ? 'present' : recheckPrimary(record);
--- a/packages/auburngrade/src/promotion/createPeerViewCollector.ts
+++ b/packages/auburngrade/src/promotion/createPeerViewCollector.ts
@@ -1,4 +1,4 @@
-import type { PrimaryView } from '@auburngrade/coordination';
+import type { PrimaryHealth } from '@auburngrade/coordination';
 import type Membership from '../membership/membership';
 import type SendMessage from '../membership/sendMessage';
 import suspicionReplySchema from './suspicionReplySchema';
@@ -8,7 +8,7 @@
 
 /** Asks the other VMs with slots of a group how they see its primary; `unknown` on failure. */
 const createPeerViewCollector = (vm: string, membership: Membership, sendMessage: SendMessage) => {
-  const askPeer = async (peer: string, group: string, term: number): Promise<PrimaryView> => {
+  const askPeer = async (peer: string, group: string, term: number): Promise<PrimaryHealth> => {
     try {
       const reply = await sendMessage(peer, SUSPICION_KIND, { group, term }, ASK_TIMEOUT_MS);
       return suspicionReplySchema.parse(reply).view;
@@ -18,7 +18,7 @@
   };
 
   return {
-    collect: (group: string, term: number): Promise<PrimaryView[]> => {
+    collect: (group: string, term: number): Promise<PrimaryHealth[]> => {
       const peers = membership.holders(group).filter(({ id }) => id !== vm);
       return Promise.all(peers.map(({ id }) => askPeer(id, group, term)));
     },
--- a/packages/auburngrade/src/promotion/createPromotionDriver.ts
+++ b/packages/auburngrade/src/promotion/createPromotionDriver.ts
@@ -37,7 +37,7 @@
     switch (action.kind) {
       case 'claim':
       case 'publish':
-        return writer.write(action.record, action.expectedRevision, () => !promotion.isOver());
+        return writer.write(action.record, action.expectedRevision, () => !promotion.isFinished());
       case 'fence':
         return { kind: 'status', status: await control.fence(action.member, action.term) };
       case 'promote': {
@@ -80,7 +80,7 @@
   };
 
   const dispatch = (event: PromotionEvent): void => {
-    if (promotion.isOver()) return;
+    if (promotion.isFinished()) return;
     const actions = promotion.handle(event, nowMs());
     actions.forEach((action) => {
       const part = PART_ENDED_BY[action.kind];
@@ -88,7 +88,7 @@
       startAction(action, dispatch);
     });
     if (promotion.phase() === 'done') failoverTimer.end('publish', nowMs());
-    if (promotion.isOver()) options.onFinished(promotion.phase());
+    if (promotion.isFinished()) options.onFinished(promotion.phase());
   };
 
   return {
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -55,7 +55,7 @@
     options.metrics.promotions.inc({ ...labels, result: phase });
     options.onFinished();
     const partsMs = failoverTimer.partsMs();
-    const fields = { ...labels, term: plan.term, primary: promotion.chosen(), partsMs };
+    const fields = { ...labels, term: plan.term, primary: promotion.getNewPrimary(), partsMs };
     if (phase !== 'done') {
       logger.warn('failover.abandoned', fields);
       return;
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -1,7 +1,7 @@
 import {
   chooseEndpoint,
   memberAgeMs,
-  notRun,
+  createNotRunError,
   profileSchema,
   type ConfigurationState,
   type Profile,
@@ -52,7 +52,7 @@
   ): ReadState => {
     const record = groupClient.record();
     if (!record)
-      throw notRun('noPrimary', `group ${groupClient.name} has no term record yet`, RETRY_AFTER_MS);
+      throw createNotRunError('noPrimary', `group ${groupClient.name} has no term record yet`, RETRY_AFTER_MS);
     return {
       record,
       members: groupClient.group.members,
@@ -134,7 +134,7 @@
       const { target, state } = await waitForTarget(groupClient, request, policy);
       refreshWatermarks(groupClient, state);
       if (target.kind === 'recordBehind') {
-        throw notRun(
+        throw createNotRunError(
           'noFreshEndpoint',
           'the session token has a later term than this VM knows',
           RETRY_AFTER_MS,
@@ -142,7 +142,7 @@
       }
       if (target.kind === 'notFresh') {
         if (target.primary !== undefined) return planOnPrimary(state, target.primary);
-        throw notRun(
+        throw createNotRunError(
           'noFreshEndpoint',
           'no endpoint is fresh enough for the request',
           RETRY_AFTER_MS,
--- a/packages/auburngrade/src/routing/createRequestAttempts.spec.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.spec.ts
@@ -1,4 +1,4 @@
-import { RefusalError, notRun } from '@auburngrade/coordination';
+import { RefusalError, createNotRunError } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import createRequestAttempts from './createRequestAttempts';
 
@@ -31,14 +31,14 @@
   it('uses the late answer after the last attempt, within the given time', async () => {
     const { run: make, waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
     await codeOf(make('waco-1', silentAttempt(resolveLater('first', 50))));
-    const refusal = notRun('queueFull', 'full');
+    const refusal = createNotRunError('queueFull', 'full');
     expect(await codeOf(lateAnswer(5, refusal))).to.equal('notRun queueFull');
     expect(await codeOf(lateAnswer(500, refusal))).to.equal('first');
   });
 
   it('rejects with the refusal at once when no VM is silent', async () => {
     const { waitForLateAnswer: lateAnswer } = createRequestAttempts<string>();
-    expect(await codeOf(lateAnswer(10_000, notRun('queueFull', 'full')))).to.equal(
+    expect(await codeOf(lateAnswer(10_000, createNotRunError('queueFull', 'full')))).to.equal(
       'notRun queueFull',
     );
   });
--- a/packages/auburngrade/src/routing/createRequestAttempts.ts
+++ b/packages/auburngrade/src/routing/createRequestAttempts.ts
@@ -1,4 +1,4 @@
-import { mayHaveRun } from '@auburngrade/coordination';
+import { createMayHaveRunError } from '@auburngrade/coordination';
 
 /**
  * Tracks the attempts of one request at different VMs. An attempt at a VM that stops responding
@@ -14,7 +14,7 @@
         silentAnswers.forEach((earlier) => earlier.then(resolve, () => {}));
         const answer = attempt(() => {
           silentAnswers.add(answer);
-          reject(mayHaveRun('peerUnreachable', `VM ${vm} does not answer`));
+          reject(createMayHaveRunError('peerUnreachable', `VM ${vm} does not answer`));
         });
         answer.then(resolve, reject);
       }),
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -3,9 +3,9 @@
   createRetryBudget,
   decideRetry,
   encodeSessionToken,
-  mayHaveRun,
+  createMayHaveRunError,
   mergeRefusals,
-  notRun,
+  createNotRunError,
   orderHolders,
   refusalSchema,
   statementOutcomeSchema,
@@ -92,7 +92,7 @@
 
   const toUnreachableRefusal = (target: string, error: Error): RefusalError => {
     unreachableVms.add(target);
-    const refuse = isNeverSent(error) ? notRun : mayHaveRun;
+    const refuse = isNeverSent(error) ? createNotRunError : createMayHaveRunError;
     return refuse('peerUnreachable', error.message);
   };
 
@@ -114,7 +114,7 @@
     { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
     attempt: (target: string, onSilent: () => void) => Promise<Result>,
   ): Promise<Result> => {
-    if (!options.hasGroup(group)) throw notRun('unknownGroup', `group ${group} does not exist`);
+    if (!options.hasGroup(group)) throw createNotRunError('unknownGroup', `group ${group} does not exist`);
     const failedVms = new Set<string>();
     const attempts = createRequestAttempts<Result>();
     let refusal: Refusal | undefined;
@@ -124,7 +124,7 @@
       const [target = ''] = candidates;
       try {
         if (target === '') {
-          throw notRun('noConnection', `no VM holds connections to group ${group}`, RETRY_AFTER_MS);
+          throw createNotRunError('noConnection', `no VM holds connections to group ${group}`, RETRY_AFTER_MS);
         }
         if (target !== vm) metrics.forwards.inc({ group });
         return await attempts.run(target, (onSilent) => attempt(target, onSilent));
--- a/packages/auburngrade/src/serving/checkStatement.ts
+++ b/packages/auburngrade/src/serving/checkStatement.ts
@@ -1,4 +1,4 @@
-import { isSessionControl, notRun } from '@auburngrade/coordination';
+import { isSessionControl, createNotRunError } from '@auburngrade/coordination';
 import type Settings from '../settings/settings';
 
 interface CheckedStatement {
@@ -11,13 +11,13 @@
 
 /** Checks that a statement is not empty, not too large and no session control. @throws RefusalError `badRequest` or `statementTooLarge` */
 const checkStatement = (statement: CheckedStatement, { requests }: Settings): void => {
-  if (statement.sql.trim() === '') throw notRun('badRequest', 'sql is empty');
+  if (statement.sql.trim() === '') throw createNotRunError('badRequest', 'sql is empty');
   if (byteLength(statement) > requests.maxStatementBytes) {
     const message = `sql and parameters exceed the limit of ${requests.maxStatementBytes} bytes`;
-    throw notRun('statementTooLarge', message);
+    throw createNotRunError('statementTooLarge', message);
   }
   if (isSessionControl(statement.sql)) {
-    throw notRun(
+    throw createNotRunError(
       'badRequest',
       'the statement is a transaction or session control command, which is not allowed',
     );
--- a/packages/auburngrade/src/serving/createConfigurationWaiter.ts
+++ b/packages/auburngrade/src/serving/createConfigurationWaiter.ts
@@ -1,4 +1,4 @@
-import { notRun, type ConfigurationState } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
 
 const RETRY_AFTER_MS = 500;
 
@@ -23,7 +23,7 @@
     wait: async (deadlineAtMs: number): Promise<void> => {
       while (!isLoaded() && nowMs() < deadlineAtMs) await waitForChange(deadlineAtMs - nowMs());
       if (isLoaded()) return;
-      throw notRun('configurationMissing', 'this VM has no configuration yet', RETRY_AFTER_MS);
+      throw createNotRunError('configurationMissing', 'this VM has no configuration yet', RETRY_AFTER_MS);
     },
   };
 };
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -1,5 +1,5 @@
 import {
-  checkStep,
+  acceptStep,
   decodeSessionToken,
   toRefusal,
   type StatementOutcome,
@@ -51,7 +51,7 @@
   };
 
   const run = async ({ step, body }: ForwardedStep): Promise<StatementOutcome> => {
-    progress = checkStep(progress, step, body?.$case);
+    progress = acceptStep(progress, step, body?.$case);
     if (body?.$case === 'begin') return open(toRequest(body.begin, nowMs()));
     if (!transaction) throw new Error('no transaction is open');
     if (body?.$case === 'commit') return transaction.commit();
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -2,8 +2,8 @@
   type RefusalError,
   advanceSessionToken,
   isSessionControl,
-  mayHaveRun,
-  notRun,
+  createMayHaveRunError,
+  createNotRunError,
   type StatementOutcome,
   type StatementRequest,
   type TransactionRequest,
@@ -87,7 +87,7 @@
   override async run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
     this.assertOpen();
     if (isSessionControl(sql)) {
-      throw notRun(
+      throw createNotRunError(
         'badRequest',
         'the statement is a transaction or session control command, which is not allowed',
       );
@@ -190,7 +190,7 @@
   }
 
   private assertOpen(): void {
-    if (this.hasEnded) throw notRun('transactionAborted', 'the transaction has been rolled back');
+    if (this.hasEnded) throw createNotRunError('transactionAborted', 'the transaction has been rolled back');
   }
 
   private remainingMs(): number {
@@ -207,11 +207,11 @@
   private toStatementRefusal(error: unknown, isBegin: boolean): unknown {
     if (!(error instanceof EndpointError)) return error;
     if (error.sqlState === STALE_TERM_SQLSTATE) {
-      return notRun('noPrimary', error.message, RETRY_AFTER_MS);
+      return createNotRunError('noPrimary', error.message, RETRY_AFTER_MS);
     }
-    if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
-    if (isBegin) return notRun('noConnection', error.message, RETRY_AFTER_MS);
-    return notRun('transactionAborted', error.message);
+    if (error.kind === 'statementFailed') return createNotRunError('statementFailed', error.message);
+    if (isBegin) return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
+    return createNotRunError('transactionAborted', error.message);
   }
 
   /** Whether the endpoint certainly did not commit: it returned an error, or the commit was not sent. */
@@ -226,7 +226,7 @@
     const isFailed =
       error instanceof EndpointError && error.sqlState === FAILED_TRANSACTION_SQLSTATE;
     const message = error instanceof Error ? error.message : String(error);
-    return notRun(
+    return createNotRunError(
       'transactionAborted',
       isFailed ? 'an earlier statement of the transaction failed' : message,
     );
@@ -252,7 +252,7 @@
   private async rejectDuplicate(): Promise<never> {
     const { outcomeLookup, groupClient, request } = this.options;
     await outcomeLookup.resolve(groupClient, toCommitStatement(request));
-    throw mayHaveRun(
+    throw createMayHaveRunError(
       'duplicateRequest',
       'a transaction with this request id has already committed',
     );
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -1,4 +1,4 @@
-import { notRun, type TransactionRequest } from '@auburngrade/coordination';
+import { createNotRunError, type TransactionRequest } from '@auburngrade/coordination';
 import type createReadExecutor from '../execution/createReadExecutor';
 import type GroupClient from '../groups/groupClient';
 import createOutcomeLookup from '../outcome/createOutcomeLookup';
@@ -17,7 +17,7 @@
 const createPrimaryPlan = (groupClient: GroupClient): ReadPlan => {
   const record = groupClient.record();
   if (!record?.primary || record.state !== 'active') {
-    throw notRun('noPrimary', `group ${groupClient.name} has no primary`);
+    throw createNotRunError('noPrimary', `group ${groupClient.name} has no primary`);
   }
   return {
     member: record.primary,
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -1,8 +1,8 @@
 import {
   RefusalError,
   encodeSessionToken,
-  mayHaveRun,
-  notRun,
+  createMayHaveRunError,
+  createNotRunError,
   refusalSchema,
   statementOutcomeSchema,
   type StatementOutcome,
@@ -15,7 +15,7 @@
 type StepBody = NonNullable<ForwardedStep['body']>;
 
 const toStreamLostRefusal = (error: Error): RefusalError =>
-  notRun(
+  createNotRunError(
     'transactionAborted',
     `the stream to the VM that runs the transaction was lost: ${error.message}`,
   );
@@ -37,7 +37,7 @@
       requestId: request.requestId,
       timeoutMs,
     };
-    const refuse = (error: Error): RefusalError => notRun('peerUnreachable', error.message);
+    const refuse = (error: Error): RefusalError => createNotRunError('peerUnreachable', error.message);
     return this.step({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
   }
 
@@ -52,7 +52,7 @@
     const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
       !wasStreamOpen || isNeverSent(error)
         ? toStreamLostRefusal(error)
-        : mayHaveRun('outcomeUnknown', error.message),
+        : createMayHaveRunError('outcomeUnknown', error.message),
     );
     this.stream.end();
     return outcome;
@@ -91,7 +91,7 @@
 ): Promise<Transaction> => {
   const timeoutMs = Math.max(1, Math.floor(request.deadlineAtMs - nowMs));
   const stream = await client.transact(timeoutMs).catch((error: Error) => {
-    throw notRun('peerUnreachable', error.message);
+    throw createNotRunError('peerUnreachable', error.message);
   });
   const transaction = new RemoteTransaction(stream);
   await transaction.begin(request, timeoutMs);
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -7,9 +7,9 @@
   type TransactionStep,
 } from '@auburngrade/caller';
 import {
-  checkStep,
+  acceptStep,
   decodeSessionToken,
-  notRun,
+  createNotRunError,
   toRefusal,
   type Refusal,
   type StatementOutcome,
@@ -151,12 +151,12 @@
   };
 
   const run = async ({ step, body }: TransactionStep): Promise<StatementOutcome> => {
-    progress = checkStep(progress, step, body?.$case);
+    progress = acceptStep(progress, step, body?.$case);
     if (body?.$case === 'begin') return begin(body.begin);
     if (openTransaction) recheck(openTransaction.request.profile, openTransaction.request.group);
-    if (keyRefusal) throw notRun(keyRefusal.code, keyRefusal.message);
+    if (keyRefusal) throw createNotRunError(keyRefusal.code, keyRefusal.message);
     if (!openTransaction)
-      throw notRun('transactionAborted', 'the transaction has been rolled back');
+      throw createNotRunError('transactionAborted', 'the transaction has been rolled back');
     if (body?.$case === 'statement') return runStatement(openTransaction, body.statement);
     const { transaction } = openTransaction;
     try {
--- a/packages/caller/src/createCallerClient.ts
+++ b/packages/caller/src/createCallerClient.ts
@@ -39,12 +39,12 @@
     transact: () => {
       const stream = client.transact(createMetadata(key));
       const matcher = createReplyMatcher<TransactionReply>();
-      stream.on('data', matcher.receive);
+      stream.on('data', matcher.resolveReply);
       stream.on('error', matcher.fail);
       stream.on('end', () => matcher.fail(new Error('transaction stream was ended by the VM')));
       return {
         step: (body: NonNullable<TransactionStep['body']>): Promise<TransactionReply> => {
-          const { step, reply } = matcher.next();
+          const { step, reply } = matcher.allocateStep();
           stream.write({ step, body });
           return reply;
         },
--- a/packages/coordination/src/outcome/requestRecord.ts
+++ b/packages/coordination/src/outcome/requestRow.ts
@@ -1,5 +1,5 @@
 /** Row of a request id in the request table of a primary. */
-interface RequestRecord {
+interface RequestRow {
   /** `run` is written in the statement's transaction, `cancelled` by a lookup that found no row. */
   state: 'run' | 'cancelled';
   /** The stored reply as JSON; null when none was stored. */
@@ -8,4 +8,4 @@
   fingerprint: string | null;
 }
 
-export default RequestRecord;
+export default RequestRow;
--- a/packages/coordination/src/outcome/judgeRequest.spec.ts
+++ b/packages/coordination/src/outcome/resolveRequestOutcome.spec.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
-import judgeRequest from './judgeRequest';
-import type RequestRecord from './requestRecord';
+import resolveRequestOutcome from './resolveRequestOutcome';
+import type RequestRow from './requestRow';
 
 const FINGERPRINT = 'same';
 
-const judgeFoundRow = (chosen: Partial<RequestRecord>, isHeld = true) =>
-  judgeRequest(
+const judgeFoundRow = (chosen: Partial<RequestRow>, isHeld = true) =>
+  resolveRequestOutcome(
     {
       kind: 'found',
       record: { state: 'run', result: '"answer"', fingerprint: FINGERPRINT, ...chosen },
@@ -14,14 +14,14 @@
     FINGERPRINT,
   );
 
-describe('judgeRequest', () => {
+describe('resolveRequestOutcome', () => {
   describe('without a row that a majority holds', () => {
     it('returns open when the primary was unreachable', () => {
-      expect(judgeRequest({ kind: 'unreachable' }, FINGERPRINT)).to.deep.equal({ kind: 'open' });
+      expect(resolveRequestOutcome({ kind: 'unreachable' }, FINGERPRINT)).to.deep.equal({ kind: 'open' });
     });
 
     it('returns open while no majority holds the cancellation', () => {
-      const judgement = judgeRequest({ kind: 'cancelledNow', isHeld: false }, FINGERPRINT);
+      const judgement = resolveRequestOutcome({ kind: 'cancelledNow', isHeld: false }, FINGERPRINT);
       expect(judgement).to.deep.equal({ kind: 'open' });
     });
 
@@ -34,7 +34,7 @@
 
   describe('with a row that a majority holds', () => {
     it('returns cancelled for a cancellation by this or an earlier lookup', () => {
-      const judgement = judgeRequest({ kind: 'cancelledNow', isHeld: true }, FINGERPRINT);
+      const judgement = resolveRequestOutcome({ kind: 'cancelledNow', isHeld: true }, FINGERPRINT);
       expect(judgement).to.deep.equal({ kind: 'cancelled' });
       expect(judgeFoundRow({ state: 'cancelled', result: null })).to.deep.equal({
         kind: 'cancelled',
--- a/packages/coordination/src/outcome/judgeRequest.ts
+++ b/packages/coordination/src/outcome/resolveRequestOutcome.ts
@@ -1,4 +1,4 @@
-import type RequestFinding from './requestFinding';
+import type RequestLookupResult from './requestLookupResult';
 
 type RequestResolution =
   | { kind: 'ran'; result: string | null }
@@ -12,7 +12,7 @@
  * rules out a later commit, as both rows would have the same key. Otherwise the outcome is
  * `open`: unknown until a later lookup.
  */
-const judgeRequest = (finding: RequestFinding, fingerprint: string): RequestResolution => {
+const resolveRequestOutcome = (finding: RequestLookupResult, fingerprint: string): RequestResolution => {
   if (finding.kind === 'unreachable' || !finding.isHeld) return { kind: 'open' };
   if (finding.kind === 'cancelledNow') return { kind: 'cancelled' };
   const { record } = finding;
@@ -23,4 +23,4 @@
   return { kind: 'ran', result: record.result };
 };
 
-export default judgeRequest;
+export default resolveRequestOutcome;
--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -6,7 +6,7 @@
   vm,
   dataCentre,
   incarnation: '1',
-  isHeard: true,
+  hasRecentHeartbeat: true,
   isSettled: true,
   isLeaving: false,
   isStrained: false,
@@ -58,7 +58,7 @@
   });
 
   it('excludes VMs that are unreachable or leaving', () => {
-    const vms = [view('a', 'waco', { isHeard: false }), view('b', 'waco', { isLeaving: true })];
+    const vms = [view('a', 'waco', { hasRecentHeartbeat: false }), view('b', 'waco', { isLeaving: true })];
     expect(chooseOwner('g', vms, new Map(), undefined)).to.equal(undefined);
   });
 
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -1,5 +1,5 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
-import countByDataCentre from './countByDataCentre';
+import countGroupsByDataCentre from './countGroupsByDataCentre';
 import type VmView from './vmView';
 
 /** Returns the VMs that meet the preference, or all of them when none does. */
@@ -20,7 +20,7 @@
   ownedCounts: ReadonlyMap<string, number>,
   primaryDataCentre: string | undefined,
 ): string | undefined => {
-  const available = vms.filter(({ isHeard, isLeaving }) => isHeard && !isLeaving);
+  const available = vms.filter(({ hasRecentHeartbeat, isLeaving }) => hasRecentHeartbeat && !isLeaving);
   const storeReachable = preferMatching(available, ({ isStoreReachable }) => isStoreReachable);
   const unstrained = preferMatching(storeReachable, ({ isStrained }) => !isStrained);
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
@@ -30,7 +30,7 @@
     leastLoaded,
     ({ dataCentre }) => dataCentre !== primaryDataCentre,
   );
-  const countsByDataCentre = countByDataCentre(vms, ownedCounts);
+  const countsByDataCentre = countGroupsByDataCentre(vms, ownedCounts);
   const dataCentreCountOf = ({ dataCentre }: VmView): number =>
     countsByDataCentre.get(dataCentre) ?? 0;
   const fewestInDataCentre = Math.min(...outsidePrimaryDataCentre.map(dataCentreCountOf));
--- a/packages/coordination/src/ownership/createPeerLease.spec.ts
+++ b/packages/coordination/src/ownership/createPeerLease.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import createHearing from './createHearing';
+import createPeerReporter from './createPeerReporter';
 import createPeerLease from './createPeerLease';
-import isOwnerGone from './isOwnerGone';
+import hasLostOwner from './hasLostOwner';
 import type VmView from './vmView';
 
 const LEASE_MS = 1_000;
@@ -13,33 +13,33 @@
 describe('createPeerLease', () => {
   it('is valid while half of the other VMs confirm a heartbeat sent within the lease time', () => {
     const lease = createPeerLease(LEASE_MS);
-    lease.send(7, at(0));
-    expect(lease.isHeld(['b', 'c'], at(10))).to.equal(false);
-    lease.confirm('b', 7);
-    expect(lease.isHeld(['b', 'c'], at(LEASE_MS - 1))).to.equal(true);
-    expect(lease.isHeld(['b', 'c'], at(LEASE_MS))).to.equal(false);
+    lease.recordSent(7, at(0));
+    expect(lease.isValid(['b', 'c'], at(10))).to.equal(false);
+    lease.recordConfirmation('b', 7);
+    expect(lease.isValid(['b', 'c'], at(LEASE_MS - 1))).to.equal(true);
+    expect(lease.isValid(['b', 'c'], at(LEASE_MS))).to.equal(false);
   });
 
   it('expires while the VM is suspended', () => {
     const lease = createPeerLease(LEASE_MS);
-    lease.send(1, at(0));
-    lease.confirm('b', 1);
-    expect(lease.isHeld(['b'], at(50, 3_000))).to.equal(false);
+    lease.recordSent(1, at(0));
+    lease.recordConfirmation('b', 1);
+    expect(lease.isValid(['b'], at(50, 3_000))).to.equal(false);
   });
 
   it('ignores confirmations of heartbeats that this process did not send', () => {
     const lease = createPeerLease(LEASE_MS);
-    lease.send(5, at(0));
-    lease.confirm('b', 4);
-    lease.confirm('c', 6);
-    expect(lease.isHeld(['b', 'c'], at(1))).to.equal(false);
+    lease.recordSent(5, at(0));
+    lease.recordConfirmation('b', 4);
+    lease.recordConfirmation('c', 6);
+    expect(lease.isValid(['b', 'c'], at(1))).to.equal(false);
   });
 
   it('ignores heartbeats sent before a given heartbeat', () => {
     const lease = createPeerLease(LEASE_MS);
-    lease.send(1, at(0));
-    lease.confirm('b', 1);
-    expect(lease.isHeld(['b'], at(1), 2)).to.equal(false);
+    lease.recordSent(1, at(0));
+    lease.recordConfirmation('b', 1);
+    expect(lease.isValid(['b'], at(1), 2)).to.equal(false);
   });
 
   describe('with seeded partitions and delays on each link', () => {
@@ -63,7 +63,7 @@
         heardWithinMs;
       const inFlight: { dueMs: number; run(): void }[] = [];
       const lease = createPeerLease(LEASE_MS);
-      const reportersByVm = new Map(names.map((vm) => [vm, createHearing(confirmationDelayMs)]));
+      const reportersByVm = new Map(names.map((vm) => [vm, createPeerReporter(confirmationDelayMs)]));
       const reportOn = (vm: string, other: string, nowMs: number): string =>
         reportersByVm.get(vm)?.state(other, hears(vm, other, nowMs), nowMs > 2_000, nowMs) ??
         'silent';
@@ -72,7 +72,7 @@
         inFlight.filter(({ dueMs }) => dueMs <= nowMs).forEach(({ run }) => run());
         inFlight.splice(0, inFlight.length, ...inFlight.filter(({ dueMs }) => dueMs > nowMs));
         if (nowMs % 250 === 0) {
-          lease.send(nowMs, at(nowMs));
+          lease.recordSent(nowMs, at(nowMs));
           const sentAtMs = nowMs;
           for (const from of names) {
             const heard = new Set(
@@ -92,7 +92,7 @@
                     heardAtMsByLink.set(link, sentAtMs);
                     if (from === 'a') ownerHeartbeatByVm.set(to, sentAtMs);
                     reportsByLink.set(link, { hears: heard, isSettled: sentAtMs > 2_000 });
-                    if (to === 'a') lease.confirm(from, confirmedOwnerHeartbeat);
+                    if (to === 'a') lease.recordConfirmation(from, confirmedOwnerHeartbeat);
                   },
                 });
               }
@@ -104,7 +104,7 @@
             vm,
             dataCentre: '',
             incarnation: '',
-            isHeard: vm === self || hears(self, vm, nowMs),
+            hasRecentHeartbeat: vm === self || hears(self, vm, nowMs),
             isSettled:
               vm === self
                 ? nowMs > 2_000
@@ -118,9 +118,9 @@
                 : (reportsByLink.get(linkKey(self, vm))?.hears ?? new Set(['a'])),
           }));
         const others = names.filter((vm) => vm !== 'a');
-        const isHeld = lease.isHeld(others, at(nowMs));
+        const isHeld = lease.isValid(others, at(nowMs));
         const owner = { vm: 'a', incarnation: '', isSettled: true };
-        if (isHeld && others.some((vm) => isOwnerGone(owner, viewFrom(vm)))) overlaps += 1;
+        if (isHeld && others.some((vm) => hasLostOwner(owner, viewFrom(vm)))) overlaps += 1;
       }
       return overlaps;
     };
--- a/packages/coordination/src/ownership/createPeerLease.ts
+++ b/packages/coordination/src/ownership/createPeerLease.ts
@@ -21,20 +21,20 @@
 
   return {
     /** Records the sending time of a heartbeat. */
-    send: (beat: number, now: ClockReadings): void => {
+    recordSent: (beat: number, now: ClockReadings): void => {
       sentAtByHeartbeat.set(beat, now);
       const [oldestHeartbeat] = sentAtByHeartbeat.keys();
       if (sentAtByHeartbeat.size > MAX_REMEMBERED_HEARTBEATS && oldestHeartbeat !== undefined)
         sentAtByHeartbeat.delete(oldestHeartbeat);
     },
     /** Records a confirmation; ignores heartbeats that are old or were not sent by this process. */
-    confirm: (vm: string, beat: number): void => {
+    recordConfirmation: (vm: string, beat: number): void => {
       const at = sentAtByHeartbeat.get(beat);
       if (at && (latestConfirmationByVm.get(vm)?.beat ?? -1) < beat)
         latestConfirmationByVm.set(vm, { beat, at });
     },
     /** Whether half of the others confirmed a heartbeat from `sinceBeat` on, sent within `leaseMs`. */
-    isHeld: (others: readonly string[], now: ClockReadings, sinceBeat = 0): boolean => {
+    isValid: (others: readonly string[], now: ClockReadings, sinceBeat = 0): boolean => {
       const confirming = others.filter((vm) => {
         const latest = latestConfirmationByVm.get(vm);
         return latest && latest.beat >= sinceBeat && elapsedMs(now, latest.at) < leaseMs;
--- a/packages/coordination/src/ownership/createHearing.ts
+++ b/packages/coordination/src/ownership/createPeerReporter.ts
@@ -5,7 +5,7 @@
  * Decides how this VM reports its peers in heartbeats. A peer reported silent is not confirmed for
  * `confirmationDelayMs` after it is heard again, since other VMs may still count the earlier report.
  */
-const createHearing = (confirmationDelayMs: number) => {
+const createPeerReporter = (confirmationDelayMs: number) => {
   const lastReportedSilentAtMs = new Map<string, number>();
 
   return {
@@ -27,4 +27,4 @@
   };
 };
 
-export default createHearing;
+export default createPeerReporter;
--- a/packages/coordination/src/ownership/isOwnerGone.ts
+++ b/packages/coordination/src/ownership/hasLostOwner.ts
@@ -12,15 +12,15 @@
  * of the other VMs receive no heartbeats from it. An owner that half of them still confirm stays; one
  * without these confirmations loses its peer lease, and so knows that it may be replaced.
  */
-const isOwnerGone = (owner: RecordedOwner, vms: readonly VmView[]): boolean => {
+const hasLostOwner = (owner: RecordedOwner, vms: readonly VmView[]): boolean => {
   const view = vms.find(({ vm }) => vm === owner.vm);
   if (view && view.incarnation !== owner.incarnation) return owner.isSettled;
-  if (view?.isHeard) return false;
+  if (view?.hasRecentHeartbeat) return false;
   const others = vms.filter(({ vm }) => vm !== owner.vm);
   const notHearingOwner = others.filter(
-    ({ isHeard, isSettled, hears }) => isHeard && isSettled && !hears.has(owner.vm),
+    ({ hasRecentHeartbeat, isSettled, hears }) => hasRecentHeartbeat && isSettled && !hears.has(owner.vm),
   );
   return notHearingOwner.length * 2 > others.length;
 };
 
-export default isOwnerGone;
+export default hasLostOwner;
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -4,7 +4,7 @@
   dataCentre: string;
   incarnation: string;
   /** A heartbeat arrived recently; always true for the VM itself. */
-  isHeard: boolean;
+  hasRecentHeartbeat: boolean;
   /** Its process has run long enough to detect that another VM is silent. */
   isSettled: boolean;
   isLeaving: boolean;
--- a/packages/coordination/src/placement/choosePlacement.spec.ts
+++ b/packages/coordination/src/placement/chooseStatementEndpoint.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import choosePlacement from './choosePlacement';
+import chooseStatementEndpoint from './chooseStatementEndpoint';
 import type MemberLoad from './memberLoad';
 
 const member = (id: string, changes: Partial<MemberLoad> = {}): MemberLoad => ({
@@ -7,13 +7,13 @@
   isPrimary: false,
   isLeaving: false,
   isDown: false,
-  underWay: 0,
+  activeStatements: 0,
   slots: 3,
   canConnect: true,
   hasIdleConnection: true,
   position: { term: 1, number: 10 },
   latencyMs: 25,
-  isPausedUntilMs: 0,
+  pausedUntilMs: 0,
   ...changes,
 });
 
@@ -24,21 +24,21 @@
   excluded: new Set<string>(),
 };
 const chooseId = (members: MemberLoad[], placement = read): string | undefined =>
-  choosePlacement(members, placement, 0)?.id;
+  chooseStatementEndpoint(members, placement, 0)?.id;
 
-describe('choosePlacement', () => {
+describe('chooseStatementEndpoint', () => {
   describe('for a read', () => {
     it('prefers a replica over the primary', () => {
       expect(chooseId([primary, member('r')])).to.equal('r');
     });
 
     it('chooses the primary when the replicas are much more loaded', () => {
-      expect(chooseId([primary, member('r', { underWay: 3 })])).to.equal('p');
+      expect(chooseId([primary, member('r', { activeStatements: 3 })])).to.equal('p');
     });
 
     it('prefers a replica that has caught up over one that lags', () => {
       const lagging = member('l', { position: { term: 1, number: 3 } });
-      expect(chooseId([lagging, member('r', { underWay: 1 })])).to.equal('r');
+      expect(chooseId([lagging, member('r', { activeStatements: 1 })])).to.equal('r');
     });
 
     it('chooses no replica while the required position is unknown', () => {
@@ -51,8 +51,8 @@
       const members = [
         member('a', { isDown: true }),
         member('b', { isLeaving: true }),
-        member('c', { isPausedUntilMs: 1 }),
-        member('d', { underWay: 4 }),
+        member('c', { pausedUntilMs: 1 }),
+        member('d', { activeStatements: 4 }),
         member('e', { canConnect: false }),
         member('f'),
       ];
@@ -62,7 +62,7 @@
 
   describe('for a statement that only the primary can serve', () => {
     it('chooses no endpoint while the primary is full', () => {
-      const full = member('p', { isPrimary: true, underWay: 4 });
+      const full = member('p', { isPrimary: true, activeStatements: 4 });
       expect(chooseId([full, member('r')], { ...read, needsPrimary: true })).to.equal(undefined);
     });
   });
@@ -78,17 +78,17 @@
           .filter(({ untilMs }) => untilMs <= nowMs)
           .forEach(({ id }) => {
             const ended = members.find((entry) => entry.id === id);
-            if (ended) ended.underWay -= 1;
+            if (ended) ended.activeStatements -= 1;
           });
         running.splice(0, running.length, ...running.filter(({ untilMs }) => untilMs > nowMs));
-        const chosenMember = choosePlacement(
+        const chosenMember = chooseStatementEndpoint(
           members,
           { ...read, needsPrimary: !withReplicas },
           nowMs,
         );
         const target = members.find(({ id }) => id === chosenMember?.id);
         if (target) {
-          target.underWay += 1;
+          target.activeStatements += 1;
           running.push({ id: target.id, untilMs: nowMs + 40 });
           count += 1;
         }
--- a/packages/coordination/src/placement/choosePlacement.ts
+++ b/packages/coordination/src/placement/chooseStatementEndpoint.ts
@@ -19,12 +19,12 @@
 const CONNECT_COST_SLOTS = 0.5;
 
 const canAcceptStatement = (
-  { underWay, slots, canConnect, isPausedUntilMs }: MemberLoad,
+  { activeStatements, slots, canConnect, pausedUntilMs }: MemberLoad,
   nowMs: number,
-) => underWay < slots + PIPELINED_STATEMENTS && canConnect && isPausedUntilMs <= nowMs;
+) => activeStatements < slots + PIPELINED_STATEMENTS && canConnect && pausedUntilMs <= nowMs;
 
 const estimateCost = (member: MemberLoad, placement: StatementPlacement): number => {
-  const load = (member.underWay + 1) / Math.max(1, member.slots);
+  const load = (member.activeStatements + 1) / Math.max(1, member.slots);
   const isLagging =
     placement.notBefore &&
     !member.isPrimary &&
@@ -47,7 +47,7 @@
  *
  * Load pattern: reads beyond the primary's capacity, replicas far behind, a slow endpoint.
  */
-const choosePlacement = (
+const chooseStatementEndpoint = (
   members: readonly MemberLoad[],
   placement: StatementPlacement,
   nowMs: number,
@@ -66,4 +66,4 @@
   );
 };
 
-export default choosePlacement;
+export default chooseStatementEndpoint;
--- a/packages/coordination/src/placement/compareUrgency.spec.ts
+++ b/packages/coordination/src/placement/compareUrgency.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import compareUrgency from './compareUrgency';
-import type WaitingWork from './waitingWork';
+import type QueuedStatement from './queuedStatement';
 
-const createWork = (changes: Partial<WaitingWork>): WaitingWork => ({
+const createWork = (changes: Partial<QueuedStatement>): QueuedStatement => ({
   isInTransaction: false,
   arrivedAtMs: 0,
   targetAtMs: 400,
@@ -28,14 +28,14 @@
   });
 
   describe('with the backlog of a two-second outage', () => {
-    type Order = (a: WaitingWork, b: WaitingWork, nowMs: number) => number;
+    type Order = (a: QueuedStatement, b: QueuedStatement, nowMs: number) => number;
 
     /** Simulates one server at 20 ms a statement, arrivals every 25 ms; returns how many met their target. */
     const countServedInTime = (order: Order): number => {
       const arrivals = Array.from({ length: 400 }, (_, index) =>
         createWork({ arrivedAtMs: index * 25, targetAtMs: index * 25 + 400 }),
       );
-      let waiting: WaitingWork[] = [];
+      let waiting: QueuedStatement[] = [];
       let inTime = 0;
       for (let nowMs = 2_000; nowMs < 10_000; nowMs += 20) {
         const tickAtMs = nowMs;
--- a/packages/coordination/src/placement/memberLoad.ts
+++ b/packages/coordination/src/placement/memberLoad.ts
@@ -1,20 +1,20 @@
 import type LogPosition from '../position/logPosition';
 
-/** Load and availability of an endpoint, as input of `choosePlacement`; times are in ms. */
+/** Load and availability of an endpoint, as input of `chooseStatementEndpoint`; times are in ms. */
 interface MemberLoad {
   id: string;
   isPrimary: boolean;
   isLeaving: boolean;
   isDown: boolean;
   /** Statements sent and not yet answered, and how many the endpoint executes concurrently. */
-  underWay: number;
+  activeStatements: number;
   slots: number;
   canConnect: boolean;
   hasIdleConnection: boolean;
   /** Log position last reported by the endpoint. */
   position: LogPosition | undefined;
   latencyMs: number;
-  isPausedUntilMs: number;
+  pausedUntilMs: number;
 }
 
 export default MemberLoad;
--- a/packages/coordination/src/placement/waitingWork.ts
+++ b/packages/coordination/src/placement/queuedStatement.ts
@@ -1,5 +1,5 @@
 /** A statement queued for a slot. Times are on this process's monotonic clock, in ms. */
-interface WaitingWork {
+interface QueuedStatement {
   /** Part of a transaction that already holds a connection. */
   isInTransaction: boolean;
   arrivedAtMs: number;
@@ -8,4 +8,4 @@
   priority: number;
 }
 
-export default WaitingWork;
+export default QueuedStatement;
--- a/packages/coordination/src/promotion/createPrimaryJudge.spec.ts
+++ b/packages/coordination/src/promotion/createPrimaryFailureDetector.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type TermRecord from '../configuration/termRecord';
-import createPrimaryJudge from './createPrimaryJudge';
+import createPrimaryFailureDetector from './createPrimaryFailureDetector';
 import type MemberView from './memberView';
 
 const TICK_MS = 100;
@@ -15,7 +15,7 @@
 
 /** Runs a detector on simulated time, polling members whose state the test sets. */
 const createDetectorHarness = () => {
-  const detector = createPrimaryJudge(TIMINGS);
+  const detector = createPrimaryFailureDetector(TIMINGS);
   const positions: Record<string, number> = { m1: 10, m2: 10, m3: 10 };
   const unansweredSinceMsByMember: Record<string, number> = {};
   let nowMs = 1_000;
@@ -40,7 +40,7 @@
 
   const assessNow = (record = RECORD) => {
     detector.observe(views(), nowMs);
-    return detector.judge(record);
+    return detector.assess(record);
   };
 
   return {
@@ -73,7 +73,7 @@
   };
 };
 
-describe('createPrimaryJudge', () => {
+describe('createPrimaryFailureDetector', () => {
   let harness: ReturnType<typeof createDetectorHarness>;
 
   beforeEach(() => {
@@ -164,7 +164,7 @@
     });
 
     it('doubles the time-out after a replacement for a stall', () => {
-      harness.detector.noteStallReplacement();
+      harness.detector.recordStallReplacement();
       expect(harness.run(5_900).reason).to.equal(undefined);
       expect(harness.run(200).reason).to.equal('unconfirmed');
     });
--- a/packages/coordination/src/promotion/createPrimaryJudge.ts
+++ b/packages/coordination/src/promotion/createPrimaryFailureDetector.ts
@@ -2,7 +2,7 @@
 import compareLogs from './compareLogs';
 import type FailoverTimings from './failoverTimings';
 import type MemberView from './memberView';
-import type PrimaryView from './primaryView';
+import type PrimaryHealth from './primaryHealth';
 
 /** Log end of the primary that a majority must reach. */
 interface Checkpoint {
@@ -19,7 +19,7 @@
   sinceOwnMs: number;
 }
 interface Assessment {
-  view: PrimaryView;
+  view: PrimaryHealth;
   reason: 'silent' | 'unconfirmed' | 'demoted' | undefined;
 }
 
@@ -42,7 +42,7 @@
  * up with its log, the symptom of a primary partitioned from its replicas. Periods are
  * measured in running time, which excludes pauses of this process.
  */
-const createPrimaryJudge = (timings: FailoverTimings) => {
+const createPrimaryFailureDetector = (timings: FailoverTimings) => {
   const unansweredPeriods = new Map<string, UnansweredPeriod>();
   let views: readonly MemberView[] = [];
   let lastObservedAtMs: number | undefined;
@@ -122,7 +122,7 @@
       views.forEach((view) => trackUnansweredPolls(view, nowMs, stepMs));
     },
     /** Assesses the record's primary by the last observation. */
-    judge: (record: TermRecord): Assessment => {
+    assess: (record: TermRecord): Assessment => {
       resetOnNewTerm(record);
       const primary = views.find(({ member }) => member === record.primary);
       if (!primary) return { view: 'unknown', reason: undefined };
@@ -134,7 +134,7 @@
       return { view: hasAnswered ? 'present' : 'unknown', reason: undefined };
     },
     /** Doubles the stall time-out after a replacement, so that slow replicas cause few replacements. */
-    noteStallReplacement: (): void => {
+    recordStallReplacement: (): void => {
       stallDoublings = Math.min(MAX_STALL_DOUBLINGS, stallDoublings + 1);
     },
     /** Whether a member has answered a poll, and no poll has been unanswered for `suspectAfterMs`. */
@@ -142,4 +142,4 @@
   };
 };
 
-export default createPrimaryJudge;
+export default createPrimaryFailureDetector;
--- a/packages/coordination/src/promotion/createPromotion.ts
+++ b/packages/coordination/src/promotion/createPromotion.ts
@@ -156,8 +156,8 @@
   return {
     term,
     phase: () => phase,
-    chosen: () => newPrimary,
-    isOver: () => phase === 'done' || phase === 'abandoned',
+    getNewPrimary: () => newPrimary,
+    isFinished: () => phase === 'done' || phase === 'abandoned',
     handle: (event: PromotionEvent, nowMs: number): PromotionAction[] => {
       if (phase === 'done' || phase === 'abandoned') return [];
       switch (event.kind) {
--- a/packages/coordination/src/promotion/createFollowRepair.ts
+++ b/packages/coordination/src/promotion/createReplicationRepair.ts
@@ -20,7 +20,7 @@
  * under an older term, and those that lag behind the primary without progress. The delay
  * doubles each time, since `follow` restarts the replication that a slow replica has begun.
  */
-const createFollowRepair = () => {
+const createReplicationRepair = () => {
   const progressByMember = new Map<string, ReplicaProgress>();
 
   const isOutOfSync = (
@@ -62,7 +62,7 @@
 
   return {
     /** Returns the members to which the caller must send `follow` for the record's primary. */
-    due: (record: TermRecord, views: readonly MemberView[]): string[] => {
+    listMembersToRepair: (record: TermRecord, views: readonly MemberView[]): string[] => {
       const primary = views.find(({ member }) => member === record.primary);
       if (record.state !== 'active' || primary?.status?.role !== 'primary') return [];
       if (primary.unansweredSinceMs !== undefined) return [];
@@ -78,4 +78,4 @@
   };
 };
 
-export default createFollowRepair;
+export default createReplicationRepair;
--- a/packages/coordination/src/promotion/isReplacementAgreed.spec.ts
+++ b/packages/coordination/src/promotion/isReplacementAgreed.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import isReplacementAgreed from './isReplacementAgreed';
-import type PrimaryView from './primaryView';
+import type PrimaryHealth from './primaryHealth';
 
 describe('isReplacementAgreed', () => {
-  const cases: [PrimaryView[], boolean][] = [
+  const cases: [PrimaryHealth[], boolean][] = [
     [[], true],
     [['unknown', 'unknown'], true],
     [['gone', 'unknown'], true],
--- a/packages/coordination/src/promotion/primaryView.ts
+++ b/packages/coordination/src/promotion/primaryHealth.ts
@@ -2,6 +2,6 @@
  * One VM's assessment of a group's primary: `gone` when it should be replaced, `unknown`
  * while polls give too little evidence.
  */
-type PrimaryView = 'present' | 'gone' | 'unknown';
+type PrimaryHealth = 'present' | 'gone' | 'unknown';
 
-export default PrimaryView;
+export default PrimaryHealth;
--- a/packages/coordination/src/promotion/promotion.spec.ts
+++ b/packages/coordination/src/promotion/promotion.spec.ts
@@ -251,7 +251,7 @@
   };
 
   const start = (vm: ModelVm, shape: number): void => {
-    if (vm.promotion && !vm.promotion.isOver()) return;
+    if (vm.promotion && !vm.promotion.isFinished()) return;
     const { record, revision } = vm;
     const incarnation = vm.incarnation + 1;
     const promotion = createPromotion({
--- a/packages/coordination/src/session/decodeSessionToken.ts
+++ b/packages/coordination/src/session/decodeSessionToken.ts
@@ -1,4 +1,4 @@
-import notRun from '../verdict/notRun';
+import createNotRunError from '../verdict/createNotRunError';
 import type SessionToken from './sessionToken';
 import sessionTokenSchema from './sessionTokenSchema';
 
@@ -19,10 +19,10 @@
 const decodeSessionToken = (encoded: string): SessionToken => {
   if (encoded === '') return {};
   if (encoded.length > MAX_TOKEN_LENGTH_CHARS)
-    throw notRun('badSessionToken', 'session token exceeds 8192 characters');
+    throw createNotRunError('badSessionToken', 'session token exceeds 8192 characters');
   const parsed = sessionTokenSchema.safeParse(parseToken(encoded));
   if (!parsed.success)
-    throw notRun(
+    throw createNotRunError(
       'badSessionToken',
       'session token is malformed: not base64url of the expected JSON',
     );
--- a/packages/coordination/src/shutdown/createWorkTracker.ts
+++ b/packages/coordination/src/shutdown/createWorkTracker.ts
@@ -1,4 +1,4 @@
-import notRun from '../verdict/notRun';
+import createNotRunError from '../verdict/createNotRunError';
 
 type Phase = 'serving' | 'draining' | 'stopped';
 
@@ -21,11 +21,11 @@
 
   return {
     phase: () => phase,
-    openCount: () => openCount,
+    getActiveCount: () => openCount,
     /** Counts one work item until the returned function is called. @throws RefusalError `shuttingDown` */
-    enter: (): (() => void) => {
+    startWork: (): (() => void) => {
       if (phase !== 'serving') {
-        throw notRun('shuttingDown', 'the VM is shutting down', RETRY_AFTER_MS);
+        throw createNotRunError('shuttingDown', 'the VM is shutting down', RETRY_AFTER_MS);
       }
       openCount += 1;
       let isFinished = false;
--- a/packages/coordination/src/transaction/checkStep.ts
+++ b/packages/coordination/src/transaction/acceptStep.ts
@@ -1,4 +1,4 @@
-import notRun from '../verdict/notRun';
+import createNotRunError from '../verdict/createNotRunError';
 import type StepKind from './stepKind';
 import type TransactionProgress from './transactionProgress';
 
@@ -10,19 +10,19 @@
  * numbers have no gaps, the first step is `begin`, and no step may follow a commit or rollback.
  * @throws RefusalError `badRequest` or `transactionAborted`; the step has no effect.
  */
-const checkStep = (
+const acceptStep = (
   progress: TransactionProgress,
   step: number,
   kind: StepKind | undefined,
 ): TransactionProgress => {
   if (step !== progress.lastStep + 1) {
-    throw notRun('badRequest', `step ${step} is out of order after step ${progress.lastStep}`);
+    throw createNotRunError('badRequest', `step ${step} is out of order after step ${progress.lastStep}`);
   }
-  if (kind === undefined) throw notRun('badRequest', 'the transaction step has no content');
-  if (progress.phase === 'ended') throw notRun('transactionAborted', 'the transaction has ended');
+  if (kind === undefined) throw createNotRunError('badRequest', 'the transaction step has no content');
+  if (progress.phase === 'ended') throw createNotRunError('transactionAborted', 'the transaction has ended');
   const isBeginExpected = progress.phase === 'new';
   if (isBeginExpected !== (kind === 'begin')) {
-    throw notRun(
+    throw createNotRunError(
       'badRequest',
       isBeginExpected ? 'the first step must be a begin' : 'the transaction has already begun',
     );
@@ -30,4 +30,4 @@
   return { phase: phaseAfter(kind), lastStep: step };
 };
 
-export default checkStep;
+export default acceptStep;
--- a/packages/coordination/src/transaction/createReplyMatcher.ts
+++ b/packages/coordination/src/transaction/createReplyMatcher.ts
@@ -13,7 +13,7 @@
   let streamError: Error | undefined;
   return {
     /** Allocates the next step number and returns it with a promise of the reply. */
-    next: (): { step: number; reply: Promise<Reply> } => {
+    allocateStep: (): { step: number; reply: Promise<Reply> } => {
       lastStep += 1;
       const step = lastStep;
       const reply = new Promise<Reply>((resolve, reject) => {
@@ -22,12 +22,12 @@
       });
       return { step, reply };
     },
-    receive: (reply: Reply): void => {
+    resolveReply: (reply: Reply): void => {
       pendingReplies.get(reply.step)?.resolve(reply);
       pendingReplies.delete(reply.step);
     },
     /** Whether the stream has failed: a step sent now would certainly not arrive. */
-    isLost: (): boolean => streamError !== undefined,
+    hasFailed: (): boolean => streamError !== undefined,
     fail: (error: Error): void => {
       streamError ??= error;
       pendingReplies.forEach(({ reject }) => reject(error));
--- a/packages/platform/src/createEtcdPlatform.ts
+++ b/packages/platform/src/createEtcdPlatform.ts
@@ -5,7 +5,7 @@
   type ChannelCredentials,
   type ServiceError,
 } from '@grpc/grpc-js';
-import { notRun, type ConfigurationEntry } from '@auburngrade/coordination';
+import { createNotRunError, type ConfigurationEntry } from '@auburngrade/coordination';
 import type ConditionalWrite from './conditionalWrite';
 import {
   Compare,
@@ -123,7 +123,7 @@
     return new Promise((resolve, reject) => {
       kv.range(request, new Metadata(), { deadline }, (error, response) => {
         if (error) this.replaceAfterTimeout(kv, error);
-        if (error) reject(notRun('platformUnavailable', error.details));
+        if (error) reject(createNotRunError('platformUnavailable', error.details));
         else resolve(response);
       });
     });
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -1,4 +1,4 @@
-import { createHearing, createPeerLease, type VmView } from '@auburngrade/coordination';
+import { createPeerReporter, createPeerLease, type VmView } from '@auburngrade/coordination';
 import type { FleetDocument, Heartbeat, Hello } from '../generated/auburngrade/session/v1/session';
 import createPeerLink from '../link/createPeerLink';
 import type PeerLink from '../link/peerLink';
@@ -68,7 +68,7 @@
   const startedAtMs = nowMs();
   const peers = new Map<string, Peer>();
   const peerLease = createPeerLease(PEER_LEASE_MS);
-  const silenceTracker = createHearing(SILENCE_REPORT_HOLD_MS);
+  const silenceTracker = createPeerReporter(SILENCE_REPORT_HOLD_MS);
   // Starts above the numbers of any earlier process of this VM, so that confirmations of those are void.
   let lastHeartbeatNumber = Math.floor(wallMs());
   let isLeaving = false;
@@ -130,7 +130,7 @@
     peer.isLeaving = heartbeat.isLeaving;
     peer.isStrained = heartbeat.isStrained;
     peer.isStoreReachable = heartbeat.isStoreReachable;
-    peerLease.confirm(vm, heartbeat.confirmedBeat);
+    peerLease.recordConfirmation(vm, heartbeat.confirmedBeat);
     options.onRateUsage(vm, heartbeat.incarnation, heartbeat.spending);
     peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
     pushMissingDocuments(peer);
@@ -222,7 +222,7 @@
         vm: self.vm,
         dataCentre: self.dataCentre,
         incarnation: self.incarnation,
-        isHeard: true,
+        hasRecentHeartbeat: true,
         isSettled: isSettled(),
         isLeaving,
         isStrained,
@@ -233,7 +233,7 @@
         vm,
         dataCentre: peer.registration.dataCentre,
         incarnation: peer.incarnation,
-        isHeard: isHeard(peer),
+        hasRecentHeartbeat: isHeard(peer),
         isSettled: peer.isSettled,
         isLeaving: peer.isLeaving,
         isStrained: peer.isStrained,
@@ -270,14 +270,14 @@
     /** Returns the number of the next heartbeat and records its sending time for the peer lease. */
     nextHeartbeatNumber: (): number => {
       lastHeartbeatNumber += 1;
-      peerLease.send(lastHeartbeatNumber, readClocks());
+      peerLease.recordSent(lastHeartbeatNumber, readClocks());
       return lastHeartbeatNumber;
     },
     lastHeartbeatNumber: () => lastHeartbeatNumber,
     isSettled,
     /** Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. */
     holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
-      peerLease.isHeld([...peers.keys()], readClocks(), sinceHeartbeatNumber),
+      peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
     /** Whether any peer reported a newer revision of the document than the one known here. */
     isNewerKnownElsewhere: (key: string): boolean => {
       const own = documents.get(key)?.revision ?? 0;
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -9,7 +9,7 @@
   vm,
   dataCentre: 'waco',
   incarnation: `${vm}-1`,
-  isHeard: true,
+  hasRecentHeartbeat: true,
   isSettled: true,
   isLeaving: false,
   isStrained: false,
@@ -37,7 +37,7 @@
   };
   const fleet = {
     vms: () => state.vms,
-    isHeard: (vm: string) => state.vms.some((entry) => entry.vm === vm && entry.isHeard),
+    isHeard: (vm: string) => state.vms.some((entry) => entry.vm === vm && entry.hasRecentHeartbeat),
     holdsPeerLease: () => state.holdsPeerLease,
     isNewerKnownElsewhere: () => state.isNewerKnownElsewhere,
     isKnownByMajority: () => state.isKnownByMajority,
@@ -217,7 +217,7 @@
       fixture.ownership.markRecordsListed();
       fixture.storeAndCacheRecord('lots', fixture.record('b'));
       fixture.clock.ms += 1_000;
-      fixture.state.vms = [createVmView('a'), createVmView('b', { isHeard: false })];
+      fixture.state.vms = [createVmView('a'), createVmView('b', { hasRecentHeartbeat: false })];
     });
 
     it('replaces its primary only after the confirmation of the previous owner has expired', async () => {
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,7 +1,7 @@
 import {
   chooseOwner,
-  countByDataCentre,
-  isOwnerGone,
+  countGroupsByDataCentre,
+  hasLostOwner,
   type VmView,
 } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
@@ -81,7 +81,7 @@
   const isOwnerLost = (group: string, { owner, incarnation }: GroupRecord): boolean => {
     const sinceMs = documents.get(toGroupKey(group))?.knownSinceMs ?? nowMs();
     const isSettled = owner === self.vm || nowMs() - sinceMs > RECORD_GRACE_MS;
-    return isOwnerGone({ vm: owner, incarnation, isSettled }, fleet.vms());
+    return hasLostOwner({ vm: owner, incarnation, isSettled }, fleet.vms());
   };
 
   /**
@@ -226,7 +226,7 @@
     eligibleVms: readonly VmView[],
   ): string | undefined => {
     const now = nowMs();
-    const countByCentre = countByDataCentre(fleet.vms(), counts);
+    const countByCentre = countGroupsByDataCentre(fleet.vms(), counts);
     const countInDataCentre = (dataCentre: string): number => countByCentre.get(dataCentre) ?? 0;
     const isPrimaryInOwnDataCentre = (group: string): boolean =>
       options.primaryDataCentre(group) === self.dataCentre;
@@ -259,7 +259,7 @@
     const ownedGroups = groups.filter(isOwnedHere);
     const eligibleVms = fleet
       .vms()
-      .filter((view) => view.isHeard && view.isSettled && !view.isLeaving)
+      .filter((view) => view.hasRecentHeartbeat && view.isSettled && !view.isLeaving)
       .filter((view) => view.isStoreReachable && !view.isStrained);
     const leastOwned = Math.min(...eligibleVms.map(({ vm }) => counts.get(vm) ?? 0));
     const isDue = fleet.isStrained()
@@ -364,7 +364,7 @@
         const previousOwner = record?.owner;
         const hasOwnerReturned =
           !(record && isOwnerStalled(group, record)) &&
-          vms.some(({ vm, isHeard, isLeaving }) => vm === previousOwner && isHeard && !isLeaving);
+          vms.some(({ vm, hasRecentHeartbeat: isHeard, isLeaving }) => vm === previousOwner && isHeard && !isLeaving);
         const actingVm = actingSinceHeartbeat.has(group) ? self.vm : fleet.findActingVm(group);
         const owner =
           actingVm ??
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,5 +1,5 @@
 import {
-  choosePlacement,
+  chooseStatementEndpoint,
   compareUrgency,
   createPositionHistory,
   laterPosition,
@@ -493,7 +493,7 @@
         return true;
       }
       const load = transaction.pool.getLoad(call.account, true);
-      if (load.underWay > load.slots || load.isPausedUntilMs > nowMs()) return false;
+      if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
       start(entry, transaction.pool, () => runInTransaction(entry, transaction));
       return true;
     }
@@ -510,7 +510,7 @@
         )
       : loads;
     const notBefore = needsPrimary ? undefined : getRequiredPosition(entry);
-    const chosenLoad = choosePlacement(
+    const chosenLoad = chooseStatementEndpoint(
       eligibleLoads,
       { needsPrimary, notBefore, excluded: entry.excludedEndpointIds },
       nowMs(),
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -256,7 +256,7 @@
         hasIdleConnection,
         position,
         latencyMs,
-        isPausedUntilMs: pausedUntilMs,
+        pausedUntilMs,
       };
     },
     /** Whether another statement may be sent: one per slot, plus one to hide network latency. */
--- a/packages/sessions/src/group/pendingStatement.ts
+++ b/packages/sessions/src/group/pendingStatement.ts
@@ -1,9 +1,9 @@
-import type { WaitingWork } from '@auburngrade/coordination';
+import type { QueuedStatement } from '@auburngrade/coordination';
 import type { GroupCall } from '../generated/auburngrade/session/v1/session';
 import type CallOutcome from './callOutcome';
 
 /** A statement at the VM that owns its group, from arrival until its outcome. */
-interface PendingStatement extends WaitingWork {
+interface PendingStatement extends QueuedStatement {
   /** `vm@incarnation` of the process that sent the call. */
   senderId: string;
   call: GroupCall;
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -70,7 +70,7 @@
         deadline: Date.now() + timeoutMs + DEADLINE_MARGIN_MS,
       });
       const matcher = createReplyMatcher<ForwardedReply>();
-      stream.on('data', matcher.receive);
+      stream.on('data', matcher.resolveReply);
       stream.on('error', matcher.fail);
       stream.on('end', () =>
         matcher.fail(new Error('transaction stream was ended by the other VM')),
@@ -81,11 +81,11 @@
           body: NonNullable<ForwardedStep['body']>,
           onSilent?: () => void,
         ): Promise<ForwardedReply> => {
-          const { step, reply } = matcher.next();
-          if (!matcher.isLost()) stream.write({ step, body });
+          const { step, reply } = matcher.allocateStep();
+          if (!matcher.hasFailed()) stream.write({ step, body });
           return livenessProbe.track(() => reply, onSilent);
         },
-        isLost: matcher.isLost,
+        isLost: matcher.hasFailed,
         end: (): void => {
           stream.end();
         },
