--- a/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
@@ -34,7 +34,7 @@
 
   const writeRecord = async (name: string, record: QuotaRecord): Promise<string> => {
     const key = documentKinds.share.prefix + name;
-    const expectedRevision = configuration.revisionOf('share', name) ?? 0;
+    const expectedRevision = configuration.getDocumentRevision('share', name) ?? 0;
     const put = { key, valueJson: JSON.stringify(record), expectedRevision };
     const outcome = await platform.compareAndSwap([put], timeoutMs);
     if (outcome.kind === 'applied') {
@@ -67,7 +67,7 @@
       const former = activeAllocators.filter(
         (other) => ![NO_ALLOCATOR, vm, expiredVm].includes(other),
       );
-      const registeredVms = configuration.names('vm').slice(0, MAX_INITIAL_CONSUMERS);
+      const registeredVms = configuration.listNames('vm').slice(0, MAX_INITIAL_CONSUMERS);
       const epoch = (record?.epoch ?? 0) + 1;
       // An earlier process of this VM has ended and holds no units.
       const unreportedVms = new Set(earlierVms.filter((other) => ![vm, expiredVm].includes(other)));
--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -1,10 +1,10 @@
 import {
   createPeerHealth,
-  createSourceReturn,
+  createSourceFailback,
   isRelay,
-  relayRank,
-  sourcesElsewhere,
-  sourcesInRank,
+  rankRelays,
+  rankRemoteSources,
+  rankLocalSources,
   type ConfigurationState,
 } from '@auburngrade/coordination';
 import type { Platform } from '@auburngrade/platform';
@@ -46,7 +46,7 @@
 const createConfigurationDistribution = (options: ConfigurationDistributionOptions) => {
   const { settings, configuration, addresses, nowMs } = options;
   const peerHealth = createPeerHealth();
-  const sourceReturn = createSourceReturn(SOURCE_RETURN_DELAY_MS * (1 + Math.random()));
+  const sourceReturn = createSourceFailback(SOURCE_RETURN_DELAY_MS * (1 + Math.random()));
   const startedAtMs = nowMs();
   const peerWaitMs = INITIAL_PEER_WAIT_MS * (1 + Math.random());
   const isSeedVm = settings.peers.includes(`${settings.host}:${settings.vmPort}`);
@@ -57,7 +57,7 @@
     [...configuration.list('vm')]
       .filter(([, { state }]) => state === 'live')
       .forEach(([id, { dataCentre }]) => ids.set(dataCentre, [...(ids.get(dataCentre) ?? []), id]));
-    return new Map([...ids].map(([dataCentre, vms]) => [dataCentre, relayRank(vms, dataCentre)]));
+    return new Map([...ids].map(([dataCentre, vms]) => [dataCentre, rankRelays(vms, dataCentre)]));
   });
 
   const listOwnRanking = (): string[] => listRankings().get(settings.dataCentre) ?? [];
@@ -90,10 +90,10 @@
   };
 
   const listLocalSources = createVmListCache(configuration, () =>
-    sourcesInRank(settings.vm, listOwnRanking()),
+    rankLocalSources(settings.vm, listOwnRanking()),
   );
   const listRemoteSources = createVmListCache(configuration, () =>
-    sourcesElsewhere(settings.vm, settings.dataCentre, listRankings()),
+    rankRemoteSources(settings.vm, settings.dataCentre, listRankings()),
   );
 
   const listSources = (): string[] => {
--- a/packages/auburngrade/src/configuration/createDocumentWriter.ts
+++ b/packages/auburngrade/src/configuration/createDocumentWriter.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from 'node:crypto';
 import {
-  changeIdsOf,
-  documentIn,
+  parseChangeIds,
+  parseStoredDocument,
   documentKinds,
   createNotRunError,
-  toStoredValue,
+  buildStoredValue,
   type ConfigurationEntry,
   type DocumentKind,
 } from '@auburngrade/coordination';
@@ -45,7 +45,7 @@
 const createConflictChange = (current: ConfigurationEntry | undefined): Change => {
   if (current?.valueJson === undefined)
     return createRefusedChange('conflict', 'the document does not exist');
-  const document = JSON.stringify(documentIn(current.valueJson));
+  const document = JSON.stringify(parseStoredDocument(current.valueJson));
   const message = `the document is at revision ${current.modRevision}: ${document}`;
   return { ...createRefusedChange('conflict', message), revision: current.modRevision };
 };
@@ -74,7 +74,7 @@
       if (outcome.kind === 'applied') return createAppliedChange(outcome.revision);
       if (outcome.kind === 'conflict') {
         const [current] = outcome.current;
-        const isOwnChange = changeIdsOf(current?.valueJson).includes(changeId);
+        const isOwnChange = parseChangeIds(current?.valueJson).includes(changeId);
         const isDeleted = isOutcomeUnknown && put.valueJson === undefined && !current;
         if (isOwnChange || isDeleted)
           return createAppliedChange(current?.modRevision ?? outcome.revision);
@@ -105,14 +105,14 @@
       const key = documentKinds[kind].prefix + name;
       const current = await readEntry(kind, name);
       const currentRevision = current?.modRevision ?? 0;
-      if (changeIdsOf(current?.valueJson).includes(changeId))
+      if (parseChangeIds(current?.valueJson).includes(changeId))
         return createAppliedChange(currentRevision);
       if (expectedRevision !== ANY_REVISION && expectedRevision !== currentRevision) {
         return createConflictChange(current);
       }
       if (document === undefined && !current) return createConflictChange(undefined);
       const valueJson =
-        document === undefined ? undefined : toStoredValue(document, changeId, current?.valueJson);
+        document === undefined ? undefined : buildStoredValue(document, changeId, current?.valueJson);
       return swapUntilResolved({ key, valueJson, expectedRevision: currentRevision }, changeId);
     },
     /** Finds the only key whose hash starts with the id. @throws RefusalError `badRequest` or `platformUnavailable` */
@@ -126,7 +126,7 @@
         throw createNotRunError('badRequest', `key id ${keyId} does not match exactly one key`);
       return {
         hash: entry.key.slice(prefix.length),
-        document: documentIn(entry.valueJson),
+        document: parseStoredDocument(entry.valueJson),
         revision: entry.modRevision,
       };
     },
--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -1,5 +1,5 @@
 import {
-  membersToPoll,
+  listMembersToPoll,
   type ConfigurationState,
   type Group,
   type Member,
@@ -94,11 +94,11 @@
 
   const activeMembers = activeMemberNames(group);
   const pollDueMembers = (): void =>
-    membersToPoll({
+    listMembersToPoll({
       record: record(),
       activeMembers,
       views: views(),
-      usedAtMs,
+      lastRequestAtMs: usedAtMs,
       nowMs: nowMs(),
     }).forEach((member) => pollers.get(member)?.poll());
 
--- a/packages/auburngrade/src/keys/createKeyFreshness.ts
+++ b/packages/auburngrade/src/keys/createKeyFreshness.ts
@@ -1,11 +1,11 @@
 import {
-  isMajorityOf,
-  isVouched,
-  outageProvenAtMs,
-  reachReportSchema,
-  witnessesOf,
+  containsMajorityOf,
+  isKeyConfigurationFresh,
+  computeOutageProvenAtMs,
+  platformReachReportSchema,
+  chooseWriteWitnesses,
   type ConfigurationState,
-  type ReachReport,
+  type PlatformReachReport,
 } from '@auburngrade/coordination';
 import { z } from 'zod';
 import type Settings from '../settings/settings';
@@ -67,7 +67,7 @@
     noticedAtMs = nowMs();
   };
 
-  const buildReport = (): ReachReport => {
+  const buildReport = (): PlatformReachReport => {
     const reachedAgeMs = nowMs() - lastPlatformContactAtMs();
     return {
       reachedAgeMs: Number.isFinite(reachedAgeMs) ? reachedAgeMs : null,
@@ -81,14 +81,14 @@
     configuration.list('vm').forEach(({ dataCentre, state }, id) => {
       if (state === 'live') vms.set(dataCentre, [...(vms.get(dataCentre) ?? []), id]);
     });
-    return new Map([...vms].map(([name, ids]) => [name, witnessesOf(ids, name)]));
+    return new Map([...vms].map(([name, ids]) => [name, chooseWriteWitnesses(ids, name)]));
   });
 
   const requestReport = async (witness: string) => {
     const askedAtMs = nowMs();
     if (witness === settings.vm) return { witness, askedAtMs, report: buildReport() };
     const reply = await exchange(witness, REACH_REPORT_KIND, {}, POLL_TIMEOUT_MS);
-    return { witness, askedAtMs, report: reachReportSchema.parse(reply) };
+    return { witness, askedAtMs, report: platformReachReportSchema.parse(reply) };
   };
 
   const pollWitnesses = async (): Promise<void> => {
@@ -99,7 +99,7 @@
       [...witnessesByDataCentre.values()].flat().map(requestReport),
     );
     const reports = settled.flatMap((item) => (item.status === 'fulfilled' ? [item.value] : []));
-    const provenAtMs = outageProvenAtMs(witnessesByDataCentre, reports, configuration.revision());
+    const provenAtMs = computeOutageProvenAtMs(witnessesByDataCentre, reports, configuration.revision());
     outageAtMs = Math.max(outageAtMs, provenAtMs ?? Number.NEGATIVE_INFINITY);
   };
 
@@ -132,7 +132,7 @@
           notifiedVms.add(id);
         }),
     );
-    return isMajorityOf(notifiedVms, localWitnesses);
+    return containsMajorityOf(notifiedVms, localWitnesses);
   };
 
   /** Latest time at which this VM can prove that its configuration was complete. */
@@ -153,7 +153,7 @@
     stop: (): void => clearTimeout(pollTimer),
     areKeysFresh: (): boolean =>
       settings.keys.whenUnvouched === 'serve' ||
-      isVouched(
+      isKeyConfigurationFresh(
         { nowMs: nowMs(), confirmedAtMs: confirmedAtMs(), outageAtMs },
         settings.keys.maxUnconfirmedMs,
       ),
--- a/packages/auburngrade/src/membership/createVmListCache.spec.ts
+++ b/packages/auburngrade/src/membership/createVmListCache.spec.ts
@@ -31,7 +31,7 @@
     let computations = 0;
     const view = createVmListCache(configuration, () => {
       computations += 1;
-      return configuration.names('vm');
+      return configuration.listNames('vm');
     });
     expect([view(), view()]).to.deep.equal([['waco-1'], ['waco-1']]);
     configuration.applyChanges(2, [createAccountEntry(2)]);
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -42,7 +42,7 @@
   dueSinceMs: number,
 ): PromotionRun => {
   const { groupClient, promoter, configuration, control, writer, logger, nowMs } = options;
-  const revision = configuration.revisionOf('term', groupClient.name) ?? 0;
+  const revision = configuration.getDocumentRevision('term', groupClient.name) ?? 0;
   const plan = createPromotionPlan(groupClient, record, revision, promoter, reason);
   const startedAtMs = nowMs();
   const trace = `${groupClient.name}/${plan.term}/${promoter}`;
--- a/packages/auburngrade/src/promotion/createTermRecordWriter.ts
+++ b/packages/auburngrade/src/promotion/createTermRecordWriter.ts
@@ -65,7 +65,7 @@
     }
     if (outcome.kind === 'conflict') return toWriteOutcome(outcome.current[0], record);
     if (isAlreadyObserved(record)) {
-      return { kind: 'written', revision: configuration.revisionOf('term', group) ?? 0 };
+      return { kind: 'written', revision: configuration.getDocumentRevision('term', group) ?? 0 };
     }
     const found = await readEntry().catch(() => undefined);
     if (!found || found.modRevision === expectedRevision) return undefined;
--- a/packages/auburngrade/src/routing/createFreshnessTracker.ts
+++ b/packages/auburngrade/src/routing/createFreshnessTracker.ts
@@ -1,4 +1,4 @@
-import { addWatermark, confirmWatermark, type Watermark } from '@auburngrade/coordination';
+import { addWatermark, deriveWatermark, type Watermark } from '@auburngrade/coordination';
 import type GroupClient from '../groups/groupClient';
 
 const OBSERVE_INTERVAL_MS = 500;
@@ -11,7 +11,7 @@
     const known = watermarksByGroup.get(groupClient.name) ?? [];
     const record = groupClient.record();
     const names = groupClient.group.members.map(({ name }) => name);
-    const watermark = record && confirmWatermark(groupClient.statuses(), names, record);
+    const watermark = record && deriveWatermark(groupClient.statuses(), names, record);
     if (!watermark) return known;
     const watermarks = addWatermark(known, watermark);
     watermarksByGroup.set(groupClient.name, watermarks);
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -1,11 +1,11 @@
 import {
   chooseEndpoint,
-  memberAgeMs,
+  computeMaxMemberAgeMs,
   createNotRunError,
   profileSchema,
   type ConfigurationState,
   type Profile,
-  type ReadState,
+  type ReadContext,
   type ReadTarget,
   type TransactionRequest,
 } from '@auburngrade/coordination';
@@ -49,7 +49,7 @@
     groupClient: GroupClient,
     request: TransactionRequest,
     { freshness, endpoints }: ReadPolicy,
-  ): ReadState => {
+  ): ReadContext => {
     const record = groupClient.record();
     if (!record)
       throw createNotRunError('noPrimary', `group ${groupClient.name} has no term record yet`, RETRY_AFTER_MS);
@@ -58,7 +58,7 @@
       members: groupClient.group.members,
       statuses: groupClient.statuses(),
       watermarks: freshnessTracker.observe(groupClient),
-      tokenEntry: request.sessionToken[request.group],
+      sessionPosition: request.sessionToken[request.group],
       freshness,
       maxLagPositions: endpoints.joinMaxLagPositions,
       dataCentre: options.dataCentre,
@@ -72,7 +72,7 @@
     groupClient: GroupClient,
     request: TransactionRequest,
     policy: ReadPolicy,
-  ): Promise<{ target: ReadTarget; state: ReadState }> => {
+  ): Promise<{ target: ReadTarget; state: ReadContext }> => {
     const startedAtMs = nowMs();
     const waitUntilMs = (target: ReadTarget): number => {
       const waitMs =
@@ -90,17 +90,17 @@
     }
   };
 
-  const freshUntilMs = (state: ReadState, member: string): number | undefined => {
+  const freshUntilMs = (state: ReadContext, member: string): number | undefined => {
     if (state.freshness.kind !== 'maxAge') return undefined;
     const status = state.statuses.find((candidate) => candidate.member === member);
     const { watermarks, record } = state;
     const ageMs = status
-      ? memberAgeMs(status, watermarks, record, state.nowMs)
+      ? computeMaxMemberAgeMs(status, watermarks, record, state.nowMs)
       : Number.POSITIVE_INFINITY;
     return state.nowMs - ageMs + state.freshness.maxAgeMs;
   };
 
-  const planOnPrimary = (state: ReadState, primary: string): ReadPlan => {
+  const planOnPrimary = (state: ReadContext, primary: string): ReadPlan => {
     const untilMs = freshUntilMs(state, primary);
     const isWithinMaxAge = untilMs !== undefined && untilMs > nowMs();
     return {
@@ -113,7 +113,7 @@
   };
 
   /** Polls the group if its latest watermark is old, to keep them closely spaced for `maxAge`. */
-  const refreshWatermarks = (groupClient: GroupClient, state: ReadState): void => {
+  const refreshWatermarks = (groupClient: GroupClient, state: ReadContext): void => {
     if (state.freshness.kind !== 'maxAge') return;
     const latestAgeMs = state.nowMs - (state.watermarks.at(-1)?.askedAtMs ?? 0);
     const spacingMs = state.freshness.maxAgeMs / WATERMARKS_PER_MAX_AGE;
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -118,7 +118,7 @@
     const failedVms = new Set<string>();
     const attempts = createRequestAttempts<Result>();
     let refusal: Refusal | undefined;
-    retryBudget.deposit();
+    retryBudget.creditRequest();
     for (let attemptCount = 1; ; attemptCount += 1) {
       const candidates = orderCandidates(group, failedVms);
       const [target = ''] = candidates;
@@ -143,7 +143,7 @@
           random,
         };
         const decision = decideRetry(state);
-        if (decision.kind === 'giveUp' || !retryBudget.withdraw()) {
+        if (decision.kind === 'giveUp' || !retryBudget.takeRetryToken()) {
           return attempts.waitForLateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
         }
         metrics.retries.inc({ group, code: latestRefusal.code });
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -114,7 +114,7 @@
           kind,
           name,
           bodyJson: JSON.stringify(document),
-          revision: configuration.revisionOf(kind, name) ?? 0,
+          revision: configuration.getDocumentRevision(kind, name) ?? 0,
         }))
       : [];
     return { revision: configuration.revision(), documents };
--- a/packages/auburngrade/src/slots/createSlotController.ts
+++ b/packages/auburngrade/src/slots/createSlotController.ts
@@ -146,7 +146,7 @@
 
   const reconcileAll = async (): Promise<void> => {
     reconcileAllTimer = undefined;
-    const groups = configuration.names('group');
+    const groups = configuration.listNames('group');
     for (let start = 0; start < groups.length && !isStopped; start += GROUPS_PER_BATCH) {
       groups
         .slice(start, start + GROUPS_PER_BATCH)
--- a/packages/auburngrade/src/slots/createSlotRecordWriter.ts
+++ b/packages/auburngrade/src/slots/createSlotRecordWriter.ts
@@ -19,7 +19,7 @@
     return {
       key: documentKinds.slots.prefix + group,
       valueJson: JSON.stringify(record),
-      expectedRevision: configuration.revisionOf('slots', group) ?? 0,
+      expectedRevision: configuration.getDocumentRevision('slots', group) ?? 0,
     };
   };
 
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -73,7 +73,7 @@
 
   const handleSlotAdded = (group: string, slot: number): void => {
     const isTakenOver = configuration.get('slots', group)?.holders[slot]?.isTakenOver ?? true;
-    const revision = configuration.revisionOf('slots', group) ?? 0;
+    const revision = configuration.getDocumentRevision('slots', group) ?? 0;
     heldSlots.addSlot(group, revision, isTakenOver, nowMs());
     logger.info('slot.taken', { group, slot, isTakenOver });
     if (isTakenOver) announceTakeover(group, revision);
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -12,13 +12,13 @@
   /** Replaces all documents, unless `revision` is lower than the known one. */
   applySnapshot(revision: number, entries: readonly ConfigurationEntry[]): void;
   get<Kind extends DocumentKind>(kind: Kind, name: string): DocumentOf<Kind> | undefined;
-  revisionOf(kind: DocumentKind, name: string): number | undefined;
-  names(kind: DocumentKind): string[];
+  getDocumentRevision(kind: DocumentKind, name: string): number | undefined;
+  listNames(kind: DocumentKind): string[];
   /** Parses every document of the kind; listing only the names is cheaper. */
   list<Kind extends DocumentKind>(kind: Kind): Map<string, DocumentOf<Kind>>;
   entries(): ConfigurationEntry[];
   /** Returns what a follower that knows every change up to `revision` has to receive. */
-  since(revision: number): ConfigurationDifference;
+  getDifferenceSince(revision: number): ConfigurationDifference;
   /** Calls the listener after each change; returns a function that removes the listener. */
   onChange(listener: (changed: readonly ConfigurationEntry[]) => void): () => void;
 }
--- a/packages/coordination/src/configuration/createChangeBatch.spec.ts
+++ b/packages/coordination/src/configuration/createChangeBatch.spec.ts
@@ -53,7 +53,7 @@
           const revision = index + 2;
           source.applyChanges(revision, [createAccountEntry(name, revision, isDeleted)]);
           if (!isTaken) return;
-          const entries = batch.take() ?? source.since(follower.revision()).entries;
+          const entries = batch.take() ?? source.getDifferenceSince(follower.revision()).entries;
           follower.applyChanges(source.revision(), entries);
           expect(follower.list('account')).to.deep.equal(source.list('account'));
           expect(follower.revision()).to.equal(source.revision());
--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -79,7 +79,7 @@
                 state.applySnapshot(revision, createSnapshot(history, revision));
               if (kind === 'peer') {
                 peer.applySnapshot(revision, createSnapshot(history, revision));
-                const difference = peer.since(state.revision());
+                const difference = peer.getDifferenceSince(state.revision());
                 if (difference.isSnapshot) state.applySnapshot(peer.revision(), difference.entries);
                 else state.applyChanges(peer.revision(), difference.entries);
               }
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -1,7 +1,7 @@
 import type ConfigurationEntry from './configurationEntry';
 import type ConfigurationState from './configurationState';
 import type DocumentKind from './documentKind';
-import documentIn from './documentIn';
+import parseStoredDocument from './parseStoredDocument';
 import documentKinds from './documentKinds';
 import type DocumentOf from './documentOf';
 import findDocumentKind from './findDocumentKind';
@@ -34,7 +34,7 @@
 
 const parseDocument = (kind: DocumentKind, valueJson: string): object | undefined => {
   try {
-    const parsed = documentKinds[kind].schema.safeParse(documentIn(valueJson));
+    const parsed = documentKinds[kind].schema.safeParse(parseStoredDocument(valueJson));
     return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
@@ -179,11 +179,11 @@
     },
     get: <Kind extends DocumentKind>(kind: Kind, name: string) =>
       getDocument(kind, getStoredByName(kind).get(name)) as DocumentOf<Kind> | undefined,
-    revisionOf: (kind, name) => {
+    getDocumentRevision: (kind, name) => {
       const found = getStoredByName(kind).get(name);
       return found?.text === undefined ? undefined : found.modRevision;
     },
-    names: (kind) =>
+    listNames: (kind) =>
       [...getStoredByName(kind)].filter(([, { isValid }]) => isValid).map(([name]) => name),
     list: <Kind extends DocumentKind>(kind: Kind) => {
       const valid = [...getStoredByName(kind)].filter(([, { isValid }]) => isValid);
@@ -192,7 +192,7 @@
       );
     },
     entries: () => listEntries(() => true),
-    since: (revision) =>
+    getDifferenceSince: (revision) =>
       isDifferenceKnown(revision)
         ? {
             isSnapshot: false,
--- a/packages/coordination/src/configuration/packJson.spec.ts
+++ b/packages/coordination/src/configuration/packJson.spec.ts
@@ -58,7 +58,7 @@
     }));
     state.applyChanges(values.length, entries);
     expect(state.entries()).to.deep.equal(entries);
-    expect(state.names('group')).to.deep.equal(['group-0']);
+    expect(state.listNames('group')).to.deep.equal(['group-0']);
     expect(state.get('group', 'group-0')?.members).to.have.length(MEMBERS.length);
   });
 });
--- a/packages/coordination/src/freshness/memberAgeMs.ts
+++ b/packages/coordination/src/freshness/computeMaxMemberAgeMs.ts
@@ -4,7 +4,7 @@
 import type Watermark from './watermark';
 
 /** Returns an upper bound of the age of a member's data; infinity if it reached no watermark. */
-const memberAgeMs = (
+const computeMaxMemberAgeMs = (
   status: MemberStatus,
   watermarks: readonly Watermark[],
   record: TermRecord,
@@ -16,4 +16,4 @@
   return reachedWatermark ? nowMs - reachedWatermark.askedAtMs : Number.POSITIVE_INFINITY;
 };
 
-export default memberAgeMs;
+export default computeMaxMemberAgeMs;
--- a/packages/coordination/src/freshness/createPositionHistory.ts
+++ b/packages/coordination/src/freshness/createPositionHistory.ts
@@ -24,7 +24,7 @@
       }
     },
     /** Returns the lowest known position that covers all commits acknowledged before `sinceMs`. */
-    leastFresh: (sinceMs: number): LogPosition | undefined =>
+    findMinFreshPosition: (sinceMs: number): LogPosition | undefined =>
       samples
         .filter(({ askedAtMs }) => askedAtMs >= sinceMs)
         .map(({ position }) => position)
@@ -32,7 +32,7 @@
           (least, position) => (least && comparePositions(least, position) <= 0 ? least : position),
           undefined,
         ),
-    latestAskedAtMs: (): number | undefined => samples.at(-1)?.askedAtMs,
+    getLatestAskedAtMs: (): number | undefined => samples.at(-1)?.askedAtMs,
     clear: (): void => {
       samples = [];
     },
--- a/packages/coordination/src/freshness/confirmWatermark.ts
+++ b/packages/coordination/src/freshness/deriveWatermark.ts
@@ -8,7 +8,7 @@
  * of a later term. A write acknowledged earlier under a later term would have fenced at least
  * one voter of that majority. Undefined if there is no such majority or no active primary.
  */
-const confirmWatermark = (
+const deriveWatermark = (
   statuses: readonly MemberStatus[],
   memberNames: readonly string[],
   record: TermRecord,
@@ -30,4 +30,4 @@
   };
 };
 
-export default confirmWatermark;
+export default deriveWatermark;
--- a/packages/coordination/src/keys/outageProvenAtMs.ts
+++ b/packages/coordination/src/keys/computeOutageProvenAtMs.ts
@@ -1,11 +1,11 @@
-import isMajorityOf from './isMajorityOf';
-import type ReachReport from './reachReport';
+import containsMajorityOf from './containsMajorityOf';
+import type PlatformReachReport from './platformReachReport';
 
 interface WitnessAnswer {
   witness: string;
   /** Time just before the request was sent, on the requesting VM's monotonic clock. */
   askedAtMs: number;
-  report: ReachReport;
+  report: PlatformReachReport;
 }
 
 /** A witness that heard from the platform more recently does not prove an outage. */
@@ -24,7 +24,7 @@
  * of the witnesses has not heard from the platform and knows no later revision: a withdrawal is
  * confirmed only after a majority of one data centre's witnesses was notified.
  */
-const outageProvenAtMs = (
+const computeOutageProvenAtMs = (
   witnessesByDataCentre: ReadonlyMap<string, readonly string[]>,
   answers: readonly WitnessAnswer[],
   revision: number,
@@ -34,11 +34,11 @@
   const witnessGroups = [...witnessesByDataCentre.values()];
   if (
     witnessGroups.length === 0 ||
-    !witnessGroups.every((ids) => isMajorityOf(answeringWitnesses, ids))
+    !witnessGroups.every((ids) => containsMajorityOf(answeringWitnesses, ids))
   ) {
     return undefined;
   }
   return Math.min(...validAnswers.map(({ askedAtMs }) => askedAtMs));
 };
 
-export default outageProvenAtMs;
+export default computeOutageProvenAtMs;
--- a/packages/coordination/src/keys/isVouched.spec.ts
+++ b/packages/coordination/src/keys/isKeyConfigurationFresh.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import isMajorityOf from './isMajorityOf';
-import isVouched from './isVouched';
-import outageProvenAtMs from './outageProvenAtMs';
-import type ReachReport from './reachReport';
-import witnessesOf from './witnessesOf';
+import containsMajorityOf from './containsMajorityOf';
+import isKeyConfigurationFresh from './isKeyConfigurationFresh';
+import computeOutageProvenAtMs from './computeOutageProvenAtMs';
+import type PlatformReachReport from './platformReachReport';
+import chooseWriteWitnesses from './chooseWriteWitnesses';
 
 const MAX_UNCONFIRMED_MS = 4_500;
 const MAX_WITHDRAWAL_DELAY_MS = 5_000;
@@ -46,7 +46,7 @@
 
 type Step = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
 
-const witnesses = new Map([...DATA_CENTRES].map(([name, ids]) => [name, witnessesOf(ids, name)]));
+const witnesses = new Map([...DATA_CENTRES].map(([name, ids]) => [name, chooseWriteWitnesses(ids, name)]));
 const findDataCentre = (id: string): string => (id.startsWith('n') ? 'north' : 'south');
 
 interface Outcome {
@@ -93,7 +93,7 @@
     inFlight.push({ dueAtMs: nowMs + delaySteps * STEP_MS, target, deliver });
   };
 
-  const createReport = (vm: ModelVm): ReachReport => ({
+  const createReport = (vm: ModelVm): PlatformReachReport => ({
     reachedAgeMs: nowMs - Math.max(vm.confirmedAtMs, vm.notifiedAtMs),
     revision: Math.max(vm.revision, vm.notifiedRevision),
     uptimeMs: nowMs,
@@ -126,7 +126,7 @@
       .filter((other) => areConnected(vm, other))
       .map((other) => ({ witness: other.id, askedAtMs, report: createReport(other) }));
     deliverLater(vm, delaySteps, () => {
-      const provenAtMs = outageProvenAtMs(witnesses, answers, vm.revision);
+      const provenAtMs = computeOutageProvenAtMs(witnesses, answers, vm.revision);
       Object.assign(vm, { outageAtMs: Math.max(vm.outageAtMs, provenAtMs ?? NEVER_AT_MS) });
     });
   };
@@ -142,14 +142,14 @@
       Object.assign(other, { notifiedRevision: platformRevision });
       Object.assign(other, { notifiedAtMs: nowMs });
     });
-    const isConfirmed = isMajorityOf(new Set(notifiedVms.map(({ id }) => id)), ownWitnesses);
+    const isConfirmed = containsMajorityOf(new Set(notifiedVms.map(({ id }) => id)), ownWitnesses);
     if (!isConfirmed || confirmedWithdrawalAtMs > NEVER_AT_MS) return;
     confirmedWithdrawalAtMs = nowMs;
     withdrawnRevision = platformRevision;
   };
 
   const isAcceptingKeys = (vm: ModelVm): boolean =>
-    !vm.isPaused && isVouched({ nowMs, ...vm }, MAX_UNCONFIRMED_MS);
+    !vm.isPaused && isKeyConfigurationFresh({ nowMs, ...vm }, MAX_UNCONFIRMED_MS);
 
   const advance = (repeat: number, answerDelaySteps: number): void => {
     vms.forEach((vm, position) => {
@@ -213,7 +213,7 @@
 });
 
 describe('outageProvenAtMs', () => {
-  const createAnswers = (ids: string[], report: Partial<ReachReport> = {}) =>
+  const createAnswers = (ids: string[], report: Partial<PlatformReachReport> = {}) =>
     ids.map((witness) => ({
       witness,
       askedAtMs: 90_000,
@@ -221,16 +221,16 @@
     }));
 
   it('requires a majority of the witnesses in every data centre', () => {
-    expect(outageProvenAtMs(witnesses, createAnswers(VMS), 7)).to.equal(90_000);
-    expect(outageProvenAtMs(witnesses, createAnswers(['n1', 'n2', 'n3']), 7)).to.equal(undefined);
-    expect(outageProvenAtMs(witnesses, createAnswers(['n1', 's1', 's2']), 7)).to.equal(undefined);
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS), 7)).to.equal(90_000);
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 'n2', 'n3']), 7)).to.equal(undefined);
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 's1', 's2']), 7)).to.equal(undefined);
   });
 
   it('ignores witnesses that know a later revision, reached the platform or just started', () => {
-    expect(outageProvenAtMs(witnesses, createAnswers(VMS), 6)).to.equal(undefined);
-    const rejectedReports: Partial<ReachReport>[] = [{ reachedAgeMs: 100 }, { uptimeMs: 100 }];
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS), 6)).to.equal(undefined);
+    const rejectedReports: Partial<PlatformReachReport>[] = [{ reachedAgeMs: 100 }, { uptimeMs: 100 }];
     rejectedReports.forEach((report) =>
-      expect(outageProvenAtMs(witnesses, createAnswers(VMS, report), 7)).to.equal(undefined),
+      expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS, report), 7)).to.equal(undefined),
     );
   });
 });
--- a/packages/coordination/src/keys/isVouched.ts
+++ b/packages/coordination/src/keys/isKeyConfigurationFresh.ts
@@ -10,9 +10,9 @@
  * Whether this VM's configuration is recent enough to accept keys: it was known to contain every
  * key withdrawal at most `maxUnconfirmedMs` ago. Times are on this process's monotonic clock.
  */
-const isVouched = (times: CompletenessTimes, maxUnconfirmedMs: number): boolean => {
+const isKeyConfigurationFresh = (times: CompletenessTimes, maxUnconfirmedMs: number): boolean => {
   const completeAtMs = Math.max(times.confirmedAtMs, times.outageAtMs);
   return times.nowMs - completeAtMs <= maxUnconfirmedMs;
 };
 
-export default isVouched;
+export default isKeyConfigurationFresh;
--- a/packages/coordination/src/keys/reachReportSchema.ts
+++ b/packages/coordination/src/keys/platformReachReportSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 /** A witness's report on whether it has heard from the platform, sent during an outage. */
-const reachReportSchema = z.strictObject({
+const platformReachReportSchema = z.strictObject({
   /** Time since the platform last answered a VM, as far as the witness knows; null: never. */
   reachedAgeMs: z.number().nonnegative().nullable(),
   /** Highest revision it knows, from its configuration or from a withdrawal notice. */
@@ -10,4 +10,4 @@
   uptimeMs: z.number().nonnegative(),
 });
 
-export default reachReportSchema;
+export default platformReachReportSchema;
--- a/packages/coordination/src/polling/membersToPoll.spec.ts
+++ b/packages/coordination/src/polling/listMembersToPoll.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type MemberStatus from '../acknowledgement/memberStatus';
 import type TermRecord from '../configuration/termRecord';
-import membersToPoll from './membersToPoll';
+import listMembersToPoll from './listMembersToPoll';
 
 const NAMES = ['m1', 'm2', 'm3'];
 const RECORD: TermRecord = {
@@ -27,10 +27,10 @@
 const NOW_MS = 100_000;
 
 const listPolledMembers = (chosen: Case): string[] =>
-  membersToPoll({
+  listMembersToPoll({
     record: 'record' in chosen ? chosen.record : RECORD,
     activeMembers: chosen.activeMembers ?? NAMES,
-    usedAtMs: NOW_MS - (chosen.sinceRequestMs ?? 50_000),
+    lastRequestAtMs: NOW_MS - (chosen.sinceRequestMs ?? 50_000),
     nowMs: NOW_MS,
     views: NAMES.map((member) => ({
       member,
--- a/packages/coordination/src/polling/membersToPoll.ts
+++ b/packages/coordination/src/polling/listMembersToPoll.ts
@@ -8,7 +8,7 @@
   activeMembers: readonly string[];
   views: readonly MemberView[];
   /** When this VM last served a request of the group, on the same clock as `nowMs`. */
-  usedAtMs: number;
+  lastRequestAtMs: number;
   nowMs: number;
 }
 
@@ -23,8 +23,8 @@
  * not settled is polled often. In an idle group the primary is polled rarely, to detect its
  * loss, and the replicas even less. A member that has not answered is polled again at once.
  */
-const membersToPoll = (state: PollingState): string[] => {
-  const { record, activeMembers, views, usedAtMs, nowMs } = state;
+const listMembersToPoll = (state: PollingState): string[] => {
+  const { record, activeMembers, views, lastRequestAtMs: usedAtMs, nowMs } = state;
   const isBusy =
     nowMs - usedAtMs < BUSY_AFTER_REQUEST_MS || !isGroupSettled(record, activeMembers, views);
   const getPollIntervalMs = (member: string): number => {
@@ -41,4 +41,4 @@
     .map(({ member }) => member);
 };
 
-export default membersToPoll;
+export default listMembersToPoll;
--- a/packages/coordination/src/position/laterPosition.ts
+++ b/packages/coordination/src/position/maxPosition.ts
@@ -2,7 +2,7 @@
 import type LogPosition from './logPosition';
 
 /** Returns the greater position; a missing one is less than any other. */
-const laterPosition = (
+const maxPosition = (
   a: LogPosition | undefined,
   b: LogPosition | undefined,
 ): LogPosition | undefined => {
@@ -10,4 +10,4 @@
   return comparePositions(a, b) >= 0 ? a : b;
 };
 
-export default laterPosition;
+export default maxPosition;
--- a/packages/coordination/src/relay/createSourceReturn.ts
+++ b/packages/coordination/src/relay/createSourceFailback.ts
@@ -3,7 +3,7 @@
  * been the preferred source for `delayMs`. Callers randomise the delay so that VMs do not all
  * switch at the same time.
  */
-const createSourceReturn = (delayMs: number) => {
+const createSourceFailback = (delayMs: number) => {
   let preferredSource: string | undefined;
   let preferredSinceMs = 0;
 
@@ -19,4 +19,4 @@
   };
 };
 
-export default createSourceReturn;
+export default createSourceFailback;
--- a/packages/coordination/src/relay/sourcesInRank.ts
+++ b/packages/coordination/src/relay/rankLocalSources.ts
@@ -13,7 +13,7 @@
  * Returns the VMs of its data centre from which a VM receives configuration, preferred first.
  * The ranked VMs form a tree below the relays, so that each serves a bounded number of others.
  */
-const sourcesInRank = (vm: string, rankedVms: readonly string[]): string[] => {
+const rankLocalSources = (vm: string, rankedVms: readonly string[]): string[] => {
   const listedIndex = rankedVms.indexOf(vm);
   const rankIndex = listedIndex < 0 ? rankedVms.length : listedIndex;
   const sources = listSourceIndexes(rankIndex)
@@ -23,4 +23,4 @@
   return [...new Set(sources)];
 };
 
-export default sourcesInRank;
+export default rankLocalSources;
--- a/packages/coordination/src/relay/relayRank.ts
+++ b/packages/coordination/src/relay/rankRelays.ts
@@ -1,7 +1,7 @@
 import rankByRendezvous from '../membership/rankByRendezvous';
 
 /** Returns a data centre's VMs in the order in which they become relays of the configuration. */
-const relayRank = (vms: Iterable<string>, dataCentre: string): string[] =>
+const rankRelays = (vms: Iterable<string>, dataCentre: string): string[] =>
   rankByRendezvous(vms, `relay/${dataCentre}`);
 
-export default relayRank;
+export default rankRelays;
--- a/packages/coordination/src/retry/createRetryBudget.ts
+++ b/packages/coordination/src/retry/createRetryBudget.ts
@@ -10,11 +10,11 @@
   let tokens = MAX_TOKENS;
   return {
     /** Credits a new request. */
-    deposit: (): void => {
+    creditRequest: (): void => {
       tokens = Math.min(MAX_TOKENS, tokens + RETRIES_PER_REQUEST);
     },
     /** Takes the token of one retry; returns false if none is left. */
-    withdraw: (): boolean => {
+    takeRetryToken: (): boolean => {
       if (tokens < 1) return false;
       tokens -= 1;
       return true;
--- a/packages/coordination/src/retry/decideRetry.spec.ts
+++ b/packages/coordination/src/retry/decideRetry.spec.ts
@@ -45,11 +45,11 @@
   describe('createRetryBudget', () => {
     it('allows one retry per five requests once the initial tokens are used up', () => {
       const budget = createRetryBudget();
-      while (budget.withdraw()) {
+      while (budget.takeRetryToken()) {
         // Uses up the initial tokens.
       }
-      Array.from({ length: 100 }).forEach(budget.deposit);
-      const grantedCount = Array.from({ length: 100 }, budget.withdraw).filter(Boolean).length;
+      Array.from({ length: 100 }).forEach(budget.creditRequest);
+      const grantedCount = Array.from({ length: 100 }, budget.takeRetryToken).filter(Boolean).length;
       expect(grantedCount).to.be.within(19, 20);
     });
   });
--- a/packages/coordination/src/retry/decideRetry.ts
+++ b/packages/coordination/src/retry/decideRetry.ts
@@ -1,6 +1,6 @@
 import type Refusal from '../verdict/refusal';
 import type RetryDecision from './retryDecision';
-import type RetryState from './retryState';
+import type FailedAttempt from './failedAttempt';
 
 const FIRST_DELAY_MS = 10;
 const MAX_DELAY_MS = 400;
@@ -28,7 +28,7 @@
  * jitter, except that the first retry is immediate because it goes to another VM or member.
  * Retries are safe for every verdict: a read has no effect, and a write carries its request id.
  */
-const decideRetry = (failedAttempt: RetryState): RetryDecision => {
+const decideRetry = (failedAttempt: FailedAttempt): RetryDecision => {
   if (!isRetryable(failedAttempt.refusal)) return { kind: 'giveUp' };
   const maxDelayMs = Math.min(MAX_DELAY_MS, FIRST_DELAY_MS * 2 ** (failedAttempt.attempts - 1));
   const delayMs = failedAttempt.attempts === 1 ? 0 : failedAttempt.random * maxDelayMs;
--- a/packages/coordination/src/retry/retryState.ts
+++ b/packages/coordination/src/retry/failedAttempt.ts
@@ -1,7 +1,7 @@
 import type Refusal from '../verdict/refusal';
 
 /** Input of `decideRetry`: the failed attempt of a request. */
-interface RetryState {
+interface FailedAttempt {
   refusal: Refusal;
   /** Attempts made so far, at least 1. */
   attempts: number;
@@ -12,4 +12,4 @@
   random: number;
 }
 
-export default RetryState;
+export default FailedAttempt;
--- a/packages/coordination/src/routing/chooseEndpoint.spec.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.spec.ts
@@ -4,10 +4,10 @@
 import isMajorityAcknowledged from '../acknowledgement/isMajorityAcknowledged';
 import type TermRecord from '../configuration/termRecord';
 import addWatermark from '../freshness/addWatermark';
-import confirmWatermark from '../freshness/confirmWatermark';
+import deriveWatermark from '../freshness/deriveWatermark';
 import type Watermark from '../freshness/watermark';
 import chooseEndpoint from './chooseEndpoint';
-import type ReadState from './readState';
+import type ReadContext from './readContext';
 
 interface LogEntry {
   term: number;
@@ -159,18 +159,18 @@
 
   const poll = (index: number): void => {
     statuses.set(index, createStatus(index));
-    const next = confirmWatermark([...statuses.values()], MEMBER_NAMES, knownRecord);
+    const next = deriveWatermark([...statuses.values()], MEMBER_NAMES, knownRecord);
     if (next) watermarks = addWatermark(watermarks, next);
   };
 
-  const read = (pick: number, freshness: ReadState['freshness']): void => {
+  const read = (pick: number, freshness: ReadContext['freshness']): void => {
     const token = acknowledgedWrites[pick % Math.max(1, acknowledgedWrites.length)];
     const target = chooseEndpoint({
       record: knownRecord,
       members: MEMBERS.map((index) => ({ name: `m${index}`, dataCentre: 'a', state: 'active' })),
       statuses: [...statuses.values()],
       watermarks,
-      tokenEntry: token && { term: token.term, position: token.position },
+      sessionPosition: token && { term: token.term, position: token.position },
       freshness,
       maxLagPositions: 1_000,
       dataCentre: 'a',
@@ -262,12 +262,12 @@
   ...changes,
 });
 
-const createReadState = (changes: Partial<ReadState>): ReadState => ({
+const createReadState = (changes: Partial<ReadContext>): ReadContext => ({
   record: RECORD,
   members: ['m0', 'm1', 'm2'].map((name) => ({ name, dataCentre: name, state: 'active' })),
   statuses: [createReplicaStatus({}), createReplicaStatus({ member: 'm2' })],
   watermarks: [],
-  tokenEntry: { term: 2, position: 15 },
+  sessionPosition: { term: 2, position: 15 },
   freshness: { kind: 'session' },
   maxLagPositions: 1_000,
   dataCentre: 'm2',
@@ -277,7 +277,7 @@
   ...changes,
 });
 
-const chooseMembers = (changes: Partial<ReadState>): readonly string[] => {
+const chooseMembers = (changes: Partial<ReadContext>): readonly string[] => {
   const target = chooseEndpoint(createReadState(changes));
   return target.kind === 'serve' ? target.members : [];
 };
@@ -302,13 +302,13 @@
     it('does not choose a replica that is not fenced at the current term', () => {
       const statuses = [createReplicaStatus({ fencedTerm: 1, logTerm: 1, position: 10 })];
       const tokenEntry = { term: 1, position: 5 };
-      expect(chooseMembers({ statuses, tokenEntry })).to.deep.equal([]);
+      expect(chooseMembers({ statuses, sessionPosition: tokenEntry })).to.deep.equal([]);
     });
 
     it('does not choose a replica whose log runs past the start of the current term', () => {
       const statuses = [createReplicaStatus({ logTerm: 1, position: 11 })];
       const tokenEntry = { term: 1, position: 5 };
-      expect(chooseMembers({ statuses, tokenEntry })).to.deep.equal([]);
+      expect(chooseMembers({ statuses, sessionPosition: tokenEntry })).to.deep.equal([]);
     });
   });
 
--- a/packages/coordination/src/routing/chooseEndpoint.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.ts
@@ -1,37 +1,37 @@
 import type MemberStatus from '../acknowledgement/memberStatus';
-import memberAgeMs from '../freshness/memberAgeMs';
+import computeMaxMemberAgeMs from '../freshness/computeMaxMemberAgeMs';
 import isFreshForToken from './isFreshForToken';
-import type ReadState from './readState';
+import type ReadContext from './readContext';
 import type ReadTarget from './readTarget';
 import findLastActiveTerm from './findLastActiveTerm';
 
 /** A member whose last answered status poll is older than this is tried after the others. */
 const STALE_STATUS_AGE_MS = 1_500;
 
-const isWithinMaxAge = (status: MemberStatus, context: ReadState): boolean => {
+const isWithinMaxAge = (status: MemberStatus, context: ReadContext): boolean => {
   const { freshness, watermarks, record, nowMs } = context;
   if (freshness.kind !== 'maxAge') return true;
-  return memberAgeMs(status, watermarks, record, nowMs) <= freshness.maxAgeMs;
+  return computeMaxMemberAgeMs(status, watermarks, record, nowMs) <= freshness.maxAgeMs;
 };
 
 const isWithinMaxLag = (
   status: MemberStatus,
-  { watermarks, maxLagPositions }: ReadState,
+  { watermarks, maxLagPositions }: ReadContext,
 ): boolean => {
   const latestWatermark = watermarks.at(-1);
   return !latestWatermark || status.position + maxLagPositions >= latestWatermark.position;
 };
 
-const isFreshReplica = (status: MemberStatus, context: ReadState): boolean =>
+const isFreshReplica = (status: MemberStatus, context: ReadContext): boolean =>
   status.member !== context.record.primary &&
   context.members.some(
     ({ name, state: memberState }) => name === status.member && memberState === 'active',
   ) &&
-  isFreshForToken(status, context.tokenEntry, context.record) &&
+  isFreshForToken(status, context.sessionPosition, context.record) &&
   isWithinMaxLag(status, context) &&
   isWithinMaxAge(status, context);
 
-const computeRank = (status: MemberStatus, context: ReadState): number => {
+const computeRank = (status: MemberStatus, context: ReadContext): number => {
   const isStatusStale = context.nowMs - status.askedAtMs > STALE_STATUS_AGE_MS;
   const member = context.members.find(({ name }) => name === status.member);
   const isRemote = member?.dataCentre !== context.dataCentre;
@@ -43,7 +43,7 @@
   return [...items.slice(start), ...items.slice(0, start)];
 };
 
-const listFreshReplicas = (context: ReadState): string[] => {
+const listFreshReplicas = (context: ReadContext): string[] => {
   const freshStatuses = context.statuses.filter((status) => isFreshReplica(status, context));
   return rotate(freshStatuses, context.random)
     .map((status) => ({ member: status.member, rank: computeRank(status, context) }))
@@ -57,8 +57,8 @@
  * statement runs: a log is truncated only under a later term, and a member at a later term
  * refuses the statement.
  */
-const chooseEndpoint = (context: ReadState): ReadTarget => {
-  const { record, tokenEntry, freshness } = context;
+const chooseEndpoint = (context: ReadContext): ReadTarget => {
+  const { record, sessionPosition: tokenEntry, freshness } = context;
   if (tokenEntry && tokenEntry.term > findLastActiveTerm(record)) return { kind: 'recordBehind' };
   const primary = record.state === 'active' ? record.primary : undefined;
   if (freshness.kind === 'primary') return { kind: 'notFresh', primary };
--- a/packages/coordination/src/routing/holderState.ts
+++ b/packages/coordination/src/routing/holderContext.ts
@@ -1,5 +1,5 @@
 /** Input of `orderHolders`: what this VM knows about the VMs that can run a group's statements. */
-interface HolderState {
+interface HolderContext {
   /** VMs that hold a connection slot of the group. */
   holders: readonly { id: string; dataCentre: string }[];
   /** Id of this VM. */
@@ -14,4 +14,4 @@
   random: number;
 }
 
-export default HolderState;
+export default HolderContext;
--- a/packages/coordination/src/routing/orderHolders.ts
+++ b/packages/coordination/src/routing/orderHolders.ts
@@ -1,11 +1,11 @@
-import type HolderState from './holderState';
+import type HolderContext from './holderContext';
 
 /**
  * Returns the ids of a group's holders in the order in which a statement tries them: this VM,
  * its data centre, the other data centres, then holders that failed. Holders that are
  * shutting down are left out unless there is no other.
  */
-const orderHolders = (context: HolderState): string[] => {
+const orderHolders = (context: HolderContext): string[] => {
   const { holders, vm, dataCentre, leaving, failed, random } = context;
   const stayingHolders = holders.filter(({ id }) => !leaving.has(id));
   const usableHolders = stayingHolders.length > 0 ? stayingHolders : holders;
--- a/packages/coordination/src/routing/readState.ts
+++ b/packages/coordination/src/routing/readContext.ts
@@ -6,14 +6,14 @@
 import type SessionToken from '../session/sessionToken';
 
 /** Input of `chooseEndpoint`: what this VM knows about a group when it routes a read. */
-interface ReadState {
+interface ReadContext {
   /** The group's term record as this VM knows it. */
   record: TermRecord;
   members: readonly Pick<Member, 'name' | 'dataCentre' | 'state'>[];
   statuses: readonly MemberStatus[];
   watermarks: readonly Watermark[];
   /** The term and log position that the session has written in the group, if any. */
-  tokenEntry: SessionToken[string] | undefined;
+  sessionPosition: SessionToken[string] | undefined;
   freshness: Profile['freshness'];
   /** Replicas that lag behind the primary by more log positions are not chosen. */
   maxLagPositions: number;
@@ -26,4 +26,4 @@
   random: number;
 }
 
-export default ReadState;
+export default ReadContext;
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -1,4 +1,4 @@
-import { laterPosition, type LogPosition } from '@auburngrade/coordination';
+import { maxPosition, type LogPosition } from '@auburngrade/coordination';
 import { Action, type PreparedStatement } from '../generated/auburngrade/session/v1/session';
 import createRefusal from '../group/createRefusal';
 import type CallerConnection from '../seams/callerConnection';
@@ -148,7 +148,7 @@
     if (isEnded) return;
     if (result.kind === 'complete') {
       if (isWrite && !transaction)
-        lastCommitPosition = laterPosition(lastCommitPosition, result.position);
+        lastCommitPosition = maxPosition(lastCommitPosition, result.position);
       answer(result, transaction ? 'open' : 'idle');
     } else if (transaction) {
       discardTransaction();
@@ -174,7 +174,7 @@
     transaction = undefined;
     if (result.kind === 'complete') {
       router.forgetTransaction(endedTransaction);
-      if (!isReadOnly) lastCommitPosition = laterPosition(lastCommitPosition, result.position);
+      if (!isReadOnly) lastCommitPosition = maxPosition(lastCommitPosition, result.position);
     } else {
       router.endTransaction(endedTransaction);
     }
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -2,7 +2,7 @@
   chooseStatementEndpoint,
   compareUrgency,
   createPositionHistory,
-  laterPosition,
+  maxPosition,
   type LogPosition,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
@@ -182,10 +182,10 @@
   const getRequiredPosition = (statement: PendingStatement): LogPosition | undefined => {
     const { maxAgeMs, notBefore } = statement.call;
     if (maxAgeMs === undefined) return undefined;
-    const leastFreshPosition = positionHistory.leastFresh(
+    const leastFreshPosition = positionHistory.findMinFreshPosition(
       nowMs() - Math.max(0, maxAgeMs - FRESHNESS_MARGIN_MS),
     );
-    return leastFreshPosition && laterPosition(leastFreshPosition, notBefore);
+    return leastFreshPosition && maxPosition(leastFreshPosition, notBefore);
   };
 
   const findTransaction = (statement: PendingStatement): OpenTransaction | undefined =>
@@ -526,7 +526,7 @@
     const primary = primaryManager.getAvailablePrimary();
     const pool = primary === undefined ? undefined : pools.get(primary);
     // Failed samples count too: an immediate retry would find the endpoint in the same state.
-    const lastSampleAtMs = Math.max(positionHistory.latestAskedAtMs() ?? 0, lastSampleAttemptAtMs);
+    const lastSampleAtMs = Math.max(positionHistory.getLatestAskedAtMs() ?? 0, lastSampleAttemptAtMs);
     if (!pool || isSampling || nowMs() - lastSampleAtMs < POSITION_SAMPLE_INTERVAL_MS) return;
     isSampling = true;
     lastSampleAttemptAtMs = nowMs();
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -1,5 +1,5 @@
 import type { LogPosition } from '@auburngrade/coordination';
-import { laterPosition } from '@auburngrade/coordination';
+import { maxPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberCommand from '../seams/memberCommand';
@@ -92,7 +92,7 @@
     lastReplyAtMs = nowMs();
     failedProbes = 0;
     setDown(false, 'endpoint replied');
-    position = laterPosition(position, reply.position);
+    position = maxPosition(position, reply.position);
     onReply(reply, sentAtMs);
   };
 
@@ -139,7 +139,7 @@
         idleConnections.delete(connection);
         onChange();
       });
-      if (memberConnection.initialPosition) position = laterPosition(position, memberConnection.initialPosition);
+      if (memberConnection.initialPosition) position = maxPosition(position, memberConnection.initialPosition);
       return connection;
     } catch (error) {
       if (error instanceof MemberConnectionError) {
