--- a/packages/auburngrade/src/admission/createQuotaProtocol.ts
+++ b/packages/auburngrade/src/admission/createQuotaProtocol.ts
@@ -9,7 +9,7 @@
 import createMessenger from '../membership/createMessenger';
 import type MessageHandler from '../membership/messageHandler';
 import type PeerRegistry from '../routing/peerRegistry';
-import answerWithin from '../time/answerWithin';
+import resolveWithin from '../time/resolveWithin';
 import type LeaseService from '../witness/leaseService';
 import type createQuotaRecordWriter from './createQuotaRecordWriter';
 import NO_ALLOCATOR from './noAllocator';
@@ -167,7 +167,7 @@
     const answers = Promise.all(
       targets.map((target) => recallFrom(state, target.vm, false, target.partUnits)),
     );
-    const areTargetsAnswered = await answerWithin(
+    const areTargetsAnswered = await resolveWithin(
       RECALL_WAIT_MS,
       answers.then((all) => all.every(Boolean)),
     );
--- a/packages/auburngrade/src/admission/createTokenAcquirer.ts
+++ b/packages/auburngrade/src/admission/createTokenAcquirer.ts
@@ -1,5 +1,5 @@
 import type { QuotaConsumer, QuotaAllocator } from '@auburngrade/coordination';
-import answerWithin from '../time/answerWithin';
+import resolveWithin from '../time/resolveWithin';
 import sleep from '../time/sleep';
 import type createQuotaProtocol from './createQuotaProtocol';
 import type createQuotaRoles from './createQuotaRoles';
@@ -102,7 +102,7 @@
       Math.min(deadlineAtMs, startedAtMs + computeMaxWaitMs(state));
     while (nowMs() < waitEndsAtMs()) {
       if (findUsableBucket(state)?.take(nowMs())) return true;
-      const hasToken = await answerWithin(waitEndsAtMs() - nowMs(), requestTokens(state));
+      const hasToken = await resolveWithin(waitEndsAtMs() - nowMs(), requestTokens(state));
       const delayMs = hasToken ? 0 : computeRetryDelayMs(state);
       if (nowMs() + delayMs > waitEndsAtMs() && !canServeWaitingRequests(state)) break;
       if (delayMs > 0) await sleep(Math.min(delayMs, MIN_BACKOFF_MS));
