--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationState } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import type PeerRegistry from '../routing/peerRegistry';
 import type Settings from '../settings/settings';
@@ -15,7 +15,7 @@
   settings: Settings;
   incarnation: number;
   configuration: ConfigurationState;
-  platform: Platform;
+  platform: ConfigurationStore;
   peers: PeerRegistry;
   send: SendMessage;
   countVms(): number;
--- a/packages/auburngrade/src/admission/createQuotaMaintenance.ts
+++ b/packages/auburngrade/src/admission/createQuotaMaintenance.ts
@@ -1,5 +1,5 @@
 import { documentKinds, type ConfigurationState } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type createQuotaRecordWriter from './createQuotaRecordWriter';
 import type createQuotaProtocol from './createQuotaProtocol';
 import type createQuotaRoles from './createQuotaRoles';
@@ -8,7 +8,7 @@
 
 interface QuotaMaintenanceOptions {
   configuration: ConfigurationState;
-  platform: Platform;
+  platform: ConfigurationStore;
   platformTimeoutMs: number;
   leaseMs: number;
   recordWriter: ReturnType<typeof createQuotaRecordWriter>;
--- a/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
@@ -4,7 +4,7 @@
   type QuotaRecord,
   type VmLease,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import NO_ALLOCATOR from './noAllocator';
 import type QuotaState from './quotaState';
@@ -14,7 +14,7 @@
   vm: string;
   incarnation: number;
   configuration: ConfigurationState;
-  platform: Platform;
+  platform: ConfigurationStore;
   /** This VM's lease; only a VM with a valid lease may be an allocator. */
   lease: VmLease;
   timeoutMs: number;
--- a/packages/auburngrade/src/admission/quotaServiceOptions.ts
+++ b/packages/auburngrade/src/admission/quotaServiceOptions.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationState, RateLimit } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import type PeerRegistry from '../routing/peerRegistry';
 import type LeaseService from '../witness/leaseService';
@@ -9,7 +9,7 @@
   vm: string;
   incarnation: number;
   configuration: ConfigurationState;
-  platform: Platform;
+  platform: ConfigurationStore;
   platformTimeoutMs: number;
   peers: PeerRegistry;
   leases: LeaseService;
--- a/packages/auburngrade/src/authentication/checkedConnection.ts
+++ b/packages/auburngrade/src/authentication/checkedConnection.ts
@@ -19,8 +19,8 @@
   }
 
   /** Not checked: scripts are the VM's own and begin or end transactions or look up outcomes. */
-  override script(sql: string, timeoutMs: number): Promise<QueryResult[]> {
-    return this.connection.script(sql, timeoutMs);
+  override runScript(sql: string, timeoutMs: number): Promise<QueryResult[]> {
+    return this.connection.runScript(sql, timeoutMs);
   }
 
   override isUsable(): boolean {
--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -7,7 +7,7 @@
   rankLocalSources,
   type ConfigurationState,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import { createFollowClient } from '@auburngrade/vm';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type Logger from '../log/logger';
@@ -20,7 +20,7 @@
 
 interface ConfigurationDistributionOptions {
   settings: Settings;
-  platform: Platform;
+  platform: ConfigurationStore;
   configuration: ConfigurationState;
   addresses: AddressBook;
   vmCredentials?: ChannelCredentials;
--- a/packages/auburngrade/src/configuration/createDocumentWriter.ts
+++ b/packages/auburngrade/src/configuration/createDocumentWriter.ts
@@ -9,7 +9,7 @@
   type DocumentKind,
 } from '@auburngrade/coordination';
 import type { Change } from '@auburngrade/operator';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import createRefusedChange from './createRefusedChange';
 
 interface DocumentChange {
@@ -24,7 +24,7 @@
 }
 
 interface DocumentWriterOptions {
-  platform: Platform;
+  platform: ConfigurationStore;
   /** Time limit of one call to the platform. */
   timeoutMs: number;
   nowMs(): number;
--- a/packages/auburngrade/src/configuration/createPlatformFollower.ts
+++ b/packages/auburngrade/src/configuration/createPlatformFollower.ts
@@ -1,10 +1,10 @@
 import type { ConfigurationState } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 
 interface PlatformFollowerOptions {
-  platform: Platform;
+  platform: ConfigurationStore;
   state: ConfigurationState;
   timeoutMs: number;
   /** Whether this VM should watch the platform itself. */
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,5 +1,5 @@
 import { createConfigurationState, createWorkTracker } from '@auburngrade/coordination';
-import { createEtcdPlatform } from '@auburngrade/platform';
+import { createEtcdConfigurationStore } from '@auburngrade/platform';
 import { PING_KIND } from '@auburngrade/vm';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
@@ -39,7 +39,7 @@
   const tls = loadTls(settings, logger);
   const metrics = createMetrics();
   const configuration = createConfigurationState();
-  const platform = createEtcdPlatform(settings.platform.address);
+  const platform = createEtcdConfigurationStore(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
   const peerRegistry = createPeerRegistry(configuration, addresses, tls.vmClients);
--- a/packages/auburngrade/src/daemon/startServers.ts
+++ b/packages/auburngrade/src/daemon/startServers.ts
@@ -1,4 +1,4 @@
-import { createCallerService, proxyDefinition, type CallerHandler } from '@auburngrade/caller';
+import { createCallerService, proxyServiceDefinition, type CallerHandler } from '@auburngrade/caller';
 import {
   OperatorService,
   createOperatorService,
@@ -49,7 +49,7 @@
     listen(
       settings.callerPort,
       tls.callers,
-      (server) => server.addService(proxyDefinition, createCallerService(callerHandler)),
+      (server) => server.addService(proxyServiceDefinition, createCallerService(callerHandler)),
       settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
     ),
     listen(
--- a/packages/auburngrade/src/execution/createWriteExecutor.ts
+++ b/packages/auburngrade/src/execution/createWriteExecutor.ts
@@ -46,7 +46,7 @@
     const script = joinStatementsWithTerm(term, ['BEGIN READ WRITE', insert]);
     try {
       const timeoutMs = Math.min(BEGIN_TIMEOUT_MS, request.deadlineAtMs - nowMs());
-      await connection.script(script, timeoutMs);
+      await connection.runScript(script, timeoutMs);
       return true;
     } catch (error) {
       if (error instanceof EndpointError && error.sqlState === UNIQUE_VIOLATION) return false;
@@ -67,7 +67,7 @@
     // The status query carries no term, so that a later fence cannot make a committed script fail.
     const script = `${joinStatementsWithTerm(term, [update, 'COMMIT'])};${MEMBER_STATUS_SQL}`;
     const askedAtMs = nowMs();
-    const results = await connection.script(script, request.deadlineAtMs - askedAtMs);
+    const results = await connection.runScript(script, request.deadlineAtMs - askedAtMs);
     const status = toMemberStatus(primary ?? '', results.at(-1), askedAtMs);
     groupClient.recordStatus(status);
     return { rows, position: status.position, askedAtMs };
--- a/packages/auburngrade/src/groups/createConnectionPool.spec.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.spec.ts
@@ -16,7 +16,7 @@
   const rejectQuery = () => Promise.reject(new Error('query is not used in this test'));
   return {
     query: rejectQuery,
-    script: rejectQuery,
+    runScript: rejectQuery,
     isUsable: () => isOpen,
     close: () => {
       isOpen = false;
--- a/packages/auburngrade/src/groups/createTermRecordInitializer.ts
+++ b/packages/auburngrade/src/groups/createTermRecordInitializer.ts
@@ -1,11 +1,11 @@
 import { documentKinds, type ConfigurationState, type TermRecord } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import type GroupClient from './groupClient';
 
 /** Writes the first term record of a group that has no record but exactly one primary. */
 const createTermRecordInitializer = (
-  platform: Platform,
+  platform: ConfigurationStore,
   configuration: ConfigurationState,
   timeoutMs: number,
   logger: Logger,
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -50,7 +50,7 @@
     deadlineAtMs: number,
   ): Promise<{ results: QueryResult[]; position: number; askedAtMs: number }> => {
     const askedAtMs = nowMs();
-    const results = await connection.script(script, deadlineAtMs - askedAtMs);
+    const results = await connection.runScript(script, deadlineAtMs - askedAtMs);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
     groupClient.recordStatus(status);
     return { results, position: status.position, askedAtMs };
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -7,7 +7,7 @@
   type PrimaryHealth,
   type TermRecord,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type GroupClient from '../groups/groupClient';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
@@ -23,7 +23,7 @@
   groupClient: GroupClient;
   /** Identifies this process: VM id and incarnation; a restarted VM is another promoter. */
   promoter: string;
-  platform: Platform;
+  platform: ConfigurationStore;
   configuration: ConfigurationState;
   platformTimeoutMs: number;
   timings: FailoverTimings;
--- a/packages/auburngrade/src/promotion/createMemberControl.ts
+++ b/packages/auburngrade/src/promotion/createMemberControl.ts
@@ -21,10 +21,10 @@
   const runStatements = async (member: string, statements: string[]): Promise<QueryResult[]> => {
     const pooled = await groupClient.acquireControl(member, nowMs() + CONTROL_TIMEOUT_MS);
     try {
-      return await pooled.connection.script(statements.join(';'), CONTROL_TIMEOUT_MS);
+      return await pooled.connection.runScript(statements.join(';'), CONTROL_TIMEOUT_MS);
     } catch (error) {
       if (pooled.connection.isUsable()) {
-        await pooled.connection.script('ROLLBACK', CONTROL_TIMEOUT_MS).catch(() => {});
+        await pooled.connection.runScript('ROLLBACK', CONTROL_TIMEOUT_MS).catch(() => {});
       }
       throw error;
     } finally {
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -3,7 +3,7 @@
   type ConfigurationState,
   type FailoverTimings,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
 import type GroupClient from '../groups/groupClient';
 import type GroupRegistry from '../groups/groupRegistry';
@@ -19,7 +19,7 @@
   vm: string;
   /** Distinguishes this process from earlier starts of the VM. */
   incarnation: number;
-  platform: Platform;
+  platform: ConfigurationStore;
   platformTimeoutMs: number;
   configuration: ConfigurationState;
   membership: Membership;
--- a/packages/auburngrade/src/promotion/createTermRecordWriter.ts
+++ b/packages/auburngrade/src/promotion/createTermRecordWriter.ts
@@ -4,7 +4,7 @@
   type ConfigurationState,
   type TermRecord,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import sleep from '../time/sleep';
 
 type WriteOutcome = { kind: 'written'; revision: number } | { kind: 'lost' };
@@ -17,7 +17,7 @@
 
 /** Writes a group's term record by compare-and-swap; re-reads it when the reply is lost. */
 const createTermRecordWriter = (
-  platform: Platform,
+  platform: ConfigurationStore,
   configuration: ConfigurationState,
   group: string,
   timeoutMs: number,
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -15,7 +15,7 @@
   type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import { isNeverSent, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
+import { isNotSentError, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
 import type Membership from '../membership/membership';
 import createRemoteTransaction from '../transactions/createRemoteTransaction';
 import type Transaction from '../transactions/transaction';
@@ -92,7 +92,7 @@
 
   const toUnreachableRefusal = (target: string, error: Error): RefusalError => {
     unreachableVms.add(target);
-    const refuse = isNeverSent(error) ? createNotRunError : createMayHaveRunError;
+    const refuse = isNotSentError(error) ? createNotRunError : createMayHaveRunError;
     return refuse('peerUnreachable', error.message);
   };
 
--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -2,10 +2,10 @@
 import { Registry } from 'prom-client';
 import { createSessionDaemon } from '@auburngrade/sessions';
 import {
-  createFailoverCaller,
+  createFailoverClient,
   createMemberDialer,
   createMetadataStore,
-  createSiteDecoder,
+  createStoredValueDecoder,
   readNodeSettings,
   startCallerListener,
   startReadinessServer,
@@ -33,9 +33,9 @@
     settings,
     incarnation,
     store: createMetadataStore(settings.storeAddress),
-    decoder: createSiteDecoder(),
+    decoder: createStoredValueDecoder(),
     dialer: createMemberDialer(),
-    failover: createFailoverCaller(settings.failoverAddress),
+    failover: createFailoverClient(settings.failoverAddress),
     log,
     onStatement: (observation) => observeStatement(requestMetrics, observation),
     nowMs,
--- a/packages/auburngrade/src/slots/createSlotController.spec.ts
+++ b/packages/auburngrade/src/slots/createSlotController.spec.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createConfigurationState } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import { waitFor } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import type GroupRegistry from '../groups/groupRegistry';
@@ -35,7 +35,7 @@
     slotKeeper = createSlotController({
       vm: 'waco-1',
       incarnation: 1,
-      platform: {} as Platform,
+      platform: {} as ConfigurationStore,
       platformTimeoutMs: 1,
       configuration,
       completeAtMs: () => 0,
--- a/packages/auburngrade/src/slots/createSlotController.ts
+++ b/packages/auburngrade/src/slots/createSlotController.ts
@@ -1,5 +1,5 @@
 import { decideSlot, documentKinds, type ConfigurationState } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import { z } from 'zod';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
@@ -12,7 +12,7 @@
 interface SlotControllerOptions {
   vm: string;
   incarnation: number;
-  platform: Platform;
+  platform: ConfigurationStore;
   platformTimeoutMs: number;
   configuration: ConfigurationState;
   /** Latest time at which this VM can prove that its configuration was complete. */
--- a/packages/auburngrade/src/slots/createSlotRecordWriter.ts
+++ b/packages/auburngrade/src/slots/createSlotRecordWriter.ts
@@ -4,13 +4,13 @@
   type ConfigurationState,
   type SlotsRecord,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 
 type SlotHolder = SlotsRecord['holders'][number];
 
 /** Creates the writer of slots records; applies the store's answers to the configuration. */
 const createSlotRecordWriter = (
-  platform: Platform,
+  platform: ConfigurationStore,
   configuration: ConfigurationState,
   timeoutMs: number,
 ) => {
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -162,7 +162,7 @@
       return;
     }
     pooledConnection.connection
-      .script('ROLLBACK', ROLLBACK_TIMEOUT_MS)
+      .runScript('ROLLBACK', ROLLBACK_TIMEOUT_MS)
       .catch(() => pooledConnection.connection.close())
       .finally(finish);
   }
@@ -177,7 +177,7 @@
   private runScript(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
     const { connection } = this.options.pooledConnection;
     const timeoutMs = Math.min(limitMs, this.remainingMs());
-    return this.trackRunning(() => connection.script(sql, timeoutMs));
+    return this.trackRunning(() => connection.runScript(sql, timeoutMs));
   }
 
   private async trackRunning<Result>(work: () => Promise<Result>): Promise<Result> {
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -8,7 +8,7 @@
   type StatementOutcome,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import { isNeverSent, type ForwardedStep, type RemoteVm } from '@auburngrade/vm';
+import { isNotSentError, type ForwardedStep, type RemoteVm } from '@auburngrade/vm';
 import Transaction from './transaction';
 
 type RemoteStream = Awaited<ReturnType<RemoteVm['transact']>>;
@@ -50,7 +50,7 @@
   override async commit(): Promise<StatementOutcome> {
     const wasStreamOpen = !this.stream.isLost();
     const outcome = await this.step({ $case: 'commit', commit: {} }, (error) =>
-      !wasStreamOpen || isNeverSent(error)
+      !wasStreamOpen || isNotSentError(error)
         ? toStreamLostRefusal(error)
         : createMayHaveRunError('outcomeUnknown', error.message),
     );
--- a/packages/auburngrade/src/witness/createLeaseRecordStore.ts
+++ b/packages/auburngrade/src/witness/createLeaseRecordStore.ts
@@ -1,5 +1,5 @@
 import { leaseRecordSchema, type LeaseRecord } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 
 interface StoredLease {
   record: LeaseRecord;
@@ -10,7 +10,7 @@
 const KEY_PREFIX = '/auburngrade/lease/';
 
 /** Creates access to the stored lease records, which name each VM's witnesses. */
-const createLeaseRecordStore = (platform: Platform, timeoutMs: number) => ({
+const createLeaseRecordStore = (platform: ConfigurationStore, timeoutMs: number) => ({
   /** Reads the current record. @throws RefusalError `platformUnavailable`. */
   read: async (vm: string): Promise<StoredLease | undefined> => {
     const key = KEY_PREFIX + vm;
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -5,7 +5,7 @@
   type VmLease,
   type WitnessPromise,
 } from '@auburngrade/coordination';
-import type { Platform } from '@auburngrade/platform';
+import type { ConfigurationStore } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import type MessageHandler from '../membership/messageHandler';
 import createHeartbeatSender from './createHeartbeatSender';
@@ -20,7 +20,7 @@
   incarnation: number;
   leaseMs: number;
   configuration: ConfigurationState;
-  platform: Platform;
+  platform: ConfigurationStore;
   platformTimeoutMs: number;
   send: SendMessage;
   nowMs(): number;
--- a/packages/caller/src/proxyDefinition.ts
+++ b/packages/caller/src/proxyServiceDefinition.ts
@@ -13,7 +13,7 @@
 
 /** Definition of the Proxy service. A malformed message is parsed to a MalformedRequest, so that the
  * handler can answer it with a `badRequest` refusal. */
-const proxyDefinition = {
+const proxyServiceDefinition = {
   execute: {
     ...ProxyService.execute,
     requestDeserialize: orMalformed(ProxyService.execute.requestDeserialize),
@@ -24,4 +24,4 @@
   },
 } as const;
 
-export default proxyDefinition;
+export default proxyServiceDefinition;
--- a/packages/endpoint/src/endpointConnection.ts
+++ b/packages/endpoint/src/endpointConnection.ts
@@ -10,7 +10,7 @@
   ): Promise<QueryResult>;
 
   /** Runs several statements without parameters, sent in one message. @throws EndpointError */
-  abstract script(sql: string, timeoutMs: number): Promise<QueryResult[]>;
+  abstract runScript(sql: string, timeoutMs: number): Promise<QueryResult[]>;
 
   /** Whether the connection can run a statement: neither lost nor closed, and none in progress. */
   abstract isUsable(): boolean;
--- a/packages/endpoint/src/pgConnection.ts
+++ b/packages/endpoint/src/pgConnection.ts
@@ -53,7 +53,7 @@
     return result ?? { columns: [], rows: [], command: '', rowCount: 0 };
   }
 
-  override script(sql: string, timeoutMs: number): Promise<QueryResult[]> {
+  override runScript(sql: string, timeoutMs: number): Promise<QueryResult[]> {
     return this.run(sql, undefined, timeoutMs);
   }
 
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/configurationStore.ts
@@ -4,7 +4,7 @@
 import type WriteOutcome from './writeOutcome';
 
 /** Client of the configuration store: the platform's key-value service with revisions and watches. */
-abstract class Platform {
+abstract class ConfigurationStore {
   /** Reads all keys with the prefix, at one revision. @throws RefusalError `platformUnavailable`. */
   abstract range(prefix: string, timeoutMs: number): Promise<RangeOutcome>;
 
@@ -20,4 +20,4 @@
   abstract close(): void;
 }
 
-export default Platform;
+export default ConfigurationStore;
--- a/packages/platform/src/createEtcdPlatform.ts
+++ b/packages/platform/src/createEtcdConfigurationStore.ts
@@ -20,7 +20,7 @@
   type TxnResponse,
 } from './generated/etcdserverpb/rpc';
 import { Event_EventType, type Event } from './generated/mvccpb/kv';
-import Platform from './platform';
+import ConfigurationStore from './configurationStore';
 import prefixEnd from './prefixEnd';
 import type RangeOutcome from './rangeOutcome';
 import toEntry from './toEntry';
@@ -87,7 +87,7 @@
   modRevision: event.kv?.modRevision ?? 0,
 });
 
-class EtcdPlatform extends Platform {
+class EtcdConfigurationStore extends ConfigurationStore {
   private kv: KVClient;
 
   private watchClient: WatchClient;
@@ -204,9 +204,9 @@
 }
 
 /** Creates a client of the configuration store, which speaks the etcd v3 API, at `host:port`. */
-const createEtcdPlatform = (
+const createEtcdConfigurationStore = (
   address: string,
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
-): Platform => new EtcdPlatform(address, channelCredentials);
+): ConfigurationStore => new EtcdConfigurationStore(address, channelCredentials);
 
-export default createEtcdPlatform;
+export default createEtcdConfigurationStore;
--- a/packages/vm/src/isNeverSent.ts
+++ b/packages/vm/src/isNotSentError.ts
@@ -5,10 +5,10 @@
 const NO_CONNECTION_PREFIX = 'No connection established';
 
 /** Whether a failed call was certainly never sent. */
-const isNeverSent = (error: Error): boolean => {
+const isNotSentError = (error: Error): boolean => {
   if (error instanceof NotSentError) return true;
   const { code, details } = error as Partial<ServiceError>;
   return code === status.UNAVAILABLE && (details?.startsWith(NO_CONNECTION_PREFIX) ?? false);
 };
 
-export default isNeverSent;
+export default isNotSentError;
