--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -29,7 +29,7 @@
   membership: Membership;
   peers: PeerRegistry;
   leavingNotices: ReturnType<typeof createLeavingNotices>;
-  recheckKey: ReturnType<typeof createAuthenticator>['recheck'];
+  recheckKey: ReturnType<typeof createAuthenticator>['recheckKey'];
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   metrics: Metrics;
   nowMs(): number;
--- a/packages/coordination/src/membership/chooseSlotHolders.spec.ts
+++ b/packages/coordination/src/membership/chooseSlotHolders.spec.ts
@@ -67,7 +67,7 @@
             dataCentre: id[0] ?? '',
             hash: hashText(id),
           }));
-          const choice = { groupHash: hashText(group), near: memberDataCentres, slots, chosen };
+          const choice = { groupHash: hashText(group), memberDataCentres, slots, chosen };
           if (canBecomeSlotHolder({ dataCentre, hash: joining.hash }, choice)) return;
           expect(holdersAfter).to.deep.equal(holdersBefore);
         },
--- a/packages/coordination/src/slots/createHeldSlots.spec.ts
+++ b/packages/coordination/src/slots/createHeldSlots.spec.ts
@@ -15,7 +15,7 @@
     const holder = { vm: 'vm-1', incarnation: 1, isTakenOver: false };
     const decisionInput = {
       ...{ vm: 'vm-1', incarnation: 1, slots: 1, record: { holders: [holder] } },
-      ...{ chosen: ['vm-1'], isListed: () => true },
+      ...{ chosenVms: ['vm-1'], isRegisteredVm: () => true },
     };
 
     it('releases the slot again after a lost write, whichever VM is chosen by then', () => {
@@ -28,17 +28,17 @@
       slots.addSlot(GROUP, 1, false, 0);
       expect(slots.refresh(GROUP, conditionsAt(0))).to.deep.equal({
         isChanged: true,
-        isCut: false,
+        mustCloseConnections: false,
       });
       slots.startReleasing(GROUP);
       const conditionsAfterLease = conditionsAt(slotTimings.leaseMs + 1, 0);
       expect(slots.refresh(GROUP, conditionsAt(1_000))).to.deep.equal({
         isChanged: false,
-        isCut: false,
+        mustCloseConnections: false,
       });
       expect(slots.refresh(GROUP, conditionsAfterLease)).to.deep.equal({
         isChanged: false,
-        isCut: true,
+        mustCloseConnections: true,
       });
       expect(slots.isUsable(GROUP, conditionsAt(1_000))).to.equal(false);
     });
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -98,7 +98,7 @@
     pools,
     countOpenWork: (endpointId) =>
       [...transactions.values()].filter((transaction) => transaction.endpointId === endpointId)
-        .length + (pools.get(endpointId)?.getLoad('', true).underWay ?? 0),
+        .length + (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
     onPrimaryFound: (_id, position, sentAtMs) => {
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
@@ -702,7 +702,7 @@
     },
     countOpenTransactions: () => transactions.size,
     countInFlight: () =>
-      [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).underWay, 0),
+      [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
     countQueued: () => queue.length,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -250,7 +250,7 @@
         isPrimary,
         isLeaving: endpoint.isLeaving,
         isDown,
-        underWay: inFlightStatements,
+        activeStatements: inFlightStatements,
         slots: endpoint.slots,
         canConnect: hasIdleConnection || canOpenConnection() || idleConnections.size > 0,
         hasIdleConnection,
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -211,7 +211,7 @@
       return {
         isPrimary: member?.isPrimary ?? false,
         term: position.term,
-        received: position,
+        receivedPosition: position,
         connections: 0,
       };
     }
