--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -26,7 +26,7 @@
 
 /** Creates the rate limiter of the configured mode, and its quota and lease services. */
 const createAdmission = (options: AdmissionOptions) => {
-  const { settings, configuration, countVms: vmCount, nowMs } = options;
+  const { settings, configuration, countVms, nowMs } = options;
   const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
   const common = {
     ...options,
@@ -46,7 +46,7 @@
   const admission: Admission =
     mode === 'shares'
       ? createQuotaAdmission(configuration, quotas)
-      : createEqualPartsAdmission(configuration, vmCount, nowMs);
+      : createEqualPartsAdmission(configuration, countVms, nowMs);
   return {
     admission,
     shares: quotas,
--- a/packages/auburngrade/src/admission/createEqualPartsAdmission.ts
+++ b/packages/auburngrade/src/admission/createEqualPartsAdmission.ts
@@ -19,7 +19,8 @@
     admit: async (account: string | undefined, _profileName: string): Promise<void> => {
       if (account === undefined) return;
       const limit = configuration.get('account', account)?.limit;
-      if (!limit) throw createNotRunError('unauthenticated', `client account ${account} does not exist`);
+      if (!limit)
+        throw createNotRunError('unauthenticated', `client account ${account} does not exist`);
       const vmDivisor = Math.max(1, vmCount());
       const burst = Math.max(1, limit.burst / vmDivisor);
       const ratePerMs = limit.ratePerS / vmDivisor / MS_PER_S;
--- a/packages/auburngrade/src/admission/createQuotaProtocol.ts
+++ b/packages/auburngrade/src/admission/createQuotaProtocol.ts
@@ -133,7 +133,8 @@
   /** Stops waiting for an unresponsive consumer's report once its lease has expired. */
   const skipExpiredReport = async (state: QuotaState, target: string): Promise<void> => {
     const { keeper: allocator } = state;
-    if (allocator && (await leases.proveByRecord(target))) allocator.clearUnreported(target, nowMs());
+    if (allocator && (await leases.proveByRecord(target)))
+      allocator.clearUnreported(target, nowMs());
   };
 
   const recallFrom = async (
@@ -273,7 +274,9 @@
     recall,
     /** As the allocator, asks VMs that may hold units of an earlier epoch to report. */
     collectReports: async (state: QuotaState): Promise<void> => {
-      const targets = state.keeper?.areAllUnitsClaimed() ? [] : (state.keeper?.unreportedVms() ?? []);
+      const targets = state.keeper?.areAllUnitsClaimed()
+        ? []
+        : (state.keeper?.unreportedVms() ?? []);
       await Promise.all(targets.map((target) => recallFrom(state, target, true)));
     },
     /** Claims the quota if it has no allocator or that has been unreachable for too long. */
--- a/packages/auburngrade/src/authentication/createAuthenticator.ts
+++ b/packages/auburngrade/src/authentication/createAuthenticator.ts
@@ -1,5 +1,9 @@
 import { createHash } from 'node:crypto';
-import { createNotRunError, type ConfigurationState, type Profile } from '@auburngrade/coordination';
+import {
+  createNotRunError,
+  type ConfigurationState,
+  type Profile,
+} from '@auburngrade/coordination';
 import type Caller from './caller';
 
 const FRESHNESS_RETRY_AFTER_MS = 1_000;
@@ -20,14 +24,16 @@
 
   const findProfile = (profileName: string): Profile => {
     const profile = configuration.get('profile', profileName);
-    if (!profile) throw createNotRunError('unknownProfile', `profile ${profileName} does not exist`);
+    if (!profile)
+      throw createNotRunError('unknownProfile', `profile ${profileName} does not exist`);
     return profile;
   };
 
   const checkKey = (keyHash: string | undefined, profileName: string): Caller => {
     const profile = findProfile(profileName);
     if (profile.openToAll) return { account: undefined, profile, profileName, keyHash: undefined };
-    if (keyHash === undefined) throw createNotRunError('unauthenticated', 'the profile requires a key');
+    if (keyHash === undefined)
+      throw createNotRunError('unauthenticated', 'the profile requires a key');
     const keyDocument = configuration.get('key', keyHash);
     if (!keyDocument || keyDocument.withdrawn)
       throw createNotRunError('unauthenticated', 'the key is unknown or withdrawn');
--- a/packages/auburngrade/src/configuration/createConfigurationFeed.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationFeed.ts
@@ -58,7 +58,9 @@
 
     const sendPending = (): void => {
       const entries = batch.take();
-      sendDifference(entries ? { isSnapshot: false, entries } : state.getDifferenceSince(sentRevision));
+      sendDifference(
+        entries ? { isSnapshot: false, entries } : state.getDifferenceSince(sentRevision),
+      );
     };
 
     const unsubscribe = state.onChange((changed) => {
@@ -69,7 +71,8 @@
       onRequest: (request: FollowRequest) => {
         ping = request.ping;
         if (sentRevision > 0) sendPending();
-        else if (state.revision() > 0) sendDifference(state.getDifferenceSince(request.fromRevision));
+        else if (state.revision() > 0)
+          sendDifference(state.getDifferenceSince(request.fromRevision));
         else sendDifference({ isSnapshot: false, entries: [] });
       },
       close: () => {
--- a/packages/auburngrade/src/configuration/createDocumentWriter.ts
+++ b/packages/auburngrade/src/configuration/createDocumentWriter.ts
@@ -112,7 +112,9 @@
       }
       if (document === undefined && !current) return createConflictChange(undefined);
       const valueJson =
-        document === undefined ? undefined : buildStoredValue(document, changeId, current?.valueJson);
+        document === undefined
+          ? undefined
+          : buildStoredValue(document, changeId, current?.valueJson);
       return swapUntilResolved({ key, valueJson, expectedRevision: currentRevision }, changeId);
     },
     /** Finds the only key whose hash starts with the id. @throws RefusalError `badRequest` or `platformUnavailable` */
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -83,7 +83,12 @@
     settings.pools,
     slotController.isUsable,
   );
-  const termRecordInitialiser = createTermRecordInitializer(platform, configuration, timeoutMs, logger);
+  const termRecordInitialiser = createTermRecordInitializer(
+    platform,
+    configuration,
+    timeoutMs,
+    logger,
+  );
   const workTracker = createWorkTracker();
   const leavingNotices = createLeavingNotices({
     vm: settings.vm,
--- a/packages/auburngrade/src/daemon/startServers.ts
+++ b/packages/auburngrade/src/daemon/startServers.ts
@@ -1,4 +1,8 @@
-import { createCallerService, proxyServiceDefinition, type CallerHandler } from '@auburngrade/caller';
+import {
+  createCallerService,
+  proxyServiceDefinition,
+  type CallerHandler,
+} from '@auburngrade/caller';
 import {
   OperatorService,
   createOperatorService,
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -37,7 +37,8 @@
     return createNotRunError('noPrimary', error.message, RETRY_AFTER_MS);
   }
   if (error.kind === 'statementFailed') return createNotRunError('statementFailed', error.message);
-  if (error.kind === 'notSent') return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
+  if (error.kind === 'notSent')
+    return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
   return createMayHaveRunError('connectionLost', error.message);
 };
 
@@ -101,7 +102,10 @@
       if (confirmedAtMs !== undefined && confirmedAtMs >= sentAtMs) return;
       await Promise.race([groupClient.poll(), sleep(CONFIRM_POLL_INTERVAL_MS)]);
     }
-    throw createMayHaveRunError('noFreshEndpoint', 'no majority confirmed the primary before the deadline');
+    throw createMayHaveRunError(
+      'noFreshEndpoint',
+      'no majority confirmed the primary before the deadline',
+    );
   };
 
   const tryPlan = async (
@@ -132,7 +136,11 @@
       plan = await readPlanner.plan(groupClient, request, true);
       rows = await tryPlan(groupClient, request, plan, progress);
     }
-    if (!rows) throw createMayHaveRunError('noFreshEndpoint', 'the age of the answer could not be determined');
+    if (!rows)
+      throw createMayHaveRunError(
+        'noFreshEndpoint',
+        'the age of the answer could not be determined',
+      );
     const { member: endpoint, role } = plan;
     return { rows, sessionToken: request.sessionToken, servedBy: { vm, endpoint, role } };
   };
@@ -167,7 +175,10 @@
       if (!plan.isConfirmationRequired) return;
       await confirmPrimary(groupClient, request, sentAtMs);
       if (groupClient.record()?.term === plan.term) return;
-      throw createNotRunError('transactionAborted', 'the primary was replaced during the transaction');
+      throw createNotRunError(
+        'transactionAborted',
+        'the primary was replaced during the transaction',
+      );
     },
     close: freshnessTracker.close,
   };
--- a/packages/auburngrade/src/groups/acquireWithinTerm.ts
+++ b/packages/auburngrade/src/groups/acquireWithinTerm.ts
@@ -28,7 +28,13 @@
       isSuperseded = true;
       clearTimeout(slowTimer);
       pooled?.discard();
-      reject(createNotRunError('noPrimary', 'the primary of this term has been replaced', RETRY_AFTER_MS));
+      reject(
+        createNotRunError(
+          'noPrimary',
+          'the primary of this term has been replaced',
+          RETRY_AFTER_MS,
+        ),
+      );
     });
     const stop = (): void => {
       clearTimeout(slowTimer);
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -223,7 +223,9 @@
       timer = setTimeout(() => {
         queue.remove(pending, queueKey);
         const message = 'no connection became available before the deadline';
-        pending.refuse(createNotRunError('queueTimeout', message, Math.ceil(queue.costMs(queueKey))));
+        pending.refuse(
+          createNotRunError('queueTimeout', message, Math.ceil(queue.costMs(queueKey))),
+        );
       }, timeoutMs);
       serveQueue();
     });
--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -141,7 +141,7 @@
     statuses,
     poll,
     /** Calls the listener once when a later term is known; returns the function to unsubscribe. */
-    onTermSuperseded: onTermSuperseded,
+    onTermSuperseded,
     /** Latest status of each member, as polled by this VM. */
     views,
     pollMember: async (member: string): Promise<MemberStatus | undefined> => {
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -53,7 +53,8 @@
   const get = (name: string): GroupClient => {
     const group = configuration.get('group', name);
     if (!group) throw createNotRunError('unknownGroup', `group ${name} does not exist`);
-    if (!mayHold(name)) throw createNotRunError('noConnection', `this VM holds no slot of group ${name}`);
+    if (!mayHold(name))
+      throw createNotRunError('noConnection', `this VM holds no slot of group ${name}`);
     const existing = clients.get(name);
     if (existing && existing.group === group) return existing;
     const created = createGroupClient(
@@ -77,7 +78,7 @@
     /** Whether this VM may have connections to a group now. */
     mayHold,
     release: closeGroup,
-    drainGroup: drainGroup,
+    drainGroup,
     listClients: (): GroupClient[] => [...clients.values()],
     close: (): void => [...clients.keys()].forEach((name) => closeGroup(name)),
   };
--- a/packages/auburngrade/src/keys/createKeyFreshness.ts
+++ b/packages/auburngrade/src/keys/createKeyFreshness.ts
@@ -43,7 +43,12 @@
  * Creates the service that tells whether this VM's configuration is recent enough to accept keys:
  * the platform confirmed it, or the witnesses prove an outage in which no key can be withdrawn.
  */
-const createKeyFreshness = ({ settings, configuration, send: exchange, nowMs }: KeyFreshnessOptions) => {
+const createKeyFreshness = ({
+  settings,
+  configuration,
+  send,
+  nowMs,
+}: KeyFreshnessOptions) => {
   const startedAtMs = nowMs();
   let outageAtMs = Number.NEGATIVE_INFINITY;
   let noticedAtMs = Number.NEGATIVE_INFINITY;
@@ -87,7 +92,7 @@
   const requestReport = async (witness: string) => {
     const askedAtMs = nowMs();
     if (witness === settings.vm) return { witness, askedAtMs, report: buildReport() };
-    const reply = await exchange(witness, REACH_REPORT_KIND, {}, POLL_TIMEOUT_MS);
+    const reply = await send(witness, REACH_REPORT_KIND, {}, POLL_TIMEOUT_MS);
     return { witness, askedAtMs, report: platformReachReportSchema.parse(reply) };
   };
 
@@ -99,7 +104,11 @@
       [...witnessesByDataCentre.values()].flat().map(requestReport),
     );
     const reports = settled.flatMap((item) => (item.status === 'fulfilled' ? [item.value] : []));
-    const provenAtMs = computeOutageProvenAtMs(witnessesByDataCentre, reports, configuration.revision());
+    const provenAtMs = computeOutageProvenAtMs(
+      witnessesByDataCentre,
+      reports,
+      configuration.revision(),
+    );
     outageAtMs = Math.max(outageAtMs, provenAtMs ?? Number.NEGATIVE_INFINITY);
   };
 
@@ -128,7 +137,7 @@
       localWitnesses
         .filter((id) => id !== settings.vm)
         .map(async (id) => {
-          await exchange(id, WITHDRAWAL_NOTICE_KIND, { revision }, NOTICE_TIMEOUT_MS);
+          await send(id, WITHDRAWAL_NOTICE_KIND, { revision }, NOTICE_TIMEOUT_MS);
           notifiedVms.add(id);
         }),
     );
--- a/packages/auburngrade/src/membership/createMembership.ts
+++ b/packages/auburngrade/src/membership/createMembership.ts
@@ -142,7 +142,12 @@
     const ids = chooseSlotHolders(listPlacedByDataCentre(), group, memberDataCentres, slots);
     // The copy drops the spare capacity of an array that has grown.
     const chosenVms = ids.flatMap((id) => placedVms.get(id) ?? []).slice();
-    return { groupHash: hashText(group), memberDataCentres: memberDataCentres, slots, chosen: chosenVms };
+    return {
+      groupHash: hashText(group),
+      memberDataCentres,
+      slots,
+      chosen: chosenVms,
+    };
   };
 
   /** VMs that should hold the group's slots by the VM list that this VM knows. */
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -135,10 +135,16 @@
     const judgement = resolveRequestOutcome(finding, computeRequestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
-      throw createNotRunError('transactionAborted', 'the request had no effect; its request id is cancelled');
+      throw createNotRunError(
+        'transactionAborted',
+        'the request had no effect; its request id is cancelled',
+      );
     }
     if (judgement.kind === 'otherStatement') {
-      throw createNotRunError('duplicateRequest', 'the request id was already used for another statement');
+      throw createNotRunError(
+        'duplicateRequest',
+        'the request id was already used for another statement',
+      );
     }
     return {
       rows:
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -132,7 +132,7 @@
       ];
     },
     /** To be called when this VM gains or loses a slot by time alone, without a document change. */
-    scheduleRankUpdate: scheduleRankUpdate,
+    scheduleRankUpdate,
     /** Handles a suspicion message: returns this VM's view of a group's primary. */
     handleSuspicionMessage: async (_fromVm: string, body: unknown): Promise<unknown> => {
       const { group, term } = suspicionMessageSchema.parse(body);
--- a/packages/auburngrade/src/routing/createPeerRegistry.ts
+++ b/packages/auburngrade/src/routing/createPeerRegistry.ts
@@ -1,4 +1,8 @@
-import { documentKinds, createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
+import {
+  documentKinds,
+  createNotRunError,
+  type ConfigurationState,
+} from '@auburngrade/coordination';
 import { createPeerClient, type RemoteVm } from '@auburngrade/vm';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type AddressBook from '../settings/addressBook';
@@ -27,7 +31,8 @@
     /** @throws RefusalError `peerUnreachable` when the configuration has no document of the VM. */
     get: (id: string): RemoteVm => {
       const vmDocument = configuration.get('vm', id);
-      if (!vmDocument) throw createNotRunError('peerUnreachable', `VM ${id} is not in the configuration`);
+      if (!vmDocument)
+        throw createNotRunError('peerUnreachable', `VM ${id} is not in the configuration`);
       const { host, port } = addresses.resolve(vmDocument.host, vmDocument.vmPort);
       const address = `${host}:${port}`;
       const existing = clients.get(id);
--- a/packages/auburngrade/src/routing/createPrimaryWaiter.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.ts
@@ -35,7 +35,11 @@
     /** @throws RefusalError `noPrimary` when the group has no primary before the deadline. */
     wait: async (group: string, deadlineAtMs: number): Promise<void> => {
       if (hasPrimary(group)) return;
-      const refusal = createNotRunError('noPrimary', `group ${group} has no primary`, RETRY_AFTER_MS);
+      const refusal = createNotRunError(
+        'noPrimary',
+        `group ${group} has no primary`,
+        RETRY_AFTER_MS,
+      );
       if (waiting.size >= MAX_WAITING_REQUESTS) throw refusal;
       await waitForPrimary(group, deadlineAtMs - nowMs());
       if (!hasPrimary(group)) throw refusal;
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -52,7 +52,11 @@
   ): ReadContext => {
     const record = groupClient.record();
     if (!record)
-      throw createNotRunError('noPrimary', `group ${groupClient.name} has no term record yet`, RETRY_AFTER_MS);
+      throw createNotRunError(
+        'noPrimary',
+        `group ${groupClient.name} has no term record yet`,
+        RETRY_AFTER_MS,
+      );
     return {
       record,
       members: groupClient.group.members,
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -114,7 +114,8 @@
     { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
     attempt: (target: string, onSilent: () => void) => Promise<Result>,
   ): Promise<Result> => {
-    if (!options.hasGroup(group)) throw createNotRunError('unknownGroup', `group ${group} does not exist`);
+    if (!options.hasGroup(group))
+      throw createNotRunError('unknownGroup', `group ${group} does not exist`);
     const failedVms = new Set<string>();
     const attempts = createRequestAttempts<Result>();
     let refusal: Refusal | undefined;
@@ -124,7 +125,11 @@
       const [target = ''] = candidates;
       try {
         if (target === '') {
-          throw createNotRunError('noConnection', `no VM holds connections to group ${group}`, RETRY_AFTER_MS);
+          throw createNotRunError(
+            'noConnection',
+            `no VM holds connections to group ${group}`,
+            RETRY_AFTER_MS,
+          );
         }
         if (target !== vm) metrics.forwards.inc({ group });
         return await attempts.run(target, (onSilent) => attempt(target, onSilent));
--- a/packages/auburngrade/src/serving/checkRequest.ts
+++ b/packages/auburngrade/src/serving/checkRequest.ts
@@ -20,7 +20,10 @@
     throw createNotRunError('badRequest', 'access_mode must be READ or WRITE');
   }
   if (timeoutMs < 1 || timeoutMs > requests.maxTimeoutMs) {
-    throw createNotRunError('badDeadline', `timeout_ms must be between 1 and ${requests.maxTimeoutMs}`);
+    throw createNotRunError(
+      'badDeadline',
+      `timeout_ms must be between 1 and ${requests.maxTimeoutMs}`,
+    );
   }
   if (requestId !== '' && !REQUEST_ID_PATTERN.test(requestId)) {
     throw createNotRunError('badRequest', 'request_id must be a lower-case UUID');
--- a/packages/auburngrade/src/serving/createConfigurationWaiter.ts
+++ b/packages/auburngrade/src/serving/createConfigurationWaiter.ts
@@ -23,7 +23,11 @@
     wait: async (deadlineAtMs: number): Promise<void> => {
       while (!isLoaded() && nowMs() < deadlineAtMs) await waitForChange(deadlineAtMs - nowMs());
       if (isLoaded()) return;
-      throw createNotRunError('configurationMissing', 'this VM has no configuration yet', RETRY_AFTER_MS);
+      throw createNotRunError(
+        'configurationMissing',
+        'this VM has no configuration yet',
+        RETRY_AFTER_MS,
+      );
     },
   };
 };
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -1,4 +1,8 @@
-import { createHeldSlots, findAssignedSlot, type ConfigurationState } from '@auburngrade/coordination';
+import {
+  createHeldSlots,
+  findAssignedSlot,
+  type ConfigurationState,
+} from '@auburngrade/coordination';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 
@@ -27,7 +31,7 @@
     incarnation,
     configuration,
     closeConnections,
-    onSlotUseChanged: onSlotUseChanged,
+    onSlotUseChanged,
     logger,
     nowMs,
   } = options;
@@ -47,7 +51,7 @@
   const isUsable = (group: string): boolean => heldSlots.isUsable(group, readConditions(group));
 
   const refreshUse = (group: string): void => {
-    const { isChanged, mustCloseConnections: mustCloseConnections } = heldSlots.refresh(
+    const { isChanged, mustCloseConnections } = heldSlots.refresh(
       group,
       readConditions(group),
     );
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -190,7 +190,8 @@
   }
 
   private assertOpen(): void {
-    if (this.hasEnded) throw createNotRunError('transactionAborted', 'the transaction has been rolled back');
+    if (this.hasEnded)
+      throw createNotRunError('transactionAborted', 'the transaction has been rolled back');
   }
 
   private remainingMs(): number {
@@ -209,7 +210,8 @@
     if (error.sqlState === STALE_TERM_SQLSTATE) {
       return createNotRunError('noPrimary', error.message, RETRY_AFTER_MS);
     }
-    if (error.kind === 'statementFailed') return createNotRunError('statementFailed', error.message);
+    if (error.kind === 'statementFailed')
+      return createNotRunError('statementFailed', error.message);
     if (isBegin) return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
     return createNotRunError('transactionAborted', error.message);
   }
--- a/packages/auburngrade/src/transactions/createRemoteTransaction.ts
+++ b/packages/auburngrade/src/transactions/createRemoteTransaction.ts
@@ -37,7 +37,8 @@
       requestId: request.requestId,
       timeoutMs,
     };
-    const refuse = (error: Error): RefusalError => createNotRunError('peerUnreachable', error.message);
+    const refuse = (error: Error): RefusalError =>
+      createNotRunError('peerUnreachable', error.message);
     return this.step({ $case: 'begin', begin }, refuse, () => this.stream.cancel());
   }
 
--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -60,7 +60,10 @@
   const findWantedGroups = createVmListCache(configuration, (): WitnessGroups =>
     chooseWitnessGroups(listLiveVms(), vm, dataCentre),
   );
-  const findRegisteredVms = createVmListCache(configuration, () => new Set(configuration.listNames('vm')));
+  const findRegisteredVms = createVmListCache(
+    configuration,
+    () => new Set(configuration.listNames('vm')),
+  );
 
   /** A VM without an earlier record was never a witness, so it can't have lost a promise. */
   const openWitness = (hasEarlierRecord: boolean): void => {
--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -28,7 +28,12 @@
   key: { prefix: '/auburngrade/key/', schema: keySchema, writable: false, urgent: false },
   group: { prefix: '/auburngrade/group/', schema: groupSchema, writable: true, urgent: false },
   term: { prefix: '/auburngrade/term/', schema: termSchema, writable: false, urgent: true },
-  slots: { prefix: '/auburngrade/slots/', schema: slotsRecordSchema, writable: false, urgent: true },
+  slots: {
+    prefix: '/auburngrade/slots/',
+    schema: slotsRecordSchema,
+    writable: false,
+    urgent: true,
+  },
   share: {
     prefix: '/auburngrade/share/',
     schema: quotaRecordSchema,
--- a/packages/coordination/src/keys/isKeyConfigurationFresh.spec.ts
+++ b/packages/coordination/src/keys/isKeyConfigurationFresh.spec.ts
@@ -46,7 +46,9 @@
 
 type Step = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
 
-const witnesses = new Map([...DATA_CENTRES].map(([name, ids]) => [name, chooseWriteWitnesses(ids, name)]));
+const witnesses = new Map(
+  [...DATA_CENTRES].map(([name, ids]) => [name, chooseWriteWitnesses(ids, name)]),
+);
 const findDataCentre = (id: string): string => (id.startsWith('n') ? 'north' : 'south');
 
 interface Outcome {
@@ -222,13 +224,20 @@
 
   it('requires a majority of the witnesses in every data centre', () => {
     expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS), 7)).to.equal(90_000);
-    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 'n2', 'n3']), 7)).to.equal(undefined);
-    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 's1', 's2']), 7)).to.equal(undefined);
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 'n2', 'n3']), 7)).to.equal(
+      undefined,
+    );
+    expect(computeOutageProvenAtMs(witnesses, createAnswers(['n1', 's1', 's2']), 7)).to.equal(
+      undefined,
+    );
   });
 
   it('ignores witnesses that know a later revision, reached the platform or just started', () => {
     expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS), 6)).to.equal(undefined);
-    const rejectedReports: Partial<PlatformReachReport>[] = [{ reachedAgeMs: 100 }, { uptimeMs: 100 }];
+    const rejectedReports: Partial<PlatformReachReport>[] = [
+      { reachedAgeMs: 100 },
+      { uptimeMs: 100 },
+    ];
     rejectedReports.forEach((report) =>
       expect(computeOutageProvenAtMs(witnesses, createAnswers(VMS, report), 7)).to.equal(undefined),
     );
--- a/packages/coordination/src/membership/canBecomeSlotHolder.ts
+++ b/packages/coordination/src/membership/canBecomeSlotHolder.ts
@@ -19,12 +19,14 @@
  */
 const canBecomeSlotHolder = (
   joining: VmPlacement,
-  { groupHash, memberDataCentres: near, slots, chosen }: HolderChoice,
+  { groupHash, memberDataCentres, slots, chosen }: HolderChoice,
 ): boolean => {
   if (chosen.length < slots) return true;
-  const isInMemberDataCentre = near.includes(joining.dataCentre);
+  const isInMemberDataCentre = memberDataCentres.includes(joining.dataCentre);
   const hasHolderInDataCentre = chosen.some(({ dataCentre }) => dataCentre === joining.dataCentre);
-  const hasHolderElsewhere = chosen.some(({ dataCentre }) => !near.includes(dataCentre));
+  const hasHolderElsewhere = chosen.some(
+    ({ dataCentre }) => !memberDataCentres.includes(dataCentre),
+  );
   if (isInMemberDataCentre && (hasHolderElsewhere || !hasHolderInDataCentre)) return true;
   const score = rendezvousScore(joining.hash, groupHash);
   return chosen.some(({ hash }) => score >= rendezvousScore(hash, groupHash));
--- a/packages/coordination/src/outcome/resolveRequestOutcome.spec.ts
+++ b/packages/coordination/src/outcome/resolveRequestOutcome.spec.ts
@@ -17,7 +17,9 @@
 describe('resolveRequestOutcome', () => {
   describe('without a row that a majority holds', () => {
     it('returns open when the primary was unreachable', () => {
-      expect(resolveRequestOutcome({ kind: 'unreachable' }, FINGERPRINT)).to.deep.equal({ kind: 'open' });
+      expect(resolveRequestOutcome({ kind: 'unreachable' }, FINGERPRINT)).to.deep.equal({
+        kind: 'open',
+      });
     });
 
     it('returns open while no majority holds the cancellation', () => {
--- a/packages/coordination/src/outcome/resolveRequestOutcome.ts
+++ b/packages/coordination/src/outcome/resolveRequestOutcome.ts
@@ -12,7 +12,10 @@
  * rules out a later commit, as both rows would have the same key. Otherwise the outcome is
  * `open`: unknown until a later lookup.
  */
-const resolveRequestOutcome = (finding: RequestLookupResult, fingerprint: string): RequestResolution => {
+const resolveRequestOutcome = (
+  finding: RequestLookupResult,
+  fingerprint: string,
+): RequestResolution => {
   if (finding.kind === 'unreachable' || !finding.isHeld) return { kind: 'open' };
   if (finding.kind === 'cancelledNow') return { kind: 'cancelled' };
   const { record } = finding;
--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -58,7 +58,10 @@
   });
 
   it('excludes VMs that are unreachable or leaving', () => {
-    const vms = [view('a', 'waco', { hasRecentHeartbeat: false }), view('b', 'waco', { isLeaving: true })];
+    const vms = [
+      view('a', 'waco', { hasRecentHeartbeat: false }),
+      view('b', 'waco', { isLeaving: true }),
+    ];
     expect(chooseOwner('g', vms, new Map(), undefined)).to.equal(undefined);
   });
 
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -20,7 +20,9 @@
   ownedCounts: ReadonlyMap<string, number>,
   primaryDataCentre: string | undefined,
 ): string | undefined => {
-  const available = vms.filter(({ hasRecentHeartbeat, isLeaving }) => hasRecentHeartbeat && !isLeaving);
+  const available = vms.filter(
+    ({ hasRecentHeartbeat, isLeaving }) => hasRecentHeartbeat && !isLeaving,
+  );
   const storeReachable = preferMatching(available, ({ isStoreReachable }) => isStoreReachable);
   const unstrained = preferMatching(storeReachable, ({ isStrained }) => !isStrained);
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
--- a/packages/coordination/src/ownership/createPeerLease.spec.ts
+++ b/packages/coordination/src/ownership/createPeerLease.spec.ts
@@ -63,7 +63,9 @@
         heardWithinMs;
       const inFlight: { dueMs: number; run(): void }[] = [];
       const lease = createPeerLease(LEASE_MS);
-      const reportersByVm = new Map(names.map((vm) => [vm, createPeerReporter(confirmationDelayMs)]));
+      const reportersByVm = new Map(
+        names.map((vm) => [vm, createPeerReporter(confirmationDelayMs)]),
+      );
       const reportOn = (vm: string, other: string, nowMs: number): string =>
         reportersByVm.get(vm)?.state(other, hears(vm, other, nowMs), nowMs > 2_000, nowMs) ??
         'silent';
--- a/packages/coordination/src/ownership/hasLostOwner.ts
+++ b/packages/coordination/src/ownership/hasLostOwner.ts
@@ -18,7 +18,8 @@
   if (view?.hasRecentHeartbeat) return false;
   const others = vms.filter(({ vm }) => vm !== owner.vm);
   const notHearingOwner = others.filter(
-    ({ hasRecentHeartbeat, isSettled, hears }) => hasRecentHeartbeat && isSettled && !hears.has(owner.vm),
+    ({ hasRecentHeartbeat, isSettled, hears }) =>
+      hasRecentHeartbeat && isSettled && !hears.has(owner.vm),
   );
   return notHearingOwner.length * 2 > others.length;
 };
--- a/packages/coordination/src/polling/listMembersToPoll.ts
+++ b/packages/coordination/src/polling/listMembersToPoll.ts
@@ -24,9 +24,10 @@
  * loss, and the replicas even less. A member that has not answered is polled again at once.
  */
 const listMembersToPoll = (state: PollingState): string[] => {
-  const { record, activeMembers, views, lastRequestAtMs: usedAtMs, nowMs } = state;
+  const { record, activeMembers, views, lastRequestAtMs, nowMs } = state;
   const isBusy =
-    nowMs - usedAtMs < BUSY_AFTER_REQUEST_MS || !isGroupSettled(record, activeMembers, views);
+    nowMs - lastRequestAtMs < BUSY_AFTER_REQUEST_MS ||
+    !isGroupSettled(record, activeMembers, views);
   const getPollIntervalMs = (member: string): number => {
     if (isBusy) return BUSY_POLL_INTERVAL_MS;
     return member === record?.primary
--- a/packages/coordination/src/promotion/createReplicationRepair.spec.ts
+++ b/packages/coordination/src/promotion/createReplicationRepair.spec.ts
@@ -41,7 +41,9 @@
   it('does not return a replica that was not polled again', () => {
     const repair = createReplicationRepair();
     const views = [view('m1', 9, 0), view('m2', 5, 0)];
-    Array.from({ length: 10 }, () => expect(repair.listMembersToRepair(RECORD, views)).to.deep.equal([]));
+    Array.from({ length: 10 }, () =>
+      expect(repair.listMembersToRepair(RECORD, views)).to.deep.equal([]),
+    );
   });
 
   it('does not return a replica that makes progress or has caught up', () => {
--- a/packages/coordination/src/rate/allocatorChange.spec.ts
+++ b/packages/coordination/src/rate/allocatorChange.spec.ts
@@ -181,7 +181,8 @@
       goneAllocator?.epoch === record.epoch &&
       goneAllocator.vm === record.keeper &&
       leases.get(goneAllocator.vm) === goneAllocator.lease;
-    if (process.lease.currentGeneration(nowMs) === undefined || (!isUnclaimed && !isProvenGone)) return;
+    if (process.lease.currentGeneration(nowMs) === undefined || (!isUnclaimed && !isProvenGone))
+      return;
     const retained = process.consumer?.drain(nowMs) ?? { units: 0, tokens: 0 };
     const otherVms = fleet.map(({ id }) => id).filter((id) => id !== process.id);
     const remainingVms = new Set(
@@ -198,7 +199,7 @@
       ...{
         limit: LIMIT,
         epoch: record.epoch,
-        unreportedVms: unreportedVms,
+        unreportedVms,
         former: new Set<string>(),
       },
       ...{ initialUnits: retained.units, initialTokens: retained.tokens, leaseMs: LONG_LEASE_MS },
--- a/packages/coordination/src/rate/createQuotaAllocator.ts
+++ b/packages/coordination/src/rate/createQuotaAllocator.ts
@@ -187,7 +187,7 @@
     units: (nowMs: number): number => (isActive(nowMs) ? bucket.units() : 0),
     areAllUnitsClaimed: () => areAllUnitsClaimed,
     /** Whether this allocator is active; permanently false once the VM's lease has expired. */
-    isActive: isActive,
+    isActive,
     /** VMs whose units of an earlier epoch are still unknown. */
     unreportedVms: (): string[] => [...unreportedVms],
     /** Reclaims the units of a VM's earlier process when a later one is seen. */
--- a/packages/coordination/src/rate/expiredLeases.spec.ts
+++ b/packages/coordination/src/rate/expiredLeases.spec.ts
@@ -33,7 +33,13 @@
 
   const allocator = createQuotaAllocator({
     ...{ limit: LIMIT, epoch: 1, unreportedVms: new Set(), former: new Set(), initialUnits: 0 },
-    ...{ initialTokens: 0, leaseMs: LONG_LEASE_MS, lease: allocatorLease, unreportedExpireAtMs: 0, nowMs },
+    ...{
+      initialTokens: 0,
+      leaseMs: LONG_LEASE_MS,
+      lease: allocatorLease,
+      unreportedExpireAtMs: 0,
+      nowMs,
+    },
   });
   const consumer = createQuotaConsumer({
     ...{ share: 'a', vm: 'vm', incarnation: 1, limit: LIMIT },
--- a/packages/coordination/src/rate/scarceTokens.spec.ts
+++ b/packages/coordination/src/rate/scarceTokens.spec.ts
@@ -28,7 +28,10 @@
   const startConsumer = (vm: string): QuotaConsumer =>
     createQuotaConsumer({ ...commonOptions, share: 'a', vm, incarnation: 1 });
   const report = (consumer: QuotaConsumer, neededTokens: number, nowMs: number): void =>
-    consumer.applyGrant(allocator.handleReport(consumer.report(1, neededTokens, nowMs), nowMs), nowMs);
+    consumer.applyGrant(
+      allocator.handleReport(consumer.report(1, neededTokens, nowMs), nowMs),
+      nowMs,
+    );
   const consumers = ['vm-1', 'vm-2'].map(startConsumer);
   consumers.forEach((consumer) => consumer.count(0));
   for (let round = 0; round < REPORT_ROUNDS; round += 1) {
--- a/packages/coordination/src/rate/unitTransfers.spec.ts
+++ b/packages/coordination/src/rate/unitTransfers.spec.ts
@@ -47,8 +47,9 @@
   let limit = LARGE_LIMIT;
   let incarnation = 1;
   const admittedAtMs: number[] = [];
-  const network: ({ to: 'keeper'; sync: QuotaReport } | { to: QuotaConsumer; grant: QuotaGrant })[] =
-    [];
+  const network: (
+    { to: 'keeper'; sync: QuotaReport } | { to: QuotaConsumer; grant: QuotaGrant }
+  )[] = [];
   // Without witnesses the VMs' own leases never expire.
   const lease = createVmLease(LEASE_MS);
   lease.setRecord({ term: 1, groups: [] }, nowMs);
--- a/packages/coordination/src/retry/decideRetry.spec.ts
+++ b/packages/coordination/src/retry/decideRetry.spec.ts
@@ -49,7 +49,9 @@
         // Uses up the initial tokens.
       }
       Array.from({ length: 100 }).forEach(budget.creditRequest);
-      const grantedCount = Array.from({ length: 100 }, budget.takeRetryToken).filter(Boolean).length;
+      const grantedCount = Array.from({ length: 100 }, budget.takeRetryToken).filter(
+        Boolean,
+      ).length;
       expect(grantedCount).to.be.within(19, 20);
     });
   });
--- a/packages/coordination/src/routing/chooseEndpoint.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.ts
@@ -58,8 +58,9 @@
  * refuses the statement.
  */
 const chooseEndpoint = (context: ReadContext): ReadTarget => {
-  const { record, sessionPosition: tokenEntry, freshness } = context;
-  if (tokenEntry && tokenEntry.term > findLastActiveTerm(record)) return { kind: 'recordBehind' };
+  const { record, sessionPosition, freshness } = context;
+  if (sessionPosition && sessionPosition.term > findLastActiveTerm(record))
+    return { kind: 'recordBehind' };
   const primary = record.state === 'active' ? record.primary : undefined;
   if (freshness.kind === 'primary') return { kind: 'notFresh', primary };
   const members = listFreshReplicas(context);
--- a/packages/coordination/src/slots/createHeldSlots.ts
+++ b/packages/coordination/src/slots/createHeldSlots.ts
@@ -47,7 +47,8 @@
     has: (group: string): boolean => slots.has(group),
     groupNames: (): string[] => [...slots.keys()],
     /** Groups whose slots were usable at the last refresh. */
-    groupNamesInUse: (): string[] => [...slots].filter(([, { isInUse }]) => isInUse).map(([group]) => group),
+    groupNamesInUse: (): string[] =>
+      [...slots].filter(([, { isInUse }]) => isInUse).map(([group]) => group),
     isUsable,
     /** Adds a slot assigned to this VM; one taken over is unusable until the witnesses know it. */
     addSlot: (group: string, revision: number, isTakenOver: boolean, nowMs: number): void => {
--- a/packages/coordination/src/slots/decideSlot.ts
+++ b/packages/coordination/src/slots/decideSlot.ts
@@ -10,19 +10,27 @@
  * over a slot waits until the previous holder can no longer use it.
  */
 const decideSlot = (input: SlotDecisionInput): SlotDecision => {
-  const { vm, incarnation, slots, record, chosenVms: chosen, isRegisteredVm: isListed, isReleasing: isClosing } = input;
+  const {
+    vm,
+    incarnation,
+    slots,
+    record,
+    chosenVms,
+    isRegisteredVm,
+    isReleasing,
+  } = input;
   const ownIndex = findAssignedSlot(record, vm, incarnation);
-  if (ownIndex >= slots || (ownIndex >= 0 && isClosing)) return { kind: 'giveBack' };
-  if (ownIndex >= 0 || !chosen.includes(vm)) return { kind: 'none' };
+  if (ownIndex >= slots || (ownIndex >= 0 && isReleasing)) return { kind: 'giveBack' };
+  if (ownIndex >= 0 || !chosenVms.includes(vm)) return { kind: 'none' };
   const holders = Array.from({ length: slots }, (_, slot) => record?.holders[slot] ?? null);
   const freeIndex = holders.indexOf(null);
   if (freeIndex >= 0) return { kind: 'take', slot: freeIndex, isTakenOver: false };
   const abandonedIndex = holders.findIndex(
-    (holder) => holder && (holder.vm === vm || !isListed(holder.vm)),
+    (holder) => holder && (holder.vm === vm || !isRegisteredVm(holder.vm)),
   );
   if (abandonedIndex >= 0) return { kind: 'take', slot: abandonedIndex, isTakenOver: true };
   const holderVms = holders.flatMap((holder) => (holder ? [holder.vm] : []));
-  return { kind: 'ask', vms: holderVms.filter((holder) => !chosen.includes(holder)) };
+  return { kind: 'ask', vms: holderVms.filter((holder) => !chosenVms.includes(holder)) };
 };
 
 export default decideSlot;
--- a/packages/coordination/src/slots/slots.spec.ts
+++ b/packages/coordination/src/slots/slots.spec.ts
@@ -72,7 +72,13 @@
     const isListed = (other: string): boolean => registered.includes(other);
     const decision = decideSlot({
       ...vm,
-      ...{ slots: SLOTS, record: knownRecord, chosenVms: chosen, isRegisteredVm: isListed, isReleasing: false },
+      ...{
+        slots: SLOTS,
+        record: knownRecord,
+        chosenVms: chosen,
+        isRegisteredVm: isListed,
+        isReleasing: false,
+      },
     });
     if (decision.kind !== 'take') return;
     const holder = {
--- a/packages/coordination/src/transaction/acceptStep.ts
+++ b/packages/coordination/src/transaction/acceptStep.ts
@@ -16,10 +16,15 @@
   kind: StepKind | undefined,
 ): TransactionProgress => {
   if (step !== progress.lastStep + 1) {
-    throw createNotRunError('badRequest', `step ${step} is out of order after step ${progress.lastStep}`);
+    throw createNotRunError(
+      'badRequest',
+      `step ${step} is out of order after step ${progress.lastStep}`,
+    );
   }
-  if (kind === undefined) throw createNotRunError('badRequest', 'the transaction step has no content');
-  if (progress.phase === 'ended') throw createNotRunError('transactionAborted', 'the transaction has ended');
+  if (kind === undefined)
+    throw createNotRunError('badRequest', 'the transaction step has no content');
+  if (progress.phase === 'ended')
+    throw createNotRunError('transactionAborted', 'the transaction has ended');
   const isBeginExpected = progress.phase === 'new';
   if (isBeginExpected !== (kind === 'begin')) {
     throw createNotRunError(
--- a/packages/coordination/src/witness/createWitness.spec.ts
+++ b/packages/coordination/src/witness/createWitness.spec.ts
@@ -19,7 +19,9 @@
       expect(witness.renew('vm-1', LONG_LEASE, leaseMsWithMargin(LONG_LEASE.leaseMs) - 1)).to.equal(
         false,
       );
-      expect(witness.renew('vm-1', LONG_LEASE, leaseMsWithMargin(LONG_LEASE.leaseMs))).to.equal(true);
+      expect(witness.renew('vm-1', LONG_LEASE, leaseMsWithMargin(LONG_LEASE.leaseMs))).to.equal(
+        true,
+      );
     });
   });
 
--- a/packages/sessions/src/daemon/createRateUsage.ts
+++ b/packages/sessions/src/daemon/createRateUsage.ts
@@ -52,7 +52,9 @@
       groups: ReadonlySet<string>,
       findServingVm: (group: string) => string | undefined,
     ): void => {
-      const heard = new Set(vms.filter(({ hasRecentHeartbeat }) => hasRecentHeartbeat).map(({ vm }) => vm));
+      const heard = new Set(
+        vms.filter(({ hasRecentHeartbeat }) => hasRecentHeartbeat).map(({ vm }) => vm),
+      );
       const names = [...groups];
       const unheardGroups = names.filter((group) => {
         const owner = findServingVm(group);
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -130,7 +130,8 @@
     wallMs,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
     primaryDataCentre: (group) =>
-      endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)?.dataCentre,
+      endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
+        ?.dataCentre,
   });
 
   const getControlAccount = (): string =>
@@ -294,7 +295,9 @@
     run: async (origin, call, values) => toCallResult(await runCall(origin, call, values)),
     endTransaction: endTransactionOnServers,
     endOrigin: (origin) =>
-      [...servers.values(), ...retiredServers].forEach((server) => server.endTransactionsOfSender(origin)),
+      [...servers.values(), ...retiredServers].forEach((server) =>
+        server.endTransactionsOfSender(origin),
+      ),
     onDocument: (document) => {
       documents.putIfNewer(document);
     },
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -364,7 +364,10 @@
         const previousOwner = record?.owner;
         const hasOwnerReturned =
           !(record && isOwnerStalled(group, record)) &&
-          vms.some(({ vm, hasRecentHeartbeat: isHeard, isLeaving }) => vm === previousOwner && isHeard && !isLeaving);
+          vms.some(
+            ({ vm, hasRecentHeartbeat, isLeaving }) =>
+              vm === previousOwner && hasRecentHeartbeat && !isLeaving,
+          );
         const actingVm = actingSinceHeartbeat.has(group) ? self.vm : fleet.findActingVm(group);
         const owner =
           actingVm ??
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -122,7 +122,8 @@
           log.info('request.linkLost', { request: call.requestId, owner, reason: error.message });
           if (result) return result;
         }
-        if (isContinuation) return createRefusal('aborted', 'the VM that ran the transaction lost it');
+        if (isContinuation)
+          return createRefusal('aborted', 'the VM that ran the transaction lost it');
       }
       const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
       unservedSinceMs.set(call.group, sinceMs);
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -400,7 +400,10 @@
       pool.closeConnection(connection);
       endTransaction(transaction, false);
       const mayHaveCommitted = isCommit && isSent && transaction.hasWritten;
-      resolveStatement(statement, createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message));
+      resolveStatement(
+        statement,
+        createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message),
+      );
     }
   };
 
@@ -526,7 +529,10 @@
     const primary = primaryManager.getAvailablePrimary();
     const pool = primary === undefined ? undefined : pools.get(primary);
     // Failed samples count too: an immediate retry would find the endpoint in the same state.
-    const lastSampleAtMs = Math.max(positionHistory.getLatestAskedAtMs() ?? 0, lastSampleAttemptAtMs);
+    const lastSampleAtMs = Math.max(
+      positionHistory.getLatestAskedAtMs() ?? 0,
+      lastSampleAttemptAtMs,
+    );
     if (!pool || isSampling || nowMs() - lastSampleAtMs < POSITION_SAMPLE_INTERVAL_MS) return;
     isSampling = true;
     lastSampleAttemptAtMs = nowMs();
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -129,7 +129,10 @@
       };
       if (isClosed) {
         memberConnection.close();
-        throw new MemberConnectionError('broken', `connection pool of endpoint ${endpoint.id} is closed`);
+        throw new MemberConnectionError(
+          'broken',
+          `connection pool of endpoint ${endpoint.id} is closed`,
+        );
       }
       lastReplyAtMs = nowMs();
       connections.add(connection);
@@ -139,7 +142,8 @@
         idleConnections.delete(connection);
         onChange();
       });
-      if (memberConnection.initialPosition) position = maxPosition(position, memberConnection.initialPosition);
+      if (memberConnection.initialPosition)
+        position = maxPosition(position, memberConnection.initialPosition);
       return connection;
     } catch (error) {
       if (error instanceof MemberConnectionError) {
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -81,7 +81,9 @@
       .filter(([id, pool]) => id !== excludedId && !pool.isDown() && !pool.endpoint().isLeaving)
       .map(([id]) => id);
     const replies = await probeEndpoints(ids);
-    return replies.sort((a, b) => comparePositions(b.status.receivedPosition, a.status.receivedPosition))[0];
+    return replies.sort((a, b) =>
+      comparePositions(b.status.receivedPosition, a.status.receivedPosition),
+    )[0];
   };
 
   const awaitPromotion = async (id: string): Promise<boolean> => {
@@ -133,7 +135,8 @@
       while (
         oldPrimary &&
         candidate &&
-        comparePositions(candidate.status.receivedPosition, oldPrimary.status.receivedPosition) < 0 &&
+        comparePositions(candidate.status.receivedPosition, oldPrimary.status.receivedPosition) <
+          0 &&
         nowMs() < untilMs
       ) {
         await sleep(PROMOTION_POLL_MS / 2);
@@ -165,7 +168,8 @@
     const minTerm = options.getRecordedPrimary().term;
     const reachable = [...pools].filter(([, pool]) => !pool.isDown());
     const claimants = reachable.filter(
-      ([id, pool]) => pool.endpoint().isRegisteredAsPrimary || id === options.getRecordedPrimary().primary,
+      ([id, pool]) =>
+        pool.endpoint().isRegisteredAsPrimary || id === options.getRecordedPrimary().primary,
     );
     const probed = claimants.length > 0 ? claimants : reachable;
     const replies = await probeEndpoints(probed.map(([id]) => id));
@@ -173,7 +177,11 @@
       .filter(({ status }) => status.isPrimary && status.term >= minTerm)
       .sort((a, b) => b.status.term - a.status.term);
     if (newestPrimary) {
-      acceptPrimary(newestPrimary.id, newestPrimary.status.receivedPosition, newestPrimary.askedAtMs);
+      acceptPrimary(
+        newestPrimary.id,
+        newestPrimary.status.receivedPosition,
+        newestPrimary.askedAtMs,
+      );
       return;
     }
     noPrimarySinceMs ??= nowMs();
