--- a/packages/auburngrade/src/keys/createKeyFreshness.ts
+++ b/packages/auburngrade/src/keys/createKeyFreshness.ts
@@ -43,12 +43,7 @@
  * Creates the service that tells whether this VM's configuration is recent enough to accept keys:
  * the platform confirmed it, or the witnesses prove an outage in which no key can be withdrawn.
  */
-const createKeyFreshness = ({
-  settings,
-  configuration,
-  send,
-  nowMs,
-}: KeyFreshnessOptions) => {
+const createKeyFreshness = ({ settings, configuration, send, nowMs }: KeyFreshnessOptions) => {
   const startedAtMs = nowMs();
   let outageAtMs = Number.NEGATIVE_INFINITY;
   let noticedAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/auburngrade/src/slots/createSlotTracker.ts
+++ b/packages/auburngrade/src/slots/createSlotTracker.ts
@@ -26,15 +26,8 @@
 
 /** Creates the tracker of the slots recorded for this VM and of whether it may use them now. */
 const createSlotTracker = (options: SlotTrackerOptions) => {
-  const {
-    vm,
-    incarnation,
-    configuration,
-    closeConnections,
-    onSlotUseChanged,
-    logger,
-    nowMs,
-  } = options;
+  const { vm, incarnation, configuration, closeConnections, onSlotUseChanged, logger, nowMs } =
+    options;
   const heldSlots = createHeldSlots();
   let isStopped = false;
 
@@ -51,10 +44,7 @@
   const isUsable = (group: string): boolean => heldSlots.isUsable(group, readConditions(group));
 
   const refreshUse = (group: string): void => {
-    const { isChanged, mustCloseConnections } = heldSlots.refresh(
-      group,
-      readConditions(group),
-    );
+    const { isChanged, mustCloseConnections } = heldSlots.refresh(group, readConditions(group));
     if (mustCloseConnections) closeConnections(group);
     if (!isChanged) return;
     logger.info(mustCloseConnections ? 'slot.lapsed' : 'slot.usable', { group });
--- a/packages/coordination/src/slots/decideSlot.ts
+++ b/packages/coordination/src/slots/decideSlot.ts
@@ -10,15 +10,7 @@
  * over a slot waits until the previous holder can no longer use it.
  */
 const decideSlot = (input: SlotDecisionInput): SlotDecision => {
-  const {
-    vm,
-    incarnation,
-    slots,
-    record,
-    chosenVms,
-    isRegisteredVm,
-    isReleasing,
-  } = input;
+  const { vm, incarnation, slots, record, chosenVms, isRegisteredVm, isReleasing } = input;
   const ownIndex = findAssignedSlot(record, vm, incarnation);
   if (ownIndex >= slots || (ownIndex >= 0 && isReleasing)) return { kind: 'giveBack' };
   if (ownIndex >= 0 || !chosenVms.includes(vm)) return { kind: 'none' };
