--- a/packages/auburngrade/src/admission/admission.ts
+++ b/packages/auburngrade/src/admission/admission.ts
@@ -1,8 +1,8 @@
-/** Rate limiter for the requests of client accounts. */
+/** Admits requests of client accounts within their rates. */
 interface Admission {
   /**
-   * Takes one token of the account's rate, waiting until the request's deadline at most.
-   * @throws RefusalError `unauthenticated`, `rateExceeded` or `shareUnavailable`.
+   * Takes one request of the account's rate, by the request's deadline at the latest.
+   * @throws RefusalError `rateExceeded` or `shareUnavailable`.
    */
   admit(account: string | undefined, profileName: string, deadlineAtMs: number): Promise<void>;
 }
--- a/packages/auburngrade/src/admission/createAdmission.ts
+++ b/packages/auburngrade/src/admission/createAdmission.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationState } from '@auburngrade/coordination';
-import type { ConfigurationStore } from '@auburngrade/platform';
+import type { Platform } from '@auburngrade/platform';
 import type Logger from '../log/logger';
 import type PeerRegistry from '../routing/peerRegistry';
 import type Settings from '../settings/settings';
@@ -7,26 +7,26 @@
 import type SendMessage from '../membership/sendMessage';
 import type Admission from './admission';
 import createEqualPartsAdmission from './createEqualPartsAdmission';
-import createQuotaAdmission from './createQuotaAdmission';
-import createQuotaService from './createQuotaService';
-import findQuotaLimit from './findQuotaLimit';
+import createShareAdmission from './createShareAdmission';
+import createShareService from './createShareService';
+import limitOfShare from './limitOfShare';
 
 interface AdmissionOptions {
   settings: Settings;
   incarnation: number;
   configuration: ConfigurationState;
-  platform: ConfigurationStore;
+  platform: Platform;
   peers: PeerRegistry;
   send: SendMessage;
-  countVms(): number;
+  vmCount(): number;
   confirmedAtMs(): number;
   nowMs(): number;
   logger: Logger;
 }
 
-/** Creates the rate limiter of the configured mode, and its quota and lease services. */
+/** Creates the admission that the settings choose, and the services of shares and leases behind it. */
 const createAdmission = (options: AdmissionOptions) => {
-  const { settings, configuration, countVms, nowMs } = options;
+  const { settings, configuration, vmCount, nowMs } = options;
   const { mode, shareLeaseMs, vmLeaseMs, maxWaitMs, maxSilentWaitMs } = settings.admission;
   const common = {
     ...options,
@@ -35,30 +35,30 @@
     platformTimeoutMs: settings.platform.timeoutMs,
   };
   const leases = createLeaseService({ ...common, leaseMs: vmLeaseMs });
-  const quotas = createQuotaService({
+  const shares = createShareService({
     ...common,
     leases,
     leaseMs: shareLeaseMs,
     maxWaitMs,
     maxSilentWaitMs,
-    findLimit: (name) => findQuotaLimit(configuration, name),
+    limitOf: (name) => limitOfShare(configuration, name),
   });
   const admission: Admission =
     mode === 'shares'
-      ? createQuotaAdmission(configuration, quotas)
-      : createEqualPartsAdmission(configuration, countVms, nowMs);
+      ? createShareAdmission(configuration, shares)
+      : createEqualPartsAdmission(configuration, vmCount, nowMs);
   return {
     admission,
-    shares: quotas,
+    shares,
     leases,
-    messageHandlers: new Map([...quotas.messageHandlers, ...leases.messageHandlers]),
-    /** Whether this VM's lease has been valid since start-up; mode `equalParts` needs none. */
-    isReady: (): boolean => mode !== 'shares' || leases.hasBeenValid(),
+    messageHandlers: new Map([...shares.handlers, ...leases.messageHandlers]),
+    /** Whether this VM may give out rates since its start; equal parts need no lease. */
+    isReady: (): boolean => mode !== 'shares' || leases.hasStood(),
     start: (): void => {
-      if (mode === 'shares') leases.start(quotas);
+      if (mode === 'shares') leases.start(shares);
     },
     stop: (): void => {
-      quotas.stop();
+      shares.stop();
       leases.stop();
     },
   };
--- a/packages/auburngrade/src/authentication/caller.ts
+++ b/packages/auburngrade/src/authentication/caller.ts
@@ -1,12 +1,12 @@
 import type { Profile } from '@auburngrade/coordination';
 
-/** The authenticated sender of a request. */
+/** Who makes a request, as authenticated. */
 interface Caller {
-  /** Undefined if the profile is open to all. */
+  /** Undefined on a route open to all. */
   account: string | undefined;
   profile: Profile;
   profileName: string;
-  /** SHA-256 hash of the request's key; undefined if the profile is open to all. */
+  /** Hash of the key that came with the request; undefined on a route open to all. */
   keyHash: string | undefined;
 }
 
--- a/packages/auburngrade/src/authentication/waitWhileKeyIsValid.spec.ts
+++ b/packages/auburngrade/src/authentication/whileKeyIsValid.spec.ts
@@ -1,13 +1,13 @@
-import { createNotRunError, toRefusal } from '@auburngrade/coordination';
+import { notRun, toRefusal } from '@auburngrade/coordination';
 import { expect } from 'chai';
-import waitWhileKeyIsValid from './waitWhileKeyIsValid';
+import whileKeyIsValid from './whileKeyIsValid';
 
-describe('whileKeyIsValid', () => {
+describe('a request that waits before it runs', () => {
   const listeners = new Set<() => void>();
   let isValid = true;
   const validity = {
     check: () => {
-      if (!isValid) throw createNotRunError('unauthenticated', 'the key was withdrawn');
+      if (!isValid) throw notRun('unauthenticated', 'the key was withdrawn');
     },
     onKeysChanged: (listener: () => void) => {
       listeners.add(listener);
@@ -15,18 +15,18 @@
     },
   };
 
-  it('rejects a waiting request as soon as its key is withdrawn', async () => {
-    const pendingRequest = waitWhileKeyIsValid(new Promise(() => {}), validity);
+  it('is refused as soon as its key is withdrawn', async () => {
+    const waiting = whileKeyIsValid(new Promise(() => {}), validity);
     isValid = false;
     listeners.forEach((listener) => listener());
-    const error = await pendingRequest.catch((failure: Error) => failure);
+    const error = await waiting.catch((failure: Error) => failure);
     expect(toRefusal(error).code).to.equal('unauthenticated');
     expect(listeners.size).to.equal(0);
   });
 
-  it('resolves while the key is valid and unsubscribes', async () => {
+  it('goes on with its key, and is watched no longer', async () => {
     isValid = true;
-    await waitWhileKeyIsValid(Promise.resolve(), validity);
+    await whileKeyIsValid(Promise.resolve(), validity);
     expect(listeners.size).to.equal(0);
   });
 });
--- a/packages/auburngrade/src/configuration/configurationTree.spec.ts
+++ b/packages/auburngrade/src/configuration/configurationTree.spec.ts
@@ -4,24 +4,24 @@
 import { waitFor } from '@auburngrade/testkit';
 import { expect } from 'chai';
 import createConfigurationFeed from './createConfigurationFeed';
-import createPeerFollower from './createPeerFollower';
+import createRelayFollower from './createRelayFollower';
 
 const DEPTH = 3;
 const IN_FORCE_MS = 6_000;
-/** Keys are accepted while the last outage proof is at most this old. */
+/** Up to this age of the last proof keys are accepted. */
 const MAX_UNCONFIRMED_MS = 4_500;
-/** Interval at which followers send requests. */
+/** Requests of followers come twice a second. */
 const REQUEST_INTERVAL_MS = 500;
-const CHANGE_COUNT = 40;
-const CHANGE_PERIOD_MS = 2_000;
+const CHANGES = 40;
+const CHANGES_MS = 2_000;
 
 const nowMs = (): number => performance.now();
-const createAccountEntry = (name: string, revision: number) => ({
+const accountAt = (name: string, revision: number) => ({
   key: `/auburngrade/account/${name}`,
   valueJson: JSON.stringify({ limit: { ratePerS: revision, burst: 1 }, weight: 1 }),
   modRevision: revision,
 });
-const createVmEntry = (revision: number) => ({
+const vmAt = (revision: number) => ({
   key: '/platform/vms/waco-9',
   valueJson: JSON.stringify({ dataCentre: 'waco', host: 'h', callerPort: 1, vmPort: 2 }),
   modRevision: revision,
@@ -34,12 +34,12 @@
   stop(): void;
 }
 
-describe('a chain of configuration followers', () => {
+describe('a tree of followers', () => {
   let relay: ConfigurationState;
   let links: Link[];
 
-  /** Starts a VM that follows `source`. */
-  const startFollower = (
+  /** A VM that follows the one before it. */
+  const follow = (
     source: ConfigurationState,
     ages: () => { confirmedAgeMs: number; outageAgeMs: number },
   ): Link => {
@@ -47,11 +47,11 @@
     const feed = createConfigurationFeed(source, ages);
     const sent: ConfigurationUpdate[] = [];
     let outageAtMs = Number.NEGATIVE_INFINITY;
-    const follower = createPeerFollower({
+    const follower = createRelayFollower({
       vm: 'follower',
       state,
       chooseSource: () => ({ id: 'source', address: '' }),
-      shouldKeepSource: () => true,
+      isStillWanted: () => true,
       open: (_address, listener) => {
         const session = feed.open((update) => {
           sent.push(update);
@@ -78,12 +78,12 @@
     relay.applyChanges(1, []);
     links = [];
     for (let depth = 0; depth < DEPTH; depth += 1) {
-      const upstream = links.at(-1);
+      const above = links.at(-1);
       const ages = () => {
-        const ageMs = upstream ? Math.ceil(nowMs() - upstream.outageAtMs()) : 0;
+        const ageMs = above ? Math.ceil(nowMs() - above.outageAtMs()) : 0;
         return { confirmedAgeMs: -1, outageAgeMs: Number.isFinite(ageMs) ? ageMs : -1 };
       };
-      links.push(startFollower(upstream?.state ?? relay, ages));
+      links.push(follow(above?.state ?? relay, ages));
       const { state } = links.at(-1) as Link;
       await waitFor('the first update', () => state.revision() === 1);
     }
@@ -93,14 +93,14 @@
     links.forEach(({ stop }) => stop());
   });
 
-  it('delivers changes to the last follower in time, batched between requests', async () => {
+  it('has changes in force at the bottom in time, gathered between requests', async () => {
     const [first, , last] = links;
     const before = first?.sent.length ?? 0;
     const startedAtMs = nowMs();
-    for (let index = 0; index < CHANGE_COUNT; index += 1) {
+    for (let index = 0; index < CHANGES; index += 1) {
       const revision = relay.revision() + 1;
-      relay.applyChanges(revision, [createAccountEntry(`account-${index % 4}`, revision)]);
-      await sleep(CHANGE_PERIOD_MS / CHANGE_COUNT);
+      relay.applyChanges(revision, [accountAt(`account-${index % 4}`, revision)]);
+      await sleep(CHANGES_MS / CHANGES);
     }
     const changedAtMs = nowMs();
     await waitFor('the last change', () => last?.state.revision() === relay.revision());
@@ -110,21 +110,21 @@
     expect((first?.sent.length ?? 0) - before).to.be.at.most(requests);
   });
 
-  it('forwards a change of the VM list at once, with the changes queued before it', async () => {
+  it('passes on the list of VMs at once, with the changes before it', async () => {
     const startedAtMs = nowMs();
-    relay.applyChanges(2, [createAccountEntry('ranch', 2)]);
-    relay.applyChanges(3, [createVmEntry(3)]);
+    relay.applyChanges(2, [accountAt('ranch', 2)]);
+    relay.applyChanges(3, [vmAt(3)]);
     await waitFor('the VM', () => links.at(-1)?.state.get('vm', 'waco-9'));
     expect(nowMs() - startedAtMs).to.be.below(REQUEST_INTERVAL_MS);
     expect(links.at(-1)?.state.get('account', 'ranch')?.limit.ratePerS).to.equal(2);
   });
 
-  it('keeps the outage proof at the last follower recent enough to accept keys', async () => {
+  it('keeps the proof of an outage recent enough at the bottom to accept keys', async () => {
     await waitFor('a proof', () => (links.at(-1)?.outageAtMs() ?? 0) > 0);
     let oldestMs = 0;
-    for (let index = 0; index < CHANGE_COUNT; index += 1) {
+    for (let index = 0; index < CHANGES; index += 1) {
       oldestMs = Math.max(oldestMs, nowMs() - (links.at(-1)?.outageAtMs() ?? 0));
-      await sleep(CHANGE_PERIOD_MS / CHANGE_COUNT);
+      await sleep(CHANGES_MS / CHANGES);
     }
     expect(oldestMs).to.be.below(MAX_UNCONFIRMED_MS);
   });
--- a/packages/auburngrade/src/configuration/createConfigurationFeed.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationFeed.ts
@@ -6,22 +6,22 @@
 } from '@auburngrade/coordination';
 import type { ConfigurationUpdate, FollowRequest, FollowSession } from '@auburngrade/vm';
 
-/** Ages in milliseconds of a VM's configuration and outage proof; -1 when unknown. */
-interface ConfirmationAges {
+/** What a VM states about how recent its configuration is; -1 when it does not know. */
+interface StatedAges {
   confirmedAgeMs: number;
   outageAgeMs: number;
 }
 
 const ENTRIES_PER_UPDATE = 1_000;
 
-const toUpdateEntry = ({ key, valueJson, modRevision }: ConfigurationEntry) => ({
+const toWire = ({ key, valueJson, modRevision }: ConfigurationEntry) => ({
   key,
   valueJson: valueJson ?? '',
   modRevision,
   deleted: valueJson === undefined,
 });
 
-const splitIntoPages = (entries: readonly ConfigurationEntry[]): ConfigurationEntry[][] => {
+const pagesOf = (entries: readonly ConfigurationEntry[]): ConfigurationEntry[][] => {
   const pageCount = Math.max(1, Math.ceil(entries.length / ENTRIES_PER_UPDATE));
   return Array.from({ length: pageCount }, (_, page) =>
     entries.slice(page * ENTRIES_PER_UPDATE, (page + 1) * ENTRIES_PER_UPDATE),
@@ -29,54 +29,51 @@
 };
 
 /**
- * Serves this VM's configuration to its followers. Changes are batched until the follower's
- * next request; an urgent change is sent at once, together with the batch.
+ * Serves this VM's configuration to the VMs that follow it. Changes are gathered until the
+ * follower's next request; urgent ones are sent at once, with those that waited.
  */
-const createConfigurationFeed = (state: ConfigurationState, readAges: () => ConfirmationAges) => {
+const createConfigurationFeed = (state: ConfigurationState, statedAges: () => StatedAges) => {
   const sessions = new Set<FollowSession>();
 
   const open = (send: (update: ConfigurationUpdate) => void): FollowSession => {
     const batch = createChangeBatch();
     let ping = 0;
-    /** Revision last sent to the follower; 0 before the first. */
+    /** Revision that the follower was told; 0 until it was told the first one. */
     let sentRevision = 0;
 
     const sendDifference = ({ isSnapshot, entries }: ConfigurationDifference): void => {
-      const pages = splitIntoPages(entries);
+      const pages = pagesOf(entries);
       sentRevision = state.revision();
       pages.forEach((page, index) =>
         send({
-          ...readAges(),
+          ...statedAges(),
           revision: sentRevision,
           snapshot: isSnapshot,
-          entries: page.map(toUpdateEntry),
+          entries: page.map(toWire),
           more: index < pages.length - 1,
           ping,
         }),
       );
     };
 
-    const sendPending = (): void => {
+    const sendWaiting = (): void => {
       const entries = batch.take();
-      sendDifference(
-        entries ? { isSnapshot: false, entries } : state.getDifferenceSince(sentRevision),
-      );
+      sendDifference(entries ? { isSnapshot: false, entries } : state.since(sentRevision));
     };
 
-    const unsubscribe = state.onChange((changed) => {
-      if (sentRevision > 0 && batch.add(changed)) sendPending();
+    const stopChanges = state.onChange((changed) => {
+      if (sentRevision > 0 && batch.add(changed)) sendWaiting();
     });
 
     const session: FollowSession = {
       onRequest: (request: FollowRequest) => {
         ping = request.ping;
-        if (sentRevision > 0) sendPending();
-        else if (state.revision() > 0)
-          sendDifference(state.getDifferenceSince(request.fromRevision));
+        if (sentRevision > 0) sendWaiting();
+        else if (state.revision() > 0) sendDifference(state.since(request.fromRevision));
         else sendDifference({ isSnapshot: false, entries: [] });
       },
       close: () => {
-        unsubscribe();
+        stopChanges();
         sessions.delete(session);
       },
     };
--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementPath.ts
@@ -5,11 +5,11 @@
   TransactionRequest,
 } from '@auburngrade/coordination';
 import type createAuthenticator from '../authentication/createAuthenticator';
-import addKeyCheck from '../authentication/addKeyCheck';
+import withKeyCheck from '../authentication/withKeyCheck';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
-import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
-import type GroupClient from '../groups/groupClient';
+import type createTermKeeper from '../groups/createTermKeeper';
+import type GroupHolder from '../groups/groupHolder';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Membership from '../membership/membership';
 import type Metrics from '../metrics/metrics';
@@ -21,61 +21,45 @@
 import type createLeavingNotices from '../shutdown/createLeavingNotices';
 import createLocalTransactions from '../transactions/createLocalTransactions';
 
-interface StatementServiceOptions {
+interface StatementPathOptions {
   settings: Settings;
   configuration: ConfigurationState;
   groups: GroupRegistry;
-  terms: ReturnType<typeof createTermRecordInitializer>;
+  terms: ReturnType<typeof createTermKeeper>;
   membership: Membership;
   peers: PeerRegistry;
-  leavingNotices: ReturnType<typeof createLeavingNotices>;
-  recheckKey: ReturnType<typeof createAuthenticator>['recheckKey'];
+  notices: ReturnType<typeof createLeavingNotices>;
+  recheckKey: ReturnType<typeof createAuthenticator>['recheck'];
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   metrics: Metrics;
   nowMs(): number;
 }
 
-/** Runs admitted statements and transactions on endpoints, from this VM or through another. */
-const createStatementService = (options: StatementServiceOptions) => {
-  const {
-    settings,
-    configuration,
-    groups,
-    terms: termRecordInitialiser,
-    leavingNotices,
-    metrics,
-    nowMs,
-  } = options;
-  const readExecutor = createReadExecutor({
+/** The way of an admitted statement or transaction to an endpoint, here or through another VM. */
+const createStatementPath = (options: StatementPathOptions) => {
+  const { settings, configuration, groups, terms, notices, metrics, nowMs } = options;
+  const reads = createReadExecutor({
     ...settings,
     ...settings.reads,
     configuration,
-    listGroupClients: groups.listClients,
+    held: groups.held,
     nowMs,
   });
-  const primaryWaiter = createPrimaryWaiter(configuration, nowMs);
-  const writeExecutor = createWriteExecutor(settings.vm, nowMs);
+  const primaries = createPrimaryWaiter(configuration, nowMs);
+  const writes = createWriteExecutor(settings.vm, nowMs);
 
-  const getGroupClient = async (request: TransactionRequest): Promise<GroupClient> => {
+  const holderOf = async (request: TransactionRequest): Promise<GroupHolder> => {
     await options.awaitConfiguration(request.deadlineAtMs);
-    const groupClient = groups.get(request.group);
-    await termRecordInitialiser.ensureTermRecord(groupClient);
-    if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
-    return addKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
+    const holder = groups.get(request.group);
+    await terms.ensureRecord(holder);
+    if (request.write) await primaries.wait(request.group, request.deadlineAtMs);
+    return withKeyCheck(holder, () => options.recheckKey(request.keyHash));
   };
-  const transactions = createLocalTransactions({
-    vm: settings.vm,
-    getGroupClient,
-    reads: readExecutor,
-    nowMs,
-  });
+  const transactions = createLocalTransactions({ vm: settings.vm, holderOf, reads, nowMs });
 
   const executeLocally = async (request: StatementRequest): Promise<StatementOutcome> => {
-    const groupClient = await getGroupClient(request);
-    const outcome = await (request.write ? writeExecutor : readExecutor).execute(
-      groupClient,
-      request,
-    );
+    const holder = await holderOf(request);
+    const outcome = await (request.write ? writes : reads).execute(holder, request);
     const { role } = outcome.servedBy;
     const mode = request.write ? 'write' : 'read';
     metrics.served.inc({ group: request.group, role, mode });
@@ -87,8 +71,8 @@
     membership: options.membership,
     peers: options.peers,
     hasGroup: (name) => configuration.get('group', name) !== undefined,
-    leaving: leavingNotices.leaving,
-    markLeaving: leavingNotices.add,
+    leaving: notices.leaving,
+    markLeaving: notices.add,
     executeLocally,
     beginLocally: transactions.begin,
     metrics: createRoutingMetrics(metrics.registry),
@@ -103,8 +87,8 @@
     executeLocally,
     beginLocally: transactions.begin,
     abortTransactions: transactions.abortAll,
-    close: readExecutor.close,
+    close: reads.close,
   };
 };
 
-export default createStatementService;
+export default createStatementPath;
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -1,16 +1,16 @@
 import { createConfigurationState, createWorkTracker } from '@auburngrade/coordination';
-import { createEtcdConfigurationStore } from '@auburngrade/platform';
+import { createEtcdPlatform } from '@auburngrade/platform';
 import { PING_KIND } from '@auburngrade/vm';
 import createAdmission from '../admission/createAdmission';
 import createAuthenticator from '../authentication/createAuthenticator';
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
-import createConfigurationDistribution from '../configuration/createConfigurationDistribution';
+import createConfigurationSpread from '../configuration/createConfigurationSpread';
 import createDocumentWriter from '../configuration/createDocumentWriter';
 import createGroupRegistry from '../groups/createGroupRegistry';
-import createTermRecordInitializer from '../groups/createTermRecordInitializer';
-import createKeyFreshness from '../keys/createKeyFreshness';
+import createTermKeeper from '../groups/createTermKeeper';
+import createVouching from '../keys/createVouching';
 import createLogger from '../log/createLogger';
-import createMessageSender from '../membership/createMessageSender';
+import createExchange from '../membership/createExchange';
 import createMembership from '../membership/createMembership';
 import type MessageHandler from '../membership/messageHandler';
 import createMetrics from '../metrics/createMetrics';
@@ -21,58 +21,58 @@
 import createConfigurationWaiter from '../serving/createConfigurationWaiter';
 import createOperatorHandler from '../serving/createOperatorHandler';
 import createPeerHandler from '../serving/createPeerHandler';
-import createSlotController from '../slots/createSlotController';
+import createSlotKeeper from '../slots/createSlotKeeper';
 import createAddressBook from '../settings/createAddressBook';
 import createLeavingNotices from '../shutdown/createLeavingNotices';
 import drainWork from '../shutdown/drainWork';
 import loadTls from '../tls/loadTls';
-import createKeyRecheckScheduler from '../transactions/createKeyRecheckScheduler';
+import createKeyWatch from '../transactions/createKeyWatch';
 import type Settings from '../settings/settings';
-import createStatementService from './createStatementService';
+import createStatementPath from './createStatementPath';
 import limitHeap from './limitHeap';
 import startServers from './startServers';
 
-/** Starts a VM's daemon; resolves with a function that drains work and shuts the daemon down. */
+/** Starts a VM's daemon; resolves with the function that shuts it down. */
 const startDaemon = async (settings: Settings): Promise<() => Promise<void>> => {
   const nowMs = (): number => performance.now();
   const logger = createLogger(settings);
   const tls = loadTls(settings, logger);
   const metrics = createMetrics();
   const configuration = createConfigurationState();
-  const platform = createEtcdConfigurationStore(settings.platform.address);
+  const platform = createEtcdPlatform(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
-  const peerRegistry = createPeerRegistry(configuration, addresses, tls.vmClients);
+  const peers = createPeerRegistry(configuration, addresses, tls.vmClients);
   const incarnation = Date.now();
-  const sendMessage = createMessageSender(settings.vm, incarnation, peerRegistry);
-  const keyFreshness = createKeyFreshness({ settings, configuration, send: sendMessage, nowMs });
-  const configurationDistribution = createConfigurationDistribution({
+  const exchange = createExchange(settings.vm, incarnation, peers);
+  const vouching = createVouching({ settings, configuration, exchange, nowMs });
+  const follower = createConfigurationSpread({
     settings,
     platform,
     configuration,
     addresses,
     vmCredentials: tls.vmClients,
-    outageAgeMs: keyFreshness.outageAgeMs,
-    onOutage: keyFreshness.applyOutage,
+    outageAgeMs: vouching.outageAgeMs,
+    onOutage: vouching.hearOutage,
     nowMs,
     logger,
   });
-  const slotController = createSlotController({
+  const slots = createSlotKeeper({
     vm: settings.vm,
     incarnation,
     platform,
     platformTimeoutMs: timeoutMs,
     configuration,
-    completeAtMs: keyFreshness.completeAtMs,
-    announceWrite: keyFreshness.announceWrite,
-    send: sendMessage,
+    completeAtMs: vouching.completeAtMs,
+    announce: vouching.announce,
+    exchange,
     logger,
     nowMs,
   });
   const membership = createMembership({
     vm: settings.vm,
     configuration,
-    isOwnSlotUsable: slotController.isUsable,
+    isOwnSlotUsable: slots.isUsable,
     nowMs,
   });
   const groups = createGroupRegistry(
@@ -81,19 +81,14 @@
     addresses,
     nowMs,
     settings.pools,
-    slotController.isUsable,
+    slots.isUsable,
   );
-  const termRecordInitialiser = createTermRecordInitializer(
-    platform,
-    configuration,
-    timeoutMs,
-    logger,
-  );
-  const workTracker = createWorkTracker();
-  const leavingNotices = createLeavingNotices({
+  const terms = createTermKeeper(platform, configuration, timeoutMs, logger);
+  const work = createWorkTracker();
+  const notices = createLeavingNotices({
     vm: settings.vm,
     membership,
-    send: sendMessage,
+    send: exchange,
     nowMs,
   });
 
@@ -105,69 +100,69 @@
     configuration,
     membership,
     groups,
-    listHeldGroups: slotController.describe,
-    terms: termRecordInitialiser,
-    send: sendMessage,
+    heldGroups: slots.describe,
+    terms,
+    send: exchange,
     timings: settings.failover,
     metrics: createFailoverMetrics(metrics.registry),
     logger,
     nowMs,
   });
 
-  const authenticator = createAuthenticator(configuration, keyFreshness.areKeysFresh);
-  const configurationWaiter = createConfigurationWaiter(configuration, nowMs);
-  const statements = createStatementService({
+  const authenticator = createAuthenticator(configuration, vouching.isVouched);
+  const loading = createConfigurationWaiter(configuration, nowMs);
+  const statements = createStatementPath({
     settings,
     configuration,
     groups,
-    terms: termRecordInitialiser,
+    terms,
     membership,
-    peers: peerRegistry,
-    leavingNotices,
-    recheckKey: authenticator.recheckKey,
-    awaitConfiguration: configurationWaiter.wait,
+    peers,
+    notices,
+    recheckKey: authenticator.recheck,
+    awaitConfiguration: loading.wait,
     metrics,
     nowMs,
   });
-  const admissionService = createAdmission({
+  const rates = createAdmission({
     settings,
     incarnation,
     configuration,
     platform,
-    peers: peerRegistry,
-    send: sendMessage,
-    countVms: () => membership.live().length,
-    confirmedAtMs: configurationDistribution.confirmedAtMs,
+    peers,
+    send: exchange,
+    vmCount: () => membership.live().length,
+    confirmedAtMs: follower.confirmedAtMs,
     nowMs,
     logger,
   });
   const callerHandler = createCallerHandler({
     settings,
     authenticator,
-    admission: admissionService.admission,
+    admission: rates.admission,
     execute: statements.execute,
     begin: statements.begin,
-    beginWork: workTracker.startWork,
-    awaitConfiguration: configurationWaiter.wait,
-    onKeysChanged: createKeyRecheckScheduler(configuration),
+    enter: work.enter,
+    awaitConfiguration: loading.wait,
+    onKeysChanged: createKeyWatch(configuration),
     metrics,
     nowMs,
   });
   const operatorHandler = createOperatorHandler({
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
-    announceWithdrawal: keyFreshness.announceWithdrawal,
-    describeVm: () => ({
+    announceWithdrawal: vouching.announceWithdrawal,
+    describe: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       revision: configuration.revision(),
-      shares: admissionService.shares.describe(),
-      lease: admissionService.leases.describe(),
-      confirmedAgeMs: Math.round(nowMs() - configurationDistribution.confirmedAtMs()),
-      configuration: configurationDistribution.describe(),
-      areKeysVouched: keyFreshness.areKeysFresh(),
-      outageAgeMs: keyFreshness.outageAgeMs(),
-      slots: slotController.describe(),
+      shares: rates.shares.describe(),
+      lease: rates.leases.describe(),
+      confirmedAgeMs: Math.round(nowMs() - follower.confirmedAtMs()),
+      configuration: follower.describe(),
+      areKeysVouched: vouching.isVouched(),
+      outageAgeMs: vouching.outageAgeMs(),
+      slots: slots.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
     }),
@@ -176,39 +171,36 @@
     vm: settings.vm,
     incarnation,
     executeLocally: statements.executeLocally,
-    openFollowSession: configurationDistribution.openFollowSession,
+    openFollowSession: follower.openFollowSession,
     beginLocally: statements.beginLocally,
-    beginWork: workTracker.startWork,
+    enter: work.enter,
     messageHandlers: new Map<string, MessageHandler>([
-      ...admissionService.messageHandlers,
-      ['suspicion', promotions.handleSuspicionMessage],
-      [leavingNotices.kind, leavingNotices.receive],
-      ...keyFreshness.messageHandlers,
-      ...slotController.messageHandlers,
+      ...rates.messageHandlers,
+      ['suspicion', promotions.answerSuspicion],
+      [notices.kind, notices.receive],
+      ...vouching.messageHandlers,
+      ...slots.messageHandlers,
       [PING_KIND, async () => ({})],
     ]),
     nowMs,
   });
 
-  configurationDistribution.start();
-  keyFreshness.start(configurationDistribution);
-  admissionService.start();
+  follower.start();
+  vouching.start(follower);
+  rates.start();
   createConfigurationMetrics(metrics.registry, {
     ...configuration,
-    ...configurationDistribution,
-    areKeysVouched: keyFreshness.areKeysFresh,
+    ...follower,
+    areKeysVouched: vouching.isVouched,
     nowMs,
   });
   promotions.start();
-  slotController.start({ membership, groups, onSlotUseChanged: promotions.scheduleRankUpdate });
+  slots.start({ membership, groups, onHoldingChanged: promotions.updateRanksSoon });
   const servers = await startServers({
     settings,
     tls,
     registry: metrics.registry,
-    isReady: () =>
-      workTracker.phase() === 'serving' &&
-      configurationWaiter.isLoaded() &&
-      admissionService.isReady(),
+    isReady: () => work.phase() === 'serving' && loading.isLoaded() && rates.isReady(),
     callerHandler,
     peerHandler,
     operatorHandler,
@@ -218,23 +210,23 @@
 
   return async () => {
     await drainWork({
-      tracker: workTracker,
+      tracker: work,
       timings: settings.shutdown,
       announce: async () => {
-        await Promise.all([leavingNotices.announce(), admissionService.shares.handOver()]);
+        await Promise.all([notices.announce(), rates.shares.handOver()]);
       },
       abortAll: statements.abortTransactions,
     });
     await servers.stop();
     promotions.stop();
-    await slotController.stop();
-    await admissionService.shares.handOver();
-    admissionService.stop();
-    configurationDistribution.stop();
-    keyFreshness.stop();
+    await slots.stop();
+    await rates.shares.handOver();
+    rates.stop();
+    follower.stop();
+    vouching.stop();
     statements.close();
     groups.close();
-    peerRegistry.close();
+    peers.close();
     platform.close();
     servers.closeHttp();
     logger.info('daemon.stopped');
--- a/packages/auburngrade/src/daemon/startServers.ts
+++ b/packages/auburngrade/src/daemon/startServers.ts
@@ -1,8 +1,4 @@
-import {
-  createCallerService,
-  proxyServiceDefinition,
-  type CallerHandler,
-} from '@auburngrade/caller';
+import { createCallerService, proxyDefinition, type CallerHandler } from '@auburngrade/caller';
 import {
   OperatorService,
   createOperatorService,
@@ -27,42 +23,37 @@
   operatorHandler: OperatorHandler;
 }
 
-/** Time for the last replies to be sent after all work has ended. */
-const SERVER_STOP_GRACE_MS = 500;
-/** Statements over the limit by up to this much still reach the check, whose refusal names the limit. */
+/** Time for the last answers to leave once all work has ended. */
+const SERVER_GRACE_MS = 500;
+/** Statements up to this much over the limit get a refusal that names it. */
 const MESSAGE_MARGIN_BYTES = 4_194_304;
-const UNLIMITED_MESSAGE_BYTES = -1;
+const UNLIMITED = -1;
 
-/** Starts the gRPC and HTTP servers of a daemon. */
+/** Opens the ports of a daemon. */
 const startServers = async (options: ServersOptions) => {
   const { settings, tls, callerHandler, peerHandler, operatorHandler } = options;
-  const httpServer = startHttpServer(
-    settings.host,
-    settings.httpPort,
-    options.registry,
-    options.isReady,
-  );
+  const http = startHttpServer(settings.host, settings.httpPort, options.registry, options.isReady);
   const listen = (
     port: number,
     credentials: ServerCredentials,
     register: (to: Server) => void,
     maxMessageBytes?: number,
   ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, maxMessageBytes);
-  let endFollowSessions = (): void => {};
+  let endFollowing = (): void => {};
   const servers = await Promise.all([
     listen(
       settings.callerPort,
       tls.callers,
-      (server) => server.addService(proxyServiceDefinition, createCallerService(callerHandler)),
+      (server) => server.addService(proxyDefinition, createCallerService(callerHandler)),
       settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
     ),
     listen(
       settings.vmPort,
       tls.vms,
       (server) => {
-        endFollowSessions = addPeerServices(server, peerHandler);
+        endFollowing = addPeerServices(server, peerHandler);
       },
-      UNLIMITED_MESSAGE_BYTES,
+      UNLIMITED,
     ),
     listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
@@ -70,13 +61,13 @@
   ]);
 
   return {
-    /** Stops the gRPC servers once their last replies are sent; metrics and health stay available. */
+    /** Closes all ports but the one for metrics and health, once their last answers have left. */
     stop: async (): Promise<void> => {
-      endFollowSessions();
-      await Promise.all(servers.map((server) => stopServer(server, SERVER_STOP_GRACE_MS)));
+      endFollowing();
+      await Promise.all(servers.map((server) => stopServer(server, SERVER_GRACE_MS)));
     },
     closeHttp: (): void => {
-      httpServer.close();
+      http.close();
     },
   };
 };
--- a/packages/auburngrade/src/execution/rollBack.ts
+++ b/packages/auburngrade/src/execution/rollBack.ts
@@ -2,10 +2,10 @@
 
 const ROLLBACK_TIMEOUT_MS = 1_000;
 
-/** Rolls back the open transaction of a connection if it is still usable; ignores errors. */
+/** Ends the open transaction of a connection that can still be used. */
 const rollBack = async (connection: EndpointConnection): Promise<void> => {
   if (connection.isUsable()) {
-    await connection.runScript('ROLLBACK', ROLLBACK_TIMEOUT_MS).catch(() => {});
+    await connection.script('ROLLBACK', ROLLBACK_TIMEOUT_MS).catch(() => {});
   }
 };
 
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -1,29 +1,29 @@
-import { createFairQueue, createNotRunError } from '@auburngrade/coordination';
+import { createFairQueue, notRun } from '@auburngrade/coordination';
 import { EndpointError, type Endpoint, type EndpointConnection } from '@auburngrade/endpoint';
-import type CheckedOutConnection from './checkedOutConnection';
+import type LentConnection from './lentConnection';
 import type PoolOptions from './poolOptions';
 
-interface PendingAcquire {
-  enqueuedAtMs: number;
+interface Waiter {
+  offeredAtMs: number;
   timeoutMs: number;
-  assign(connection: EndpointConnection, chargedMs: number): void;
+  give(connection: EndpointConnection, chargedMs: number): void;
   refuse(error: unknown): void;
 }
 
-interface QueuedRequest {
-  item: PendingAcquire;
+interface Turn {
+  item: Waiter;
   account: string;
   chargedMs: number;
 }
 
-/** A queued statement is given at least this multiple of its account's average time to run. */
+/** A statement may take longer than the average of its account by this factor before it is cut. */
 const SERVICE_TIME_FACTOR = 3;
-/** Upper bound of the reserved share of a deadline, for accounts whose average is near it. */
+/** Bounds what is kept for the service when an account's average is near its deadlines. */
 const MAX_SERVICE_RATIO = 0.5;
-/** For callers that pass none; equals the default of a profile. */
+/** For users that name none; as long as a profile allows by default. */
 const DEFAULT_DRAIN_TIMEOUT_MS = 3_000;
-/** Queue shared by requests without an account: open routes and the VM's own statements. */
-const SHARED_QUEUE_KEY = '';
+/** Requests on routes open to all and the VM's own statements share one turn. */
+const NO_ACCOUNT = '';
 const DEFAULT_OPTIONS: PoolOptions = {
   order: 'fair',
   maxQueuedPerAccount: 256,
@@ -33,8 +33,8 @@
   weightOf: () => 1,
 };
 
-/** Part of a request's timeout that is reserved for running its statement. */
-const reservedServiceMs = (costMs: number, timeoutMs: number): number =>
+/** The part of a request's time that is kept for its statement. */
+const serviceMs = (costMs: number, timeoutMs: number): number =>
   Math.min(costMs * SERVICE_TIME_FACTOR, timeoutMs * MAX_SERVICE_RATIO);
 
 /** A bounded pool of connections to one endpoint, shared fairly between client accounts. */
@@ -42,81 +42,81 @@
   endpoint: Endpoint,
   maxConnections: number,
   nowMs: () => number,
-  overrides: Partial<PoolOptions> = {},
+  chosen: Partial<PoolOptions> = {},
 ) => {
-  const options = { ...DEFAULT_OPTIONS, ...overrides };
+  const options = { ...DEFAULT_OPTIONS, ...chosen };
   const limits = { perAccount: options.maxQueuedPerAccount, total: options.maxQueued };
-  const queue = createFairQueue<PendingAcquire>(limits, maxConnections);
+  const queue = createFairQueue<Waiter>(limits, maxConnections);
   const idle: EndpointConnection[] = [];
-  /** Connections in use, with the time that each is left open after the pool is closed. */
-  const drainTimeoutMsByConnection = new Map<EndpointConnection, number>();
-  /** Connections that are open or being opened. */
+  /** Connections in use, and how long each may go on once the pool is closed. */
+  const lent = new Map<EndpointConnection, number>();
+  /** Open connections and those that are being opened. */
   let openCount = 0;
   let openingCount = 0;
-  let lastReleasedAtMs = Number.NEGATIVE_INFINITY;
+  let returnedAtMs = Number.NEGATIVE_INFINITY;
   let isClosed = false;
 
-  /** Fair-queue key of an account; all accounts share one in `firstComeFirstServed` order. */
-  const queueKeyOf = (account: string | undefined): string =>
-    options.order === 'fair' ? (account ?? SHARED_QUEUE_KEY) : SHARED_QUEUE_KEY;
+  /** The queue's name for an account. */
+  const flowOf = (account: string | undefined): string =>
+    options.order === 'fair' ? (account ?? NO_ACCOUNT) : NO_ACCOUNT;
 
-  const closeConnection = (connection: EndpointConnection): void => {
+  const drop = (connection: EndpointConnection): void => {
     openCount -= 1;
     connection.close();
   };
 
-  const takeIdleConnection = (): EndpointConnection | undefined => {
+  const takeIdle = (): EndpointConnection | undefined => {
     const connection = idle.pop();
     if (!connection) return undefined;
     if (connection.isUsable()) return connection;
-    closeConnection(connection);
-    return takeIdleConnection();
+    drop(connection);
+    return takeIdle();
   };
 
-  const refuseQueued = ({ item, account, chargedMs }: QueuedRequest, error: unknown): void => {
+  const refuseTurn = ({ item, account, chargedMs }: Turn, error: unknown): void => {
     queue.cancel(account, chargedMs);
     item.refuse(error);
   };
 
   /**
-   * Whether a request that waited has too little time left: its statement would time out, and
-   * its connection would have to be closed.
+   * Whether a request that waited has too little time left: its statement would be cut, and
+   * the connection lost with it.
    */
-  const isTooLateToServe = ({ item, chargedMs }: QueuedRequest): boolean => {
-    const waitedMs = nowMs() - item.enqueuedAtMs;
-    return waitedMs > 0 && item.timeoutMs - waitedMs < reservedServiceMs(chargedMs, item.timeoutMs);
+  const isTooLate = ({ item, chargedMs }: Turn): boolean => {
+    const waitedMs = nowMs() - item.offeredAtMs;
+    return waitedMs > 0 && item.timeoutMs - waitedMs < serviceMs(chargedMs, item.timeoutMs);
   };
 
-  /** Dequeues the next request with enough time left; refuses those without. */
-  const nextServiceable = (): QueuedRequest | undefined => {
-    let next = queue.dequeue();
-    while (next && isTooLateToServe(next)) {
-      const message = 'too little time is left before the deadline to run the statement';
-      refuseQueued(next, createNotRunError('queueTimeout', message, Math.ceil(next.chargedMs)));
-      next = queue.dequeue();
+  /** The next request that can still be served; those that can't be are refused. */
+  const nextTurn = (): Turn | undefined => {
+    let turn = queue.next();
+    while (turn && isTooLate(turn)) {
+      const message = 'the time left does not suffice for the statement';
+      refuseTurn(turn, notRun('queueTimeout', message, Math.ceil(turn.chargedMs)));
+      turn = queue.next();
     }
-    return next;
+    return turn;
   };
 
-  /** Refuses the next request with `noConnection`; its caller may try another member or VM. */
+  /** Tells one waiting request that no connection can be had, so that it goes elsewhere. */
   const refuseNext = (message: string): void => {
-    const next = nextServiceable();
-    if (next) refuseQueued(next, createNotRunError('noConnection', message));
+    const turn = nextTurn();
+    if (turn) refuseTurn(turn, notRun('noConnection', message));
   };
 
-  const returnToPool = (connection: EndpointConnection): void => {
+  const giveBack = (connection: EndpointConnection): void => {
     if (!isClosed && connection.isUsable() && options.mayOpen()) idle.push(connection);
-    else closeConnection(connection);
+    else drop(connection);
   };
 
-  /** Opens a connection for the request next in turn by then; queued deadlines do not bound it. */
-  const openConnection = async (): Promise<void> => {
+  /** Opens a connection for whoever's turn it is by then, whatever the deadlines now queued. */
+  const open = async (): Promise<void> => {
     openCount += 1;
     openingCount += 1;
     try {
       const connection = await endpoint.connect(options.connectTimeoutMs);
       openingCount -= 1;
-      returnToPool(connection);
+      giveBack(connection);
     } catch (error) {
       openingCount -= 1;
       openCount -= 1;
@@ -124,119 +124,107 @@
     }
   };
 
-  const assignIdleConnections = (): void => {
-    for (let connection = takeIdleConnection(); connection; connection = takeIdleConnection()) {
-      const next = nextServiceable();
-      if (!next) {
+  const serveIdle = (): void => {
+    for (let connection = takeIdle(); connection; connection = takeIdle()) {
+      const turn = nextTurn();
+      if (!turn) {
         idle.push(connection);
         return;
       }
-      next.item.assign(connection, next.chargedMs);
+      turn.item.give(connection, turn.chargedMs);
     }
   };
 
-  /** Assigns idle connections to queued requests and opens more up to `maxConnections`. */
+  /** Gives connections to the requests whose turn it is, and opens those that are missing. */
   const serveQueue = (): void => {
-    if (queue.size() > 0) assignIdleConnections();
+    if (queue.size() > 0) serveIdle();
     while (!isClosed && openCount < maxConnections && openingCount < queue.size()) {
-      if (options.mayOpen()) openConnection().then(serveQueue);
-      else refuseNext('this VM may not open connections to the group now');
+      if (options.mayOpen()) open().then(serveQueue);
+      else refuseNext('no connection may be opened');
     }
   };
 
   const release = (connection: EndpointConnection): void => {
-    lastReleasedAtMs = nowMs();
-    returnToPool(connection);
+    returnedAtMs = nowMs();
+    giveBack(connection);
     serveQueue();
   };
 
-  /** Checks out a connection; the account is charged for the time until its release. */
-  const checkOut = (
+  /** Lends a connection; the account is charged for the time until it is given back. */
+  const lend = (
     connection: EndpointConnection,
-    queueKey: string,
+    flow: string,
     chargedMs: number,
     drainTimeoutMs: number,
-  ): CheckedOutConnection => {
+  ): LentConnection => {
     const startedAtMs = nowMs();
-    let isSettled = false;
-    drainTimeoutMsByConnection.set(connection, drainTimeoutMs);
-    const finish = (settleCharge: () => void): void => {
-      if (isSettled) return;
-      isSettled = true;
-      drainTimeoutMsByConnection.delete(connection);
-      settleCharge();
+    let isOver = false;
+    lent.set(connection, drainTimeoutMs);
+    const end = (settle: () => void): void => {
+      if (isOver) return;
+      isOver = true;
+      lent.delete(connection);
+      settle();
       release(connection);
     };
     return {
       connection,
-      release: () => finish(() => queue.end(queueKey, chargedMs, nowMs() - startedAtMs)),
+      release: () => end(() => queue.end(flow, chargedMs, nowMs() - startedAtMs)),
       discard: () => {
         connection.close();
-        finish(() => queue.cancel(queueKey, chargedMs));
+        end(() => queue.cancel(flow, chargedMs));
       },
     };
   };
 
-  const isConnectionAvailable = (): boolean =>
+  const hasRoom = (): boolean =>
     queue.size() === 0 && (idle.length > 0 || openCount < maxConnections);
 
-  const enqueue = (
-    queueKey: string,
+  const wait = (
+    flow: string,
     weight: number,
     deadlineAtMs: number,
     drainTimeoutMs: number,
-  ): Promise<CheckedOutConnection> =>
+  ): Promise<LentConnection> =>
     new Promise((resolve, reject) => {
-      const enqueuedAtMs = nowMs();
-      const timeoutMs = Math.max(0, deadlineAtMs - enqueuedAtMs);
+      const offeredAtMs = nowMs();
+      const timeoutMs = Math.max(0, deadlineAtMs - offeredAtMs);
       let timer: NodeJS.Timeout | undefined;
-      let isSettled = false;
-      const pending: PendingAcquire = {
-        enqueuedAtMs,
+      let isOver = false;
+      const waiter: Waiter = {
+        offeredAtMs,
         timeoutMs,
-        assign: (connection, chargedMs) => {
+        give: (connection, chargedMs) => {
           clearTimeout(timer);
-          const checkedOut = checkOut(connection, queueKey, chargedMs, drainTimeoutMs);
-          if (isSettled) checkedOut.release();
-          else resolve(checkedOut);
-          isSettled = true;
+          const pooled = lend(connection, flow, chargedMs, drainTimeoutMs);
+          if (isOver) pooled.release();
+          else resolve(pooled);
+          isOver = true;
         },
         refuse: (error) => {
           clearTimeout(timer);
-          isSettled = true;
+          isOver = true;
           reject(error);
         },
       };
-      const waitMs = timeoutMs - reservedServiceMs(queue.costMs(queueKey), timeoutMs);
-      const refusal = queue.enqueue(
-        pending,
-        queueKey,
-        weight,
-        isConnectionAvailable() ? Infinity : waitMs,
-      );
+      const waitMs = timeoutMs - serviceMs(queue.costMs(flow), timeoutMs);
+      const refusal = queue.offer(waiter, flow, weight, hasRoom() ? Infinity : waitMs);
       if (refusal) {
-        const message =
-          'the expected wait for a connection exceeds the deadline or the queue limit';
-        reject(createNotRunError(refusal.code, message, refusal.retryAfterMs));
+        const message = 'the wait for a connection would be too long';
+        reject(notRun(refusal.code, message, refusal.retryAfterMs));
         return;
       }
       timer = setTimeout(() => {
-        queue.remove(pending, queueKey);
-        const message = 'no connection became available before the deadline';
-        pending.refuse(
-          createNotRunError('queueTimeout', message, Math.ceil(queue.costMs(queueKey))),
-        );
+        queue.remove(waiter, flow);
+        const message = 'no connection became free before the deadline';
+        waiter.refuse(notRun('queueTimeout', message, Math.ceil(queue.costMs(flow))));
       }, timeoutMs);
       serveQueue();
     });
 
-  const closeAfter = (connection: EndpointConnection, delayMs: number): void => {
+  const cutLater = (connection: EndpointConnection, delayMs: number): void => {
     if (delayMs === 0) connection.close();
-    else
-      setTimeout(
-        () => drainTimeoutMsByConnection.has(connection) && connection.close(),
-        delayMs,
-      ).unref();
+    else setTimeout(() => lent.has(connection) && connection.close(), delayMs).unref();
   };
 
   return {
@@ -245,27 +233,27 @@
       account: string | undefined,
       deadlineAtMs: number,
       drainTimeoutMs = DEFAULT_DRAIN_TIMEOUT_MS,
-    ): Promise<CheckedOutConnection> => {
+    ): Promise<LentConnection> => {
       const weight = account === undefined ? 1 : options.weightOf(account);
-      return enqueue(queueKeyOf(account), weight, deadlineAtMs, drainTimeoutMs);
+      return wait(flowOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
     queued: () => queue.size(),
-    /** Monotonic time at which a connection was last released. */
-    lastReleasedAtMs: () => lastReleasedAtMs,
+    /** Monotonic time at which a connection was last given back. */
+    returnedAtMs: () => returnedAtMs,
     /** Connections that are open or being opened. */
     openCount: () => openCount,
     isClosed: () => isClosed,
     /**
-     * Refuses queued requests and closes idle connections at once, connections in use on release
-     * or after `forceCloseAfterMs` (by default the drain timeout passed to `acquire`).
+     * Refuses what waits; closes the idle connections now, the others when they are given back
+     * or when `cutAfterMs` has passed, else the time that their users gave.
      */
-    close: (forceCloseAfterMs?: number): void => {
-      if (isClosed && forceCloseAfterMs === undefined) return;
+    close: (cutAfterMs?: number): void => {
+      if (isClosed && cutAfterMs === undefined) return;
       isClosed = true;
-      idle.splice(0).forEach(closeConnection);
-      while (queue.size() > 0) refuseNext('the connection pool is closed');
-      drainTimeoutMsByConnection.forEach((drainTimeoutMs, connection) =>
-        closeAfter(connection, forceCloseAfterMs ?? drainTimeoutMs),
+      idle.splice(0).forEach(drop);
+      while (queue.size() > 0) refuseNext('the pool has been closed');
+      lent.forEach((drainTimeoutMs, connection) =>
+        cutLater(connection, cutAfterMs ?? drainTimeoutMs),
       );
     },
   };
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -1,13 +1,13 @@
-import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
+import { notRun, type ConfigurationState } from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
-import createGroupClient from './createGroupClient';
-import type GroupClient from './groupClient';
+import createGroupHolder from './createGroupHolder';
+import type GroupHolder from './groupHolder';
 import type PoolSettings from './poolSettings';
 
-/** Limit for statements that still run on a replaced client when its group's document changes. */
-const REPLACED_DRAIN_TIMEOUT_MS = 3_000;
+/** What runs on members that the group's new document does not have may go on for this long. */
+const REPLACED_CUT_MS = 3_000;
 
-/** Creates group clients on first use and replaces them when the group's document changes. */
+/** Creates group holders on first use and replaces them when the group's document changes. */
 const createGroupRegistry = (
   configuration: ConfigurationState,
   vm: string,
@@ -16,48 +16,43 @@
   poolSettings: PoolSettings | undefined,
   mayHold: (group: string) => boolean,
 ) => {
-  const clients = new Map<string, GroupClient>();
+  const holders = new Map<string, GroupHolder>();
 
-  /** Clients by group that wait for running statements to finish; a group may have several. */
-  const drainingClients = new Map<string, Set<GroupClient>>();
+  /** Holders that finish what runs on them; a group may have several. */
+  const retiring = new Map<string, Set<GroupHolder>>();
 
-  /** Closes a group's clients; connections in use close on release or after `forceCloseAfterMs`. */
-  const closeGroup = (name: string, forceCloseAfterMs?: number): void => {
-    clients.get(name)?.close(forceCloseAfterMs);
-    drainingClients.get(name)?.forEach((groupClient) => groupClient.close(forceCloseAfterMs));
-    clients.delete(name);
+  /** Ends a group's holders; connections in use go when given back, or after `cutAfterMs`. */
+  const release = (name: string, cutAfterMs?: number): void => {
+    holders.get(name)?.close(cutAfterMs);
+    retiring.get(name)?.forEach((holder) => holder.close(cutAfterMs));
+    holders.delete(name);
   };
 
-  const drainClient = async (
-    name: string,
-    groupClient: GroupClient,
-    forceCloseAfterMs: number,
-  ): Promise<void> => {
-    const draining = drainingClients.get(name) ?? new Set();
-    drainingClients.set(name, draining.add(groupClient));
-    await groupClient.drain(forceCloseAfterMs);
-    draining.delete(groupClient);
-    if (draining.size === 0) drainingClients.delete(name);
+  const end = async (name: string, holder: GroupHolder, cutAfterMs: number): Promise<void> => {
+    const ending = retiring.get(name) ?? new Set();
+    retiring.set(name, ending.add(holder));
+    await holder.retire(cutAfterMs);
+    ending.delete(holder);
+    if (ending.size === 0) retiring.delete(name);
   };
 
-  /** Drains a group's clients: running statements may finish within `forceCloseAfterMs`. */
-  const drainGroup = async (name: string, forceCloseAfterMs: number): Promise<void> => {
-    const groupClient = clients.get(name);
-    clients.delete(name);
-    const draining = [...(drainingClients.get(name) ?? [])];
-    if (groupClient) draining.push(groupClient);
-    await Promise.all(draining.map((client) => drainClient(name, client, forceCloseAfterMs)));
+  /** Ends a group's holders once what runs on them has ended, or `cutAfterMs` has passed. */
+  const retire = async (name: string, cutAfterMs: number): Promise<void> => {
+    const holder = holders.get(name);
+    holders.delete(name);
+    const ending = [...(retiring.get(name) ?? [])];
+    if (holder) ending.push(holder);
+    await Promise.all(ending.map((one) => end(name, one, cutAfterMs)));
   };
 
   /** @throws RefusalError `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
-  const get = (name: string): GroupClient => {
+  const get = (name: string): GroupHolder => {
     const group = configuration.get('group', name);
-    if (!group) throw createNotRunError('unknownGroup', `group ${name} does not exist`);
-    if (!mayHold(name))
-      throw createNotRunError('noConnection', `this VM holds no slot of group ${name}`);
-    const existing = clients.get(name);
+    if (!group) throw notRun('unknownGroup', `no group ${name}`);
+    if (!mayHold(name)) throw notRun('noConnection', `this VM holds no slot of ${name}`);
+    const existing = holders.get(name);
     if (existing && existing.group === group) return existing;
-    const created = createGroupClient(
+    const created = createGroupHolder(
       name,
       group,
       configuration,
@@ -65,11 +60,11 @@
       addresses,
       nowMs,
       poolSettings,
-      () => mayHold(name) || drainingClients.has(name),
-      (member) => existing?.handOverMember(member, group),
+      () => mayHold(name) || retiring.has(name),
+      (member) => existing?.handOver(member, group),
     );
-    if (existing) drainClient(name, existing, REPLACED_DRAIN_TIMEOUT_MS);
-    clients.set(name, created);
+    if (existing) end(name, existing, REPLACED_CUT_MS);
+    holders.set(name, created);
     return created;
   };
 
@@ -77,10 +72,10 @@
     get,
     /** Whether this VM may have connections to a group now. */
     mayHold,
-    release: closeGroup,
-    drainGroup,
-    listClients: (): GroupClient[] => [...clients.values()],
-    close: (): void => [...clients.keys()].forEach((name) => closeGroup(name)),
+    release,
+    retire,
+    held: (): GroupHolder[] => [...holders.values()],
+    close: (): void => [...holders.keys()].forEach((name) => release(name)),
   };
 };
 
--- a/packages/auburngrade/src/groups/createMemberHandle.ts
+++ b/packages/auburngrade/src/groups/createMemberHandle.ts
@@ -1,6 +1,6 @@
 import {
   CONTROL_CONNECTIONS,
-  connectionsPerMember,
+  connectionShare,
   slotTimings,
   type Group,
   type Member,
@@ -20,15 +20,15 @@
   nowMs(): number;
 }
 
-/** Short, so that status polls are retried soon: they show which members are up. */
+/** A control connection that does not open is tried again soon: polls tell which members are up. */
 const CONTROL_CONNECT_TIMEOUT_MS = 350;
 
-/** Creates the control and data connection pools and the status poller of one group member. */
+/** Creates the pools of connections to one member of a group, and what polls it. */
 const createMemberHandle = (
   member: Member,
   { vm, group, addresses, poolOptions, nowMs }: MemberHandleOptions,
 ): MemberHandle => {
-  const createEndpoint = (purpose: string): Endpoint =>
+  const endpointOf = (purpose: string): Endpoint =>
     createPgEndpoint({
       ...addresses.resolve(member.host, member.port),
       database: group.database,
@@ -36,12 +36,12 @@
       applicationName: `auburngrade/${vm}/${purpose}`,
       idleTimeoutMs: slotTimings.idleTimeoutMs,
     });
-  const control = createConnectionPool(createEndpoint('control'), CONTROL_CONNECTIONS, nowMs, {
+  const control = createConnectionPool(endpointOf('control'), CONTROL_CONNECTIONS, nowMs, {
     connectTimeoutMs: CONTROL_CONNECT_TIMEOUT_MS,
     mayOpen: poolOptions.mayOpen,
   });
-  const maxDataConnections = connectionsPerMember(group);
-  const data = createConnectionPool(createEndpoint('data'), maxDataConnections, nowMs, poolOptions);
+  const dataConnections = connectionShare(group);
+  const data = createConnectionPool(endpointOf('data'), dataConnections, nowMs, poolOptions);
   const poller = createStatusPoller(member.name, control, nowMs);
   return { group, member, control, data, poller };
 };
--- a/packages/auburngrade/src/groups/createStatusPoller.ts
+++ b/packages/auburngrade/src/groups/createStatusPoller.ts
@@ -2,20 +2,20 @@
 import { readMemberStatus } from '@auburngrade/endpoint';
 import type ConnectionPool from './connectionPool';
 
-/** Below the default `suspectAfterMs`, to replace a stuck connection before it causes suspicion. */
+/** Shorter than a suspicion takes, so that a stuck connection is replaced before it raises one. */
 const POLL_TIMEOUT_MS = 350;
 const FIRST_RETRY_DELAY_MS = 50;
-/** Back-off limit: each attempt may leave a connection open at a member behind a dead link. */
+/** Each try may leave a connection open at a member whose link has gone silent. */
 const MAX_RETRY_DELAY_MS = 2_000;
 
-/** Polls one member's status; calls during a running poll share the one queued after it. */
+/** Polls one member's status; callers that ask while a poll is queued share the next one. */
 const createStatusPoller = (member: string, pool: ConnectionPool, nowMs: () => number) => {
   let latest: MemberStatus | undefined;
-  let runningPoll: Promise<void> | undefined;
-  let queuedPoll: Promise<void> | undefined;
+  let running: Promise<void> | undefined;
+  let next: Promise<void> | undefined;
   let unansweredSinceMs: number | undefined;
   let failureCount = 0;
-  let nextAttemptAtMs = 0;
+  let nextPollAtMs = 0;
 
   const note = (status: MemberStatus): void => {
     if (latest && latest.askedAtMs > status.askedAtMs) return;
@@ -24,14 +24,13 @@
     failureCount = 0;
   };
 
-  const scheduleRetry = (): void => {
-    nextAttemptAtMs =
-      nowMs() + Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2 ** failureCount);
+  const noteFailure = (): void => {
+    nextPollAtMs = nowMs() + Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2 ** failureCount);
     failureCount += 1;
   };
 
   const pollOnce = async (): Promise<void> => {
-    if (failureCount > 0 && nowMs() < nextAttemptAtMs) return;
+    if (failureCount > 0 && nowMs() < nextPollAtMs) return;
     unansweredSinceMs ??= nowMs();
     const { connection, release } = await pool.acquire(undefined, nowMs() + POLL_TIMEOUT_MS);
     try {
@@ -41,29 +40,29 @@
     }
   };
 
-  const startPoll = (): Promise<void> => {
-    runningPoll = pollOnce()
-      .catch(scheduleRetry)
+  const start = (): Promise<void> => {
+    running = pollOnce()
+      .catch(noteFailure)
       .finally(() => {
-        runningPoll = undefined;
+        running = undefined;
       });
-    return runningPoll;
+    return running;
   };
 
   return {
     latest: () => latest,
-    /** Monotonic start of the first poll without an answer since; undefined if none. */
+    /** When the first poll began that has had no answer since the last one. */
     unansweredSinceMs: () => unansweredSinceMs,
-    /** Records a status that was returned along with another statement, unless it is older. */
+    /** Takes in a status that came with the answer to another statement. */
     note,
-    /** Resolves after a poll begun after this call, also if it failed or was skipped by back-off. */
+    /** Resolves after a poll that began after this call, also when the poll failed. */
     poll: (): Promise<void> => {
-      if (!runningPoll) return startPoll();
-      queuedPoll ??= runningPoll.then(() => {
-        queuedPoll = undefined;
-        return startPoll();
+      if (!running) return start();
+      next ??= running.then(() => {
+        next = undefined;
+        return start();
       });
-      return queuedPoll;
+      return next;
     },
   };
 };
--- a/packages/auburngrade/src/groups/groupRegistry.ts
+++ b/packages/auburngrade/src/groups/groupRegistry.ts
@@ -1,6 +1,6 @@
 import type createGroupRegistry from './createGroupRegistry';
 
-/** Clients of the groups to which this VM may have connections. */
+/** The groups whose connections this VM holds. */
 type GroupRegistry = ReturnType<typeof createGroupRegistry>;
 
 export default GroupRegistry;
--- a/packages/auburngrade/src/groups/memberHandle.ts
+++ b/packages/auburngrade/src/groups/memberHandle.ts
@@ -2,9 +2,9 @@
 import type ConnectionPool from './connectionPool';
 import type StatusPoller from './statusPoller';
 
-/** Connection pools and status poller of one member of a database group. */
+/** What a VM has of one member of a database group. */
 interface MemberHandle {
-  /** The group document that the connections were opened with. */
+  /** The document by which the connections were opened. */
   group: Group;
   member: Member;
   control: ConnectionPool;
--- a/packages/auburngrade/src/groups/poolOptions.ts
+++ b/packages/auburngrade/src/groups/poolOptions.ts
@@ -1,12 +1,12 @@
 import type PoolSettings from './poolSettings';
 
-/** Options of a connection pool. */
+/** How a connection pool treats client accounts. */
 interface PoolOptions extends PoolSettings {
-  /** Timeout for opening a connection. */
+  /** Time within which a new connection has to be open. */
   connectTimeoutMs: number;
-  /** Whether this VM may open connections to the group now. */
+  /** Whether this VM may have connections now. */
   mayOpen(): boolean;
-  /** Fair-queue weight of a client account. */
+  /** The weight of a client account. */
   weightOf(account: string): number;
 }
 
--- a/packages/auburngrade/src/groups/poolSettings.ts
+++ b/packages/auburngrade/src/groups/poolSettings.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type poolSettingsSchema from './poolSettingsSchema';
 
-/** Connection pool settings with defaults applied. */
+/** Settings of the connection pools with their defaults filled in. */
 type PoolSettings = z.infer<typeof poolSettingsSchema>;
 
 export default PoolSettings;
--- a/packages/auburngrade/src/log/createEventLog.ts
+++ b/packages/auburngrade/src/log/createEventLog.ts
@@ -10,7 +10,7 @@
   write(line: string): boolean;
 }
 
-/** Creates a rate-limited log with one JSON object per line; suppressed and dropped lines are counted. */
+/** The log of a daemon: one JSON object a line, bounded in volume, with what was left out counted. */
 const createEventLog = ({ vm, nowMs, write }: EventLogOptions) => {
   const budget = createEventBudget();
   const target = log.getLogger(vm);
--- a/packages/auburngrade/src/membership/createMessenger.ts
+++ b/packages/auburngrade/src/membership/createMessenger.ts
@@ -1,12 +1,12 @@
 import type PeerRegistry from '../routing/peerRegistry';
 
 interface Reply {
-  /** Identifies the other VM's process that answered; increases with each start. */
+  /** Names the process of the other VM that answered. */
   incarnation: number;
   body: unknown;
 }
 
-/** Creates the function that sends a message to another VM and returns its parsed reply. */
+/** Creates the function that sends a message of a registered kind to another VM. */
 const createMessenger =
   (vm: string, incarnation: number, peers: PeerRegistry) =>
   async (target: string, kind: string, body: unknown, timeoutMs: number): Promise<Reply> => {
--- a/packages/auburngrade/src/membership/membership.ts
+++ b/packages/auburngrade/src/membership/membership.ts
@@ -1,6 +1,6 @@
 import type createMembership from './createMembership';
 
-/** This VM's view of the VMs of the fleet and of the holders of slots. */
+/** The VMs of the fleet as this VM knows them. */
 type Membership = ReturnType<typeof createMembership>;
 
 export default Membership;
--- a/packages/auburngrade/src/outcome/createOutcomeLookup.ts
+++ b/packages/auburngrade/src/outcome/createOutcomeLookup.ts
@@ -1,10 +1,10 @@
 import {
   advanceSessionToken,
-  resolveRequestOutcome,
-  createMayHaveRunError,
-  createNotRunError,
-  type RequestLookupResult,
-  type RequestRow,
+  judgeRequest,
+  mayHaveRun,
+  notRun,
+  type RequestFinding,
+  type RequestRecord,
   type StatementOutcome,
   type StatementRequest,
   type TermRecord,
@@ -16,17 +16,17 @@
   type EndpointConnection,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupClient from '../groups/groupClient';
+import type GroupHolder from '../groups/groupHolder';
 import sleep from '../time/sleep';
-import buildInsertRequestSql from './buildInsertRequestSql';
-import joinStatementsWithTerm from './joinStatementsWithTerm';
+import insertRequestSql from './insertRequestSql';
+import joinStatements from './joinStatements';
 import quoteLiteral from './quoteLiteral';
-import computeRequestFingerprint from './computeRequestFingerprint';
-import buildRequestRecordId from './buildRequestRecordId';
+import requestFingerprint from './requestFingerprint';
+import requestRecordId from './requestRecordId';
 import rollBack from '../execution/rollBack';
 
-interface LookupResult {
-  finding: RequestLookupResult;
+interface Located {
+  finding: RequestFinding;
   position: number;
 }
 
@@ -34,84 +34,74 @@
 const RETRY_DELAY_MS = 20;
 const EMPTY_RESULT: QueryResult = { columns: [], rows: [], command: '', rowCount: 0 };
 
-const toRequestRecord = (result: QueryResult | undefined): RequestRow | undefined => {
-  const [state, storedResult, fingerprint] = result?.rows[0] ?? [];
+const toRecord = (result: QueryResult | undefined): RequestRecord | undefined => {
+  const [state, stored, fingerprint] = result?.rows[0] ?? [];
   if (state !== 'run' && state !== 'cancelled') return undefined;
-  return { state, result: storedResult ?? null, fingerprint: fingerprint ?? null };
+  return { state, result: stored ?? null, fingerprint: fingerprint ?? null };
 };
 
-/** Determines on the current primary whether a request ran; cancels its id if it did not. */
+/** Finds out on the current primary whether a request ran, and cancels it when it did not. */
 const createOutcomeLookup = (vm: string, nowMs: () => number) => {
   const runScript = async (
-    groupClient: GroupClient,
+    holder: GroupHolder,
     connection: EndpointConnection,
     member: string,
     script: string,
     deadlineAtMs: number,
   ): Promise<{ results: QueryResult[]; position: number; askedAtMs: number }> => {
     const askedAtMs = nowMs();
-    const results = await connection.runScript(script, deadlineAtMs - askedAtMs);
+    const results = await connection.script(script, deadlineAtMs - askedAtMs);
     const status = toMemberStatus(member, results.at(-1), askedAtMs);
-    groupClient.recordStatus(status);
+    holder.noteStatus(status);
     return { results, position: status.position, askedAtMs };
   };
 
-  const cancelOrFind = async (
-    groupClient: GroupClient,
+  const find = async (
+    holder: GroupHolder,
     request: StatementRequest,
     { term }: TermRecord,
     primary: string,
     connection: EndpointConnection,
-  ): Promise<LookupResult> => {
+  ): Promise<Located> => {
     const run = (statements: string[]) =>
       runScript(
-        groupClient,
+        holder,
         connection,
         primary,
-        joinStatementsWithTerm(term, statements),
+        joinStatements(term, statements),
         request.deadlineAtMs,
       );
-    const waitForMajority = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
-      groupClient.waitForAcknowledgement(term, position, request.deadlineAtMs, askedAtMs);
+    const held = ({ position, askedAtMs }: { position: number; askedAtMs: number }) =>
+      holder.waitAcknowledged(term, position, request.deadlineAtMs, askedAtMs);
     try {
-      const insert = buildInsertRequestSql(request, 'cancelled');
+      const insert = insertRequestSql(request, 'cancelled');
       const inserted = await run(['BEGIN READ WRITE', insert, 'COMMIT', MEMBER_STATUS_SQL]);
       const { position } = inserted;
-      return {
-        finding: { kind: 'cancelledNow', isHeld: await waitForMajority(inserted) },
-        position,
-      };
+      return { finding: { kind: 'cancelledNow', isHeld: await held(inserted) }, position };
     } catch (error) {
       await rollBack(connection);
       if (!(error instanceof EndpointError) || error.sqlState !== UNIQUE_VIOLATION) throw error;
     }
-    const id = quoteLiteral(buildRequestRecordId(request));
+    const id = quoteLiteral(requestRecordId(request));
     const select = `SELECT state, result, fingerprint FROM auburngrade_request WHERE id = ${id}`;
     const selected = await run([select, MEMBER_STATUS_SQL]);
     const { position } = selected;
-    const record = toRequestRecord(selected.results[0]);
+    const record = toRecord(selected.results[0]);
     if (!record) return { finding: { kind: 'unreachable' }, position };
-    return {
-      finding: { kind: 'found', record, isHeld: await waitForMajority(selected) },
-      position,
-    };
+    return { finding: { kind: 'found', record, isHeld: await held(selected) }, position };
   };
 
-  const lookUpOnPrimary = async (
-    groupClient: GroupClient,
+  const locate = async (
+    holder: GroupHolder,
     request: StatementRequest,
     record: TermRecord,
     primary: string,
-  ): Promise<LookupResult> => {
+  ): Promise<Located> => {
     try {
       const { account, deadlineAtMs } = request;
-      const pooled = await groupClient.acquirePrimary(
-        { ...record, primary },
-        account,
-        deadlineAtMs,
-      );
+      const pooled = await holder.acquirePrimary({ ...record, primary }, account, deadlineAtMs);
       try {
-        return await cancelOrFind(groupClient, request, record, primary, pooled.connection);
+        return await find(holder, request, record, primary, pooled.connection);
       } finally {
         pooled.release();
       }
@@ -121,30 +111,19 @@
   };
 
   const lookUpOnce = async (
-    groupClient: GroupClient,
+    holder: GroupHolder,
     request: StatementRequest,
   ): Promise<StatementOutcome | undefined> => {
-    const record = groupClient.record();
+    const record = holder.record();
     if (!record?.primary || record.state !== 'active') return undefined;
-    const { finding, position } = await lookUpOnPrimary(
-      groupClient,
-      request,
-      record,
-      record.primary,
-    );
-    const judgement = resolveRequestOutcome(finding, computeRequestFingerprint(request));
+    const { finding, position } = await locate(holder, request, record, record.primary);
+    const judgement = judgeRequest(finding, requestFingerprint(request));
     if (judgement.kind === 'open') return undefined;
     if (judgement.kind === 'cancelled') {
-      throw createNotRunError(
-        'transactionAborted',
-        'the request had no effect; its request id is cancelled',
-      );
+      throw notRun('transactionAborted', 'the request had no effect; its id is used up');
     }
     if (judgement.kind === 'otherStatement') {
-      throw createNotRunError(
-        'duplicateRequest',
-        'the request id was already used for another statement',
-      );
+      throw notRun('duplicateRequest', 'the request id was used for another statement');
     }
     return {
       rows:
@@ -156,23 +135,17 @@
 
   return {
     /**
-     * Returns the outcome of a request that ran.
-     * @throws RefusalError `notRun` when the request can no longer take effect, `mayHaveRun`
-     * when its outcome was not determined before the deadline.
+     * Gives the outcome of a request that ran.
+     * @throws RefusalError `notRun` when it can have no effect any more, `mayHaveRun`
+     * when there was no proof before the deadline.
      */
-    resolve: async (
-      groupClient: GroupClient,
-      request: StatementRequest,
-    ): Promise<StatementOutcome> => {
+    resolve: async (holder: GroupHolder, request: StatementRequest): Promise<StatementOutcome> => {
       while (nowMs() < request.deadlineAtMs) {
-        const outcome = await lookUpOnce(groupClient, request);
+        const outcome = await lookUpOnce(holder, request);
         if (outcome) return outcome;
         await sleep(RETRY_DELAY_MS);
       }
-      throw createMayHaveRunError(
-        'outcomeUnknown',
-        'the outcome of the request could not be determined before the deadline',
-      );
+      throw mayHaveRun('outcomeUnknown', 'no proof of the outcome before the deadline');
     },
   };
 };
--- a/packages/auburngrade/src/outcome/quoteLiteral.ts
+++ b/packages/auburngrade/src/outcome/quoteLiteral.ts
@@ -1,4 +1,4 @@
-/** Quotes a text as an SQL string literal. */
+/** Writes a text as an SQL literal. */
 const quoteLiteral = (text: string): string => `'${text.replaceAll("'", "''")}'`;
 
 export default quoteLiteral;
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -1,210 +1,201 @@
 import {
-  createReplicationRepair,
-  createPrimaryFailureDetector,
+  createFollowRepair,
+  createPrimaryJudge,
   isReplacementAgreed,
   type ConfigurationState,
   type FailoverTimings,
-  type PrimaryHealth,
+  type PrimaryView,
   type TermRecord,
 } from '@auburngrade/coordination';
-import type { ConfigurationStore } from '@auburngrade/platform';
-import type GroupClient from '../groups/groupClient';
+import type { Platform } from '@auburngrade/platform';
+import type GroupHolder from '../groups/groupHolder';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
 import createMemberControl from './createMemberControl';
-import type createPeerViewCollector from './createPeerViewCollector';
+import type createPeerOpinions from './createPeerOpinions';
 import createPromotionRun from './createPromotionRun';
-import createTermRecordWriter from './createTermRecordWriter';
+import createRecordWriter from './createRecordWriter';
 import type FailoverMetrics from './failoverMetrics';
-import findPlannedChangeReason from './findPlannedChangeReason';
+import plannedReason from './plannedReason';
 import type PromotionReason from './promotionReason';
 
 interface PromoterOptions {
-  groupClient: GroupClient;
-  /** Identifies this process: VM id and incarnation; a restarted VM is another promoter. */
+  holder: GroupHolder;
+  /** Names this start of this VM. */
   promoter: string;
-  platform: ConfigurationStore;
+  platform: Platform;
   configuration: ConfigurationState;
   platformTimeoutMs: number;
   timings: FailoverTimings;
-  peerViews: ReturnType<typeof createPeerViewCollector>;
-  /** This VM's index among the VMs that hold a slot of the group; lower ranks act first. */
+  opinions: ReturnType<typeof createPeerOpinions>;
+  /** This VM's place among the holders of the group: lower ones act first. */
   rank(): number;
   metrics: FailoverMetrics;
   logger: Logger;
   nowMs(): number;
 }
 
-const REPLACEMENT_DELAY_PER_RANK_MS = 50;
-const TAKE_OVER_DELAY_PER_RANK_MS = 150;
-const PLANNED_DELAY_PER_RANK_MS = 1_000;
-const ATTEMPT_INTERVAL_MS = 200;
-/** Shorter than the 250 ms for which the asking VM waits for the answer (`ASK_TIMEOUT_MS`). */
-const PRIMARY_CHECK_TIMEOUT_MS = 150;
-const PLANNED_ATTEMPT_INTERVAL_MS = 3_000;
+const RANK_DELAY_MS = 50;
+const TAKE_OVER_RANK_DELAY_MS = 150;
+const PLANNED_RANK_DELAY_MS = 1_000;
+const RETRY_DELAY_MS = 200;
+/** Shorter than the time for which another holder waits for the answer. */
+const LOOK_TIMEOUT_MS = 150;
+const PLANNED_RETRY_DELAY_MS = 3_000;
 
-/** Detects loss of one group's primary, runs its promotions and repairs its followers. */
+/** Watches one group's primary and members, and orders its promotions. */
 const createGroupPromoter = (options: PromoterOptions) => {
-  const { groupClient, promoter, configuration, timings, logger, nowMs } = options;
-  const failureDetector = createPrimaryFailureDetector(timings);
-  const followRepair = createReplicationRepair();
-  const control = createMemberControl(groupClient, nowMs);
-  const writer = createTermRecordWriter(
+  const { holder, promoter, configuration, timings, logger, nowMs } = options;
+  const judge = createPrimaryJudge(timings);
+  const repair = createFollowRepair();
+  const control = createMemberControl(holder, nowMs);
+  const writer = createRecordWriter(
     options.platform,
     configuration,
-    groupClient.name,
+    holder.name,
     options.platformTimeoutMs,
   );
-  let activeRun: ReturnType<typeof createPromotionRun>;
-  let view: PrimaryHealth = 'unknown';
-  let changeDueSinceMs: number | undefined;
-  let changeKey = '';
-  let nextAttemptAtMs = 0;
-  let isCollectingViews = false;
-
-  const onFinished = (): void => {
-    nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
+  let current: ReturnType<typeof createPromotionRun>;
+  let view: PrimaryView = 'unknown';
+  let wantedSinceMs: number | undefined;
+  let wantedFor = '';
+  let nextTryAtMs = 0;
+  let isAsking = false;
+
+  const onOver = (): void => {
+    nextTryAtMs = nowMs() + RETRY_DELAY_MS;
   };
 
   const isMajorityAnswering = (record: TermRecord): boolean => {
-    const voters = groupClient.voters();
-    const answering = groupClient
+    const voters = holder.voters();
+    const answering = holder
       .views()
-      .filter((memberView) => voters.includes(memberView.member))
-      .filter((memberView) => memberView.member !== record.primary || view !== 'gone')
-      .filter((memberView) => failureDetector.isAnswering(memberView));
+      .filter((member) => voters.includes(member.member))
+      .filter((member) => member.member !== record.primary || view !== 'gone')
+      .filter((member) => judge.isAnswering(member));
     return answering.length > voters.length / 2;
   };
 
-  const startRun = (record: TermRecord, reason: PromotionReason, dueSinceMs: number): void => {
-    if (reason === 'unconfirmed') failureDetector.recordStallReplacement();
-    activeRun = createPromotionRun(
-      { ...options, control, writer, onFinished },
-      record,
-      reason,
-      dueSinceMs,
-    );
-    activeRun.driver.dispatch({ kind: 'start' });
+  const start = (record: TermRecord, reason: PromotionReason, sinceMs: number): void => {
+    if (reason === 'unconfirmed') judge.noteStallReplacement();
+    current = createPromotionRun({ ...options, control, writer, onOver }, record, reason, sinceMs);
+    current.driver.dispatch({ kind: 'start' });
   };
 
-  const startIfPeersAgree = async (
+  const startWhenAgreed = async (
     record: TermRecord,
     reason: PromotionReason,
-    dueSinceMs: number,
+    sinceMs: number,
   ): Promise<void> => {
-    isCollectingViews = true;
+    isAsking = true;
     try {
-      const views = await options.peerViews.collect(groupClient.name, record.term);
-      nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
-      if (groupClient.record() === record && isReplacementAgreed(views))
-        startRun(record, reason, dueSinceMs);
-      else logger.info('failover.notAgreed', { group: groupClient.name, views });
+      const views = await options.opinions.collect(holder.name, record.term);
+      nextTryAtMs = nowMs() + RETRY_DELAY_MS;
+      if (holder.record() === record && isReplacementAgreed(views)) start(record, reason, sinceMs);
+      else logger.info('failover.notAgreed', { group: holder.name, views });
     } finally {
-      isCollectingViews = false;
+      isAsking = false;
     }
   };
 
-  /** How long the change named by `key` has been due without interruption, in ms. */
-  const measureChangeDueMs = (key: string): number => {
-    if (changeKey !== key) {
-      changeKey = key;
-      changeDueSinceMs = nowMs();
+  /** How long the present state of the record or the primary has asked for a change. */
+  const wantedForMs = (key: string): number => {
+    if (wantedFor !== key) {
+      wantedFor = key;
+      wantedSinceMs = nowMs();
     }
-    return nowMs() - (changeDueSinceMs ?? nowMs());
+    return nowMs() - (wantedSinceMs ?? nowMs());
   };
 
-  const outageStartMs = (record: TermRecord): number =>
-    groupClient.views().find(({ member }) => member === record.primary)?.unansweredSinceMs ??
-    changeDueSinceMs ??
+  const sinceMsOf = (record: TermRecord): number =>
+    holder.views().find(({ member }) => member === record.primary)?.unansweredSinceMs ??
+    wantedSinceMs ??
     nowMs();
 
-  const startDueTakeOver = (record: TermRecord): void => {
-    const elapsedMs = measureChangeDueMs(`promoting/${record.term}`);
-    // An abandoned claim of this process is resumed at once: no other VM acts under it.
+  const considerTakeOver = (record: TermRecord): void => {
+    const elapsedMs = wantedForMs(`promoting/${record.term}`);
+    // Nobody else acts under a claim of this very process that it has given up.
     const waitMs =
       record.promoter === promoter
         ? 0
-        : timings.takeOverAfterMs + options.rank() * TAKE_OVER_DELAY_PER_RANK_MS;
-    if (elapsedMs < waitMs || nowMs() < nextAttemptAtMs || !isMajorityAnswering(record)) return;
-    startRun(record, 'takeOver', changeDueSinceMs ?? nowMs());
+        : timings.takeOverAfterMs + options.rank() * TAKE_OVER_RANK_DELAY_MS;
+    if (elapsedMs < waitMs || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
+    start(record, 'takeOver', wantedSinceMs ?? nowMs());
   };
 
-  const startDuePlannedChange = (record: TermRecord): void => {
-    const reason = findPlannedChangeReason(groupClient, record);
+  const considerPlanned = (record: TermRecord): void => {
+    const reason = plannedReason(holder, record);
     if (!reason) {
-      measureChangeDueMs('none');
+      wantedForMs('nothing');
       return;
     }
-    const elapsedMs = measureChangeDueMs(`${reason}/${record.term}`);
-    if (elapsedMs < options.rank() * PLANNED_DELAY_PER_RANK_MS || nowMs() < nextAttemptAtMs) return;
+    const elapsedMs = wantedForMs(`${reason}/${record.term}`);
+    if (elapsedMs < options.rank() * PLANNED_RANK_DELAY_MS || nowMs() < nextTryAtMs) return;
     if (!isMajorityAnswering(record)) return;
-    nextAttemptAtMs = nowMs() + PLANNED_ATTEMPT_INTERVAL_MS;
-    startRun(record, reason, nowMs());
+    nextTryAtMs = nowMs() + PLANNED_RETRY_DELAY_MS;
+    start(record, reason, nowMs());
   };
 
-  const startDueReplacement = (record: TermRecord): void => {
-    const judgement = failureDetector.assess(record);
+  const considerReplacement = (record: TermRecord): void => {
+    const judgement = judge.judge(record);
     view = judgement.view;
     if (!judgement.reason) {
-      startDuePlannedChange(record);
+      considerPlanned(record);
       return;
     }
-    const elapsedMs = measureChangeDueMs(`gone/${record.term}`);
-    if (elapsedMs < options.rank() * REPLACEMENT_DELAY_PER_RANK_MS) return;
-    if (isCollectingViews || nowMs() < nextAttemptAtMs || !isMajorityAnswering(record)) return;
-    startIfPeersAgree(record, judgement.reason, outageStartMs(record));
+    const elapsedMs = wantedForMs(`gone/${record.term}`);
+    if (elapsedMs < options.rank() * RANK_DELAY_MS) return;
+    if (isAsking || nowMs() < nextTryAtMs || !isMajorityAnswering(record)) return;
+    startWhenAgreed(record, judgement.reason, sinceMsOf(record));
   };
 
   const repairFollowers = (record: TermRecord): void => {
-    const upstream = groupClient.group.members.find(({ name }) => name === record.primary);
+    const upstream = holder.group.members.find(({ name }) => name === record.primary);
     if (!upstream) return;
-    followRepair.listMembersToRepair(record, groupClient.views()).forEach((member) => {
-      logger.info('member.followAgain', { group: groupClient.name, member, term: record.term });
+    repair.due(record, holder.views()).forEach((member) => {
+      logger.info('member.followAgain', { group: holder.name, member, term: record.term });
       control.follow(member, record.term, upstream).catch(() => {});
     });
   };
 
-  const isSuperseded = (record: TermRecord): boolean =>
-    record.term > activeRun.promotion.term ||
-    (record.term === activeRun.promotion.term && record.promoter !== promoter);
+  const isOvertaken = (record: TermRecord): boolean =>
+    record.term > current.promotion.term ||
+    (record.term === current.promotion.term && record.promoter !== promoter);
 
-  const isRunActive = (): boolean => activeRun !== undefined && !activeRun.promotion.isFinished();
+  const isBusy = (): boolean => current !== undefined && !current.promotion.isOver();
 
-  /** Polls the primary before answering, since an idle group's last poll may be old. */
-  const recheckPrimary = async (record: TermRecord): Promise<PrimaryHealth> => {
+  /** Asks the primary now, as an idle group's last poll may be old. */
+  const lookAgain = async (record: TermRecord): Promise<PrimaryView> => {
     if (!record.primary || view !== 'present') return view;
-    const status = await Promise.race([
-      groupClient.pollMember(record.primary),
-      sleep(PRIMARY_CHECK_TIMEOUT_MS),
-    ]);
+    const status = await Promise.race([holder.pollMember(record.primary), sleep(LOOK_TIMEOUT_MS)]);
     return status ? view : 'unknown';
   };
 
   return {
-    groupClient,
-    /** Returns this VM's view to another VM that sees the primary of `term` gone. */
-    view: async (term: number): Promise<PrimaryHealth> => {
-      const record = groupClient.record();
+    holder,
+    /** Answers another holder that sees the primary of this term gone. */
+    view: async (term: number): Promise<PrimaryView> => {
+      const record = holder.record();
       if (!record || record.term < term) return 'unknown';
-      return record.term > term ? 'present' : recheckPrimary(record);
+      return record.term > term ? 'present' : lookAgain(record);
     },
     tick: (): void => {
-      const record = groupClient.record();
+      const record = holder.record();
       if (!record) return;
-      failureDetector.observe(groupClient.views(), nowMs());
-      if (isRunActive()) {
-        activeRun.driver.dispatch(isSuperseded(record) ? { kind: 'lost' } : { kind: 'tick' });
+      judge.observe(holder.views(), nowMs());
+      if (isBusy()) {
+        current.driver.dispatch(isOvertaken(record) ? { kind: 'lost' } : { kind: 'tick' });
         return;
       }
       if (record.state === 'promoting') {
         view = 'gone';
-        startDueTakeOver(record);
+        considerTakeOver(record);
         return;
       }
-      startDueReplacement(record);
+      considerReplacement(record);
       if (options.rank() === 0 || view === 'present') repairFollowers(record);
     },
-    close: (): void => activeRun?.driver.close(),
+    close: (): void => current?.driver.close(),
   };
 };
 
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -4,29 +4,29 @@
   type Promotion,
   type TermRecord,
 } from '@auburngrade/coordination';
-import type GroupClient from '../groups/groupClient';
+import type GroupHolder from '../groups/groupHolder';
 import type Logger from '../log/logger';
 import createTraceRecorder from '../traces/createTraceRecorder';
 import recordPromotion from '../traces/recordPromotion';
 import type createMemberControl from './createMemberControl';
-import createPromotionPlan from './createPromotionPlan';
+import createPlan from './createPlan';
 import createPromotionDriver from './createPromotionDriver';
-import type createTermRecordWriter from './createTermRecordWriter';
-import createFailoverTimer from './createFailoverTimer';
+import type createRecordWriter from './createRecordWriter';
+import createTimeline from './createTimeline';
 import type FailoverMetrics from './failoverMetrics';
 import type PromotionReason from './promotionReason';
 
 interface RunOptions {
-  groupClient: GroupClient;
-  /** Identifies this process: VM id and incarnation; a restarted VM is another promoter. */
+  holder: GroupHolder;
+  /** Names this start of this VM. */
   promoter: string;
   configuration: ConfigurationState;
   control: ReturnType<typeof createMemberControl>;
-  writer: ReturnType<typeof createTermRecordWriter>;
+  writer: ReturnType<typeof createRecordWriter>;
   metrics: FailoverMetrics;
   logger: Logger;
   nowMs(): number;
-  onFinished(): void;
+  onOver(): void;
 }
 
 interface PromotionRun {
@@ -34,47 +34,47 @@
   driver: ReturnType<typeof createPromotionDriver>;
 }
 
-/** Prepares one promotion attempt of a group; reports its outcome to log, metrics and trace. */
+/** Prepares one promotion of a group, and reports it in the log, the metrics and a trace. */
 const createPromotionRun = (
   options: RunOptions,
   record: TermRecord,
   reason: PromotionReason,
-  dueSinceMs: number,
+  sinceMs: number,
 ): PromotionRun => {
-  const { groupClient, promoter, configuration, control, writer, logger, nowMs } = options;
-  const revision = configuration.getDocumentRevision('term', groupClient.name) ?? 0;
-  const plan = createPromotionPlan(groupClient, record, revision, promoter, reason);
+  const { holder, promoter, configuration, control, writer, logger, nowMs } = options;
+  const revision = configuration.revisionOf('term', holder.name) ?? 0;
+  const plan = createPlan(holder, record, revision, promoter, reason);
   const startedAtMs = nowMs();
-  const trace = `${groupClient.name}/${plan.term}/${promoter}`;
+  const trace = `${holder.name}/${plan.term}/${promoter}`;
   const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
   const promotion = recordPromotion(createPromotion(plan), plan, recorder, startedAtMs);
-  const failoverTimer = createFailoverTimer(dueSinceMs);
-  const labels = { group: groupClient.name, reason };
+  const timeline = createTimeline(sinceMs);
+  const labels = { group: holder.name, reason };
 
-  const onFinished = (phase: string): void => {
+  const onOver = (phase: string): void => {
     options.metrics.promotions.inc({ ...labels, result: phase });
-    options.onFinished();
-    const partsMs = failoverTimer.partsMs();
-    const fields = { ...labels, term: plan.term, primary: promotion.getNewPrimary(), partsMs };
+    options.onOver();
+    const partsMs = timeline.partsMs();
+    const fields = { ...labels, term: plan.term, primary: promotion.chosen(), partsMs };
     if (phase !== 'done') {
       logger.warn('failover.abandoned', fields);
       return;
     }
     logger.info('failover.completed', fields);
-    Object.entries(partsMs).forEach(([part, durationMs]) =>
-      options.metrics.partDurationMs.observe({ group: groupClient.name, part }, durationMs),
+    Object.entries(partsMs).forEach(([part, valueMs]) =>
+      options.metrics.partMs.observe({ group: holder.name, part }, valueMs),
     );
   };
 
   logger.info('failover.started', { ...labels, term: plan.term, previous: record.primary });
   const driver = createPromotionDriver({
-    groupClient,
+    holder,
     promotion,
     control,
     writer,
-    failoverTimer,
+    timeline,
     nowMs,
-    onFinished,
+    onOver,
   });
   return { promotion, driver };
 };
--- a/packages/auburngrade/src/promotion/createPromotionService.ts
+++ b/packages/auburngrade/src/promotion/createPromotionService.ts
@@ -3,30 +3,30 @@
   type ConfigurationState,
   type FailoverTimings,
 } from '@auburngrade/coordination';
-import type { ConfigurationStore } from '@auburngrade/platform';
-import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
-import type GroupClient from '../groups/groupClient';
+import type { Platform } from '@auburngrade/platform';
+import type createTermKeeper from '../groups/createTermKeeper';
+import type GroupHolder from '../groups/groupHolder';
 import type GroupRegistry from '../groups/groupRegistry';
 import type Logger from '../log/logger';
 import type Membership from '../membership/membership';
 import type SendMessage from '../membership/sendMessage';
 import createGroupPromoter from './createGroupPromoter';
-import createPeerViewCollector from './createPeerViewCollector';
+import createPeerOpinions from './createPeerOpinions';
 import type FailoverMetrics from './failoverMetrics';
 import suspicionMessageSchema from './suspicionMessageSchema';
 
 interface ServiceOptions {
   vm: string;
-  /** Distinguishes this process from earlier starts of the VM. */
+  /** Names this start of this VM among promoters. */
   incarnation: number;
-  platform: ConfigurationStore;
+  platform: Platform;
   platformTimeoutMs: number;
   configuration: ConfigurationState;
   membership: Membership;
   groups: GroupRegistry;
-  /** Groups to which this VM may have connections now. */
-  listHeldGroups(): string[];
-  terms: ReturnType<typeof createTermRecordInitializer>;
+  /** Groups whose connections this VM may have now. */
+  heldGroups(): string[];
+  terms: ReturnType<typeof createTermKeeper>;
   send: SendMessage;
   timings: FailoverTimings;
   metrics: FailoverMetrics;
@@ -37,29 +37,29 @@
 type GroupPromoter = ReturnType<typeof createGroupPromoter>;
 
 const TICK_INTERVAL_MS = 100;
-const TERM_RECORD_CHECK_INTERVAL_MS = 500;
-const RANK_UPDATE_DELAY_MS = 50;
-/** Changes below these key prefixes may change which VMs hold a group, and so this VM's rank. */
-const RANK_RELEVANT_PREFIXES = [
+const FIRST_TERM_INTERVAL_MS = 500;
+const HOLDERS_CHANGE_DELAY_MS = 50;
+/** Changes below these prefixes may change who holds a group. */
+const HOLDER_PREFIXES = [
   documentKinds.group.prefix,
   documentKinds.slots.prefix,
   documentKinds.vm.prefix,
 ];
 
-/** Runs a promoter for each group of which this VM holds a slot. */
+/** Watches the primaries of all groups whose connections this VM holds. */
 const createPromotionService = (options: ServiceOptions) => {
   const { vm, configuration, membership, groups, logger, nowMs } = options;
-  const peerViews = createPeerViewCollector(vm, membership, options.send);
+  const opinions = createPeerOpinions(vm, membership, options.send);
   const promoters = new Map<string, GroupPromoter>();
   const ranks = new Map<string, number>();
   let rankTimer: NodeJS.Timeout | undefined;
-  let intervalTimers: NodeJS.Timeout[] = [];
-  let unsubscribe = (): void => {};
+  let timers: NodeJS.Timeout[] = [];
+  let stopListening = (): void => {};
 
-  const rankInGroup = (group: string): number =>
+  const rankIn = (group: string): number =>
     membership.holders(group).findIndex(({ id }) => id === vm);
 
-  const closePromoter = (group: string): void => {
+  const release = (group: string): void => {
     promoters.get(group)?.close();
     promoters.delete(group);
   };
@@ -67,82 +67,82 @@
   const updateRanks = (): void => {
     rankTimer = undefined;
     ranks.clear();
-    options.listHeldGroups().forEach((group) => {
-      const rank = rankInGroup(group);
+    options.heldGroups().forEach((group) => {
+      const rank = rankIn(group);
       if (rank >= 0) ranks.set(group, rank);
     });
-    [...promoters.keys()].filter((group) => !ranks.has(group)).forEach(closePromoter);
+    [...promoters.keys()].filter((group) => !ranks.has(group)).forEach(release);
   };
 
-  const scheduleRankUpdate = (): void => {
-    rankTimer ??= setTimeout(updateRanks, RANK_UPDATE_DELAY_MS);
+  const updateRanksSoon = (): void => {
+    rankTimer ??= setTimeout(updateRanks, HOLDERS_CHANGE_DELAY_MS);
   };
 
-  const createPromoter = (groupClient: GroupClient): GroupPromoter =>
+  const create = (holder: GroupHolder): GroupPromoter =>
     createGroupPromoter({
-      groupClient,
+      holder,
       promoter: `${vm}/${options.incarnation}`,
       platform: options.platform,
       configuration,
       platformTimeoutMs: options.platformTimeoutMs,
       timings: options.timings,
-      peerViews,
-      rank: () => ranks.get(groupClient.name) ?? 0,
+      opinions,
+      rank: () => ranks.get(holder.name) ?? 0,
       metrics: options.metrics,
       logger,
       nowMs,
     });
 
-  const getPromoter = (group: string): GroupPromoter => {
-    const groupClient = groups.get(group);
+  const promoterOf = (group: string): GroupPromoter => {
+    const holder = groups.get(group);
     const existing = promoters.get(group);
-    if (existing?.groupClient === groupClient) return existing;
+    if (existing?.holder === holder) return existing;
     existing?.close();
-    const created = createPromoter(groupClient);
+    const created = create(holder);
     promoters.set(group, created);
     return created;
   };
 
   const tick = (): void =>
     ranks.forEach((_, group) => {
-      if (groups.mayHold(group)) getPromoter(group).tick();
-      else closePromoter(group);
+      if (groups.mayHold(group)) promoterOf(group).tick();
+      else release(group);
     });
 
-  const ensureTermRecords = (): void =>
+  const ensureFirstTerms = (): void =>
     ranks.forEach((_, group) => {
       if (configuration.get('term', group) || !groups.mayHold(group)) return;
-      options.terms.ensureTermRecord(groups.get(group));
+      options.terms.ensureRecord(groups.get(group));
     });
 
   const onChange = (changed: readonly { key: string }[]): void => {
-    const isRankRelevant = changed.some(({ key }) =>
-      RANK_RELEVANT_PREFIXES.some((prefix) => key.startsWith(prefix)),
+    const isAboutHolders = changed.some(({ key }) =>
+      HOLDER_PREFIXES.some((prefix) => key.startsWith(prefix)),
     );
-    if (isRankRelevant) scheduleRankUpdate();
+    if (isAboutHolders) updateRanksSoon();
   };
 
   return {
     start: (): void => {
-      unsubscribe = configuration.onChange(onChange);
+      stopListening = configuration.onChange(onChange);
       updateRanks();
-      intervalTimers = [
+      timers = [
         setInterval(tick, TICK_INTERVAL_MS),
-        setInterval(ensureTermRecords, TERM_RECORD_CHECK_INTERVAL_MS),
+        setInterval(ensureFirstTerms, FIRST_TERM_INTERVAL_MS),
       ];
     },
-    /** To be called when this VM gains or loses a slot by time alone, without a document change. */
-    scheduleRankUpdate,
-    /** Handles a suspicion message: returns this VM's view of a group's primary. */
-    handleSuspicionMessage: async (_fromVm: string, body: unknown): Promise<unknown> => {
+    /** To be called when this VM came to hold a slot, or lost one, by the passing of time. */
+    updateRanksSoon,
+    /** Answers another holder's question about a group's primary. */
+    answerSuspicion: async (_fromVm: string, body: unknown): Promise<unknown> => {
       const { group, term } = suspicionMessageSchema.parse(body);
       return { view: (await promoters.get(group)?.view(term)) ?? 'unknown' };
     },
     stop: (): void => {
-      intervalTimers.forEach(clearInterval);
+      timers.forEach(clearInterval);
       clearTimeout(rankTimer);
-      unsubscribe();
-      [...promoters.keys()].forEach(closePromoter);
+      stopListening();
+      [...promoters.keys()].forEach(release);
     },
   };
 };
--- a/packages/auburngrade/src/promotion/failoverMetrics.ts
+++ b/packages/auburngrade/src/promotion/failoverMetrics.ts
@@ -1,6 +1,6 @@
 import type createFailoverMetrics from './createFailoverMetrics';
 
-/** Metrics of the promotions run by this VM. */
+/** The metrics of promotions. */
 type FailoverMetrics = ReturnType<typeof createFailoverMetrics>;
 
 export default FailoverMetrics;
--- a/packages/auburngrade/src/report/renderReportText.ts
+++ b/packages/auburngrade/src/report/renderReportText.ts
@@ -1,10 +1,10 @@
 import formatTable from '../commands/output/formatTable';
-import createReportTables from './createReportTables';
+import reportTables from './reportTables';
 import type ServiceLevelReport from './serviceLevelReport';
 
 /** Renders a report as text. */
 const renderReportText = (report: ServiceLevelReport): string =>
-  createReportTables(report)
+  reportTables(report)
     .map(({ title, columns, rows }) =>
       rows.length === 0 ? `${title}: none` : `${title}\n${formatTable(columns, rows)}`,
     )
--- a/packages/auburngrade/src/report/createReportTables.ts
+++ b/packages/auburngrade/src/report/reportTables.ts
@@ -14,7 +14,7 @@
 
 const formatRate = (rate: number): string => rate.toFixed(RATE_DECIMALS);
 
-const formatBudgetRow = (burn: RouteBurn): string[] => [
+const budgetRow = (burn: RouteBurn): string[] => [
   burn.profile,
   burn.account,
   String(burn.availability.good),
@@ -29,7 +29,7 @@
     .join(', '),
 ];
 
-const formatWindowRows = (report: ServiceLevelReport): string[][] =>
+const windowRows = (report: ServiceLevelReport): string[][] =>
   report.windows.flatMap(({ lengthMs, isCovered, routes }) =>
     routes.map((burn) => [
       `${formatDuration(lengthMs)}${isCovered ? '' : ' (not covered yet)'}`,
@@ -42,7 +42,7 @@
   );
 
 /** Arranges a report as tables. */
-const createReportTables = (report: ServiceLevelReport): ReportTable[] => [
+const reportTables = (report: ServiceLevelReport): ReportTable[] => [
   {
     title: 'VMs that cannot be reached (their latest requests are missing below)',
     columns: ['VM', 'reason'],
@@ -62,12 +62,12 @@
       'freshness left',
       'own faults by code',
     ],
-    rows: report.whole.map(formatBudgetRow),
+    rows: report.whole.map(budgetRow),
   },
   {
     title: 'Burn by window (1 uses the budget up exactly)',
     columns: ['window', 'profile', 'account', 'availability', 'latency', 'freshness'],
-    rows: formatWindowRows(report),
+    rows: windowRows(report),
   },
   {
     title: 'Pairs of windows that burn',
@@ -78,4 +78,4 @@
   },
 ];
 
-export default createReportTables;
+export default reportTables;
--- a/packages/auburngrade/src/routing/createRecentFailures.ts
+++ b/packages/auburngrade/src/routing/createRecentFailures.ts
@@ -1,19 +1,19 @@
-/** Keeps the names of VMs or members that failed within the last `rememberMs`. */
+/** Remembers for a while which VMs or members failed. */
 const createRecentFailures = (rememberMs: number, nowMs: () => number) => {
-  const expiresAtMs = new Map<string, number>();
+  const untilMs = new Map<string, number>();
   return {
     add: (name: string): void => {
-      expiresAtMs.set(name, nowMs() + rememberMs);
+      untilMs.set(name, nowMs() + rememberMs);
     },
     clear: (name: string): void => {
-      expiresAtMs.delete(name);
+      untilMs.delete(name);
     },
     names: (): Set<string> => {
-      const currentMs = nowMs();
-      expiresAtMs.forEach((expiryMs, name) => {
-        if (expiryMs <= currentMs) expiresAtMs.delete(name);
+      const now = nowMs();
+      untilMs.forEach((until, name) => {
+        if (until <= now) untilMs.delete(name);
       });
-      return new Set(expiresAtMs.keys());
+      return new Set(untilMs.keys());
     },
   };
 };
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -3,9 +3,9 @@
   createRetryBudget,
   decideRetry,
   encodeSessionToken,
-  createMayHaveRunError,
+  mayHaveRun,
   mergeRefusals,
-  createNotRunError,
+  notRun,
   orderHolders,
   refusalSchema,
   statementOutcomeSchema,
@@ -15,11 +15,11 @@
   type StatementRequest,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import { isNotSentError, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
+import { isNeverSent, type ForwardedOutcome, type ForwardedStatement } from '@auburngrade/vm';
 import type Membership from '../membership/membership';
 import createRemoteTransaction from '../transactions/createRemoteTransaction';
 import type Transaction from '../transactions/transaction';
-import createRequestAttempts from './createRequestAttempts';
+import createAttempts from './createAttempts';
 import createRecentFailures from './createRecentFailures';
 import type PeerRegistry from './peerRegistry';
 import type RoutingMetrics from './routingMetrics';
@@ -31,7 +31,7 @@
   membership: Membership;
   peers: PeerRegistry;
   hasGroup(group: string): boolean;
-  /** Ids of VMs that announced their shutdown. */
+  /** VMs that said they are shutting down. */
   leaving(): ReadonlySet<string>;
   markLeaving(vm: string): void;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
@@ -40,10 +40,10 @@
   nowMs(): number;
 }
 
-const UNREACHABLE_VM_AVOIDANCE_MS = 1_000;
+const AVOID_MS = 1_000;
 const RETRY_AFTER_MS = 500;
-/** Refusal codes after which another VM that holds the group is tried first. */
-const RETRY_ON_OTHER_VM_CODES: ReadonlySet<Refusal['code']> = new Set([
+/** Refusals after which another holder may do better. */
+const ELSEWHERE_CODES: ReadonlySet<Refusal['code']> = new Set([
   'noConnection',
   'connectionLost',
   'peerUnreachable',
@@ -71,28 +71,28 @@
 };
 
 /**
- * Routes requests to a VM that holds connections to their group, preferably this one. All
- * retries of failed requests are made here.
+ * Sends a statement to a VM that holds connections to its group: this one if it can. It is the
+ * one place that repeats a failed request.
  */
 const createRouter = (options: RouterOptions) => {
   const { vm, dataCentre, membership, peers, metrics, nowMs } = options;
-  const unreachableVms = createRecentFailures(UNREACHABLE_VM_AVOIDANCE_MS, nowMs);
-  const retryBudget = createRetryBudget();
+  const unreachable = createRecentFailures(AVOID_MS, nowMs);
+  const budget = createRetryBudget();
 
-  /** Ids of the VMs that hold a group, in the order in which they are tried. */
-  const orderCandidates = (group: string, failedVms: ReadonlySet<string>): string[] =>
+  /** The holders of a group in the order in which they are tried. */
+  const candidates = (group: string, failed: ReadonlySet<string>): string[] =>
     orderHolders({
       holders: membership.holders(group),
       vm,
       dataCentre,
       leaving: options.leaving(),
-      failed: new Set([...unreachableVms.names(), ...peers.silent(), ...failedVms]),
+      failed: new Set([...unreachable.names(), ...peers.silent(), ...failed]),
       random: Math.random(),
     });
 
-  const toUnreachableRefusal = (target: string, error: Error): RefusalError => {
-    unreachableVms.add(target);
-    const refuse = isNotSentError(error) ? createNotRunError : createMayHaveRunError;
+  const refuseUnreachable = (target: string, error: Error): RefusalError => {
+    unreachable.add(target);
+    const refuse = isNeverSent(error) ? notRun : mayHaveRun;
     return refuse('peerUnreachable', error.message);
   };
 
@@ -101,57 +101,46 @@
     target: string,
     onSilent: () => void,
   ): Promise<StatementOutcome> => {
-    const peer = peers.get(target);
+    const client = peers.get(target);
     const statement = toForwarded(request, nowMs());
-    const outcome = await peer.execute(statement, onSilent).catch((error: Error) => {
-      throw toUnreachableRefusal(target, error);
+    const outcome = await client.execute(statement, onSilent).catch((error: Error) => {
+      throw refuseUnreachable(target, error);
     });
     return fromForwarded(outcome);
   };
 
-  /** Tries the VMs that hold the group until one succeeds or the retry policy allows no more. */
+  /** Makes attempts at the holders of the request's group until one succeeds or no more may be made. */
   const withRetries = async <Result>(
     { group, deadlineAtMs }: Pick<StatementRequest, 'group' | 'deadlineAtMs'>,
     attempt: (target: string, onSilent: () => void) => Promise<Result>,
   ): Promise<Result> => {
-    if (!options.hasGroup(group))
-      throw createNotRunError('unknownGroup', `group ${group} does not exist`);
-    const failedVms = new Set<string>();
-    const attempts = createRequestAttempts<Result>();
+    if (!options.hasGroup(group)) throw notRun('unknownGroup', `no group ${group}`);
+    const failed = new Set<string>();
+    const attempts = createAttempts<Result>();
     let refusal: Refusal | undefined;
-    retryBudget.creditRequest();
-    for (let attemptCount = 1; ; attemptCount += 1) {
-      const candidates = orderCandidates(group, failedVms);
-      const [target = ''] = candidates;
+    budget.deposit();
+    for (let count = 1; ; count += 1) {
+      const holders = candidates(group, failed);
+      const [target = ''] = holders;
       try {
         if (target === '') {
-          throw createNotRunError(
-            'noConnection',
-            `no VM holds connections to group ${group}`,
-            RETRY_AFTER_MS,
-          );
+          throw notRun('noConnection', `no VM holds connections to ${group}`, RETRY_AFTER_MS);
         }
         if (target !== vm) metrics.forwards.inc({ group });
-        return await attempts.run(target, (onSilent) => attempt(target, onSilent));
+        return await attempts.make(target, (onSilent) => attempt(target, onSilent));
       } catch (error) {
-        const latestRefusal = toRefusal(error);
-        refusal = mergeRefusals(refusal, latestRefusal);
-        if (latestRefusal.code === 'shuttingDown') options.markLeaving(target);
-        if (RETRY_ON_OTHER_VM_CODES.has(latestRefusal.code)) failedVms.add(target);
-        if (failedVms.size >= candidates.length) failedVms.clear();
+        const latest = toRefusal(error);
+        refusal = mergeRefusals(refusal, latest);
+        if (latest.code === 'shuttingDown') options.markLeaving(target);
+        if (ELSEWHERE_CODES.has(latest.code)) failed.add(target);
+        if (failed.size >= holders.length) failed.clear();
         const random = Math.random();
-        const state = {
-          refusal: latestRefusal,
-          attempts: attemptCount,
-          nowMs: nowMs(),
-          deadlineAtMs,
-          random,
-        };
+        const state = { refusal: latest, attempts: count, nowMs: nowMs(), deadlineAtMs, random };
         const decision = decideRetry(state);
-        if (decision.kind === 'giveUp' || !retryBudget.takeRetryToken()) {
-          return attempts.waitForLateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
+        if (decision.kind === 'giveUp' || !budget.withdraw()) {
+          return attempts.lateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
         }
-        metrics.retries.inc({ group, code: latestRefusal.code });
+        metrics.retries.inc({ group, code: latest.code });
         await sleep(decision.delayMs);
       }
     }
@@ -169,7 +158,7 @@
         target === vm
           ? options.beginLocally(request)
           : createRemoteTransaction(peers.get(target), request, nowMs()).catch((error) => {
-              if (toRefusal(error).code === 'peerUnreachable') unreachableVms.add(target);
+              if (toRefusal(error).code === 'peerUnreachable') unreachable.add(target);
               throw error;
             }),
       ),
--- a/packages/auburngrade/src/routing/readPlan.ts
+++ b/packages/auburngrade/src/routing/readPlan.ts
@@ -1,13 +1,13 @@
-/** The member that a read goes to, and the conditions that its answer must meet. */
+/** The member that a read goes to, and what has to hold once its answer is there. */
 interface ReadPlan {
   member: string;
   role: 'primary' | 'replica';
-  /** The term in which the member was chosen; sent with the statement. */
+  /** The term that the choice was made for; the statement carries it. */
   term: number;
-  /** Monotonic time by which the answer must arrive to be fresh; undefined without a bound. */
+  /** The answer must be there by then to be young enough; undefined without a bound. */
   freshUntilMs: number | undefined;
-  /** Whether a majority must confirm after the read that the primary had not been replaced. */
-  isConfirmationRequired: boolean;
+  /** A majority must confirm after the read that the primary had not been replaced. */
+  isConfirmed: boolean;
 }
 
 export default ReadPlan;
--- a/packages/auburngrade/src/serving/toOutcome.ts
+++ b/packages/auburngrade/src/serving/toOutcome.ts
@@ -1,23 +1,22 @@
 import { encodeSessionToken, type Refusal, type StatementOutcome } from '@auburngrade/coordination';
 import { Outcome, Verdict } from '@auburngrade/caller';
 
-const VERDICT_CODES = { notRun: Verdict.NOT_RUN, mayHaveRun: Verdict.MAY_HAVE_RUN } as const;
+const VERDICTS = { notRun: Verdict.NOT_RUN, mayHaveRun: Verdict.MAY_HAVE_RUN } as const;
 
-type RequestResult =
-  { kind: 'ran'; outcome: StatementOutcome } | { kind: 'refused'; refusal: Refusal };
+type Answer = { kind: 'ran'; outcome: StatementOutcome } | { kind: 'refused'; refusal: Refusal };
 
-/** Builds the reply to a caller. A refusal returns `sessionToken` unchanged. */
-const toOutcome = (requestId: string, sessionToken: string, result: RequestResult): Outcome => {
-  if (result.kind === 'refused') {
-    const { verdict, code, message, retryAfterMs } = result.refusal;
+/** Builds the message that a caller gets. `sessionToken` is returned unchanged with a refusal. */
+const toOutcome = (requestId: string, sessionToken: string, answer: Answer): Outcome => {
+  if (answer.kind === 'refused') {
+    const { verdict, code, message, retryAfterMs } = answer.refusal;
     return Outcome.fromPartial({
       requestId,
       sessionToken,
-      verdict: VERDICT_CODES[verdict],
+      verdict: VERDICTS[verdict],
       refusal: { code, message, retryAfterMs: retryAfterMs ?? 0 },
     });
   }
-  const { rows, servedBy, sessionToken: token } = result.outcome;
+  const { rows, servedBy, sessionToken: token } = answer.outcome;
   return Outcome.fromPartial({
     requestId,
     sessionToken: encodeSessionToken(token),
--- a/packages/auburngrade/src/settings/describeSettings.ts
+++ b/packages/auburngrade/src/settings/describeSettings.ts
@@ -31,16 +31,16 @@
   oneOf?: JsonSchema[];
 }
 
-const formatType = (schema: JsonSchema): string => {
+const typeOf = (schema: JsonSchema): string => {
   const variants = schema.anyOf ?? schema.oneOf;
-  if (variants) return variants.map(formatType).join(' or ');
+  if (variants) return variants.map(typeOf).join(' or ');
   if (schema.enum) return schema.enum.map((value) => JSON.stringify(value)).join(' or ');
   if (schema.const !== undefined) return JSON.stringify(schema.const);
-  if (schema.type === 'array') return `array of ${formatType(schema.items ?? {})}`;
+  if (schema.type === 'array') return `array of ${typeOf(schema.items ?? {})}`;
   return schema.type ?? 'any';
 };
 
-const formatLimits = (schema: JsonSchema): string =>
+const limitsOf = (schema: JsonSchema): string =>
   [
     schema.minimum !== undefined && `from ${schema.minimum}`,
     schema.exclusiveMinimum !== undefined && `above ${schema.exclusiveMinimum}`,
@@ -51,29 +51,29 @@
     .filter(Boolean)
     .join(', ');
 
-const describeFields = (
+const collect = (
   schema: JsonSchema,
   path: string,
   isRequired: boolean,
-  inheritedDefault: unknown,
+  inherited: unknown,
 ): SettingDescription[] => {
-  const defaultValue = schema.default ?? inheritedDefault;
+  const fallback = schema.default ?? inherited;
   if (schema.properties && Object.keys(schema.properties).length > 0) {
     return Object.entries(schema.properties).flatMap(([name, property]) =>
-      describeFields(
+      collect(
         property,
         path === '' ? name : `${path}.${name}`,
         schema.required?.includes(name) ?? false,
-        (defaultValue as Record<string, unknown> | undefined)?.[name],
+        (fallback as Record<string, unknown> | undefined)?.[name],
       ),
     );
   }
-  const defaultJson = defaultValue === undefined ? undefined : JSON.stringify(defaultValue);
+  const defaultJson = fallback === undefined ? undefined : JSON.stringify(fallback);
   return [
     {
       path,
-      type: formatType(schema),
-      limits: formatLimits(schema),
+      type: typeOf(schema),
+      limits: limitsOf(schema),
       defaultJson,
       isRequired,
       description: schema.description ?? '',
@@ -83,11 +83,6 @@
 
 /** Describes each field of the settings, from their schema. */
 const describeSettings = (): SettingDescription[] =>
-  describeFields(
-    z.toJSONSchema(settingsSchema, { io: 'input' }) as JsonSchema,
-    '',
-    true,
-    undefined,
-  );
+  collect(z.toJSONSchema(settingsSchema, { io: 'input' }) as JsonSchema, '', true, undefined);
 
 export default describeSettings;
--- a/packages/auburngrade/src/settings/parseSettings.spec.ts
+++ b/packages/auburngrade/src/settings/parseSettings.spec.ts
@@ -6,7 +6,7 @@
 import parseSettings from './parseSettings';
 import renderSettingsReference from './renderSettingsReference';
 
-const VALID_SETTINGS = {
+const VALID = {
   vm: 'waco-1',
   dataCentre: 'waco',
   callerPort: 7001,
@@ -17,8 +17,7 @@
   tls: { callers: 'plain', operators: 'plain', vms: 'plain' },
 };
 
-const parse = (changes: object) => () =>
-  parseSettings(JSON.stringify({ ...VALID_SETTINGS, ...changes }));
+const parse = (changes: object) => () => parseSettings(JSON.stringify({ ...VALID, ...changes }));
 
 describe('settings', () => {
   describe('a wrong field', () => {
--- a/packages/auburngrade/src/shutdown/workTracker.ts
+++ b/packages/auburngrade/src/shutdown/workTracker.ts
@@ -1,6 +1,6 @@
 import type { createWorkTracker } from '@auburngrade/coordination';
 
-/** Counts work in progress and rejects new work during a shutdown. */
+/** Counts the work in progress through a shutdown. */
 type WorkTracker = ReturnType<typeof createWorkTracker>;
 
 export default WorkTracker;
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -1,5 +1,5 @@
 import {
-  acceptStep,
+  checkStep,
   decodeSessionToken,
   toRefusal,
   type StatementOutcome,
@@ -12,8 +12,8 @@
 
 interface ForwardedTransactionOptions {
   begin(request: TransactionRequest): Promise<Transaction>;
-  /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
-  beginWork(): () => void;
+  /** Counts work until the returned function is called; refuses it while the VM shuts down. */
+  enter(): () => void;
   vm: string;
   nowMs(): number;
 }
@@ -29,36 +29,36 @@
   deadlineAtMs: nowMs + begin.timeoutMs,
 });
 
-/** Serves one transaction that another VM has admitted and forwards step by step. */
+/** Serves one transaction that another VM admitted and forwards step by step. */
 const createForwardedTransaction = ({
   begin,
-  beginWork,
+  enter,
   vm,
   nowMs,
 }: ForwardedTransactionOptions): StepHandler<ForwardedStep, ForwardedReply> => {
   let progress: TransactionProgress = { phase: 'new', lastStep: 0 };
   let transaction: Transaction | undefined;
-  let isStreamLost = false;
-  let endWork = (): void => {};
+  let isLost = false;
+  let leave = (): void => {};
 
   const open = async (request: TransactionRequest): Promise<StatementOutcome> => {
-    endWork = beginWork();
+    leave = enter();
     transaction = await begin(request);
-    if (isStreamLost) transaction.abort();
+    if (isLost) transaction.abort();
     const rows = { columns: [], rows: [], command: 'BEGIN', rowCount: 0 };
     const servedBy = { vm, endpoint: '', role: 'primary' as const };
     return { rows, sessionToken: request.sessionToken, servedBy };
   };
 
   const run = async ({ step, body }: ForwardedStep): Promise<StatementOutcome> => {
-    progress = acceptStep(progress, step, body?.$case);
+    progress = checkStep(progress, step, body?.$case);
     if (body?.$case === 'begin') return open(toRequest(body.begin, nowMs()));
     if (!transaction) throw new Error('no transaction is open');
     if (body?.$case === 'commit') return transaction.commit();
     if (body?.$case === 'rollback') return transaction.rollback();
     const { sql, parameters } = body!.statement;
-    const parameterTexts = parameters.map(({ text }) => text ?? null);
-    return transaction.run(sql, parameterTexts);
+    const texts = parameters.map(({ text }) => text ?? null);
+    return transaction.run(sql, texts);
   };
 
   return {
@@ -72,13 +72,13 @@
         const bodyJson = JSON.stringify(refusal);
         return { step: step.step, outcome: { verdict: refusal.verdict, bodyJson } };
       } finally {
-        if (progress.phase === 'ended') endWork();
+        if (progress.phase === 'ended') leave();
       }
     },
     abort: () => {
-      isStreamLost = true;
+      isLost = true;
       transaction?.abort();
-      endWork();
+      leave();
     },
   };
 };
--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -2,8 +2,8 @@
   type RefusalError,
   advanceSessionToken,
   isSessionControl,
-  createMayHaveRunError,
-  createNotRunError,
+  mayHaveRun,
+  notRun,
   type StatementOutcome,
   type StatementRequest,
   type TransactionRequest,
@@ -14,41 +14,41 @@
   toMemberStatus,
   type QueryResult,
 } from '@auburngrade/endpoint';
-import type GroupClient from '../groups/groupClient';
+import type GroupHolder from '../groups/groupHolder';
 import type createOutcomeLookup from '../outcome/createOutcomeLookup';
-import buildInsertRequestSql from '../outcome/buildInsertRequestSql';
-import joinStatementsWithTerm from '../outcome/joinStatementsWithTerm';
+import insertRequestSql from '../outcome/insertRequestSql';
+import joinStatements from '../outcome/joinStatements';
 import quoteLiteral from '../outcome/quoteLiteral';
-import buildRequestRecordId from '../outcome/buildRequestRecordId';
+import requestRecordId from '../outcome/requestRecordId';
 import type PooledConnection from '../groups/pooledConnection';
 import type ReadPlan from '../routing/readPlan';
 import Transaction from './transaction';
 
 interface LocalTransactionOptions {
   vm: string;
-  groupClient: GroupClient;
+  holder: GroupHolder;
   request: TransactionRequest;
   plan: ReadPlan;
-  pooledConnection: PooledConnection;
-  /** Resolves once the result of a statement sent at this time may be returned. */
-  confirmResult(sentAtMs: number): Promise<void>;
-  outcomeLookup: ReturnType<typeof createOutcomeLookup>;
+  pooled: PooledConnection;
+  /** Resolves once an answer to what was sent at this time may be given. */
+  confirm(sentAtMs: number): Promise<void>;
+  lookup: ReturnType<typeof createOutcomeLookup>;
   onEnd(): void;
   nowMs(): number;
 }
 
-/** Short, so that after a begin on an unresponsive connection another one can be tried. */
+/** A connection that went silent is given up so early that another can be tried. */
 const BEGIN_TIMEOUT_MS = 1_000;
 const ROLLBACK_TIMEOUT_MS = 1_000;
-const FAILED_TRANSACTION_SQLSTATE = '25P02';
-const STALE_TERM_SQLSTATE = 'AG001';
-const UNIQUE_VIOLATION_SQLSTATE = '23505';
+const ABORTED_STATE = '25P02';
+const STALE_TERM_STATE = 'AG001';
+const UNIQUE_STATE = '23505';
 const RETRY_AFTER_MS = 200;
-const ROLLBACK_RESULT: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
-const COMMIT_RESULT: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
+const ROLLED_BACK: QueryResult = { columns: [], rows: [], command: 'ROLLBACK', rowCount: 0 };
+const COMMITTED: QueryResult = { columns: [], rows: [], command: 'COMMIT', rowCount: 0 };
 
-/** The record of a transaction has the same form as that of a statement, with COMMIT as its text. */
-const toCommitStatement = (request: TransactionRequest): StatementRequest => ({
+/** A transaction's id is recorded like that of a statement; its text is the same for all. */
+const asStatement = (request: TransactionRequest): StatementRequest => ({
   ...request,
   sql: 'COMMIT',
   parameters: [],
@@ -61,126 +61,118 @@
 
   private isCommitting = false;
 
-  private stopTermWatch = (): void => {};
+  private stopWatching = (): void => {};
 
   constructor(private readonly options: LocalTransactionOptions) {
     super();
   }
 
   async begin(): Promise<void> {
-    const { request, plan, groupClient } = this.options;
-    this.stopTermWatch = groupClient.onTermSuperseded(plan.term, () => this.abort());
+    const { request, plan, holder } = this.options;
+    this.stopWatching = holder.onTermOver(plan.term, () => this.abort());
     const statements = request.write
-      ? ['BEGIN READ WRITE', buildInsertRequestSql(toCommitStatement(request), 'run')]
+      ? ['BEGIN READ WRITE', insertRequestSql(asStatement(request), 'run')]
       : ['BEGIN READ ONLY'];
     try {
-      await this.runScript(joinStatementsWithTerm(plan.term, statements), BEGIN_TIMEOUT_MS);
+      await this.script(joinStatements(plan.term, statements), BEGIN_TIMEOUT_MS);
     } catch (error) {
       this.abort();
-      if (error instanceof EndpointError && error.sqlState === UNIQUE_VIOLATION_SQLSTATE) {
-        await this.rejectDuplicate();
+      if (error instanceof EndpointError && error.sqlState === UNIQUE_STATE) {
+        await this.refuseRepeat();
       }
-      throw this.toStatementRefusal(error, true);
+      throw this.refusalOf(error, true);
     }
   }
 
   override async run(sql: string, parameters: (string | null)[]): Promise<StatementOutcome> {
-    this.assertOpen();
+    this.checkOpen();
     if (isSessionControl(sql)) {
-      throw createNotRunError(
-        'badRequest',
-        'the statement is a transaction or session control command, which is not allowed',
-      );
+      throw notRun('badRequest', 'a statement may not control the transaction or the session');
     }
-    const { pooledConnection, plan, confirmResult, nowMs } = this.options;
+    const { pooled, plan, confirm, nowMs } = this.options;
     const sentAtMs = nowMs();
     try {
-      const timeoutMs = this.remainingMs();
+      const timeoutMs = this.timeLeftMs();
       const text = `/*term=${plan.term}*/${sql}`;
-      const rows = await this.trackRunning(() =>
-        pooledConnection.connection.query(text, parameters, timeoutMs),
+      const rows = await this.exclusively(() =>
+        pooled.connection.query(text, parameters, timeoutMs),
       );
-      await confirmResult(sentAtMs);
+      await confirm(sentAtMs);
       return this.outcome(rows);
     } catch (error) {
-      if (!pooledConnection.connection.isUsable()) this.abort();
-      throw this.toStatementRefusal(error, false);
+      if (!pooled.connection.isUsable()) this.abort();
+      throw this.refusalOf(error, false);
     }
   }
 
   override async commit(): Promise<StatementOutcome> {
-    this.assertOpen();
-    const { request, plan, groupClient, outcomeLookup, nowMs } = this.options;
+    this.checkOpen();
+    const { request, plan, holder, lookup, nowMs } = this.options;
     const askedAtMs = nowMs();
     this.isCommitting = true;
     let position: number;
     try {
-      const results = await this.runScript(this.buildCommitSql());
-      position = this.recordPosition(results.at(-1), askedAtMs);
+      const results = await this.script(this.commitSql());
+      position = this.notePosition(results.at(-1), askedAtMs);
       this.end();
     } catch (error) {
       this.isCommitting = false;
       this.abort();
-      if (!request.write || this.isCommitExcluded(error)) throw this.toCommitRefusal(error);
-      return outcomeLookup.resolve(groupClient, toCommitStatement(request));
+      if (!request.write || this.isRefused(error)) throw this.commitRefusalOf(error);
+      return lookup.resolve(holder, asStatement(request));
     }
-    if (!request.write) return this.outcome(COMMIT_RESULT);
+    if (!request.write) return this.outcome(COMMITTED);
     const { sessionToken, group, deadlineAtMs } = request;
-    const isAcknowledged = await groupClient.waitForAcknowledgement(
-      plan.term,
-      position,
-      deadlineAtMs,
-      askedAtMs,
-    );
-    if (!isAcknowledged) return outcomeLookup.resolve(groupClient, toCommitStatement(request));
+    const isHeld = await holder.waitAcknowledged(plan.term, position, deadlineAtMs, askedAtMs);
+    if (!isHeld) return lookup.resolve(holder, asStatement(request));
     const token = advanceSessionToken(sessionToken, group, plan.term, position);
-    return { ...this.outcome(COMMIT_RESULT), sessionToken: token };
+    return { ...this.outcome(COMMITTED), sessionToken: token };
   }
 
   override async rollback(): Promise<StatementOutcome> {
-    this.assertOpen();
+    this.checkOpen();
     this.abort();
-    return this.outcome(ROLLBACK_RESULT);
+    return this.outcome(ROLLED_BACK);
   }
 
   /**
-   * Closes the connection if a statement is still running on it; otherwise rolls back and
-   * releases it. A commit that has been sent continues until it is answered or times out.
+   * A connection with a statement still running is closed; else it is rolled back and kept.
+   * A commit that was sent runs on to its end or its deadline.
    */
   override abort(): void {
     if (this.hasEnded || this.isCommitting) return;
-    const { pooledConnection, onEnd } = this.options;
+    const { pooled, onEnd } = this.options;
     this.hasEnded = true;
-    this.stopTermWatch();
+    this.stopWatching();
     const finish = (): void => {
-      pooledConnection.release();
+      pooled.release();
       onEnd();
     };
-    if (this.isRunning || !pooledConnection.connection.isUsable()) {
-      pooledConnection.connection.close();
+    if (this.isRunning || !pooled.connection.isUsable()) {
+      pooled.connection.close();
       finish();
       return;
     }
-    pooledConnection.connection
-      .runScript('ROLLBACK', ROLLBACK_TIMEOUT_MS)
-      .catch(() => pooledConnection.connection.close())
+    pooled.connection
+      .script('ROLLBACK', ROLLBACK_TIMEOUT_MS)
+      .catch(() => pooled.connection.close())
       .finally(finish);
   }
 
   private end(): void {
     this.hasEnded = true;
-    this.stopTermWatch();
-    this.options.pooledConnection.release();
+    this.stopWatching();
+    this.options.pooled.release();
     this.options.onEnd();
   }
 
-  private runScript(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
-    const { connection } = this.options.pooledConnection;
-    const timeoutMs = Math.min(limitMs, this.remainingMs());
-    return this.trackRunning(() => connection.runScript(sql, timeoutMs));
+  private script(sql: string, limitMs = Number.POSITIVE_INFINITY): Promise<QueryResult[]> {
+    const { connection } = this.options.pooled;
+    const timeoutMs = Math.min(limitMs, this.timeLeftMs());
+    return this.exclusively(() => connection.script(sql, timeoutMs));
   }
 
-  private async trackRunning<Result>(work: () => Promise<Result>): Promise<Result> {
+  private async exclusively<Result>(work: () => Promise<Result>): Promise<Result> {
     this.isRunning = true;
     try {
       return await work();
@@ -189,12 +181,11 @@
     }
   }
 
-  private assertOpen(): void {
-    if (this.hasEnded)
-      throw createNotRunError('transactionAborted', 'the transaction has been rolled back');
+  private checkOpen(): void {
+    if (this.hasEnded) throw notRun('transactionAborted', 'the transaction has been rolled back');
   }
 
-  private remainingMs(): number {
+  private timeLeftMs(): number {
     return Math.max(1, this.options.request.deadlineAtMs - this.options.nowMs());
   }
 
@@ -204,64 +195,56 @@
     return { rows, sessionToken: request.sessionToken, servedBy };
   }
 
-  /** Always `notRun`: nothing in the transaction can take effect before the commit is sent. */
-  private toStatementRefusal(error: unknown, isBegin: boolean): unknown {
+  /** Before the commit is sent nothing of the transaction can take effect. */
+  private refusalOf(error: unknown, isBegin: boolean): unknown {
     if (!(error instanceof EndpointError)) return error;
-    if (error.sqlState === STALE_TERM_SQLSTATE) {
-      return createNotRunError('noPrimary', error.message, RETRY_AFTER_MS);
+    if (error.sqlState === STALE_TERM_STATE) {
+      return notRun('noPrimary', error.message, RETRY_AFTER_MS);
     }
-    if (error.kind === 'statementFailed')
-      return createNotRunError('statementFailed', error.message);
-    if (isBegin) return createNotRunError('noConnection', error.message, RETRY_AFTER_MS);
-    return createNotRunError('transactionAborted', error.message);
+    if (error.kind === 'statementFailed') return notRun('statementFailed', error.message);
+    if (isBegin) return notRun('noConnection', error.message, RETRY_AFTER_MS);
+    return notRun('transactionAborted', error.message);
   }
 
-  /** Whether the endpoint certainly did not commit: it returned an error, or the commit was not sent. */
-  private isCommitExcluded(error: unknown): boolean {
+  /** Whether the endpoint certainly did not commit: it answered so, or was never asked. */
+  private isRefused(error: unknown): boolean {
     return (
       error instanceof EndpointError &&
       (error.kind === 'notSent' || error.kind === 'statementFailed')
     );
   }
 
-  private toCommitRefusal(error: unknown): RefusalError {
-    const isFailed =
-      error instanceof EndpointError && error.sqlState === FAILED_TRANSACTION_SQLSTATE;
+  private commitRefusalOf(error: unknown): RefusalError {
+    const isFailed = error instanceof EndpointError && error.sqlState === ABORTED_STATE;
     const message = error instanceof Error ? error.message : String(error);
-    return createNotRunError(
-      'transactionAborted',
-      isFailed ? 'an earlier statement of the transaction failed' : message,
-    );
+    return notRun('transactionAborted', isFailed ? 'a statement had failed' : message);
   }
 
-  /** The status query carries no term, so that a fence set after the commit cannot hide its success. */
-  private buildCommitSql(): string {
+  /** The status comes without a term, so that a fence after the commit can't hide its success. */
+  private commitSql(): string {
     const { request, plan } = this.options;
-    const result = quoteLiteral(JSON.stringify(COMMIT_RESULT));
-    const id = quoteLiteral(buildRequestRecordId(request));
+    const result = quoteLiteral(JSON.stringify(COMMITTED));
+    const id = quoteLiteral(requestRecordId(request));
     const update = `UPDATE auburngrade_request SET result = ${result} WHERE id = ${id}`;
     const statements = request.write ? [update, 'COMMIT'] : ['COMMIT'];
-    return `${joinStatementsWithTerm(plan.term, statements)};${MEMBER_STATUS_SQL}`;
+    return `${joinStatements(plan.term, statements)};${MEMBER_STATUS_SQL}`;
   }
 
-  private recordPosition(result: QueryResult | undefined, askedAtMs: number): number {
+  private notePosition(result: QueryResult | undefined, askedAtMs: number): number {
     const status = toMemberStatus(this.options.plan.member, result, askedAtMs);
-    this.options.groupClient.recordStatus(status);
+    this.options.holder.noteStatus(status);
     return status.position;
   }
 
-  /** Rejects with the outcome of the earlier transaction that has the same request id. */
-  private async rejectDuplicate(): Promise<never> {
-    const { outcomeLookup, groupClient, request } = this.options;
-    await outcomeLookup.resolve(groupClient, toCommitStatement(request));
-    throw createMayHaveRunError(
-      'duplicateRequest',
-      'a transaction with this request id has already committed',
-    );
+  /** Says what became of an earlier transaction with the same request id. */
+  private async refuseRepeat(): Promise<never> {
+    const { lookup, holder, request } = this.options;
+    await lookup.resolve(holder, asStatement(request));
+    throw mayHaveRun('duplicateRequest', 'a transaction of this request id has committed');
   }
 }
 
-/** Begins a transaction that keeps its connection checked out until it ends. @throws RefusalError */
+/** Begins a transaction on a connection that is its own until it ends. @throws RefusalError */
 const createLocalTransaction = async (options: LocalTransactionOptions): Promise<Transaction> => {
   const transaction = new LocalTransaction(options);
   await transaction.begin();
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -1,6 +1,6 @@
-import { createNotRunError, type TransactionRequest } from '@auburngrade/coordination';
+import { notRun, type TransactionRequest } from '@auburngrade/coordination';
 import type createReadExecutor from '../execution/createReadExecutor';
-import type GroupClient from '../groups/groupClient';
+import type GroupHolder from '../groups/groupHolder';
 import createOutcomeLookup from '../outcome/createOutcomeLookup';
 import type ReadPlan from '../routing/readPlan';
 import createLocalTransaction from './createLocalTransaction';
@@ -8,74 +8,62 @@
 
 interface LocalTransactionsOptions {
   vm: string;
-  /** Returns the client of the request's group once it can run statements. @throws RefusalError */
-  getGroupClient(request: TransactionRequest): Promise<GroupClient>;
+  /** The group's holder, ready to take statements. */
+  holderOf(request: TransactionRequest): Promise<GroupHolder>;
   reads: Pick<ReturnType<typeof createReadExecutor>, 'plan' | 'confirm'>;
   nowMs(): number;
 }
 
-const createPrimaryPlan = (groupClient: GroupClient): ReadPlan => {
-  const record = groupClient.record();
+const primaryPlan = (holder: GroupHolder): ReadPlan => {
+  const record = holder.record();
   if (!record?.primary || record.state !== 'active') {
-    throw createNotRunError('noPrimary', `group ${groupClient.name} has no primary`);
+    throw notRun('noPrimary', `group ${holder.name} has no primary`);
   }
   return {
     member: record.primary,
     role: 'primary',
     term: record.term,
     freshUntilMs: undefined,
-    isConfirmationRequired: false,
+    isConfirmed: false,
   };
 };
 
-/** Begins and tracks the interactive transactions that run on this VM's own connections. */
-const createLocalTransactions = ({
-  vm,
-  getGroupClient,
-  reads,
-  nowMs,
-}: LocalTransactionsOptions) => {
-  const openTransactions = new Set<Transaction>();
-  const outcomeLookup = createOutcomeLookup(vm, nowMs);
+/** The interactive transactions that run on this VM's own connections. */
+const createLocalTransactions = ({ vm, holderOf, reads, nowMs }: LocalTransactionsOptions) => {
+  const open = new Set<Transaction>();
+  const lookup = createOutcomeLookup(vm, nowMs);
 
   return {
     /** @throws RefusalError */
     begin: async (request: TransactionRequest): Promise<Transaction> => {
-      const groupClient = await getGroupClient(request);
-      const plan = request.write
-        ? createPrimaryPlan(groupClient)
-        : await reads.plan(groupClient, request);
+      const holder = await holderOf(request);
+      const plan = request.write ? primaryPlan(holder) : await reads.plan(holder, request);
       const { account, deadlineAtMs, profile } = request;
-      const pooledConnection = await groupClient.acquire(
-        plan.member,
-        account,
-        deadlineAtMs,
-        profile,
-      );
-      let removeTransaction = (): void => {};
+      const pooled = await holder.acquire(plan.member, account, deadlineAtMs, profile);
+      let forget = (): void => {};
       const transaction = await createLocalTransaction({
         vm,
-        groupClient,
+        holder,
         request,
         plan,
-        pooledConnection,
-        outcomeLookup,
-        confirmResult: (sentAtMs) => reads.confirm(groupClient, request, plan, sentAtMs),
-        onEnd: () => removeTransaction(),
+        pooled,
+        lookup,
+        confirm: (sentAtMs) => reads.confirm(holder, request, plan, sentAtMs),
+        onEnd: () => forget(),
         nowMs,
       });
       const timer = setTimeout(() => transaction.abort(), request.deadlineAtMs - nowMs());
       timer.unref();
-      openTransactions.add(transaction);
-      removeTransaction = () => {
+      open.add(transaction);
+      forget = () => {
         clearTimeout(timer);
-        openTransactions.delete(transaction);
+        open.delete(transaction);
       };
       return transaction;
     },
-    openCount: () => openTransactions.size,
-    /** Rolls back all open transactions. */
-    abortAll: (): void => openTransactions.forEach((transaction) => transaction.abort()),
+    openCount: () => open.size,
+    /** Rolls back all that are open. */
+    abortAll: (): void => open.forEach((transaction) => transaction.abort()),
   };
 };
 
--- a/packages/caller/src/createCallerService.ts
+++ b/packages/caller/src/createCallerService.ts
@@ -13,47 +13,44 @@
   type TransactionReply,
   type TransactionStep,
 } from './generated/auburngrade/caller/v1/caller';
-import readBearerKey from './readBearerKey';
+import keyOfMetadata from './keyOfMetadata';
 import type TransactionHandler from './transactionHandler';
-import MalformedRequest from './malformedRequest';
+import UnparsableRequest from './unparsableRequest';
 
-type OrMalformed<Message> = Message | MalformedRequest;
+type Parsed<Message> = Message | UnparsableRequest;
 
-const toBadRequestOutcome = ({ message }: MalformedRequest): Outcome =>
+const refuseUnparsable = ({ message }: UnparsableRequest): Outcome =>
   Outcome.fromPartial({
     verdict: Verdict.NOT_RUN,
     refusal: { code: 'badRequest', message, retryAfterMs: 0 },
   });
 
-const refuseMalformedSteps = (
+const guardSteps = (
   handler: TransactionHandler,
-): StepHandler<OrMalformed<TransactionStep>, TransactionReply> => ({
+): StepHandler<Parsed<TransactionStep>, TransactionReply> => ({
   step: async (step) =>
-    step instanceof MalformedRequest
-      ? { step: 0, outcome: toBadRequestOutcome(step) }
+    step instanceof UnparsableRequest
+      ? { step: 0, outcome: refuseUnparsable(step) }
       : handler.step(step),
   abort: () => handler.abort(),
 });
 
-/** Adapts a CallerHandler to `proxyDefinition`; the steps of a transaction run in order. */
+/** Adapts a CallerHandler to `proxyDefinition`; steps of one transaction run in order. */
 const createCallerService = (handler: CallerHandler): UntypedServiceImplementation => ({
   execute: (
-    { request, metadata }: ServerUnaryCall<OrMalformed<Statement>, Outcome>,
+    { request, metadata }: ServerUnaryCall<Parsed<Statement>, Outcome>,
     callback: sendUnaryData<Outcome>,
   ) => {
-    if (request instanceof MalformedRequest) {
-      callback(null, toBadRequestOutcome(request));
+    if (request instanceof UnparsableRequest) {
+      callback(null, refuseUnparsable(request));
       return;
     }
     handler
-      .execute(request, readBearerKey(metadata))
+      .execute(request, keyOfMetadata(metadata))
       .then((outcome) => callback(null, outcome), callback);
   },
-  transact: (stream: ServerDuplexStream<OrMalformed<TransactionStep>, TransactionReply>) => {
-    serveSteps(
-      stream,
-      refuseMalformedSteps(handler.openTransaction(readBearerKey(stream.metadata))),
-    );
+  transact: (stream: ServerDuplexStream<Parsed<TransactionStep>, TransactionReply>) => {
+    serveSteps(stream, guardSteps(handler.openTransaction(keyOfMetadata(stream.metadata))));
   },
 });
 
--- a/packages/caller/src/malformedRequest.ts
+++ b/packages/caller/src/unparsableRequest.ts
@@ -1,6 +1,6 @@
 /** Stands for a message of a caller that does not parse. */
-class MalformedRequest {
+class UnparsableRequest {
   readonly message = 'the request does not parse';
 }
 
-export default MalformedRequest;
+export default UnparsableRequest;
--- a/packages/coordination/src/acknowledgement/memberStatus.ts
+++ b/packages/coordination/src/acknowledgement/memberStatus.ts
@@ -1,8 +1,8 @@
-/** Reply of a member to a status poll. */
+/** One answer to a status poll of a member. */
 interface MemberStatus {
   member: string;
   role: 'primary' | 'replica';
-  /** Highest term at which the member was fenced; it refuses commands of lower terms. */
+  /** Highest term the member has promised to obey; lower terms are refused. */
   fencedTerm: number;
   /** Term of the last entry of its log. */
   logTerm: number;
--- a/packages/coordination/src/configuration/configurationDifference.ts
+++ b/packages/coordination/src/configuration/configurationDifference.ts
@@ -1,6 +1,6 @@
 import type ConfigurationEntry from './configurationEntry';
 
-/** The changes after a follower's revision, or all documents if `isSnapshot`. */
+/** What a follower lacks: the changes after its revision, or the whole state. */
 interface ConfigurationDifference {
   isSnapshot: boolean;
   entries: ConfigurationEntry[];
--- a/packages/coordination/src/configuration/configurationEntry.ts
+++ b/packages/coordination/src/configuration/configurationEntry.ts
@@ -1,4 +1,4 @@
-/** A key of the platform's store as of `modRevision`; `valueJson` is undefined if deleted. */
+/** One key of the platform as seen at `modRevision`; a deleted key has no value. */
 interface ConfigurationEntry {
   key: string;
   valueJson: string | undefined;
--- a/packages/coordination/src/configuration/createChangeBatch.ts
+++ b/packages/coordination/src/configuration/createChangeBatch.ts
@@ -1,39 +1,39 @@
 import type ConfigurationEntry from './configurationEntry';
 import documentKinds from './documentKinds';
-import findDocumentKind from './findDocumentKind';
+import kindOfKey from './kindOfKey';
 
-/** Number of changed keys held for one follower; beyond it, the follower receives a difference. */
+/** Keys whose changes wait for one follower; with more, it gets a difference instead. */
 const DEFAULT_MAX_KEYS = 10_000;
 
 const isUrgent = ({ key }: ConfigurationEntry): boolean => {
-  const kind = findDocumentKind(key);
+  const kind = kindOfKey(key);
   return kind !== undefined && documentKinds[kind].urgent;
 };
 
 /**
- * Creates a batch that collects changes for one follower until they are sent. Only the last
- * change of each key is kept.
+ * Gathers changes for one follower between two sendings; of several changes of a key the
+ * last one counts.
  */
 const createChangeBatch = (maxKeys: number = DEFAULT_MAX_KEYS) => {
-  let pendingByKey = new Map<string, ConfigurationEntry>();
-  let isOverflowed = false;
+  let waiting = new Map<string, ConfigurationEntry>();
+  let isFull = false;
 
   return {
-    /** Adds changes; returns whether one is urgent, so that the batch has to be sent at once. */
+    /** Adds changes; whether they have to be sent at once. */
     add: (changed: readonly ConfigurationEntry[]): boolean => {
-      if (!isOverflowed) changed.forEach((entry) => pendingByKey.set(entry.key, entry));
-      if (pendingByKey.size > maxKeys) {
-        isOverflowed = true;
-        pendingByKey = new Map();
+      if (!isFull) changed.forEach((entry) => waiting.set(entry.key, entry));
+      if (waiting.size > maxKeys) {
+        isFull = true;
+        waiting = new Map();
       }
       return changed.some(isUrgent);
     },
-    /** Returns and removes the collected changes; undefined if the limit was exceeded. */
+    /** Takes out what waits; undefined when it was too much to keep. */
     take: (): ConfigurationEntry[] | undefined => {
-      const takenEntries = isOverflowed ? undefined : [...pendingByKey.values()];
-      pendingByKey = new Map();
-      isOverflowed = false;
-      return takenEntries;
+      const taken = isFull ? undefined : [...waiting.values()];
+      waiting = new Map();
+      isFull = false;
+      return taken;
     },
   };
 };
--- a/packages/coordination/src/configuration/documentKind.ts
+++ b/packages/coordination/src/configuration/documentKind.ts
@@ -1,6 +1,6 @@
 import type documentKinds from './documentKinds';
 
-/** The name of a kind of document in the platform's store. */
+/** The kinds of document that the platform holds. */
 type DocumentKind = keyof typeof documentKinds;
 
 export default DocumentKind;
--- a/packages/coordination/src/configuration/member.ts
+++ b/packages/coordination/src/configuration/member.ts
@@ -1,6 +1,6 @@
 import type Group from './group';
 
-/** A member of a database group: one of its endpoints. */
+/** One endpoint of a database group. */
 type Member = Group['members'][number];
 
 export default Member;
--- a/packages/coordination/src/configuration/profile.ts
+++ b/packages/coordination/src/configuration/profile.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type profileSchema from './profileSchema';
 
-/** A parsed profile, with defaults filled in. */
+/** A named profile with its defaults filled in. */
 type Profile = z.infer<typeof profileSchema>;
 
 export default Profile;
--- a/packages/coordination/src/configuration/unpackJson.ts
+++ b/packages/coordination/src/configuration/unpackJson.ts
@@ -1,11 +1,11 @@
-import phraseCodes from './phraseCodes';
+import packedPhrases from './packedPhrases';
 
-const phraseByCode = new Map([...phraseCodes].map(([phrase, code]) => [code, phrase]));
+const phraseOf = new Map([...packedPhrases].map(([phrase, code]) => [code, phrase]));
 
-const PATTERN = new RegExp(`[${[...phraseByCode.keys()].join('')}]`, 'g');
+const PATTERN = new RegExp(`[${[...phraseOf.keys()].join('')}]`, 'g');
 
-/** Restores the JSON text that `packJson` compressed. */
+/** The text that `packJson` shortened. */
 const unpackJson = (packed: string): string =>
-  packed.replace(PATTERN, (code) => phraseByCode.get(code) ?? code);
+  packed.replace(PATTERN, (code) => phraseOf.get(code) ?? code);
 
 export default unpackJson;
--- a/packages/coordination/src/configuration/vm.ts
+++ b/packages/coordination/src/configuration/vm.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type vmSchema from './vmSchema';
 
-/** A VM's entry in the platform's list. */
+/** An entry of the platform's list of VMs. */
 type Vm = z.infer<typeof vmSchema>;
 
 export default Vm;
--- a/packages/coordination/src/configuration/vmSchema.ts
+++ b/packages/coordination/src/configuration/vmSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import nameSchema from './nameSchema';
 
-/** A VM's entry in the platform's list; the list may be out of date. */
+/** An entry of the platform's list of VMs, which lags behind the truth. */
 const vmSchema = z.strictObject({
   dataCentre: nameSchema,
   host: z.string().min(1),
--- a/packages/coordination/src/fairQueue/fairQueueLimits.ts
+++ b/packages/coordination/src/fairQueue/fairQueueLimits.ts
@@ -1,4 +1,4 @@
-/** Maximum numbers of queued requests. */
+/** Bounds of a fair queue. */
 interface FairQueueLimits {
   perAccount: number;
   total: number;
--- a/packages/coordination/src/fairQueue/queueRefusal.ts
+++ b/packages/coordination/src/fairQueue/queueRefusal.ts
@@ -1,4 +1,4 @@
-/** Why a request was not queued, and after which time a retry could succeed. */
+/** Why a request was not queued, and when one like it could be served. */
 interface QueueRefusal {
   code: 'queueFull' | 'queueTimeout';
   retryAfterMs: number;
--- a/packages/coordination/src/freshness/watermark.ts
+++ b/packages/coordination/src/freshness/watermark.ts
@@ -1,9 +1,9 @@
 /**
- * Lower bound of fresh data: every write acknowledged before `askedAtMs` is contained in the
- * log up to `position` of `term`.
+ * Every write that was acknowledged before `askedAtMs` lies within the log up to
+ * `position` of `term`.
  */
 interface Watermark {
-  /** Time of the status poll, on this process's monotonic clock. */
+  /** On this process's monotonic clock, in milliseconds. */
   askedAtMs: number;
   term: number;
   position: number;
--- a/packages/coordination/src/ownership/countGroupsByDataCentre.ts
+++ b/packages/coordination/src/ownership/countByDataCentre.ts
@@ -1,7 +1,7 @@
 import type VmView from './vmView';
 
-/** Counts the groups owned in each data centre, given the owned groups of each VM. */
-const countGroupsByDataCentre = (
+/** Groups that the VMs of each data centre own together. */
+const countByDataCentre = (
   vms: readonly VmView[],
   ownedCounts: ReadonlyMap<string, number>,
 ): Map<string, number> => {
@@ -12,4 +12,4 @@
   return counts;
 };
 
-export default countGroupsByDataCentre;
+export default countByDataCentre;
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -1,18 +1,18 @@
-/** This VM's knowledge of a VM of the fleet, itself included. */
+/** What a VM knows of another VM, or of itself. */
 interface VmView {
   vm: string;
   dataCentre: string;
   incarnation: string;
-  /** A heartbeat arrived recently; always true for the VM itself. */
-  hasRecentHeartbeat: boolean;
-  /** Its process has run long enough to detect that another VM is silent. */
+  /** Heard from lately; true for the VM itself. */
+  isHeard: boolean;
+  /** Its process has run long enough to tell that another VM is silent. */
   isSettled: boolean;
   isLeaving: boolean;
-  /** It is short of CPU. */
+  /** It is short of processor time. */
   isStrained: boolean;
-  /** It reaches the platform's store, which it needs to record ownership. */
+  /** It reaches the platform's store, without which it can record nothing. */
   isStoreReachable: boolean;
-  /** VMs whose heartbeats it reports to receive. */
+  /** VMs that it says it hears. */
   hears: ReadonlySet<string>;
 }
 
--- a/packages/coordination/src/placement/memberLoad.ts
+++ b/packages/coordination/src/placement/memberLoad.ts
@@ -1,20 +1,20 @@
 import type LogPosition from '../position/logPosition';
 
-/** Load and availability of an endpoint, as input of `chooseStatementEndpoint`; times are in ms. */
+/** An endpoint as the placement of a statement sees it. */
 interface MemberLoad {
   id: string;
   isPrimary: boolean;
   isLeaving: boolean;
   isDown: boolean;
-  /** Statements sent and not yet answered, and how many the endpoint executes concurrently. */
-  activeStatements: number;
+  /** Statements under way, and how many the endpoint runs at a time. */
+  underWay: number;
   slots: number;
   canConnect: boolean;
   hasIdleConnection: boolean;
-  /** Log position last reported by the endpoint. */
+  /** The last position that it reported. */
   position: LogPosition | undefined;
   latencyMs: number;
-  pausedUntilMs: number;
+  isPausedUntilMs: number;
 }
 
 export default MemberLoad;
--- a/packages/coordination/src/promotion/failoverTimings.ts
+++ b/packages/coordination/src/promotion/failoverTimings.ts
@@ -1,10 +1,10 @@
-/** Failover time-outs, in milliseconds. */
+/** Durations that decide when a primary is replaced, in milliseconds. */
 interface FailoverTimings {
-  /** A member that has not answered for this long is considered lost. */
+  /** A member without an answer for this long counts as gone. */
   suspectAfterMs: number;
-  /** A primary whose log position no majority reaches for this long is considered lost. */
+  /** A primary whose position no majority confirms for this long counts as gone. */
   stallAfterMs: number;
-  /** A promotion without a result for this long is taken over by another VM. */
+  /** A promotion without a result for this long is taken over. */
   takeOverAfterMs: number;
 }
 
--- a/packages/coordination/src/promotion/memberView.ts
+++ b/packages/coordination/src/promotion/memberView.ts
@@ -1,10 +1,10 @@
 import type MemberStatus from '../acknowledgement/memberStatus';
 
-/** Result of this VM's polls of one member; times are on this process's monotonic clock. */
+/** What this VM knows of one member from its own polls; times are on its own clock. */
 interface MemberView {
   member: string;
   status: MemberStatus | undefined;
-  /** Start of the first unanswered poll since the last answer; undefined when all were answered. */
+  /** When the first poll began that has had no answer since the last one; undefined when none. */
   unansweredSinceMs: number | undefined;
 }
 
--- a/packages/coordination/src/promotion/promotionPhase.ts
+++ b/packages/coordination/src/promotion/promotionPhase.ts
@@ -1,7 +1,4 @@
-/**
- * Phases of one promotion, in order; `done` and `abandoned` are final. `spreading` waits until
- * a majority of the new voters holds the new term's first entry.
- */
+/** Phases of one promotion, in order; `done` and `abandoned` are final. */
 type PromotionPhase =
   'idle' | 'claiming' | 'fencing' | 'promoting' | 'spreading' | 'publishing' | 'done' | 'abandoned';
 
--- a/packages/coordination/src/promotion/promotionPlan.ts
+++ b/packages/coordination/src/promotion/promotionPlan.ts
@@ -1,23 +1,23 @@
 import type TermRecord from '../configuration/termRecord';
 
-/** Parameters of one promotion. */
+/** What one attempt to change a group's primary starts from. */
 interface PromotionPlan {
-  /** Identifies a VM and its process start: a restarted VM is another promoter. */
+  /** Names this process and start of a VM: a restarted VM is another promoter. */
   promoter: string;
-  /** The term to claim; higher than the record's term and every fenced term seen. */
+  /** The term to win; above the record's term and every fence seen. */
   term: number;
-  /** The term record that the promotion replaces, and its revision in the platform's store. */
+  /** The record that the attempt replaces, and its revision at the platform. */
   base: TermRecord;
   baseRevision: number;
-  /** Voters of `base`: a majority of them holds every acknowledged write. */
+  /** Members whose majority acknowledged writes up to now. */
   voters: string[];
-  /** Members by the group's configuration: the voters of the new term. */
+  /** Members by the group's document: the voters of the new term. */
   members: string[];
   /** Members that may become primary, in order of preference. */
   eligible: string[];
-  /** Current primary to replace although it may still answer. */
+  /** The present primary when it is to be replaced although it may answer. */
   avoided: string | undefined;
-  /** Whether the change is planned: a replica first catches up with the fenced primary. */
+  /** A planned change: a replica first catches up with the fenced primary. */
   isPlanned: boolean;
 }
 
--- a/packages/coordination/src/relay/relaysPerDataCentre.ts
+++ b/packages/coordination/src/relay/relaysPerDataCentre.ts
@@ -1,4 +1,4 @@
-/** Number of VMs of a data centre that watch the platform and relay its changes. */
+/** How many VMs of a data centre watch the platform. */
 const RELAYS_PER_DATA_CENTRE = 2;
 
 export default RELAYS_PER_DATA_CENTRE;
--- a/packages/coordination/src/request/statementRequest.ts
+++ b/packages/coordination/src/request/statementRequest.ts
@@ -1,11 +1,11 @@
 import type SessionToken from '../session/sessionToken';
 
-/** An admitted statement to be routed to an endpoint. */
+/** One admitted statement on its way to an endpoint. */
 interface StatementRequest {
   requestId: string;
-  /** The authenticated client account; undefined on an unauthenticated route. */
+  /** The authenticated client account; undefined on a route open to all. */
   account: string | undefined;
-  /** Hash of the verified key; undefined on an unauthenticated route. */
+  /** Hash of the key that was checked; undefined on a route open to all. */
   keyHash: string | undefined;
   profile: string;
   group: string;
--- a/packages/coordination/src/retry/retryDecision.ts
+++ b/packages/coordination/src/retry/retryDecision.ts
@@ -1,4 +1,4 @@
-/** Whether a failed request is retried, and after what delay. */
+/** Whether and when a failed request is attempted again. */
 type RetryDecision = { kind: 'retry'; delayMs: number } | { kind: 'giveUp' };
 
 export default RetryDecision;
--- a/packages/coordination/src/routing/readContext.ts
+++ b/packages/coordination/src/routing/readState.ts
@@ -5,25 +5,24 @@
 import type Watermark from '../freshness/watermark';
 import type SessionToken from '../session/sessionToken';
 
-/** Input of `chooseEndpoint`: what this VM knows about a group when it routes a read. */
-interface ReadContext {
-  /** The group's term record as this VM knows it. */
+/** What a VM knows when it chooses an endpoint for a read. */
+interface ReadState {
   record: TermRecord;
   members: readonly Pick<Member, 'name' | 'dataCentre' | 'state'>[];
   statuses: readonly MemberStatus[];
   watermarks: readonly Watermark[];
-  /** The term and log position that the session has written in the group, if any. */
-  sessionPosition: SessionToken[string] | undefined;
+  /** The session's entry for the group. */
+  tokenEntry: SessionToken[string] | undefined;
   freshness: Profile['freshness'];
-  /** Replicas that lag behind the primary by more log positions are not chosen. */
+  /** Replicas further behind the primary than this take no reads. */
   maxLagPositions: number;
-  /** The data centre of this VM. */
+  /** The VM's own data centre. */
   dataCentre: string;
-  /** Members that failed recently; they are tried last. */
+  /** Members that failed a moment ago; tried last. */
   avoided: ReadonlySet<string>;
   nowMs: number;
-  /** Random number in [0, 1); spreads reads over members of equal rank. */
+  /** A number in [0, 1) that spreads reads over equal members. */
   random: number;
 }
 
-export default ReadContext;
+export default ReadState;
--- a/packages/coordination/src/session/sessionToken.ts
+++ b/packages/coordination/src/session/sessionToken.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type sessionTokenSchema from './sessionTokenSchema';
 
-/** Per database group, the term and log position of the session's last write. */
+/** What a session has written, per database group. */
 type SessionToken = z.infer<typeof sessionTokenSchema>;
 
 export default SessionToken;
--- a/packages/coordination/src/shutdown/createWorkTracker.ts
+++ b/packages/coordination/src/shutdown/createWorkTracker.ts
@@ -1,40 +1,40 @@
-import createNotRunError from '../verdict/createNotRunError';
+import notRun from '../verdict/notRun';
 
 type Phase = 'serving' | 'draining' | 'stopped';
 
-/** By then a load balancer has noticed the shutdown, so that a retry reaches another VM. */
+/** When a refused request may succeed elsewhere: a balancer has noticed by then. */
 const RETRY_AFTER_MS = 100;
 
 /**
- * Counts requests in progress for a graceful shutdown. While draining, new work is refused
- * with `notRun`, and the callback given to `drain` runs once no work is left.
+ * Counts the work in progress through a shutdown: while draining new work is refused as not
+ * run, and `onIdle` is called once the last piece has ended.
  */
 const createWorkTracker = () => {
   let phase: Phase = 'serving';
   let openCount = 0;
   let onIdle = (): void => {};
 
-  const finishWork = (): void => {
+  const leave = (): void => {
     openCount -= 1;
     if (phase === 'draining' && openCount === 0) onIdle();
   };
 
   return {
     phase: () => phase,
-    getActiveCount: () => openCount,
-    /** Counts one work item until the returned function is called. @throws RefusalError `shuttingDown` */
-    startWork: (): (() => void) => {
+    openCount: () => openCount,
+    /** Counts one piece of work until the returned function is called. @throws RefusalError `shuttingDown` */
+    enter: (): (() => void) => {
       if (phase !== 'serving') {
-        throw createNotRunError('shuttingDown', 'the VM is shutting down', RETRY_AFTER_MS);
+        throw notRun('shuttingDown', 'the VM is shutting down', RETRY_AFTER_MS);
       }
       openCount += 1;
-      let isFinished = false;
+      let hasLeft = false;
       return () => {
-        if (!isFinished) finishWork();
-        isFinished = true;
+        if (!hasLeft) leave();
+        hasLeft = true;
       };
     },
-    /** Refuses new work from now on; calls `whenIdle` when the work in progress has ended. */
+    /** Refuses new work from now on. */
     drain: (whenIdle: () => void): void => {
       phase = 'draining';
       onIdle = whenIdle;
--- a/packages/coordination/src/slots/slotDecision.ts
+++ b/packages/coordination/src/slots/slotDecision.ts
@@ -1,6 +1,6 @@
 /**
- * The next step of a VM for a group's slots. `ask`: requests the slots of VMs that are not chosen;
- * these release one if they agree.
+ * What a VM does about its part in a group's slots. `ask`: these VMs hold slots that other
+ * VMs should have by the list, and give one back when they see it likewise.
  */
 type SlotDecision =
   | { kind: 'none' }
--- a/packages/coordination/src/slots/withSlotHolder.ts
+++ b/packages/coordination/src/slots/withHolder.ts
@@ -1,7 +1,7 @@
 import type SlotsRecord from './slotsRecord';
 
-/** Returns a copy of the record with one slot's holder replaced. */
-const withSlotHolder = (
+/** The record with another holder of one slot. */
+const withHolder = (
   record: SlotsRecord | undefined,
   slot: number,
   holder: SlotsRecord['holders'][number],
@@ -12,4 +12,4 @@
   return { holders };
 };
 
-export default withSlotHolder;
+export default withHolder;
--- a/packages/coordination/src/trace/traceLineSchema.ts
+++ b/packages/coordination/src/trace/traceLineSchema.ts
@@ -7,9 +7,9 @@
   kind: z.literal('header'),
   schema: z.literal('auburngrade-trace'),
   version: z.literal(TRACE_VERSION),
-  /** Name of the state machine that replays the trace. */
+  /** Name of the decision that the trace drives. */
   decision: z.string(),
-  /** Description and origin of the trace. */
+  /** What the trace shows, and where it comes from. */
   note: z.string(),
 });
 
@@ -20,7 +20,7 @@
   input: z.unknown(),
 });
 
-const expectedOutcomeSchema = z.strictObject({
+const expectationSchema = z.strictObject({
   kind: z.literal('expect'),
   atMs: z.number().nonnegative(),
   name: z.string(),
@@ -28,11 +28,11 @@
   value: z.unknown(),
 });
 
-/** One line of a trace: a header first, then events and expected outcomes in chronological order. */
+/** One line of a trace: a header first, then events and stated outcomes in order of time. */
 const traceLineSchema = z.discriminatedUnion('kind', [
   headerSchema,
   eventSchema,
-  expectedOutcomeSchema,
+  expectationSchema,
 ]);
 
 export default traceLineSchema;
--- a/packages/coordination/src/transaction/createReplyMatcher.ts
+++ b/packages/coordination/src/transaction/createReplyMatcher.ts
@@ -1,37 +1,37 @@
-interface PendingReply<Reply> {
+interface Waiting<Reply> {
   resolve(reply: Reply): void;
   reject(error: Error): void;
 }
 
 /**
- * Matches replies on a transaction stream to steps by number. Replies that match no pending
- * step are dropped; after a stream error all pending and later steps are rejected.
+ * Matches the replies of a stream to its steps by number; a reply to no waiting step is
+ * dropped, and a lost stream fails every step that waits or comes later.
  */
 const createReplyMatcher = <Reply extends { step: number }>() => {
-  const pendingReplies = new Map<number, PendingReply<Reply>>();
+  const waiting = new Map<number, Waiting<Reply>>();
   let lastStep = 0;
-  let streamError: Error | undefined;
+  let lost: Error | undefined;
   return {
-    /** Allocates the next step number and returns it with a promise of the reply. */
-    allocateStep: (): { step: number; reply: Promise<Reply> } => {
+    /** Numbers the next step and gives the promise of its reply. */
+    next: (): { step: number; reply: Promise<Reply> } => {
       lastStep += 1;
       const step = lastStep;
       const reply = new Promise<Reply>((resolve, reject) => {
-        if (streamError) reject(streamError);
-        else pendingReplies.set(step, { resolve, reject });
+        if (lost) reject(lost);
+        else waiting.set(step, { resolve, reject });
       });
       return { step, reply };
     },
-    resolveReply: (reply: Reply): void => {
-      pendingReplies.get(reply.step)?.resolve(reply);
-      pendingReplies.delete(reply.step);
+    receive: (reply: Reply): void => {
+      waiting.get(reply.step)?.resolve(reply);
+      waiting.delete(reply.step);
     },
-    /** Whether the stream has failed: a step sent now would certainly not arrive. */
-    hasFailed: (): boolean => streamError !== undefined,
+    /** Whether a step sent now would certainly not arrive. */
+    isLost: (): boolean => lost !== undefined,
     fail: (error: Error): void => {
-      streamError ??= error;
-      pendingReplies.forEach(({ reject }) => reject(error));
-      pendingReplies.clear();
+      lost ??= error;
+      waiting.forEach(({ reject }) => reject(error));
+      waiting.clear();
     },
   };
 };
--- a/packages/coordination/src/transaction/serveSteps.ts
+++ b/packages/coordination/src/transaction/serveSteps.ts
@@ -1,7 +1,7 @@
 import type StepHandler from './stepHandler';
 
-/** Subset of a gRPC server stream; each `data` event carries a step. */
-interface ServerStepStream<Reply> {
+/** The part of a server's stream that is used here; `data` gives steps. */
+interface StepStream<Reply> {
   on(event: string, listener: (...received: never[]) => void): unknown;
   pause(): unknown;
   resume(): unknown;
@@ -9,17 +9,17 @@
   end(): unknown;
 }
 
-/** Runs the steps of one stream sequentially; aborts the transaction when the stream ends or fails. */
+/** Runs the steps of one stream in order, one at a time; aborts when the stream ends or is lost. */
 const serveSteps = <Step, Reply>(
-  stream: ServerStepStream<Reply>,
+  stream: StepStream<Reply>,
   handler: StepHandler<Step, Reply>,
 ): void => {
-  let lastStepDone = Promise.resolve();
+  let previous = Promise.resolve();
   const abort = (): void => handler.abort();
   stream.on('data', (step: Step) => {
-    // Back-pressure: pauses the sender while a step runs, so that steps don't queue up here.
+    // The sender is held back while a step runs, so that steps don't pile up here.
     stream.pause();
-    lastStepDone = lastStepDone
+    previous = previous
       .then(async () => {
         stream.write(await handler.step(step));
       })
@@ -27,7 +27,7 @@
       .finally(() => stream.resume());
   });
   stream.on('end', () => {
-    lastStepDone.finally(() => {
+    previous.finally(() => {
       abort();
       stream.end();
     });
--- a/packages/coordination/src/transaction/skipComments.ts
+++ b/packages/coordination/src/transaction/skipComments.ts
@@ -1,18 +1,18 @@
-const BLOCK_COMMENT_DELIMITER = /\/\*|\*\//g;
+const NESTED_COMMENT = /\/\*|\*\//g;
 
-const skipBlockComment = (sql: string): string => {
+const afterBlockComment = (sql: string): string => {
   let depth = 0;
-  for (const match of sql.matchAll(BLOCK_COMMENT_DELIMITER)) {
+  for (const match of sql.matchAll(NESTED_COMMENT)) {
     depth += match[0] === '/*' ? 1 : -1;
     if (depth === 0) return sql.slice(match.index + match[0].length);
   }
   return '';
 };
 
-/** Strips leading white space, semicolons and SQL comments; block comments may be nested. */
+/** The text from its first word on, without the blanks, comments and semicolons before it. */
 const skipComments = (sql: string): string => {
   const text = sql.replace(/^[\s;]+/, '');
-  if (text.startsWith('/*')) return skipComments(skipBlockComment(text));
+  if (text.startsWith('/*')) return skipComments(afterBlockComment(text));
   if (text.startsWith('--')) return skipComments(text.replace(/^[^\n]*\n?/, ''));
   return text;
 };
--- a/packages/coordination/src/transaction/stepHandler.ts
+++ b/packages/coordination/src/transaction/stepHandler.ts
@@ -1,8 +1,8 @@
-/** Executes the steps of one transaction stream; called by `serveSteps`. */
+/** One transaction as the server of its stream sees it. */
 interface StepHandler<Step, Reply> {
-  /** Executes one step. Never rejects: refusals are part of the reply. */
+  /** Never rejects: refusals are part of the reply. */
   step(step: Step): Promise<Reply>;
-  /** Rolls back an open transaction after the stream has ended or failed. */
+  /** The stream is gone; what is open is rolled back. */
   abort(): void;
 }
 
--- a/packages/coordination/src/transaction/transactionProgress.ts
+++ b/packages/coordination/src/transaction/transactionProgress.ts
@@ -1,7 +1,7 @@
-/** Progress of an interactive transaction, as checked by `acceptStep`. */
+/** How far an interactive transaction has come. */
 interface TransactionProgress {
   phase: 'new' | 'open' | 'ended';
-  /** Number of the last accepted step; 0 before the first. */
+  /** Number of the last step that was taken. */
   lastStep: number;
 }
 
--- a/packages/coordination/src/verdict/refusalSchema.ts
+++ b/packages/coordination/src/verdict/refusalSchema.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-/** Error codes: the reason for which a request was refused or failed. */
+/** Reasons for which a request is refused or fails; each is a tag of the error union. */
 const refusalCodes = [
   'badRequest',
   'statementTooLarge',
@@ -34,7 +34,7 @@
   'internal',
 ] as const;
 
-/** Refusal or failure: `verdict` is `notRun` only if the request had no effect and can have none later. */
+/** A typed refusal: `verdict` is `notRun` only when the request can have no effect any more. */
 const refusalSchema = z.object({
   verdict: z.enum(['notRun', 'mayHaveRun']),
   code: z.enum(refusalCodes),
--- a/packages/coordination/src/witness/leaseTermSchema.ts
+++ b/packages/coordination/src/witness/leaseTermSchema.ts
@@ -1,10 +1,10 @@
 import { z } from 'zod';
 
-/** The term of a VM's lease in heartbeats, promise requests and lease records. */
+/** One term of a VM's lease, as heartbeats, requests for promises and records name it. */
 const leaseTermSchema = z.strictObject({
-  /** Increases with each process of the VM and each change of its lease record. */
+  /** Rises with each process of the VM and each change of the record. */
   term: z.number().int().nonnegative(),
-  /** How long a renewal lasts; omitted by earlier versions and for `UNSTATED_LEASE_MS`. */
+  /** How long a renewal lasts; left out by earlier versions and for `UNSTATED_LEASE_MS`. */
   leaseMs: z.number().int().positive().optional(),
 });
 
--- a/packages/endpoint/src/endpointAddress.ts
+++ b/packages/endpoint/src/endpointAddress.ts
@@ -1,13 +1,13 @@
-/** Connection parameters of an endpoint. */
+/** Where and as whom to connect to an endpoint. */
 interface EndpointAddress {
   host: string;
   port: number;
   database: string;
   user: string;
   password?: string;
-  /** Identifies the client in the endpoint's list of connections. */
+  /** Shown in the endpoint's list of connections. */
   applicationName: string;
-  /** Idle time outside a transaction after which the endpoint closes the connection. */
+  /** The endpoint closes a connection that is idle, outside a transaction, for longer. */
   idleTimeoutMs: number;
 }
 
--- a/packages/endpoint/src/memberStatusSql.ts
+++ b/packages/endpoint/src/memberStatusSql.ts
@@ -1,4 +1,4 @@
-/** Query for a member's role, fenced term, log term and log position. */
+/** Asks a member for its role, fenced term and log position. */
 const MEMBER_STATUS_SQL =
   'SELECT role, fenced_term, log_term, position FROM auburngrade_member_status()';
 
--- a/packages/endpoint/src/queryResult.ts
+++ b/packages/endpoint/src/queryResult.ts
@@ -1,4 +1,4 @@
-/** Result of one statement; values are text, or null for SQL NULL. */
+/** Rows of one statement; values are text or SQL NULL. */
 interface QueryResult {
   columns: string[];
   rows: (string | null)[][];
--- a/packages/endpoint/src/toMemberStatus.ts
+++ b/packages/endpoint/src/toMemberStatus.ts
@@ -2,7 +2,7 @@
 import EndpointError from './endpointError';
 import type QueryResult from './queryResult';
 
-/** Decodes the row of `auburngrade_member_status()`. @throws EndpointError for an unknown role. */
+/** Reads a row of `auburngrade_member_status()`. @throws EndpointError when it is malformed. */
 const toMemberStatus = (
   member: string,
   result: QueryResult | undefined,
--- a/packages/operator/src/createOperatorClient.ts
+++ b/packages/operator/src/createOperatorClient.ts
@@ -12,9 +12,9 @@
   type WithdrawKeyRequest,
 } from './generated/auburngrade/operator/v1/operator';
 
-type UnaryCallback<Reply> = (error: ServiceError | null, reply: Reply) => void;
+type Done<Reply> = (error: ServiceError | null, reply: Reply) => void;
 
-const toPromise = <Reply>(call: (callback: UnaryCallback<Reply>) => void): Promise<Reply> =>
+const toPromise = <Reply>(call: (done: Done<Reply>) => void): Promise<Reply> =>
   new Promise((resolve, reject) => {
     call((error, reply) => {
       if (error) reject(error);
@@ -22,33 +22,27 @@
     });
   });
 
-/** Creates a client of a VM's Operator service at `host:port`; `timeoutMs` limits each call. */
+/** Creates a client of a VM's service for operators at `host:port`. */
 const createOperatorClient = (
   address: string,
   timeoutMs: number,
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
 ) => {
   const client = new OperatorClient(address, channelCredentials);
-  const createCallOptions = () => ({ deadline: Date.now() + timeoutMs });
+  const options = () => ({ deadline: Date.now() + timeoutMs });
   return {
     put: (request: PutDocument): Promise<Change> =>
-      toPromise((callback) => client.put(request, new Metadata(), createCallOptions(), callback)),
+      toPromise((done) => client.put(request, new Metadata(), options(), done)),
     delete: (request: DeleteDocument): Promise<Change> =>
-      toPromise((callback) =>
-        client.delete(request, new Metadata(), createCallOptions(), callback),
-      ),
+      toPromise((done) => client.delete(request, new Metadata(), options(), done)),
     list: (request: ListDocuments): Promise<DocumentList> =>
-      toPromise((callback) => client.list(request, new Metadata(), createCallOptions(), callback)),
+      toPromise((done) => client.list(request, new Metadata(), options(), done)),
     issueKey: (request: IssueKeyRequest): Promise<IssueKeyReply> =>
-      toPromise((callback) =>
-        client.issueKey(request, new Metadata(), createCallOptions(), callback),
-      ),
+      toPromise((done) => client.issueKey(request, new Metadata(), options(), done)),
     withdrawKey: (request: WithdrawKeyRequest): Promise<Change> =>
-      toPromise((callback) =>
-        client.withdrawKey(request, new Metadata(), createCallOptions(), callback),
-      ),
+      toPromise((done) => client.withdrawKey(request, new Metadata(), options(), done)),
     status: (): Promise<StatusReply> =>
-      toPromise((callback) => client.status({}, new Metadata(), createCallOptions(), callback)),
+      toPromise((done) => client.status({}, new Metadata(), options(), done)),
     close: (): void => client.close(),
   };
 };
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,9 +1,9 @@
-export { default as ConfigurationStore } from './configurationStore';
-export type { default as ConditionalWrite } from './conditionalWrite';
+export { default as Platform } from './platform';
+export type { default as ConditionalPut } from './conditionalPut';
 export type { default as WriteOutcome } from './writeOutcome';
 export type { default as RangeOutcome } from './rangeOutcome';
 export type { default as WatchListener } from './watchListener';
-export { default as createEtcdConfigurationStore } from './createEtcdConfigurationStore';
+export { default as createEtcdPlatform } from './createEtcdPlatform';
 export {
   Compare_CompareResult,
   Compare_CompareTarget,
--- a/packages/sessions/src/fleet/createStoreWatcher.ts
+++ b/packages/sessions/src/fleet/createStoreFollower.ts
@@ -2,21 +2,21 @@
 import type MetadataStore from '../seams/metadataStore';
 import type StoredItem from '../seams/storedItem';
 
-/** Delay after a failed call; doubles with each further failure up to the maximum. */
-const INITIAL_RETRY_DELAY_MS = 100;
-const MAX_RETRY_DELAY_MS = 1_500;
-/** Delay after changes: later ones arrive in one call, and VMs push documents to each other sooner anyway. */
-const EVENT_BATCH_DELAY_MS = 200;
+/** Pause after a call in vain; grows with each further one up to the longest. */
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 1_500;
+/** Pause after changes: those that follow within it come with one call, and VMs tell each other sooner. */
+const CHANGES_PAUSE_MS = 200;
 
 type WatchAnswer = Exclude<Awaited<ReturnType<MetadataStore['watch']>>, 'compacted'>;
 
-interface StoreWatcherOptions {
+interface StoreFollowerOptions {
   store: MetadataStore;
   prefix: string;
-  /** Time limit of one watch call; a watch that silently misses changes is replaced after this time. */
+  /** How long one watch waits: a watch that hears nothing is noticed after this time. */
   waitMs(): number;
   log: EventLog;
-  /** Receives all items under the prefix: once at start, and again after the store compacted its history. */
+  /** All items under the prefix, as of a revision. */
   onList(items: StoredItem[]): void;
   onEvents(events: WatchAnswer['events']): void;
 }
@@ -26,15 +26,15 @@
     setTimeout(resolve, ms);
   });
 
-/** Mirrors all items under a prefix of the store: lists them once, then watches from that revision on. */
-const createStoreWatcher = (options: StoreWatcherOptions) => {
+/** Follows all items under a prefix of the store: a list, then watches, and a list again when needed. */
+const createStoreFollower = (options: StoreFollowerOptions) => {
   const { store, prefix, log } = options;
   let revision: number | undefined;
-  let retryDelayMs = INITIAL_RETRY_DELAY_MS;
+  let pauseMs = FIRST_PAUSE_MS;
   let isReachable = true;
   let isClosed = false;
 
-  const listOrWatch = async (): Promise<void> => {
+  const step = async (): Promise<void> => {
     if (revision === undefined) {
       const listed = await store.list(prefix);
       options.onList(listed.items);
@@ -49,27 +49,27 @@
     }
     if (answer.events.length === 0) return;
     options.onEvents(answer.events);
-    // Only received events advance the revision: an empty answer may come from a watch that missed a change.
+    // Only what was heard moves the revision: an empty answer may come from a watch that missed a change.
     revision = Math.max(revision, ...answer.events.map((event) => event.revision));
-    await sleep(EVENT_BATCH_DELAY_MS);
+    await sleep(CHANGES_PAUSE_MS);
   };
 
-  const runWatchLoop = async (): Promise<void> => {
+  const run = async (): Promise<void> => {
     while (!isClosed) {
       try {
-        await listOrWatch();
+        await step();
         if (!isReachable) log.info('store.regained', { prefix, revision });
         isReachable = true;
-        retryDelayMs = INITIAL_RETRY_DELAY_MS;
+        pauseMs = FIRST_PAUSE_MS;
       } catch (error) {
         if (isReachable) log.warn('store.lost', { prefix, revision, reason: String(error) });
         isReachable = false;
-        await sleep(retryDelayMs);
-        retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
+        await sleep(pauseMs);
+        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
       }
     }
   };
-  runWatchLoop();
+  run();
 
   return {
     isReachable: () => isReachable && revision !== undefined,
@@ -79,4 +79,4 @@
   };
 };
 
-export default createStoreWatcher;
+export default createStoreFollower;
--- a/packages/sessions/src/fleet/knownDocument.ts
+++ b/packages/sessions/src/fleet/knownDocument.ts
@@ -1,4 +1,4 @@
-/** A document of the metadata store that every VM keeps a copy of; the highest revision is current. */
+/** An item of the store that all VMs follow; the highest revision counts. */
 interface KnownDocument {
   key: string;
   revision: number;
--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -3,7 +3,7 @@
 import createGroupRouter from './createGroupRouter';
 import type SessionCall from './sessionCall';
 
-const createCall = (changes: Partial<SessionCall> = {}): SessionCall => ({
+const call = (changes: Partial<SessionCall> = {}): SessionCall => ({
   group: 'lots',
   account: 'ranch',
   session: 1,
@@ -25,40 +25,40 @@
 });
 
 const createFixture = (owner: string | undefined) => {
-  const state = { hasNoReachableGroup: false, ran: 0 };
+  const state = { isCutOff: false, ran: 0 };
   const router = createGroupRouter({
     self: 'a',
     log: { info: () => undefined, warn: () => undefined },
     nowMs: () => performance.now(),
-    findServingVm: () => owner,
+    ownerOf: () => owner,
     link: () => undefined,
-    runLocally: async () => {
+    runHere: async () => {
       state.ran += 1;
       return { kind: 'complete', rows: [], signature: 's', position: undefined };
     },
-    hasNoReachableGroup: () => state.hasNoReachableGroup,
-    endLocalTransaction: () => undefined,
+    isCutOff: () => state.isCutOff,
+    endTransactionHere: () => undefined,
   });
-  /** Runs one call; returns its outcome and duration. */
+  /** The outcome, and how long it took. */
   const run = async (changes: Partial<SessionCall> = {}) => {
     const startedAtMs = performance.now();
-    const result = await router.run(createCall(changes), new Map());
+    const result = await router.run(call(changes), new Map());
     return { result, tookMs: performance.now() - startedAtMs };
   };
   return { state, run };
 };
 
 describe('createGroupRouter', () => {
-  it('waits for an owner as long as a change of owner takes, then refuses the statement as busy', async () => {
+  it('waits for an owner as long as a change of owner takes, then refuses as not run', async () => {
     const { result, tookMs } = await createFixture(undefined).run();
     expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
     expect(tookMs).to.be.within(800, 1_500);
   });
 
-  describe('on a VM that can reach no group', () => {
-    it('refuses at once and tells when to retry', async () => {
+  describe('on a VM that is cut off', () => {
+    it('refuses at once, and says when to come back', async () => {
       const { state, run } = createFixture('a');
-      state.hasNoReachableGroup = true;
+      state.isCutOff = true;
       const { result, tookMs } = await run();
       expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
       expect(result)
@@ -68,10 +68,10 @@
       expect(state.ran).to.equal(0);
     });
 
-    it('continues an open transaction', async () => {
+    it('lets an open transaction go on', async () => {
       const { state, run } = createFixture('a');
       await run({ transaction: 4, opensTransaction: true });
-      state.hasNoReachableGroup = true;
+      state.isCutOff = true;
       const { result } = await run({ transaction: 4 });
       expect(result.kind).to.equal('complete');
     });
