--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -1,6 +1,6 @@
-import { maxPosition, type LogPosition } from '@auburngrade/coordination';
+import { laterPosition, type LogPosition } from '@auburngrade/coordination';
 import { Action, type PreparedStatement } from '../generated/auburngrade/session/v1/session';
-import createRefusal from '../group/createRefusal';
+import refused from '../group/refused';
 import type CallerConnection from '../seams/callerConnection';
 import type CallerSession from '../seams/callerSession';
 import type DatabaseRoute from '../seams/databaseRoute';
@@ -13,9 +13,9 @@
 import findCaller from './findCaller';
 import type GroupRouter from './groupRouter';
 
-/** Limit of queued statements per session; callers normally send the next one after the answer. */
+/** Statements that wait behind one that is under way; callers send the next after the answer. */
 const MAX_PENDING_STATEMENTS = 64;
-/** How long a new session waits for the first configuration; callers themselves wait for 2 s. */
+/** How long a session that opens waits for the first configuration; callers wait 2 s. */
 const CONFIGURATION_WAIT_MS = 1_500;
 const CONFIGURATION_POLL_MS = 50;
 
@@ -25,74 +25,71 @@
   log: EventLog;
   nowMs(): number;
   configuration(): FleetConfiguration | undefined;
-  /** Returns ids for sessions and transactions, unique in this process and starting from 1. */
-  nextId(): number;
+  /** Numbers sessions and transactions of this process, from 1. */
+  nextNumber(): number;
   endSession(session: number): void;
   onStatement(observation: StatementObservation): void;
   onEnd(): void;
 }
 
 interface OpenTransaction {
-  id: number;
+  number: number;
   isReadOnly: boolean;
-  /** Whether its first statement was sent to the group. */
-  isSentToGroup: boolean;
+  /** Its first statement was sent to the group. */
+  isBegun: boolean;
   route: DatabaseRoute;
 }
 
-const COMPLETE: StatementResult = { kind: 'complete', rows: [], signature: '-' };
-const INVALID_IN_STATE = createRefusal(
-  'malformed',
-  'the statement is not valid in the current state of the transaction',
-);
+const DONE: StatementResult = { kind: 'complete', rows: [], signature: '-' };
+const MALFORMED = refused('malformed', 'the statement does not fit here');
 
-/** Runs one caller's session in order, with its session values, prepared statements and transaction. */
+/** One caller's session: its values, prepared statements and transaction. */
 const createSession = (options: SessionOptions) => {
   const { connection, router, log, nowMs } = options;
-  const sessionId = options.nextId();
+  const number = options.nextNumber();
   const values = new Map<string, string>();
-  const preparedStatements = new Map<string, { isWrite: boolean; shape: string }>();
+  const prepared = new Map<string, { isWrite: boolean; shape: string }>();
   let valuesVersion = 0;
   let database = '';
   let key: string | undefined;
   let account = '';
   let transaction: OpenTransaction | undefined;
-  let transactionState: TransactionState = 'idle';
-  let lastCommitPosition: LogPosition | undefined;
+  let state: TransactionState = 'idle';
+  let ownCommit: LogPosition | undefined;
   let isStarted = false;
   let isEnded = false;
   let isRunning = false;
-  const pendingStatements: [requestId: string, statement: SessionStatement][] = [];
+  const pending: [requestId: string, statement: SessionStatement][] = [];
 
-  const discardTransaction = (): void => {
-    if (transaction?.isSentToGroup) router.endTransaction(transaction.id);
+  const dropTransaction = (): void => {
+    if (transaction?.isBegun) router.endTransaction(transaction.number);
     transaction = undefined;
   };
 
   const end = (): void => {
     if (isEnded) return;
     isEnded = true;
-    pendingStatements.length = 0;
-    discardTransaction();
-    options.endSession(sessionId);
+    pending.length = 0;
+    dropTransaction();
+    options.endSession(number);
     options.onEnd();
   };
 
-  const answer = (result: StatementResult, nextState: TransactionState): void => {
-    transactionState = nextState;
-    if (!isEnded) connection.sendResult(result, nextState);
+  const answer = (result: StatementResult, next: TransactionState): void => {
+    state = next;
+    if (!isEnded) connection.answer(result, next);
   };
 
-  /** Refuses and ends the session: its caller may not use the database, or not any more. */
+  /** Refuses the whole session: the caller may not use the database any more. */
   const refuseSession = (kind: 'unknownDatabase' | 'unauthenticated'): void => {
-    log.info('session.refused', { session: sessionId, reason: kind });
+    log.info('session.refused', { session: number, reason: kind });
     const message =
-      kind === 'unauthenticated' ? 'the access key is not valid' : 'the database does not exist';
+      kind === 'unauthenticated' ? 'the key is not valid' : 'there is no such database';
     connection.refuse(kind, message);
     end();
   };
 
-  const lookUpCaller = () => {
+  const currentCaller = () => {
     const configuration = options.configuration();
     return configuration && findCaller(configuration, database, key);
   };
@@ -105,38 +102,38 @@
     statement: PreparedStatement | undefined,
   ): Promise<StatementResult> => {
     const { freshness } = route;
-    const isFirstInTransaction = transaction !== undefined && !transaction.isSentToGroup;
-    if (transaction) transaction.isSentToGroup = true;
-    const startedAtMs = nowMs();
+    const isFirst = transaction !== undefined && !transaction.isBegun;
+    if (transaction) transaction.isBegun = true;
+    const arrivedAtMs = nowMs();
     const isInTransaction = transaction !== undefined;
     const result = await router.run(
       {
         group: route.group,
         account,
-        session: sessionId,
+        session: number,
         valuesVersion,
         requestId,
         action,
         text,
         prepared: statement,
         maxAgeMs: freshness.kind === 'primary' ? undefined : freshness.maxAgeMs,
-        notBefore: freshness.kind === 'ownWrites' ? lastCommitPosition : undefined,
+        notBefore: freshness.kind === 'ownWrites' ? ownCommit : undefined,
         statementTimeoutMs: route.statementTimeoutMs,
         targetLatencyMs: route.targetLatencyMs,
         priority: route.priority,
-        transaction: transaction?.id ?? 0,
-        opensTransaction: isFirstInTransaction,
+        transaction: transaction?.number ?? 0,
+        opensTransaction: isFirst,
         isReadOnly: transaction?.isReadOnly ?? false,
         transactionIdleMs: options.configuration()?.transactionIdleMs ?? CONFIGURATION_WAIT_MS,
       },
       values,
     );
-    const tookMs = nowMs() - startedAtMs;
+    const tookMs = nowMs() - arrivedAtMs;
     options.onStatement({ database, account, isInTransaction, result, tookMs });
     return result;
   };
 
-  const runGroupStatement = async (
+  const runData = async (
     requestId: string,
     isWrite: boolean,
     text: string,
@@ -147,11 +144,10 @@
     const result = await callGroup(requestId, route, action, text, statement);
     if (isEnded) return;
     if (result.kind === 'complete') {
-      if (isWrite && !transaction)
-        lastCommitPosition = maxPosition(lastCommitPosition, result.position);
+      if (isWrite && !transaction) ownCommit = laterPosition(ownCommit, result.position);
       answer(result, transaction ? 'open' : 'idle');
     } else if (transaction) {
-      discardTransaction();
+      dropTransaction();
       answer(result, 'failed');
     } else {
       answer(result, 'idle');
@@ -159,66 +155,63 @@
   };
 
   const runCommit = async (requestId: string, text: string): Promise<void> => {
-    if (transactionState === 'failed') {
-      discardTransaction();
-      answer(createRefusal('aborted', 'an earlier statement of the transaction failed'), 'idle');
+    if (state === 'failed') {
+      dropTransaction();
+      answer(refused('aborted', 'the transaction failed before'), 'idle');
       return;
     }
     if (!transaction) {
-      answer(INVALID_IN_STATE, transactionState);
+      answer(MALFORMED, state);
       return;
     }
-    const { route, id: endedTransaction, isReadOnly } = transaction;
+    const { route, number: ended, isReadOnly } = transaction;
     const result = await callGroup(requestId, route, Action.ACTION_COMMIT, text, undefined);
     if (isEnded) return;
     transaction = undefined;
     if (result.kind === 'complete') {
-      router.forgetTransaction(endedTransaction);
-      if (!isReadOnly) lastCommitPosition = maxPosition(lastCommitPosition, result.position);
+      router.forget(ended);
+      if (!isReadOnly) ownCommit = laterPosition(ownCommit, result.position);
     } else {
-      router.endTransaction(endedTransaction);
+      router.endTransaction(ended);
     }
     answer(result, 'idle');
   };
 
-  const runSessionStatement = (statement: SessionStatement, route: DatabaseRoute): void => {
+  const runLocal = (statement: SessionStatement, route: DatabaseRoute): void => {
     switch (statement.kind) {
       case 'begin':
         if (transaction) {
-          answer(INVALID_IN_STATE, transactionState);
+          answer(MALFORMED, state);
           return;
         }
         transaction = {
-          id: options.nextId(),
+          number: options.nextNumber(),
           isReadOnly: statement.isReadOnly,
-          isSentToGroup: false,
+          isBegun: false,
           route,
         };
-        answer(COMPLETE, 'open');
+        answer(DONE, 'open');
         return;
       case 'setValue':
         values.set(statement.name, statement.value);
         valuesVersion += 1;
         break;
       case 'prepare':
-        preparedStatements.set(statement.name, {
-          isWrite: statement.isWrite,
-          shape: statement.shape,
-        });
+        prepared.set(statement.name, { isWrite: statement.isWrite, shape: statement.shape });
         break;
       case 'deallocate':
-        preparedStatements.delete(statement.name);
+        prepared.delete(statement.name);
         break;
       default:
-        answer(INVALID_IN_STATE, transactionState);
+        answer(MALFORMED, state);
         return;
     }
-    answer(COMPLETE, transactionState);
+    answer(DONE, state);
   };
 
   const runStatement = async (requestId: string, statement: SessionStatement): Promise<void> => {
-    const caller = lookUpCaller();
-    // An open transaction keeps its route if the database is removed, but ends if the key is withdrawn.
+    const caller = currentCaller();
+    // A transaction goes on by the route with which it began, but not with a withdrawn key.
     if (
       !caller ||
       (caller.kind !== 'found' && !(transaction && caller.kind === 'unknownDatabase'))
@@ -229,55 +222,40 @@
     const route = transaction?.route ?? (caller.kind === 'found' ? caller.route : undefined);
     if (caller.kind === 'found') account = caller.account;
     if (statement.kind === 'rollback') {
-      const wasInTransaction = transactionState !== 'idle';
-      discardTransaction();
-      answer(wasInTransaction ? COMPLETE : INVALID_IN_STATE, 'idle');
+      const wasOpen = state !== 'idle';
+      dropTransaction();
+      answer(wasOpen ? DONE : MALFORMED, 'idle');
     } else if (statement.kind === 'commit') {
       await runCommit(requestId, statement.text);
-    } else if (transactionState === 'failed' || !route) {
-      answer(INVALID_IN_STATE, transactionState);
+    } else if (state === 'failed' || !route) {
+      answer(MALFORMED, state);
     } else if (statement.kind === 'read' || statement.kind === 'write') {
-      await runGroupStatement(
-        requestId,
-        statement.kind === 'write',
-        statement.text,
-        undefined,
-        route,
-      );
+      await runData(requestId, statement.kind === 'write', statement.text, undefined, route);
     } else if (statement.kind === 'execute') {
-      const preparedStatement = preparedStatements.get(statement.name);
-      if (!preparedStatement) {
-        if (transaction) discardTransaction();
-        const nextState = transactionState === 'open' ? 'failed' : transactionState;
-        answer(
-          createRefusal('noStatement', 'no prepared statement of that name exists in the session'),
-          nextState,
-        );
+      const known = prepared.get(statement.name);
+      if (!known) {
+        if (transaction) dropTransaction();
+        const next = state === 'open' ? 'failed' : state;
+        answer(refused('noStatement', 'there is no prepared statement of that name'), next);
         return;
       }
       const { argumentsText } = statement;
-      await runGroupStatement(
-        requestId,
-        preparedStatement.isWrite,
-        '',
-        { ...preparedStatement, argumentsText },
-        route,
-      );
+      await runData(requestId, known.isWrite, '', { ...known, argumentsText }, route);
     } else {
-      runSessionStatement(statement, route);
+      runLocal(statement, route);
     }
   };
 
-  const runPendingStatements = async (): Promise<void> => {
+  const runPending = async (): Promise<void> => {
     if (isRunning) return;
     isRunning = true;
     while (!isEnded) {
-      const next = pendingStatements.shift();
+      const next = pending.shift();
       if (!next) break;
       try {
         await runStatement(...next);
       } catch (error) {
-        log.warn('session.broken', { session: sessionId, request: next[0], reason: String(error) });
+        log.warn('session.broken', { session: number, request: next[0], reason: String(error) });
         connection.close();
         end();
       }
@@ -285,17 +263,14 @@
     isRunning = false;
   };
 
-  const openWhenConfigured = (deadlineMs: number): void => {
+  const open = (untilMs: number): void => {
     if (isEnded) return;
-    const caller = lookUpCaller();
+    const caller = currentCaller();
     if (!caller) {
-      if (nowMs() < deadlineMs) {
-        setTimeout(() => openWhenConfigured(deadlineMs), CONFIGURATION_POLL_MS);
+      if (nowMs() < untilMs) {
+        setTimeout(() => open(untilMs), CONFIGURATION_POLL_MS);
       } else {
-        connection.refuse(
-          'busy',
-          'this VM has not received its configuration yet; retry in 1000 ms',
-        );
+        connection.refuse('busy', 'there is no configuration yet, retry in 1000 ms');
         end();
       }
     } else if (caller.kind !== 'found') {
@@ -304,7 +279,7 @@
       account = caller.account;
       isStarted = true;
       connection.accept();
-      runPendingStatements();
+      runPending();
     }
   };
 
@@ -312,37 +287,33 @@
     start: (name, givenKey) => {
       database = name;
       key = givenKey;
-      openWhenConfigured(nowMs() + CONFIGURATION_WAIT_MS);
+      open(nowMs() + CONFIGURATION_WAIT_MS);
     },
     run: (requestId, statement) => {
       if (isEnded) return;
-      if (pendingStatements.length >= MAX_PENDING_STATEMENTS) {
-        connection.refuse('malformed', 'the session has too many queued statements');
+      if (pending.length >= MAX_PENDING_STATEMENTS) {
+        connection.refuse('malformed', 'too many statements are outstanding');
         end();
         return;
       }
-      pendingStatements.push([requestId, statement]);
-      if (isStarted) runPendingStatements();
+      pending.push([requestId, statement]);
+      if (isStarted) runPending();
     },
     end,
   };
 
   const isIdle = (): boolean =>
-    isStarted &&
-    !isEnded &&
-    transactionState === 'idle' &&
-    !isRunning &&
-    pendingStatements.length === 0;
+    isStarted && !isEnded && state === 'idle' && !isRunning && pending.length === 0;
 
   return {
     session,
     isIdle,
-    /** Closes an idle session whose caller may no longer use the database. */
-    closeIfAccessRevoked: (): void => {
+    /** Closes the session when its caller may not use the database any more and it is idle. */
+    review: (): void => {
       if (!isIdle()) return;
-      const caller = lookUpCaller();
+      const caller = currentCaller();
       if (caller && caller.kind !== 'found') {
-        log.info('session.closed', { session: sessionId, reason: caller.kind });
+        log.info('session.closed', { session: number, reason: caller.kind });
         connection.close();
         end();
       }
@@ -352,9 +323,9 @@
       connection.close();
       end();
     },
-    /** Ends an open transaction at its group, so that its next statement is refused. */
+    /** Ends an open transaction; its next statement is refused. */
     endTransaction: (): void => {
-      if (transaction?.isSentToGroup && !isRunning) router.endTransaction(transaction.id);
+      if (transaction?.isBegun && !isRunning) router.endTransaction(transaction.number);
     },
     abort: (): void => {
       connection.close();
--- a/packages/sessions/src/front/findCaller.ts
+++ b/packages/sessions/src/front/findCaller.ts
@@ -1,19 +1,19 @@
 import type DatabaseRoute from '../seams/databaseRoute';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 
-/** Account of callers that use a public database without a valid key. */
+/** The account under which callers without a known key use a public database. */
 const PUBLIC_ACCOUNT = 'public';
 
-type CallerLookup =
+type Finding =
   | { kind: 'found'; route: DatabaseRoute; account: string }
   | { kind: 'unknownDatabase' | 'unauthenticated' };
 
-/** Looks up the route and account of a caller by its database and key. */
+/** Finds what a caller may use by a configuration. */
 const findCaller = (
   configuration: FleetConfiguration,
   database: string,
   key: string | undefined,
-): CallerLookup => {
+): Finding => {
   const route = configuration.routes.get(database);
   if (!route) return { kind: 'unknownDatabase' };
   const account = key === undefined ? undefined : configuration.accountsByKey.get(key);
--- a/packages/sessions/src/link/peerLink.ts
+++ b/packages/sessions/src/link/peerLink.ts
@@ -1,9 +1,9 @@
 import type { CallResult, GroupCall } from '../generated/auburngrade/session/v1/session';
 
-/** A stream to another VM that carries group calls and documents, and reopens itself when it breaks. */
+/** The stream to another VM, as calls use it. */
 interface PeerLink {
   isUp(): boolean;
-  /** Sends `values` only if their version changed on this stream. @throws LinkError without an answer */
+  /** @throws LinkError */
   call(call: GroupCall, values: ReadonlyMap<string, string>): Promise<CallResult>;
   endTransaction(transaction: number): void;
   endSession(session: number): void;
--- a/packages/sessions/src/seams/callerSession.ts
+++ b/packages/sessions/src/seams/callerSession.ts
@@ -1,10 +1,10 @@
 import type SessionStatement from './sessionStatement';
 
-/** A caller's session, as driven by the listener that decodes the caller's connection. */
+/** What a caller's connection tells its session. */
 interface CallerSession {
   start(database: string, key: string | undefined): void;
   run(requestId: string, statement: SessionStatement): void;
-  /** Called when the caller terminates the session or its connection breaks. */
+  /** The caller left, or its connection broke. */
   end(): void;
 }
 
--- a/packages/sessions/src/seams/databaseRoute.ts
+++ b/packages/sessions/src/seams/databaseRoute.ts
@@ -1,17 +1,17 @@
 import type Freshness from './freshness';
 
-/** Routing and service objectives of one database. */
+/** Where the statements of one database go, and how they are served. */
 interface DatabaseRoute {
   database: string;
   group: string;
   freshness: Freshness;
-  /** Time limit of one statement. */
+  /** Limit of one statement. */
   statementTimeoutMs: number;
-  /** Latency objective of an operation, from its arrival to its result. */
+  /** Latency objective of a whole operation. */
   targetLatencyMs: number;
-  /** Queue priority; 0 is the highest. */
+  /** 0 is the highest. */
   priority: number;
-  /** Whether callers need no key. */
+  /** Callers need no key. */
   isPublic: boolean;
 }
 
--- a/packages/sessions/src/seams/fleetConfiguration.ts
+++ b/packages/sessions/src/seams/fleetConfiguration.ts
@@ -1,15 +1,14 @@
 import type DatabaseRoute from './databaseRoute';
 
-/** The decoded operator's configuration that is in force. */
+/** The operator's configuration in force, decoded. */
 interface FleetConfiguration {
   version: number;
   routes: ReadonlyMap<string, DatabaseRoute>;
   /** Client account by key. */
   accountsByKey: ReadonlyMap<string, string>;
   limits: ReadonlyMap<string, { ratePerS: number; burst: number }>;
-  /** By group name; `maxConnections` applies per endpoint. */
   groups: ReadonlyMap<string, { maxConnections: number; syncReplicas: number }>;
-  /** Idle time after which a transaction may be rolled back. */
+  /** A transaction that is idle for longer may be ended. */
   transactionIdleMs: number;
 }
 
--- a/packages/sessions/src/seams/groupEndpoint.ts
+++ b/packages/sessions/src/seams/groupEndpoint.ts
@@ -1,17 +1,16 @@
-/** An endpoint of a group, as registered in the platform's store. */
+/** An endpoint of a group, as it registers itself. */
 interface GroupEndpoint {
   id: string;
   group: string;
   /** `host:port`. */
   address: string;
   dataCentre: string;
-  /** Number of statements that it runs concurrently. */
+  /** Statements that it runs at the same time. */
   slots: number;
   isLeaving: boolean;
-  /** Whether it registered itself as primary; its status decides. */
-  isRegisteredAsPrimary: boolean;
-  /** Unix time of its start; a new value means a new process under the same id. */
-  startedAtUnixMs: number;
+  claimsPrimary: boolean;
+  /** Unix time in ms of its start: a new value is a new process under the same id. */
+  bornAtMs: number;
 }
 
 export default GroupEndpoint;
--- a/packages/sessions/src/seams/memberDialer.ts
+++ b/packages/sessions/src/seams/memberDialer.ts
@@ -12,7 +12,7 @@
     timeoutMs: number,
   ): Promise<MemberConnection>;
 
-  /** Decodes a reply to the `status` command; returns undefined for any other reply. */
+  /** Reads a reply to the `status` command; undefined when it is not one. */
   abstract readStatus(reply: MemberReply): EndpointStatus | undefined;
 }
 
--- a/packages/sessions/src/seams/memberStatus.ts
+++ b/packages/sessions/src/seams/memberStatus.ts
@@ -1,11 +1,10 @@
 import type { LogPosition } from '@auburngrade/coordination';
 
-/** An endpoint's reported status. */
+/** What an endpoint says of itself. `heldTerm` is the newest term that it was told to wait for. */
 interface EndpointStatus {
   isPrimary: boolean;
   term: number;
-  /** Last log position that it received. */
-  receivedPosition: LogPosition;
+  received: LogPosition;
   connections: number;
 }
 
--- a/packages/sessions/src/seams/nodeSettings.ts
+++ b/packages/sessions/src/seams/nodeSettings.ts
@@ -1,16 +1,17 @@
-/** Start-up settings of a VM. Addresses are `host:port`. */
+/** What a VM is told about itself and about its surroundings when it starts. */
 interface NodeSettings {
   vm: string;
   dataCentre: string;
   ip: string;
+  /** `host:port` addresses. */
   callerAddress: string;
   readinessAddress: string;
-  /** First port of the range for connections between VMs. */
+  /** First port that is free for connections between VMs. */
   internalPort: number;
   storeAddress: string;
   failoverAddress: string;
   minLeaseMs: number;
-  /** Time that a process gets to shut down after it was asked to stop. */
+  /** How long a process may take to end after it was asked to. */
   graceMs: number;
   memoryMb: number;
 }
--- a/packages/sessions/src/seams/statementObservation.ts
+++ b/packages/sessions/src/seams/statementObservation.ts
@@ -1,12 +1,12 @@
 import type StatementResult from './statementResult';
 
-/** A completed or refused statement, reported for metrics. */
+/** A statement that a group answered, for metrics. */
 interface StatementObservation {
   database: string;
   account: string;
   isInTransaction: boolean;
   result: StatementResult;
-  /** Time from its arrival at this VM to its result. */
+  /** From its arrival at this VM to its answer. */
   tookMs: number;
 }
 
--- a/packages/sessions/src/seams/transactionState.ts
+++ b/packages/sessions/src/seams/transactionState.ts
@@ -1,4 +1,4 @@
-/** Transaction state of a session: no transaction, an open one, or one that can only roll back. */
+/** State of a session between statements. */
 type TransactionState = 'idle' | 'open' | 'failed';
 
 export default TransactionState;
--- a/packages/sessions/src/standIns/createFakeStore.ts
+++ b/packages/sessions/src/standIns/createStoreStandIn.ts
@@ -2,79 +2,77 @@
 import StoreError from '../seams/storeError';
 import type StoredItem from '../seams/storedItem';
 
-const WATCH_POLL_INTERVAL_MS = 10;
+const POLL_MS = 10;
 
-const sleep = (ms: number): Promise<void> =>
+const pause = (ms: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
 
-/** In-memory fake of the platform's store, as a `MetadataStore`. Watches poll; leases never end. */
-const createFakeStore = () => {
+/** The platform's store in memory, behind the product's own seam. */
+const createStoreStandIn = () => {
   const items = new Map<string, StoredItem>();
   let revision = 1;
   let isDown = false;
-  let callCount = 0;
+  let calls = 0;
   let isClosed = false;
 
-  const beginCall = async (): Promise<void> => {
-    callCount += 1;
+  const enter = async (): Promise<void> => {
+    calls += 1;
     await Promise.resolve();
-    if (isDown) throw new StoreError('notRun', 'the fake store is down');
+    if (isDown) throw new StoreError('notRun', 'the store is down');
   };
 
-  class FakeStore extends MetadataStore {
+  class StandInStore extends MetadataStore {
     override async get(key: string) {
-      await beginCall();
+      await enter();
       return items.get(key);
     }
 
     override async list(prefix: string) {
-      await beginCall();
+      await enter();
       return { items: [...items.values()].filter(({ key }) => key.startsWith(prefix)), revision };
     }
 
     override async watch(prefix: string, afterRevision: number, waitMs: number) {
-      await beginCall();
-      const findChanges = (): StoredItem[] =>
+      await enter();
+      const find = (): StoredItem[] =>
         [...items.values()].filter(
           (item) => item.key.startsWith(prefix) && item.revision > afterRevision,
         );
-      const deadlineMs = performance.now() + waitMs;
-      while (findChanges().length === 0 && performance.now() < deadlineMs && !isDown && !isClosed) {
-        await sleep(WATCH_POLL_INTERVAL_MS);
+      const untilMs = performance.now() + waitMs;
+      while (find().length === 0 && performance.now() < untilMs && !isDown && !isClosed) {
+        await pause(POLL_MS);
       }
-      return { events: findChanges(), revision };
+      return { events: find(), revision };
     }
 
     override async commit({ expected, puts }: Parameters<MetadataStore['commit']>[0]) {
-      await beginCall();
-      const hasExpectedRevisions = expected.every(
-        (row) => (items.get(row.key)?.revision ?? 0) === row.revision,
-      );
-      if (!hasExpectedRevisions) return { kind: 'conflict' as const };
+      await enter();
+      const isMet = expected.every((row) => (items.get(row.key)?.revision ?? 0) === row.revision);
+      if (!isMet) return { kind: 'conflict' as const };
       revision += 1;
       puts.forEach(({ key, value }) => items.set(key, { key, value, revision }));
       return { kind: 'committed' as const, revision };
     }
 
     override async grantLease(ttlMs: number) {
-      await beginCall();
+      await enter();
       return { lease: 1, ttlMs };
     }
 
-    override async renewLease() {
-      await beginCall();
+    override async keepLease() {
+      await enter();
       return true;
     }
 
-    override async revokeLease() {
-      await beginCall();
+    override async endLease() {
+      await enter();
     }
   }
 
   return {
-    store: new FakeStore() as MetadataStore,
+    store: new StandInStore() as MetadataStore,
     setDown: (next: boolean): void => {
       isDown = next;
     },
@@ -83,8 +81,8 @@
       items.set(key, { key, value, revision });
     },
     read: (key: string) => items.get(key),
-    countCalls: () => callCount,
-    /** Ends all watches; later calls fail. */
+    calls: () => calls,
+    /** Ends all watches. */
     close: (): void => {
       isClosed = true;
       isDown = true;
@@ -92,4 +90,4 @@
   };
 };
 
-export default createFakeStore;
+export default createStoreStandIn;
--- a/packages/vm/src/createLivenessProbe.ts
+++ b/packages/vm/src/createLivenessProbe.ts
@@ -4,67 +4,67 @@
 }
 
 interface LivenessProbeOptions {
-  /** Resolves when the peer answers; rejects when it does not answer in time. */
+  /** Resolves when the other side answers; rejects when it does not in time. */
   ping(): Promise<unknown>;
-  /** Called after each failed ping. */
+  /** Called when a ping has failed. */
   onSilent?(): void;
   nowMs(): number;
 }
 
-/** Calls that are answered sooner cause no ping. */
+/** A call that is answered sooner costs no ping. */
 const PROBE_AFTER_MS = 200;
-/** Interval of the pings to a peer that answers them while a call still waits. */
-const PROBE_INTERVAL_MS = 1_000;
+/** A peer that answered a ping while a call waits is pinged again for it after this time. */
+const PROBE_AGAIN_AFTER_MS = 1_000;
 const FIRST_RETRY_DELAY_MS = 250;
 const MAX_RETRY_DELAY_MS = 2_000;
 
 /**
- * Distinguishes a slow peer from a silent one by pinging the peer while a call waits. A peer is silent
- * once a ping fails or it is unreachable, and is then pinged until it answers again.
+ * Tells a peer that is slow from one that is silent: while a call waits, the peer is pinged.
+ * A silent peer is pinged until it answers again.
  */
 const createLivenessProbe = ({ ping, onSilent, nowMs }: LivenessProbeOptions) => {
-  const openCalls = new Set<OpenCall>();
+  const open = new Set<OpenCall>();
   let timer: NodeJS.Timeout | undefined;
   let isSilent = false;
-  /** Whether a call has failed since the last answer of the peer. */
-  let hasFailedSinceAnswer = false;
+  /** A call has failed since the peer was last heard. */
+  let isSuspect = false;
   let isClosed = false;
-  let lastAnswerAtMs = Number.NEGATIVE_INFINITY;
+  let heardAtMs = Number.NEGATIVE_INFINITY;
   let retryDelayMs = FIRST_RETRY_DELAY_MS;
 
-  const markAnswered = (): void => {
-    lastAnswerAtMs = nowMs();
+  const noteAnswer = (): void => {
+    heardAtMs = nowMs();
     isSilent = false;
-    hasFailedSinceAnswer = false;
+    isSuspect = false;
     retryDelayMs = FIRST_RETRY_DELAY_MS;
   };
 
   const probe = async (): Promise<void> => {
     try {
       await ping();
-      markAnswered();
+      noteAnswer();
     } catch {
       isSilent = true;
       retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
-      openCalls.forEach((call) => call.onSilent());
+      open.forEach((call) => call.onSilent());
       onSilent?.();
     }
   };
 
   const isDue = (): boolean => {
-    if (isSilent || hasFailedSinceAnswer) return true;
-    const unansweredCall = [...openCalls].find(({ startedAtMs }) => startedAtMs > lastAnswerAtMs);
-    if (unansweredCall && nowMs() - unansweredCall.startedAtMs >= PROBE_AFTER_MS) return true;
-    return openCalls.size > 0 && nowMs() - lastAnswerAtMs >= PROBE_INTERVAL_MS;
+    if (isSilent || isSuspect) return true;
+    const sinceHeard = [...open].find(({ startedAtMs }) => startedAtMs > heardAtMs);
+    if (sinceHeard && nowMs() - sinceHeard.startedAtMs >= PROBE_AFTER_MS) return true;
+    return open.size > 0 && nowMs() - heardAtMs >= PROBE_AGAIN_AFTER_MS;
   };
 
-  const scheduleProbe = (): void => {
-    if (isClosed || timer || (openCalls.size === 0 && !isSilent && !hasFailedSinceAnswer)) return;
+  const watch = (): void => {
+    if (isClosed || timer || (open.size === 0 && !isSilent && !isSuspect)) return;
     timer = setTimeout(
       async () => {
         if (isDue()) await probe();
         timer = undefined;
-        scheduleProbe();
+        watch();
       },
       isSilent ? retryDelayMs : PROBE_AFTER_MS,
     );
@@ -72,30 +72,30 @@
   };
 
   return {
-    /** Runs a call; `onCallSilent` is called after each failed ping while the call is open. */
+    /** Watches a call; `onCallSilent` is called, perhaps repeatedly, while the peer does not answer. */
     track: async <Result>(
       call: () => Promise<Result>,
       onCallSilent: () => void = () => {},
     ): Promise<Result> => {
-      const openCall = { startedAtMs: nowMs(), onSilent: onCallSilent };
-      openCalls.add(openCall);
-      scheduleProbe();
+      const entry = { startedAtMs: nowMs(), onSilent: onCallSilent };
+      open.add(entry);
+      watch();
       try {
         const result = await call();
-        markAnswered();
+        noteAnswer();
         return result;
       } catch (error) {
-        hasFailedSinceAnswer = true;
-        scheduleProbe();
+        isSuspect = true;
+        watch();
         throw error;
       } finally {
-        openCalls.delete(openCall);
+        open.delete(entry);
       }
     },
-    /** Marks the peer as silent because it could not be reached. */
-    markSilent: (): void => {
+    /** Notes that the peer could not be reached. */
+    noteFailure: (): void => {
       isSilent = true;
-      scheduleProbe();
+      watch();
     },
     isSilent: () => isSilent,
     close: (): void => {
--- a/packages/vm/src/createPeerClient.ts
+++ b/packages/vm/src/createPeerClient.ts
@@ -11,8 +11,8 @@
   PeerMessage,
 } from './generated/auburngrade/vm/v1/vm';
 
-/** Added to a request's timeout: the other VM's refusal is more specific than an expired deadline. */
-const DEADLINE_MARGIN_MS = 300;
+/** The other VM's own refusal at the deadline says more than a call that ran out of time. */
+const ANSWER_MARGIN_MS = 300;
 const PING: PeerMessage = { fromVm: '', incarnation: 0, kind: PING_KIND, bodyJson: '{}' };
 const PING_TIMEOUT_MS = 300;
 
@@ -34,58 +34,56 @@
     });
   };
 
-  const livenessProbe = createLivenessProbe({
+  const liveness = createLivenessProbe({
     ping: () => send(PING, PING_TIMEOUT_MS),
-    onSilent: channel.replaceIfConnected,
+    onSilent: channel.leaveSilent,
     nowMs: () => performance.now(),
   });
 
-  const connectedClients = () =>
+  const ready = () =>
     channel.ready().catch((error) => {
-      livenessProbe.markSilent();
+      liveness.noteFailure();
       throw error;
     });
 
   return {
-    /** Runs a statement; `onSilent` is called if the VM stops answering before the outcome arrives. */
+    /** Runs a statement; `onSilent` is called when the VM stops answering before the outcome is there. */
     execute: async (
       statement: ForwardedStatement,
       onSilent?: () => void,
     ): Promise<ForwardedOutcome> => {
-      const { forward } = await connectedClients();
+      const { forward } = await ready();
       const call = (): Promise<ForwardedOutcome> =>
         new Promise((resolve, reject) => {
-          const deadline = Date.now() + statement.timeoutMs + DEADLINE_MARGIN_MS;
+          const deadline = Date.now() + statement.timeoutMs + ANSWER_MARGIN_MS;
           forward.execute(statement, new Metadata(), { deadline }, (error, outcome) => {
             if (error) reject(error);
             else resolve(outcome);
           });
         });
-      return livenessProbe.track(call, onSilent);
+      return liveness.track(call, onSilent);
     },
-    /** Opens a transaction; `step` resolves with the reply that has the same step number. */
+    /** Opens a transaction; `step` resolves with the reply of the same number. */
     transact: async (timeoutMs: number) => {
-      const { forward } = await connectedClients();
+      const { forward } = await ready();
       const stream = forward.transact(new Metadata(), {
-        deadline: Date.now() + timeoutMs + DEADLINE_MARGIN_MS,
+        deadline: Date.now() + timeoutMs + ANSWER_MARGIN_MS,
       });
       const matcher = createReplyMatcher<ForwardedReply>();
-      stream.on('data', matcher.resolveReply);
+      stream.on('data', matcher.receive);
       stream.on('error', matcher.fail);
-      stream.on('end', () =>
-        matcher.fail(new Error('transaction stream was ended by the other VM')),
-      );
+      stream.on('end', () => matcher.fail(new Error('the stream has ended')));
       return {
-        /** Runs one step; `onSilent` is called if the VM stops answering before the reply arrives. */
+        /** `onSilent` is called when the VM stops answering before the reply is there. */
         step: (
           body: NonNullable<ForwardedStep['body']>,
           onSilent?: () => void,
         ): Promise<ForwardedReply> => {
-          const { step, reply } = matcher.allocateStep();
-          if (!matcher.hasFailed()) stream.write({ step, body });
-          return livenessProbe.track(() => reply, onSilent);
+          const { step, reply } = matcher.next();
+          if (!matcher.isLost()) stream.write({ step, body });
+          return liveness.track(() => reply, onSilent);
         },
-        isLost: matcher.hasFailed,
+        isLost: matcher.isLost,
         end: (): void => {
           stream.end();
         },
@@ -93,11 +91,11 @@
       };
     },
     exchange: (message: PeerMessage, timeoutMs: number): Promise<PeerMessage> =>
-      livenessProbe.track(() => send(message, timeoutMs)),
-    /** Whether the VM was unreachable or did not answer at the last attempt. */
-    isSilent: livenessProbe.isSilent,
+      liveness.track(() => send(message, timeoutMs)),
+    /** Whether the VM could not be reached or did not answer when it was last tried. */
+    isSilent: liveness.isSilent,
     close: (): void => {
-      livenessProbe.close();
+      liveness.close();
       channel.close();
     },
   };
--- a/packages/vm/src/pingKind.ts
+++ b/packages/vm/src/pingKind.ts
@@ -1,4 +1,4 @@
-/** Message kind with which a VM checks that another VM answers; the reply is an empty object. */
+/** Kind of the message by which a VM asks whether another one answers; the reply is empty. */
 const PING_KIND = 'ping';
 
 export default PING_KIND;
--- a/packages/vm/src/remoteVm.ts
+++ b/packages/vm/src/remoteVm.ts
@@ -1,6 +1,6 @@
 import type createPeerClient from './createPeerClient';
 
-/** Client of another VM. */
+/** Another VM as this one calls it. */
 type RemoteVm = ReturnType<typeof createPeerClient>;
 
 export default RemoteVm;
