--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -32,7 +32,7 @@
   const daemon = await createSessionDaemon({
     settings,
     incarnation,
-    store: createMetadataStore(settings.storeAddress),
+    store: createMetadataStore(settings.storeAddress, log),
     decoder: createStoredValueDecoder(),
     dialer: createMemberDialer(),
     failover: createFailoverClient(settings.failoverAddress),
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -44,6 +44,7 @@
 const versions = [
   createConfiguration(1, [['k1', 'ranch']]),
   createConfiguration(2, [['k2', 'ranch']]),
+  createConfiguration(3, [['k3', 'ranch']]),
 ];
 
 const decoder: StoredValueDecoder = {
@@ -52,6 +53,8 @@
   configuration: (value) => versions[Number(value) - 1],
   endpoint: (key) => ENDPOINTS.find(({ id }) => key === `endpoints/${id}`),
 };
+/** Time within which an acknowledged configuration must be in force on each VM. */
+const CONFIGURATION_LIMIT_MS = 3_000;
 const failover: FailoverClient = { promote: async () => 'rejected' };
 
 const waitUntil = async (condition: () => boolean, limitMs = 5_000): Promise<void> => {
@@ -214,6 +217,26 @@
     expect(openSessionAt(0, 'k1').answers).to.deep.equal(['refused unauthenticated']);
   });
 
+  describe('on a store that was restored from an older copy', () => {
+    const restored = createFixture();
+    const allApplied = (version: number) => (): boolean =>
+      restored.daemons.every((daemon) => daemon.configurationVersion() === version);
+
+    before(() => restored.startAll(['vm-1', 'vm-2', 'vm-3']));
+    after(() => restored.stopAll());
+
+    it('applies a configuration whose revision the store has given out before', async () => {
+      const copy = restored.store.copy();
+      for (let writes = 0; writes < 5; writes += 1) restored.store.put('other', String(writes));
+      restored.store.put('configuration', '2');
+      await waitUntil(allApplied(2));
+      restored.store.restore(copy);
+      restored.store.put('configuration', '2');
+      restored.store.put('configuration', '3');
+      await waitUntil(allApplied(3), CONFIGURATION_LIMIT_MS);
+    });
+  });
+
   describe('with more VMs than voter seats', () => {
     const SEATS = 7;
     const STOPPED = 3;
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -101,7 +101,7 @@
   const address = `${settings.ip}:${settings.internalPort}`;
   const { vm, dataCentre } = settings;
   const self = { vm, incarnation, address, dataCentre, isObserver: false, isSubscriber: false };
-  const documents = createDocuments(nowMs);
+  const documents = createDocuments(nowMs, log);
   const limiter = createRateLimiter(nowMs);
   const servers = new Map<string, GroupServer>();
   const retiredServers = new Set<GroupServer>();
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -22,7 +22,8 @@
   const standIn = createFakeStore();
   const clock = { ms: 10_000 };
   const nowMs = (): number => clock.ms;
-  const documents = createDocuments(nowMs);
+  const log = { info: () => undefined, warn: () => undefined };
+  const documents = createDocuments(nowMs, log);
   const state = {
     vms: [createVmView('a'), createVmView('b'), createVmView('c')],
     holdsPeerLease: false,
@@ -53,7 +54,7 @@
     store: standIn.store,
     documents,
     fleet,
-    log: { info: () => undefined, warn: () => undefined },
+    log,
     nowMs,
     wallMs: nowMs,
     primaryDataCentre: () => state.primaryDataCentre,
--- a/packages/sessions/src/standIns/createFakeStore.ts
+++ b/packages/sessions/src/standIns/createFakeStore.ts
@@ -5,15 +5,32 @@
 
 const WATCH_POLL_INTERVAL_MS = 10;
 
-/** In-memory fake of the platform's store, as a `MetadataStore`. Watches poll; leases end only by revocation. */
+interface Deletion {
+  key: string;
+  revision: number;
+  isDeleted: true;
+}
+
+interface StoreCopy {
+  revision: number;
+  items: ReadonlyMap<string, StoredItem>;
+  deletions: ReadonlyMap<string, Deletion>;
+  keysByLease: ReadonlyMap<number, ReadonlySet<string>>;
+}
+
+/**
+ * In-memory fake of the platform's store, as a `MetadataStore`. Watches poll; leases end only by revocation,
+ * and when the store is restored from a copy that was made before they were granted.
+ */
 const createFakeStore = () => {
   const items = new Map<string, StoredItem>();
-  const deletions = new Map<string, { key: string; revision: number; isDeleted: true }>();
+  const deletions = new Map<string, Deletion>();
   const keysByLease = new Map<number, Set<string>>();
   let revision = 1;
   let isDown = false;
   let callCount = 0;
   let isClosed = false;
+  let restoreCount = 0;
 
   const beginCall = async (): Promise<void> => {
     callCount += 1;
@@ -34,6 +51,8 @@
 
     override async watch(prefix: string, afterRevision: number, waitMs: number) {
       await beginCall();
+      if (afterRevision > revision) return 'compacted' as const;
+      const restoresBefore = restoreCount;
       const findChanges = () =>
         [...items.values(), ...deletions.values()].filter(
           (item) => item.key.startsWith(prefix) && item.revision > afterRevision,
@@ -41,6 +60,8 @@
       const deadlineMs = performance.now() + waitMs;
       while (findChanges().length === 0 && performance.now() < deadlineMs && !isDown && !isClosed) {
         await sleep(WATCH_POLL_INTERVAL_MS);
+        if (restoreCount !== restoresBefore)
+          throw new StoreError('notRun', 'the fake store was restored');
       }
       return { events: findChanges(), revision };
     }
@@ -63,14 +84,14 @@
 
     override async grantLease(ttlMs: number) {
       await beginCall();
-      const lease = keysByLease.size + 1;
+      const lease = Math.max(0, ...keysByLease.keys()) + 1;
       keysByLease.set(lease, new Set());
       return { lease, ttlMs };
     }
 
-    override async renewLease() {
+    override async renewLease(lease: number) {
       await beginCall();
-      return true;
+      return keysByLease.has(lease);
     }
 
     override async revokeLease(lease: number) {
@@ -80,6 +101,7 @@
         items.delete(key);
         deletions.set(key, { key, revision, isDeleted: true });
       });
+      keysByLease.delete(lease);
     }
   }
 
@@ -93,6 +115,24 @@
       items.set(key, { key, value, revision });
     },
     read: (key: string) => items.get(key),
+    /** A copy of the store's present contents, for `restore`. */
+    copy: (): StoreCopy => ({
+      revision,
+      items: new Map(items),
+      deletions: new Map(deletions),
+      keysByLease: new Map([...keysByLease].map(([lease, keys]) => [lease, new Set(keys)])),
+    }),
+    /** Replaces the contents by those of an earlier copy: later writes, leases and revisions are lost. */
+    restore: (earlier: StoreCopy): void => {
+      restoreCount += 1;
+      revision = earlier.revision;
+      items.clear();
+      deletions.clear();
+      keysByLease.clear();
+      earlier.items.forEach((item, key) => items.set(key, item));
+      earlier.deletions.forEach((deletion, key) => deletions.set(key, deletion));
+      earlier.keysByLease.forEach((keys, lease) => keysByLease.set(lease, new Set(keys)));
+    },
     countCalls: () => callCount,
     /** Ends all watches; later calls fail. */
     close: (): void => {
