--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -30,6 +30,8 @@
 export type { default as DocumentOf } from './configuration/documentOf';
 export type { default as ConfigurationEntry } from './configuration/configurationEntry';
 export type { default as ConfigurationState } from './configuration/configurationState';
+export { default as compareDocumentPositions } from './history/compareDocumentPositions';
+export type { default as DocumentPosition } from './history/documentPosition';
 export { default as createConfigurationState } from './configuration/createConfigurationState';
 export type { default as StatementRequest } from './request/statementRequest';
 export { default as statementOutcomeSchema } from './request/statementOutcomeSchema';
--- a/packages/sessions/src/daemon/createRole.ts
+++ b/packages/sessions/src/daemon/createRole.ts
@@ -121,7 +121,7 @@
     wasVoter = voters.some((voter) => voter.vm === settings.vm);
     const isRelayOverdue = nowMs() - startedAtMs > startDelayMs + RELAY_WAIT_MS;
     if (isFirstStart && voters.length > 0 && !isRelayOverdue) return;
-    const configuration = await store.get(options.configurationKey);
+    const { item: configuration } = await store.get(options.configurationKey);
     if (configuration) options.onConfiguration(configuration);
   };
 
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -3,10 +3,13 @@
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type SessionStatement from '../seams/sessionStatement';
+import StoreError from '../seams/storeError';
 import type StoredValueDecoder from '../seams/storedValueDecoder';
 import createFakeMembers from '../standIns/createFakeMembers';
 import createFakeStore from '../standIns/createFakeStore';
 import findFreePort from '../standIns/findFreePort';
+import readGroupRecord from '../fleet/readGroupRecord';
+import sleep from '../time/sleep';
 import createSessionDaemon from './createSessionDaemon';
 
 const GROUP = 'auctions';
@@ -44,7 +47,7 @@
 const versions = [
   createConfiguration(1, [['k1', 'ranch']]),
   createConfiguration(2, [['k2', 'ranch']]),
-  createConfiguration(3, [['k3', 'ranch']]),
+  ...[3, 4, 5, 6, 7].map((version) => createConfiguration(version, [['k3', 'ranch']])),
 ];
 
 const decoder: StoredValueDecoder = {
@@ -80,12 +83,17 @@
 
   const callCounts = new Map<string, number>();
   const countCallsOf = (vm: string): number => callCounts.get(vm) ?? 0;
+  /** VMs whose further calls the store rejects. */
+  const turnedAwayVms = new Set<string>();
+  const turnAway = (): Promise<never> =>
+    Promise.reject(new StoreError('notRun', 'the store turns this VM away'));
   /** The store as used by one VM, whose calls it counts. */
   const createCountedStore = (vm: string) =>
     new Proxy(store.store, {
       get: (target, name, receiver) => {
+        if (name === 'era' || name === 'onEraChange') return Reflect.get(target, name, receiver);
         callCounts.set(vm, countCallsOf(vm) + 1);
-        return Reflect.get(target, name, receiver);
+        return turnedAwayVms.has(vm) ? turnAway : Reflect.get(target, name, receiver);
       },
     });
 
@@ -162,6 +170,7 @@
     stopAll,
     openSessionAt,
     countCallsOf,
+    turnedAwayVms,
   };
 };
 
@@ -235,6 +244,81 @@
       restored.store.put('configuration', '3');
       await waitUntil(allApplied(3), CONFIGURATION_LIMIT_MS);
     });
+
+    it('serves callers through one owner all the while', async () => {
+      const { run } = restored.openSessionAt(0, 'k3');
+      restored.store.restore(restored.store.copy());
+      for (let writes = 0; writes < 30; writes += 1) {
+        expect(await run(write)).to.equal('complete idle');
+        await sleep(20);
+      }
+      expect(restored.ownerIndexes()).to.have.length(1);
+    });
+
+    it('applies changes on a VM that the store turns away when it is restored, and again', async () => {
+      const copy = restored.store.copy();
+      restored.turnedAwayVms.add('vm-1');
+      for (const version of ['4', '5']) {
+        restored.store.restore(copy);
+        restored.store.put('configuration', version);
+        await waitUntil(allApplied(Number(version)), CONFIGURATION_LIMIT_MS);
+      }
+      restored.turnedAwayVms.delete('vm-1');
+    });
+
+    it('keeps the newer configuration when the copy has an older one', async () => {
+      const copy = restored.store.copy();
+      restored.store.put('configuration', '6');
+      await waitUntil(allApplied(6), CONFIGURATION_LIMIT_MS);
+      restored.store.restore(copy);
+      await sleep(500);
+      expect(allApplied(6)()).to.equal(true);
+    });
+
+    it('tells a VM that starts on the older configuration the newer one', async () => {
+      const started = await restored.start('vm-4');
+      await waitUntil(() => started.configurationVersion() === 6, CONFIGURATION_LIMIT_MS);
+      restored.store.put('configuration', '7');
+      await waitUntil(allApplied(7), CONFIGURATION_LIMIT_MS);
+    });
+  });
+
+  describe('on a store that was restored from a copy without any record of the VMs', () => {
+    const emptied = createFixture();
+    let emptyCopy: ReturnType<typeof emptied.store.copy>;
+
+    before(async () => {
+      emptied.store.put('configuration', '1');
+      ENDPOINTS.forEach(({ id }) => emptied.store.put(`endpoints/${id}`, id));
+      emptyCopy = emptied.store.copy();
+      await emptied.startAll(['vm-1', 'vm-2', 'vm-3']);
+    });
+    after(() => emptied.stopAll());
+
+    it('keeps its owner, and records it again', async () => {
+      const [owner] = emptied.ownerIndexes();
+      emptied.store.restore(emptyCopy);
+      const readOwner = (): string | undefined =>
+        readGroupRecord(emptied.store.read(`auburngrade/groups/${GROUP}`)?.value ?? '')?.owner;
+      await waitUntil(() => readOwner() === `vm-${(owner ?? 0) + 1}`);
+      expect(emptied.ownerIndexes()).to.deep.equal([owner]);
+    });
+
+    it('registers all VMs again', async () => {
+      const isRegistered = (vm: string): boolean =>
+        emptied.store.read(`auburngrade/vms/${vm}`) !== undefined;
+      await waitUntil(() => ['vm-1', 'vm-2', 'vm-3'].every(isRegistered));
+    });
+
+    it('gives the group to no VM that started since while its owner lives', async () => {
+      const [owner] = emptied.ownerIndexes();
+      emptied.store.restore(emptyCopy);
+      await emptied.start('vm-4');
+      for (let checks = 0; checks < 100; checks += 1) {
+        expect(emptied.ownerIndexes()).to.deep.equal([owner]);
+        await sleep(30);
+      }
+    });
   });
 
   describe('with more VMs than voter seats', () => {
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -6,6 +6,8 @@
 import createRegistration from '../fleet/createRegistration';
 import createStoreWatcher from '../fleet/createStoreWatcher';
 import parseRegistration from '../fleet/parseRegistration';
+import readGroupRecord from '../fleet/readGroupRecord';
+import type KnownDocument from '../fleet/knownDocument';
 import storeKeys from '../fleet/storeKeys';
 import createGroupRouter from '../front/createGroupRouter';
 import createSession from '../front/createSession';
@@ -101,7 +103,21 @@
   const address = `${settings.ip}:${settings.internalPort}`;
   const { vm, dataCentre } = settings;
   const self = { vm, incarnation, address, dataCentre, isObserver: false, isSubscriber: false };
-  const documents = createDocuments(nowMs, log);
+  /** The last decoded text: the configuration is large, and is read for its version before it is applied. */
+  let lastDecoded: { value: string; decoded: FleetConfiguration | undefined } | undefined;
+  const decodeConfiguration = (value: string): FleetConfiguration | undefined => {
+    if (lastDecoded?.value !== value)
+      lastDecoded = { value, decoded: decoder.configuration(value) };
+    return lastDecoded.decoded;
+  };
+  const documents = createDocuments({
+    nowMs,
+    log,
+    readOrigin: (key, value) =>
+      key === decoder.configurationKey
+        ? { version: decodeConfiguration(value)?.version }
+        : { era: readGroupRecord(value)?.era },
+  });
   const limiter = createRateLimiter(nowMs);
   const servers = new Map<string, GroupServer>();
   const retiredServers = new Set<GroupServer>();
@@ -242,22 +258,22 @@
   };
   hooks.reconcile = reconcile;
 
-  const applyConfiguration = (value: string, revision: number): void => {
-    const decoded = decoder.configuration(value);
+  const applyConfiguration = ({ value, era, revision }: KnownDocument): void => {
+    const decoded = decodeConfiguration(value);
     if (!decoded) {
-      log.warn('configuration.unreadable', { revision });
+      log.warn('configuration.unreadable', { era, revision });
       return;
     }
     if (configuration && decoded.version < configuration.version) return;
     configuration = decoded;
-    log.info('configuration.applied', { version: decoded.version, revision });
+    log.info('configuration.applied', { version: decoded.version, era, revision });
     limiter.setLimits(decoded.limits);
     servers.forEach((server, group) => updateGroup(group, server));
     sessions.forEach((session) => session.closeIfAccessRevoked());
     reconcile();
   };
-  documents.onChange(({ key, value, revision }) => {
-    if (key === decoder.configurationKey) applyConfiguration(value, revision);
+  documents.onChange((document) => {
+    if (document.key === decoder.configurationKey) applyConfiguration(document);
     else reconcile();
   });
 
@@ -378,7 +394,9 @@
       incarnation,
       heard: { vms: fleet.heardVms() },
       confirmedBeat: fleet.confirmedBeat(receiver),
-      documents: documents.all().map(({ key, revision }) => ({ key, revision })),
+      documents: documents
+        .all()
+        .map(({ key, version, era, revision }) => ({ key, version, era, revision })),
       beat: heartbeatNumber,
       isSettled: fleet.isSettled(),
       acting: ownership.acting(),
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -1,4 +1,10 @@
-import { createPeerReporter, createPeerLease, type VmView } from '@auburngrade/coordination';
+import {
+  compareDocumentPositions,
+  createPeerReporter,
+  createPeerLease,
+  type DocumentPosition,
+  type VmView,
+} from '@auburngrade/coordination';
 import type {
   FleetDocument,
   Heartbeat,
@@ -62,11 +68,18 @@
   isLeaving: boolean;
   isStrained: boolean;
   isStoreReachable: boolean;
-  revisions: ReadonlyMap<string, number>;
+  /** Positions of the documents that it knows, by key. */
+  positions: ReadonlyMap<string, DocumentPosition>;
   behindSinceMs: Map<string, number>;
   pushedAtMs: Map<string, number>;
 }
 
+/** Before every position. */
+const NO_POSITION: DocumentPosition = { version: 0, era: 0, revision: 0 };
+
+const hasAtLeast = ({ positions }: Peer, key: string, position: DocumentPosition): boolean =>
+  compareDocumentPositions(positions.get(key) ?? NO_POSITION, position) >= 0;
+
 /**
  * Tracks the other VMs: their registrations, links and heartbeats. A VM is "heard" while its last
  * heartbeat is recent enough, and "silent" after that.
@@ -100,10 +113,10 @@
 
   /** Pushes the documents that the peer has lacked for at least `PUSH_AFTER_MS`. */
   const pushMissingDocuments = (peer: Peer): void => {
-    const { revisions } = peer;
     const now = nowMs();
-    documents.all().forEach(({ key, revision, value }) => {
-      if ((revisions.get(key) ?? 0) >= revision) {
+    documents.all().forEach((document) => {
+      const { key, value, version, era, revision } = document;
+      if (hasAtLeast(peer, key, document)) {
         peer.behindSinceMs.delete(key);
         return;
       }
@@ -112,8 +125,9 @@
       const isDue = now - (peer.pushedAtMs.get(key) ?? Number.NEGATIVE_INFINITY) > PUSH_INTERVAL_MS;
       if (now - sinceMs < PUSH_AFTER_MS || !isDue) return;
       peer.pushedAtMs.set(key, now);
-      log.info('document.pushed', { key, revision, theirs: revisions.get(key) ?? 0 });
-      peer.link.sendDocument({ key, revision, value });
+      const theirs = peer.positions.get(key);
+      log.info('document.pushed', { key, version, era, revision, theirs });
+      peer.link.sendDocument({ key, value, era, revision });
     });
   };
 
@@ -140,7 +154,7 @@
     peer.isStoreReachable = heartbeat.isStoreReachable;
     peerLease.recordConfirmation(vm, heartbeat.confirmedBeat);
     options.onRateUsage(vm, heartbeat.incarnation, heartbeat.spending);
-    peer.revisions = new Map(heartbeat.documents.map(({ key, revision }) => [key, revision]));
+    peer.positions = new Map(heartbeat.documents.map((position) => [position.key, position]));
     pushMissingDocuments(peer);
     if (!wasHeard || isNewProcess || hasBegunLeaving || isActingForMore || hasLostPeer)
       options.onChange();
@@ -189,7 +203,7 @@
       isLeaving: false,
       isStrained: false,
       isStoreReachable: false,
-      revisions: new Map(),
+      positions: new Map(),
       behindSinceMs: new Map(),
       pushedAtMs: new Map(),
     });
@@ -303,20 +317,20 @@
     /** Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. */
     holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
       peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
-    /** Whether any peer reported a newer revision of the document than the one known here. */
+    /** Whether any peer reported a newer state of the document than the one known here. */
     isNewerKnownElsewhere: (key: string): boolean => {
-      const own = documents.get(key)?.revision ?? 0;
-      return [...peers.values()].some(({ revisions }) => (revisions.get(key) ?? 0) > own);
-    },
-    /** Whether at least half of the peers, a majority with this VM, reported this or a newer revision. */
-    isKnownByMajority: (key: string, revision: number): boolean => {
-      const peersKnowing = [...peers.values()].filter(
-        ({ revisions }) => (revisions.get(key) ?? 0) >= revision,
+      const own = documents.get(key) ?? NO_POSITION;
+      return [...peers.values()].some(
+        ({ positions }) => compareDocumentPositions(positions.get(key) ?? NO_POSITION, own) > 0,
       );
+    },
+    /** Whether at least half of the peers, a majority with this VM, reported this or a newer state. */
+    isKnownByMajority: (key: string, position: DocumentPosition): boolean => {
+      const peersKnowing = [...peers.values()].filter((peer) => hasAtLeast(peer, key, position));
       return peersKnowing.length * 2 >= peers.size;
     },
     /** Sends a document to all peers without waiting for them to lack it. */
-    publish: (document: { key: string; revision: number; value: string }): void =>
+    publish: (document: FleetDocument): void =>
       peers.forEach(({ link }) => link.sendDocument(document)),
     startLeaving: (): void => {
       isLeaving = true;
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -4,6 +4,7 @@
 import createDocuments from './createDocuments';
 import createOwnership from './createOwnership';
 import type Fleet from './fleet';
+import readGroupRecord from './readGroupRecord';
 
 const createVmView = (vm: string, changes: Partial<VmView> = {}): VmView => ({
   vm,
@@ -23,12 +24,17 @@
   const clock = { ms: 10_000 };
   const nowMs = (): number => clock.ms;
   const log = { info: () => undefined, warn: () => undefined };
-  const documents = createDocuments(nowMs, log);
+  const documents = createDocuments({
+    nowMs,
+    log,
+    readOrigin: (_key, value) => ({ era: readGroupRecord(value)?.era }),
+  });
   const state = {
     vms: [createVmView('a'), createVmView('b'), createVmView('c')],
     holdsPeerLease: false,
     isNewerKnownElsewhere: false,
     isKnownByMajority: true,
+    isSettled: true,
     isLeaving: false,
     actingVm: undefined as string | undefined,
     isStoreViewCurrent: true,
@@ -42,6 +48,7 @@
     holdsPeerLease: () => state.holdsPeerLease,
     isNewerKnownElsewhere: () => state.isNewerKnownElsewhere,
     isKnownByMajority: () => state.isKnownByMajority,
+    isSettled: () => state.isSettled,
     isLeaving: () => state.isLeaving,
     isStrained: () => state.isStrained,
     findActingVm: () => state.actingVm,
@@ -65,10 +72,14 @@
       setTimeout(resolve, 5);
     });
   const own = async (group: string): Promise<void> => {
+    const { holdsPeerLease } = state;
+    // A VM without peers holds the peer lease.
     state.vms = [createVmView('a')];
+    state.holdsPeerLease = true;
     ownership.markRecordsListed();
     ownership.reconcile([group]);
     await waitForStore();
+    state.holdsPeerLease = holdsPeerLease;
   };
   const record = (owner: string, changes = {}): string =>
     JSON.stringify({
@@ -108,6 +119,7 @@
     it('claims it once the records of the store are listed', async () => {
       const { ownership, state, waitForStore } = fixture;
       state.vms = [createVmView('a')];
+      state.holdsPeerLease = true;
       ownership.reconcile(['lots']);
       await waitForStore();
       expect(ownership.isOwnedHere('lots')).to.equal(false);
@@ -128,6 +140,133 @@
     });
   });
 
+  describe('on a store that was restored from an older copy', () => {
+    const GROUP_KEY = 'auburngrade/groups/lots';
+    const readRecord = () => readGroupRecord(fixture.read(GROUP_KEY)?.value ?? '');
+
+    /** A copy with a record of `a`, made before the group passed to `ownerAfter`. */
+    const ownAndLose = async (ownerAfter?: string): Promise<void> => {
+      await fixture.own('lots');
+      const copy = fixture.copy();
+      if (ownerAfter === undefined) {
+        await fixture.ownership.recordPrimary('lots', { primary: 'r', term: 4, fence: 7 });
+      } else {
+        fixture.storeAndCacheRecord('lots', fixture.record(ownerAfter, { era: 1, fence: 7 }));
+      }
+      fixture.restore(copy);
+    };
+
+    beforeEach(() => {
+      fixture.state.vms = [createVmView('a'), createVmView('b'), createVmView('c')];
+    });
+
+    it('does not believe a restored record that names it as the owner again', async () => {
+      const { ownership, clock } = fixture;
+      await ownAndLose('b');
+      clock.ms += 5_000;
+      await ownership.refreshRecords();
+      expect(ownership.isOwnedHere('lots')).to.equal(false);
+      expect(ownership.isAuthoritative('lots')).to.equal(false);
+    });
+
+    it('takes no confirmation from a restored record: a newer one may be lost', async () => {
+      const { ownership, clock, copy, restore } = fixture;
+      await fixture.own('lots');
+      restore(copy());
+      clock.ms += 5_000;
+      await ownership.refreshRecords();
+      expect(ownership.isOwnedHere('lots')).to.equal(true);
+      expect(ownership.isAuthoritative('lots')).to.equal(false);
+    });
+
+    it('writes the fence and the term of its record again that the store lost', async () => {
+      const { ownership, state, waitForStore } = fixture;
+      state.holdsPeerLease = true;
+      await ownAndLose();
+      expect(readRecord()).to.deep.include({ fence: 0, era: 1 });
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(readRecord()).to.deep.include({ owner: 'a', primary: 'r', fence: 7, term: 4, era: 2 });
+    });
+
+    it('writes its record again that the copy lacks', async () => {
+      const { ownership, state, waitForStore, copy, restore } = fixture;
+      const empty = copy();
+      await fixture.own('lots');
+      state.holdsPeerLease = true;
+      restore(empty);
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(readRecord()).to.deep.include({ owner: 'a', era: 2 });
+    });
+
+    it('writes no record while another VM reports a newer one, or without the peer lease', async () => {
+      const { ownership, state, waitForStore } = fixture;
+      state.holdsPeerLease = true;
+      await ownAndLose();
+      state.isNewerKnownElsewhere = true;
+      ownership.reconcile(['lots']);
+      state.isNewerKnownElsewhere = false;
+      state.holdsPeerLease = false;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(readRecord()).to.deep.include({ fence: 0, era: 1 });
+      state.holdsPeerLease = true;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(readRecord()).to.deep.include({ fence: 7, era: 2 });
+    });
+
+    it('writes it once for each time that the store is restored', async () => {
+      const { ownership, state, waitForStore, copy, restore } = fixture;
+      state.holdsPeerLease = true;
+      await ownAndLose();
+      const copies = [copy(), copy()];
+      for (const era of [2, 3, 4]) {
+        ownership.reconcile(['lots']);
+        await waitForStore();
+        expect(readRecord()).to.deep.include({ fence: 7, era });
+        const { revision } = fixture.read(GROUP_KEY) ?? {};
+        ownership.reconcile(['lots']);
+        await waitForStore();
+        expect(fixture.read(GROUP_KEY)?.revision).to.equal(revision);
+        const next = copies.pop();
+        if (next) restore(next);
+      }
+    });
+
+    it('goes on acting for a lost owner until it may write a record in the new era', async () => {
+      const { ownership, state, waitForStore } = fixture;
+      await ownAndLose('b');
+      state.holdsPeerLease = true;
+      state.vms = [createVmView('a'), createVmView('b', { incarnation: 'b-2', isLeaving: true })];
+      fixture.clock.ms += 1_000;
+      state.isStoreViewCurrent = false;
+      ownership.reconcile(['lots']);
+      expect(ownership.acting()).to.deep.equal(['lots']);
+      state.isStoreViewCurrent = true;
+      state.isSettled = false;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(ownership.acting()).to.deep.equal(['lots']);
+      state.isSettled = true;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect([ownership.acting(), ownership.isOwnedHere('lots')]).to.deep.equal([[], true]);
+    });
+
+    it('claims the group of a lost owner whose record the copy lacks', async () => {
+      const { ownership, state, waitForStore } = fixture;
+      await ownAndLose('b');
+      state.holdsPeerLease = true;
+      state.vms = [createVmView('a'), createVmView('b', { incarnation: 'b-2', isLeaving: true })];
+      fixture.clock.ms += 1_000;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(readRecord()).to.deep.include({ owner: 'a', fence: 7, era: 2 });
+    });
+  });
+
   describe('for a group that it owns', () => {
     it('is authoritative for a limited time after it read or wrote the record', async () => {
       const { ownership, own, clock } = fixture;
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,12 +1,16 @@
 import {
   chooseOwner,
   countGroupsByDataCentre,
+  compareDocumentPositions,
   hasLostOwner,
+  type DocumentPosition,
   type VmView,
 } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
+import type StorePosition from '../seams/storePosition';
+import type StoredItem from '../seams/storedItem';
 import type Documents from './documents';
 import type Fleet from './fleet';
 import readGroupRecord from './readGroupRecord';
@@ -61,8 +65,11 @@
   const actingSinceHeartbeat = new Map<string, number>();
   /** When each group's record was last read from or written to the store. */
   const recordConfirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
-  /** Groups that this VM handed over, with the revision of the new record and when its write began. */
-  const handovers = new Map<string, { revision: number; steadyMs: number; wallMs: number }>();
+  /** Groups that this VM handed over, with the position of the new record and when its write began. */
+  const handovers = new Map<
+    string,
+    { position: DocumentPosition; steadyMs: number; wallMs: number }
+  >();
   let hasListedRecords = false;
   let lastRebalancedAtMs = Number.NEGATIVE_INFINITY;
   /** Since when each owned group should belong to another data centre. */
@@ -105,9 +112,11 @@
   /** Whether this VM handed the group over so recently that the new owner may not replace the primary yet. */
   const isInHandoverGrace = (group: string): boolean => {
     const at = handovers.get(group);
+    const known = documents.get(toGroupKey(group));
     return (
       at !== undefined &&
-      documents.get(toGroupKey(group))?.revision === at.revision &&
+      known !== undefined &&
+      compareDocumentPositions(known, at.position) === 0 &&
       elapsedMs(at) < HANDOVER_GRACE_MS
     );
   };
@@ -123,28 +132,70 @@
         (actingSinceHeartbeat.has(group) &&
           isConfirmedByPeers(group, actingSinceHeartbeat.get(group)));
 
+  const isWrittenInEra = ({ value }: StoredItem, era: number): boolean =>
+    (readGroupRecord(value)?.era ?? era) === era;
+
+  /**
+   * Whether this VM may write the first record of the group in the store's era. The store may have lost newer
+   * records of an earlier era: a majority of the VMs knows those that mattered, so one of them tells.
+   */
+  const mayStartEra = (group: string): boolean => fleet.isSettled() && isConfirmedByPeers(group);
+  const isRecordInCurrentEra = (group: string): boolean =>
+    documents.get(toGroupKey(group))?.era === store.era();
+  const mayWriteRecord = (group: string): boolean =>
+    isRecordInCurrentEra(group) || mayStartEra(group);
+
+  /**
+   * The position that the store's record must have when it is written next; undefined if the store has a newer
+   * record than this VM, or if this VM may not write it.
+   */
+  const findExpectedPosition = async (group: string): Promise<StorePosition | undefined> => {
+    const key = toGroupKey(group);
+    const known = documents.get(key);
+    if (known && isRecordInCurrentEra(group)) return known;
+    if (!mayStartEra(group)) {
+      log.info('group.recordUnconfirmed', { group, knownEra: known?.era, era: store.era() });
+      return undefined;
+    }
+    const { item, era } = await store.get(key);
+    if (item && documents.putIfNewer(item)) return undefined;
+    return { era, revision: item?.revision ?? 0 };
+  };
+
   /** Writes the record unless the store has a newer one; returns whether it did. Throws if the store fails. */
   const writeRecord = async (group: string, next: GroupRecord): Promise<boolean> => {
     const key = toGroupKey(group);
-    const value = JSON.stringify(next);
-    const expected = documents.get(key)?.revision ?? 0;
     const at = readClocks();
+    const expected = await findExpectedPosition(group);
+    if (!expected) return false;
+    const { era, revision } = expected;
+    const value = JSON.stringify({ ...next, era });
     const outcome = await store.commit({
-      expected: [{ key, revision: expected }],
+      era,
+      expected: [{ key, revision }],
       puts: [{ key, value }],
     });
     if (outcome.kind === 'committed') {
-      const document = { key, revision: outcome.revision, value };
+      const document = { key, era, revision: outcome.revision, value };
       documents.putIfNewer(document);
       fleet.publish(document);
       recordConfirmedAt.set(group, at);
       return true;
     }
-    const item = await store.get(key);
+    const { item } = await store.get(key);
     if (item) documents.putIfNewer(item);
     return false;
   };
 
+  /** Writes the known record of an owned group again if it stems from an earlier era of the store. */
+  const renewRecord = async (group: string): Promise<void> => {
+    const record = getRecord(group);
+    if (!record) return;
+    const isWritten = await writeRecord(group, record);
+    const { fence, term } = record;
+    log.info('group.recordRenewed', { group, era: store.era(), fence, term, outcome: isWritten });
+  };
+
   const startActing = (group: string): void => {
     if (actingSinceHeartbeat.has(group) || isOwnedHere(group)) return;
     const record = getRecord(group);
@@ -196,8 +247,8 @@
     const next = { ...record, owner: successorView.vm, incarnation, isHandedOver: true };
     const at = readClocks();
     const isWritten = await writeRecord(group, next);
-    const revision = documents.get(toGroupKey(group))?.revision;
-    if (isWritten && revision !== undefined) handovers.set(group, { revision, ...at });
+    const position = documents.get(toGroupKey(group));
+    if (isWritten && position !== undefined) handovers.set(group, { position, ...at });
     log.info('group.handedOver', { group, successor, outcome: isWritten });
   };
 
@@ -315,15 +366,22 @@
       const record = getRecord(group);
       if (!record || !isOwnedHere(group)) return false;
       if (!(await writeRecord(group, { ...record, ...next }))) return false;
-      const revision = documents.get(toGroupKey(group))?.revision ?? 0;
+      const written = documents.get(toGroupKey(group));
+      if (!written) return false;
       const deadlineMs = nowMs() + MAJORITY_TIMEOUT_MS;
-      while (!fleet.isKnownByMajority(toGroupKey(group), revision) && nowMs() < deadlineMs) {
+      while (!fleet.isKnownByMajority(toGroupKey(group), written) && nowMs() < deadlineMs) {
         await new Promise((resolve) => {
           setTimeout(resolve, MAJORITY_POLL_MS);
         });
       }
-      const isMajorityInformed = fleet.isKnownByMajority(toGroupKey(group), revision);
-      if (!isMajorityInformed) log.warn('primary.recordNotSpread', { group, revision });
+      const isMajorityInformed = fleet.isKnownByMajority(toGroupKey(group), written);
+      if (!isMajorityInformed) {
+        log.warn('primary.recordNotSpread', {
+          group,
+          era: written.era,
+          revision: written.revision,
+        });
+      }
       return isMajorityInformed && isOwnedHere(group) && isConfirmedByPeers(group);
     },
     /** Call once all records are loaded from the store: from then on a group without one has no owner. */
@@ -337,10 +395,9 @@
         .filter((group) => !ownedGroups.has(group))
         .forEach((group) => majorityKnowsSinceMs.delete(group));
       ownedGroups.forEach((group) => {
-        const { key, revision } = documents.get(toGroupKey(group)) ?? { key: '', revision: 0 };
-        if (!majorityKnowsSinceMs.has(group) && fleet.isKnownByMajority(key, revision)) {
-          majorityKnowsSinceMs.set(group, nowMs());
-        }
+        const known = documents.get(toGroupKey(group));
+        if (!known || majorityKnowsSinceMs.has(group)) return;
+        if (fleet.isKnownByMajority(known.key, known)) majorityKnowsSinceMs.set(group, nowMs());
       });
       const groups = [...groupNames].sort();
       actingSinceHeartbeat.forEach((_heartbeatNumber, group) => {
@@ -376,21 +433,29 @@
         if (owner === undefined) return;
         counts.set(owner, (counts.get(owner) ?? 0) + 1);
         if (owner !== self.vm || groupsBeingRecorded.has(group)) return;
-        if (!options.isStoreViewCurrent()) startActing(group);
         // Claims need an up-to-date list from the store: without it the number of VMs is unknown.
-        if (options.isStoreViewCurrent()) {
+        if (options.isStoreViewCurrent() && mayWriteRecord(group)) {
           runRecordChange(group, claimGroup(group, getRecord(group)), 'group.claimFailed');
-        }
+        } else startActing(group);
       });
+      groups
+        .filter((group) => isOwnedHere(group) && !groupsBeingRecorded.has(group))
+        .filter((group) => getRecord(group)?.era !== store.era())
+        .filter((group) => options.isStoreViewCurrent() && mayStartEra(group))
+        .forEach((group) =>
+          runRecordChange(group, renewRecord(group), 'group.recordRenewalFailed'),
+        );
       if (unownedGroups.length === 0) rebalance(groups);
     },
     /** Reads all records again: while they name this VM, no other VM can have replaced a primary. */
     refreshRecords: async (): Promise<void> => {
       const at = readClocks();
-      const { items } = await store.list(storeKeys.groupPrefix);
+      const { items, era } = await store.list(storeKeys.groupPrefix);
       items.forEach((item) => {
         documents.putIfNewer(item);
-        recordConfirmedAt.set(item.key.slice(storeKeys.groupPrefix.length), at);
+        // A record from before the store was restored confirms nothing: a newer one may be lost.
+        if (isWrittenInEra(item, era))
+          recordConfirmedAt.set(item.key.slice(storeKeys.groupPrefix.length), at);
       });
     },
     handOver,
--- a/packages/sessions/src/fleet/createRegistration.ts
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -1,5 +1,7 @@
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
+import type StoreLease from '../seams/storeLease';
+import type StorePosition from '../seams/storePosition';
 import storeKeys from './storeKeys';
 import type VmRegistration from './vmRegistration';
 
@@ -20,10 +22,9 @@
   random(): number;
 }
 
-interface Seat {
+/** A seat's key and its expected position; revision 0 if the key must not exist. */
+interface Seat extends StorePosition {
   key: string;
-  /** Expected revision of the key; 0 if it must not exist. */
-  revision: number;
 }
 
 /**
@@ -34,7 +35,7 @@
   const { store, vm, registration, ttlMs, log } = options;
   const seatPrefix = `${storeKeys.seatPrefix}${registration.dataCentre}/`;
   const vmKey = storeKeys.vmPrefix + vm;
-  let lease: number | undefined;
+  let lease: StoreLease | undefined;
   let registering: Promise<boolean> | undefined;
   let isClosed = false;
   let isStoreAnswering = true;
@@ -42,7 +43,7 @@
 
   /** The seat that this VM held before, or else any vacant one. */
   const findSeat = async (): Promise<Seat | undefined> => {
-    const { items } = await store.list(seatPrefix);
+    const { items, era } = await store.list(seatPrefix);
     const ownSeat = items.find(({ value }) => value === vm);
     if (ownSeat) return ownSeat;
     const taken = new Set(items.map(({ key }) => key));
@@ -51,28 +52,33 @@
       (_, index) => `${seatPrefix}${index}`,
     ).filter((key) => !taken.has(key));
     const key = vacant[Math.floor(options.random() * vacant.length)];
-    return key === undefined ? undefined : { key, revision: 0 };
+    return key === undefined ? undefined : { key, revision: 0, era };
   };
 
   /** Registers with a seat. A VM that others count as a voter already may do without one. */
   const takeSeat = async (isSeatRequired: boolean): Promise<boolean> => {
-    const [seat, existing] = await Promise.all([findSeat(), store.get(vmKey)]);
+    const [seat, { item: existing, era }] = await Promise.all([findSeat(), store.get(vmKey)]);
     if (!seat && isSeatRequired) return false;
     const granted = await store.grantLease(ttlMs);
     const outcome = await store.commit({
-      expected: [{ key: vmKey, revision: existing?.revision ?? 0 }, ...(seat ? [seat] : [])],
+      // If the era rose between the reads, the commit conflicts.
+      era: Math.min(era, seat?.era ?? era),
+      expected: [
+        { key: vmKey, revision: existing?.revision ?? 0 },
+        ...(seat ? [{ key: seat.key, revision: seat.revision }] : []),
+      ],
       puts: [
-        { key: vmKey, value: JSON.stringify(registration), lease: granted.lease },
-        ...(seat ? [{ key: seat.key, value: vm, lease: granted.lease }] : []),
+        { key: vmKey, value: JSON.stringify(registration), lease: granted.id },
+        ...(seat ? [{ key: seat.key, value: vm, lease: granted.id }] : []),
       ],
     });
     if (outcome.kind === 'committed') {
-      lease = granted.lease;
-      log.info('vm.registered', { lease, ttlMs: granted.ttlMs, seat: seat?.key });
+      lease = granted;
+      log.info('vm.registered', { lease, seat: seat?.key });
       return true;
     }
     log.info('vm.seatLost', { seat: seat?.key, outcome: outcome.kind });
-    await store.revokeLease(granted.lease);
+    await store.revokeLease(granted);
     return false;
   };
 
--- a/packages/sessions/src/fleet/createStoreWatcher.spec.ts
+++ b/packages/sessions/src/fleet/createStoreWatcher.spec.ts
@@ -45,4 +45,18 @@
       expect(store.countCalls() - before).to.be.below(9);
     });
   });
+
+  describe('after the store was restored from an older copy', () => {
+    it('delivers a change whose revision the store has given out before', async () => {
+      await sleep(250);
+      const copy = store.copy();
+      store.put('documents/1', 'lost');
+      await sleep(260);
+      store.restore(copy);
+      store.put('documents/1', 'written after');
+      store.put('other', '');
+      await sleep(60);
+      expect(seen.slice(-2)).to.deep.equal(['lost', 'written after']);
+    });
+  });
 });
--- a/packages/sessions/src/fleet/createStoreWatcher.ts
+++ b/packages/sessions/src/fleet/createStoreWatcher.ts
@@ -1,5 +1,6 @@
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
+import type StorePosition from '../seams/storePosition';
 import type StoredItem from '../seams/storedItem';
 import sleep from '../time/sleep';
 
@@ -17,7 +18,10 @@
   /** Time limit of one watch call; a watch that silently misses changes is replaced after this time. */
   waitMs(): number;
   log: EventLog;
-  /** Receives all items under the prefix: once at start, and again after the store compacted its history. */
+  /**
+   * Receives all items under the prefix: once at start, and again after the store compacted its history or
+   * came back from a copy.
+   */
   onList(items: StoredItem[]): void;
   onEvents(events: WatchAnswer['events']): void;
 }
@@ -25,28 +29,33 @@
 /** Mirrors all items under a prefix of the store: lists them once, then watches from that revision on. */
 const createStoreWatcher = (options: StoreWatcherOptions) => {
   const { store, prefix, log } = options;
-  let revision: number | undefined;
+  let position: StorePosition | undefined;
   let retryDelayMs = INITIAL_RETRY_DELAY_MS;
   let isReachable = true;
   let isClosed = false;
 
   const listOrWatch = async (): Promise<void> => {
-    if (revision === undefined) {
-      const listed = await store.list(prefix);
-      options.onList(listed.items);
-      revision = listed.revision;
+    if (position === undefined) {
+      const { items, era, revision } = await store.list(prefix);
+      log.info('store.listed', { prefix, era, revision, items: items.length });
+      options.onList(items);
+      position = { era, revision };
       return;
     }
-    const answer = await store.watch(prefix, revision, options.waitMs());
+    const answer = await store.watch(prefix, position, options.waitMs());
     if (answer === 'compacted') {
-      log.info('store.compacted', { prefix, revision });
-      revision = undefined;
+      log.info('store.compacted', { prefix, ...position });
+      position = undefined;
       return;
     }
     if (answer.events.length === 0) return;
     options.onEvents(answer.events);
     // Only received events advance the revision: an empty answer may come from a watch that missed a change.
-    revision = Math.max(revision, ...answer.events.map((event) => event.revision));
+    const { era, revision } = position;
+    position = {
+      era,
+      revision: Math.max(revision, ...answer.events.map((event) => event.revision)),
+    };
     await sleep(EVENT_BATCH_DELAY_MS);
   };
 
@@ -54,11 +63,11 @@
     while (!isClosed) {
       try {
         await listOrWatch();
-        if (!isReachable) log.info('store.regained', { prefix, revision });
+        if (!isReachable) log.info('store.regained', { prefix, ...position });
         isReachable = true;
         retryDelayMs = INITIAL_RETRY_DELAY_MS;
       } catch (error) {
-        if (isReachable) log.warn('store.lost', { prefix, revision, reason: String(error) });
+        if (isReachable) log.warn('store.lost', { prefix, ...position, reason: String(error) });
         isReachable = false;
         await sleep(retryDelayMs);
         retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
@@ -68,7 +77,7 @@
   runWatchLoop();
 
   return {
-    isReachable: () => isReachable && revision !== undefined,
+    isReachable: () => isReachable && position !== undefined,
     close: (): void => {
       isClosed = true;
     },
--- a/packages/sessions/src/fleet/knownDocument.ts
+++ b/packages/sessions/src/fleet/knownDocument.ts
@@ -1,7 +1,8 @@
-/** A document of the metadata store that every VM keeps a copy of; the highest revision is current. */
-interface KnownDocument {
+import type { DocumentPosition } from '@auburngrade/coordination';
+
+/** A document of the metadata store that every VM keeps a copy of; the highest position is current. */
+interface KnownDocument extends DocumentPosition {
   key: string;
-  revision: number;
   value: string;
 }
 
--- a/packages/sessions/src/fleet/readGroupRecord.ts
+++ b/packages/sessions/src/fleet/readGroupRecord.ts
@@ -10,10 +10,19 @@
 const readGroupRecord = (value: string): GroupRecord | undefined => {
   try {
     const record = JSON.parse(value) as Record<string, unknown>;
-    const { owner, incarnation, primary = '', term = 0, fence = 0, isHandedOver } = record;
+    const { owner, incarnation, primary = '', term = 0, fence = 0, isHandedOver, era } = record;
     if (typeof owner !== 'string' || typeof incarnation !== 'string') return undefined;
     if (typeof primary !== 'string' || !isCount(term) || !isCount(fence)) return undefined;
-    return { owner, incarnation, primary, term, fence, isHandedOver: isHandedOver === true };
+    if (era !== undefined && !isCount(era)) return undefined;
+    const common = {
+      owner,
+      incarnation,
+      primary,
+      term,
+      fence,
+      isHandedOver: isHandedOver === true,
+    };
+    return era === undefined ? common : { ...common, era };
   } catch {
     return undefined;
   }
--- a/packages/sessions/src/group/groupRecord.ts
+++ b/packages/sessions/src/group/groupRecord.ts
@@ -11,6 +11,8 @@
   fence: number;
   /** Whether the previous owner has stopped for certain, so the primary may be replaced at once. */
   isHandedOver: boolean;
+  /** Era of the store in which it was written; absent in records of earlier versions. */
+  era?: number;
 }
 
 export default GroupRecord;
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -3,6 +3,8 @@
 export type { default as CallerSession } from './seams/callerSession';
 export type { default as DatabaseRoute } from './seams/databaseRoute';
 export type { default as EventLog } from './seams/eventLog';
+export type { default as StoreLease } from './seams/storeLease';
+export type { default as StorePosition } from './seams/storePosition';
 export { default as FailoverClient } from './seams/failoverClient';
 export type { default as FleetConfiguration } from './seams/fleetConfiguration';
 export type { default as GroupEndpoint } from './seams/groupEndpoint';
--- a/packages/sessions/src/link/createHeartbeatDecoder.ts
+++ b/packages/sessions/src/link/createHeartbeatDecoder.ts
@@ -2,7 +2,7 @@
 
 /** Restores the fields that `createHeartbeatEncoder` left out. Each stream needs its own decoder. */
 const createHeartbeatDecoder = () => {
-  const revisions = new Map<string, number>();
+  const positions = new Map<string, Heartbeat['documents'][number]>();
   let vm = '';
   let incarnation = '';
   let heard: Heartbeat['heard'];
@@ -11,8 +11,8 @@
     vm = heartbeat.vm || vm;
     incarnation = heartbeat.incarnation || incarnation;
     heard = heartbeat.heard ?? heard;
-    heartbeat.documents.forEach(({ key, revision }) => revisions.set(key, revision));
-    const documents = [...revisions].map(([key, revision]) => ({ key, revision }));
+    heartbeat.documents.forEach((document) => positions.set(document.key, document));
+    const documents = [...positions.values()];
     return { ...heartbeat, vm, incarnation, heard, documents };
   };
 };
--- a/packages/sessions/src/link/createHeartbeatEncoder.ts
+++ b/packages/sessions/src/link/createHeartbeatEncoder.ts
@@ -1,11 +1,14 @@
 import type { Heartbeat } from '../generated/auburngrade/session/v1/session';
 
+const describePosition = ({ version, era, revision }: Heartbeat['documents'][number]): string =>
+  `${version}/${era}/${revision}`;
+
 /**
  * Omits what is unchanged since the previous heartbeat on the stream: most of a heartbeat stays the same for
  * minutes, and every VM sends one to every other. Safe, since a stream is ordered and lossless until it ends.
  */
 const createHeartbeatEncoder = () => {
-  const revisions = new Map<string, number>();
+  const positions = new Map<string, string>();
   let previousHeard: string | undefined;
 
   return (heartbeat: Heartbeat): Heartbeat => {
@@ -14,9 +17,9 @@
     const isHeardUnchanged = previousHeard === heardNow;
     previousHeard = heardNow;
     const documents = heartbeat.documents.filter(
-      ({ key, revision }) => revisions.get(key) !== revision,
+      (document) => positions.get(document.key) !== describePosition(document),
     );
-    documents.forEach(({ key, revision }) => revisions.set(key, revision));
+    documents.forEach((document) => positions.set(document.key, describePosition(document)));
     return {
       ...heartbeat,
       vm: isFirst ? heartbeat.vm : '',
--- a/packages/sessions/src/link/heartbeatCodec.spec.ts
+++ b/packages/sessions/src/link/heartbeatCodec.spec.ts
@@ -12,6 +12,8 @@
   confirmedBeat: 1_764_850_000_001,
   documents: ['configuration', 'groups/bales', 'groups/bids', 'groups/lots'].map((key) => ({
     key: `auburngrade/${key}`,
+    version: 0,
+    era: 1,
     revision: 41,
   })),
   spending: [],
@@ -43,17 +45,28 @@
       createHeartbeat({ beat: 2 }),
       createHeartbeat({ beat: 3, heard: { vms: VMS.slice(1) } }),
       createHeartbeat({ beat: 4, heard: { vms: [] }, confirmedBeat: 0 }),
-      createHeartbeat({ beat: 5, documents: [{ key: 'auburngrade/groups/bids', revision: 50 }] }),
+      createHeartbeat({
+        beat: 5,
+        documents: [{ key: 'auburngrade/groups/bids', version: 0, era: 1, revision: 50 }],
+      }),
     ];
     const { received } = transfer(sent);
     expect(received.slice(0, 4)).to.deep.equal(sent.slice(0, 4));
     expect(received[4]?.documents).to.deep.include({
       key: 'auburngrade/groups/bids',
+      version: 0,
+      era: 1,
       revision: 50,
     });
     expect(received[4]?.documents).to.have.length(4);
   });
 
+  it('report a document whose revision is given out again in another era of the store', () => {
+    const documents = [{ key: 'auburngrade/groups/bids', version: 0, era: 2, revision: 41 }];
+    const { received } = transfer([createHeartbeat(), createHeartbeat({ beat: 2, documents })]);
+    expect(received[1]?.documents).to.deep.include(documents[0]);
+  });
+
   it('send an unchanged heartbeat in less than a quarter of the bytes of the first one', () => {
     const [first = 0, second = 0] = transfer([
       createHeartbeat(),
--- a/packages/sessions/src/link/peerLink.ts
+++ b/packages/sessions/src/link/peerLink.ts
@@ -1,4 +1,8 @@
-import type { CallResult, GroupCall } from '../generated/auburngrade/session/v1/session';
+import type {
+  CallResult,
+  FleetDocument,
+  GroupCall,
+} from '../generated/auburngrade/session/v1/session';
 
 /** A stream to another VM that carries group calls and documents, and reopens itself when it breaks. */
 interface PeerLink {
@@ -9,7 +13,7 @@
   call(call: GroupCall, values: ReadonlyMap<string, string>): Promise<CallResult>;
   endTransaction(transaction: number): void;
   endSession(session: number): void;
-  sendDocument(document: { key: string; revision: number; value: string }): void;
+  sendDocument(document: FleetDocument): void;
   close(): void;
 }
 
--- a/packages/sessions/src/standIns/createFakeStore.ts
+++ b/packages/sessions/src/standIns/createFakeStore.ts
@@ -1,5 +1,7 @@
 import MetadataStore from '../seams/metadataStore';
 import StoreError from '../seams/storeError';
+import type StoreLease from '../seams/storeLease';
+import type StorePosition from '../seams/storePosition';
 import type StoredItem from '../seams/storedItem';
 import sleep from '../time/sleep';
 
@@ -30,7 +32,8 @@
   let isDown = false;
   let callCount = 0;
   let isClosed = false;
-  let restoreCount = 0;
+  let era = 1;
+  const eraListeners: (() => void)[] = [];
 
   const beginCall = async (): Promise<void> => {
     callCount += 1;
@@ -39,34 +42,46 @@
   };
 
   class FakeStore extends MetadataStore {
+    override era() {
+      return era;
+    }
+
+    override onEraChange(listener: () => void) {
+      eraListeners.push(listener);
+    }
+
     override async get(key: string) {
       await beginCall();
-      return items.get(key);
+      const item = items.get(key);
+      return { item: item && { ...item, era }, era };
     }
 
     override async list(prefix: string) {
       await beginCall();
-      return { items: [...items.values()].filter(({ key }) => key.startsWith(prefix)), revision };
+      const listed = [...items.values()].filter(({ key }) => key.startsWith(prefix));
+      return { items: listed.map((item) => ({ ...item, era })), era, revision };
     }
 
-    override async watch(prefix: string, afterRevision: number, waitMs: number) {
+    override async watch(prefix: string, after: StorePosition, waitMs: number) {
       await beginCall();
-      if (afterRevision > revision) return 'compacted' as const;
-      const restoresBefore = restoreCount;
+      if (after.era !== era) return 'compacted' as const;
       const findChanges = () =>
         [...items.values(), ...deletions.values()].filter(
-          (item) => item.key.startsWith(prefix) && item.revision > afterRevision,
+          (item) => item.key.startsWith(prefix) && item.revision > after.revision,
         );
       const deadlineMs = performance.now() + waitMs;
       while (findChanges().length === 0 && performance.now() < deadlineMs && !isDown && !isClosed) {
         await sleep(WATCH_POLL_INTERVAL_MS);
-        if (restoreCount !== restoresBefore)
-          throw new StoreError('notRun', 'the fake store was restored');
+        if (after.era !== era) return 'compacted' as const;
       }
       return { events: findChanges(), revision };
     }
 
-    override async commit({ expected, puts }: Parameters<MetadataStore['commit']>[0]) {
+    override async commit({
+      era: eraOfCommit,
+      expected,
+      puts,
+    }: Parameters<MetadataStore['commit']>[0]) {
       await beginCall();
       const hasExpectedRevisions = expected.every(
         (row) => (items.get(row.key)?.revision ?? 0) === row.revision,
@@ -74,11 +89,12 @@
       if (!hasExpectedRevisions) return { kind: 'conflict' as const };
       revision += 1;
       puts.forEach(({ key, value, lease }) => {
-        items.set(key, { key, value, revision });
+        items.set(key, { key, value, revision, era });
         deletions.delete(key);
         keysByLease.forEach((keys) => keys.delete(key));
         if (lease !== undefined) keysByLease.get(lease)?.add(key);
       });
+      if (eraOfCommit !== era) throw new StoreError('mayHaveRun', 'committed in another era');
       return { kind: 'committed' as const, revision };
     }
 
@@ -86,22 +102,23 @@
       await beginCall();
       const lease = Math.max(0, ...keysByLease.keys()) + 1;
       keysByLease.set(lease, new Set());
-      return { lease, ttlMs };
+      return { id: lease, era, ttlMs };
     }
 
-    override async renewLease(lease: number) {
+    override async renewLease(lease: StoreLease) {
       await beginCall();
-      return keysByLease.has(lease);
+      return lease.era === era && keysByLease.has(lease.id);
     }
 
-    override async revokeLease(lease: number) {
+    override async revokeLease(lease: StoreLease) {
       await beginCall();
+      if (lease.era !== era) return;
       revision += 1;
-      keysByLease.get(lease)?.forEach((key) => {
+      keysByLease.get(lease.id)?.forEach((key) => {
         items.delete(key);
         deletions.set(key, { key, revision, isDeleted: true });
       });
-      keysByLease.delete(lease);
+      keysByLease.delete(lease.id);
     }
   }
 
@@ -112,7 +129,7 @@
     },
     put: (key: string, value: string): void => {
       revision += 1;
-      items.set(key, { key, value, revision });
+      items.set(key, { key, value, revision, era });
     },
     read: (key: string) => items.get(key),
     /** A copy of the store's present contents, for `restore`. */
@@ -124,7 +141,7 @@
     }),
     /** Replaces the contents by those of an earlier copy: later writes, leases and revisions are lost. */
     restore: (earlier: StoreCopy): void => {
-      restoreCount += 1;
+      era += 1;
       revision = earlier.revision;
       items.clear();
       deletions.clear();
@@ -132,6 +149,7 @@
       earlier.items.forEach((item, key) => items.set(key, item));
       earlier.deletions.forEach((deletion, key) => deletions.set(key, deletion));
       earlier.keysByLease.forEach((keys, lease) => keysByLease.set(lease, new Set(keys)));
+      eraListeners.forEach((listener) => listener());
     },
     countCalls: () => callCount,
     /** Ends all watches; later calls fail. */
