--- a/packages/sessions/src/fleet/createRegistration.spec.ts
+++ b/packages/sessions/src/fleet/createRegistration.spec.ts
@@ -61,4 +61,56 @@
     expect(registration.isStoreAnswering()).to.equal(true);
     await registration.close();
   });
+
+  describe('on a store that was restored from a copy', () => {
+    const waitForStore = (): Promise<void> =>
+      new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+
+    it('registers anew at once when the copy lacks its registration', async () => {
+      const { create, fake } = createFixture();
+      const copy = fake.copy();
+      const registration = create('a');
+      await registration.apply();
+      registration.keep();
+      fake.restore(copy);
+      await waitForStore();
+      expect(fake.read('auburngrade/vms/a')?.value).to.include('a-1');
+      expect(fake.read('auburngrade/seats/waco/0')?.value).to.equal('a');
+      await registration.close();
+    });
+
+    it('does not end the lease of another VM that was given the same number', async () => {
+      const { create, fake } = createFixture();
+      const copy = fake.copy();
+      const first = create('a');
+      await first.apply();
+      fake.restore(copy);
+      const second = create('b');
+      await second.apply();
+      second.keep();
+      await first.close();
+      expect(fake.read('auburngrade/vms/b')?.value).to.include('b-1');
+      await second.close();
+    });
+
+    it('registers without a seat when others have taken all of them', async () => {
+      const { create, fake } = createFixture();
+      const copy = fake.copy();
+      const first = create('a');
+      await first.apply();
+      fake.restore(copy);
+      expect(await create('b').apply()).to.equal(true);
+      expect(await create('c').apply()).to.equal(true);
+      first.keep();
+      await first.close();
+      const late = create('a');
+      expect(await late.apply()).to.equal(false);
+      late.keep();
+      await waitForStore();
+      expect(fake.read('auburngrade/vms/a')?.value).to.include('a-1');
+      await late.close();
+    });
+  });
 });
--- a/packages/sessions/src/fleet/createRegistration.ts
+++ b/packages/sessions/src/fleet/createRegistration.ts
@@ -38,7 +38,12 @@
   let lease: StoreLease | undefined;
   let registering: Promise<boolean> | undefined;
   let isClosed = false;
+  /** Whether the registration is renewed. */
+  let isKept = false;
   let isStoreAnswering = true;
+  let isRenewing = false;
+  /** Whether the store's era rose during the renewal under way. */
+  let isRenewalOutdated = false;
   let timer: NodeJS.Timeout | undefined;
 
   /** The seat that this VM held before, or else any vacant one. */
@@ -98,6 +103,8 @@
   };
 
   const runRenewalCycle = (): void => {
+    isRenewing = true;
+    isRenewalOutdated = false;
     renewOrRegister()
       .then(
         () => {
@@ -111,16 +118,27 @@
         },
       )
       .then((delayMs) => {
-        if (!isClosed) timer = setTimeout(runRenewalCycle, delayMs);
+        isRenewing = false;
+        if (!isClosed) timer = setTimeout(runRenewalCycle, isRenewalOutdated ? 0 : delayMs);
       });
   };
 
+  // In a new era the registration and its lease may be gone.
+  store.onEraChange(() => {
+    if (lease === undefined || isClosed) return;
+    isRenewalOutdated = true;
+    if (isRenewing || !isKept) return;
+    clearTimeout(timer);
+    timer = setTimeout(runRenewalCycle, 0);
+  });
+
   return {
     /** Registers if a seat of the data centre is vacant; resolves with whether it did. */
     apply: () => register(true),
     /** Renews the registration from now on, and registers again whenever its lease has ended. */
     keep: (): void => {
       if (isClosed) return;
+      isKept = true;
       clearTimeout(timer);
       if (lease === undefined) runRenewalCycle();
       else timer = setTimeout(runRenewalCycle, ttlMs / RENEWALS_PER_LEASE);
