--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -22,6 +22,7 @@
   isLeaving: false,
   isRegisteredAsPrimary: id === 'p',
   startedAtUnixMs: 1,
+  sequence: 1,
 }));
 const createConfiguration = (version: number, keys: [string, string][]): FleetConfiguration => ({
   version,
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -5,6 +5,7 @@
 import createOwnership from '../fleet/createOwnership';
 import createRegistration from '../fleet/createRegistration';
 import createStoreWatcher from '../fleet/createStoreWatcher';
+import mergeEndpointEntries from '../fleet/mergeEndpointEntries';
 import parseRegistration from '../fleet/parseRegistration';
 import readGroupRecord from '../fleet/readGroupRecord';
 import type KnownDocument from '../fleet/knownDocument';
@@ -56,6 +57,8 @@
 const IDLE_ENDPOINT_POLL_INTERVAL_MS = 10_000;
 /** Without a peer lease, a confirmation of the records by the store is valid for 1.2 s. */
 const RECORD_REFRESH_INTERVAL_MS = 400;
+/** After the store came back from a copy, endpoints write their entries anew within about two seconds. */
+const OUTDATED_ENTRY_PERIOD_MS = 4_000;
 const STRAIN_SAMPLE_INTERVAL_MS = 50;
 /** A timer later than this means that the VM was suspended, not that it is short of processor time. */
 const SUSPENSION_LATENESS_MS = 500;
@@ -277,9 +280,15 @@
     else reconcile();
   });
 
+  let eraChangedAtMs = Number.NEGATIVE_INFINITY;
+  store.onEraChange(() => {
+    eraChangedAtMs = nowMs();
+  });
   const readEndpoints = async (): Promise<void> => {
     const { items } = await store.list(decoder.endpointPrefix);
-    endpoints = items.flatMap(({ key, value }) => decoder.endpoint(key, value) ?? []);
+    const listed = items.flatMap(({ key, value }) => decoder.endpoint(key, value) ?? []);
+    const isEraYoung = nowMs() - eraChangedAtMs < OUTDATED_ENTRY_PERIOD_MS;
+    endpoints = isEraYoung ? mergeEndpointEntries(endpoints, listed) : listed;
     hasEndpoints = true;
     servers.forEach((server, group) => updateGroup(group, server));
   };
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -16,6 +16,7 @@
   isLeaving: false,
   isRegisteredAsPrimary: claimsPrimary,
   startedAtUnixMs: 1,
+  sequence: 1,
 });
 const ENDPOINTS = [
   createEndpoint('p', true),
--- a/packages/sessions/src/seams/groupEndpoint.ts
+++ b/packages/sessions/src/seams/groupEndpoint.ts
@@ -12,6 +12,8 @@
   isRegisteredAsPrimary: boolean;
   /** Unix time of its start; a new value means a new process under the same id. */
   startedAtUnixMs: number;
+  /** Number of its entry since its start; rises with each one that it writes. */
+  sequence: number;
 }
 
 export default GroupEndpoint;
