--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -201,6 +201,7 @@
       log,
       nowMs,
       controlAccount: getControlAccount,
+      storeEra: () => store.era(),
       getRecordedPrimary: () => {
         const { primary, term, fence } = ownership.getRecord(group) ?? UNKNOWN_RECORD;
         return { primary, term, fence };
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -87,6 +87,7 @@
     limiter,
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
+    storeEra: () => 0,
     getRecordedPrimary: () => ({
       primary: ownerState.primary,
       term: ownerState.term,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -54,6 +54,8 @@
   limiter: ReturnType<typeof createRateLimiter>;
   log: EventLog;
   nowMs(): number;
+  /** Era of the platform's store. */
+  storeEra(): number;
   getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether no earlier owner can still be using another primary. */
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -1,4 +1,4 @@
-import { comparePositions, type LogPosition } from '@auburngrade/coordination';
+import { comparePositions, createFence, type LogPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type FailoverClient from '../seams/failoverClient';
 import type GroupRecord from './groupRecord';
@@ -26,6 +26,8 @@
   nowMs(): number;
   /** The last recorded primary with its term and fence. */
   getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
+  /** Era of the platform's store. */
+  storeEra(): number;
   /** Records the next primary; returns false when this VM no longer owns the group. */
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether a replacement is safe now: no earlier owner can still be using another primary. */
@@ -140,7 +142,7 @@
       }
     }
     if (!candidate) return;
-    const fence = options.getRecordedPrimary().fence + 1;
+    const fence = createFence(options.getRecordedPrimary().fence, options.storeEra());
     // The new primary's term is above all that were seen. The recorded term is only a lower bound,
     // since the promotion that it was recorded for may not have run.
     const seenTerm = Math.max(highestSeenTerm, candidate.status.term);
