--- a/packages/auburngrade/src/integration/withdrawnKeys.spec.ts
+++ b/packages/auburngrade/src/integration/withdrawnKeys.spec.ts
@@ -168,4 +168,17 @@
     expect([...codes]).not.to.include(undefined);
     await fleet.platform.setFault('isDown', 0);
   });
+
+  it('stay withdrawn when the store comes back from a copy that still has them', async () => {
+    const { key, keyId } = await freshKey();
+    const { revision: copied = 0 } = await fleet.platform.counts();
+    const confirmedAtMs = await withdraw('waco-1', keyId);
+    await awaitRefused(all(), key, confirmedAtMs);
+    await fleet.platform.restore(copied);
+    const untilMs = performance.now() + DEAD_WITHIN_MS;
+    while (performance.now() < untilMs) {
+      const codes = await Promise.all(all().map((vm) => refusalAt(vm, key)));
+      codes.forEach((code, index) => expect(code, all()[index]).to.not.equal(undefined));
+    }
+  });
 });
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -5,6 +5,7 @@
 import documentKinds from './documentKinds';
 import type DocumentOf from './documentOf';
 import findDocumentKind from './findDocumentKind';
+import eraOfPosition from '../history/eraOfPosition';
 import copyString from './copyString';
 import packJson from './packJson';
 import unpackJson from './unpackJson';
@@ -116,10 +117,11 @@
 
   const hasValue = ({ text }: StoredDocument): boolean => text !== undefined;
 
-  const listStoredKeys = (): string[] =>
+  /** Keys with a value; a store in a later era may have lost what was written before, so it deletes none. */
+  const listKeysOfEra = (era: number): string[] =>
     [...storedByKind].flatMap(([kind, documents]) =>
       [...documents]
-        .filter(([, stored]) => hasValue(stored))
+        .filter(([, stored]) => hasValue(stored) && eraOfPosition(stored.modRevision) === era)
         .map(([name]) => documentKinds[kind].prefix + name),
     );
 
@@ -168,7 +170,7 @@
     applySnapshot: (revision, entries) => {
       if (revision < knownRevision) return;
       const present = new Set(entries.map(({ key }) => key));
-      const removed = listStoredKeys()
+      const removed = listKeysOfEra(eraOfPosition(revision))
         .filter((key) => !present.has(key))
         .map((key) => ({ key, valueJson: undefined, modRevision: revision }));
       const changed = [...entries, ...removed].flatMap(storeIfNewer);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -32,6 +32,9 @@
 export type { default as ConfigurationState } from './configuration/configurationState';
 export { default as compareDocumentPositions } from './history/compareDocumentPositions';
 export type { default as DocumentPosition } from './history/documentPosition';
+export { default as toHistoryPosition } from './history/toHistoryPosition';
+export { default as eraOfPosition } from './history/eraOfPosition';
+export { default as revisionOfPosition } from './history/revisionOfPosition';
 export { default as createFence } from './history/createFence';
 export { default as createConfigurationState } from './configuration/createConfigurationState';
 export type { default as StatementRequest } from './request/statementRequest';
--- a/packages/platform/src/createEtcdConfigurationStore.ts
+++ b/packages/platform/src/createEtcdConfigurationStore.ts
@@ -5,7 +5,13 @@
   type ChannelCredentials,
   type ServiceError,
 } from '@grpc/grpc-js';
-import { createNotRunError, type ConfigurationEntry } from '@auburngrade/coordination';
+import {
+  createNotRunError,
+  eraOfPosition,
+  revisionOfPosition,
+  toHistoryPosition,
+  type ConfigurationEntry,
+} from '@auburngrade/coordination';
 import type ConditionalWrite from './conditionalWrite';
 import {
   Compare,
@@ -23,6 +29,7 @@
 import ConfigurationStore from './configurationStore';
 import prefixEnd from './prefixEnd';
 import type RangeOutcome from './rangeOutcome';
+import stampEra from './stampEra';
 import toEntry from './toEntry';
 import type WatchListener from './watchListener';
 import type WriteOutcome from './writeOutcome';
@@ -46,17 +53,17 @@
     result: Compare_CompareResult.EQUAL,
     target: Compare_CompareTarget.MOD,
     key: Buffer.from(write.key),
-    targetUnion: { $case: 'modRevision', modRevision: write.expectedRevision },
+    targetUnion: { $case: 'modRevision', modRevision: revisionOfPosition(write.expectedRevision) },
   });
 
-const toWriteOperation = (write: ConditionalWrite): RequestOp => {
+const toWriteOperation = (write: ConditionalWrite, era: number): RequestOp => {
   const key = Buffer.from(write.key);
   if (write.valueJson === undefined) {
     return RequestOp.fromPartial({
       request: { $case: 'requestDeleteRange', requestDeleteRange: { key } },
     });
   }
-  const value = Buffer.from(write.valueJson);
+  const value = Buffer.from(stampEra(write.valueJson, era));
   return RequestOp.fromPartial({ request: { $case: 'requestPut', requestPut: { key, value } } });
 };
 
@@ -65,15 +72,24 @@
     request: { $case: 'requestRange', requestRange: { key: Buffer.from(write.key) } },
   });
 
-const currentEntriesOf = (response: TxnResponse): ConfigurationEntry[] =>
+const currentEntriesOf = (response: TxnResponse, era: number): ConfigurationEntry[] =>
   response.responses.flatMap(({ response: operation }) =>
-    operation?.$case === 'responseRange' ? operation.responseRange.kvs.map(toEntry) : [],
+    operation?.$case === 'responseRange'
+      ? operation.responseRange.kvs.map((keyValue) => toEntry(keyValue, era))
+      : [],
   );
 
-const toWriteOutcome = (response: TxnResponse): WriteOutcome => {
-  const revision = response.header?.revision ?? 0;
+const toWriteOutcome = (response: TxnResponse, era: number): WriteOutcome => {
+  const revision = toHistoryPosition(era, response.header?.revision ?? 0);
   if (response.succeeded) return { kind: 'applied', revision };
-  return { kind: 'conflict', revision, current: currentEntriesOf(response) };
+  return { kind: 'conflict', revision, current: currentEntriesOf(response, era) };
+};
+
+/** Reads the store's era from an answer's metadata; undefined for a store without eras. */
+const readEra = (metadata: Metadata): number | undefined => {
+  const [value] = metadata.get('store-era');
+  const era = Number(value ?? Number.NaN);
+  return Number.isSafeInteger(era) && era >= 0 ? era : undefined;
 };
 
 const toFailedOutcome = (error: ServiceError): WriteOutcome => ({
@@ -81,17 +97,23 @@
   message: error.details,
 });
 
-const toChange = (event: Event): ConfigurationEntry => ({
-  key: event.kv?.key.toString('utf8') ?? '',
-  valueJson: event.type === Event_EventType.DELETE ? undefined : event.kv?.value.toString('utf8'),
-  modRevision: event.kv?.modRevision ?? 0,
-});
+const toChange = ({ type, kv }: Event, era: number): ConfigurationEntry => {
+  if (kv && type !== Event_EventType.DELETE) return toEntry(kv, era);
+  return {
+    key: kv?.key.toString('utf8') ?? '',
+    valueJson: undefined,
+    modRevision: toHistoryPosition(era, kv?.modRevision ?? 0),
+  };
+};
 
 class EtcdConfigurationStore extends ConfigurationStore {
   private kv: KVClient;
 
   private watchClient: WatchClient;
 
+  /** Highest era that an answer stated. */
+  private era = 0;
+
   constructor(
     private readonly address: string,
     private readonly channelCredentials: ChannelCredentials,
@@ -106,57 +128,104 @@
     const rangeEnd = prefixEnd(prefix);
     const entries: ConfigurationEntry[] = [];
     let key: Buffer = Buffer.from(prefix);
-    let revision = 0;
+    let first: { era: number; revision: number } | undefined;
     for (;;) {
+      const revision = first?.revision ?? 0;
       const request = RangeRequest.fromPartial({ key, rangeEnd, revision, limit: KEYS_PER_PAGE });
-      const page = await this.readPage(request, deadline);
-      revision ||= page.header?.revision ?? 0;
-      entries.push(...page.kvs.map(toEntry));
+      const { page, era } = await this.readPage(request, deadline);
+      first ??= { era, revision: page.header?.revision ?? 0 };
+      if (era !== first.era) throw createNotRunError('platformUnavailable', `now in era ${era}`);
+      entries.push(...page.kvs.map((keyValue) => toEntry(keyValue, era)));
       const lastEntry = page.kvs.at(-1);
-      if (!page.more || !lastEntry) return { revision, entries };
+      if (!page.more || !lastEntry)
+        return { revision: toHistoryPosition(era, first.revision), entries };
       key = Buffer.concat([lastEntry.key, Buffer.from([0])]);
     }
   }
 
-  private readPage(request: RangeRequest, deadline: number): Promise<RangeResponse> {
+  private observeEra(metadata: Metadata): void {
+    this.era = Math.max(this.era, readEra(metadata) ?? this.era);
+  }
+
+  private readPage(
+    request: RangeRequest,
+    deadline: number,
+  ): Promise<{ page: RangeResponse; era: number }> {
     const { kv } = this;
     return new Promise((resolve, reject) => {
-      kv.range(request, new Metadata(), { deadline }, (error, response) => {
+      const call = kv.range(request, new Metadata(), { deadline }, (error, page) => {
         if (error) this.replaceAfterTimeout(kv, error);
         if (error) reject(createNotRunError('platformUnavailable', error.details));
-        else resolve(response);
+        else resolve({ page, era: this.era });
       });
+      call.on('metadata', (metadata) => this.observeEra(metadata));
     });
   }
 
-  override compareAndSwap(writes: ConditionalWrite[], timeoutMs: number): Promise<WriteOutcome> {
+  override async compareAndSwap(
+    writes: ConditionalWrite[],
+    timeoutMs: number,
+  ): Promise<WriteOutcome> {
+    const outcome = await this.trySwap(writes, timeoutMs);
+    if (outcome.kind !== 'conflict') return outcome;
+    const currentByKey = new Map(outcome.current.map((entry) => [entry.key, entry.modRevision]));
+    const lost = writes.filter(({ key, expectedRevision }) => {
+      const current = currentByKey.get(key) ?? 0;
+      return current < expectedRevision && eraOfPosition(expectedRevision) < this.era;
+    });
+    if (lost.length === 0) return outcome;
+    // The store came back from a copy without the states that these writes replace.
+    const rebased = writes.map((write) =>
+      lost.includes(write)
+        ? { ...write, expectedRevision: currentByKey.get(write.key) ?? 0 }
+        : write,
+    );
+    return this.trySwap(rebased, timeoutMs);
+  }
+
+  private trySwap(writes: ConditionalWrite[], timeoutMs: number): Promise<WriteOutcome> {
+    const { kv, era } = this;
     const request = {
       compare: writes.map(toCompare),
-      success: writes.map(toWriteOperation),
+      success: writes.map((write) => toWriteOperation(write, era)),
       failure: writes.map(toReadOperation),
     };
-    const { kv } = this;
+    const deadline = Date.now() + timeoutMs;
     return new Promise((resolve) => {
-      kv.txn(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, response) => {
+      const call = kv.txn(request, new Metadata(), { deadline }, (error, response) => {
         if (error) this.replaceAfterTimeout(kv, error);
-        resolve(error ? toFailedOutcome(error) : toWriteOutcome(response));
+        if (error) resolve(toFailedOutcome(error));
+        else if (response.succeeded && era > 0 && era !== this.era)
+          // The revisions matched by chance those of an era that has ended.
+          resolve({ kind: 'unknown', message: `written in era ${this.era}, not in ${era}` });
+        else resolve(toWriteOutcome(response, this.era));
       });
+      call.on('metadata', (metadata) => this.observeEra(metadata));
     });
   }
 
   override watch(prefix: string, fromRevision: number, listener: WatchListener): () => void {
     const stream = this.watchClient.watch();
+    const era = eraOfPosition(fromRevision);
     let hasEnded = false;
     const endOnce = (reason: string): void => {
       if (hasEnded) return;
       hasEnded = true;
       listener.onEnd(reason);
     };
+    stream.on('metadata', (metadata) => {
+      this.observeEra(metadata);
+      if (this.era !== era) endOnce(`the store is in era ${this.era}`);
+    });
     stream.on('data', (response) => {
-      const revision = response.header?.revision ?? 0;
+      if (hasEnded) return;
+      const revision = toHistoryPosition(era, response.header?.revision ?? 0);
       if (response.canceled) endOnce(response.cancelReason);
       else if (response.events.length > 0) {
-        listener.onChanges(revision, response.events.map(toChange));
+        listener.onChanges(
+          revision,
+          response.events.map((event: Event) => toChange(event, era)),
+        );
       } else listener.onProgress(revision);
     });
     stream.on('error', (error: ServiceError) => endOnce(error.details));
@@ -168,7 +237,7 @@
           createRequest: {
             key: Buffer.from(prefix),
             rangeEnd: prefixEnd(prefix),
-            startRevision: fromRevision + 1,
+            startRevision: revisionOfPosition(fromRevision) + 1,
             progressNotify: true,
           },
         },
--- a/packages/testkit/src/fleet/startPlatform.ts
+++ b/packages/testkit/src/fleet/startPlatform.ts
@@ -21,6 +21,8 @@
     port,
     counts: () => control('/counts'),
     setFault: (fault: Fault, value: number) => control(`/faults?${fault}=${value}`),
+    /** Restores the store from a copy as of an earlier history position. */
+    restore: (position: number) => control(`/restore?position=${position}`),
     setVm: (vm: string, value: Record<string, unknown> | undefined) =>
       control(
         value === undefined
--- a/packages/testkit/src/platformStandIn/createStore.ts
+++ b/packages/testkit/src/platformStandIn/createStore.ts
@@ -20,9 +20,10 @@
 /** In-memory store with the semantics of etcd's KV and Watch, kept from the first revision on. */
 const createStore = () => {
   const stored = new Map<string, KeyValue>();
-  const history: { revision: number; events: Event[] }[] = [];
+  let history: { revision: number; events: Event[] }[] = [];
   const listeners = new Set<WatchListener>();
   let revision = 1;
+  let era = 1;
 
   const isBetween = (key: string, from: Buffer, end: Buffer): boolean => {
     if (end.length === 0) return key === from.toString();
@@ -114,6 +115,27 @@
 
   return {
     revision: () => revision,
+    /** Rises by one each time that the store is restored. */
+    era: () => era,
+    /**
+     * Brings back the contents of an earlier revision; later changes are lost, and their revisions are given
+     * out again. Keys with another prefix are written again by those who own them, at once.
+     */
+    restore: (toRevision: number, keptPrefix: string): void => {
+      const rewritten = [...stored].filter(([key]) => key.startsWith(keptPrefix));
+      era += 1;
+      history = history.filter((item) => item.revision <= toRevision);
+      revision = toRevision;
+      stored.clear();
+      history
+        .flatMap(({ events }) => events)
+        .forEach(({ type, kv }) => {
+          if (!kv) return;
+          if (type === Event_EventType.DELETE) stored.delete(kv.key.toString());
+          else stored.set(kv.key.toString(), kv);
+        });
+      rewritten.forEach(([, kv]) => publish([put(kv.key, kv.value, kv.lease, revision + 1)]));
+    },
     header: () => emptyHeader(revision),
     range,
     txn,
--- a/packages/testkit/src/platformStandIn/main.ts
+++ b/packages/testkit/src/platformStandIn/main.ts
@@ -1,10 +1,12 @@
 import { createServer } from 'node:http';
 import {
+  Metadata,
   Server,
   ServerCredentials,
   status,
   type sendUnaryData,
   type ServerDuplexStream,
+  type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import {
   KVService,
@@ -17,6 +19,7 @@
   type LeaseKeepAliveResponse,
   type WatchRequest,
 } from '@auburngrade/platform';
+import { revisionOfPosition, toHistoryPosition } from '@auburngrade/coordination';
 import createStore from './createStore';
 import platformSettingsSchema from './platformSettingsSchema';
 
@@ -37,8 +40,15 @@
 
 const unavailable = { code: status.UNAVAILABLE, details: 'platform is down' };
 
-const answer = <Reply>(
+const eraMetadata = (): Metadata => {
+  const metadata = new Metadata();
+  metadata.set('store-era', String(store.era()));
+  return metadata;
+};
+
+const answer = <Request, Reply>(
   kind: 'range' | 'txn' | 'lease',
+  call: ServerUnaryCall<Request, Reply>,
   callback: sendUnaryData<Reply>,
   run: () => Reply,
 ): void => {
@@ -49,6 +59,7 @@
       return;
     }
     const reply = run();
+    call.sendMetadata(eraMetadata());
     const isLost = faults.loseAnswers || (kind === 'txn' && faults.loseWriteAnswers);
     if (isLost) callback({ code: status.UNAVAILABLE, details: 'answer lost' });
     else callback(null, reply);
@@ -72,6 +83,7 @@
   if (faults.isDown) {
     stream.emit('error', unavailable);
   }
+  stream.sendMetadata(eraMetadata());
   stream.on('data', ({ requestUnion }: WatchRequest) => {
     if (requestUnion?.$case !== 'createRequest') return;
     const { key, rangeEnd, startRevision } = requestUnion.createRequest;
@@ -134,19 +146,19 @@
 
 const server = new Server();
 const kv: KVServer = {
-  range: (call, callback) => answer('range', callback, () => store.range(call.request)),
-  txn: (call, callback) => answer('txn', callback, () => store.txn(call.request)),
+  range: (call, callback) => answer('range', call, callback, () => store.range(call.request)),
+  txn: (call, callback) => answer('txn', call, callback, () => store.txn(call.request)),
 };
 const lease: LeaseServer = {
   leaseGrant: (call, callback) =>
-    answer('lease', callback, () => {
+    answer('lease', call, callback, () => {
       const ID = call.request.ID || Math.floor(Math.random() * Number.MAX_SAFE_INTEGER);
       ttls.set(ID, call.request.TTL);
       renewLease(ID, call.request.TTL);
       return { header: store.header(), ID, TTL: call.request.TTL, error: '' };
     }),
   leaseRevoke: (call, callback) =>
-    answer('lease', callback, () => {
+    answer('lease', call, callback, () => {
       clearTimeout(leases.get(call.request.ID));
       expireLease(call.request.ID);
       return { header: store.header() };
@@ -162,6 +174,14 @@
   if (faults.isDown) watches.forEach((stream) => stream.destroy(new Error('platform is down')));
 };
 
+/** Restores the store from a copy; the list of VMs is the platform's own, which writes it again. */
+const restore = (position: number): void => {
+  watches.forEach((stream) => stream.destroy(new Error('the store was restored')));
+  leases.forEach((timer) => clearTimeout(timer));
+  leases.clear();
+  store.restore(revisionOfPosition(position), '/platform/');
+};
+
 /** Changes the list of VMs after the list's lag. */
 const setVm = (name: string, valueJson: string | null): void => {
   setTimeout(() => {
@@ -176,10 +196,12 @@
   if (url.pathname === '/faults') {
     url.searchParams.forEach((value, name) => setFault(name, Number(value)));
   }
+  if (url.pathname === '/restore') restore(Number(url.searchParams.get('position')));
   if (url.pathname.startsWith('/vms/')) {
     setVm(url.pathname.slice('/vms/'.length), url.searchParams.get('value'));
   }
-  response.end(JSON.stringify({ ...counts, revision: store.revision() }));
+  const revision = toHistoryPosition(store.era(), store.revision());
+  response.end(JSON.stringify({ ...counts, revision }));
 }).listen(settings.controlPort, settings.host);
 
 server.bindAsync(
