--- a/packages/auburngrade/src/membership/createVmListCache.spec.ts
+++ b/packages/auburngrade/src/membership/createVmListCache.spec.ts
@@ -60,7 +60,11 @@
       incarnation: 1,
       leaseMs: 3_000,
       configuration: countingConfiguration,
-      records: { read: async () => undefined, write: async () => true },
+      records: {
+        read: async () => undefined,
+        write: async () => true,
+        mayBeIncomplete: () => false,
+      },
       lease: {
         record: () => record,
         setRecord: () => {},
--- a/packages/auburngrade/src/witness/createExpiryProver.ts
+++ b/packages/auburngrade/src/witness/createExpiryProver.ts
@@ -83,10 +83,12 @@
     prove,
     /**
      * Proves the same for the lease recorded in the configuration store. A VM without a record, or
-     * whose record changed meanwhile, has lost whatever it held before.
+     * whose record changed meanwhile, has lost whatever it held before. Proves nothing while the store may
+     * have lost the record.
      */
     proveByRecord: async (target: string): Promise<boolean> => {
       const before = await records.read(target);
+      if (records.mayBeIncomplete()) return false;
       if (!before) return true;
       const isProven = await prove(target, before.record);
       const after = await records.read(target);
--- a/packages/auburngrade/src/witness/createLeaseRecordStore.ts
+++ b/packages/auburngrade/src/witness/createLeaseRecordStore.ts
@@ -1,4 +1,4 @@
-import { leaseRecordSchema, type LeaseRecord } from '@auburngrade/coordination';
+import { eraOfPosition, leaseRecordSchema, type LeaseRecord } from '@auburngrade/coordination';
 import type { ConfigurationStore } from '@auburngrade/platform';
 
 interface StoredLease {
@@ -7,25 +7,46 @@
   revision: number;
 }
 
+/** VMs write their records again within this time after the store came back from a copy. */
+const RECORD_RENEWAL_MS = 4_000;
 const KEY_PREFIX = '/auburngrade/lease/';
 
 /** Creates access to the stored lease records, which name each VM's witnesses. */
-const createLeaseRecordStore = (platform: ConfigurationStore, timeoutMs: number) => ({
-  /** Reads the current record. @throws RefusalError `platformUnavailable`. */
-  read: async (vm: string): Promise<StoredLease | undefined> => {
-    const key = KEY_PREFIX + vm;
-    const { entries } = await platform.range(key, timeoutMs);
-    const entry = entries.find((candidate) => candidate.key === key);
-    if (entry?.valueJson === undefined) return undefined;
-    const record = leaseRecordSchema.parse(JSON.parse(entry.valueJson));
-    return { record, revision: entry.modRevision };
-  },
-  /** Writes the record if its revision is `expectedRevision` (0: absent); true when written. */
-  write: async (vm: string, record: LeaseRecord, expectedRevision: number): Promise<boolean> => {
-    const put = { key: KEY_PREFIX + vm, valueJson: JSON.stringify(record), expectedRevision };
-    const outcome = await platform.compareAndSwap([put], timeoutMs);
-    return outcome.kind === 'applied';
-  },
-});
+const createLeaseRecordStore = (
+  platform: ConfigurationStore,
+  timeoutMs: number,
+  nowMs: () => number,
+) => {
+  let era = 0;
+  let eraSinceMs = Number.NEGATIVE_INFINITY;
+
+  const observeEra = (position: number): void => {
+    const observed = eraOfPosition(position);
+    if (observed <= era) return;
+    era = observed;
+    eraSinceMs = nowMs();
+  };
+
+  return {
+    /** Reads the current record. @throws RefusalError `platformUnavailable`. */
+    read: async (vm: string): Promise<StoredLease | undefined> => {
+      const key = KEY_PREFIX + vm;
+      const { revision, entries } = await platform.range(key, timeoutMs);
+      observeEra(revision);
+      const entry = entries.find((candidate) => candidate.key === key);
+      if (entry?.valueJson === undefined) return undefined;
+      const record = leaseRecordSchema.parse(JSON.parse(entry.valueJson));
+      return { record, revision: entry.modRevision };
+    },
+    /** Writes the record if its revision is `expectedRevision` (0: absent); true when written. */
+    write: async (vm: string, record: LeaseRecord, expectedRevision: number): Promise<boolean> => {
+      const put = { key: KEY_PREFIX + vm, valueJson: JSON.stringify(record), expectedRevision };
+      const outcome = await platform.compareAndSwap([put], timeoutMs);
+      return outcome.kind === 'applied';
+    },
+    /** Whether the store may lack records of live VMs, since it came back from a copy lately. */
+    mayBeIncomplete: (): boolean => nowMs() - eraSinceMs < RECORD_RENEWAL_MS,
+  };
+};
 
 export default createLeaseRecordStore;
--- a/packages/auburngrade/src/witness/createLeaseService.ts
+++ b/packages/auburngrade/src/witness/createLeaseService.ts
@@ -40,7 +40,7 @@
 const createLeaseService = (options: LeaseServiceOptions) => {
   const { leaseMs, platform, platformTimeoutMs, nowMs, logger } = options;
   const lease: VmLease = createVmLease(leaseMs);
-  const records = createLeaseRecordStore(platform, platformTimeoutMs);
+  const records = createLeaseRecordStore(platform, platformTimeoutMs, nowMs);
   const witnessSelector = createWitnessSelector({ ...options, records, lease });
   const heartbeatSender = createHeartbeatSender({ ...options, lease });
   const promise = (vm: string, term: LeaseTerm): WitnessPromise =>
--- a/packages/auburngrade/src/witness/createWitnessSelector.ts
+++ b/packages/auburngrade/src/witness/createWitnessSelector.ts
@@ -1,9 +1,11 @@
 import {
   createWitness,
+  eraOfPosition,
   shouldReplaceWitnesses,
   toLeaseTerm,
   chooseWitnessGroups,
   type ConfigurationState,
+  type LeaseRecord,
   type VmLease,
   type Witness,
   type WitnessGroups,
@@ -51,6 +53,8 @@
   let outdatedSinceMs: number | undefined;
   let term = incarnation;
   let acquiredAtMs = Number.NEGATIVE_INFINITY;
+  /** Era of the store in which the record was written last. */
+  let recordedInEra = 0;
 
   const listLiveVms = () =>
     [...configuration.list('vm')]
@@ -70,6 +74,15 @@
     witness ??= createWitness({ leaseMs, startedAtMs, mayHavePromised: hasEarlierRecord });
   };
 
+  const currentEra = (): number => eraOfPosition(configuration.revision());
+
+  /** Writes the record again, which the store may have lost: others prove by it that this VM's lease expired. */
+  const renewRecord = async (record: LeaseRecord): Promise<void> => {
+    const era = currentEra();
+    const stored = await records.read(vm);
+    if (await records.write(vm, record, stored?.revision ?? 0)) recordedInEra = era;
+  };
+
   const acquireLease = async (): Promise<void> => {
     const groups = findWantedGroups();
     const isLoading = configuration.revision() === 0 || groups.length === 0;
@@ -79,6 +92,7 @@
     const record = { ...toLeaseTerm(term, leaseMs), groups };
     const isWritten = await records.write(vm, record, earlier?.revision ?? 0);
     if (!isWritten) return;
+    recordedInEra = currentEra();
     openWitness(earlier !== undefined);
     lease.setRecord(record, nowMs());
     outdatedSinceMs = undefined;
@@ -113,13 +127,16 @@
     /** This VM in its role as a witness of others; undefined until its own lease is recorded. */
     witness: (): Witness | undefined => witness,
     /**
-     * Selects witnesses when there are none, and replaces outdated ones. After expiry, a
+     * Selects witnesses when there are none, and replaces outdated ones; writes the record again when the
+     * store came back from a copy. After expiry, a
      * new term allows renewal by witnesses that promised not to renew the old one.
      */
     update: async (resources: LeasedResources): Promise<void> => {
       const hasExpired = lease.currentGeneration(nowMs()) === undefined;
-      if (!lease.record() || (hasExpired && nowMs() - acquiredAtMs > REACQUIRE_INTERVAL_MS))
+      const record = lease.record();
+      if (!record || (hasExpired && nowMs() - acquiredAtMs > REACQUIRE_INTERVAL_MS))
         await acquireLease();
+      else if (recordedInEra < currentEra()) await renewRecord(record);
       else await replaceWitnesses(resources);
     },
   };
