--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -4,6 +4,7 @@
   sessions(): number;
   configurationVersion(): number;
   isVoter(): boolean;
+  storeEra(): number;
   groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
 }
 
@@ -24,6 +25,11 @@
     'Version of the configuration in force',
     readings.configurationVersion,
   );
+  gauge(
+    'auburngrade_store_era',
+    'Era of the store; rises when it comes back from a copy',
+    readings.storeEra,
+  );
   gauge('auburngrade_vm_voter', '1 on a voter, 0 on an observer', () => Number(readings.isVoter()));
   const groupGauge = (
     name: string,
--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -29,10 +29,11 @@
   log.info('daemon.starting', { incarnation, dataCentre: settings.dataCentre });
   const registry = new Registry();
   const requestMetrics = createRequestMetrics(registry);
+  const store = createMetadataStore(settings.storeAddress, log);
   const daemon = await createSessionDaemon({
     settings,
     incarnation,
-    store: createMetadataStore(settings.storeAddress, log),
+    store,
     decoder: createStoredValueDecoder(),
     dialer: createMemberDialer(),
     failover: createFailoverClient(settings.failoverAddress),
@@ -44,6 +45,7 @@
   addSiteGauges(registry, {
     sessions: daemon.sessionCount,
     isVoter: daemon.isVoter,
+    storeEra: () => store.era(),
     configurationVersion: () => daemon.configurationVersion() ?? 0,
     groups: () =>
       [...daemon.groups()].map(([group, server]) => ({
