--- a/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
@@ -1,5 +1,7 @@
 import {
+  createFence,
   documentKinds,
+  eraOfPosition,
   type ConfigurationState,
   type QuotaRecord,
   type VmLease,
@@ -68,7 +70,7 @@
         (other) => ![NO_ALLOCATOR, vm, expiredVm].includes(other),
       );
       const registeredVms = configuration.listNames('vm').slice(0, MAX_INITIAL_CONSUMERS);
-      const epoch = (record?.epoch ?? 0) + 1;
+      const epoch = createFence(record?.epoch ?? 0, eraOfPosition(configuration.revision()));
       // An earlier process of this VM has ended and holds no units.
       const unreportedVms = new Set(earlierVms.filter((other) => ![vm, expiredVm].includes(other)));
       updateQuotaState(state, { claim: { epoch, unreportedVms } });
--- a/packages/coordination/src/history/createFence.ts
+++ b/packages/coordination/src/history/createFence.ts
@@ -2,8 +2,8 @@
 const FENCES_PER_ERA = 2 ** 20;
 
 /**
- * Creates the fencing token after `recordedFence`. Tokens of a later era of the store are above those of all
- * earlier eras, whose last records may be lost.
+ * Creates the fencing token, or the epoch of a role, that follows the recorded one. Those of a later era of the
+ * store are above all of earlier eras, whose last records may be lost.
  */
 const createFence = (recordedFence: number, storeEra: number): number =>
   Math.max(recordedFence + 1, storeEra * FENCES_PER_ERA);
