--- a/packages/sessions/src/fleet/createDocuments.spec.ts
+++ b/packages/sessions/src/fleet/createDocuments.spec.ts
@@ -30,4 +30,11 @@
       expect(ignored[0]).to.deep.include({ version: 10, era: 2, knownVersion: 13, knownEra: 1 });
     });
   });
+
+  it('takes a newer revision from a VM of an earlier build, which states no era', () => {
+    const { documents } = createFixture();
+    documents.putIfNewer({ key: 'group', value: 'a', era: 1, revision: 24 });
+    expect(documents.putIfNewer({ key: 'group', value: 'b', era: 0, revision: 25 })).to.equal(true);
+    expect(documents.get('group')).to.deep.include({ value: 'b', era: 1 });
+  });
 });
--- a/packages/sessions/src/fleet/createDocuments.ts
+++ b/packages/sessions/src/fleet/createDocuments.ts
@@ -22,7 +22,8 @@
     /** Stores the document unless this state or a newer one is known; returns whether it was stored. */
     putIfNewer: ({ key, value, revision, era: readInEra }: StoredItem): boolean => {
       const known = documents.get(key);
-      const { version = 0, era = readInEra } = readOrigin(key, value);
+      // A VM of an earlier build states no era with a document.
+      const { version = 0, era = readInEra || (known?.era ?? 0) } = readOrigin(key, value);
       const document = { key, value, version, era, revision };
       if (known && compareDocumentPositions(document, known) <= 0) {
         if (value !== known.value) {
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -77,8 +77,18 @@
 /** Before every position. */
 const NO_POSITION: DocumentPosition = { version: 0, era: 0, revision: 0 };
 
-const hasAtLeast = ({ positions }: Peer, key: string, position: DocumentPosition): boolean =>
-  compareDocumentPositions(positions.get(key) ?? NO_POSITION, position) >= 0;
+/** Compares a peer's position with an own one. Peers of an earlier build report revisions alone. */
+const comparePeerPosition = (
+  { positions }: Pick<Peer, 'positions'>,
+  key: string,
+  own: DocumentPosition,
+): number => {
+  const theirs = positions.get(key) ?? NO_POSITION;
+  return theirs.era === 0 ? theirs.revision - own.revision : compareDocumentPositions(theirs, own);
+};
+
+const hasAtLeast = (peer: Peer, key: string, position: DocumentPosition): boolean =>
+  comparePeerPosition(peer, key, position) >= 0;
 
 /**
  * Tracks the other VMs: their registrations, links and heartbeats. A VM is "heard" while its last
@@ -320,9 +330,7 @@
     /** Whether any peer reported a newer state of the document than the one known here. */
     isNewerKnownElsewhere: (key: string): boolean => {
       const own = documents.get(key) ?? NO_POSITION;
-      return [...peers.values()].some(
-        ({ positions }) => compareDocumentPositions(positions.get(key) ?? NO_POSITION, own) > 0,
-      );
+      return [...peers.values()].some((peer) => comparePeerPosition(peer, key, own) > 0);
     },
     /** Whether at least half of the peers, a majority with this VM, reported this or a newer state. */
     isKnownByMajority: (key: string, position: DocumentPosition): boolean => {
