fix(platform): a late answer of an earlier era is not counted in the present one

The client of the etcd API gave each answer the highest era seen by then, so a late one would have put the configuration's position past the store's, and changes up to there would have been ignored. Found by reading; no test shows it. A write whose era is not known yet now counts as unknown too.

--- a/packages/platform/src/createEtcdConfigurationStore.ts
+++ b/packages/platform/src/createEtcdConfigurationStore.ts
@@ -143,8 +143,11 @@
     }
   }
 
-  private observeEra(metadata: Metadata): void {
-    this.era = Math.max(this.era, readEra(metadata) ?? this.era);
+  /** Returns the era of an answer, which may be late and of an era that has ended. */
+  private observeEra(metadata: Metadata): number {
+    const era = readEra(metadata) ?? this.era;
+    this.era = Math.max(this.era, era);
+    return era;
   }
 
   private readPage(
@@ -152,13 +155,16 @@
     deadline: number,
   ): Promise<{ page: RangeResponse; era: number }> {
     const { kv } = this;
+    let { era } = this;
     return new Promise((resolve, reject) => {
       const call = kv.range(request, new Metadata(), { deadline }, (error, page) => {
         if (error) this.replaceAfterTimeout(kv, error);
         if (error) reject(createNotRunError('platformUnavailable', error.details));
-        else resolve({ page, era: this.era });
+        else resolve({ page, era });
+      });
+      call.on('metadata', (metadata) => {
+        era = this.observeEra(metadata);
       });
-      call.on('metadata', (metadata) => this.observeEra(metadata));
     });
   }
 
@@ -185,6 +191,7 @@
 
   private trySwap(writes: ConditionalWrite[], timeoutMs: number): Promise<WriteOutcome> {
     const { kv, era } = this;
+    let answerEra = era;
     const request = {
       compare: writes.map(toCompare),
       success: writes.map((write) => toWriteOperation(write, era)),
@@ -195,12 +202,14 @@
       const call = kv.txn(request, new Metadata(), { deadline }, (error, response) => {
         if (error) this.replaceAfterTimeout(kv, error);
         if (error) resolve(toFailedOutcome(error));
-        else if (response.succeeded && era > 0 && era !== this.era)
+        else if (response.succeeded && answerEra !== era)
           // The revisions matched by chance those of an era that has ended.
-          resolve({ kind: 'unknown', message: `written in era ${this.era}, not in ${era}` });
-        else resolve(toWriteOutcome(response, this.era));
+          resolve({ kind: 'unknown', message: `written in era ${answerEra}, not in ${era}` });
+        else resolve(toWriteOutcome(response, answerEra));
+      });
+      call.on('metadata', (metadata) => {
+        answerEra = this.observeEra(metadata);
       });
-      call.on('metadata', (metadata) => this.observeEra(metadata));
     });
   }
 
@@ -214,8 +223,8 @@
       listener.onEnd(reason);
     };
     stream.on('metadata', (metadata) => {
-      this.observeEra(metadata);
-      if (this.era !== era) endOnce(`the store is in era ${this.era}`);
+      const streamEra = this.observeEra(metadata);
+      if (streamEra !== era) endOnce(`the store is in era ${streamEra}`);
     });
     stream.on('data', (response) => {
       if (hasEnded) return;
