--- a/packages/auburngrade/src/witness/createExpiryProver.ts
+++ b/packages/auburngrade/src/witness/createExpiryProver.ts
@@ -26,6 +26,10 @@
 const PROMISE_KIND = 'lease.promise';
 const PROMISE_TIMEOUT_MS = 300;
 
+/** A record that is written again after a restore of the store is the same, at another revision. */
+const isSameRecord = (before: LeaseRecord, after: LeaseRecord | undefined): boolean =>
+  JSON.stringify(before) === JSON.stringify(after);
+
 const promiseRequestSchema = leaseTermSchema.extend({ vm: z.string().min(1) });
 
 /** Creates the prover of expiry: witnesses promise not to renew a VM's lease again. */
@@ -92,7 +96,7 @@
       if (!before) return true;
       const isProven = await prove(target, before.record);
       const after = await records.read(target);
-      return after?.revision !== before.revision || isProven;
+      return !isSameRecord(before.record, after?.record) || isProven;
     },
   };
 };
--- a/packages/auburngrade/src/witness/createLeaseRecordStore.ts
+++ b/packages/auburngrade/src/witness/createLeaseRecordStore.ts
@@ -23,8 +23,9 @@
   const observeEra = (position: number): void => {
     const observed = eraOfPosition(position);
     if (observed <= era) return;
+    // The first era that this process sees did not begin in its lifetime, as far as it can tell.
+    if (era > 0) eraSinceMs = nowMs();
     era = observed;
-    eraSinceMs = nowMs();
   };
 
   return {
--- a/packages/auburngrade/src/witness/restoredLeaseRecords.spec.ts
+++ b/packages/auburngrade/src/witness/restoredLeaseRecords.spec.ts
@@ -16,6 +16,7 @@
 const createFixture = () => {
   const clock = { ms: 100_000 };
   const nowMs = (): number => clock.ms;
+  const hooks = { onAsked: (): void => undefined };
   const entries = new Map<string, ConfigurationEntry>();
   let position = toHistoryPosition(1, 10);
   const platform = {
@@ -51,7 +52,10 @@
     leaseMs: LEASE_MS,
     records,
     promise: () => ({ isPromised: false, renewedAgeMs: 0 }),
-    send: async () => ({}),
+    send: async () => {
+      hooks.onAsked();
+      return {};
+    },
     nowMs,
   });
   return {
@@ -60,6 +64,15 @@
     prover,
     update: () => selector.update({ isIdle: () => true, handOver: async () => undefined }),
     learnPosition: (): void => configuration.applyChanges(position, []),
+    /** Writes the record of a VM again, unchanged. */
+    rewrite: (): void => {
+      const entry = entries.get(KEY);
+      position += 1;
+      if (entry) entries.set(KEY, { ...entry, modRevision: position });
+    },
+    onAskedForPromise: (listener: () => void): void => {
+      hooks.onAsked = listener;
+    },
     restoreWithout: (key: string): void => {
       entries.delete(key);
       position = toHistoryPosition(2, 5);
@@ -90,4 +103,12 @@
     clock.ms += 60_000;
     expect(await prover.proveByRecord('waco-1')).to.equal(true);
   });
+
+  it('prove no expiry by being written again while the proof is collected', async () => {
+    const { entries, prover, rewrite, onAskedForPromise } = createFixture();
+    const record = { term: 7, leaseMs: LEASE_MS, groups: [['waco-2', 'waco-3']] };
+    entries.set(KEY, { key: KEY, valueJson: JSON.stringify(record), modRevision: 1 });
+    onAskedForPromise(rewrite);
+    expect(await prover.proveByRecord('waco-1')).to.equal(false);
+  });
 });
