fix(admission): a quota's first claim gets epoch 1 and with it the whole burst

Callers saw requests inside the rate refused at the first use of an account (rateExceeded 4 to 14 of 375, and 355 of a burst of 400). Cause: since epochs rise over restores of the store, they began at 2^20; the allocator gives out the burst only in epoch 1, where no tokens can have been spent. Epochs and fencing tokens of a store's first era count from one again.

--- a/packages/coordination/src/history/createFence.spec.ts
+++ b/packages/coordination/src/history/createFence.spec.ts
@@ -12,7 +12,7 @@
     expect(createFence(0, 2)).to.be.above(lost);
   });
 
-  it('counts from one on a store without eras', () => {
-    expect(createFence(0, 0)).to.equal(1);
+  it('counts from one on a store that was never restored, or has no eras', () => {
+    expect([createFence(0, 0), createFence(0, 1)]).to.deep.equal([1, 1]);
   });
 });
