--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type ConfigurationEntry from './configurationEntry';
+import toHistoryPosition from '../history/toHistoryPosition';
+import documentKinds from './documentKinds';
 import createConfigurationState from './createConfigurationState';
 
 const NAMES = ['a', 'b', 'c'];
@@ -148,4 +150,20 @@
       expect(state.get('account', 'a')).to.deep.equal(document);
     });
   });
+
+  describe('on a store that was restored from a copy', () => {
+    it('deletes what a later list lacks, but not what the restore has lost', () => {
+      const state = createConfigurationState();
+      const account = (name: string, revision: number) => ({
+        key: `${documentKinds.account.prefix}${name}`,
+        valueJson: '{"limit":{"ratePerS":1,"burst":1}}',
+        modRevision: toHistoryPosition(1, revision),
+      });
+      state.applySnapshot(toHistoryPosition(1, 9), [account('copied', 3), account('lost', 9)]);
+      state.applySnapshot(toHistoryPosition(2, 5), [account('copied', 3)]);
+      expect(state.listNames('account')).to.have.members(['copied', 'lost']);
+      state.applySnapshot(toHistoryPosition(2, 8), []);
+      expect(state.listNames('account')).to.deep.equal(['lost']);
+    });
+  });
 });
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -52,6 +52,8 @@
   const storedByKind = new Map<DocumentKind, Map<string, StoredDocument>>();
   const listeners = new Set<(changed: readonly ConfigurationEntry[]) => void>();
   const tombstones = new Map<string, number>();
+  /** Keys that the store lacked when its present era began: it has lost them, and deletes none by lacking them. */
+  const lostKeys = new Set<string>();
   /** Parsed documents still in use; all others are held as text only, to save memory. */
   const parsedDocuments = new Map<StoredDocument, WeakRef<object>>();
   const parsedFinalizer = new FinalizationRegistry<StoredDocument>((stored) => {
@@ -96,6 +98,7 @@
     const current = getStoredByName(kind).get(name);
     if (current && current.modRevision >= entry.modRevision) return [];
     tombstones.delete(entry.key);
+    lostKeys.delete(entry.key);
     if (entry.valueJson === undefined) tombstones.set(entry.key, entry.modRevision);
     const valueJson = entry.valueJson && removeChangeIds(entry.valueJson);
     const isValid = valueJson !== undefined && parseDocument(kind, valueJson) !== undefined;
@@ -117,11 +120,10 @@
 
   const hasValue = ({ text }: StoredDocument): boolean => text !== undefined;
 
-  /** Keys with a value; a store in a later era may have lost what was written before, so it deletes none. */
-  const listKeysOfEra = (era: number): string[] =>
+  const listStoredKeys = (): string[] =>
     [...storedByKind].flatMap(([kind, documents]) =>
       [...documents]
-        .filter(([, stored]) => hasValue(stored) && eraOfPosition(stored.modRevision) === era)
+        .filter(([, stored]) => hasValue(stored))
         .map(([name]) => documentKinds[kind].prefix + name),
     );
 
@@ -170,8 +172,11 @@
     applySnapshot: (revision, entries) => {
       if (revision < knownRevision) return;
       const present = new Set(entries.map(({ key }) => key));
-      const removed = listKeysOfEra(eraOfPosition(revision))
-        .filter((key) => !present.has(key))
+      const missingKeys = listStoredKeys().filter((key) => !present.has(key));
+      if (eraOfPosition(revision) > eraOfPosition(knownRevision))
+        missingKeys.forEach((key) => lostKeys.add(key));
+      const removed = missingKeys
+        .filter((key) => !lostKeys.has(key))
         .map((key) => ({ key, valueJson: undefined, modRevision: revision }));
       const changed = [...entries, ...removed].flatMap(storeIfNewer);
       addGap(knownRevision, revision);
