--- a/packages/auburngrade/src/integration/configurationSpread.spec.ts
+++ b/packages/auburngrade/src/integration/configurationSpread.spec.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
+import readAccountRate from './readAccountRate';
 
 const IN_FORCE_MS = 6_000;
 const ANY_REVISION = -1;
@@ -14,17 +15,7 @@
 describe('configuration spread', () => {
   let fleet: Fleet;
 
-  const rateAt = async (vm: string, name: string): Promise<number | undefined> => {
-    const client = fleet.operator(vm);
-    try {
-      const { documents } = await client.list({ kind: 'account' });
-      const found = documents.find((document) => document.name === name);
-      if (!found) return undefined;
-      return (JSON.parse(found.bodyJson) as { limit: { ratePerS: number } }).limit.ratePerS;
-    } finally {
-      client.close();
-    }
-  };
+  const rateAt = (vm: string, name: string) => readAccountRate(fleet, vm, name);
 
   const describeVm = async (vm: string): Promise<Described> =>
     (await fleet.statusOf(vm)) as unknown as Described;
--- a/packages/auburngrade/src/integration/restoredStore.spec.ts
+++ b/packages/auburngrade/src/integration/restoredStore.spec.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { startFleet, waitFor, type Fleet } from '@auburngrade/testkit';
 import { expect } from 'chai';
+import readAccountRate from './readAccountRate';
 
 /** Time within which an acknowledged change must be in force on each VM. */
 const IN_FORCE_MS = 6_000;
@@ -20,17 +21,7 @@
 
   const all = (): string[] => fleet.names.map(({ vm }) => vm);
 
-  const rateAt = async (vm: string, name: string): Promise<number | undefined> => {
-    const client = fleet.operator(vm);
-    try {
-      const { documents } = await client.list({ kind: 'account' });
-      const found = documents.find((document) => document.name === name);
-      if (!found) return undefined;
-      return (JSON.parse(found.bodyJson) as { limit: { ratePerS: number } }).limit.ratePerS;
-    } finally {
-      client.close();
-    }
-  };
+  const rateAt = (vm: string, name: string) => readAccountRate(fleet, vm, name);
   const ratesOf = (name: string) => Promise.all(all().map((vm) => rateAt(vm, name)));
 
   /** Sets an account's rate through a VM; resolves with the position of the change. */
