--- a/packages/coordination/src/ownership/createPeerLease.ts
+++ b/packages/coordination/src/ownership/createPeerLease.ts
@@ -19,6 +19,13 @@
   const elapsedMs = (now: ClockReadings, at: ClockReadings): number =>
     Math.max(now.steadyMs - at.steadyMs, now.wallMs - at.wallMs);
 
+  /** Those of the others that confirmed a heartbeat from `sinceBeat` on, sent within `leaseMs`. */
+  const listConfirming = (others: readonly string[], now: ClockReadings, sinceBeat = 0): string[] =>
+    others.filter((vm) => {
+      const latest = latestConfirmationByVm.get(vm);
+      return latest && latest.beat >= sinceBeat && elapsedMs(now, latest.at) < leaseMs;
+    });
+
   return {
     /** Records the sending time of a heartbeat. */
     recordSent: (beat: number, now: ClockReadings): void => {
@@ -33,14 +40,10 @@
       if (at && (latestConfirmationByVm.get(vm)?.beat ?? -1) < beat)
         latestConfirmationByVm.set(vm, { beat, at });
     },
+    listConfirming,
     /** Whether half of the others confirmed a heartbeat from `sinceBeat` on, sent within `leaseMs`. */
-    isValid: (others: readonly string[], now: ClockReadings, sinceBeat = 0): boolean => {
-      const confirming = others.filter((vm) => {
-        const latest = latestConfirmationByVm.get(vm);
-        return latest && latest.beat >= sinceBeat && elapsedMs(now, latest.at) < leaseMs;
-      });
-      return confirming.length * 2 >= others.length;
-    },
+    isValid: (others: readonly string[], now: ClockReadings, sinceBeat = 0): boolean =>
+      listConfirming(others, now, sinceBeat).length * 2 >= others.length,
   };
 };
 
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -327,6 +327,12 @@
     /** Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. */
     holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
       peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
+    /** What a majority is counted from, for the log: the VMs that count, and those that confirm or know. */
+    describeMajority: (key: string, position: DocumentPosition) => ({
+      counted: [...peers.keys()],
+      confirmedBy: peerLease.listConfirming([...peers.keys()], readClocks()),
+      knownBy: [...peers].filter(([, peer]) => hasAtLeast(peer, key, position)).map(([vm]) => vm),
+    }),
     /** Whether any peer reported a newer state of the document than the one known here. */
     isNewerKnownElsewhere: (key: string): boolean => {
       const own = documents.get(key) ?? NO_POSITION;
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -48,6 +48,7 @@
     holdsPeerLease: () => state.holdsPeerLease,
     isNewerKnownElsewhere: () => state.isNewerKnownElsewhere,
     isKnownByMajority: () => state.isKnownByMajority,
+    describeMajority: () => ({ counted: ['b', 'c'], confirmedBy: ['b'], knownBy: ['b'] }),
     isSettled: () => state.isSettled,
     isLeaving: () => state.isLeaving,
     isStrained: () => state.isStrained,
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -207,6 +207,12 @@
 
   const claimGroup = async (group: string, record: GroupRecord | undefined): Promise<void> => {
     const wasActing = actingSinceHeartbeat.has(group);
+    const others = fleet.vms().filter(({ vm }) => vm !== record?.owner);
+    const notHearing = others
+      .filter(
+        ({ hasRecentHeartbeat, hears }) => hasRecentHeartbeat && record && !hears.has(record.owner),
+      )
+      .map(({ vm }) => vm);
     const isClaimed = await writeRecord(group, {
       owner: self.vm,
       incarnation: self.incarnation,
@@ -215,7 +221,20 @@
       fence: record?.fence ?? 0,
       isHandedOver: false,
     });
-    log.info('group.claimed', { group, outcome: isClaimed, before: record?.owner, wasActing });
+    const { era, revision } = documents.get(toGroupKey(group)) ?? {};
+    log.info('group.claimed', {
+      group,
+      outcome: isClaimed,
+      before: record?.owner,
+      wasActing,
+      incarnation: self.incarnation,
+      fence: record?.fence,
+      term: record?.term,
+      era,
+      revision,
+      notHearing,
+      counted: others.map(({ vm }) => vm),
+    });
     actingSinceHeartbeat.delete(group);
     if (!isClaimed) return;
     replacementAllowedAtMs.set(group, nowMs() + PRIMARY_REPLACEMENT_DELAY_MS);
@@ -249,7 +268,10 @@
     const isWritten = await writeRecord(group, next);
     const position = documents.get(toGroupKey(group));
     if (isWritten && position !== undefined) handovers.set(group, { position, ...at });
-    log.info('group.handedOver', { group, successor, outcome: isWritten });
+    const { era, revision } = position ?? {};
+    const { fence, term } = record;
+    const recorded = { fence, term, era, revision };
+    log.info('group.handedOver', { group, successor, outcome: isWritten, ...recorded });
   };
 
   /** Marks the group while its record is written; if that fails, this VM acts for a lost owner. */
@@ -375,14 +397,19 @@
         });
       }
       const isMajorityInformed = fleet.isKnownByMajority(toGroupKey(group), written);
-      if (!isMajorityInformed) {
-        log.warn('primary.recordNotSpread', {
-          group,
-          era: written.era,
-          revision: written.revision,
-        });
-      }
-      return isMajorityInformed && isOwnedHere(group) && isConfirmedByPeers(group);
+      const { era, revision } = written;
+      if (!isMajorityInformed) log.warn('primary.recordNotSpread', { group, era, revision });
+      const isAllowed = isMajorityInformed && isOwnedHere(group) && isConfirmedByPeers(group);
+      log.info('primary.recorded', {
+        group,
+        ...next,
+        incarnation: self.incarnation,
+        era,
+        revision,
+        ...fleet.describeMajority(toGroupKey(group), written),
+        outcome: isAllowed,
+      });
+      return isAllowed;
     },
     /** Call once all records are loaded from the store: from then on a group without one has no owner. */
     markRecordsListed: (): void => {
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -195,11 +195,22 @@
       ? undefined
       : transactions.get(toTransactionKey(statement.senderId, statement.call.transaction));
 
+  const logRunAtFormerPrimary = (call: GroupCall, endpoint: string, outcome: string): void => {
+    const primary = primaryManager.getKnownPrimary();
+    const { requestId: request } = call;
+    log.warn('request.ranAtFormerPrimary', { request, group, endpoint, primary, outcome });
+  };
+
   /** Acknowledges a write or commit only while no other VM can have replaced the primary. */
-  const toCallOutcome = (statement: PendingStatement, reply: MemberReply): CallOutcome =>
-    statement.call.action !== Action.ACTION_READ &&
-    !statement.call.isReadOnly &&
-    !options.isAuthoritative()
+  const toCallOutcome = (
+    { call }: PendingStatement,
+    reply: MemberReply,
+    endpointId: string,
+  ): CallOutcome => {
+    const mayWrite = call.action !== Action.ACTION_READ && !call.isReadOnly;
+    if (mayWrite && endpointId !== primaryManager.getKnownPrimary())
+      logRunAtFormerPrimary(call, endpointId, 'acknowledged');
+    return mayWrite && !options.isAuthoritative()
       ? createRefusal(
           'inDoubt',
           'outcome unknown: the primary may have been replaced while the statement ran',
@@ -210,6 +221,7 @@
           signature: reply.signature ?? '',
           position: reply.position,
         };
+  };
 
   const buildCommand = (
     { call }: PendingStatement,
@@ -327,7 +339,7 @@
       if (reply.state === 'idle') pool.release(connection);
       else pool.closeConnection(connection);
       if (!reply.failure) {
-        resolveStatement(statement, toCallOutcome(statement, reply));
+        resolveStatement(statement, toCallOutcome(statement, reply, pool.endpoint().id));
         return;
       }
       const outcome = handleFailure(statement, pool, reply);
@@ -377,7 +389,7 @@
       if (!reply.failure) {
         if (isCommit) endTransaction(transaction, reply.state === 'idle');
         else startIdleTimer(transaction);
-        resolveStatement(statement, toCallOutcome(statement, reply));
+        resolveStatement(statement, toCallOutcome(statement, reply, transaction.endpointId));
         return;
       }
       const isRetryable = reply.state === 'open' && reply.failure.kind === 'busy';
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -152,8 +152,12 @@
     primary = undefined;
     isReplacing = true;
     if (oldPrimaryId !== undefined) pools.get(oldPrimaryId)?.closeAll();
+    const call = { group, endpoint: candidate.id, before: oldPrimaryId, fence, term, reason };
+    log.info('primary.promoting', call);
+    const calledAtMs = nowMs();
     const outcome = await options.failover.promote(group, candidate.id, options.ownerVm, fence);
-    log.warn('primary.promoted', { group, endpoint: candidate.id, fence, outcome, reason });
+    const tookMs = Math.round(nowMs() - calledAtMs);
+    log.warn('primary.promoted', { ...call, outcome, tookMs });
     if (outcome === 'accepted' || outcome === 'mayHaveRun') {
       const isPromoted = await awaitPromotion(candidate.id);
       if (isPromoted && oldPrimaryId !== undefined)
