--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -130,6 +130,21 @@
       expect(ownership.isOwnedHere('lots')).to.equal(true);
     });
 
+    it('leaves it to a VM whose claim it learns of while it reads the store', async () => {
+      const { ownership, state, waitForStore, storeAndCacheRecord, record, read } = fixture;
+      state.vms = [createVmView('a')];
+      state.holdsPeerLease = true;
+      ownership.markRecordsListed();
+      ownership.reconcile(['lots']);
+      storeAndCacheRecord('lots', record('b', { fence: 3 }));
+      await waitForStore();
+      expect(JSON.parse(read('auburngrade/groups/lots')?.value ?? '{}')).to.include({
+        owner: 'b',
+        fence: 3,
+      });
+      expect(ownership.isOwnedHere('lots')).to.equal(false);
+    });
+
     it('claims nothing while its view of the store is out of date', async () => {
       const { ownership, state, waitForStore } = fixture;
       state.vms = [createVmView('a')];
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -158,7 +158,9 @@
       return undefined;
     }
     const { item, era } = await store.get(key);
-    if (item && documents.putIfNewer(item)) return undefined;
+    if (item) documents.putIfNewer(item);
+    // The next record was made from the known one. A newer one may also have come from a VM during the read.
+    if (documents.get(key) !== known || !mayStartEra(group)) return undefined;
     return { era, revision: item?.revision ?? 0 };
   };
 
