--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -316,6 +316,26 @@
     });
   });
 
+  describe('when a connection to the former primary opens after its replacement', () => {
+    it('begins no transaction there', async () => {
+      await fixture.run(createWrite());
+      fixture.replicate();
+      const release = fixture.holdOpening('farm');
+      const opening = createWrite({ account: 'farm', transaction: 9, opensTransaction: true });
+      const opened = fixture.run({ ...opening, statementTimeoutMs: 4_000 });
+      fixture.setUnreachable('p', true);
+      await fixture.run(createWrite());
+      while (fixture.promoted.length === 0) await sleep(10);
+      await sleep(30);
+      fixture.setUnreachable('p', false);
+      release();
+      await opened;
+      await fixture.run(createCommit({ account: 'farm', transaction: 9 }));
+      const endpoints = fixture.runs.filter(({ account }) => account === 'farm');
+      expect(endpoints.map(({ endpoint }) => endpoint)).to.not.include('p');
+    });
+  });
+
   describe('when reads wait for the position of an unreachable primary', () => {
     it('limits the attempts to connect to it', async () => {
       await fixture.run(createWrite());
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -435,6 +435,12 @@
         call.statementTimeoutMs,
       );
       await prepareConnection(pool, connection, statement.values, call.prepared);
+      if (isPrimaryOnly(statement) && primaryManager.getAvailablePrimary() !== endpointId) {
+        clearTimeout(timeoutTimer);
+        pool.release(connection);
+        requeue(statement);
+        return;
+      }
       const beginReply = await pool.send(connection, {
         kind: 'begin',
         isReadOnly: call.isReadOnly,
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -64,6 +64,8 @@
   let latencyMs = INITIAL_LATENCY_MS;
   let isClosed = false;
   let isReusingConnections = true;
+  /** Identifies the last closing of all connections. */
+  let lastClosedAll = {};
 
   const closeConnection = (connection: PooledConnection): void => {
     connections.delete(connection);
@@ -71,8 +73,11 @@
     connection.memberConnection.close();
   };
 
-  /** Closes all connections; commands pending on them fail. */
-  const closeAll = (): void => [...connections].forEach(closeConnection);
+  /** Closes all connections, also those that are being opened; commands pending on them fail. */
+  const closeAll = (): void => {
+    lastClosedAll = {};
+    [...connections].forEach(closeConnection);
+  };
 
   const setDown = (next: boolean, reason: string): void => {
     if (isDown === next) return;
@@ -116,6 +121,7 @@
   const openConnection = async (account: string): Promise<PooledConnection> => {
     openingConnections += 1;
     const sentAtMs = nowMs();
+    const closedAllBefore = lastClosedAll;
     try {
       const memberConnection = await dialer.open(endpoint, account, OPEN_TIMEOUT_MS);
       const connection: PooledConnection = {
@@ -127,11 +133,11 @@
         lastUsedAtMs: nowMs(),
         isEnded: false,
       };
-      if (isClosed) {
+      if (isClosed || lastClosedAll !== closedAllBefore) {
         memberConnection.close();
         throw new MemberConnectionError(
           'broken',
-          `connection pool of endpoint ${endpoint.id} is closed`,
+          `the connections to endpoint ${endpoint.id} were closed meanwhile`,
         );
       }
       lastReplyAtMs = nowMs();
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -48,6 +48,7 @@
   const runs: StatementRun[] = [];
   const committed: string[] = [];
   const faults: InjectedFault[] = [];
+  const heldAccounts = new Map<string, Promise<void>>();
   let openedCount = 0;
   let attemptCount = 0;
 
@@ -59,6 +60,7 @@
     const member = members.get(endpoint.id);
     if (!member || member.isUnreachable)
       throw new MemberConnectionError('silent', 'the fake member is unreachable');
+    await heldAccounts.get(account);
     openedCount += 1;
     const connectionNumber = openedCount;
     const values = new Map<string, string>();
@@ -144,6 +146,9 @@
           if (!command.isReadOnly && !member.isPrimary) return buildFailure('readOnly');
           transactionState = 'open';
           return buildReply();
+        case 'demote':
+          member.isPrimary = false;
+          return buildReply({ rows: ['status'] });
         case 'rollback':
           uncommittedWrites = [];
           transactionState = 'idle';
@@ -230,6 +235,20 @@
       const member = members.get(endpoint);
       if (member) member.isUnreachable = isUnreachable;
     },
+    /** Delays the opening of an account's connections until the returned function is called. */
+    holdOpening: (account: string): (() => void) => {
+      let release = (): void => undefined;
+      heldAccounts.set(
+        account,
+        new Promise((resolve) => {
+          release = resolve;
+        }),
+      );
+      return () => {
+        heldAccounts.delete(account);
+        release();
+      };
+    },
     /** Brings all replicas to the primary's log position. */
     replicate: (): void => {
       const primary = [...members.values()].find(({ isPrimary }) => isPrimary);
@@ -238,12 +257,15 @@
         if (primary && !member.isPrimary) member.received = { ...primary.received };
       });
     },
+    /** Makes an endpoint primary. One that can't be reached learns of it only by a `demote`. */
     promote: (endpoint: string): void => {
       members.forEach((entry, id) => {
         const member = entry;
-        member.isPrimary = id === endpoint;
         if (id === endpoint) {
+          member.isPrimary = true;
           member.received = { term: member.received.term + 1, number: member.received.number };
+        } else if (!member.isUnreachable) {
+          member.isPrimary = false;
         }
       });
     },
