--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -336,6 +336,20 @@
     });
   });
 
+  describe('when a transaction is still open at the former primary after its replacement', () => {
+    it('does not acknowledge its commit', async () => {
+      const opening = { transaction: 9, opensTransaction: true, transactionIdleMs: 3_000 };
+      await fixture.run(createWrite(opening));
+      await fixture.run(createWrite());
+      fixture.refuseConnections('p');
+      fixture.addFault('p', 'readOnly');
+      await fixture.run(createWrite());
+      while (fixture.promoted.length === 0) await sleep(10);
+      const commit = await fixture.run(createCommit({ transaction: 9 }));
+      expect(commit).to.deep.include({ kind: 'refused', code: 'inDoubt' });
+    });
+  });
+
   describe('when reads wait for the position of an unreachable primary', () => {
     it('limits the attempts to connect to it', async () => {
       await fixture.run(createWrite());
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -195,22 +195,22 @@
       ? undefined
       : transactions.get(toTransactionKey(statement.senderId, statement.call.transaction));
 
-  const logRunAtFormerPrimary = (call: GroupCall, endpoint: string, outcome: string): void => {
-    const primary = primaryManager.getKnownPrimary();
-    const { requestId: request } = call;
-    log.warn('request.ranAtFormerPrimary', { request, group, endpoint, primary, outcome });
-  };
-
-  /** Acknowledges a write or commit only while no other VM can have replaced the primary. */
+  /**
+   * Acknowledges a write or commit only if it ran at the primary, and while no other VM can have replaced that.
+   * A former primary still commits until it learns of its successor.
+   */
   const toCallOutcome = (
     { call }: PendingStatement,
     reply: MemberReply,
     endpointId: string,
   ): CallOutcome => {
-    const mayWrite = call.action !== Action.ACTION_READ && !call.isReadOnly;
-    if (mayWrite && endpointId !== primaryManager.getKnownPrimary())
-      logRunAtFormerPrimary(call, endpointId, 'acknowledged');
-    return mayWrite && !options.isAuthoritative()
+    const isChange = call.action !== Action.ACTION_READ && !call.isReadOnly;
+    const primary = primaryManager.getKnownPrimary();
+    if (isChange && endpointId !== primary) {
+      const { requestId: request } = call;
+      log.warn('request.ranAtFormerPrimary', { request, group, endpoint: endpointId, primary });
+    }
+    return isChange && (endpointId !== primary || !options.isAuthoritative())
       ? createRefusal(
           'inDoubt',
           'outcome unknown: the primary may have been replaced while the statement ran',
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -49,6 +49,8 @@
   const committed: string[] = [];
   const faults: InjectedFault[] = [];
   const heldAccounts = new Map<string, Promise<void>>();
+  /** Endpoints at their connection limit. */
+  const fullEndpoints = new Set<string>();
   let openedCount = 0;
   let attemptCount = 0;
 
@@ -60,6 +62,8 @@
     const member = members.get(endpoint.id);
     if (!member || member.isUnreachable)
       throw new MemberConnectionError('silent', 'the fake member is unreachable');
+    if (fullEndpoints.has(endpoint.id))
+      throw new MemberConnectionError('connectionLimit', 'the fake member is full');
     await heldAccounts.get(account);
     openedCount += 1;
     const connectionNumber = openedCount;
@@ -235,6 +239,10 @@
       const member = members.get(endpoint);
       if (member) member.isUnreachable = isUnreachable;
     },
+    /** Refuses further connections to an endpoint, as one at its connection limit does. */
+    refuseConnections: (endpoint: string): void => {
+      fullEndpoints.add(endpoint);
+    },
     /** Delays the opening of an account's connections until the returned function is called. */
     holdOpening: (account: string): (() => void) => {
       let release = (): void => undefined;
