--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -208,7 +208,9 @@
       },
       record: (next) => ownership.recordPrimary(group, next),
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
+      findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
+      isInHandoverGrace: () => ownership.isInHandoverGrace(group),
     });
     servers.set(group, server);
     updateGroup(group, server);
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -407,6 +407,21 @@
       expect(ownership.mayReplacePrimary('lots')).to.equal(true);
     });
 
+    it('waits again if it owned the group before, and others did in between without its knowledge', async () => {
+      const { ownership, state, clock, own, record, storeAndCacheRecord } = fixture;
+      await own('lots');
+      ownership.reconcile(['lots']);
+      state.holdsPeerLease = true;
+      clock.ms += 10_000;
+      ownership.reconcile(['lots']);
+      expect(ownership.mayReplacePrimary('lots')).to.equal(true);
+      storeAndCacheRecord('lots', record('a', { ownerEpoch: 3, isHandedOver: true }));
+      ownership.reconcile(['lots']);
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+      clock.ms += 1_250;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(true);
+    });
+
     it('replaces no primary on a confirmation by the store alone, since another VM may be acting', async () => {
       const { ownership, waitForStore, clock } = fixture;
       ownership.reconcile(['lots']);
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -58,9 +58,10 @@
 const createOwnership = (options: OwnershipOptions) => {
   const { self, store, documents, fleet, log, nowMs, wallMs } = options;
   const groupsBeingRecorded = new Set<string>();
-  const replacementAllowedAtMs = new Map<string, number>();
-  /** Since when a majority of the VMs has known that this VM owns the group. */
-  const majorityKnowsSinceMs = new Map<string, number>();
+  /** When the wait of a VM that claimed a group ends, in which tenure. */
+  const replacementWaits = new Map<string, { tenure: string | undefined; endsAtMs: number }>();
+  /** Since when a majority of the VMs has known that this VM owns the group, in which tenure. */
+  const majorityKnowledge = new Map<string, { tenure: string; sinceMs: number }>();
   /** Groups for which this VM is acting, with the number of the first heartbeat that announces it. */
   const actingSinceHeartbeat = new Map<string, number>();
   /** When each group's record was last read from or written to the store. */
@@ -85,6 +86,15 @@
     const record = getRecord(group);
     return record?.owner === self.vm && record.incarnation === self.incarnation;
   };
+  /**
+   * Identifies this VM's uninterrupted service of the group, as its owner or as the acting VM; undefined if it has
+   * none. What was concluded in another tenure is void: the primary may have been replaced in between.
+   */
+  const findTenure = (group: string): string | undefined => {
+    const { ownerEpoch = 0, fence = 0 } = getRecord(group) ?? {};
+    if (isOwnedHere(group)) return `owner ${ownerEpoch}`;
+    return actingSinceHeartbeat.has(group) ? `acting ${ownerEpoch} ${fence}` : undefined;
+  };
   const isOwnerLost = (group: string, { owner, incarnation }: GroupRecord): boolean => {
     const sinceMs = documents.get(toGroupKey(group))?.knownSinceMs ?? nowMs();
     const isSettled = owner === self.vm || nowMs() - sinceMs > RECORD_GRACE_MS;
@@ -221,6 +231,7 @@
       primary: record?.primary ?? '',
       term: record?.term ?? 0,
       fence: record?.fence ?? 0,
+      ownerEpoch: (record?.ownerEpoch ?? 0) + 1,
       isHandedOver: false,
     });
     const { era, revision } = documents.get(toGroupKey(group)) ?? {};
@@ -239,7 +250,8 @@
     });
     actingSinceHeartbeat.delete(group);
     if (!isClaimed) return;
-    replacementAllowedAtMs.set(group, nowMs() + PRIMARY_REPLACEMENT_DELAY_MS);
+    const endsAtMs = nowMs() + PRIMARY_REPLACEMENT_DELAY_MS;
+    replacementWaits.set(group, { tenure: findTenure(group), endsAtMs });
   };
 
   const countOwnedGroups = (groups: readonly string[]): Map<string, number> => {
@@ -265,7 +277,13 @@
     const successorView = others.find(({ vm }) => vm === successor);
     if (!record || !successorView) return;
     const { incarnation } = successorView;
-    const next = { ...record, owner: successorView.vm, incarnation, isHandedOver: true };
+    const next = {
+      ...record,
+      owner: successorView.vm,
+      incarnation,
+      ownerEpoch: record.ownerEpoch + 1,
+      isHandedOver: true,
+    };
     const at = readClocks();
     const isWritten = await writeRecord(group, next);
     const position = documents.get(toGroupKey(group));
@@ -361,19 +379,26 @@
       if (owner !== undefined && fleet.isHeard(owner)) return owner;
       return fleet.findActingVm(group) ?? owner;
     },
+    findTenure,
     isAuthoritative,
+    isInHandoverGrace,
     /** Whether this VM is authoritative for the group and likely stays so when its peer lease ends. */
     isAuthoritativeBeyondPeerLease: (group: string): boolean =>
       isAuthoritative(group) && (isConfirmedByStore(group) || fleet.reachesMajority()),
     /** Whether this VM owns the group and no previous owner or acting VM can still use the old primary. */
     mayReplacePrimary: (group: string): boolean => {
-      if (!isOwnedHere(group)) return false;
-      const informedSinceMs = majorityKnowsSinceMs.get(group);
-      const allowedAtMs = getRecord(group)?.isHandedOver
-        ? 0
-        : (replacementAllowedAtMs.get(group) ?? 0);
-      const hasActingVmExpired =
-        informedSinceMs !== undefined && nowMs() >= informedSinceMs + ACTING_VM_EXPIRY_WAIT_MS;
+      const tenure = findTenure(group);
+      const knowledge = majorityKnowledge.get(group);
+      if (!isOwnedHere(group) || !knowledge || knowledge.tenure !== tenure) return false;
+      const { sinceMs } = knowledge;
+      const claimWait = replacementWaits.get(group);
+      // Without a wait of this tenure, the claim took effect after its call had failed.
+      const claimWaitEndsAtMs =
+        claimWait && claimWait.tenure === tenure
+          ? claimWait.endsAtMs
+          : sinceMs + PRIMARY_REPLACEMENT_DELAY_MS;
+      const allowedAtMs = getRecord(group)?.isHandedOver ? 0 : claimWaitEndsAtMs;
+      const hasActingVmExpired = nowMs() >= sinceMs + ACTING_VM_EXPIRY_WAIT_MS;
       // A confirmation by the store is not enough: another VM may act for an owner that most VMs cannot hear.
       return nowMs() >= allowedAtMs && hasActingVmExpired && isConfirmedByPeers(group);
     },
@@ -420,13 +445,16 @@
     /** Called periodically and on changes: claims unowned groups that this VM should own, or rebalances. */
     reconcile: (groupNames: Iterable<string>): void => {
       const ownedGroups = new Set([...groupNames].filter(isOwnedHere));
-      [...majorityKnowsSinceMs.keys()]
-        .filter((group) => !ownedGroups.has(group))
-        .forEach((group) => majorityKnowsSinceMs.delete(group));
+      majorityKnowledge.forEach(({ tenure }, group) => {
+        const isCurrent = ownedGroups.has(group) && findTenure(group) === tenure;
+        if (!isCurrent) majorityKnowledge.delete(group);
+      });
       ownedGroups.forEach((group) => {
         const known = documents.get(toGroupKey(group));
-        if (!known || majorityKnowsSinceMs.has(group)) return;
-        if (fleet.isKnownByMajority(known.key, known)) majorityKnowsSinceMs.set(group, nowMs());
+        const tenure = findTenure(group);
+        if (!known || tenure === undefined || majorityKnowledge.has(group)) return;
+        if (fleet.isKnownByMajority(known.key, known))
+          majorityKnowledge.set(group, { tenure, sinceMs: nowMs() });
       });
       const groups = [...groupNames].sort();
       actingSinceHeartbeat.forEach((_heartbeatNumber, group) => {
--- a/packages/sessions/src/fleet/readGroupRecord.ts
+++ b/packages/sessions/src/fleet/readGroupRecord.ts
@@ -10,9 +10,19 @@
 const readGroupRecord = (value: string): GroupRecord | undefined => {
   try {
     const record = JSON.parse(value) as Record<string, unknown>;
-    const { owner, incarnation, primary = '', term = 0, fence = 0, isHandedOver, era } = record;
+    const {
+      owner,
+      incarnation,
+      primary = '',
+      term = 0,
+      fence = 0,
+      isHandedOver,
+      era,
+      ownerEpoch = 0,
+    } = record;
     if (typeof owner !== 'string' || typeof incarnation !== 'string') return undefined;
     if (typeof primary !== 'string' || !isCount(term) || !isCount(fence)) return undefined;
+    if (!isCount(ownerEpoch)) return undefined;
     if (era !== undefined && !isCount(era)) return undefined;
     const common = {
       owner,
@@ -20,6 +30,7 @@
       primary,
       term,
       fence,
+      ownerEpoch,
       isHandedOver: isHandedOver === true,
     };
     return era === undefined ? common : { ...common, era };
--- a/packages/sessions/src/fleet/storedRecords.spec.ts
+++ b/packages/sessions/src/fleet/storedRecords.spec.ts
@@ -10,6 +10,7 @@
   primary: 'p',
   term: 3,
   fence: 2,
+  ownerEpoch: 4,
   isHandedOver: false,
 };
 const texts = fc.oneof(fc.string(), fc.json());
@@ -25,7 +26,14 @@
   });
 
   it('are no group record when a field has another type', () => {
-    const fields = fc.constantFrom('owner', 'incarnation', 'primary', 'term', 'fence');
+    const fields = fc.constantFrom(
+      'owner',
+      'incarnation',
+      'primary',
+      'term',
+      'fence',
+      'ownerEpoch',
+    );
     const values = fc.constantFrom<unknown>(null, true, -1, 1.5, [], {}, ['p']);
     fc.assert(
       fc.property(fields, values, (field, value) => {
@@ -43,6 +51,7 @@
       primary: '',
       term: 0,
       fence: 0,
+      ownerEpoch: 0,
       isHandedOver: false,
     });
   });
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -65,6 +65,8 @@
     isCertain: true,
     mayReplace: true,
     isRecorded: true,
+    isInHandoverGrace: true,
+    tenure: 'owner 1',
     primary: '',
     term: 0,
     fence: 0,
@@ -98,7 +100,9 @@
       return ownerState.isRecorded;
     },
     canReplacePrimary: () => ownerState.mayReplace,
+    findTenure: () => ownerState.tenure,
     isAuthoritative: () => ownerState.isCertain,
+    isInHandoverGrace: () => ownerState.isInHandoverGrace,
     controlAccount: () => 'ranch',
   });
   server.updateEndpoints(ENDPOINTS, 21);
@@ -350,6 +354,39 @@
     });
   });
 
+  describe('when another VM owned the group and replaced its primary in between', () => {
+    beforeEach(async () => {
+      await fixture.run(createWrite());
+      fixture.replicate();
+      fixture.setUnreachable('p', true);
+      fixture.promote('r');
+      fixture.setUnreachable('p', false);
+      Object.assign(fixture.state, { primary: 'r', term: 2, fence: 1, tenure: 'owner 3' });
+    });
+
+    it('runs no write at the former primary', async () => {
+      await fixture.run(createWrite());
+      await fixture.run(createWrite());
+      expect(fixture.runs.map(({ endpoint }) => endpoint)).to.deep.equal(['p', 'r', 'r']);
+    });
+
+    it('reads no position of the former primary', async () => {
+      const read = await fixture.run(createCall({ maxAgeMs: 5_000 }));
+      expect(read.kind).to.equal('complete');
+      expect(fixture.runs.at(-1)?.endpoint).to.equal('r');
+    });
+  });
+
+  describe('when the group was handed over and has come back', () => {
+    it('acknowledges no commit of the earlier tenure that ends after the grace', async () => {
+      await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
+      fixture.server.startDraining();
+      Object.assign(fixture.state, { tenure: 'owner 3', isInHandoverGrace: false });
+      const commit = await fixture.run(createCommit({ transaction: 9 }));
+      expect(commit).to.deep.include({ kind: 'refused', code: 'inDoubt' });
+    });
+  });
+
   describe('when reads wait for the position of an unreachable primary', () => {
     it('limits the attempts to connect to it', async () => {
       await fixture.run(createWrite());
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -60,8 +60,12 @@
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
   /** Whether no earlier owner can still be using another primary. */
   canReplacePrimary(): boolean;
+  /** Identifies the uninterrupted service of the group by this VM; undefined while it has none. */
+  findTenure(): string | undefined;
   /** False while another VM may have replaced the primary without this VM knowing. */
   isAuthoritative(): boolean;
+  /** Whether commits under way may still be acknowledged after a handover. */
+  isInHandoverGrace(): boolean;
   /** Client account used for the owner's own commands, such as status. */
   controlAccount(): string;
 }
@@ -183,7 +187,8 @@
 
   const getRequiredPosition = (statement: PendingStatement): LogPosition | undefined => {
     const { maxAgeMs, notBefore } = statement.call;
-    if (maxAgeMs === undefined) return undefined;
+    // The positions are those of the primary in the tenure in which it was found.
+    if (maxAgeMs === undefined || !primaryManager.isPrimaryOfTenure()) return undefined;
     const leastFreshPosition = positionHistory.findMinFreshPosition(
       nowMs() - Math.max(0, maxAgeMs - FRESHNESS_MARGIN_MS),
     );
@@ -210,7 +215,8 @@
       const { requestId: request } = call;
       log.warn('request.ranAtFormerPrimary', { request, group, endpoint: endpointId, primary });
     }
-    return isChange && (endpointId !== primary || !options.isAuthoritative())
+    const isAuthoritative = isDraining ? options.isInHandoverGrace() : options.isAuthoritative();
+    return isChange && (endpointId !== primary || !isAuthoritative)
       ? createRefusal(
           'inDoubt',
           'outcome unknown: the primary may have been replaced while the statement ran',
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -30,6 +30,8 @@
   storeEra(): number;
   /** Records the next primary; returns false when this VM no longer owns the group. */
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
+  /** Identifies the uninterrupted service of the group by this VM; undefined while it has none. */
+  findTenure(): string | undefined;
   /** Whether a replacement is safe now: no earlier owner can still be using another primary. */
   canReplacePrimary(): boolean;
   /** Counts open transactions and in-flight statements at an endpoint. */
@@ -43,6 +45,8 @@
 const createPrimaryManager = (options: PrimaryManagerOptions) => {
   const { group, pools, log, nowMs } = options;
   let primary: string | undefined;
+  /** In which tenure the primary was found; in a later one it may have been replaced by another VM. */
+  let primaryTenure: string | undefined;
   let isReplacing = false;
   let isChecking = false;
   let isClosed = false;
@@ -60,6 +64,7 @@
 
   const acceptPrimary = (id: string, position: LogPosition, askedAtMs: number): void => {
     primary = id;
+    primaryTenure = options.findTenure();
     highestSeenTerm = Math.max(highestSeenTerm, position.term);
     noPrimarySinceMs = undefined;
     log.info('primary.believed', { group, endpoint: id, term: position.term });
@@ -192,7 +197,15 @@
       await replacePrimary(undefined, 'none');
   };
 
+  /** Whether the primary was found in the present tenure, or in the last one of a server that is drained. */
+  const isPrimaryOfTenure = (): boolean => isClosed || options.findTenure() === primaryTenure;
+
   const checkPrimary = async (): Promise<void> => {
+    if (primary !== undefined && !isPrimaryOfTenure()) {
+      log.warn('primary.doubted', { group, endpoint: primary, reason: 'another owner in between' });
+      primary = undefined;
+      options.onChange();
+    }
     const pool = primary === undefined ? undefined : pools.get(primary);
     if (primary !== undefined && !pool) {
       log.warn('primary.gone', { group, endpoint: primary });
@@ -231,13 +244,15 @@
     /** Runs a check at once, for example after endpoints were added. */
     checkNow: runCheck,
     /** The primary for new statements; undefined when unknown or while it is being replaced. */
-    getAvailablePrimary: (): string | undefined => (isReplacing ? undefined : primary),
+    getAvailablePrimary: (): string | undefined =>
+      isReplacing || !isPrimaryOfTenure() ? undefined : primary,
     /** The primary even while it is being replaced, for transactions that are open there. */
-    getKnownPrimary: (): string | undefined => primary,
+    getKnownPrimary: (): string | undefined => (isPrimaryOfTenure() ? primary : undefined),
+    isPrimaryOfTenure,
     /** Forgets a primary that reported to be read-only; the next check searches again. */
     invalidatePrimary: (id: string): void => {
       if (primary !== id) return;
-      log.warn('primary.doubted', { group, endpoint: id });
+      log.warn('primary.doubted', { group, endpoint: id, reason: 'read-only' });
       primary = undefined;
     },
     close: (): void => {
