--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -301,6 +301,14 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    it('does not accept another primary in the recorded term than the recorded one', async () => {
+      // The one recorded did not know of the term in which the former primary leads.
+      fixture.promote('p');
+      Object.assign(fixture.state, { primary: 'r', term: 2, fence: 2, mayReplace: false });
+      expect(await fixture.run(createWrite())).to.deep.include({ kind: 'refused', code: 'busy' });
+      expect(fixture.committed).to.have.length(0);
+    });
+
     it('promotes no replica while an earlier owner may still use the primary', async () => {
       fixture.state.mayReplace = false;
       fixture.setUnreachable('p', true);
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -1,6 +1,7 @@
 import { comparePositions, createFence, type LogPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type FailoverClient from '../seams/failoverClient';
+import type EndpointStatus from '../seams/memberStatus';
 import type GroupRecord from './groupRecord';
 import type MemberPool from './memberPool';
 import sleep from '../time/sleep';
@@ -41,6 +42,24 @@
   controlAccount(): string;
 }
 
+interface ProbeReply {
+  id: string;
+  askedAtMs: number;
+  status: EndpointStatus;
+}
+
+/**
+ * Whether an endpoint that reports to lead a term is no former primary. The recorded term is a lower bound: the
+ * recorded endpoint, if it did not know of the term before, leads a higher one, and its predecessor this one.
+ */
+const mayBePrimary = (
+  id: string,
+  term: number,
+  recorded: Pick<GroupRecord, 'primary' | 'term'>,
+): boolean =>
+  term > recorded.term ||
+  (term === recorded.term && (recorded.primary === '' || recorded.primary === id));
+
 /** Tracks a group's primary, and promotes a replica when the primary is down or leaving. */
 const createPrimaryManager = (options: PrimaryManagerOptions) => {
   const { group, pools, log, nowMs } = options;
@@ -53,7 +72,7 @@
   let noPrimarySinceMs: number | undefined;
   let highestSeenTerm = 0;
 
-  const probeEndpoints = async (ids: readonly string[]) => {
+  const probeEndpoints = async (ids: readonly string[]): Promise<ProbeReply[]> => {
     const replies = await Promise.all(
       ids.map(async (id) => ({ id, askedAtMs: nowMs(), status: await pools.get(id)?.probe() })),
     );
@@ -62,13 +81,13 @@
     );
   };
 
-  const acceptPrimary = (id: string, position: LogPosition, askedAtMs: number): void => {
+  const acceptPrimary = ({ id, askedAtMs, status }: ProbeReply): void => {
     primary = id;
     primaryTenure = options.findTenure();
-    highestSeenTerm = Math.max(highestSeenTerm, position.term);
+    highestSeenTerm = Math.max(highestSeenTerm, status.term);
     noPrimarySinceMs = undefined;
-    log.info('primary.believed', { group, endpoint: id, term: position.term });
-    options.onPrimaryFound(id, position, askedAtMs);
+    log.info('primary.believed', { group, endpoint: id, term: status.term });
+    options.onPrimaryFound(id, status.receivedPosition, askedAtMs);
     options.onChange();
   };
 
@@ -94,7 +113,7 @@
     while (!isClosed && nowMs() < untilMs) {
       const [reply] = await probeEndpoints([id]);
       if (reply?.status.isPrimary) {
-        acceptPrimary(id, reply.status.receivedPosition, reply.askedAtMs);
+        acceptPrimary(reply);
         return true;
       }
       await sleep(PROMOTION_POLL_MS);
@@ -172,23 +191,18 @@
 
   /** Accepts the endpoint that reports itself as primary with the highest term, or promotes one. */
   const findPrimary = async (): Promise<void> => {
-    const minTerm = options.getRecordedPrimary().term;
+    const recorded = options.getRecordedPrimary();
     const reachable = [...pools].filter(([, pool]) => !pool.isDown());
     const claimants = reachable.filter(
-      ([id, pool]) =>
-        pool.endpoint().isRegisteredAsPrimary || id === options.getRecordedPrimary().primary,
+      ([id, pool]) => pool.endpoint().isRegisteredAsPrimary || id === recorded.primary,
     );
     const probed = claimants.length > 0 ? claimants : reachable;
     const replies = await probeEndpoints(probed.map(([id]) => id));
     const [newestPrimary] = replies
-      .filter(({ status }) => status.isPrimary && status.term >= minTerm)
+      .filter(({ id, status }) => status.isPrimary && mayBePrimary(id, status.term, recorded))
       .sort((a, b) => b.status.term - a.status.term);
     if (newestPrimary) {
-      acceptPrimary(
-        newestPrimary.id,
-        newestPrimary.status.receivedPosition,
-        newestPrimary.askedAtMs,
-      );
+      acceptPrimary(newestPrimary);
       return;
     }
     noPrimarySinceMs ??= nowMs();
