--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -174,6 +174,7 @@
     log,
     nowMs,
     wallMs,
+    isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
     primaryDataCentre: (group) =>
       endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -41,6 +41,7 @@
     isStrained: false,
     servedAtMs: undefined as number | undefined,
     primaryDataCentre: undefined as string | undefined,
+    isReplacingPrimary: false,
   };
   const fleet = {
     vms: () => state.vms,
@@ -66,6 +67,7 @@
     nowMs,
     wallMs: nowMs,
     primaryDataCentre: () => state.primaryDataCentre,
+    isReplacingPrimary: () => state.isReplacingPrimary,
     isStoreViewCurrent: () => state.isStoreViewCurrent,
   });
   const waitForStore = (): Promise<void> =>
@@ -521,6 +523,21 @@
       expect(ownership.getRecord('lots')?.owner).to.equal('b');
     });
 
+    it('keeps a group while it replaces the primary', async () => {
+      const { ownership, state, waitForStore, own } = fixture;
+      await own('lots');
+      state.vms = [createVmView('a', { isStrained: true }), createVmView('b')];
+      state.isStrained = true;
+      state.isReplacingPrimary = true;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(ownership.isOwnedHere('lots')).to.equal(true);
+      state.isReplacingPrimary = false;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect(ownership.getRecord('lots')?.owner).to.equal('b');
+    });
+
     it('hands over a group whose primary has been in its own data centre for 2 s', async () => {
       const { ownership, own, state, waitForStore, clock } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -47,6 +47,8 @@
   nowMs(): number;
   wallMs(): number;
   primaryDataCentre(group: string): string | undefined;
+  /** Whether this VM is replacing the group's primary. */
+  isReplacingPrimary(group: string): boolean;
   /** Whether registrations and group records are up to date with the store. */
   isStoreViewCurrent(): boolean;
 }
@@ -358,10 +360,13 @@
     const isDue = fleet.isStrained()
       ? eligibleVms.length > 0 && nowMs() - lastRebalancedAtMs > STRAIN_HANDOVER_INTERVAL_MS
       : ownedGroups.length - leastOwned >= REBALANCE_SURPLUS_GROUPS;
+    // The next owner of a group does not wait for a call that promotes its primary.
+    const mayHandOver = (group: string): boolean => !options.isReplacingPrimary(group);
     const groupToHandOver = isDue
-      ? ownedGroups[0]
+      ? ownedGroups.find(mayHandOver)
       : findMisplacedGroup(ownedGroups, counts, eligibleVms);
-    if (groupToHandOver === undefined || groupsBeingRecorded.size > 0) return;
+    if (groupToHandOver === undefined || !mayHandOver(groupToHandOver)) return;
+    if (groupsBeingRecorded.size > 0) return;
     lastRebalancedAtMs = nowMs();
     runRecordChange(groupToHandOver, handOver(groupToHandOver), 'group.handOverFailed');
   };
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -736,6 +736,7 @@
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
     countQueued: () => queue.length,
+    isReplacingPrimary: primaryManager.isReplacing,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
       isClosed = true;
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -67,6 +67,8 @@
   /** In which tenure the primary was found; in a later one it may have been replaced by another VM. */
   let primaryTenure: string | undefined;
   let isReplacing = false;
+  /** Whether a replacement runs, from the search for a candidate to its end. */
+  let isReplacementRunning = false;
   let isChecking = false;
   let isClosed = false;
   let noPrimarySinceMs: number | undefined;
@@ -189,6 +191,17 @@
     }
   };
 
+  const runReplacement = async (
+    ...parameters: Parameters<typeof replacePrimary>
+  ): Promise<void> => {
+    isReplacementRunning = true;
+    try {
+      await replacePrimary(...parameters);
+    } finally {
+      isReplacementRunning = false;
+    }
+  };
+
   /** Accepts the endpoint that reports itself as primary with the highest term, or promotes one. */
   const findPrimary = async (): Promise<void> => {
     const recorded = options.getRecordedPrimary();
@@ -208,7 +221,7 @@
     noPrimarySinceMs ??= nowMs();
     const isGracePeriodElapsed = nowMs() - noPrimarySinceMs > NO_PRIMARY_GRACE_MS;
     if (isGracePeriodElapsed && pools.size > 1 && options.canReplacePrimary())
-      await replacePrimary(undefined, 'none');
+      await runReplacement(undefined, 'none');
   };
 
   /** Whether the primary was found in the present tenure, or in the last one of a server that is drained. */
@@ -226,9 +239,9 @@
       primary = undefined;
     }
     if (pool && primary !== undefined) {
-      if (pool.isDown() && options.canReplacePrimary()) await replacePrimary(primary, 'lost');
+      if (pool.isDown() && options.canReplacePrimary()) await runReplacement(primary, 'lost');
       else if (pool.endpoint().isLeaving && options.canReplacePrimary())
-        await replacePrimary(primary, 'leaving');
+        await runReplacement(primary, 'leaving');
     } else {
       await findPrimary();
     }
@@ -263,6 +276,7 @@
     /** The primary even while it is being replaced, for transactions that are open there. */
     getKnownPrimary: (): string | undefined => (isPrimaryOfTenure() ? primary : undefined),
     isPrimaryOfTenure,
+    isReplacing: (): boolean => isReplacementRunning,
     /** Forgets a primary that reported to be read-only; the next check searches again. */
     invalidatePrimary: (id: string): void => {
       if (primary !== id) return;
