--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -72,7 +72,10 @@
     fence: 0,
   };
   class FakeFailoverCaller extends FailoverClient {
-    override async promote(...[, id, , fence]: Parameters<FailoverClient['promote']>) {
+    override async promote(
+      ...[, id, , fence, mayStillSend]: Parameters<FailoverClient['promote']>
+    ) {
+      if (!mayStillSend()) return 'notRun' as const;
       promotions.push({ id, fence });
       setTimeout(() => members.promote(id), 20);
       return 'accepted' as const;
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -140,6 +140,14 @@
     }
   };
 
+  /** Whether a call that is about to be sent still may be: connecting can outlast the right to it. */
+  const mayStillSend = (call: { endpoint: string; fence: number }): boolean => {
+    if (!isClosed && options.canReplacePrimary()) return true;
+    const { endpoint, fence } = call;
+    log.warn('primary.callWithdrawn', { group, endpoint, fence });
+    return false;
+  };
+
   const replacePrimary = async (
     oldPrimaryId: string | undefined,
     reason: string,
@@ -181,7 +189,13 @@
     const call = { group, endpoint: candidate.id, before: oldPrimaryId, fence, term, reason };
     log.info('primary.promoting', call);
     const calledAtMs = nowMs();
-    const outcome = await options.failover.promote(group, candidate.id, options.ownerVm, fence);
+    const outcome = await options.failover.promote(
+      group,
+      candidate.id,
+      options.ownerVm,
+      fence,
+      () => mayStillSend(call),
+    );
     const tookMs = Math.round(nowMs() - calledAtMs);
     log.warn('primary.promoted', { ...call, outcome, tookMs });
     if (outcome === 'accepted' || outcome === 'mayHaveRun') {
