--- a/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
+++ b/packages/auburngrade/src/configuration/createConfigurationDistribution.ts
@@ -81,6 +81,7 @@
 
   const isPeerNeeded = (): boolean =>
     !isPlatformNeeded() ||
+    configuration.catchUpRevision() !== undefined ||
     nowMs() - platformFollower.confirmedAtMs() > RELAY_MAX_CONFIRMATION_AGE_MS;
 
   const findAddress = (id: string): string | undefined => {
--- a/packages/auburngrade/src/configuration/createPeerFollower.ts
+++ b/packages/auburngrade/src/configuration/createPeerFollower.ts
@@ -62,11 +62,15 @@
       let stream: FollowStream | undefined;
       let timer: NodeJS.Timeout | undefined;
       let isEnded = false;
+      let unsubscribe = (): void => {};
+      /** First ping sent while the configuration had to catch up with what the store has lost. */
+      let catchUpPing: number | undefined;
 
       const end = (reason: EndReason): void => {
         if (isEnded) return;
         isEnded = true;
         clearInterval(timer);
+        unsubscribe();
         stream?.close();
         resolve(reason);
       };
@@ -85,6 +89,9 @@
         if (update.snapshot) state.applySnapshot(update.revision, pendingEntries);
         else state.applyChanges(update.revision, pendingEntries);
         pendingEntries = [];
+        if (catchUpPing === undefined || update.ping < catchUpPing) return;
+        catchUpPing = undefined;
+        state.completeCatchUp();
       };
 
       const onUpdate = (update: ConfigurationUpdate): void => {
@@ -105,7 +112,9 @@
         ping += 1;
         pingSentAtMs.set(ping, nowMs());
         pingSentAtMs.delete(ping - MAX_TRACKED_PINGS);
-        stream?.send({ vm, fromRevision: state.revision(), ping });
+        const catchUpRevision = state.catchUpRevision();
+        if (catchUpRevision !== undefined) catchUpPing ??= ping;
+        stream?.send({ vm, fromRevision: catchUpRevision ?? state.revision(), ping });
       };
 
       const checkSession = (): void => {
@@ -117,6 +126,9 @@
 
       stream = options.open(address, { onUpdate, onEnd: () => end('unreachable') });
       sendPing();
+      unsubscribe = state.onChange(() => {
+        if (state.catchUpRevision() !== undefined && catchUpPing === undefined) sendPing();
+      });
       timer = setInterval(checkSession, PING_INTERVAL_MS);
       endCurrentSession = () => end('notNeeded');
     });
--- a/packages/auburngrade/src/integration/restoredStore.spec.ts
+++ b/packages/auburngrade/src/integration/restoredStore.spec.ts
@@ -105,3 +105,55 @@
     await awaitInForce('ranch', 32);
   });
 });
+
+describe('a VM that was cut off while the store lost a deletion', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await startFleet({
+      dataCentres: ['waco', 'temple'],
+      vmsPerDataCentre: 2,
+      groups: [],
+      hasFaultLinks: true,
+    });
+    await fleet.settle();
+  });
+  after(() => fleet.stop());
+
+  it('learns of it from a VM that knows it', async () => {
+    const cutOff = 'temple-2';
+    const others = fleet.names.map(({ vm }) => vm).filter((vm) => vm !== cutOff);
+    const ratesOf = (vms: readonly string[]) =>
+      Promise.all(vms.map((vm) => readAccountRate(fleet, vm, 'gone')));
+    const isEverywhere = async (vms: readonly string[], rate: number | undefined) =>
+      (await ratesOf(vms)).every((found) => found === rate);
+    const linkAll = (mode: 'cut' | 'pass'): void =>
+      others.forEach((vm) => fleet.link(cutOff, vm).setMode(mode));
+
+    linkAll('cut');
+    fleet.link(cutOff, 'platform').setMode('cut');
+    const client = fleet.operator('waco-1');
+    const { revision } = await client.put({
+      kind: 'account',
+      name: 'gone',
+      bodyJson: JSON.stringify({ limit: { ratePerS: 20, burst: 1 } }),
+      expectedRevision: ANY_REVISION,
+      changeId: randomUUID(),
+    });
+    await waitFor('known to the others', () => isEverywhere(others, 20), IN_FORCE_MS);
+    await client.delete({
+      kind: 'account',
+      name: 'gone',
+      expectedRevision: ANY_REVISION,
+      changeId: randomUUID(),
+    });
+    client.close();
+    await waitFor('deleted on the others', () => isEverywhere(others, undefined), IN_FORCE_MS);
+    await fleet.platform.restore(revision);
+    fleet.link(cutOff, 'platform').setMode('pass');
+    await waitFor('listed by the VM that was cut off', () => isEverywhere([cutOff], 20));
+    linkAll('pass');
+    await waitFor('deleted everywhere', () => isEverywhere([cutOff], undefined), IN_FORCE_MS);
+    expect(await ratesOf(others)).to.deep.equal(others.map(() => undefined));
+  });
+});
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -7,10 +7,20 @@
 interface ConfigurationState {
   /** Returns the revision up to which every change is known. */
   revision(): number;
-  /** Applies every change from the known revision up to `revision`; earlier ones are ignored. */
+  /**
+   * Applies every change from the known revision up to `revision`; earlier ones are ignored, except
+   * those of an earlier era that the store lost in a restore before this VM saw them.
+   */
   applyChanges(revision: number, entries: readonly ConfigurationEntry[]): void;
   /** Replaces all documents, unless `revision` is lower than the known one. */
   applySnapshot(revision: number, entries: readonly ConfigurationEntry[]): void;
+  /**
+   * Revision from which another VM has to be asked for changes of earlier eras, which the store has
+   * lost; undefined when none has to be asked.
+   */
+  catchUpRevision(): number | undefined;
+  /** To be called when another VM has sent what it knows since `catchUpRevision`. */
+  completeCatchUp(): void;
   get<Kind extends DocumentKind>(kind: Kind, name: string): DocumentOf<Kind> | undefined;
   getDocumentRevision(kind: DocumentKind, name: string): number | undefined;
   listNames(kind: DocumentKind): string[];
--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -165,5 +165,30 @@
       state.applySnapshot(toHistoryPosition(2, 8), []);
       expect(state.listNames('account')).to.deep.equal(['lost']);
     });
+
+    it('takes over a change of the earlier era that the restore has lost, from a VM that knows it', () => {
+      const key = buildAccountKey('gone');
+      const put = { key, valueJson: buildValueJson(9), modRevision: toHistoryPosition(1, 9) };
+      const deletion = { key, valueJson: undefined, modRevision: toHistoryPosition(1, 10) };
+      const state = createConfigurationState();
+      state.applySnapshot(toHistoryPosition(1, 8), []);
+      state.applySnapshot(toHistoryPosition(2, 9), [put]);
+      state.applyChanges(toHistoryPosition(2, 9), [deletion]);
+      expect(state.get('account', 'gone')).to.equal(undefined);
+      state.applyChanges(toHistoryPosition(2, 9), [put]);
+      expect(state.get('account', 'gone')).to.equal(undefined);
+    });
+
+    it('asks for what changed after the end of what it knows of the earlier era, until it was told', () => {
+      const state = createConfigurationState();
+      state.applySnapshot(toHistoryPosition(1, 8), []);
+      expect(state.catchUpRevision()).to.equal(undefined);
+      state.applySnapshot(toHistoryPosition(2, 9), []);
+      expect(state.catchUpRevision()).to.equal(toHistoryPosition(1, 8));
+      state.applySnapshot(toHistoryPosition(3, 9), []);
+      expect(state.catchUpRevision()).to.equal(toHistoryPosition(1, 8));
+      state.completeCatchUp();
+      expect(state.catchUpRevision()).to.equal(undefined);
+    });
   });
 });
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -60,6 +60,10 @@
     if (!parsedDocuments.get(stored)?.deref()) parsedDocuments.delete(stored);
   });
   let knownRevision = 0;
+  /** End of what was known of the earlier eras when the present one began; later changes of them are accepted. */
+  let earlierRevision = 0;
+  /** Whether other VMs may know changes of the earlier eras that the store has lost and this VM never saw. */
+  let isCatchUpDue = false;
   /** Revision of the latest deletion whose tombstone was dropped. */
   let latestDroppedRevision = 0;
   /** Revisions skipped by snapshots: a difference from within one might lack deletions. */
@@ -127,9 +131,19 @@
         .map(([name]) => documentKinds[kind].prefix + name),
     );
 
-  /** Ignores changes up to the known revision: they are duplicates or superseded. */
+  /** Whether the change may be missing although its revision is known: the store lost it in a restore. */
+  const isOfEarlierEra = ({ modRevision }: ConfigurationEntry): boolean =>
+    eraOfPosition(modRevision) < eraOfPosition(knownRevision) && modRevision > earlierRevision;
+
+  /** Ignores changes up to the known revision of their era: they are duplicates or superseded. */
   const storeChange = (entry: ConfigurationEntry): ConfigurationEntry[] =>
-    entry.modRevision > knownRevision ? storeIfNewer(entry) : [];
+    entry.modRevision > knownRevision || isOfEarlierEra(entry) ? storeIfNewer(entry) : [];
+
+  const advanceTo = (revision: number): void => {
+    const isNewEra = eraOfPosition(revision) > eraOfPosition(knownRevision);
+    if (isNewEra && !isCatchUpDue) earlierRevision = knownRevision;
+    knownRevision = Math.max(knownRevision, revision);
+  };
 
   /** Drops the oldest tombstones above the limit, if their revision is not after the known one. */
   const trimTombstones = (): void => {
@@ -165,7 +179,7 @@
     revision: () => knownRevision,
     applyChanges: (revision, entries) => {
       const changed = entries.flatMap(storeChange);
-      knownRevision = Math.max(knownRevision, revision);
+      advanceTo(revision);
       trimTombstones();
       notifyListeners(changed);
     },
@@ -173,17 +187,22 @@
       if (revision < knownRevision) return;
       const present = new Set(entries.map(({ key }) => key));
       const missingKeys = listStoredKeys().filter((key) => !present.has(key));
-      if (eraOfPosition(revision) > eraOfPosition(knownRevision))
-        missingKeys.forEach((key) => lostKeys.add(key));
+      const isNewEra = eraOfPosition(revision) > eraOfPosition(knownRevision);
+      if (isNewEra) missingKeys.forEach((key) => lostKeys.add(key));
       const removed = missingKeys
         .filter((key) => !lostKeys.has(key))
         .map((key) => ({ key, valueJson: undefined, modRevision: revision }));
       const changed = [...entries, ...removed].flatMap(storeIfNewer);
       addGap(knownRevision, revision);
-      knownRevision = revision;
+      advanceTo(revision);
+      if (isNewEra && earlierRevision > 0) isCatchUpDue = true;
       trimTombstones();
       notifyListeners(changed);
     },
+    catchUpRevision: () => (isCatchUpDue ? earlierRevision : undefined),
+    completeCatchUp: () => {
+      isCatchUpDue = false;
+    },
     get: <Kind extends DocumentKind>(kind: Kind, name: string) =>
       getDocument(kind, getStoredByName(kind).get(name)) as DocumentOf<Kind> | undefined,
     getDocumentRevision: (kind, name) => {
