--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -57,11 +57,21 @@
   );
   let activeRun: ReturnType<typeof createPromotionRun>;
   let view: PrimaryHealth = 'unknown';
+  /** Term of the primary that `view` is about. */
+  let viewTerm = 0;
   let changeDueSinceMs: number | undefined;
   let changeKey = '';
   let nextAttemptAtMs = 0;
   let isCollectingViews = false;
 
+  const viewOf = (record: TermRecord): PrimaryHealth =>
+    viewTerm === record.term ? view : 'unknown';
+
+  const setView = (record: TermRecord, newView: PrimaryHealth): void => {
+    viewTerm = record.term;
+    view = newView;
+  };
+
   const onFinished = (): void => {
     nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
   };
@@ -144,7 +154,7 @@
 
   const startDueReplacement = (record: TermRecord): void => {
     const judgement = failureDetector.assess(record);
-    view = judgement.view;
+    setView(record, judgement.view);
     if (!judgement.reason) {
       startDuePlannedChange(record);
       return;
@@ -172,12 +182,12 @@
 
   /** Polls the primary before answering, since an idle group's last poll may be old. */
   const recheckPrimary = async (record: TermRecord): Promise<PrimaryHealth> => {
-    if (!record.primary || view !== 'present') return view;
+    if (!record.primary || viewOf(record) !== 'present') return viewOf(record);
     const status = await Promise.race([
       groupClient.pollMember(record.primary),
       sleep(PRIMARY_CHECK_TIMEOUT_MS),
     ]);
-    return status ? view : 'unknown';
+    return status ? viewOf(record) : 'unknown';
   };
 
   return {
@@ -197,7 +207,7 @@
         return;
       }
       if (record.state === 'promoting') {
-        view = 'gone';
+        setView(record, 'gone');
         startDueTakeOver(record);
         return;
       }
