--- a/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
@@ -163,6 +163,17 @@
     promoter.close();
   });
 
+  describe('of a VM that has lost its slot of the group', () => {
+    it('claims nothing when the other VMs answer afterwards', async () => {
+      const { silence, tickFor, agree, written, promoter } = createFixture();
+      silence('m1');
+      tickFor(SILENCE_MS);
+      promoter.close();
+      await agree();
+      expect(written).to.deep.equal([]);
+    });
+  });
+
   it('gives other VMs no view of a term that it formed in an earlier one', async () => {
     const { silence, tickFor, publish, promoter } = createFixture();
     silence('m1');
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -63,6 +63,7 @@
   let changeKey = '';
   let nextAttemptAtMs = 0;
   let isCollectingViews = false;
+  let isClosed = false;
 
   const viewOf = (record: TermRecord): PrimaryHealth =>
     viewTerm === record.term ? view : 'unknown';
@@ -106,6 +107,7 @@
     try {
       const views = await options.peerViews.collect(groupClient.name, record.term);
       nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
+      if (isClosed) return;
       if (groupClient.record() === record && isReplacementAgreed(views))
         startRun(record, reason, dueSinceMs);
       else logger.info('failover.notAgreed', { group: groupClient.name, views });
@@ -214,7 +216,11 @@
       startDueReplacement(record);
       if (options.rank() === 0 || view === 'present') repairFollowers(record);
     },
-    close: (): void => activeRun?.driver.close(),
+    /** Ends its part in the group: a promotion under way is left to the VMs that hold slots. */
+    close: (): void => {
+      isClosed = true;
+      activeRun?.driver.close();
+    },
   };
 };
 
