--- a/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
@@ -20,6 +20,8 @@
 const TICK_MS = 100;
 /** Longer than a primary must be silent before it is seen as gone. */
 const SILENCE_MS = 1_000;
+/** Longer than the longest delay between two attempts to write a term record. */
+const RETRIES_MS = 700;
 
 const buildRecord = (term: number, primary: string): TermRecord => ({
   term,
@@ -172,6 +174,18 @@
       await agree();
       expect(written).to.deep.equal([]);
     });
+
+    it('claims nothing when the store answers again afterwards', async () => {
+      const { silence, tickFor, agree, written, promoter, store } = createFixture();
+      silence('m1');
+      tickFor(SILENCE_MS);
+      store.isAway = true;
+      await agree();
+      promoter.close();
+      store.isAway = false;
+      await sleep(RETRIES_MS);
+      expect(written).to.deep.equal([]);
+    });
   });
 
   it('gives other VMs no view of a term that it formed in an earlier one', async () => {
--- a/packages/auburngrade/src/promotion/createPromotionDriver.ts
+++ b/packages/auburngrade/src/promotion/createPromotionDriver.ts
@@ -33,11 +33,13 @@
   const runningActions = new Set<string>();
   let isClosed = false;
 
+  const isStillWanted = (): boolean => !isClosed && !promotion.isFinished();
+
   const runAction = async (action: PromotionAction): Promise<PromotionEvent | undefined> => {
     switch (action.kind) {
       case 'claim':
       case 'publish':
-        return writer.write(action.record, action.expectedRevision, () => !promotion.isFinished());
+        return writer.write(action.record, action.expectedRevision, isStillWanted);
       case 'fence':
         return { kind: 'status', status: await control.fence(action.member, action.term) };
       case 'promote': {
