--- a/packages/sessions/src/group/createPrimaryManager.spec.ts
+++ b/packages/sessions/src/group/createPrimaryManager.spec.ts
@@ -7,6 +7,8 @@
 import createPrimaryManager from './createPrimaryManager';
 
 const POLL_MS = 10;
+/** How long a manager waits for the endpoint that it promoted. */
+const PROMOTION_TIMEOUT_MS = 3_000;
 
 const ENDPOINTS: GroupEndpoint[] = ['p', 'r'].map((id) => ({
   id,
@@ -23,9 +25,21 @@
 type SentCall = Parameters<FailoverClient['promote']>;
 
 /** Starts a manager whose failover client connects in 20 ms, after `whileConnecting` has run. */
-const createFixture = (whileConnecting: (state: { mayReplace: boolean }) => void) => {
+const createFixture = (
+  whileConnecting: (state: { mayReplace: boolean }) => void,
+  effect: (members: ReturnType<typeof createFakeMembers>, endpoint: string) => void = (
+    { promote },
+    endpoint,
+  ) => promote(endpoint),
+) => {
   const members = createFakeMembers(ENDPOINTS);
-  const state = { mayReplace: true, primary: 'p', term: 1, fence: 4 };
+  const state = {
+    mayReplace: true,
+    outcome: 'accepted' as 'accepted' | 'mayHaveRun',
+    primary: 'p',
+    term: 1,
+    fence: 4,
+  };
   const sent: SentCall[] = [];
   const events: { event: string; fields?: Record<string, unknown> }[] = [];
   class ConnectingClient extends FailoverClient {
@@ -35,8 +49,8 @@
       const mayStillSend = call[4];
       if (!mayStillSend()) return 'notRun' as const;
       sent.push(call);
-      members.promote(call[1]);
-      return 'accepted' as const;
+      effect(members, call[1]);
+      return state.outcome;
     }
   }
   const log = {
@@ -92,7 +106,7 @@
     await pools.get('p')?.probe();
     await pools.get('p')?.probe();
   };
-  return { manager, sent, events, awaitEvent, losePrimary };
+  return { manager, members, state, sent, events, awaitEvent, losePrimary };
 };
 
 describe('createPrimaryManager', () => {
@@ -106,6 +120,48 @@
     expect(fixture.sent.map((call) => call.slice(0, 4))).to.deep.equal([['lots', 'r', 'vm-1', 5]]);
   });
 
+  describe('when the recorded primary is lost, and its predecessor still reports to lead', () => {
+    const EFFECT_AFTER_MS = 400;
+    const recordSuccessor = (): void => {
+      Object.assign(fixture.state, { primary: 'r', term: 2 });
+      fixture.members.setUnreachable('r', true);
+    };
+
+    it('believes the predecessor only once it leads a new term', async () => {
+      fixture = createFixture(
+        () => undefined,
+        ({ promote }, endpoint) => setTimeout(() => promote(endpoint), EFFECT_AFTER_MS),
+      );
+      recordSuccessor();
+      await fixture.awaitEvent('primary.promoted');
+      await sleep(EFFECT_AFTER_MS / 2);
+      expect(fixture.manager.getKnownPrimary()).to.equal(undefined);
+      expect(await fixture.awaitEvent('primary.believed')).to.include({ endpoint: 'p', term: 2 });
+    });
+
+    it('believes it, and records its term, if the promotion changes nothing', async () => {
+      fixture = createFixture(
+        () => undefined,
+        () => undefined,
+      );
+      recordSuccessor();
+      expect(await fixture.awaitEvent('primary.believed')).to.include({ endpoint: 'p', term: 1 });
+      expect(fixture.state).to.include({ primary: 'p', term: 1, fence: 5 });
+    });
+  });
+
+  it('believes no predecessor that leads no new term after a call of unknown outcome', async () => {
+    fixture = createFixture(
+      () => undefined,
+      () => undefined,
+    );
+    Object.assign(fixture.state, { primary: 'r', term: 2, outcome: 'mayHaveRun' });
+    fixture.members.setUnreachable('r', true);
+    await fixture.awaitEvent('primary.promoted');
+    await sleep(PROMOTION_TIMEOUT_MS + POLL_MS * 20);
+    expect(fixture.events.map(({ event }) => event)).to.not.include('primary.believed');
+  });
+
   it('withdraws the call when its right ends while the call connects', async () => {
     fixture = createFixture((state) => {
       Object.assign(state, { mayReplace: false });
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -110,17 +110,40 @@
     )[0];
   };
 
-  const awaitPromotion = async (id: string): Promise<boolean> => {
+  /** Waits until the endpoint leads the recorded term; resolves with the last reply if it leads an earlier one. */
+  const awaitPromotion = async (id: string, minTerm: number): Promise<ProbeReply | undefined> => {
     const untilMs = nowMs() + PROMOTION_TIMEOUT_MS;
+    let leading: ProbeReply | undefined;
     while (!isClosed && nowMs() < untilMs) {
       const [reply] = await probeEndpoints([id]);
-      if (reply?.status.isPrimary) {
-        acceptPrimary(reply);
-        return true;
-      }
+      leading = reply?.status.isPrimary ? reply : undefined;
+      if (leading && leading.status.term >= minTerm) return leading;
       await sleep(PROMOTION_POLL_MS);
     }
-    return false;
+    return leading;
+  };
+
+  /**
+   * Believes the promoted endpoint. One that leads no new term by now was the primary all along: an earlier
+   * promotion was recorded, but did not run. Its own term is recorded then, for the next owner to accept.
+   */
+  const acceptPromoted = async (
+    reply: ProbeReply,
+    recorded: Pick<GroupRecord, 'term' | 'fence'>,
+  ): Promise<void> => {
+    const { term } = reply.status;
+    const isUnchanged = term < recorded.term;
+    if (isUnchanged) {
+      log.warn('primary.unchanged', {
+        group,
+        endpoint: reply.id,
+        term,
+        recordedTerm: recorded.term,
+      });
+      const next = { primary: reply.id, term, fence: recorded.fence };
+      if (isClosed || !(await options.record(next))) return;
+    }
+    if (!isClosed) acceptPrimary(reply);
   };
 
   const demotePrimary = async (id: string, term: number): Promise<void> => {
@@ -198,11 +221,12 @@
     );
     const tookMs = Math.round(nowMs() - calledAtMs);
     log.warn('primary.promoted', { ...call, outcome, tookMs });
-    if (outcome === 'accepted' || outcome === 'mayHaveRun') {
-      const isPromoted = await awaitPromotion(candidate.id);
-      if (isPromoted && oldPrimaryId !== undefined)
-        demotePrimary(oldPrimaryId, candidate.status.term + 1);
-    }
+    if (outcome !== 'accepted' && outcome !== 'mayHaveRun') return;
+    const promoted = await awaitPromotion(candidate.id, term);
+    // A call that may not have run says nothing of an endpoint that leads no new term.
+    if (!promoted || (outcome === 'mayHaveRun' && promoted.status.term < term)) return;
+    await acceptPromoted(promoted, { term, fence });
+    if (oldPrimaryId !== undefined) demotePrimary(oldPrimaryId, candidate.status.term + 1);
   };
 
   const runReplacement = async (
