--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -28,7 +28,7 @@
 const HEARD_WITHIN_MS = 1_100;
 /** A peer reported silent is confirmed again only after this time, when no VM counts that report any more. */
 const SILENCE_REPORT_HOLD_MS = 2_500;
-/** A younger process cannot tell a silent VM from one that has not connected to it yet. */
+/** A VM that voted for a shorter time cannot tell a silent VM from one that has not connected to it yet. */
 const SETTLED_AFTER_MS = 1_500;
 /** A silent, unregistered peer still counts among the VMs for this long: network partitions are shorter. */
 const UNREGISTERED_PEER_RETENTION_MS = 30_000;
@@ -46,6 +46,8 @@
   isStoreReachable(): boolean;
   onRateUsage(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
   onChange(): void;
+  /** Opens the stream to another VM; tests pass their own. */
+  createLink?: typeof createPeerLink;
 }
 
 interface Peer {
@@ -95,8 +97,9 @@
  * heartbeat is recent enough, and "silent" after that.
  */
 const createFleet = (options: FleetOptions) => {
-  const { self, documents, log, nowMs, wallMs } = options;
-  const startedAtMs = nowMs();
+  const { self, documents, log, nowMs, wallMs, createLink = createPeerLink } = options;
+  /** When this VM began to vote; an observer's process may be much older. */
+  let votesSinceMs: number | undefined;
   const peers = new Map<string, Peer>();
   const peerLease = createPeerLease(PEER_LEASE_MS);
   const silenceTracker = createPeerReporter(SILENCE_REPORT_HOLD_MS);
@@ -108,7 +111,8 @@
   const isHeard = (peer: Peer): boolean => nowMs() - peer.heardAtMs < HEARD_WITHIN_MS;
   const isReachable = ({ link, heardAtMs }: Peer): boolean =>
     link.isUp() && nowMs() - heardAtMs < REACHABLE_WITHIN_MS;
-  const isSettled = (): boolean => nowMs() - startedAtMs > SETTLED_AFTER_MS;
+  const isSettled = (): boolean =>
+    votesSinceMs !== undefined && nowMs() - votesSinceMs > SETTLED_AFTER_MS;
   const getHearingState = (vm: string, peer: Peer) =>
     silenceTracker.state(vm, isHeard(peer), isSettled(), nowMs());
   /** VMs that this VM's heartbeats list as heard. */
@@ -171,7 +175,7 @@
   };
 
   const openLink = (vm: string, address: string): PeerLink =>
-    createPeerLink({
+    createLink({
       vm,
       address,
       self,
@@ -185,6 +189,7 @@
     });
 
   const addPeer = (vm: string, registration: VmRegistration, isRegistered: boolean): void => {
+    votesSinceMs ??= nowMs();
     if (vm === self.vm) return;
     const existing = peers.get(vm);
     if (existing && existing.registration.address === registration.address) {
@@ -234,6 +239,7 @@
       addPeer(vm, { address, dataCentre, incarnation }, false),
     /** Takes the full list of registrations; VMs missing from it count as unregistered. */
     replaceRegistrations: (registrations: ReadonlyMap<string, VmRegistration>): void => {
+      votesSinceMs ??= nowMs();
       registrations.forEach((registration, vm) => addPeer(vm, registration, true));
       [...peers.keys()].filter((vm) => !registrations.has(vm)).forEach(unregister);
     },
