--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -100,6 +100,8 @@
   const { self, documents, log, nowMs, wallMs, createLink = createPeerLink } = options;
   /** When this VM began to vote; an observer's process may be much older. */
   let votesSinceMs: number | undefined;
+  /** Whether the store's registrations and group records were listed by this process. */
+  let hasListed = false;
   const peers = new Map<string, Peer>();
   const peerLease = createPeerLease(PEER_LEASE_MS);
   const silenceTracker = createPeerReporter(SILENCE_REPORT_HOLD_MS);
@@ -118,10 +120,14 @@
   /** VMs that this VM's heartbeats list as heard. */
   const heardVms = (): string[] =>
     [...peers].flatMap(([vm, peer]) => (getHearingState(vm, peer) === 'silent' ? [] : [vm]));
-  /** Number of the peer's heartbeat that this VM confirms; 0 for none. */
+  /**
+   * Number of the peer's heartbeat that this VM confirms; 0 for none. A process may lack a record that its
+   * predecessor knew, until it has listed the store or the other VMs had time to push the record to it.
+   */
   const confirmedBeat = (vm: string): number => {
     const peer = peers.get(vm);
-    return peer && getHearingState(vm, peer) === 'heard' ? peer.beat : 0;
+    const isHeardNow = peer !== undefined && getHearingState(vm, peer) === 'heard';
+    return isHeardNow && (hasListed || isSettled()) ? peer.beat : 0;
   };
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
 
@@ -237,9 +243,13 @@
     /** Adds a VM that opened a stream to this one; it may not be registered. */
     addFromHello: ({ vm, incarnation, address, dataCentre }: Hello): void =>
       addPeer(vm, { address, dataCentre, incarnation }, false),
-    /** Takes the full list of registrations; VMs missing from it count as unregistered. */
+    /**
+     * Takes the full list of registrations, once the group records of the same list are known; VMs missing from it
+     * count as unregistered.
+     */
     replaceRegistrations: (registrations: ReadonlyMap<string, VmRegistration>): void => {
       votesSinceMs ??= nowMs();
+      hasListed = true;
       registrations.forEach((registration, vm) => addPeer(vm, registration, true));
       [...peers.keys()].filter((vm) => !registrations.has(vm)).forEach(unregister);
     },
