--- a/packages/sessions/src/fleet/createFleet.spec.ts
+++ b/packages/sessions/src/fleet/createFleet.spec.ts
@@ -95,4 +95,17 @@
       },
     );
   });
+
+  describe('on a voter that has not listed the registrations', () => {
+    itWithSeeds('is certain of nothing, whoever confirms it', async () => {
+      fixture.stop('b');
+      fixture.turnedAway.add('b');
+      fixture.startVoting('b');
+      const { fleet } = fixture.voters.get('b') ?? fixture.start('b');
+      await fixture.run(2_000, () => {
+        expect(fleet.holdsPeerLease()).to.equal(false);
+        expect(fleet.isKnownByMajority('x', { version: 0, era: 1, revision: 1 })).to.equal(false);
+      });
+    });
+  });
 });
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -340,9 +340,12 @@
     },
     lastHeartbeatNumber: () => lastHeartbeatNumber,
     isSettled,
-    /** Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. */
+    /**
+     * Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. False until the
+     * registrations are listed: of a few peers that happened to call, a few are half.
+     */
     holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
-      peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
+      hasListed && peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
     /** What a majority is counted from, for the log: the VMs that count, and those that confirm or know. */
     describeMajority: (key: string, position: DocumentPosition) => ({
       counted: [...peers.keys()],
@@ -357,7 +360,7 @@
     /** Whether at least half of the peers, a majority with this VM, reported this or a newer state. */
     isKnownByMajority: (key: string, position: DocumentPosition): boolean => {
       const peersKnowing = [...peers.values()].filter((peer) => hasAtLeast(peer, key, position));
-      return peersKnowing.length * 2 >= peers.size;
+      return hasListed && peersKnowing.length * 2 >= peers.size;
     },
     /** Sends a document to all peers without waiting for them to lack it. */
     publish: (document: FleetDocument): void =>
