--- a/packages/coordination/src/ownership/hasLostOwner.ts
+++ b/packages/coordination/src/ownership/hasLostOwner.ts
@@ -14,7 +14,8 @@
  */
 const hasLostOwner = (owner: RecordedOwner, vms: readonly VmView[]): boolean => {
   const view = vms.find(({ vm }) => vm === owner.vm);
-  if (view && view.incarnation !== owner.incarnation) return owner.isSettled;
+  const hasRestarted = view && view.incarnation !== '' && view.incarnation !== owner.incarnation;
+  if (hasRestarted) return owner.isSettled;
   if (view?.hasRecentHeartbeat) return false;
   const others = vms.filter(({ vm }) => vm !== owner.vm);
   const notHearingOwner = others.filter(
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -2,6 +2,7 @@
 interface VmView {
   vm: string;
   dataCentre: string;
+  /** Its process; empty for a VM that this one knows from others only. */
   incarnation: string;
   /** A heartbeat arrived recently; always true for the VM itself. */
   hasRecentHeartbeat: boolean;
--- a/packages/sessions/src/fleet/createFleet.spec.ts
+++ b/packages/sessions/src/fleet/createFleet.spec.ts
@@ -108,4 +108,20 @@
       });
     });
   });
+
+  describe('when voters lose their seats, as the store turns them away', () => {
+    itWithSeeds(
+      'counts them with the voters that took the seats while any VM hears both',
+      async () => {
+        const turnedAway = [owner, ...others.slice(0, 2)];
+        turnedAway.forEach((vm) => fixture.turnedAway.add(vm));
+        await fixture.run(4_500, expectNoOverlap);
+        ['p', 'q', 'r'].forEach(fixture.startVoting);
+        await fixture.run(4_000, expectNoOverlap);
+        expect(fixture.ownerOf()).to.equal(owner);
+        splitOff(turnedAway);
+        await fixture.run(8_000, expectNoOverlap);
+      },
+    );
+  });
 });
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -32,6 +32,10 @@
 const SETTLED_AFTER_MS = 1_500;
 /** A silent, unregistered peer still counts among the VMs for this long: network partitions are shorter. */
 const UNREGISTERED_PEER_RETENTION_MS = 30_000;
+/** A VM that peers mentioned for this long was alive all the while, and counts as long as an unregistered peer. */
+const LASTING_MENTION_MS = 2_000;
+/** Peers mention a VM that left for a second longer; it counts no more this long after that. */
+const BRIEF_MENTION_RETENTION_MS = 1_000;
 /** A peer that lacks a document for this long would learn it too late from the store. */
 const PUSH_AFTER_MS = 400;
 /** Minimum interval between pushes of one document to the same peer. */
@@ -103,6 +107,8 @@
   /** Whether the store's registrations and group records were listed by this process. */
   let hasListed = false;
   const peers = new Map<string, Peer>();
+  /** VMs that peers hear and this VM does not know: voters that took seats, or lost them, without its knowledge. */
+  const mentions = new Map<string, { sinceMs: number; lastAtMs: number }>();
   const peerLease = createPeerLease(PEER_LEASE_MS);
   const silenceTracker = createPeerReporter(SILENCE_REPORT_HOLD_MS);
   // Starts above the numbers of any earlier process of this VM, so that confirmations of those are void.
@@ -131,6 +137,25 @@
   };
   const readClocks = () => ({ steadyMs: nowMs(), wallMs: wallMs() });
 
+  /** The VMs that majorities are counted over, without this one. */
+  const countedVms = (): string[] => [...peers.keys(), ...mentions.keys()];
+  const noteMentions = (hears: ReadonlySet<string>): void => {
+    const now = nowMs();
+    [...hears]
+      .filter((vm) => vm !== self.vm && !peers.has(vm))
+      .forEach((vm) =>
+        mentions.set(vm, { sinceMs: mentions.get(vm)?.sinceMs ?? now, lastAtMs: now }),
+      );
+  };
+  const removeStaleMentions = (): void =>
+    mentions.forEach(({ sinceMs, lastAtMs }, vm) => {
+      const retentionMs =
+        lastAtMs - sinceMs >= LASTING_MENTION_MS
+          ? UNREGISTERED_PEER_RETENTION_MS
+          : BRIEF_MENTION_RETENTION_MS;
+      if (nowMs() - lastAtMs > retentionMs) mentions.delete(vm);
+    });
+
   /** Pushes the documents that the peer has lacked for at least `PUSH_AFTER_MS`. */
   const pushMissingDocuments = (peer: Peer): void => {
     const now = nowMs();
@@ -165,6 +190,7 @@
     peer.incarnation = heartbeat.incarnation;
     peer.beat = heartbeat.beat;
     peer.hears = hears;
+    noteMentions(hears);
     peer.acting = acting;
     peer.serving = heartbeat.serving;
     heartbeat.serving.forEach((group) => peer.servedAtMs.set(group, peer.heardAtMs));
@@ -207,6 +233,7 @@
       return;
     }
     existing?.link.close();
+    mentions.delete(vm);
     log.info('vm.found', { peer: vm, address: registration.address, isRegistered });
     peers.set(vm, {
       registration,
@@ -265,6 +292,7 @@
           peers.delete(vm);
         }
       }
+      removeStaleMentions();
     },
     vms: (): VmView[] => [
       {
@@ -289,6 +317,17 @@
         isStoreReachable: peer.isStoreReachable,
         hears: peer.hears,
       })),
+      ...[...mentions.keys()].map((vm) => ({
+        vm,
+        dataCentre: '',
+        incarnation: '',
+        hasRecentHeartbeat: false,
+        isSettled: false,
+        isLeaving: false,
+        isStrained: false,
+        isStoreReachable: false,
+        hears: new Set<string>(),
+      })),
     ],
     link: (vm: string): PeerLink | undefined => peers.get(vm)?.link,
     /** Where to reach the VM, `host:port`; undefined for an unknown one. */
@@ -322,7 +361,7 @@
       peers.get(vm)?.servedAtMs.get(group),
     /** Whether this VM and its reachable peers are a majority; without one the peer lease ends soon. */
     reachesMajority: (): boolean =>
-      [...peers.values()].filter(isReachable).length * 2 >= peers.size,
+      [...peers.values()].filter(isReachable).length * 2 >= countedVms().length,
     /** Sorted names of the heard VMs that reach the store; includes this VM if `isSelfReachingStore`. */
     vmsReachingStore: (isSelfReachingStore: boolean): string[] =>
       [...peers]
@@ -345,10 +384,10 @@
      * registrations are listed: of a few peers that happened to call, a few are half.
      */
     holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
-      hasListed && peerLease.isValid([...peers.keys()], readClocks(), sinceHeartbeatNumber),
+      hasListed && peerLease.isValid(countedVms(), readClocks(), sinceHeartbeatNumber),
     /** What a majority is counted from, for the log: the VMs that count, and those that confirm or know. */
     describeMajority: (key: string, position: DocumentPosition) => ({
-      counted: [...peers.keys()],
+      counted: countedVms(),
       confirmedBy: peerLease.listConfirming([...peers.keys()], readClocks()),
       knownBy: [...peers].filter(([, peer]) => hasAtLeast(peer, key, position)).map(([vm]) => vm),
     }),
@@ -360,7 +399,7 @@
     /** Whether at least half of the peers, a majority with this VM, reported this or a newer state. */
     isKnownByMajority: (key: string, position: DocumentPosition): boolean => {
       const peersKnowing = [...peers.values()].filter((peer) => hasAtLeast(peer, key, position));
-      return hasListed && peersKnowing.length * 2 >= peers.size;
+      return hasListed && peersKnowing.length * 2 >= countedVms().length;
     },
     /** Sends a document to all peers without waiting for them to lack it. */
     publish: (document: FleetDocument): void =>
