--- a/packages/sessions/src/fleet/createFleet.spec.ts
+++ b/packages/sessions/src/fleet/createFleet.spec.ts
@@ -124,4 +124,17 @@
       },
     );
   });
+
+  describe('in a split that lasts for minutes', () => {
+    itWithSeeds('does not forget a majority that it cannot hear', async () => {
+      splitOff([owner, ...others.slice(0, 2)]);
+      await fixture.run(60_000, expectNoOverlap);
+      const served = new Set<string>();
+      await fixture.run(2_000, () => {
+        expectNoOverlap();
+        fixture.certain().forEach(({ vm }) => served.add(vm));
+      });
+      expect([...served]).to.deep.equal([owner]);
+    });
+  });
 });
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -30,8 +30,10 @@
 const SILENCE_REPORT_HOLD_MS = 2_500;
 /** A VM that voted for a shorter time cannot tell a silent VM from one that has not connected to it yet. */
 const SETTLED_AFTER_MS = 1_500;
-/** A silent, unregistered peer still counts among the VMs for this long: network partitions are shorter. */
+/** A silent, unregistered peer still counts among the VMs for this long: most network partitions are shorter. */
 const UNREGISTERED_PEER_RETENTION_MS = 30_000;
+/** On a VM that no majority confirms it counts longer: the silent ones may be a majority behind a partition. */
+const MINORITY_RETENTION_MS = 600_000;
 /** A VM that peers mentioned for this long was alive all the while, and counts as long as an unregistered peer. */
 const LASTING_MENTION_MS = 2_000;
 /** Peers mention a VM that left for a second longer; it counts no more this long after that. */
@@ -147,12 +149,10 @@
         mentions.set(vm, { sinceMs: mentions.get(vm)?.sinceMs ?? now, lastAtMs: now }),
       );
   };
-  const removeStaleMentions = (): void =>
+  const removeStaleMentions = (lastingRetentionMs: number): void =>
     mentions.forEach(({ sinceMs, lastAtMs }, vm) => {
       const retentionMs =
-        lastAtMs - sinceMs >= LASTING_MENTION_MS
-          ? UNREGISTERED_PEER_RETENTION_MS
-          : BRIEF_MENTION_RETENTION_MS;
+        lastAtMs - sinceMs >= LASTING_MENTION_MS ? lastingRetentionMs : BRIEF_MENTION_RETENTION_MS;
       if (nowMs() - lastAtMs > retentionMs) mentions.delete(vm);
     });
 
@@ -264,6 +264,13 @@
     peer.knownAtMs = nowMs();
   };
 
+  /**
+   * Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. False until the
+   * registrations are listed: of a few peers that happened to call, a few are half.
+   */
+  const holdsPeerLease = (sinceHeartbeatNumber?: number): boolean =>
+    hasListed && peerLease.isValid(countedVms(), readClocks(), sinceHeartbeatNumber);
+
   return {
     register: (vm: string, registration: VmRegistration): void => addPeer(vm, registration, true),
     unregister,
@@ -283,16 +290,19 @@
     /** Removes peers that are neither registered nor heard; those that announced their shutdown, sooner. */
     removeStalePeers: (): void => {
       const now = nowMs();
+      const unregisteredRetentionMs = holdsPeerLease()
+        ? UNREGISTERED_PEER_RETENTION_MS
+        : MINORITY_RETENTION_MS;
       for (const [vm, peer] of peers) {
         const silentMs = now - Math.max(peer.heardAtMs, peer.knownAtMs);
-        const retentionMs = peer.isLeaving ? HEARD_WITHIN_MS : UNREGISTERED_PEER_RETENTION_MS;
+        const retentionMs = peer.isLeaving ? HEARD_WITHIN_MS : unregisteredRetentionMs;
         if (!peer.isRegistered && !isHeard(peer) && silentMs > retentionMs) {
           log.info('vm.forgotten', { peer: vm });
           peer.link.close();
           peers.delete(vm);
         }
       }
-      removeStaleMentions();
+      removeStaleMentions(unregisteredRetentionMs);
     },
     vms: (): VmView[] => [
       {
@@ -379,12 +389,7 @@
     },
     lastHeartbeatNumber: () => lastHeartbeatNumber,
     isSettled,
-    /**
-     * Whether at least half of the peers confirmed a recent heartbeat, optionally from a number on. False until the
-     * registrations are listed: of a few peers that happened to call, a few are half.
-     */
-    holdsPeerLease: (sinceHeartbeatNumber?: number): boolean =>
-      hasListed && peerLease.isValid(countedVms(), readClocks(), sinceHeartbeatNumber),
+    holdsPeerLease,
     /** What a majority is counted from, for the log: the VMs that count, and those that confirm or know. */
     describeMajority: (key: string, position: DocumentPosition) => ({
       counted: countedVms(),
