--- a/packages/sessions/src/standIns/createFakeVoters.ts
+++ b/packages/sessions/src/standIns/createFakeVoters.ts
@@ -123,6 +123,7 @@
       nowMs,
       wallMs: nowMs,
       primaryDataCentre: () => undefined,
+      isReplacingPrimary: () => false,
       isStoreViewCurrent: () => listed.has(voter) && !turnedAway.has(vm),
     });
     voters.set(vm, voter);
