--- a/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
@@ -188,6 +188,21 @@
     });
   });
 
+  it('claims nothing when the primary answered again before the store did', async () => {
+    const { silence, answer, tickFor, agree, written, promoter, store } = createFixture();
+    silence('m1');
+    tickFor(SILENCE_MS);
+    store.isAway = true;
+    await agree();
+    tickFor(SILENCE_MS);
+    answer('m1');
+    tickFor(SILENCE_MS);
+    store.isAway = false;
+    await sleep(RETRIES_MS);
+    expect(written).to.deep.equal([]);
+    promoter.close();
+  });
+
   it('gives other VMs no view of a term that it formed in an earlier one', async () => {
     const { silence, tickFor, publish, promoter } = createFixture();
     silence('m1');
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -56,6 +56,8 @@
     options.platformTimeoutMs,
   );
   let activeRun: ReturnType<typeof createPromotionRun>;
+  /** Whether the active run was started because the primary was seen as gone. */
+  let isRunForLoss = false;
   let view: PrimaryHealth = 'unknown';
   /** Term of the primary that `view` is about. */
   let viewTerm = 0;
@@ -88,6 +90,7 @@
   };
 
   const startRun = (record: TermRecord, reason: PromotionReason, dueSinceMs: number): void => {
+    isRunForLoss = false;
     if (reason === 'unconfirmed') failureDetector.recordStallReplacement();
     activeRun = createPromotionRun(
       { ...options, control, writer, onFinished },
@@ -108,9 +111,10 @@
       const views = await options.peerViews.collect(groupClient.name, record.term);
       nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
       if (isClosed) return;
-      if (groupClient.record() === record && isReplacementAgreed(views))
+      if (groupClient.record() === record && isReplacementAgreed(views)) {
         startRun(record, reason, dueSinceMs);
-      else logger.info('failover.notAgreed', { group: groupClient.name, views });
+        isRunForLoss = true;
+      } else logger.info('failover.notAgreed', { group: groupClient.name, views });
     } finally {
       isCollectingViews = false;
     }
@@ -180,6 +184,12 @@
     record.term > activeRun.promotion.term ||
     (record.term === activeRun.promotion.term && record.promoter !== promoter);
 
+  /** Whether the primary answers again before the claim is known to be written. */
+  const isNoLongerNeeded = (record: TermRecord): boolean =>
+    isRunForLoss &&
+    activeRun.promotion.phase() === 'claiming' &&
+    failureDetector.assess(record).view === 'present';
+
   const isRunActive = (): boolean => activeRun !== undefined && !activeRun.promotion.isFinished();
 
   /** Polls the primary before answering, since an idle group's last poll may be old. */
@@ -205,7 +215,8 @@
       if (!record) return;
       failureDetector.observe(groupClient.views(), nowMs());
       if (isRunActive()) {
-        activeRun.driver.dispatch(isSuperseded(record) ? { kind: 'lost' } : { kind: 'tick' });
+        const isOver = isSuperseded(record) || isNoLongerNeeded(record);
+        activeRun.driver.dispatch(isOver ? { kind: 'lost' } : { kind: 'tick' });
         return;
       }
       if (record.state === 'promoting') {
