--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -179,6 +179,20 @@
       expect(state.get('account', 'gone')).to.equal(undefined);
     });
 
+    it('brings back no document that an earlier list already lacked', () => {
+      const key = buildAccountKey('gone');
+      const put = { key, valueJson: buildValueJson(9), modRevision: toHistoryPosition(1, 9) };
+      const later = { key, valueJson: buildValueJson(13), modRevision: toHistoryPosition(2, 13) };
+      const state = createConfigurationState();
+      state.applySnapshot(toHistoryPosition(1, 10), []);
+      state.applySnapshot(toHistoryPosition(2, 9), [put]);
+      expect(state.get('account', 'gone')).to.equal(undefined);
+      state.applySnapshot(toHistoryPosition(2, 12), [put]);
+      expect(state.get('account', 'gone')).to.equal(undefined);
+      state.applySnapshot(toHistoryPosition(2, 13), [later]);
+      expect(state.get('account', 'gone')?.limit.ratePerS).to.equal(13);
+    });
+
     it('asks for what changed after the end of what it knows of the earlier era, until it was told', () => {
       const state = createConfigurationState();
       state.applySnapshot(toHistoryPosition(1, 8), []);
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -139,6 +139,23 @@
   const storeChange = (entry: ConfigurationEntry): ConfigurationEntry[] =>
     entry.modRevision > knownRevision || isOfEarlierEra(entry) ? storeIfNewer(entry) : [];
 
+  /**
+   * Whether the entry is known to be deleted: the known revision, of the same era, is after the
+   * entry's, and the key was absent there. Lists name no deletions, so there may be no tombstone.
+   */
+  const isKnownAsDeleted = ({ key, modRevision }: ConfigurationEntry): boolean => {
+    const kind = findDocumentKind(key);
+    if (!kind || getStoredByName(kind).has(extractName(kind, key))) return false;
+    const isOfKnownEra = eraOfPosition(modRevision) === eraOfPosition(knownRevision);
+    return isOfKnownEra && modRevision <= knownRevision;
+  };
+
+  const toDeletion = (entry: ConfigurationEntry): ConfigurationEntry => ({
+    key: entry.key,
+    valueJson: undefined,
+    modRevision: knownRevision,
+  });
+
   const advanceTo = (revision: number): void => {
     const isNewEra = eraOfPosition(revision) > eraOfPosition(knownRevision);
     if (isNewEra && !isCatchUpDue) earlierRevision = knownRevision;
@@ -192,7 +209,10 @@
       const removed = missingKeys
         .filter((key) => !lostKeys.has(key))
         .map((key) => ({ key, valueJson: undefined, modRevision: revision }));
-      const changed = [...entries, ...removed].flatMap(storeIfNewer);
+      const listed = isNewEra
+        ? entries.map((entry) => (isKnownAsDeleted(entry) ? toDeletion(entry) : entry))
+        : entries;
+      const changed = [...listed, ...removed].flatMap(storeIfNewer);
       addGap(knownRevision, revision);
       advanceTo(revision);
       if (isNewEra && earlierRevision > 0) isCatchUpDue = true;
