--- a/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
+++ b/packages/auburngrade/src/admission/createQuotaRecordWriter.ts
@@ -60,7 +60,8 @@
      * the present allocator may still be active.
      */
     claim: async (state: QuotaState, expiredVm?: string): Promise<void> => {
-      if (nowMs() < state.nextClaimAtMs || lease.currentGeneration(nowMs()) === undefined) return;
+      const currentGeneration = lease.currentGeneration(nowMs());
+      if (nowMs() < state.nextClaimAtMs || currentGeneration === undefined) return;
       updateQuotaState(state, { nextClaimAtMs: nowMs() + CLAIM_INTERVAL_MS });
       const record = configuration.get('share', state.name);
       const recordedVms = record ? [...record.holders, record.keeper] : [];
@@ -73,7 +74,10 @@
       const epoch = createFence(record?.epoch ?? 0, eraOfPosition(configuration.revision()));
       // An earlier process of this VM has ended and holds no units.
       const unreportedVms = new Set(earlierVms.filter((other) => ![vm, expiredVm].includes(other)));
-      updateQuotaState(state, { claim: { epoch, unreportedVms } });
+      // An earlier attempt at the epoch, whose answer was lost, may have been written under an earlier lease.
+      const isRepeated = state.claim?.epoch === epoch;
+      const leaseGeneration = (isRepeated && state.claim?.leaseGeneration) || currentGeneration;
+      updateQuotaState(state, { claim: { epoch, unreportedVms, leaseGeneration } });
       const holders = [...new Set([...earlierVms, ...registeredVms, vm])];
       const sentAtMs = nowMs();
       const next = { epoch, keeper: vm, incarnation, holders, former: [...new Set(former)] };
--- a/packages/auburngrade/src/admission/createQuotaRoles.ts
+++ b/packages/auburngrade/src/admission/createQuotaRoles.ts
@@ -80,6 +80,16 @@
     updateQuotaState(state, { lostEpoch: state.keeper.epoch, keeper: undefined });
   };
 
+  /**
+   * An epoch claimed under a lease that has lapsed since is lost: another VM may have proven that,
+   * and claimed the next epoch with all units, before this VM learned that its claim was written.
+   */
+  const dropExpiredClaim = ({ epoch }: QuotaRecord, state: QuotaState): void => {
+    if (state.claim?.epoch !== epoch || state.keeper?.epoch === epoch) return;
+    if (state.claim.leaseGeneration === lease.currentGeneration(nowMs())) return;
+    updateQuotaState(state, { lostEpoch: epoch });
+  };
+
   return {
     /** Updates the role to match the quota's record and returns the record. */
     refresh: (state: QuotaState): QuotaRecord | undefined => {
@@ -93,6 +103,7 @@
       }
       const authorityConfirmedAtMs = Math.max(state.authorityConfirmedAtMs, confirmedAtMs());
       updateQuotaState(state, { authorityConfirmedAtMs });
+      dropExpiredClaim(record, state);
       if (record.epoch === state.lostEpoch) return record;
       if (state.keeper?.epoch !== record.epoch) becomeAllocator(state, record);
       return record;
--- a/packages/auburngrade/src/admission/quotaState.ts
+++ b/packages/auburngrade/src/admission/quotaState.ts
@@ -10,7 +10,14 @@
   consumer: QuotaConsumer | undefined;
   keeper: QuotaAllocator | undefined;
   /** Epoch that this VM last tried to claim, and the VMs that may hold units of earlier epochs. */
-  claim: { epoch: number; unreportedVms: Set<string> } | undefined;
+  claim:
+    | {
+        epoch: number;
+        unreportedVms: Set<string>;
+        /** Generation of this VM's lease at the first attempt; the claim is void under another. */
+        leaseGeneration: number;
+      }
+    | undefined;
   /** Epoch in which this VM lost the allocator role because its lease expired. */
   lostEpoch: number;
   /** Whether this VM is transferring the allocator role and no longer acts as the allocator. */
