--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -211,7 +211,7 @@
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
-      isInHandoverGrace: () => ownership.isInHandoverGrace(group),
+      isInHandoverGrace: (tenure) => ownership.isInHandoverGrace(group, tenure),
     });
     servers.set(group, server);
     updateGroup(group, server);
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -409,6 +409,18 @@
       expect(ownership.mayReplacePrimary('lots')).to.equal(true);
     });
 
+    it('waits after a claim that took effect although its call had failed', async () => {
+      const { ownership, state, clock, record, storeAndCacheRecord } = fixture;
+      ownership.markRecordsListed();
+      state.holdsPeerLease = true;
+      storeAndCacheRecord('lots', record('a', { ownerEpoch: 2 }));
+      ownership.reconcile(['lots']);
+      clock.ms += 1_500;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+      clock.ms += 150;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(true);
+    });
+
     it('waits again if it owned the group before, and others did in between without its knowledge', async () => {
       const { ownership, state, clock, own, record, storeAndCacheRecord } = fixture;
       await own('lots');
@@ -461,6 +473,24 @@
       expect(ownership.mayReplacePrimary('lots')).to.equal(false);
     });
 
+    it('stays in its tenure when its own claim follows', async () => {
+      const { ownership, state, waitForStore, record, storeAndCacheRecord } = fixture;
+      ownership.markRecordsListed();
+      storeAndCacheRecord('lots', record('b', { ownerEpoch: 4 }));
+      state.vms = [createVmView('a'), createVmView('b', { incarnation: 'b-2', isLeaving: true })];
+      fixture.clock.ms += 1_000;
+      state.isStoreViewCurrent = false;
+      ownership.reconcile(['lots']);
+      const tenure = ownership.findTenure('lots');
+      state.isStoreViewCurrent = true;
+      ownership.reconcile(['lots']);
+      await waitForStore();
+      expect([ownership.isOwnedHere('lots'), tenure]).to.deep.equal([true, 'acting 4 0']);
+      expect(ownership.findTenure('lots')).to.equal(tenure);
+      storeAndCacheRecord('lots', record('a', { ownerEpoch: 7, isHandedOver: true }));
+      expect(ownership.findTenure('lots')).to.equal('owner 7');
+    });
+
     it('stops serving it when the owner is heard again', async () => {
       const { ownership, waitForStore, setDown, state } = fixture;
       setDown(true);
@@ -504,6 +534,27 @@
       expect(ownership.isAuthoritative('lots')).to.equal(false);
     });
 
+    it('grants the time for commits under way to the tenure that ended', async () => {
+      const { ownership, own } = fixture;
+      await own('lots');
+      const tenure = ownership.findTenure('lots');
+      fixture.state.vms = [createVmView('a'), createVmView('b')];
+      await ownership.handOver('lots');
+      expect(ownership.isInHandoverGrace('lots', tenure)).to.equal(true);
+      expect(ownership.isInHandoverGrace('lots', 'owner 9')).to.equal(false);
+    });
+
+    it('replaces no primary while it stops', async () => {
+      const { ownership, own, state, clock } = fixture;
+      await own('lots');
+      state.holdsPeerLease = true;
+      ownership.reconcile(['lots']);
+      clock.ms += 10_000;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(true);
+      state.isLeaving = true;
+      expect(ownership.mayReplacePrimary('lots')).to.equal(false);
+    });
+
     it('is not authoritative afterwards once a newer record is known', async () => {
       const { ownership, own, state, storeAndCacheRecord, record } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -13,6 +13,7 @@
 import type StoredItem from '../seams/storedItem';
 import type Documents from './documents';
 import type Fleet from './fleet';
+import type KnownDocument from './knownDocument';
 import readGroupRecord from './readGroupRecord';
 import storeKeys from './storeKeys';
 
@@ -68,20 +69,27 @@
   const actingSinceHeartbeat = new Map<string, number>();
   /** When each group's record was last read from or written to the store. */
   const recordConfirmedAt = new Map<string, { steadyMs: number; wallMs: number }>();
-  /** Groups that this VM handed over, with the position of the new record and when its write began. */
+  /** Groups that this VM handed over: the tenure that ended, the new record's position, when its write began. */
   const handovers = new Map<
     string,
-    { position: DocumentPosition; steadyMs: number; wallMs: number }
+    { tenure: string | undefined; position: DocumentPosition; steadyMs: number; wallMs: number }
   >();
+  /** Tenures as the acting VM that a claim of this VM continues, by the epoch of the claim. */
+  const continuedTenures = new Map<string, { ownerEpoch: number; tenure: string }>();
   let hasListedRecords = false;
   let lastRebalancedAtMs = Number.NEGATIVE_INFINITY;
   /** Since when each owned group should belong to another data centre. */
   const misplacedSinceMs = new Map<string, number>();
 
+  /** Records by the document that they were read from: they are needed for each statement. */
+  const parsedRecords = new WeakMap<KnownDocument, GroupRecord | undefined>();
+
   const toGroupKey = (group: string): string => storeKeys.groupPrefix + group;
   const getRecord = (group: string): GroupRecord | undefined => {
     const document = documents.get(toGroupKey(group));
-    return document && readGroupRecord(document.value);
+    if (!document) return undefined;
+    if (!parsedRecords.has(document)) parsedRecords.set(document, readGroupRecord(document.value));
+    return parsedRecords.get(document);
   };
   /** Whether the group's record names this process as its owner. */
   const isOwnedHere = (group: string): boolean => {
@@ -93,8 +101,11 @@
    * none. What was concluded in another tenure is void: the primary may have been replaced in between.
    */
   const findTenure = (group: string): string | undefined => {
-    const { ownerEpoch = 0, fence = 0 } = getRecord(group) ?? {};
-    if (isOwnedHere(group)) return `owner ${ownerEpoch}`;
+    const { ownerEpoch = 0, fence = 0, isHandedOver } = getRecord(group) ?? {};
+    const continued = continuedTenures.get(group);
+    // Only a claim of this VM names it without a handover: no other owner came in between.
+    const isContinued = continued?.ownerEpoch === ownerEpoch && isHandedOver === false;
+    if (isOwnedHere(group)) return isContinued ? continued.tenure : `owner ${ownerEpoch}`;
     return actingSinceHeartbeat.has(group) ? `acting ${ownerEpoch} ${fence}` : undefined;
   };
   const isOwnerLost = (group: string, { owner, incarnation }: GroupRecord): boolean => {
@@ -121,12 +132,16 @@
     const at = recordConfirmedAt.get(group);
     return at !== undefined && elapsedMs(at) < STORE_CONFIRMATION_VALID_MS;
   };
-  /** Whether this VM handed the group over so recently that the new owner may not replace the primary yet. */
-  const isInHandoverGrace = (group: string): boolean => {
+  /**
+   * Whether this VM handed the group over so recently that the new owner may not replace the primary yet.
+   * @param tenure The tenure that has to be the one that the handover ended, if it is given.
+   */
+  const isInHandoverGrace = (group: string, tenure = handovers.get(group)?.tenure): boolean => {
     const at = handovers.get(group);
     const known = documents.get(toGroupKey(group));
     return (
       at !== undefined &&
+      at.tenure === tenure &&
       known !== undefined &&
       compareDocumentPositions(known, at.position) === 0 &&
       elapsedMs(at) < HANDOVER_GRACE_MS
@@ -221,19 +236,25 @@
 
   const claimGroup = async (group: string, record: GroupRecord | undefined): Promise<void> => {
     const wasActing = actingSinceHeartbeat.has(group);
+    const madeFrom = documents.get(toGroupKey(group))?.revision;
     const others = fleet.vms().filter(({ vm }) => vm !== record?.owner);
     const notHearing = others
       .filter(
-        ({ hasRecentHeartbeat, hears }) => hasRecentHeartbeat && record && !hears.has(record.owner),
+        ({ hasRecentHeartbeat, isSettled, hears }) =>
+          hasRecentHeartbeat && isSettled && record && !hears.has(record.owner),
       )
       .map(({ vm }) => vm);
+    const ownerEpoch = (record?.ownerEpoch ?? 0) + 1;
+    const actingTenure = wasActing ? findTenure(group) : undefined;
+    if (actingTenure !== undefined)
+      continuedTenures.set(group, { ownerEpoch, tenure: actingTenure });
     const isClaimed = await writeRecord(group, {
       owner: self.vm,
       incarnation: self.incarnation,
       primary: record?.primary ?? '',
       term: record?.term ?? 0,
       fence: record?.fence ?? 0,
-      ownerEpoch: (record?.ownerEpoch ?? 0) + 1,
+      ownerEpoch,
       isHandedOver: false,
     });
     const { era, revision } = documents.get(toGroupKey(group)) ?? {};
@@ -245,6 +266,8 @@
       incarnation: self.incarnation,
       fence: record?.fence,
       term: record?.term,
+      ownerEpoch,
+      madeFrom,
       era,
       revision,
       notHearing,
@@ -286,7 +309,7 @@
       ownerEpoch: record.ownerEpoch + 1,
       isHandedOver: true,
     };
-    const at = readClocks();
+    const at = { tenure: findTenure(group), ...readClocks() };
     const isWritten = await writeRecord(group, next);
     const position = documents.get(toGroupKey(group));
     if (isWritten && position !== undefined) handovers.set(group, { position, ...at });
@@ -392,6 +415,8 @@
       isAuthoritative(group) && (isConfirmedByStore(group) || fleet.reachesMajority()),
     /** Whether this VM owns the group and no previous owner or acting VM can still use the old primary. */
     mayReplacePrimary: (group: string): boolean => {
+      // The next owner of a group does not wait for a call of a VM that stops.
+      if (fleet.isLeaving()) return false;
       const tenure = findTenure(group);
       const knowledge = majorityKnowledge.get(group);
       if (!isOwnedHere(group) || !knowledge || knowledge.tenure !== tenure) return false;
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -65,7 +65,8 @@
     isCertain: true,
     mayReplace: true,
     isRecorded: true,
-    isInHandoverGrace: true,
+    /** Tenure that a handover has just ended. */
+    tenureInGrace: 'owner 1' as string | undefined,
     tenure: 'owner 1',
     primary: '',
     term: 0,
@@ -105,7 +106,7 @@
     canReplacePrimary: () => ownerState.mayReplace,
     findTenure: () => ownerState.tenure,
     isAuthoritative: () => ownerState.isCertain,
-    isInHandoverGrace: () => ownerState.isInHandoverGrace,
+    isInHandoverGrace: (tenure) => tenure === ownerState.tenureInGrace,
     controlAccount: () => 'ranch',
   });
   server.updateEndpoints(ENDPOINTS, 21);
@@ -365,6 +366,16 @@
     });
   });
 
+  describe('when the group is handed over again before its former primary was doubted', () => {
+    it('acknowledges no commit at the former primary', async () => {
+      await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
+      Object.assign(fixture.state, { tenure: undefined, tenureInGrace: 'owner 3' });
+      fixture.server.startDraining();
+      const commit = await fixture.run(createCommit({ transaction: 9 }));
+      expect(commit).to.deep.include({ kind: 'refused', code: 'inDoubt' });
+    });
+  });
+
   describe('when another VM owned the group and replaced its primary in between', () => {
     beforeEach(async () => {
       await fixture.run(createWrite());
@@ -381,6 +392,20 @@
       expect(fixture.runs.map(({ endpoint }) => endpoint)).to.deep.equal(['p', 'r', 'r']);
     });
 
+    it('does not believe an answer to a probe of the tenure before', async () => {
+      fixture.server.close();
+      fixture = createFixture();
+      const release = fixture.holdOpening('ranch');
+      await sleep(150);
+      fixture.setUnreachable('p', true);
+      fixture.promote('r');
+      fixture.setUnreachable('p', false);
+      Object.assign(fixture.state, { primary: 'r', term: 2, fence: 1, tenure: 'owner 3' });
+      release();
+      await fixture.run(createWrite({ account: 'farm' }));
+      expect(fixture.runs.map(({ endpoint }) => endpoint)).to.deep.equal(['r']);
+    });
+
     it('reads no position of the former primary', async () => {
       const read = await fixture.run(createCall({ maxAgeMs: 5_000 }));
       expect(read.kind).to.equal('complete');
@@ -392,7 +417,7 @@
     it('acknowledges no commit of the earlier tenure that ends after the grace', async () => {
       await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
       fixture.server.startDraining();
-      Object.assign(fixture.state, { tenure: 'owner 3', isInHandoverGrace: false });
+      Object.assign(fixture.state, { tenure: 'owner 3', tenureInGrace: undefined });
       const commit = await fixture.run(createCommit({ transaction: 9 }));
       expect(commit).to.deep.include({ kind: 'refused', code: 'inDoubt' });
     });
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -64,8 +64,8 @@
   findTenure(): string | undefined;
   /** False while another VM may have replaced the primary without this VM knowing. */
   isAuthoritative(): boolean;
-  /** Whether commits under way may still be acknowledged after a handover. */
-  isInHandoverGrace(): boolean;
+  /** Whether commits under way may still be acknowledged after the handover that ended the tenure. */
+  isInHandoverGrace(tenure: string | undefined): boolean;
   /** Client account used for the owner's own commands, such as status. */
   controlAccount(): string;
 }
@@ -211,11 +211,13 @@
   ): CallOutcome => {
     const isChange = call.action !== Action.ACTION_READ && !call.isReadOnly;
     const primary = primaryManager.getKnownPrimary();
-    if (isChange && endpointId !== primary) {
+    if (isChange && primary !== undefined && endpointId !== primary) {
       const { requestId: request } = call;
       log.warn('request.ranAtFormerPrimary', { request, group, endpoint: endpointId, primary });
     }
-    const isAuthoritative = isDraining ? options.isInHandoverGrace() : options.isAuthoritative();
+    const isAuthoritative = isDraining
+      ? options.isInHandoverGrace(primaryManager.primaryTenure())
+      : options.isAuthoritative();
     return isChange && (endpointId !== primary || !isAuthoritative)
       ? createRefusal(
           'inDoubt',
--- a/packages/sessions/src/group/createPrimaryManager.spec.ts
+++ b/packages/sessions/src/group/createPrimaryManager.spec.ts
@@ -35,7 +35,7 @@
   const members = createFakeMembers(ENDPOINTS);
   const state = {
     mayReplace: true,
-    outcome: 'accepted' as 'accepted' | 'mayHaveRun',
+    outcome: 'accepted' as 'accepted' | 'mayHaveRun' | 'rejected',
     primary: 'p',
     term: 1,
     fence: 4,
@@ -162,6 +162,18 @@
     expect(fixture.events.map(({ event }) => event)).to.not.include('primary.believed');
   });
 
+  it('records the primary again whose replacement was rejected', async () => {
+    fixture = createFixture(
+      () => undefined,
+      () => undefined,
+    );
+    Object.assign(fixture.state, { outcome: 'rejected' });
+    await fixture.losePrimary();
+    await fixture.awaitEvent('primary.promoted');
+    expect(await fixture.awaitEvent('primary.termCorrected')).to.include({ primary: 'p', term: 1 });
+    expect(fixture.state).to.include({ primary: 'p', term: 1, fence: 5 });
+  });
+
   it('withdraws the call when its right ends while the call connects', async () => {
     fixture = createFixture((state) => {
       Object.assign(state, { mayReplace: false });
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -15,6 +15,8 @@
 /** A promotion takes effect within a few hundred ms of the call. */
 const PROMOTION_TIMEOUT_MS = 3_000;
 const PROMOTION_POLL_MS = 60;
+/** An endpoint that led before its promotion and leads no new term by now was the primary already. */
+const PROMOTION_EFFECT_MS = 2_000;
 /** Delay before a replica is promoted when no endpoint is primary: a starting one may still be. */
 const NO_PRIMARY_GRACE_MS = 600;
 
@@ -45,6 +47,8 @@
 interface ProbeReply {
   id: string;
   askedAtMs: number;
+  /** In which tenure it was asked. */
+  tenure: string | undefined;
   status: EndpointStatus;
 }
 
@@ -66,6 +70,8 @@
   let primary: string | undefined;
   /** In which tenure the primary was found; in a later one it may have been replaced by another VM. */
   let primaryTenure: string | undefined;
+  /** The term that the primary was found to lead. */
+  let primaryTerm = 0;
   let isReplacing = false;
   /** Whether a replacement runs, from the search for a candidate to its end. */
   let isReplacementRunning = false;
@@ -76,21 +82,41 @@
 
   const probeEndpoints = async (ids: readonly string[]): Promise<ProbeReply[]> => {
     const replies = await Promise.all(
-      ids.map(async (id) => ({ id, askedAtMs: nowMs(), status: await pools.get(id)?.probe() })),
-    );
-    return replies.flatMap(({ id, askedAtMs, status }) =>
-      status ? [{ id, askedAtMs, status }] : [],
+      ids.map(async (id) => ({
+        id,
+        askedAtMs: nowMs(),
+        tenure: options.findTenure(),
+        status: await pools.get(id)?.probe(),
+      })),
     );
+    return replies.flatMap(({ status, ...reply }) => (status ? [{ ...reply, status }] : []));
   };
 
-  const acceptPrimary = ({ id, askedAtMs, status }: ProbeReply): void => {
+  /** Believes an endpoint, unless it was asked in an earlier tenure; returns whether it does. */
+  const acceptPrimary = ({ id, askedAtMs, tenure, status }: ProbeReply): boolean => {
+    if (tenure !== options.findTenure()) {
+      log.info('primary.answerOutdated', { group, endpoint: id, tenure });
+      return false;
+    }
     primary = id;
-    primaryTenure = options.findTenure();
+    primaryTenure = tenure;
+    primaryTerm = status.term;
     highestSeenTerm = Math.max(highestSeenTerm, status.term);
     noPrimarySinceMs = undefined;
-    log.info('primary.believed', { group, endpoint: id, term: status.term });
+    const { primary: recorded, term: recordedTerm, fence } = options.getRecordedPrimary();
+    log.info('primary.believed', {
+      group,
+      endpoint: id,
+      term: status.term,
+      tenure,
+      recorded,
+      recordedTerm,
+      fence,
+      ageMs: Math.round(nowMs() - askedAtMs),
+    });
     options.onPrimaryFound(id, status.receivedPosition, askedAtMs);
     options.onChange();
+    return true;
   };
 
   /** Waits until work at the leaving primary has ended, at most for the drain timeout. */
@@ -110,40 +136,32 @@
     )[0];
   };
 
-  /** Waits until the endpoint leads the recorded term; resolves with the last reply if it leads an earlier one. */
-  const awaitPromotion = async (id: string, minTerm: number): Promise<ProbeReply | undefined> => {
-    const untilMs = nowMs() + PROMOTION_TIMEOUT_MS;
-    let leading: ProbeReply | undefined;
-    while (!isClosed && nowMs() < untilMs) {
-      const [reply] = await probeEndpoints([id]);
-      leading = reply?.status.isPrimary ? reply : undefined;
-      if (leading && leading.status.term >= minTerm) return leading;
+  /**
+   * Waits until the candidate leads a new term. One that led before and still leads the same term after the time
+   * that a promotion takes was the primary all along: an earlier promotion was recorded, but did not run.
+   */
+  const awaitPromotion = async (
+    candidate: ProbeReply,
+    isAccepted: boolean,
+  ): Promise<ProbeReply | undefined> => {
+    const startedAtMs = nowMs();
+    while (!isClosed && nowMs() < startedAtMs + PROMOTION_TIMEOUT_MS) {
+      const [reply] = await probeEndpoints([candidate.id]);
+      if (reply && reply.tenure !== candidate.tenure) return undefined;
+      const isUnchanged = isAccepted && nowMs() > startedAtMs + PROMOTION_EFFECT_MS;
+      if (reply?.status.isPrimary && (reply.status.term > candidate.status.term || isUnchanged))
+        return reply;
       await sleep(PROMOTION_POLL_MS);
     }
-    return leading;
+    return undefined;
   };
 
-  /**
-   * Believes the promoted endpoint. One that leads no new term by now was the primary all along: an earlier
-   * promotion was recorded, but did not run. Its own term is recorded then, for the next owner to accept.
-   */
-  const acceptPromoted = async (
-    reply: ProbeReply,
-    recorded: Pick<GroupRecord, 'term' | 'fence'>,
-  ): Promise<void> => {
-    const { term } = reply.status;
-    const isUnchanged = term < recorded.term;
-    if (isUnchanged) {
-      log.warn('primary.unchanged', {
-        group,
-        endpoint: reply.id,
-        term,
-        recordedTerm: recorded.term,
-      });
-      const next = { primary: reply.id, term, fence: recorded.fence };
-      if (isClosed || !(await options.record(next))) return;
-    }
-    if (!isClosed) acceptPrimary(reply);
+  /** Records who is the primary in which term, for the next owner to accept. */
+  const recordTerm = async (next: Pick<GroupRecord, 'primary' | 'term'>): Promise<void> => {
+    const { primary: recorded, term, fence } = options.getRecordedPrimary();
+    if (isClosed || (recorded === next.primary && term === next.term)) return;
+    log.info('primary.termCorrected', { group, ...next, recorded, recordedTerm: term });
+    await options.record({ ...next, fence });
   };
 
   const demotePrimary = async (id: string, term: number): Promise<void> => {
@@ -206,27 +224,39 @@
     const term = Math.max(seenTerm + 1, options.getRecordedPrimary().term);
     if (isClosed || !(await options.record({ primary: candidate.id, term, fence }))) return;
     if (isClosed) return;
+    const oldPrimaryTerm = primaryTerm;
     primary = undefined;
     isReplacing = true;
     if (oldPrimaryId !== undefined) pools.get(oldPrimaryId)?.closeAll();
     const call = { group, endpoint: candidate.id, before: oldPrimaryId, fence, term, reason };
     log.info('primary.promoting', call);
     const calledAtMs = nowMs();
+    let sentAfterMs: number | undefined;
     const outcome = await options.failover.promote(
       group,
       candidate.id,
       options.ownerVm,
       fence,
-      () => mayStillSend(call),
+      () => {
+        sentAfterMs = Math.round(nowMs() - calledAtMs);
+        return mayStillSend(call);
+      },
     );
     const tookMs = Math.round(nowMs() - calledAtMs);
-    log.warn('primary.promoted', { ...call, outcome, tookMs });
-    if (outcome !== 'accepted' && outcome !== 'mayHaveRun') return;
-    const promoted = await awaitPromotion(candidate.id, term);
-    // A call that may not have run says nothing of an endpoint that leads no new term.
-    if (!promoted || (outcome === 'mayHaveRun' && promoted.status.term < term)) return;
-    await acceptPromoted(promoted, { term, fence });
-    if (oldPrimaryId !== undefined) demotePrimary(oldPrimaryId, candidate.status.term + 1);
+    log.warn('primary.promoted', { ...call, outcome, tookMs, sentAfterMs });
+    if (outcome !== 'accepted' && outcome !== 'mayHaveRun') {
+      // Else no later owner would accept the primary, whose term is below the recorded one.
+      if (oldPrimaryId !== undefined)
+        await recordTerm({ primary: oldPrimaryId, term: oldPrimaryTerm });
+      return;
+    }
+    const promoted = await awaitPromotion(candidate, outcome === 'accepted');
+    if (!promoted || !acceptPrimary(promoted)) return;
+    const { term: ledTerm } = promoted.status;
+    if (oldPrimaryId !== undefined) demotePrimary(oldPrimaryId, ledTerm);
+    recordTerm({ primary: promoted.id, term: ledTerm }).catch((error) =>
+      log.warn('primary.termUnrecorded', { group, term: ledTerm, reason: String(error) }),
+    );
   };
 
   const runReplacement = async (
@@ -314,6 +344,8 @@
     /** The primary even while it is being replaced, for transactions that are open there. */
     getKnownPrimary: (): string | undefined => (isPrimaryOfTenure() ? primary : undefined),
     isPrimaryOfTenure,
+    /** In which tenure the known primary was found. */
+    primaryTenure: (): string | undefined => primaryTenure,
     isReplacing: (): boolean => isReplacementRunning,
     /** Forgets a primary that reported to be read-only; the next check searches again. */
     invalidatePrimary: (id: string): void => {
