--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -53,6 +53,11 @@
   const fullEndpoints = new Set<string>();
   let openedCount = 0;
   let attemptCount = 0;
+  const listPrimaries = (): string[] =>
+    [...members]
+      .filter(([, { isPrimary }]) => isPrimary)
+      .sort(([, a], [, b]) => b.received.term - a.received.term)
+      .map(([id]) => id);
 
   const openConnection = async (
     endpoint: GroupEndpoint,
@@ -151,7 +156,7 @@
           transactionState = 'open';
           return buildReply();
         case 'demote':
-          member.isPrimary = false;
+          if (command.term > member.received.term) member.isPrimary = false;
           return buildReply({ rows: ['status'] });
         case 'rollback':
           uncommittedWrites = [];
@@ -257,26 +262,34 @@
         release();
       };
     },
+    /** Endpoints that take themselves for the primary; the one that leads the newest term comes first. */
+    listPrimaries,
     /** Brings all replicas to the primary's log position. */
     replicate: (): void => {
-      const primary = [...members.values()].find(({ isPrimary }) => isPrimary);
+      const primary = members.get(listPrimaries()[0] ?? '');
       members.forEach((entry) => {
         const member = entry;
         if (primary && !member.isPrimary) member.received = { ...primary.received };
       });
     },
-    /** Makes an endpoint primary. One that can't be reached learns of it only by a `demote`. */
-    promote: (endpoint: string): void => {
+    /** Makes an endpoint primary. One that isn't told, or can't be reached, learns of it by a `demote`. */
+    promote: (endpoint: string, areOthersTold = true): void => {
+      const newestTerm = Math.max(...[...members.values()].map(({ received }) => received.term));
       members.forEach((entry, id) => {
         const member = entry;
         if (id === endpoint) {
           member.isPrimary = true;
-          member.received = { term: member.received.term + 1, number: member.received.number };
-        } else if (!member.isUnreachable) {
+          member.received = { term: newestTerm + 1, number: member.received.number };
+        } else if (areOthersTold && !member.isUnreachable) {
           member.isPrimary = false;
         }
       });
     },
+    /** Makes a former primary a replica, as when it learns of its successor. */
+    stepDown: (endpoint: string): void => {
+      const member = members.get(endpoint);
+      if (member) member.isPrimary = false;
+    },
   };
 };
 
