--- a/packages/auburngrade/src/configuration/createPeerFollower.ts
+++ b/packages/auburngrade/src/configuration/createPeerFollower.ts
@@ -86,7 +86,7 @@
       const applyUpdate = (update: ConfigurationUpdate): void => {
         pendingEntries.push(...toEntries(update));
         if (update.more) return;
-        if (update.snapshot) state.applySnapshot(update.revision, pendingEntries);
+        if (update.snapshot) state.applySnapshot(update.revision, pendingEntries, false);
         else state.applyChanges(update.revision, pendingEntries);
         pendingEntries = [];
         if (catchUpPing === undefined || update.ping < catchUpPing) return;
--- a/packages/coordination/src/configuration/configurationState.ts
+++ b/packages/coordination/src/configuration/configurationState.ts
@@ -12,8 +12,15 @@
    * those of an earlier era that the store lost in a restore before this VM saw them.
    */
   applyChanges(revision: number, entries: readonly ConfigurationEntry[]): void;
-  /** Replaces all documents, unless `revision` is lower than the known one. */
-  applySnapshot(revision: number, entries: readonly ConfigurationEntry[]): void;
+  /**
+   * Replaces all documents, unless `revision` is lower than the known one. `isFromStore` is false for
+   * what another VM knows; the default is true.
+   */
+  applySnapshot(
+    revision: number,
+    entries: readonly ConfigurationEntry[],
+    isFromStore?: boolean,
+  ): void;
   /**
    * Revision from which another VM has to be asked for changes of earlier eras, which the store has
    * lost; undefined when none has to be asked.
--- a/packages/coordination/src/configuration/createConfigurationState.spec.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.spec.ts
@@ -166,6 +166,21 @@
       expect(state.listNames('account')).to.deep.equal(['lost']);
     });
 
+    it('keeps what the restore has lost when another VM told of the new era before the list', () => {
+      const account = (name: string, revision: number) => ({
+        key: buildAccountKey(name),
+        valueJson: buildValueJson(1),
+        modRevision: toHistoryPosition(1, revision),
+      });
+      const state = createConfigurationState();
+      state.applySnapshot(toHistoryPosition(1, 9), [account('copied', 3), account('lost', 9)]);
+      state.applyChanges(toHistoryPosition(2, 5), []);
+      state.applySnapshot(toHistoryPosition(2, 6), [account('copied', 3)]);
+      expect(state.listNames('account')).to.have.members(['copied', 'lost']);
+      state.applySnapshot(toHistoryPosition(2, 8), []);
+      expect(state.listNames('account')).to.deep.equal(['lost']);
+    });
+
     it('takes over a change of the earlier era that the restore has lost, from a VM that knows it', () => {
       const key = buildAccountKey('gone');
       const put = { key, valueJson: buildValueJson(9), modRevision: toHistoryPosition(1, 9) };
--- a/packages/coordination/src/configuration/createConfigurationState.ts
+++ b/packages/coordination/src/configuration/createConfigurationState.ts
@@ -64,6 +64,8 @@
   let earlierRevision = 0;
   /** Whether other VMs may know changes of the earlier eras that the store has lost and this VM never saw. */
   let isCatchUpDue = false;
+  /** Era of the last list that came from the store itself. */
+  let listedEra = 0;
   /** Revision of the latest deletion whose tombstone was dropped. */
   let latestDroppedRevision = 0;
   /** Revisions skipped by snapshots: a difference from within one might lack deletions. */
@@ -150,6 +152,10 @@
     return isOfKnownEra && modRevision <= knownRevision;
   };
 
+  /** Whether this VM knew an earlier era, and learned of the present one from another VM, not by a list. */
+  const hasChangedEraSinceList = (revision: number): boolean =>
+    earlierRevision > 0 && listedEra > 0 && eraOfPosition(revision) > listedEra;
+
   const toDeletion = (entry: ConfigurationEntry): ConfigurationEntry => ({
     key: entry.key,
     valueJson: undefined,
@@ -200,12 +206,14 @@
       trimTombstones();
       notifyListeners(changed);
     },
-    applySnapshot: (revision, entries) => {
+    applySnapshot: (revision, entries, isFromStore = true) => {
       if (revision < knownRevision) return;
       const present = new Set(entries.map(({ key }) => key));
       const missingKeys = listStoredKeys().filter((key) => !present.has(key));
       const isNewEra = eraOfPosition(revision) > eraOfPosition(knownRevision);
-      if (isNewEra) missingKeys.forEach((key) => lostKeys.add(key));
+      if (isNewEra || (isFromStore && hasChangedEraSinceList(revision)))
+        missingKeys.forEach((key) => lostKeys.add(key));
+      if (isFromStore) listedEra = eraOfPosition(revision);
       const removed = missingKeys
         .filter((key) => !lostKeys.has(key))
         .map((key) => ({ key, valueJson: undefined, modRevision: revision }));
