--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -188,7 +188,7 @@
     refreshedAtMs = nowMs();
     ownership
       .refreshRecords()
-      .catch((error) => log.info('ownership.unconfirmed', { reason: String(error) }))
+      .catch(() => undefined)
       .finally(() => {
         isRefreshing = false;
       });
