--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -588,6 +588,11 @@
           sessions.forEach((session) => session.endTransaction());
         }
       }
+      log.info('daemon.drained', {
+        tookMs: Math.round(elapsedMs()),
+        isBusy: isBusy(),
+        sessions: sessions.size,
+      });
       clearInterval(heartbeatTimer);
       clearInterval(strainTimer);
       const leaseEnded = registration
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -61,7 +61,10 @@
   let lastCommitPosition: LogPosition | undefined;
   let isStarted = false;
   let isEnded = false;
+  let endReason: string | undefined;
   let isRunning = false;
+  /** The statement under way; the last one while none is. */
+  let lastRequestId: string | undefined;
   const pendingStatements: [requestId: string, statement: SessionStatement][] = [];
 
   const discardTransaction = (): void => {
@@ -69,9 +72,18 @@
     transaction = undefined;
   };
 
-  const end = (): void => {
+  const end = (reason: string): void => {
     if (isEnded) return;
     isEnded = true;
+    endReason = reason;
+    if (isRunning || pendingStatements.length > 0) {
+      log.info('session.cut', {
+        session: sessionId,
+        reason,
+        request: isRunning ? lastRequestId : undefined,
+        pending: pendingStatements.map(([requestId]) => requestId),
+      });
+    }
     pendingStatements.length = 0;
     discardTransaction();
     options.endSession(sessionId);
@@ -89,7 +101,7 @@
     const message =
       kind === 'unauthenticated' ? 'the access key is not valid' : 'the database does not exist';
     connection.refuse(kind, message);
-    end();
+    end(kind);
   };
 
   const lookUpCaller = () => {
@@ -274,12 +286,13 @@
     while (!isEnded) {
       const next = pendingStatements.shift();
       if (!next) break;
+      [lastRequestId] = next;
       try {
         await runStatement(...next);
       } catch (error) {
         log.warn('session.broken', { session: sessionId, request: next[0], reason: String(error) });
         connection.close();
-        end();
+        end('internal error');
       }
     }
     isRunning = false;
@@ -296,7 +309,7 @@
           'busy',
           'this VM has not received its configuration yet; retry in 1000 ms',
         );
-        end();
+        end('no configuration');
       }
     } else if (caller.kind !== 'found') {
       refuseSession(caller.kind);
@@ -315,16 +328,19 @@
       openWhenConfigured(nowMs() + CONFIGURATION_WAIT_MS);
     },
     run: (requestId, statement) => {
-      if (isEnded) return;
+      if (isEnded) {
+        log.warn('request.dropped', { request: requestId, session: sessionId, reason: endReason });
+        return;
+      }
       if (pendingStatements.length >= MAX_PENDING_STATEMENTS) {
         connection.refuse('malformed', 'the session has too many queued statements');
-        end();
+        end('too many queued statements');
         return;
       }
       pendingStatements.push([requestId, statement]);
       if (isStarted) runPendingStatements();
     },
-    end,
+    end: () => end('closed by the caller'),
   };
 
   const isIdle = (): boolean =>
@@ -344,13 +360,13 @@
       if (caller && caller.kind !== 'found') {
         log.info('session.closed', { session: sessionId, reason: caller.kind });
         connection.close();
-        end();
+        end(caller.kind);
       }
     },
     closeIfIdle: (): void => {
       if (!isIdle()) return;
       connection.close();
-      end();
+      end('closed while idle');
     },
     /** Ends an open transaction at its group, so that its next statement is refused. */
     endTransaction: (): void => {
@@ -358,7 +374,7 @@
     },
     abort: (): void => {
       connection.close();
-      end();
+      end('the VM stops');
     },
   };
 };
