--- a/packages/sessions/src/daemon/createIsolationMonitor.spec.ts
+++ b/packages/sessions/src/daemon/createIsolationMonitor.spec.ts
@@ -16,7 +16,7 @@
         closed.push(name);
         sessions.delete(session);
       },
-    } as Session;
+    } as unknown as Session;
     sessions.add(session);
   };
   const monitor = createIsolationMonitor({
--- a/packages/sessions/src/daemon/createIsolationMonitor.ts
+++ b/packages/sessions/src/daemon/createIsolationMonitor.ts
@@ -33,7 +33,7 @@
     }
     sessionsToClose
       .filter((session) => sessions.has(session))
-      .forEach((session) => session.closeIfIdle());
+      .forEach((session) => session.closeIfIdle('this VM can reach no group'));
   };
 
   return {
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -150,6 +150,11 @@
       refuse: (code) => answers.push(`refused ${code}`),
       sendResult: (result, state) =>
         answers.push(`${result.kind === 'refused' ? result.code : result.kind} ${state}`),
+      announceClose: (code) => {
+        answers.push(`closing ${code}`);
+        session?.end();
+      },
+      completeAnnouncedRefusal: (state) => answers.push(`completed ${state}`),
       close: () => answers.push('closed'),
     });
     session?.start('lots', key);
@@ -222,7 +227,7 @@
   it('closes sessions whose key is withdrawn, and accepts the key that replaces it', async () => {
     const { answers } = openSessionAt(0, 'k1');
     store.put('configuration', '2');
-    await waitUntil(() => answers.includes('closed'));
+    await waitUntil(() => answers.includes('closing unauthenticated'));
     expect(openSessionAt(0, 'k2').answers).to.deep.equal(['accepted']);
     expect(openSessionAt(0, 'k1').answers).to.deep.equal(['refused unauthenticated']);
   });
@@ -348,7 +353,7 @@
       expect(await run(write)).to.equal('complete open');
       expect(await run({ kind: 'commit', text: 'COMMIT' })).to.equal('complete idle');
       large.store.put('configuration', '2');
-      await waitUntil(() => answers.includes('closed'));
+      await waitUntil(() => answers.includes('closing unauthenticated'));
     });
 
     it('makes no call to the store for a VM that is no voter and has a relay', async () => {
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -70,6 +70,7 @@
 /** Fractions of the grace period: when open transactions are ended, and when the process stops waiting. */
 const TRANSACTION_GRACE_RATIO = 0.5;
 const SHUTDOWN_GRACE_RATIO = 0.8;
+const SHUTDOWN_REASON = 'this VM is shutting down';
 
 interface SessionDaemonOptions {
   settings: NodeSettings;
@@ -544,6 +545,7 @@
         nowMs,
         nextId,
         configuration: () => configuration,
+        isAcceptingSessions: () => true,
         endSession: (session) => {
           fleet.vms().forEach((view) => fleet.link(view.vm)?.endSession(session));
           observer.endSession(session);
@@ -582,10 +584,11 @@
       let hasEndedTransactions = false;
       while (isBusy() && elapsedMs() < settings.graceMs * SHUTDOWN_GRACE_RATIO) {
         await sleep(SHUTDOWN_POLL_INTERVAL_MS);
-        if (elapsedMs() > BALANCER_REMOVAL_MS) sessions.forEach((session) => session.closeIfIdle());
+        if (elapsedMs() > BALANCER_REMOVAL_MS)
+          sessions.forEach((session) => session.closeIfIdle(SHUTDOWN_REASON));
         if (!hasEndedTransactions && elapsedMs() > settings.graceMs * TRANSACTION_GRACE_RATIO) {
           hasEndedTransactions = true;
-          sessions.forEach((session) => session.endTransaction());
+          sessions.forEach((session) => session.closeBetweenStatements(SHUTDOWN_REASON));
         }
       }
       log.info('daemon.drained', {
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -38,11 +38,18 @@
   const state = {
     configuration: createConfiguration() as FleetConfiguration | undefined,
     result: undefined as StatementResult | undefined,
+    isAcceptingSessions: true,
+    isEnded: false,
+    /** Added to the clock. */
+    advancedMs: 0,
+    /** While set, groups do not answer. */
+    isGroupSilent: false,
   };
   let lastId = 0;
   const router: Pick<GroupRouter, 'run' | 'endTransaction' | 'forgetTransaction'> = {
     run: async (call, values) => {
       calls.push({ ...call, sentValues: [...values].join() });
+      if (state.isGroupSilent) await new Promise(() => {});
       return (
         state.result ?? {
           kind: 'complete',
@@ -56,7 +63,7 @@
     forgetTransaction: () => undefined,
   };
   const observed: string[][] = [];
-  const { session, closeIfAccessRevoked, closeIfIdle, isIdle } = createSession({
+  const created = createSession({
     connection: {
       accept: () => answers.push('accepted'),
       refuse: (code) => answers.push(`refused ${code}`),
@@ -64,20 +71,26 @@
         answers.push(
           `${result.kind === 'refused' ? result.code : result.signature} ${transactionState}`,
         ),
+      announceClose: (code) => answers.push(`closing ${code}`),
+      completeAnnouncedRefusal: (transactionState) => answers.push(`completed ${transactionState}`),
       close: () => answers.push('closed'),
     },
     router,
     log: { info: () => undefined, warn: () => undefined },
-    nowMs: () => performance.now(),
+    nowMs: () => performance.now() + state.advancedMs,
     configuration: () => state.configuration,
+    isAcceptingSessions: () => state.isAcceptingSessions,
     nextId: () => {
       lastId += 1;
       return lastId;
     },
     endSession: () => undefined,
     onStatement: ({ database, account, result }) => observed.push([database, account, result.kind]),
-    onEnd: () => undefined,
+    onEnd: () => {
+      state.isEnded = true;
+    },
   });
+  const { session } = created;
   const run = async (...statements: SessionStatement[]): Promise<void> => {
     statements.forEach((statement, index) => session.run(`q${index}`, statement));
     await new Promise((resolve) => {
@@ -90,10 +103,7 @@
     endedTransactions,
     observed,
     state,
-    session,
-    closeIfAccessRevoked,
-    closeIfIdle,
-    isIdle,
+    ...created,
     run,
   };
 };
@@ -156,15 +166,32 @@
       start();
       fixture.state.configuration = createConfiguration({ accountsByKey: new Map() });
       await fixture.run(read);
-      expect(fixture.answers).to.deep.equal(['accepted', 'refused unauthenticated']);
+      expect(fixture.answers).to.deep.equal([
+        'accepted',
+        'unauthenticated idle',
+        'closing unauthenticated',
+      ]);
       expect(fixture.calls).to.have.length(0);
     });
 
-    it('closes the session when it is idle', () => {
+    it('announces the close of an idle session to its caller', () => {
       start();
       fixture.state.configuration = createConfiguration({ routes: new Map() });
       fixture.closeIfAccessRevoked();
-      expect(fixture.answers).to.deep.equal(['accepted', 'closed']);
+      expect(fixture.answers).to.deep.equal(['accepted', 'closing unknownDatabase']);
+    });
+
+    it('refuses, and does not run, a statement that crosses the announcement', async () => {
+      start();
+      fixture.state.configuration = createConfiguration({ accountsByKey: new Map() });
+      fixture.closeIfAccessRevoked();
+      await fixture.run(write);
+      expect(fixture.answers.slice(1)).to.deep.equal([
+        'closing unauthenticated',
+        'completed idle',
+        'closing unauthenticated',
+      ]);
+      expect(fixture.calls).to.have.length(0);
     });
 
     it('ends an open transaction without its commit when the key is withdrawn', async () => {
@@ -273,14 +300,120 @@
   });
 
   describe('when the VM shuts down', () => {
+    const closeWhenIdle = (): void => {
+      fixture.state.advancedMs += 1_000;
+      fixture.closeIfIdle('shutdown');
+    };
+
     it('closes the session only while no transaction is open', async () => {
       start();
       await fixture.run(begin);
-      fixture.closeIfIdle();
+      closeWhenIdle();
       expect(fixture.answers.at(-1)).to.equal('- open');
       await fixture.run({ kind: 'rollback' });
-      fixture.closeIfIdle();
-      expect(fixture.answers.at(-1)).to.equal('closed');
+      closeWhenIdle();
+      expect(fixture.answers.at(-1)).to.equal('closing busy');
+    });
+
+    it('leaves a session open whose caller was accepted or answered just now', async () => {
+      start();
+      fixture.closeIfIdle('shutdown');
+      expect(fixture.answers).to.deep.equal(['accepted']);
+      fixture.state.advancedMs += 1_000;
+      await fixture.run(write);
+      fixture.closeIfIdle('shutdown');
+      expect(fixture.answers.at(-1)).to.equal('s-q0 idle');
+    });
+
+    it('answers each statement that crosses the close, and runs none', async () => {
+      start();
+      closeWhenIdle();
+      await fixture.run(write, read);
+      expect(fixture.answers.slice(1)).to.deep.equal([
+        'closing busy',
+        'completed idle',
+        'closing busy',
+        'completed idle',
+        'closing busy',
+      ]);
+      expect(fixture.calls).to.have.length(0);
+    });
+
+    it('closes the connection of a caller that does not', async () => {
+      start();
+      closeWhenIdle();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1_100);
+      });
+      expect([fixture.answers.at(-1), fixture.state.isEnded]).to.deep.equal(['closed', true]);
+    });
+
+    it('refuses callers that come when no session is accepted any more', () => {
+      fixture.state.isAcceptingSessions = false;
+      start();
+      expect(fixture.answers).to.deep.equal(['refused busy']);
+    });
+
+    describe('with a transaction open between two statements', () => {
+      beforeEach(async () => {
+        start();
+        await fixture.run(begin, write);
+        fixture.closeBetweenStatements('shutdown');
+      });
+
+      it('rolls it back and tells its caller at once', () => {
+        expect(fixture.answers.at(-1)).to.equal('closing aborted');
+        expect(fixture.endedTransactions).to.have.length(1);
+      });
+
+      it('refuses a commit that crosses the close', async () => {
+        await fixture.run(commit);
+        expect(fixture.answers.slice(-2)).to.deep.equal(['completed idle', 'closing aborted']);
+        expect(fixture.calls.map(({ action }) => action)).to.deep.equal([Action.ACTION_WRITE]);
+      });
+
+      it('leaves the rollback to the caller after a statement that crosses the close', async () => {
+        await fixture.run(read);
+        expect(fixture.answers.at(-1)).to.equal('completed failed');
+        await fixture.run({ kind: 'rollback' });
+        expect(fixture.answers.slice(-2)).to.deep.equal(['- idle', 'closing aborted']);
+      });
+    });
+
+    describe('with statements outstanding at the end', () => {
+      const stopDuring = async (...statements: SessionStatement[]): Promise<string[]> => {
+        fixture.state.isGroupSilent = true;
+        await fixture.run(...statements);
+        const count = fixture.answers.length;
+        fixture.stop('shutdown');
+        return fixture.answers.slice(count);
+      };
+      beforeEach(start);
+
+      it('answers a write as in doubt, and those after it as not run', async () => {
+        expect(await stopDuring(write, read)).to.deep.equal([
+          'inDoubt idle',
+          'closing busy',
+          'completed idle',
+          'closing busy',
+        ]);
+        expect(fixture.calls).to.have.length(1);
+      });
+
+      it('answers a read as failed', async () => {
+        expect((await stopDuring(read))[0]).to.equal('failed idle');
+      });
+
+      it('answers a statement of a transaction as aborted, and ends the transaction', async () => {
+        await fixture.run(begin);
+        expect((await stopDuring(write))[0]).to.equal('aborted failed');
+        expect(fixture.endedTransactions).to.have.length(1);
+      });
+
+      it('answers a commit as in doubt', async () => {
+        await fixture.run(begin, write);
+        expect((await stopDuring(commit))[0]).to.equal('inDoubt idle');
+      });
     });
   });
 });
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -5,11 +5,13 @@
 import type CallerSession from '../seams/callerSession';
 import type DatabaseRoute from '../seams/databaseRoute';
 import type EventLog from '../seams/eventLog';
+import type RefusalCode from '../seams/refusalCode';
 import type FleetConfiguration from '../seams/fleetConfiguration';
 import type SessionStatement from '../seams/sessionStatement';
 import type StatementObservation from '../seams/statementObservation';
 import type StatementResult from '../seams/statementResult';
 import type TransactionState from '../seams/transactionState';
+import createClosingHandshake from './createClosingHandshake';
 import findCaller from './findCaller';
 import type GroupRouter from './groupRouter';
 
@@ -18,6 +20,8 @@
 /** How long a new session waits for the first configuration; callers themselves wait for 2 s. */
 const CONFIGURATION_WAIT_MS = 1_500;
 const CONFIGURATION_POLL_MS = 50;
+/** A caller that was accepted or answered within this time is likely to send its next statement. */
+const MIN_IDLE_MS = 200;
 
 interface SessionOptions {
   connection: CallerConnection;
@@ -25,6 +29,8 @@
   log: EventLog;
   nowMs(): number;
   configuration(): FleetConfiguration | undefined;
+  /** Whether the VM takes new sessions; it stops doing so some time before its process ends. */
+  isAcceptingSessions(): boolean;
   /** Returns ids for sessions and transactions, unique in this process and starting from 1. */
   nextId(): number;
   endSession(session: number): void;
@@ -40,6 +46,10 @@
   route: DatabaseRoute;
 }
 
+const ACCESS_MESSAGES = {
+  unauthenticated: 'the access key is not valid',
+  unknownDatabase: 'the database does not exist',
+} as const;
 const COMPLETE: StatementResult = { kind: 'complete', rows: [], signature: '-' };
 const INVALID_IN_STATE = createRefusal(
   'malformed',
@@ -64,8 +74,17 @@
   let endReason: string | undefined;
   let isRunning = false;
   /** The statement under way; the last one while none is. */
-  let lastRequestId: string | undefined;
+  let current: [requestId: string, statement: SessionStatement] | undefined;
+  let lastActiveAtMs = nowMs();
   const pendingStatements: [requestId: string, statement: SessionStatement][] = [];
+  /** `onTimeout` is set below, after the function that ends the session. */
+  const hooks = { onCloseTimeout: (): void => undefined };
+  const closing = createClosingHandshake({
+    connection,
+    session: sessionId,
+    log,
+    onTimeout: () => hooks.onCloseTimeout(),
+  });
 
   const discardTransaction = (): void => {
     if (transaction?.isSentToGroup) router.endTransaction(transaction.id);
@@ -80,28 +99,53 @@
       log.info('session.cut', {
         session: sessionId,
         reason,
-        request: isRunning ? lastRequestId : undefined,
+        request: isRunning ? current?.[0] : undefined,
         pending: pendingStatements.map(([requestId]) => requestId),
       });
     }
     pendingStatements.length = 0;
+    closing.end();
     discardTransaction();
     options.endSession(sessionId);
     options.onEnd();
   };
 
+  const close = (reason: string): void => {
+    connection.close();
+    end(reason);
+  };
+  hooks.onCloseTimeout = () => close('the caller did not close the connection');
+
   const answer = (result: StatementResult, nextState: TransactionState): void => {
     transactionState = nextState;
+    lastActiveAtMs = nowMs();
     if (!isEnded) connection.sendResult(result, nextState);
   };
 
-  /** Refuses and ends the session: its caller may not use the database, or not any more. */
-  const refuseSession = (kind: 'unknownDatabase' | 'unauthenticated'): void => {
-    log.info('session.refused', { session: sessionId, reason: kind });
-    const message =
-      kind === 'unauthenticated' ? 'the access key is not valid' : 'the database does not exist';
-    connection.refuse(kind, message);
-    end(kind);
+  /** Refuses a session that has not started. */
+  const refuseStart = (code: RefusalCode, message: string): void => {
+    log.info('session.refused', { session: sessionId, reason: code, message });
+    connection.refuse(code, message);
+    end(message);
+  };
+
+  /** Refuses all further statements and has the caller close the connection. */
+  const startClosing = (code: RefusalCode, message: string): void => {
+    discardTransaction();
+    closing.start(code, message, transactionState);
+  };
+
+  const refuseClosing = (requestId: string, statement: SessionStatement): void => {
+    transactionState = closing.answer(requestId, statement, transactionState);
+  };
+
+  const changesData = (statement: SessionStatement): boolean =>
+    statement.kind === 'write' ||
+    (statement.kind === 'execute' && preparedStatements.get(statement.name)?.isWrite === true);
+
+  const findStateAfterRefusal = (statement: SessionStatement): TransactionState => {
+    const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback';
+    return transactionState === 'idle' || endsTransaction ? 'idle' : 'failed';
   };
 
   const lookUpCaller = () => {
@@ -157,7 +201,7 @@
   ): Promise<void> => {
     const action = isWrite ? Action.ACTION_WRITE : Action.ACTION_READ;
     const result = await callGroup(requestId, route, action, text, statement);
-    if (isEnded) return;
+    if (isEnded || closing.hasStarted()) return;
     if (result.kind === 'complete') {
       if (isWrite && !transaction)
         lastCommitPosition = maxPosition(lastCommitPosition, result.position);
@@ -182,7 +226,7 @@
     }
     const { route, id: endedTransaction, isReadOnly } = transaction;
     const result = await callGroup(requestId, route, Action.ACTION_COMMIT, text, undefined);
-    if (isEnded) return;
+    if (isEnded || closing.hasStarted()) return;
     transaction = undefined;
     if (result.kind === 'complete') {
       router.forgetTransaction(endedTransaction);
@@ -229,13 +273,20 @@
   };
 
   const runStatement = async (requestId: string, statement: SessionStatement): Promise<void> => {
+    if (closing.hasStarted()) {
+      refuseClosing(requestId, statement);
+      return;
+    }
     const caller = lookUpCaller();
     // An open transaction keeps its route if the database is removed, but ends if the key is withdrawn.
     if (
       !caller ||
       (caller.kind !== 'found' && !(transaction && caller.kind === 'unknownDatabase'))
     ) {
-      refuseSession(caller?.kind === 'unknownDatabase' ? 'unknownDatabase' : 'unauthenticated');
+      const code = caller?.kind === 'unknownDatabase' ? 'unknownDatabase' : 'unauthenticated';
+      discardTransaction();
+      answer(createRefusal(code, ACCESS_MESSAGES[code]), findStateAfterRefusal(statement));
+      startClosing(code, ACCESS_MESSAGES[code]);
       return;
     }
     const route = transaction?.route ?? (caller.kind === 'found' ? caller.route : undefined);
@@ -280,19 +331,33 @@
     }
   };
 
+  /** Answers a statement whose result will not be known here; a transaction without its commit is rolled back. */
+  const answerUnfinished = (statement: SessionStatement, reason: string): void => {
+    const isCommit = statement.kind === 'commit';
+    const isInTransaction = transaction !== undefined;
+    const nextState = findStateAfterRefusal(statement);
+    discardTransaction();
+    if (isInTransaction && !isCommit) answer(createRefusal('aborted', reason), nextState);
+    else
+      answer(
+        createRefusal(isCommit || changesData(statement) ? 'inDoubt' : 'failed', reason),
+        nextState,
+      );
+  };
+
   const runPendingStatements = async (): Promise<void> => {
     if (isRunning) return;
     isRunning = true;
     while (!isEnded) {
       const next = pendingStatements.shift();
       if (!next) break;
-      [lastRequestId] = next;
+      current = next;
       try {
         await runStatement(...next);
       } catch (error) {
         log.warn('session.broken', { session: sessionId, request: next[0], reason: String(error) });
-        connection.close();
-        end('internal error');
+        answerUnfinished(next[1], 'an unexpected error occurred');
+        startClosing('busy', 'the session ended by an unexpected error; retry in 100 ms');
       }
     }
     isRunning = false;
@@ -301,21 +366,20 @@
   const openWhenConfigured = (deadlineMs: number): void => {
     if (isEnded) return;
     const caller = lookUpCaller();
-    if (!caller) {
+    if (!options.isAcceptingSessions()) {
+      refuseStart('busy', 'this VM is shutting down; retry in 100 ms');
+    } else if (!caller) {
       if (nowMs() < deadlineMs) {
         setTimeout(() => openWhenConfigured(deadlineMs), CONFIGURATION_POLL_MS);
       } else {
-        connection.refuse(
-          'busy',
-          'this VM has not received its configuration yet; retry in 1000 ms',
-        );
-        end('no configuration');
+        refuseStart('busy', 'this VM has not received its configuration yet; retry in 1000 ms');
       }
     } else if (caller.kind !== 'found') {
-      refuseSession(caller.kind);
+      refuseStart(caller.kind, ACCESS_MESSAGES[caller.kind]);
     } else {
       account = caller.account;
       isStarted = true;
+      lastActiveAtMs = nowMs();
       connection.accept();
       runPendingStatements();
     }
@@ -337,18 +401,21 @@
         end('too many queued statements');
         return;
       }
+      if (closing.hasStarted()) {
+        refuseClosing(requestId, statement);
+        return;
+      }
       pendingStatements.push([requestId, statement]);
       if (isStarted) runPendingStatements();
     },
     end: () => end('closed by the caller'),
   };
 
-  const isIdle = (): boolean =>
-    isStarted &&
-    !isEnded &&
-    transactionState === 'idle' &&
-    !isRunning &&
-    pendingStatements.length === 0;
+  /** Whether the caller waits for no answer, as far as its statements have arrived. */
+  const isWaiting = (): boolean =>
+    isStarted && !isEnded && !closing.hasStarted() && !isRunning && pendingStatements.length === 0;
+
+  const isIdle = (): boolean => isWaiting() && transactionState === 'idle';
 
   return {
     session,
@@ -357,25 +424,29 @@
     closeIfAccessRevoked: (): void => {
       if (!isIdle()) return;
       const caller = lookUpCaller();
-      if (caller && caller.kind !== 'found') {
-        log.info('session.closed', { session: sessionId, reason: caller.kind });
-        connection.close();
-        end(caller.kind);
-      }
+      if (caller && caller.kind !== 'found')
+        startClosing(caller.kind, ACCESS_MESSAGES[caller.kind]);
     },
-    closeIfIdle: (): void => {
-      if (!isIdle()) return;
-      connection.close();
-      end('closed while idle');
+    /** Closes a session that is at rest, so that its caller goes to another VM. */
+    closeIfIdle: (reason: string): void => {
+      if (!isIdle() || nowMs() - lastActiveAtMs < MIN_IDLE_MS) return;
+      startClosing('busy', `${reason}; retry in 100 ms`);
     },
-    /** Ends an open transaction at its group, so that its next statement is refused. */
-    endTransaction: (): void => {
-      if (transaction?.isSentToGroup && !isRunning) router.endTransaction(transaction.id);
+    /** Closes a session between two statements, and rolls its open transaction back. */
+    closeBetweenStatements: (reason: string): void => {
+      if (!isWaiting()) return;
+      startClosing(transactionState === 'idle' ? 'busy' : 'aborted', `${reason}; retry in 100 ms`);
     },
-    abort: (): void => {
-      connection.close();
-      end('the VM stops');
+    /** Answers each outstanding statement with what is known of it, and closes the session. */
+    stop: (reason: string): void => {
+      if (!isStarted || isEnded || closing.hasStarted()) return;
+      const unstarted = pendingStatements.splice(0);
+      if (isRunning && current) answerUnfinished(current[1], reason);
+      startClosing('busy', `${reason}; retry in 100 ms`);
+      unstarted.forEach(([requestId, statement]) => refuseClosing(requestId, statement));
     },
+    /** Closes the connection at once. */
+    abort: (): void => close('the VM stops'),
   };
 };
 
