--- a/packages/auburngrade/src/site/main.ts
+++ b/packages/auburngrade/src/site/main.ts
@@ -55,7 +55,7 @@
         transactions: server.countOpenTransactions(),
       })),
   });
-  const readiness = await startReadinessServer(settings.readinessAddress, daemon.isReady, {
+  await startReadinessServer(settings.readinessAddress, daemon.isReady, {
     text: () => registry.metrics(),
     json: () => registry.getMetricsAsJSON(),
   });
@@ -66,11 +66,10 @@
   process.on('SIGTERM', () => {
     if (isStopping) return;
     isStopping = true;
-    daemon.shutDown().finally(() => {
-      callers.close();
-      readiness.close();
-      process.exit(0);
-    });
+    daemon
+      .shutDown()
+      .then(callers.close)
+      .finally(() => process.exit(0));
   });
   process.on('SIGHUP', () => log.info('daemon.reloaded', { changed: [] }));
   process.on('uncaughtException', (error) =>
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -38,7 +38,7 @@
 import createIsolationMonitor from './createIsolationMonitor';
 import createRateUsage from './createRateUsage';
 import createRole from './createRole';
-import sleep from '../time/sleep';
+import createShutdown from './createShutdown';
 
 const HEARTBEAT_INTERVAL_MS = 250;
 /** Observers are sent the fleet's state with each second heartbeat, and when a group's record changes. */
@@ -62,15 +62,6 @@
 const STRAIN_SAMPLE_INTERVAL_MS = 50;
 /** A timer later than this means that the VM was suspended, not that it is short of processor time. */
 const SUSPENSION_LATENESS_MS = 500;
-/** The load balancer removes a VM after two failed readiness checks, 1 s apart. */
-const BALANCER_REMOVAL_MS = 2_200;
-const SHUTDOWN_POLL_INTERVAL_MS = 50;
-/** Time for the store to end the lease, and for the last messages to other VMs. */
-const LEASE_END_WAIT_MS = 400;
-/** Fractions of the grace period: when open transactions are ended, and when the process stops waiting. */
-const TRANSACTION_GRACE_RATIO = 0.5;
-const SHUTDOWN_GRACE_RATIO = 0.8;
-const SHUTDOWN_REASON = 'this VM is shutting down';
 
 interface SessionDaemonOptions {
   settings: NodeSettings;
@@ -460,6 +451,30 @@
     pollStore();
   }, HEARTBEAT_INTERVAL_MS);
 
+  const shutdown = createShutdown({
+    graceMs: settings.graceMs,
+    log,
+    nowMs,
+    sessions,
+    groupServers: () => [...servers.values(), ...retiredServers],
+    handOverGroups: () =>
+      Promise.all(
+        [...servers.keys()].map((group) =>
+          ownership
+            .handOver(group)
+            .catch((error) => log.warn('group.handOverFailed', { group, reason: String(error) })),
+        ),
+      ),
+    leaveFleet: () => {
+      clearInterval(heartbeatTimer);
+      clearInterval(strainTimer);
+      return registration
+        .close()
+        .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
+    },
+    closeLinkServer: linkServer.close,
+  });
+
   const findLink = (name: string): PeerLink | undefined => {
     if (!role.isVoter()) return observer.link(name);
     const peerLink = fleet.link(name);
@@ -475,6 +490,7 @@
     link: findLink,
     runLocally: (call, values) => runCall(settings.vm, call, values),
     hasNoReachableGroup: isolationMonitor.isRemovedFromBalancer,
+    isStopping: () => shutdown.isDrained(),
     endLocalTransaction: (_group, transaction) => endTransactionOnServers(settings.vm, transaction),
   });
 
@@ -545,7 +561,7 @@
         nowMs,
         nextId,
         configuration: () => configuration,
-        isAcceptingSessions: () => true,
+        isAcceptingSessions: shutdown.isAcceptingSessions,
         endSession: (session) => {
           fleet.vms().forEach((view) => fleet.link(view.vm)?.endSession(session));
           observer.endSession(session);
@@ -563,53 +579,15 @@
     groups: () => servers,
     /** Drains the VM: hands its groups over, waits for work in flight up to the grace period, and closes. */
     shutDown: async (): Promise<void> => {
-      const startedAtMs = nowMs();
       fleet.startLeaving();
       linkServer.beat(fleet.nextHeartbeatNumber());
       linkServer.publishState();
       log.info('daemon.stopping', { sessions: sessions.size, groups: servers.size });
-      await Promise.all(
-        [...servers.keys()].map((group) =>
-          ownership
-            .handOver(group)
-            .catch((error) => log.warn('group.handOverFailed', { group, reason: String(error) })),
-        ),
-      );
-      const elapsedMs = (): number => nowMs() - startedAtMs;
-      const isBusy = (): boolean =>
-        sessions.size > 0 ||
-        [...servers.values(), ...retiredServers].some(
-          (server) => server.countOpenTransactions() + server.countInFlight() > 0,
-        );
-      let hasEndedTransactions = false;
-      while (isBusy() && elapsedMs() < settings.graceMs * SHUTDOWN_GRACE_RATIO) {
-        await sleep(SHUTDOWN_POLL_INTERVAL_MS);
-        if (elapsedMs() > BALANCER_REMOVAL_MS)
-          sessions.forEach((session) => session.closeIfIdle(SHUTDOWN_REASON));
-        if (!hasEndedTransactions && elapsedMs() > settings.graceMs * TRANSACTION_GRACE_RATIO) {
-          hasEndedTransactions = true;
-          sessions.forEach((session) => session.closeBetweenStatements(SHUTDOWN_REASON));
-        }
-      }
-      log.info('daemon.drained', {
-        tookMs: Math.round(elapsedMs()),
-        isBusy: isBusy(),
-        sessions: sessions.size,
-      });
-      clearInterval(heartbeatTimer);
-      clearInterval(strainTimer);
-      const leaseEnded = registration
-        .close()
-        .catch((error) => log.info('vm.leaseNotEnded', { reason: String(error) }));
-      // The lease ends by itself where the store does not answer before the grace period is over.
-      await Promise.race([Promise.all([leaseEnded, linkServer.close()]), sleep(LEASE_END_WAIT_MS)]);
+      await shutdown.run();
       configurationWatcher?.close();
       fleetWatcher?.close();
-      [...servers.values(), ...retiredServers].forEach((server) => server.close());
-      sessions.forEach((session) => session.abort());
       fleet.close();
       observer.close();
-      log.info('daemon.stopped', { tookMs: Math.round(elapsedMs()) });
     },
   };
 };
--- /dev/null
+++ b/packages/sessions/src/daemon/createShutdown.spec.ts
@@ -0,0 +1,118 @@
+import { expect } from 'chai';
+import sleep from '../time/sleep';
+import createShutdown from './createShutdown';
+
+type Options = Parameters<typeof createShutdown>[0];
+type Session = Options['sessions'] extends ReadonlySet<infer S> ? S : never;
+
+const GRACE_MS = 6_000;
+const SPEED = 5;
+
+/** A shutdown on a clock that runs five times as fast as the timers. */
+const createFixture = (changes: Partial<Options> = {}) => {
+  const events: string[] = [];
+  const sessions = new Set<Session>();
+  const server = {
+    openWork: 0,
+    countOpenTransactions: () => server.openWork,
+    countInFlight: () => 0,
+    close: () => {
+      events.push('server closed');
+    },
+  };
+  const startedAtMs = performance.now();
+  const nowMs = (): number => (performance.now() - startedAtMs) * SPEED;
+  const at = (): number => Math.round(nowMs());
+  const shutdown = createShutdown({
+    graceMs: GRACE_MS,
+    log: { info: (event) => events.push(event), warn: () => undefined },
+    nowMs,
+    sessions,
+    groupServers: () => [server],
+    handOverGroups: async () => events.push('handed over'),
+    leaveFleet: async () => {
+      events.push('left the fleet');
+    },
+    closeLinkServer: async () => {
+      events.push('links closed');
+    },
+    ...changes,
+  });
+  /** Adds the only session, which is closed by the given calls only. */
+  const addSession = (...closedBy: (keyof Session)[]) => {
+    const calls = new Map<string, number>();
+    const note = (name: keyof Session): void => {
+      if (!calls.has(name)) calls.set(name, at());
+      if (closedBy.includes(name)) sessions.clear();
+    };
+    sessions.add({
+      closeIfIdle: () => note('closeIfIdle'),
+      closeBetweenStatements: () => note('closeBetweenStatements'),
+      stop: () => note('stop'),
+      abort: () => note('abort'),
+    });
+    return calls;
+  };
+  return { events, sessions, server, at, shutdown, addSession };
+};
+
+describe('createShutdown', () => {
+  it('stays while the load balancer may still send callers, also without any session', async () => {
+    const { shutdown, at } = createFixture();
+    const running = shutdown.run();
+    await sleep(50);
+    expect(shutdown.isAcceptingSessions()).to.equal(true);
+    await running;
+    expect(at()).to.be.above(2_200);
+  });
+
+  it('accepts no session any more once it has stopped waiting for work', async () => {
+    const accepted: boolean[] = [];
+    const { shutdown } = createFixture({
+      leaveFleet: async () => {
+        accepted.push(shutdown.isAcceptingSessions(), !shutdown.isDrained());
+      },
+    });
+    await shutdown.run();
+    expect(accepted).to.deep.equal([false, false]);
+  });
+
+  it('closes idle sessions when the balancer knows, and all between statements at half of the grace', async () => {
+    const { shutdown, addSession } = createFixture();
+    const calls = addSession('closeBetweenStatements');
+    await shutdown.run();
+    expect(calls.get('closeIfIdle')).to.be.within(2_200, GRACE_MS / 2);
+    expect(calls.get('closeBetweenStatements')).to.be.within(GRACE_MS / 2, GRACE_MS * 0.85);
+    expect(calls.has('stop')).to.equal(false);
+  });
+
+  it('answers what is under way, here and at other VMs, in the last sixth of the grace only', async () => {
+    const { shutdown, addSession, server, events } = createFixture();
+    server.openWork = 1;
+    const calls = addSession('stop');
+    await shutdown.run();
+    expect(calls.get('stop')).to.be.above((GRACE_MS * 5) / 6);
+    expect(events.slice(1)).to.deep.equal([
+      'daemon.drained',
+      'server closed',
+      'left the fleet',
+      'links closed',
+      'daemon.stopped',
+    ]);
+  });
+
+  it('cuts a caller that does not disconnect only after the last answers', async () => {
+    const { shutdown, addSession, sessions } = createFixture();
+    const calls = addSession('abort');
+    await shutdown.run();
+    expect(calls.get('abort')).to.be.above(calls.get('stop') ?? Infinity);
+    expect(sessions.size).to.equal(0);
+  });
+
+  it('closes idle sessions while the handover of a group waits for the store', async () => {
+    const { shutdown, addSession } = createFixture({ handOverGroups: () => new Promise(() => {}) });
+    const calls = addSession('closeIfIdle');
+    await shutdown.run();
+    expect(calls.get('closeIfIdle')).to.be.below(GRACE_MS / 2);
+  });
+});
--- /dev/null
+++ b/packages/sessions/src/daemon/createShutdown.ts
@@ -0,0 +1,113 @@
+import type createSession from '../front/createSession';
+import type createGroupServer from '../group/createGroupServer';
+import type EventLog from '../seams/eventLog';
+import sleep from '../time/sleep';
+
+/** The load balancer removes a VM after two failed readiness checks, 1 s apart. */
+const BALANCER_REMOVAL_MS = 2_200;
+const POLL_INTERVAL_MS = 50;
+/** Time for the store to end the lease, for the last messages to other VMs, and for callers to disconnect. */
+const CLOSING_WAIT_MS = 400;
+const CLOSING_POLL_INTERVAL_MS = 10;
+/** Fractions of the grace period: when no new work is accepted any more, and when the process stops waiting. */
+const NEW_WORK_GRACE_RATIO = 0.5;
+const DRAIN_GRACE_RATIO = 0.85;
+const REASON = 'this VM is shutting down';
+
+type Session = Pick<
+  ReturnType<typeof createSession>,
+  'closeIfIdle' | 'closeBetweenStatements' | 'stop' | 'abort'
+>;
+type GroupServer = Pick<
+  ReturnType<typeof createGroupServer>,
+  'countOpenTransactions' | 'countInFlight' | 'close'
+>;
+
+interface ShutdownOptions {
+  /** From the signal to stop until the process is killed. */
+  graceMs: number;
+  log: EventLog;
+  nowMs(): number;
+  sessions: ReadonlySet<Session>;
+  /** Servers of this VM's groups, with those that only finish their transactions after a handover. */
+  groupServers(): readonly GroupServer[];
+  handOverGroups(): Promise<unknown>;
+  /** Leaves the fleet for good, and ends the lease of the registration. */
+  leaveFleet(): Promise<void>;
+  /** Tells other VMs that their further calls are not run, and closes the streams that they opened. */
+  closeLinkServer(): Promise<void>;
+}
+
+/**
+ * Ends the work of a VM. While the load balancer may still send callers here, sessions are served as before; then
+ * idle ones are closed, and from the middle of the grace period all that wait for no answer. What is under way
+ * is answered until shortly before the end of the grace period. Nothing is accepted from then on.
+ */
+const createShutdown = (options: ShutdownOptions) => {
+  const { graceMs, log, nowMs, sessions, groupServers } = options;
+  let isAcceptingSessions = true;
+  let isDrained = false;
+
+  const isBusy = (): boolean =>
+    sessions.size > 0 ||
+    groupServers().some((server) => server.countOpenTransactions() + server.countInFlight() > 0);
+
+  /** Waits until nothing is under way, or the grace period is nearly over. */
+  const drain = async (elapsedMs: () => number): Promise<void> => {
+    let isHandingOver = true;
+    options.handOverGroups().finally(() => {
+      isHandingOver = false;
+    });
+    const isWorkExpected = (): boolean =>
+      isHandingOver || elapsedMs() < BALANCER_REMOVAL_MS || isBusy();
+    while (isWorkExpected() && elapsedMs() < graceMs * DRAIN_GRACE_RATIO) {
+      await sleep(POLL_INTERVAL_MS);
+      if (elapsedMs() > graceMs * NEW_WORK_GRACE_RATIO) {
+        isAcceptingSessions = false;
+        sessions.forEach((session) => session.closeBetweenStatements(REASON));
+      } else if (elapsedMs() > BALANCER_REMOVAL_MS) {
+        sessions.forEach((session) => session.closeIfIdle(REASON));
+      }
+    }
+    isAcceptingSessions = false;
+    isDrained = true;
+  };
+
+  /** Answers what is still under way here and at other VMs, before the streams and the process end. */
+  const answerAll = async (): Promise<void> => {
+    groupServers().forEach((server) => server.close());
+    await sleep(0);
+    sessions.forEach((session) => session.stop(REASON));
+  };
+
+  const waitForCallers = async (): Promise<void> => {
+    while (sessions.size > 0) await sleep(CLOSING_POLL_INTERVAL_MS);
+  };
+
+  return {
+    /** False from some time before the process ends: a session that began then would be lost. */
+    isAcceptingSessions: (): boolean => isAcceptingSessions,
+    /** Whether the wait for work is over, so that a statement that did not run yet is refused. */
+    isDrained: (): boolean => isDrained,
+    run: async (): Promise<void> => {
+      const startedAtMs = nowMs();
+      const elapsedMs = (): number => Math.round(nowMs() - startedAtMs);
+      await drain(elapsedMs);
+      log.info('daemon.drained', {
+        tookMs: elapsedMs(),
+        isBusy: isBusy(),
+        sessions: sessions.size,
+      });
+      await answerAll();
+      // The lease ends by itself where the store does not answer before the grace period is over.
+      await Promise.race([
+        Promise.all([options.leaveFleet(), options.closeLinkServer(), waitForCallers()]),
+        sleep(CLOSING_WAIT_MS),
+      ]);
+      sessions.forEach((session) => session.abort());
+      log.info('daemon.stopped', { tookMs: elapsedMs() });
+    },
+  };
+};
+
+export default createShutdown;
--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -25,7 +25,7 @@
 });
 
 const createFixture = (owner: string | undefined) => {
-  const state = { hasNoReachableGroup: false, ran: 0 };
+  const state = { hasNoReachableGroup: false, isStopping: false, ran: 0 };
   const router = createGroupRouter({
     self: 'a',
     log: { info: () => undefined, warn: () => undefined },
@@ -37,6 +37,7 @@
       return { kind: 'complete', rows: [], signature: 's', position: undefined };
     },
     hasNoReachableGroup: () => state.hasNoReachableGroup,
+    isStopping: () => state.isStopping,
     endLocalTransaction: () => undefined,
   });
   /** Runs one call; returns its outcome and duration. */
@@ -55,6 +56,14 @@
     expect(tookMs).to.be.within(800, 1_500);
   });
 
+  it('refuses a statement that found no owner at once when the VM is about to end', async () => {
+    const { state, run } = createFixture(undefined);
+    state.isStopping = true;
+    const { result, tookMs } = await run();
+    expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
+    expect(tookMs).to.be.below(100);
+  });
+
   describe('on a VM that can reach no group', () => {
     it('refuses at once and tells when to retry', async () => {
       const { state, run } = createFixture('a');
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -34,6 +34,8 @@
   endLocalTransaction(group: string, transaction: number): void;
   /** Whether this VM has been unable to reach any group for so long that waiting is pointless. */
   hasNoReachableGroup(): boolean;
+  /** Whether this VM is about to end, so that a statement that did not run yet does not run any more. */
+  isStopping(): boolean;
 }
 
 const toOutcome = (result: CallResult): CallOutcome => {
@@ -124,7 +126,7 @@
       const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
       unservedSinceMs.set(call.group, sinceMs);
       // A change of owner would have completed by now: waiting would only delay the refusal.
-      if (nowMs() - sinceMs > UNSERVED_AFTER_MS) break;
+      if (nowMs() - sinceMs > UNSERVED_AFTER_MS || options.isStopping()) break;
       await sleep(OWNER_POLL_MS);
     } while (nowMs() - startedAtMs < OWNER_WAIT_MS);
     log.info('request.noOwner', {
