--- /dev/null
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -0,0 +1,66 @@
+import { randomBytes } from 'node:crypto';
+import { Registry } from 'prom-client';
+import { createSessionDaemon, type EventLog, type NodeSettings } from '@auburngrade/sessions';
+import {
+  createFailoverClient,
+  createMemberDialer,
+  createMetadataStore,
+  createStoredValueDecoder,
+  startCallerListener,
+  startReadinessServer,
+} from '@auburngrade/site';
+import createRequestMetrics from '../metrics/createRequestMetrics';
+import addSiteGauges from './addSiteGauges';
+import observeStatement from './observeStatement';
+
+const INCARNATION_BYTES = 6;
+
+/** Starts a VM of the proxy; resolves with a function that answers what is under way and shuts it down. */
+const startVm = async (
+  settings: NodeSettings,
+  log: EventLog,
+  nowMs: () => number,
+): Promise<() => Promise<void>> => {
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  log.info('daemon.starting', { incarnation, dataCentre: settings.dataCentre });
+  const registry = new Registry();
+  const requestMetrics = createRequestMetrics(registry);
+  const store = createMetadataStore(settings.storeAddress, log);
+  const daemon = await createSessionDaemon({
+    settings,
+    incarnation,
+    store,
+    decoder: createStoredValueDecoder(),
+    dialer: createMemberDialer(),
+    failover: createFailoverClient(settings.failoverAddress),
+    log,
+    onStatement: (observation) => observeStatement(requestMetrics, observation),
+    nowMs,
+    wallMs: Date.now,
+  });
+  addSiteGauges(registry, {
+    sessions: daemon.sessionCount,
+    isVoter: daemon.isVoter,
+    storeEra: () => store.era(),
+    configurationVersion: () => daemon.configurationVersion() ?? 0,
+    groups: () =>
+      [...daemon.groups()].map(([group, server]) => ({
+        group,
+        waiting: server.countQueued(),
+        underWay: server.countInFlight(),
+        transactions: server.countOpenTransactions(),
+      })),
+  });
+  await startReadinessServer(settings.readinessAddress, daemon.isReady, {
+    text: () => registry.metrics(),
+    json: () => registry.getMetricsAsJSON(),
+  });
+  const callers = await startCallerListener(settings.callerAddress, daemon.openSession);
+  log.info('daemon.started', { tookMs: Math.round(nowMs()) });
+  return async () => {
+    await daemon.shutDown();
+    await callers.close();
+  };
+};
+
+export default startVm;
--- a/packages/sessions/src/daemon/createShutdown.ts
+++ b/packages/sessions/src/daemon/createShutdown.ts
@@ -12,6 +12,8 @@
 /** Fractions of the grace period: when no new work is accepted any more, and when the process stops waiting. */
 const NEW_WORK_GRACE_RATIO = 0.5;
 const DRAIN_GRACE_RATIO = 0.85;
+/** Left of the grace period at the end of the wait for the last answers, also where it is short. */
+const MIN_CLOSING_MS = 700;
 const REASON = 'this VM is shutting down';
 
 type Session = Pick<
@@ -45,6 +47,7 @@
  */
 const createShutdown = (options: ShutdownOptions) => {
   const { graceMs, log, nowMs, sessions, groupServers } = options;
+  const drainLimitMs = Math.min(graceMs * DRAIN_GRACE_RATIO, graceMs - MIN_CLOSING_MS);
   let isAcceptingSessions = true;
   let isDrained = false;
 
@@ -60,7 +63,7 @@
     });
     const isWorkExpected = (): boolean =>
       isHandingOver || elapsedMs() < BALANCER_REMOVAL_MS || isBusy();
-    while (isWorkExpected() && elapsedMs() < graceMs * DRAIN_GRACE_RATIO) {
+    while (isWorkExpected() && elapsedMs() < drainLimitMs) {
       await sleep(POLL_INTERVAL_MS);
       if (elapsedMs() > graceMs * NEW_WORK_GRACE_RATIO) {
         isAcceptingSessions = false;
