--- a/packages/sessions/src/front/createClosingHandshake.ts
+++ b/packages/sessions/src/front/createClosingHandshake.ts
@@ -5,6 +5,7 @@
 import type StatementResult from '../seams/statementResult';
 import type TransactionState from '../seams/transactionState';
 import createRefusal from '../group/createRefusal';
+import findStateAfterRefusal from './findStateAfterRefusal';
 
 /** Time for the caller to close the connection after the announcement, several times a round trip. */
 const CALLER_CLOSE_TIMEOUT_MS = 1_000;
@@ -19,11 +20,6 @@
 
 const ROLLED_BACK: StatementResult = { kind: 'complete', rows: [], signature: '-' };
 
-const findNextState = (statement: SessionStatement, state: TransactionState): TransactionState => {
-  const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback';
-  return state === 'idle' || endsTransaction ? 'idle' : 'failed';
-};
-
 /**
  * Closes a session from this side without leaving a statement unanswered. The caller is sent an announcement, an
  * error that answers no statement, and closes the connection. To a caller whose next statement was under way
@@ -59,7 +55,7 @@
     ): TransactionState => {
       if (!refusal) return state;
       const { code, message } = refusal;
-      const nextState = findNextState(statement, state);
+      const nextState = findStateAfterRefusal(statement, state);
       log.info('request.closing', {
         request: requestId,
         session: options.session,
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -40,6 +40,7 @@
     result: undefined as StatementResult | undefined,
     isAcceptingSessions: true,
     isEnded: false,
+    isRouterBroken: false,
     /** Added to the clock. */
     advancedMs: 0,
     /** While set, groups do not answer. */
@@ -49,6 +50,7 @@
   const router: Pick<GroupRouter, 'run' | 'endTransaction' | 'forgetTransaction'> = {
     run: async (call, values) => {
       calls.push({ ...call, sentValues: [...values].join() });
+      if (state.isRouterBroken) throw new Error('broken');
       if (state.isGroupSilent) await new Promise(() => {});
       return (
         state.result ?? {
@@ -291,6 +293,13 @@
     });
   });
 
+  it('answers the statement during which an unexpected error occurred, and closes', async () => {
+    start();
+    fixture.state.isRouterBroken = true;
+    await fixture.run(write);
+    expect(fixture.answers.slice(1)).to.deep.equal(['inDoubt idle', 'closing busy']);
+  });
+
   describe('with commits of its own', () => {
     it('requires its later reads to include them', async () => {
       start();
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -13,6 +13,7 @@
 import type TransactionState from '../seams/transactionState';
 import createClosingHandshake from './createClosingHandshake';
 import findCaller from './findCaller';
+import findStateAfterRefusal from './findStateAfterRefusal';
 import type GroupRouter from './groupRouter';
 
 /** Limit of queued statements per session; callers normally send the next one after the answer. */
@@ -95,7 +96,7 @@
     if (isEnded) return;
     isEnded = true;
     endReason = reason;
-    if (isRunning || pendingStatements.length > 0) {
+    if (!closing.hasStarted() && (isRunning || pendingStatements.length > 0)) {
       log.info('session.cut', {
         session: sessionId,
         reason,
@@ -143,11 +144,6 @@
     statement.kind === 'write' ||
     (statement.kind === 'execute' && preparedStatements.get(statement.name)?.isWrite === true);
 
-  const findStateAfterRefusal = (statement: SessionStatement): TransactionState => {
-    const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback';
-    return transactionState === 'idle' || endsTransaction ? 'idle' : 'failed';
-  };
-
   const lookUpCaller = () => {
     const configuration = options.configuration();
     return configuration && findCaller(configuration, database, key);
@@ -285,7 +281,10 @@
     ) {
       const code = caller?.kind === 'unknownDatabase' ? 'unknownDatabase' : 'unauthenticated';
       discardTransaction();
-      answer(createRefusal(code, ACCESS_MESSAGES[code]), findStateAfterRefusal(statement));
+      answer(
+        createRefusal(code, ACCESS_MESSAGES[code]),
+        findStateAfterRefusal(statement, transactionState),
+      );
       startClosing(code, ACCESS_MESSAGES[code]);
       return;
     }
@@ -334,15 +333,13 @@
   /** Answers a statement whose result will not be known here; a transaction without its commit is rolled back. */
   const answerUnfinished = (statement: SessionStatement, reason: string): void => {
     const isCommit = statement.kind === 'commit';
-    const isInTransaction = transaction !== undefined;
-    const nextState = findStateAfterRefusal(statement);
+    const mayHaveCommitted = isCommit || (transaction === undefined && changesData(statement));
+    const failure = transaction === undefined ? 'failed' : 'aborted';
     discardTransaction();
-    if (isInTransaction && !isCommit) answer(createRefusal('aborted', reason), nextState);
-    else
-      answer(
-        createRefusal(isCommit || changesData(statement) ? 'inDoubt' : 'failed', reason),
-        nextState,
-      );
+    answer(
+      createRefusal(mayHaveCommitted ? 'inDoubt' : failure, reason),
+      findStateAfterRefusal(statement, transactionState),
+    );
   };
 
   const runPendingStatements = async (): Promise<void> => {
@@ -356,8 +353,10 @@
         await runStatement(...next);
       } catch (error) {
         log.warn('session.broken', { session: sessionId, request: next[0], reason: String(error) });
-        answerUnfinished(next[1], 'an unexpected error occurred');
-        startClosing('busy', 'the session ended by an unexpected error; retry in 100 ms');
+        if (!closing.hasStarted()) {
+          answerUnfinished(next[1], 'an unexpected error occurred');
+          startClosing('busy', 'the session ended by an unexpected error; retry in 100 ms');
+        }
       }
     }
     isRunning = false;
