--- a/packages/sessions/src/link/createPeerLink.spec.ts
+++ b/packages/sessions/src/link/createPeerLink.spec.ts
@@ -122,6 +122,43 @@
       await closed;
     });
 
+    it('answers calls that are under way, and after them calls that arrive too late as not run', async () => {
+      const ends: (() => void)[] = [];
+      const { server, link, started } = await startFixture(
+        createPingLiveness(),
+        () =>
+          new Promise<CallResult>((resolve) => {
+            ends.push(() => resolve(RESULT));
+          }),
+      );
+      const running = link.call(CALL, NO_VALUES);
+      while (started.length === 0) await sleep(5);
+      const closed = server.close();
+      const late = link.call({ ...CALL, requestId: 'q2' }, NO_VALUES);
+      // Longer than a closing VM used to wait.
+      await sleep(150);
+      ends.forEach((end) => end());
+      expect((await running).rows).to.deep.equal(['1']);
+      expect((await late).isNotOwner).to.equal(true);
+      expect(started).to.deep.equal(['q1']);
+      await closed;
+    });
+
+    it('reports a call that comes after all are answered as not run, though the stream was in use', async () => {
+      const { server, link, started } = await startFixture(createPingLiveness(), async () => {
+        await sleep(60);
+        return RESULT;
+      });
+      const running = link.call(CALL, NO_VALUES);
+      while (started.length === 0) await sleep(5);
+      const closed = server.close();
+      await running;
+      const late = await failureOf(link.call({ ...CALL, requestId: 'q2' }, NO_VALUES));
+      expect(late.isSent).to.equal(false);
+      expect(started).to.deep.equal(['q1']);
+      await closed;
+    });
+
     it('does not call a call not run that is under way', async () => {
       const { server, link } = await startFixture(
         createPingLiveness(),
--- a/packages/sessions/src/link/startLinkServer.ts
+++ b/packages/sessions/src/link/startLinkServer.ts
@@ -48,8 +48,12 @@
 const KEEPALIVE_TIMEOUT_MS = 20_000;
 /** Stands for the state of a subscriber that was sent none yet. */
 const NO_STATE = '';
-/** Time for the last messages to leave before the streams are cut. */
-const CLOSING_DELAY_MS = 100;
+/** Time for calls under way to end and for the last messages to arrive before streams are cut. */
+const CLOSING_TIMEOUT_MS = 350;
+const CLOSING_POLL_INTERVAL_MS = 5;
+/** Answers a call that came after this VM began to close. */
+const NOT_RUN = CallResult.create({ isNotOwner: true });
+const CLOSING: LinkReply = { body: { $case: 'closing', closing: {} } };
 const EMPTY_VALUES: ReadonlyMap<string, string> = new Map();
 
 /** Serves the streams that other VMs open to this one; rejects if the address cannot be bound. */
@@ -117,13 +121,26 @@
     publishState([stream]);
   };
 
+  const isOpen = (stream: Stream): boolean =>
+    peerStreams.has(stream) || observerStreams.has(stream);
+
+  const sendResult = (stream: Stream, { call }: GroupCall, result: CallResult): void => {
+    if (isOpen(stream)) stream.write({ body: { $case: 'result', result: { ...result, call } } });
+  };
+
+  const sendClosingIfAnswered = (stream: Stream): void => {
+    if (isOpen(stream) && (runningCounts.get(stream) ?? 0) === 0) stream.write(CLOSING);
+  };
+
   const serveStream = (stream: Stream): void => {
     const sessionValues = new Map<number, ReadonlyMap<string, string>>();
     let origin = '';
 
     const onGroupCall = (call: GroupCall): void => {
-      // The closing message, which is under way, tells the caller that the call was not run.
-      if (isClosing) return;
+      if (isClosing) {
+        sendResult(stream, call, NOT_RUN);
+        return;
+      }
       if (call.hasValues) {
         sessionValues.set(
           call.session,
@@ -134,14 +151,17 @@
       runningCounts.set(stream, (runningCounts.get(stream) ?? 0) + 1);
       runSafely(origin, call, values ?? EMPTY_VALUES).then((result) => {
         runningCounts.set(stream, (runningCounts.get(stream) ?? 1) - 1);
-        if (peerStreams.has(stream) || observerStreams.has(stream)) {
-          stream.write({ body: { $case: 'result', result: { ...result, call: call.call } } });
-        }
+        sendResult(stream, call, result);
+        if (isClosing) sendClosingIfAnswered(stream);
       });
     };
 
     const onHello = (hello: Hello): void => {
       origin = `${hello.vm}@${hello.incarnation}`;
+      if (isClosing) {
+        stream.write(CLOSING);
+        return;
+      }
       if (hello.isObserver) {
         addObserver(stream, hello, origin);
         return;
@@ -213,13 +233,18 @@
     /** Sends a document to all subscribers. */
     publishDocument: (document: FleetDocument): void =>
       subscribers.forEach((_state, stream) => sendDocument(stream, document)),
-    /** Accepts no further calls, tells callers so where all their calls are answered, and closes. */
+    /**
+     * Runs no further call, and says so in its answer. Each stream is told of the end once its calls are answered;
+     * the other VM then closes it, which shows that it has received all.
+     */
     close: async (): Promise<void> => {
       isClosing = true;
-      [...peerStreams.keys(), ...observerStreams.keys()]
-        .filter((stream) => (runningCounts.get(stream) ?? 0) === 0)
-        .forEach((stream) => stream.write({ body: { $case: 'closing', closing: {} } }));
-      await sleep(CLOSING_DELAY_MS);
+      const deadlineMs = performance.now() + CLOSING_TIMEOUT_MS;
+      const streams = [...peerStreams.keys(), ...observerStreams.keys()];
+      streams.forEach(sendClosingIfAnswered);
+      while (streams.some(isOpen) && performance.now() < deadlineMs) {
+        await sleep(CLOSING_POLL_INTERVAL_MS);
+      }
       server.forceShutdown();
     },
   };
