--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -243,6 +243,13 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    it('refuses as aborted a commit whose connection ended before it was sent', async () => {
+      await fixture.run(createWrite(firstStatement));
+      fixture.endConnections('p');
+      expect(await fixture.run(createCommit(laterStatement))).to.deep.include({ code: 'aborted' });
+      expect(fixture.committed).to.have.length(0);
+    });
+
     it('refuses as in doubt when the reply to the commit is lost', async () => {
       await fixture.run(createWrite(firstStatement));
       fixture.addFault('p', 'breakAfter');
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -297,6 +297,15 @@
     }
   };
 
+  /** Call right before a statement is sent: one that meets an ended connection does not leave this VM. */
+  const requireOpen = ({ isEnded }: PooledConnection): void => {
+    if (isEnded)
+      throw new MemberConnectionError(
+        'broken',
+        'the connection ended before the statement was sent',
+      );
+  };
+
   /** Sends a statement; closes the connection when the full reply takes longer than `timeoutMs`. */
   const sendWithTimeout = async (
     pool: MemberPool,
@@ -336,6 +345,7 @@
         requeue(statement);
         return;
       }
+      requireOpen(connection);
       isSent = true;
       sentStatement.hasBeenSent = true;
       const command = buildCommand(statement, connection, isReplica ? notBefore : undefined);
@@ -389,6 +399,7 @@
       );
       await prepareConnection(pool, connection, statement.values, call.prepared);
       clearTimeout(timeoutTimer);
+      requireOpen(connection);
       if (call.action === Action.ACTION_WRITE) transaction.hasWritten = true;
       isSent = true;
       const command = buildCommand(statement, connection, undefined);
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -48,6 +48,7 @@
   const runs: StatementRun[] = [];
   const committed: string[] = [];
   const faults: InjectedFault[] = [];
+  const openConnections = new Map<() => void, string>();
   const heldAccounts = new Map<string, Promise<void>>();
   /** Endpoints at their connection limit. */
   const fullEndpoints = new Set<string>();
@@ -82,6 +83,7 @@
 
     const endConnection = (): void => {
       isEnded = true;
+      openConnections.delete(endConnection);
       pendingRejects.forEach((reject) =>
         reject(new MemberConnectionError('broken', 'the fake connection was closed')),
       );
@@ -177,6 +179,7 @@
       }
     };
 
+    openConnections.set(endConnection, endpoint.id);
     return {
       initialPosition: member.received,
       send: (command) =>
@@ -244,6 +247,11 @@
       const member = members.get(endpoint);
       if (member) member.isUnreachable = isUnreachable;
     },
+    /** Ends all open connections, as an endpoint that stops does. */
+    endConnections: (endpoint: string): void =>
+      [...openConnections]
+        .filter(([, id]) => id === endpoint)
+        .forEach(([endConnection]) => endConnection()),
     /** Refuses further connections to an endpoint, as one at its connection limit does. */
     refuseConnections: (endpoint: string): void => {
       fullEndpoints.add(endpoint);
