--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -441,6 +441,24 @@
     });
   });
 
+  describe('when it closes', () => {
+    it('answers a write whose connection is still being opened at once, as not run', async () => {
+      await fixture.run(createWrite());
+      const release = fixture.holdOpening('farm');
+      const opening = fixture.run(createWrite({ account: 'farm' }));
+      const beginning = fixture.run(
+        createWrite({ account: 'farm', transaction: 9, opensTransaction: true }),
+      );
+      await sleep(0);
+      fixture.server.close();
+      const outcomes = Promise.all([opening, beginning]);
+      const answered = await Promise.race([outcomes, sleep(50).then(() => 'no answer')]);
+      release();
+      expect(answered).to.deep.equal([{ kind: 'notOwner' }, { kind: 'notOwner' }]);
+      expect(fixture.committed).to.have.length(1);
+    });
+  });
+
   describe('when endpoints leave', () => {
     it('replaces a leaving primary without ending its open transactions', async () => {
       await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -2,6 +2,7 @@
 import { maxPosition } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
+import type MemberConnection from '../seams/memberConnection';
 import type MemberCommand from '../seams/memberCommand';
 import type MemberDialer from '../seams/memberDialer';
 import MemberConnectionError from '../seams/memberConnectionError';
@@ -66,6 +67,14 @@
   let isReusingConnections = true;
   /** Identifies the last closing of all connections. */
   let lastClosedAll = {};
+  /** Each fails an opening that is under way. */
+  const abandonOpenings = new Set<() => void>();
+
+  const createClosedError = (): MemberConnectionError =>
+    new MemberConnectionError(
+      'broken',
+      `the connections to endpoint ${endpoint.id} were closed meanwhile`,
+    );
 
   const closeConnection = (connection: PooledConnection): void => {
     connections.delete(connection);
@@ -77,6 +86,7 @@
   const closeAll = (): void => {
     lastClosedAll = {};
     [...connections].forEach(closeConnection);
+    abandonOpenings.forEach((abandon) => abandon());
   };
 
   const setDown = (next: boolean, reason: string): void => {
@@ -118,12 +128,45 @@
     }
   };
 
+  /** Counts an opening that nobody waits for, and closes its connection if it still succeeds. */
+  const closeWhenOpened = async (opening: Promise<MemberConnection>): Promise<void> => {
+    openingConnections += 1;
+    try {
+      (await opening).close();
+    } catch {
+      // It was not opened, as is wanted.
+    }
+    openingConnections -= 1;
+    onChange();
+  };
+
+  /** Waits for an opening, but not beyond the next closing of all connections. */
+  const waitUnlessAllClosed = async (
+    opening: Promise<MemberConnection>,
+  ): Promise<MemberConnection> => {
+    const hooks = { abandon: (): void => undefined };
+    const abandoned = new Promise<never>((_resolve, reject) => {
+      hooks.abandon = () => {
+        closeWhenOpened(opening);
+        reject(createClosedError());
+      };
+    });
+    abandonOpenings.add(hooks.abandon);
+    try {
+      return await Promise.race([opening, abandoned]);
+    } finally {
+      abandonOpenings.delete(hooks.abandon);
+    }
+  };
+
   const openConnection = async (account: string): Promise<PooledConnection> => {
     openingConnections += 1;
     const sentAtMs = nowMs();
     const closedAllBefore = lastClosedAll;
     try {
-      const memberConnection = await dialer.open(endpoint, account, OPEN_TIMEOUT_MS);
+      const memberConnection = await waitUnlessAllClosed(
+        dialer.open(endpoint, account, OPEN_TIMEOUT_MS),
+      );
       const connection: PooledConnection = {
         memberConnection,
         account,
@@ -135,10 +178,7 @@
       };
       if (isClosed || lastClosedAll !== closedAllBefore) {
         memberConnection.close();
-        throw new MemberConnectionError(
-          'broken',
-          `the connections to endpoint ${endpoint.id} were closed meanwhile`,
-        );
+        throw createClosedError();
       }
       lastReplyAtMs = nowMs();
       connections.add(connection);
