--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -243,6 +243,13 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    it('refuses as aborted a commit whose connection ended before it was sent', async () => {
+      await fixture.run(createWrite(firstStatement));
+      fixture.endConnections('p');
+      expect(await fixture.run(createCommit(laterStatement))).to.deep.include({ code: 'aborted' });
+      expect(fixture.committed).to.have.length(0);
+    });
+
     it('refuses as in doubt when the reply to the commit is lost', async () => {
       await fixture.run(createWrite(firstStatement));
       fixture.addFault('p', 'breakAfter');
@@ -434,6 +441,24 @@
     });
   });
 
+  describe('when it closes', () => {
+    it('answers a write whose connection is still being opened at once, as not run', async () => {
+      await fixture.run(createWrite());
+      const release = fixture.holdOpening('farm');
+      const opening = fixture.run(createWrite({ account: 'farm' }));
+      const beginning = fixture.run(
+        createWrite({ account: 'farm', transaction: 9, opensTransaction: true }),
+      );
+      await sleep(0);
+      fixture.server.close();
+      const outcomes = Promise.all([opening, beginning]);
+      const answered = await Promise.race([outcomes, sleep(50).then(() => 'no answer')]);
+      release();
+      expect(answered).to.deep.equal([{ kind: 'notOwner' }, { kind: 'notOwner' }]);
+      expect(fixture.committed).to.have.length(1);
+    });
+  });
+
   describe('when endpoints leave', () => {
     it('replaces a leaving primary without ending its open transactions', async () => {
       await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
