--- a/packages/sessions/src/daemon/createShutdown.ts
+++ b/packages/sessions/src/daemon/createShutdown.ts
@@ -2,6 +2,7 @@
 import type createGroupServer from '../group/createGroupServer';
 import type EventLog from '../seams/eventLog';
 import sleep from '../time/sleep';
+import waitForNextTurn from '../time/waitForNextTurn';
 
 /** The load balancer removes a VM after two failed readiness checks, 1 s apart. */
 const BALANCER_REMOVAL_MS = 2_200;
@@ -107,6 +108,8 @@
         Promise.all([options.leaveFleet(), options.closeLinkServer(), waitForCallers()]),
         sleep(CLOSING_WAIT_MS),
       ]);
+      // Input that came in time, but that a late timer would overtake, is read first.
+      await waitForNextTurn();
       sessions.forEach((session) => session.abort());
       log.info('daemon.stopped', { tookMs: elapsedMs() });
     },
--- a/packages/sessions/src/front/createClosingHandshake.ts
+++ b/packages/sessions/src/front/createClosingHandshake.ts
@@ -32,6 +32,16 @@
   let isAnnounced = false;
   let timer: NodeJS.Timeout | undefined;
 
+  /** Input that came in time, but that a late timer would overtake, is read first. */
+  const restartTimer = (): void => {
+    clearTimeout(timer);
+    const started = setTimeout(
+      () => setImmediate(() => timer === started && options.onTimeout()),
+      CALLER_CLOSE_TIMEOUT_MS,
+    );
+    timer = started;
+  };
+
   const announce = (code: RefusalCode, message: string): void => {
     isAnnounced = true;
     connection.announceClose(code, message);
@@ -43,7 +53,7 @@
     start: (code: RefusalCode, message: string, state: TransactionState): void => {
       log.info('session.closing', { session: options.session, code, reason: message, state });
       refusal = { code, message };
-      timer = setTimeout(options.onTimeout, CALLER_CLOSE_TIMEOUT_MS);
+      restartTimer();
       // In a failed transaction the caller's rollback comes next.
       if (state !== 'failed') announce(code, message);
     },
@@ -54,6 +64,7 @@
       state: TransactionState,
     ): TransactionState => {
       if (!refusal) return state;
+      restartTimer();
       const { code, message } = refusal;
       const nextState = findStateAfterRefusal(statement, state);
       log.info('request.closing', {
@@ -74,7 +85,10 @@
       return nextState;
     },
     /** Call when the session has ended. */
-    end: (): void => clearTimeout(timer),
+    end: (): void => {
+      clearTimeout(timer);
+      timer = undefined;
+    },
   };
 };
 
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -357,6 +357,24 @@
       expect([fixture.answers.at(-1), fixture.state.isEnded]).to.deep.equal(['closed', true]);
     });
 
+    it('answers a statement that came in time while the process was busy', async () => {
+      start();
+      closeWhenIdle();
+      const busyUntilMs = performance.now() + 1_050;
+      setTimeout(() => fixture.session.run('q', write), 1_005);
+      while (performance.now() < busyUntilMs);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 20);
+      });
+      expect(fixture.answers.slice(2)).to.deep.equal(['completed idle', 'closing busy']);
+    });
+
+    it('refuses a caller whose first message is still to come', () => {
+      fixture.abort();
+      start();
+      expect(fixture.answers).to.deep.equal(['refused busy']);
+    });
+
     it('refuses callers that come when no session is accepted any more', () => {
       fixture.state.isAcceptingSessions = false;
       start();
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -47,6 +47,7 @@
   route: DatabaseRoute;
 }
 
+const SHUTDOWN_MESSAGE = 'this VM is shutting down; retry in 100 ms';
 const ACCESS_MESSAGES = {
   unauthenticated: 'the access key is not valid',
   unknownDatabase: 'the database does not exist',
@@ -366,7 +367,7 @@
     if (isEnded) return;
     const caller = lookUpCaller();
     if (!options.isAcceptingSessions()) {
-      refuseStart('busy', 'this VM is shutting down; retry in 100 ms');
+      refuseStart('busy', SHUTDOWN_MESSAGE);
     } else if (!caller) {
       if (nowMs() < deadlineMs) {
         setTimeout(() => openWhenConfigured(deadlineMs), CONFIGURATION_POLL_MS);
@@ -444,8 +445,11 @@
       startClosing('busy', `${reason}; retry in 100 ms`);
       unstarted.forEach(([requestId, statement]) => refuseClosing(requestId, statement));
     },
-    /** Closes the connection at once. */
-    abort: (): void => close('the VM stops'),
+    /** Closes the connection at once. A caller whose first message may be under way is refused. */
+    abort: (): void => {
+      if (isStarted) close('the VM stops');
+      else refuseStart('busy', SHUTDOWN_MESSAGE);
+    },
   };
 };
 
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -25,3 +25,4 @@
 export type { default as StoredItem } from './seams/storedItem';
 export type { default as TransactionState } from './seams/transactionState';
 export { default as createSessionDaemon } from './daemon/createSessionDaemon';
+export { default as waitForNextTurn } from './time/waitForNextTurn';
