--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -243,6 +243,15 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    it('refuses as aborted a write while ownership is uncertain, and rolls back', async () => {
+      await fixture.run(createWrite(firstStatement));
+      fixture.state.isCertain = false;
+      expect(await fixture.run(createWrite(laterStatement))).to.deep.include({ code: 'aborted' });
+      fixture.state.isCertain = true;
+      expect(await fixture.run(createCommit(laterStatement))).to.deep.include({ code: 'aborted' });
+      expect(fixture.committed).to.have.length(0);
+    });
+
     it('refuses as aborted a commit whose connection ended before it was sent', async () => {
       await fixture.run(createWrite(firstStatement));
       fixture.endConnections('p');
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -45,6 +45,8 @@
 /** Time until an endpoint without an entry is removed; entries return within 2 s of the store. */
 const MISSING_ENTRY_GRACE_MS = 2_500;
 
+const ROLLED_BACK = 'the transaction was rolled back: the primary may have been replaced';
+
 interface GroupServerOptions {
   group: string;
   /** Id of this VM, which owns the group. */
@@ -406,9 +408,13 @@
       const reply = await sendWithTimeout(pool, connection, command, call.statementTimeoutMs);
       transaction.isStatementRunning = false;
       if (!reply.failure) {
+        const outcome = toCallOutcome(statement, reply, transaction.endpointId);
+        // What is not committed yet is rolled back, so that nothing of it is in doubt.
+        const isGivenUp = !isCommit && outcome.kind === 'refused';
         if (isCommit) endTransaction(transaction, reply.state === 'idle');
+        else if (isGivenUp) endTransaction(transaction, false);
         else startIdleTimer(transaction);
-        resolveStatement(statement, toCallOutcome(statement, reply, transaction.endpointId));
+        resolveStatement(statement, isGivenUp ? createRefusal('aborted', ROLLED_BACK) : outcome);
         return;
       }
       const isRetryable = reply.state === 'open' && reply.failure.kind === 'busy';
