--- a/packages/sessions/src/daemon/createShutdown.spec.ts
+++ b/packages/sessions/src/daemon/createShutdown.spec.ts
@@ -15,7 +15,8 @@
   const server = {
     openWork: 0,
     countOpenTransactions: () => server.openWork,
-    countInFlight: () => 0,
+    inFlight: 0,
+    countInFlight: () => server.inFlight,
     close: () => {
       events.push('server closed');
     },
@@ -87,11 +88,13 @@
   });
 
   it('answers what is under way, here and at other VMs, in the last sixth of the grace only', async () => {
-    const { shutdown, addSession, server, events } = createFixture();
+    // Long, so that the waiting steps of the shutdown are small beside it.
+    const graceMs = 20_000;
+    const { shutdown, addSession, server, events } = createFixture({ graceMs });
     server.openWork = 1;
     const calls = addSession('stop');
     await shutdown.run();
-    expect(calls.get('stop')).to.be.above((GRACE_MS * 5) / 6);
+    expect(calls.get('stop')).to.be.above((graceMs * 5) / 6);
     expect(events.slice(1)).to.deep.equal([
       'daemon.drained',
       'server closed',
@@ -109,6 +112,43 @@
     expect(sessions.size).to.equal(0);
   });
 
+  it('waits for statements of other VMs that are under way here', async () => {
+    const { shutdown, server, at } = createFixture();
+    server.inFlight = 1;
+    setTimeout(() => {
+      server.inFlight = 0;
+    }, 700);
+    await shutdown.run();
+    expect(at()).to.be.within(700 * SPEED, GRACE_MS);
+  });
+
+  it('lets callers disconnect by themselves at the end', async () => {
+    const { shutdown, addSession, sessions } = createFixture();
+    const calls = addSession();
+    const leaving = setInterval(() => {
+      if (calls.has('stop')) setTimeout(() => sessions.clear(), 100);
+    }, 5);
+    await shutdown.run();
+    clearInterval(leaving);
+    expect(calls.has('abort')).to.equal(false);
+  });
+
+  it('leaves time for the last answers in a short grace', async () => {
+    const { shutdown, addSession } = createFixture({
+      graceMs: 2_000,
+      nowMs: () => performance.now(),
+    });
+    const startedAtMs = performance.now();
+    let stoppedAtMs = 0;
+    const calls = addSession();
+    const watching = setInterval(() => {
+      if (calls.has('stop') && stoppedAtMs === 0) stoppedAtMs = performance.now() - startedAtMs;
+    }, 5);
+    await shutdown.run();
+    clearInterval(watching);
+    expect(stoppedAtMs).to.be.within(900, 1_300);
+  });
+
   it('closes idle sessions while the handover of a group waits for the store', async () => {
     const { shutdown, addSession } = createFixture({ handOverGroups: () => new Promise(() => {}) });
     const calls = addSession('closeIfIdle');
--- a/packages/sessions/src/daemon/createShutdown.ts
+++ b/packages/sessions/src/daemon/createShutdown.ts
@@ -13,8 +13,10 @@
 /** Fractions of the grace period: when no new work is accepted any more, and when the process stops waiting. */
 const NEW_WORK_GRACE_RATIO = 0.5;
 const DRAIN_GRACE_RATIO = 0.85;
-/** Left of the grace period at the end of the wait for the last answers, also where it is short. */
-const MIN_CLOSING_MS = 700;
+/** Left of the grace period for the last answers, also where it is short. */
+const MIN_CLOSING_MS = 900;
+/** Statements that wait for an owner look this often whether they may still be sent. */
+const ANSWER_WAIT_MS = 40;
 const REASON = 'this VM is shutting down';
 
 type Session = Pick<
@@ -80,7 +82,7 @@
   /** Answers what is still under way here and at other VMs, before the streams and the process end. */
   const answerAll = async (): Promise<void> => {
     groupServers().forEach((server) => server.close());
-    await sleep(0);
+    await sleep(ANSWER_WAIT_MS);
     sessions.forEach((session) => session.stop(REASON));
   };
 
--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -25,12 +25,12 @@
 });
 
 const createFixture = (owner: string | undefined) => {
-  const state = { hasNoReachableGroup: false, isStopping: false, ran: 0 };
+  const state = { owner, hasNoReachableGroup: false, isStopping: false, ran: 0 };
   const router = createGroupRouter({
     self: 'a',
     log: { info: () => undefined, warn: () => undefined },
     nowMs: () => performance.now(),
-    findServingVm: () => owner,
+    findServingVm: () => state.owner,
     link: () => undefined,
     runLocally: async () => {
       state.ran += 1;
@@ -56,12 +56,15 @@
     expect(tookMs).to.be.within(800, 1_500);
   });
 
-  it('refuses a statement that found no owner at once when the VM is about to end', async () => {
+  it('sends no statement that waited for an owner when the VM is about to end', async () => {
     const { state, run } = createFixture(undefined);
+    const running = run();
+    state.owner = 'a';
     state.isStopping = true;
-    const { result, tookMs } = await run();
+    const { result, tookMs } = await running;
     expect(result).to.deep.include({ kind: 'refused', code: 'busy' });
     expect(tookMs).to.be.below(100);
+    expect(state.ran).to.equal(0);
   });
 
   describe('on a VM that can reach no group', () => {
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -105,6 +105,8 @@
         : options.findServingVm(call.group);
       if (isContinuation && owner === undefined)
         return createRefusal('aborted', 'the transaction has already ended');
+      // Nothing is sent any more whose answer would not be known before the end.
+      if (!isContinuation && options.isStopping()) break;
       if (owner !== undefined) {
         if (call.opensTransaction)
           openTransactions.set(call.transaction, { vm: owner, group: call.group });
@@ -126,7 +128,7 @@
       const sinceMs = unservedSinceMs.get(call.group) ?? nowMs();
       unservedSinceMs.set(call.group, sinceMs);
       // A change of owner would have completed by now: waiting would only delay the refusal.
-      if (nowMs() - sinceMs > UNSERVED_AFTER_MS || options.isStopping()) break;
+      if (nowMs() - sinceMs > UNSERVED_AFTER_MS) break;
       await sleep(OWNER_POLL_MS);
     } while (nowMs() - startedAtMs < OWNER_WAIT_MS);
     log.info('request.noOwner', {
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -45,13 +45,18 @@
     advancedMs: 0,
     /** While set, groups do not answer. */
     isGroupSilent: false,
+    /** Has the group answer what it was last asked while it was silent. */
+    answerOfGroup: (): void => undefined,
   };
   let lastId = 0;
   const router: Pick<GroupRouter, 'run' | 'endTransaction' | 'forgetTransaction'> = {
     run: async (call, values) => {
       calls.push({ ...call, sentValues: [...values].join() });
       if (state.isRouterBroken) throw new Error('broken');
-      if (state.isGroupSilent) await new Promise(() => {});
+      if (state.isGroupSilent)
+        await new Promise<void>((resolve) => {
+          state.answerOfGroup = resolve;
+        });
       return (
         state.result ?? {
           kind: 'complete',
@@ -441,6 +446,64 @@
         await fixture.run(begin, write);
         expect((await stopDuring(commit))[0]).to.equal('inDoubt idle');
       });
+
+      it('answers no statement again whose result comes later', async () => {
+        await fixture.run(begin, write);
+        for (const statement of [write, commit]) {
+          const answers = await stopDuring(statement);
+          fixture.state.answerOfGroup();
+          await fixture.run();
+          expect(fixture.answers.slice(-answers.length)).to.deep.equal(answers);
+          fixture = createFixture();
+          start();
+          await fixture.run(begin, write);
+        }
+      });
+    });
+
+    it('leaves the rollback of a failed transaction to its caller', async () => {
+      start();
+      await fixture.run(begin, { kind: 'execute', name: 'none', argumentsText: '' });
+      fixture.closeBetweenStatements('shutdown');
+      expect(fixture.answers.at(-1)).to.equal('noStatement failed');
+      await fixture.run({ kind: 'rollback' });
+      expect(fixture.answers.slice(-2)).to.deep.equal(['- idle', 'closing aborted']);
+    });
+
+    it('refuses a session that waits for the first configuration', async () => {
+      fixture.state.configuration = undefined;
+      start();
+      fixture.state.isAcceptingSessions = false;
+      fixture.state.configuration = createConfiguration();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      expect(fixture.answers).to.deep.equal(['refused busy']);
+    });
+  });
+
+  describe('when its caller breaks the protocol', () => {
+    beforeEach(async () => {
+      start();
+      fixture.state.isGroupSilent = true;
+      await fixture.run(write, read);
+    });
+
+    it('answers what is outstanding before it closes the connection', () => {
+      fixture.session.fail('malformed', 'no message');
+      expect(fixture.answers.slice(1)).to.deep.equal([
+        'inDoubt idle',
+        'closing malformed',
+        'completed idle',
+        'closing malformed',
+        'closed',
+      ]);
+    });
+
+    it('answers each of too many queued statements', async () => {
+      await fixture.run(...Array.from({ length: 64 }, () => read));
+      const completed = fixture.answers.filter((answer) => answer === 'completed idle');
+      expect([fixture.answers[1], completed.length]).to.deep.equal(['inDoubt idle', 65]);
     });
   });
 });
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -363,6 +363,14 @@
     isRunning = false;
   };
 
+  const stop = (code: RefusalCode, message: string): void => {
+    if (!isStarted || isEnded || closing.hasStarted()) return;
+    const unstarted = pendingStatements.splice(0);
+    if (isRunning && current) answerUnfinished(current[1], message);
+    startClosing(code, message);
+    unstarted.forEach(([requestId, statement]) => refuseClosing(requestId, statement));
+  };
+
   const openWhenConfigured = (deadlineMs: number): void => {
     if (isEnded) return;
     const caller = lookUpCaller();
@@ -397,8 +405,8 @@
         return;
       }
       if (pendingStatements.length >= MAX_PENDING_STATEMENTS) {
-        connection.refuse('malformed', 'the session has too many queued statements');
-        end('too many queued statements');
+        stop('malformed', 'the session has too many queued statements');
+        refuseClosing(requestId, statement);
         return;
       }
       if (closing.hasStarted()) {
@@ -408,6 +416,15 @@
       pendingStatements.push([requestId, statement]);
       if (isStarted) runPendingStatements();
     },
+    fail: (code, message) => {
+      if (isEnded) return;
+      if (isStarted) {
+        stop(code, message);
+        close(message);
+      } else {
+        refuseStart(code, message);
+      }
+    },
     end: () => end('closed by the caller'),
   };
 
@@ -438,13 +455,7 @@
       startClosing(transactionState === 'idle' ? 'busy' : 'aborted', `${reason}; retry in 100 ms`);
     },
     /** Answers each outstanding statement with what is known of it, and closes the session. */
-    stop: (reason: string): void => {
-      if (!isStarted || isEnded || closing.hasStarted()) return;
-      const unstarted = pendingStatements.splice(0);
-      if (isRunning && current) answerUnfinished(current[1], reason);
-      startClosing('busy', `${reason}; retry in 100 ms`);
-      unstarted.forEach(([requestId, statement]) => refuseClosing(requestId, statement));
-    },
+    stop: (reason: string): void => stop('busy', `${reason}; retry in 100 ms`),
     /** Closes the connection at once. A caller whose first message may be under way is refused. */
     abort: (): void => {
       if (isStarted) close('the VM stops');
