--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -457,14 +457,8 @@
     nowMs,
     sessions,
     groupServers: () => [...servers.values(), ...retiredServers],
-    handOverGroups: () =>
-      Promise.all(
-        [...servers.keys()].map((group) =>
-          ownership
-            .handOver(group)
-            .catch((error) => log.warn('group.handOverFailed', { group, reason: String(error) })),
-        ),
-      ),
+    ownedGroups: () => [...servers.keys()].filter(ownership.isOwnedHere),
+    handOver: ownership.handOver,
     leaveFleet: () => {
       clearInterval(heartbeatTimer);
       clearInterval(strainTimer);
--- a/packages/sessions/src/daemon/createShutdown.spec.ts
+++ b/packages/sessions/src/daemon/createShutdown.spec.ts
@@ -12,6 +12,7 @@
 const createFixture = (changes: Partial<Options> = {}) => {
   const events: string[] = [];
   const sessions = new Set<Session>();
+  const owned = new Set<string>();
   const server = {
     openWork: 0,
     countOpenTransactions: () => server.openWork,
@@ -30,7 +31,11 @@
     nowMs,
     sessions,
     groupServers: () => [server],
-    handOverGroups: async () => events.push('handed over'),
+    ownedGroups: () => [...owned],
+    handOver: async (group) => {
+      events.push(`handed over ${group}`);
+      owned.delete(group);
+    },
     leaveFleet: async () => {
       events.push('left the fleet');
     },
@@ -54,7 +59,7 @@
     });
     return calls;
   };
-  return { events, sessions, server, at, shutdown, addSession };
+  return { events, sessions, owned, server, at, shutdown, addSession };
 };
 
 describe('createShutdown', () => {
@@ -95,7 +100,7 @@
     const calls = addSession('stop');
     await shutdown.run();
     expect(calls.get('stop')).to.be.above((graceMs * 5) / 6);
-    expect(events.slice(1)).to.deep.equal([
+    expect(events).to.deep.equal([
       'daemon.drained',
       'server closed',
       'left the fleet',
@@ -122,6 +127,29 @@
     expect(at()).to.be.within(700 * SPEED, GRACE_MS);
   });
 
+  it('hands over a group that another VM handed to it meanwhile', async () => {
+    const { shutdown, owned, events, at } = createFixture();
+    owned.add('lots');
+    setTimeout(() => owned.add('bids'), 200);
+    await shutdown.run();
+    expect(events.slice(0, 2)).to.deep.equal(['handed over lots', 'handed over bids']);
+    expect(at()).to.be.below(GRACE_MS / 2);
+  });
+
+  it('offers a group again until there is a successor, and serves it meanwhile', async () => {
+    const offeredAtMs: number[] = [];
+    const { shutdown, owned, at } = createFixture({
+      handOver: async () => {
+        offeredAtMs.push(at());
+        if (at() > GRACE_MS / 2) owned.clear();
+      },
+    });
+    owned.add('lots');
+    await shutdown.run();
+    expect(offeredAtMs.length).to.be.within(5, 14);
+    expect(at()).to.be.within(GRACE_MS / 2, GRACE_MS * 0.85);
+  });
+
   it('lets callers disconnect by themselves at the end', async () => {
     const { shutdown, addSession, sessions } = createFixture();
     const calls = addSession();
@@ -150,7 +178,10 @@
   });
 
   it('closes idle sessions while the handover of a group waits for the store', async () => {
-    const { shutdown, addSession } = createFixture({ handOverGroups: () => new Promise(() => {}) });
+    const { shutdown, addSession, owned } = createFixture({
+      handOver: () => new Promise(() => {}),
+    });
+    owned.add('lots');
     const calls = addSession('closeIfIdle');
     await shutdown.run();
     expect(calls.get('closeIfIdle')).to.be.below(GRACE_MS / 2);
--- a/packages/sessions/src/daemon/createShutdown.ts
+++ b/packages/sessions/src/daemon/createShutdown.ts
@@ -7,6 +7,8 @@
 /** The load balancer removes a VM after two failed readiness checks, 1 s apart. */
 const BALANCER_REMOVAL_MS = 2_200;
 const POLL_INTERVAL_MS = 50;
+/** A group without a successor, or handed over in vain, is offered again after one heartbeat. */
+const HAND_OVER_INTERVAL_MS = 250;
 /** Time for the store to end the lease, for the last messages to other VMs, and for callers to disconnect. */
 const CLOSING_WAIT_MS = 400;
 const CLOSING_POLL_INTERVAL_MS = 10;
@@ -36,7 +38,9 @@
   sessions: ReadonlySet<Session>;
   /** Servers of this VM's groups, with those that only finish their transactions after a handover. */
   groupServers(): readonly GroupServer[];
-  handOverGroups(): Promise<unknown>;
+  /** Groups that this VM owns; a VM that has not heard of the shutdown may hand it one more. */
+  ownedGroups(): readonly string[];
+  handOver(group: string): Promise<void>;
   /** Leaves the fleet for good, and ends the lease of the registration. */
   leaveFleet(): Promise<void>;
   /** Tells other VMs that their further calls are not run, and closes the streams that they opened. */
@@ -53,20 +57,33 @@
   const drainLimitMs = Math.min(graceMs * DRAIN_GRACE_RATIO, graceMs - MIN_CLOSING_MS);
   let isAcceptingSessions = true;
   let isDrained = false;
+  const groupsBeingHandedOver = new Set<string>();
+  const nextHandOverAtMs = new Map<string, number>();
 
   const isBusy = (): boolean =>
     sessions.size > 0 ||
     groupServers().some((server) => server.countOpenTransactions() + server.countInFlight() > 0);
 
+  const handOverOwnedGroups = (atMs: number): void =>
+    options
+      .ownedGroups()
+      .filter((group) => !groupsBeingHandedOver.has(group))
+      .filter((group) => atMs >= (nextHandOverAtMs.get(group) ?? 0))
+      .forEach((group) => {
+        groupsBeingHandedOver.add(group);
+        nextHandOverAtMs.set(group, atMs + HAND_OVER_INTERVAL_MS);
+        options
+          .handOver(group)
+          .catch((error) => log.warn('group.handOverFailed', { group, reason: String(error) }))
+          .finally(() => groupsBeingHandedOver.delete(group));
+      });
+
   /** Waits until nothing is under way, or the grace period is nearly over. */
   const drain = async (elapsedMs: () => number): Promise<void> => {
-    let isHandingOver = true;
-    options.handOverGroups().finally(() => {
-      isHandingOver = false;
-    });
     const isWorkExpected = (): boolean =>
-      isHandingOver || elapsedMs() < BALANCER_REMOVAL_MS || isBusy();
+      elapsedMs() < BALANCER_REMOVAL_MS || options.ownedGroups().length > 0 || isBusy();
     while (isWorkExpected() && elapsedMs() < drainLimitMs) {
+      handOverOwnedGroups(elapsedMs());
       await sleep(POLL_INTERVAL_MS);
       if (elapsedMs() > graceMs * NEW_WORK_GRACE_RATIO) {
         isAcceptingSessions = false;
