--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
-import { Action } from '../generated/auburngrade/session/v1/session';
+import { Action, CallResult } from '../generated/auburngrade/session/v1/session';
 import createGroupRouter from './createGroupRouter';
 import type SessionCall from './sessionCall';
+import sleep from '../time/sleep';
 
 const createCall = (changes: Partial<SessionCall> = {}): SessionCall => ({
   group: 'lots',
@@ -64,6 +65,63 @@
     expect(tookMs).to.be.below(100);
   });
 
+  describe('when the owner gives the group away after a statement waited there for long', () => {
+    /** VM a gives each statement back after `heldMs`; `nextOwner` tells who owns the group from then on. */
+    const createLeavingOwner = (heldMs: number, nextOwner: () => string) => {
+      const state = { owner: 'a', asked: [] as string[] };
+      const unused = (): void => undefined;
+      const router = createGroupRouter({
+        self: 'a',
+        log: { info: unused, warn: unused },
+        nowMs: () => performance.now(),
+        findServingVm: () => state.owner,
+        link: (vm) => ({
+          isUp: () => true,
+          open: unused,
+          call: async () => {
+            state.asked.push(vm);
+            return CallResult.create({ signature: 's' });
+          },
+          endTransaction: unused,
+          endSession: unused,
+          sendDocument: unused,
+          close: unused,
+        }),
+        runLocally: async () => {
+          state.asked.push('a');
+          await sleep(heldMs);
+          state.owner = nextOwner();
+          return { kind: 'notOwner' };
+        },
+        hasNoReachableGroup: () => false,
+        isStopping: () => false,
+        endLocalTransaction: unused,
+      });
+      return { state, router };
+    };
+
+    it('runs the statement at the next owner', async () => {
+      const { state, router } = createLeavingOwner(950, () => 'b');
+      const call = createCall({ statementTimeoutMs: 2_000 });
+      expect((await router.run(call, new Map())).kind).to.equal('complete');
+      expect(state.asked).to.deep.equal(['a', 'b']);
+    });
+
+    it('refuses the statement when there is no other owner', async () => {
+      const { state, router } = createLeavingOwner(950, () => 'a');
+      const call = createCall({ statementTimeoutMs: 2_000 });
+      expect(await router.run(call, new Map())).to.deep.include({ code: 'busy' });
+      expect(state.asked).to.deep.equal(['a']);
+    });
+
+    it('refuses the statement when its own time is over', async () => {
+      const { state, router } = createLeavingOwner(950, () => 'b');
+      const call = createCall({ statementTimeoutMs: 900 });
+      expect(await router.run(call, new Map())).to.deep.include({ code: 'busy' });
+      expect(state.asked).to.deep.equal(['a']);
+    });
+  });
+
   describe('on a VM that can reach no group', () => {
     it('refuses at once and tells when to retry', async () => {
       const { state, run } = createFixture('a');
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -86,6 +86,17 @@
     return createRefusal(call.action === Action.ACTION_READ ? 'failed' : 'inDoubt', error.message);
   };
 
+  /** Whether a statement that did not run may still run, at another owner also after the wait for one. */
+  const mayTryAgain = (
+    { group, statementTimeoutMs }: SessionCall,
+    elapsedMs: number,
+    askedVm: string | undefined,
+  ): boolean => {
+    if (elapsedMs < OWNER_WAIT_MS) return true;
+    const nextVm = options.findServingVm(group);
+    return elapsedMs < statementTimeoutMs && nextVm !== undefined && nextVm !== askedVm;
+  };
+
   const run = async (
     call: SessionCall,
     values: ReadonlyMap<string, string>,
@@ -128,7 +139,7 @@
       // A change of owner would have completed by now: waiting would only delay the refusal.
       if (nowMs() - sinceMs > UNSERVED_AFTER_MS || options.isStopping()) break;
       await sleep(OWNER_POLL_MS);
-    } while (nowMs() - startedAtMs < OWNER_WAIT_MS);
+    } while (mayTryAgain(call, nowMs() - startedAtMs, owner));
     log.info('request.noOwner', {
       request: call.requestId,
       group: call.group,
