--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -49,6 +49,7 @@
   createConfiguration(1, [['k1', 'ranch']]),
   createConfiguration(2, [['k2', 'ranch']]),
   ...[3, 4, 5, 6, 7].map((version) => createConfiguration(version, [['k3', 'ranch']])),
+  { ...createConfiguration(8, [['k1', 'ranch']]), routes: new Map(), groups: new Map() },
 ];
 
 const decoder: StoredValueDecoder = {
@@ -232,6 +233,29 @@
     expect(openSessionAt(0, 'k1').answers).to.deep.equal(['refused unauthenticated']);
   });
 
+  describe('when the configuration drops the group', () => {
+    const dropped = createFixture();
+
+    before(() => dropped.startAll(['vm-1', 'vm-2', 'vm-3']));
+    after(() => dropped.stopAll());
+
+    it('commits the transactions that are open, and serves nothing else', async () => {
+      const [owner = 0] = dropped.ownerIndexes();
+      const runs = [owner, (owner + 1) % 3].map((index) => dropped.openSessionAt(index, 'k1').run);
+      for (const run of runs) {
+        await run({ kind: 'begin', isReadOnly: false });
+        expect(await run(write)).to.equal('complete open');
+      }
+      dropped.store.put('configuration', '8');
+      await waitUntil(() => dropped.daemons.every((daemon) => daemon.configurationVersion() === 8));
+      expect(dropped.ownerIndexes()).to.deep.equal([]);
+      for (const run of runs) {
+        expect(await run({ kind: 'commit', text: 'COMMIT' })).to.equal('complete idle');
+      }
+      expect(dropped.members.committed).to.have.length(2);
+    });
+  });
+
   describe('on a store that was restored from an older copy', () => {
     const restored = createFixture();
     const allApplied = (version: number) => (): boolean =>
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -183,6 +183,14 @@
     }
   };
 
+  const isDropped = (group: string): boolean => configuration?.groups.has(group) === false;
+  /** Whether no other VM can replace the primary of a dropped group, whose transactions end here. */
+  const isOwnedAfterDrop = (group: string, tenure: string | undefined): boolean =>
+    isDropped(group) &&
+    tenure !== undefined &&
+    ownership.findTenure(group) === tenure &&
+    ownership.isAuthoritative(group);
+
   const openGroup = (group: string): void => {
     log.info('group.opened', { group, record: ownership.getRecord(group) });
     const server = createGroupServer({
@@ -203,7 +211,8 @@
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
-      isInHandoverGrace: (tenure) => ownership.isInHandoverGrace(group, tenure),
+      isInHandoverGrace: (tenure) =>
+        ownership.isInHandoverGrace(group, tenure) || isOwnedAfterDrop(group, tenure),
     });
     servers.set(group, server);
     updateGroup(group, server);
@@ -212,7 +221,8 @@
   const closeGroup = (group: string, server: GroupServer): void => {
     servers.delete(group);
     const record = ownership.getRecord(group);
-    const isPlanned = record?.isHandedOver === true;
+    const isPlanned =
+      record?.isHandedOver === true || (isDropped(group) && ownership.isServedHere(group));
     log.info('group.closed', { group, owner: record?.owner, planned: isPlanned });
     if (isPlanned) {
       server.startDraining();
