--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -278,6 +278,17 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    it('retries its first statement, which the endpoint refused as busy, on the same connection', async () => {
+      fixture.addFault('p', 'busy');
+      await fixture.run(createWrite(firstStatement));
+      // Together longer than a transaction may be idle.
+      await sleep(200);
+      await fixture.run(createWrite(laterStatement));
+      await sleep(200);
+      expect((await fixture.run(createCommit(laterStatement))).kind).to.equal('complete');
+      expect(new Set(fixture.runs.map(({ connection }) => connection)).size).to.equal(1);
+    });
+
     it('continues after another VM has become the owner of the group', async () => {
       await fixture.run(createWrite(firstStatement));
       fixture.server.startDraining();
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -503,7 +503,9 @@
       return;
     }
     transactions.set(transaction.id, transaction);
-    await runInTransaction(statement, transaction);
+    const first = statement;
+    first.isInTransaction = true;
+    await runInTransaction(first, transaction);
   };
 
   const start = (statement: PendingStatement, pool: MemberPool, run: () => Promise<void>): void => {
@@ -534,12 +536,13 @@
   /** Starts or refuses a queued statement; returns false when no endpoint can take it yet. */
   const tryStartStatement = (entry: PendingStatement): boolean => {
     const { call } = entry;
-    if (call.transaction !== 0 && !call.opensTransaction) {
-      const transaction = findTransaction(entry);
-      if (!transaction) {
-        resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
-        return true;
-      }
+    const transaction = findTransaction(entry);
+    if (!transaction && entry.isInTransaction) {
+      resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
+      return true;
+    }
+    // A first statement that the endpoint refused as busy finds its transaction open.
+    if (transaction) {
       const load = transaction.pool.getLoad(call.account, true);
       if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
       start(entry, transaction.pool, () => runInTransaction(entry, transaction));
