--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -278,6 +278,40 @@
       expect(fixture.committed).to.have.length(0);
     });
 
+    describe('that its VM ends before its first statement ran', () => {
+      const opening = createWrite({ ...firstStatement, account: 'farm' });
+
+      it('runs nothing when it waits for a connection', async () => {
+        await fixture.run(createWrite());
+        const release = fixture.holdOpening('farm');
+        const opened = fixture.run(opening);
+        await sleep(0);
+        fixture.server.endTransaction('vm-2', 5);
+        release();
+        expect(await opened).to.deep.include({ kind: 'refused', code: 'aborted' });
+        expect(fixture.server.countOpenTransactions()).to.equal(0);
+        expect(fixture.runs).to.have.length(1);
+      });
+
+      it('answers at once when it waits in the queue, also when the VM is gone', async () => {
+        fixture.state.isCertain = false;
+        const ended = fixture.run(opening);
+        const gone = fixture.run(
+          createWrite({ ...firstStatement, transaction: 6 }),
+          NO_VALUES,
+          'x',
+        );
+        fixture.server.endTransaction('vm-2', 5);
+        fixture.server.endTransactionsOfSender('x');
+        const answers = Promise.all([ended, gone]);
+        const answered = await Promise.race([answers, sleep(50).then(() => 'no answer')]);
+        expect(answered).to.be.an('array');
+        (await answers).forEach((answer) => expect(answer).to.deep.include({ code: 'aborted' }));
+        fixture.state.isCertain = true;
+        expect(fixture.server.countQueued()).to.equal(0);
+      });
+    });
+
     it('retries its first statement, which the endpoint refused as busy, on the same connection', async () => {
       fixture.addFault('p', 'busy');
       await fixture.run(createWrite(firstStatement));
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -82,6 +82,8 @@
   const missingSinceMs = new Map<string, number>();
   const positionHistory = createPositionHistory();
   const transactions = new Map<string, OpenTransaction>();
+  /** First statements of transactions that are not answered yet, by transaction. */
+  const openings = new Map<string, PendingStatement>();
   let queue: PendingStatement[] = [];
   let maxConnections = 1;
   let isClosed = false;
@@ -152,6 +154,8 @@
 
   const resolveStatement = (statement: PendingStatement, outcome: CallOutcome): void => {
     clearTimeout(statement.queueTimer);
+    const { senderId, call } = statement;
+    if (call.opensTransaction) openings.delete(toTransactionKey(senderId, call.transaction));
     const isNotRun =
       outcome.kind === 'notOwner' || (outcome.kind === 'refused' && outcome.code === 'busy');
     if (isNotRun && !statement.isInTransaction && !statement.hasBeenSent)
@@ -244,8 +248,22 @@
     return { kind: 'execute', requestId, name, argumentsText: prepared.argumentsText, notBefore };
   };
 
+  /** Refuses the first statement of a transaction that was ended before it was open. */
+  const resolveEndedOpening = (statement: PendingStatement): void =>
+    resolveStatement(statement, createRefusal('aborted', 'the transaction was ended'));
+
+  const endOpening = (opening: PendingStatement): void => {
+    const statement = opening;
+    statement.isTransactionEnded = true;
+    if (!queue.includes(statement)) return;
+    queue = queue.filter((queued) => queued !== statement);
+    resolveEndedOpening(statement);
+  };
+
   const requeue = (statement: PendingStatement): void => {
-    if (isClosed || (isDraining && !statement.isInTransaction)) {
+    if (statement.isTransactionEnded) {
+      resolveEndedOpening(statement);
+    } else if (isClosed || (isDraining && !statement.isInTransaction)) {
       resolveStatement(statement, { kind: 'notOwner' });
     } else if (statement.attempts >= MAX_ATTEMPTS || nowMs() >= statement.queueDeadlineMs) {
       resolveStatement(
@@ -497,9 +515,9 @@
       idleTimer: undefined,
       idleMs: call.transactionIdleMs,
     };
-    if (isClosed) {
+    if (isClosed || statement.isTransactionEnded) {
       pool.closeConnection(connection);
-      resolveStatement(statement, { kind: 'notOwner' });
+      requeue(statement);
       return;
     }
     transactions.set(transaction.id, transaction);
@@ -719,6 +737,7 @@
           priority: call.priority,
           attempts: 0,
           hasBeenSent: false,
+          isTransactionEnded: false,
           queueTimer: undefined,
           resolve,
         };
@@ -726,6 +745,8 @@
           () => expireStatement(statement),
           Math.max(1, statement.queueDeadlineMs - now),
         );
+        if (call.opensTransaction)
+          openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.push(statement);
         scheduler.dispatch();
       });
@@ -733,14 +754,18 @@
     hasTransaction: (senderId: string, transactionId: number): boolean =>
       transactions.has(toTransactionKey(senderId, transactionId)),
     endTransaction: (senderId: string, transactionId: number): void => {
-      const transaction = transactions.get(toTransactionKey(senderId, transactionId));
+      const key = toTransactionKey(senderId, transactionId);
+      const transaction = transactions.get(key);
+      const opening = openings.get(key);
       if (transaction) endTransaction(transaction, false);
+      if (opening) endOpening(opening);
     },
     /** Rolls back all open transactions of a VM process that is gone. */
     endTransactionsOfSender: (senderId: string): void => {
       [...transactions.values()]
         .filter(({ id }) => id.startsWith(`${senderId}/`))
         .forEach((transaction) => endTransaction(transaction, false));
+      [...openings.values()].filter((opening) => opening.senderId === senderId).forEach(endOpening);
     },
     /** Called when another VM has become the owner: only open transactions continue here. */
     startDraining: (): void => {
--- a/packages/sessions/src/group/pendingStatement.ts
+++ b/packages/sessions/src/group/pendingStatement.ts
@@ -15,6 +15,8 @@
   attempts: number;
   /** Whether it was sent to an endpoint at least once. */
   hasBeenSent: boolean;
+  /** Whether the transaction that it opens was ended meanwhile. */
+  isTransactionEnded: boolean;
   queueTimer: NodeJS.Timeout | undefined;
   resolve(outcome: CallOutcome): void;
 }
