--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -82,6 +82,8 @@
   const missingSinceMs = new Map<string, number>();
   const positionHistory = createPositionHistory();
   const transactions = new Map<string, OpenTransaction>();
+  /** First statements of transactions that are not answered yet, by transaction. */
+  const openings = new Map<string, PendingStatement>();
   let queue: PendingStatement[] = [];
   let maxConnections = 1;
   let isClosed = false;
@@ -152,6 +154,8 @@
 
   const resolveStatement = (statement: PendingStatement, outcome: CallOutcome): void => {
     clearTimeout(statement.queueTimer);
+    const { senderId, call } = statement;
+    if (call.opensTransaction) openings.delete(toTransactionKey(senderId, call.transaction));
     const isNotRun =
       outcome.kind === 'notOwner' || (outcome.kind === 'refused' && outcome.code === 'busy');
     if (isNotRun && !statement.isInTransaction && !statement.hasBeenSent)
@@ -244,8 +248,22 @@
     return { kind: 'execute', requestId, name, argumentsText: prepared.argumentsText, notBefore };
   };
 
+  /** Refuses the first statement of a transaction that was ended before it was open. */
+  const resolveEndedOpening = (statement: PendingStatement): void =>
+    resolveStatement(statement, createRefusal('aborted', 'the transaction was ended'));
+
+  const endOpening = (opening: PendingStatement): void => {
+    const statement = opening;
+    statement.isTransactionEnded = true;
+    if (!queue.includes(statement)) return;
+    queue = queue.filter((queued) => queued !== statement);
+    resolveEndedOpening(statement);
+  };
+
   const requeue = (statement: PendingStatement): void => {
-    if (isClosed || (isDraining && !statement.isInTransaction)) {
+    if (statement.isTransactionEnded) {
+      resolveEndedOpening(statement);
+    } else if (isClosed || (isDraining && !statement.isInTransaction)) {
       resolveStatement(statement, { kind: 'notOwner' });
     } else if (statement.attempts >= MAX_ATTEMPTS || nowMs() >= statement.queueDeadlineMs) {
       resolveStatement(
@@ -497,13 +515,15 @@
       idleTimer: undefined,
       idleMs: call.transactionIdleMs,
     };
-    if (isClosed) {
+    if (isClosed || statement.isTransactionEnded) {
       pool.closeConnection(connection);
-      resolveStatement(statement, { kind: 'notOwner' });
+      requeue(statement);
       return;
     }
     transactions.set(transaction.id, transaction);
-    await runInTransaction(statement, transaction);
+    const first = statement;
+    first.isInTransaction = true;
+    await runInTransaction(first, transaction);
   };
 
   const start = (statement: PendingStatement, pool: MemberPool, run: () => Promise<void>): void => {
@@ -534,12 +554,13 @@
   /** Starts or refuses a queued statement; returns false when no endpoint can take it yet. */
   const tryStartStatement = (entry: PendingStatement): boolean => {
     const { call } = entry;
-    if (call.transaction !== 0 && !call.opensTransaction) {
-      const transaction = findTransaction(entry);
-      if (!transaction) {
-        resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
-        return true;
-      }
+    const transaction = findTransaction(entry);
+    if (!transaction && entry.isInTransaction) {
+      resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
+      return true;
+    }
+    // A first statement that the endpoint refused as busy finds its transaction open.
+    if (transaction) {
       const load = transaction.pool.getLoad(call.account, true);
       if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
       start(entry, transaction.pool, () => runInTransaction(entry, transaction));
@@ -716,6 +737,7 @@
           priority: call.priority,
           attempts: 0,
           hasBeenSent: false,
+          isTransactionEnded: false,
           queueTimer: undefined,
           resolve,
         };
@@ -723,6 +745,8 @@
           () => expireStatement(statement),
           Math.max(1, statement.queueDeadlineMs - now),
         );
+        if (call.opensTransaction)
+          openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.push(statement);
         scheduler.dispatch();
       });
@@ -730,14 +754,18 @@
     hasTransaction: (senderId: string, transactionId: number): boolean =>
       transactions.has(toTransactionKey(senderId, transactionId)),
     endTransaction: (senderId: string, transactionId: number): void => {
-      const transaction = transactions.get(toTransactionKey(senderId, transactionId));
+      const key = toTransactionKey(senderId, transactionId);
+      const transaction = transactions.get(key);
+      const opening = openings.get(key);
       if (transaction) endTransaction(transaction, false);
+      if (opening) endOpening(opening);
     },
     /** Rolls back all open transactions of a VM process that is gone. */
     endTransactionsOfSender: (senderId: string): void => {
       [...transactions.values()]
         .filter(({ id }) => id.startsWith(`${senderId}/`))
         .forEach((transaction) => endTransaction(transaction, false));
+      [...openings.values()].filter((opening) => opening.senderId === senderId).forEach(endOpening);
     },
     /** Called when another VM has become the owner: only open transactions continue here. */
     startDraining: (): void => {
