--- a/packages/auburngrade/src/commands/runCommand.ts
+++ b/packages/auburngrade/src/commands/runCommand.ts
@@ -1,7 +1,11 @@
 import { readFileSync } from 'node:fs';
 import { Flags } from '@oclif/core';
+import listenForSignals from '../daemon/listenForSignals';
 import startDaemon from '../daemon/startDaemon';
+import createLogger from '../log/createLogger';
 import parseSettings from '../settings/parseSettings';
+import reportChangedSettings from '../settings/reportChangedSettings';
+import type Settings from '../settings/settings';
 import ProgramCommand from './programCommand';
 
 /** Runs a VM's daemon until it is told to stop. */
@@ -17,11 +21,15 @@
 
   override async run(): Promise<void> {
     const { flags } = await this.parse(RunCommand);
-    const stop = await startDaemon(parseSettings(readFileSync(flags.settings, 'utf8')));
-    await new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
-    });
+    const read = (): Settings => parseSettings(readFileSync(flags.settings, 'utf8'));
+    const settings = read();
+    const logger = createLogger(settings);
+    // Before the start: its ports take work before all of them are open.
+    const stopRequested = listenForSignals(process, () =>
+      reportChangedSettings({ inForce: settings, read, logger }),
+    );
+    const stop = await startDaemon(settings);
+    await stopRequested;
     await stop();
   }
 }
