--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -82,6 +82,8 @@
     return outcome;
   };
 
+  let isEnding = false;
+
   const router = createRouter({
     ...settings,
     membership: options.membership,
@@ -91,6 +93,7 @@
     markLeaving: leavingNotices.add,
     executeLocally,
     beginLocally: transactions.begin,
+    isEnding: () => isEnding,
     metrics: createRoutingMetrics(metrics.registry),
     nowMs,
   });
@@ -102,7 +105,12 @@
     begin: router.begin,
     executeLocally,
     beginLocally: transactions.begin,
-    abortTransactions: transactions.abortAll,
+    /** Ends all running work at a planned stop: none is tried again, and connections are closed. */
+    endWork: (): void => {
+      isEnding = true;
+      transactions.abortAll();
+      groups.endAll();
+    },
     close: readExecutor.close,
   };
 };
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -148,6 +148,7 @@
     execute: statements.execute,
     begin: statements.begin,
     beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     awaitConfiguration: configurationWaiter.wait,
     onKeysChanged: createKeyRecheckScheduler(configuration),
     metrics,
@@ -179,6 +180,7 @@
     openFollowSession: configurationDistribution.openFollowSession,
     beginLocally: statements.beginLocally,
     beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     messageHandlers: new Map<string, MessageHandler>([
       ...admissionService.messageHandlers,
       ['suspicion', promotions.handleSuspicionMessage],
@@ -223,7 +225,7 @@
       announce: async () => {
         await Promise.all([leavingNotices.announce(), admissionService.shares.handOver()]);
       },
-      abortAll: statements.abortTransactions,
+      endWork: statements.endWork,
     });
     await servers.stop();
     promotions.stop();
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -6,6 +6,7 @@
 
 /** Limit for statements that still run on a replaced client when its group's document changes. */
 const REPLACED_DRAIN_TIMEOUT_MS = 3_000;
+const RETRY_AFTER_MS = 100;
 
 /** Creates group clients on first use and replaces them when the group's document changes. */
 const createGroupRegistry = (
@@ -21,6 +22,8 @@
   /** Clients by group that wait for running statements to finish; a group may have several. */
   const drainingClients = new Map<string, Set<GroupClient>>();
 
+  let isEnded = false;
+
   /** Closes a group's clients; connections in use close on release or after `forceCloseAfterMs`. */
   const closeGroup = (name: string, forceCloseAfterMs?: number): void => {
     clients.get(name)?.close(forceCloseAfterMs);
@@ -49,8 +52,9 @@
     await Promise.all(draining.map((client) => drainClient(name, client, forceCloseAfterMs)));
   };
 
-  /** @throws RefusalError `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
+  /** @throws RefusalError `shuttingDown`, `unknownGroup`, or `noConnection` while this VM holds no slot of it. */
   const get = (name: string): GroupClient => {
+    if (isEnded) throw createNotRunError('shuttingDown', 'the VM is shutting down', RETRY_AFTER_MS);
     const group = configuration.get('group', name);
     if (!group) throw createNotRunError('unknownGroup', `group ${name} does not exist`);
     if (!mayHold(name))
@@ -76,9 +80,16 @@
   return {
     get,
     /** Whether this VM may have connections to a group now. */
-    mayHold,
+    mayHold: (name: string): boolean => !isEnded && mayHold(name),
     release: closeGroup,
     drainGroup,
+    /** Refuses further use, and ends what runs or waits by closing its connections. */
+    endAll: (): void => {
+      isEnded = true;
+      new Set([...clients.keys(), ...drainingClients.keys()]).forEach((name) =>
+        drainGroup(name, 0),
+      );
+    },
     listClients: (): GroupClient[] => [...clients.values()],
     close: (): void => [...clients.keys()].forEach((name) => closeGroup(name)),
   };
--- a/packages/auburngrade/src/routing/createRouter.ts
+++ b/packages/auburngrade/src/routing/createRouter.ts
@@ -36,6 +36,8 @@
   markLeaving(vm: string): void;
   executeLocally(request: StatementRequest): Promise<StatementOutcome>;
   beginLocally(request: TransactionRequest): Promise<Transaction>;
+  /** Whether this VM ends running work, so that failed requests are not tried again. */
+  isEnding(): boolean;
   metrics: RoutingMetrics;
   nowMs(): number;
 }
@@ -148,7 +150,7 @@
           random,
         };
         const decision = decideRetry(state);
-        if (decision.kind === 'giveUp' || !retryBudget.takeRetryToken()) {
+        if (decision.kind === 'giveUp' || options.isEnding() || !retryBudget.takeRetryToken()) {
           return attempts.waitForLateAnswer(deadlineAtMs - nowMs(), new RefusalError(refusal));
         }
         metrics.retries.inc({ group, code: latestRefusal.code });
--- a/packages/auburngrade/src/serving/createCallerHandler.ts
+++ b/packages/auburngrade/src/serving/createCallerHandler.ts
@@ -18,6 +18,9 @@
 import type createAuthenticator from '../authentication/createAuthenticator';
 import type Metrics from '../metrics/metrics';
 import type Settings from '../settings/settings';
+import answerByCutOff from '../shutdown/answerByCutOff';
+import createCutOffRefusal from '../shutdown/createCutOffRefusal';
+import type WorkTracker from '../shutdown/workTracker';
 import createTransactionHandler from '../transactions/createTransactionHandler';
 import type Transaction from '../transactions/transaction';
 import checkRequest from './checkRequest';
@@ -32,6 +35,8 @@
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
+  /** Calls the listener when the VM, which shuts down, waits for work no longer. */
+  onCutOff: WorkTracker['onCutOff'];
   /** Waits until this VM has loaded its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns a function that unsubscribes. */
@@ -61,20 +66,29 @@
       checkRequest(statement, this.options.settings);
       checkStatement(statement, this.options.settings);
       const sessionToken = decodeSessionToken(statement.sessionToken);
-      await this.options.awaitConfiguration(startedAtMs + statement.timeoutMs);
+      const { onCutOff } = this.options;
+      const refuseUnstarted = () => createCutOffRefusal('notRun');
+      await answerByCutOff(
+        this.options.awaitConfiguration(startedAtMs + statement.timeoutMs),
+        onCutOff,
+        refuseUnstarted,
+      );
       const { profile, group } = statement;
       const caller = this.options.authenticator.authenticate(key, profile, group);
       labels.profile = statement.profile;
       labels.account = caller.account ?? 'none';
       const deadlineAtMs = startedAtMs + statement.timeoutMs;
-      await waitWhileKeyIsValid(
-        this.options.admission.admit(caller.account, statement.profile, deadlineAtMs),
-        {
-          check: () => this.options.authenticator.authenticate(key, profile, group),
-          onKeysChanged: this.options.onKeysChanged,
-        },
+      const admission = this.options.admission.admit(
+        caller.account,
+        statement.profile,
+        deadlineAtMs,
       );
-      const outcome = await this.options.execute({
+      const keyValidity = {
+        check: () => this.options.authenticator.authenticate(key, profile, group),
+        onKeysChanged: this.options.onKeysChanged,
+      };
+      await answerByCutOff(waitWhileKeyIsValid(admission, keyValidity), onCutOff, refuseUnstarted);
+      const execution = this.options.execute({
         requestId,
         account: caller.account,
         keyHash: caller.keyHash,
@@ -86,6 +100,9 @@
         sessionToken,
         deadlineAtMs,
       });
+      const outcome = await answerByCutOff(execution, onCutOff, () =>
+        createCutOffRefusal('mayHaveRun'),
+      );
       this.options.metrics.requests.inc({ ...labels, verdict: 'ran', code: 'none' });
       const elapsedS = (this.options.nowMs() - startedAtMs) / MS_PER_S;
       this.options.metrics.latencyS.observe(labels, elapsedS);
--- a/packages/auburngrade/src/serving/createPeerHandler.ts
+++ b/packages/auburngrade/src/serving/createPeerHandler.ts
@@ -16,6 +16,9 @@
   type ForwardedStep,
   type PeerMessage,
 } from '@auburngrade/vm';
+import answerByCutOff from '../shutdown/answerByCutOff';
+import createCutOffRefusal from '../shutdown/createCutOffRefusal';
+import type WorkTracker from '../shutdown/workTracker';
 import createForwardedTransaction from '../transactions/createForwardedTransaction';
 import type Transaction from '../transactions/transaction';
 import type MessageHandler from '../membership/messageHandler';
@@ -27,6 +30,8 @@
   beginLocally(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
+  /** Calls the listener when the VM, which shuts down, waits for work no longer. */
+  onCutOff: WorkTracker['onCutOff'];
   /** Handlers of messages between VMs, by message kind. */
   messageHandlers: ReadonlyMap<string, MessageHandler>;
   /** Serves configuration to another VM. */
@@ -43,7 +48,7 @@
     let endWork = (): void => {};
     try {
       endWork = this.options.beginWork();
-      const outcome = await this.options.executeLocally({
+      const execution = this.options.executeLocally({
         requestId: statement.requestId,
         account: statement.account || undefined,
         keyHash: statement.keyHash || undefined,
@@ -55,6 +60,9 @@
         sessionToken: decodeSessionToken(statement.sessionToken),
         deadlineAtMs: this.options.nowMs() + statement.timeoutMs,
       });
+      const outcome = await answerByCutOff(execution, this.options.onCutOff, () =>
+        createCutOffRefusal('mayHaveRun'),
+      );
       return { verdict: 'ran', bodyJson: JSON.stringify(outcome) };
     } catch (error) {
       const refusal = toRefusal(error);
--- a/packages/auburngrade/src/shutdown/drainWork.ts
+++ b/packages/auburngrade/src/shutdown/drainWork.ts
@@ -5,28 +5,46 @@
 interface DrainOptions {
   tracker: WorkTracker;
   timings: Settings['shutdown'];
+  /** Notifies the other VMs; the drain does not depend on its success. */
   announce(): Promise<void>;
-  /** Rolls back the transactions still open when all work has ended or the drain timed out. */
-  abortAll(): void;
+  /** Ends the work still running at the endpoints, so that it fails with what is known of it. */
+  endWork(): void;
 }
 
+/** Time for the answers to work that was ended at its endpoint, before the rest is answered unseen. */
+const ANSWER_WAIT_MS = 300;
+/** Time for the answers that the cut-off gives, which need no I/O. */
+const CUT_OFF_WAIT_MS = 100;
+
+/** Whether the work has ended by the time given. */
+const hasEndedWithin = async (workEnded: Promise<void>, waitMs: number): Promise<boolean> => {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<boolean>((resolve) => {
+    timer = setTimeout(() => resolve(false), waitMs);
+  });
+  const hasEnded = await Promise.race([workEnded.then(() => true), timeout]);
+  clearTimeout(timer);
+  return hasEnded;
+};
+
 /**
- * Rejects new work, notifies the other VMs and resolves when running work has ended or the
- * drain timed out. The VM keeps replying for at least `noticeMs`, so that callers get a
- * refusal, not a closed port, while the load balancer still routes to it.
+ * Rejects new work, notifies the other VMs and resolves when running work has been answered: by
+ * its end, or when the drain timed out with what is known of it. The VM keeps replying for at least
+ * `noticeMs`, so that callers get a refusal, not a closed port, while the load balancer still
+ * routes to it.
  */
-const drainWork = async ({ tracker, timings, announce, abortAll }: DrainOptions): Promise<void> => {
+const drainWork = async ({ tracker, timings, announce, endWork }: DrainOptions): Promise<void> => {
   const workEnded = new Promise<void>((resolve) => {
     tracker.drain(resolve);
   });
-  const noticePeriod = Promise.all([announce(), sleep(timings.noticeMs)]);
-  let timer: NodeJS.Timeout | undefined;
-  const drainTimeout = new Promise<void>((resolve) => {
-    timer = setTimeout(resolve, timings.drainTimeoutMs);
-  });
-  await Promise.race([workEnded, drainTimeout]);
-  clearTimeout(timer);
-  abortAll();
+  const noticePeriod = Promise.allSettled([announce(), sleep(timings.noticeMs)]);
+  if (!(await hasEndedWithin(workEnded, timings.drainTimeoutMs))) {
+    endWork();
+    if (!(await hasEndedWithin(workEnded, ANSWER_WAIT_MS))) {
+      tracker.cutOff();
+      await hasEndedWithin(workEnded, CUT_OFF_WAIT_MS);
+    }
+  }
   await noticePeriod;
   tracker.stop();
 };
--- a/packages/auburngrade/src/transactions/createForwardedTransaction.ts
+++ b/packages/auburngrade/src/transactions/createForwardedTransaction.ts
@@ -2,18 +2,25 @@
   acceptStep,
   decodeSessionToken,
   toRefusal,
+  type RefusalError,
   type StatementOutcome,
   type StepHandler,
+  type StepKind,
   type TransactionProgress,
   type TransactionRequest,
 } from '@auburngrade/coordination';
 import type { ForwardedBegin, ForwardedReply, ForwardedStep } from '@auburngrade/vm';
+import answerByCutOff from '../shutdown/answerByCutOff';
+import type WorkTracker from '../shutdown/workTracker';
+import createStepCutOffRefusal from './createStepCutOffRefusal';
 import type Transaction from './transaction';
 
 interface ForwardedTransactionOptions {
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
+  /** Calls the listener when the VM, which shuts down, waits for work no longer. */
+  onCutOff: WorkTracker['onCutOff'];
   vm: string;
   nowMs(): number;
 }
@@ -33,6 +40,7 @@
 const createForwardedTransaction = ({
   begin,
   beginWork,
+  onCutOff,
   vm,
   nowMs,
 }: ForwardedTransactionOptions): StepHandler<ForwardedStep, ForwardedReply> => {
@@ -61,10 +69,24 @@
     return transaction.run(sql, parameterTexts);
   };
 
+  const abort = (): void => {
+    isStreamLost = true;
+    transaction?.abort();
+    endWork();
+  };
+
+  /** Rolls back: without an answer to its steps the transaction is of no use. */
+  const refuseAtCutOff = (kind: StepKind | undefined): RefusalError => {
+    abort();
+    return createStepCutOffRefusal(kind);
+  };
+
   return {
     step: async (step) => {
       try {
-        const body = await run(step);
+        const body = await answerByCutOff(run(step), onCutOff, () =>
+          refuseAtCutOff(step.body?.$case),
+        );
         return { step: step.step, outcome: { verdict: 'ran', bodyJson: JSON.stringify(body) } };
       } catch (error) {
         const refusal = toRefusal(error);
@@ -75,11 +97,7 @@
         if (progress.phase === 'ended') endWork();
       }
     },
-    abort: () => {
-      isStreamLost = true;
-      transaction?.abort();
-      endWork();
-    },
+    abort,
   };
 };
 
--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -12,7 +12,9 @@
   createNotRunError,
   toRefusal,
   type Refusal,
+  type RefusalError,
   type StatementOutcome,
+  type StepKind,
   type TransactionProgress,
   type TransactionRequest,
 } from '@auburngrade/coordination';
@@ -24,6 +26,9 @@
 import checkStatement from '../serving/checkStatement';
 import toOutcome from '../serving/toOutcome';
 import type Settings from '../settings/settings';
+import answerByCutOff from '../shutdown/answerByCutOff';
+import type WorkTracker from '../shutdown/workTracker';
+import createStepCutOffRefusal from './createStepCutOffRefusal';
 import type Transaction from './transaction';
 
 interface TransactionHandlerOptions {
@@ -33,6 +38,8 @@
   begin(request: TransactionRequest): Promise<Transaction>;
   /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
   beginWork(): () => void;
+  /** Calls the listener when the VM, which shuts down, waits for work no longer. */
+  onCutOff: WorkTracker['onCutOff'];
   /** Waits until this VM has loaded its configuration. @throws RefusalError `configurationMissing` */
   awaitConfiguration(deadlineAtMs: number): Promise<void>;
   /** Calls `recheck` whenever keys may have changed; returns a function that unsubscribes. */
@@ -66,7 +73,7 @@
   let requestId = '';
   let sessionToken = '';
   let hasRunStatement = false;
-  let isStreamLost = false;
+  let isAbandoned = false;
 
   const closeTransaction = (): void => {
     openTransaction?.close();
@@ -101,26 +108,26 @@
     deadlineAtMs: nowMs() + begin.timeoutMs,
   });
 
-  const open = async (request: TransactionRequest, profile: string): Promise<OpenTransaction> => {
-    const endWork = options.beginWork();
-    try {
-      const transaction = await options.begin(request);
-      const stopKeyRechecks = options.onKeysChanged(() => recheck(profile, request.group));
-      const timer = setTimeout(abort, request.deadlineAtMs - nowMs());
-      const close = (): void => {
-        clearTimeout(timer);
-        stopKeyRechecks();
-        endWork();
-      };
-      return { transaction, request, close };
-    } catch (error) {
+  const open = async (
+    request: TransactionRequest,
+    profile: string,
+    endWork: () => void,
+  ): Promise<OpenTransaction> => {
+    const transaction = await options.begin(request);
+    const stopKeyRechecks = options.onKeysChanged(() => recheck(profile, request.group));
+    const timer = setTimeout(abort, request.deadlineAtMs - nowMs());
+    const close = (): void => {
+      clearTimeout(timer);
+      stopKeyRechecks();
       endWork();
-      throw error;
-    }
+    };
+    return { transaction, request, close };
   };
 
-  const begin = async (step: TransactionBegin): Promise<StatementOutcome> => {
-    sessionToken = step.sessionToken;
+  const admitAndOpen = async (
+    step: TransactionBegin,
+    endWork: () => void,
+  ): Promise<StatementOutcome> => {
     checkRequest(step, settings);
     await options.awaitConfiguration(nowMs() + step.timeoutMs);
     const caller = authenticator.authenticate(key, step.profile, step.group);
@@ -130,12 +137,24 @@
       check: () => authenticator.authenticate(key, step.profile, step.group),
       onKeysChanged: options.onKeysChanged,
     });
-    openTransaction = await open(request, step.profile);
-    if (isStreamLost) abort();
+    openTransaction = await open(request, step.profile, endWork);
+    if (isAbandoned) abort();
     const servedBy = { vm: settings.vm, endpoint: '', role: 'primary' as const };
     return { rows: BEGIN_RESULT, sessionToken: request.sessionToken, servedBy };
   };
 
+  /** Counted as work from its arrival, since it may wait long before the transaction is open. */
+  const begin = async (step: TransactionBegin): Promise<StatementOutcome> => {
+    sessionToken = step.sessionToken;
+    const endWork = options.beginWork();
+    try {
+      return await admitAndOpen(step, endWork);
+    } catch (error) {
+      endWork();
+      throw error;
+    }
+  };
+
   const runStatement = async (
     { transaction, request }: OpenTransaction,
     statement: Extract<Body, { $case: 'statement' }>['statement'],
@@ -166,9 +185,18 @@
     }
   };
 
+  /** Rolls back: a begin that is still waiting is aborted once it is open. */
+  const refuseAtCutOff = (kind: StepKind | undefined): RefusalError => {
+    isAbandoned = true;
+    abort();
+    return createStepCutOffRefusal(kind);
+  };
+
   const handleStep = async (step: TransactionStep): Promise<TransactionReply> => {
     try {
-      const outcome = await run(step);
+      const outcome = await answerByCutOff(run(step), options.onCutOff, () =>
+        refuseAtCutOff(step.body?.$case),
+      );
       const answer = toOutcome(requestId, sessionToken, { kind: 'ran', outcome });
       return { step: step.step, outcome: answer };
     } catch (error) {
@@ -182,7 +210,7 @@
   return {
     step: handleStep,
     abort: () => {
-      isStreamLost = true;
+      isAbandoned = true;
       abort();
     },
   };
--- a/packages/coordination/src/shutdown/createWorkTracker.ts
+++ b/packages/coordination/src/shutdown/createWorkTracker.ts
@@ -13,6 +13,8 @@
   let phase: Phase = 'serving';
   let openCount = 0;
   let onIdle = (): void => {};
+  let isCutOff = false;
+  const cutOffListeners = new Set<() => void>();
 
   const finishWork = (): void => {
     openCount -= 1;
@@ -40,6 +42,17 @@
       onIdle = whenIdle;
       if (openCount === 0) onIdle();
     },
+    /** Calls the listener once work has to be answered without waiting for its end any longer. */
+    onCutOff: (listener: () => void): (() => void) => {
+      if (isCutOff) listener();
+      else cutOffListeners.add(listener);
+      return () => cutOffListeners.delete(listener);
+    },
+    /** Has the work still in progress answered with what is known of it. */
+    cutOff: (): void => {
+      isCutOff = true;
+      cutOffListeners.forEach((listener) => listener());
+    },
     stop: (): void => {
       phase = 'stopped';
     },
