--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -158,6 +158,8 @@
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
     announceWithdrawal: keyFreshness.announceWithdrawal,
+    beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     describeVm: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -21,12 +21,19 @@
 import type createDocumentWriter from '../configuration/createDocumentWriter';
 import createRefusedChange from '../configuration/createRefusedChange';
 import findUnknownReferences from '../configuration/findUnknownReferences';
+import answerByCutOff from '../shutdown/answerByCutOff';
+import createCutOffRefusal from '../shutdown/createCutOffRefusal';
+import type WorkTracker from '../shutdown/workTracker';
 
 interface OperatorHandlerOptions {
   configuration: ConfigurationState;
   writer: ReturnType<typeof createDocumentWriter>;
   /** Notifies other VMs of a stored withdrawal; resolves with the message on when it takes effect. */
   announceWithdrawal(revision: number): Promise<string>;
+  /** Counts work until the returned function is called; throws a refusal while the VM shuts down. */
+  beginWork(): () => void;
+  /** Calls the listener when the VM, which shuts down, waits for work no longer. */
+  onCutOff: WorkTracker['onCutOff'];
   /** Returns this VM's state for the `status` reply. */
   describeVm(): Record<string, unknown>;
 }
@@ -49,16 +56,6 @@
   }
 };
 
-/** Converts a thrown refusal into the reply. */
-const toChange = async (run: () => Promise<Change>): Promise<Change> => {
-  try {
-    return await run();
-  } catch (error) {
-    const { verdict, code, message } = toRefusal(error);
-    return { ...createRefusedChange(code, message), verdict };
-  }
-};
-
 class DaemonOperatorHandler extends OperatorHandler {
   constructor(private readonly options: OperatorHandlerOptions) {
     super();
@@ -86,7 +83,7 @@
     }
     const document = parsed.data;
     const { configuration, writer } = this.options;
-    const change = await toChange(() =>
+    const change = await this.change(() =>
       writer.write({ kind, name, document, expectedRevision, changeId }),
     );
     const missing = findUnknownReferences(configuration, kind, document);
@@ -102,7 +99,7 @@
         `documents of kind ${kind} do not exist or are read-only`,
       );
     const { writer } = this.options;
-    return toChange(() =>
+    return this.change(() =>
       writer.write({ kind, name, document: undefined, expectedRevision, changeId }),
     );
   }
@@ -124,7 +121,7 @@
     const key = randomBytes(KEY_BYTES).toString('base64url');
     const name = createHash('sha256').update(key).digest('hex');
     const { writer } = this.options;
-    const change = await toChange(async () => {
+    const change = await this.change(async () => {
       if (!(await writer.read('account', account))) {
         return createRefusedChange('badRequest', `client account ${account} does not exist`);
       }
@@ -146,18 +143,34 @@
         'the key id must be 16 to 64 lower-case hexadecimal digits',
       );
     const { writer, announceWithdrawal } = this.options;
-    const change = await toChange(async () => {
+    return this.change(async () => {
       const { hash, document, revision } = await writer.findKey(keyId);
-      return writer.write({
+      const change = await writer.write({
         kind: 'key',
         name: hash,
         document: { ...(document as Record<string, unknown>), withdrawn: true },
         expectedRevision: revision,
         changeId,
       });
+      if (change.verdict !== 'ran') return change;
+      return { ...change, message: await announceWithdrawal(change.revision) };
     });
-    if (change.verdict !== 'ran') return change;
-    return { ...change, message: await announceWithdrawal(change.revision) };
+  }
+
+  /** Runs a change as counted work; a thrown refusal becomes the reply. */
+  private async change(run: () => Promise<Change>): Promise<Change> {
+    let endWork = (): void => {};
+    try {
+      endWork = this.options.beginWork();
+      return await answerByCutOff(run(), this.options.onCutOff, () =>
+        createCutOffRefusal('mayHaveRun'),
+      );
+    } catch (error) {
+      const { verdict, code, message } = toRefusal(error);
+      return { ...createRefusedChange(code, message), verdict };
+    } finally {
+      endWork();
+    }
   }
 
   override async status(): Promise<StatusReply> {
