--- a/packages/auburngrade/src/groups/createConnectionPool.spec.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.spec.ts
@@ -106,5 +106,12 @@
       expect((await running).code).to.equal(undefined);
       expect(endpoint.connects).to.equal(1);
     });
+
+    it('refuses a request that comes later at once, so that it can go to another VM', async () => {
+      pool.close();
+      const startedAtMs = nowMs();
+      expect((await runStatement(pool, 'a', TIMEOUT_MS)).code).to.equal('noConnection');
+      expect(nowMs() - startedAtMs).to.be.below(TIMEOUT_MS / 3);
+    });
   });
 });
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -24,6 +24,7 @@
 const DEFAULT_DRAIN_TIMEOUT_MS = 3_000;
 /** Queue shared by requests without an account: open routes and the VM's own statements. */
 const SHARED_QUEUE_KEY = '';
+const CLOSED_MESSAGE = 'the connection pool is closed';
 const DEFAULT_OPTIONS: PoolOptions = {
   order: 'fair',
   maxQueuedPerAccount: 256,
@@ -246,6 +247,7 @@
       deadlineAtMs: number,
       drainTimeoutMs = DEFAULT_DRAIN_TIMEOUT_MS,
     ): Promise<CheckedOutConnection> => {
+      if (isClosed) throw createNotRunError('noConnection', CLOSED_MESSAGE);
       const weight = account === undefined ? 1 : options.weightOf(account);
       return enqueue(queueKeyOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
@@ -263,7 +265,7 @@
       if (isClosed && forceCloseAfterMs === undefined) return;
       isClosed = true;
       idle.splice(0).forEach(closeConnection);
-      while (queue.size() > 0) refuseNext('the connection pool is closed');
+      while (queue.size() > 0) refuseNext(CLOSED_MESSAGE);
       drainTimeoutMsByConnection.forEach((drainTimeoutMs, connection) =>
         closeAfter(connection, forceCloseAfterMs ?? drainTimeoutMs),
       );
