--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -148,6 +148,7 @@
     execute: statements.execute,
     begin: statements.begin,
     beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     awaitConfiguration: configurationWaiter.wait,
     onKeysChanged: createKeyRecheckScheduler(configuration),
     metrics,
@@ -157,6 +158,8 @@
     configuration,
     writer: createDocumentWriter({ platform, timeoutMs, nowMs }),
     announceWithdrawal: keyFreshness.announceWithdrawal,
+    beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     describeVm: () => ({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
@@ -179,6 +182,7 @@
     openFollowSession: configurationDistribution.openFollowSession,
     beginLocally: statements.beginLocally,
     beginWork: workTracker.startWork,
+    onCutOff: workTracker.onCutOff,
     messageHandlers: new Map<string, MessageHandler>([
       ...admissionService.messageHandlers,
       ['suspicion', promotions.handleSuspicionMessage],
@@ -223,7 +227,7 @@
       announce: async () => {
         await Promise.all([leavingNotices.announce(), admissionService.shares.handOver()]);
       },
-      abortAll: statements.abortTransactions,
+      endWork: statements.endWork,
     });
     await servers.stop();
     promotions.stop();
