--- a/packages/auburngrade/src/transactions/createTransactionHandler.ts
+++ b/packages/auburngrade/src/transactions/createTransactionHandler.ts
@@ -116,8 +116,11 @@
     const transaction = await options.begin(request);
     const stopKeyRechecks = options.onKeysChanged(() => recheck(profile, request.group));
     const timer = setTimeout(abort, request.deadlineAtMs - nowMs());
+    // Also while idle: a commit that came later would be passed on with nobody to answer it.
+    const stopCutOff = options.onCutOff(abort);
     const close = (): void => {
       clearTimeout(timer);
+      stopCutOff();
       stopKeyRechecks();
       endWork();
     };
