--- a/review/standIns/openSession.mjs
+++ b/review/standIns/openSession.mjs
@@ -43,7 +43,10 @@
           end = undefined;
           record('client.sent', { vm: vm.name, request: id, text });
           resolveAnswer = (answer) => {
-            record('client.answered', { request: id, ...answer });
+            const bytes = answer.rows.reduce((sum, row) => sum + row.length, 0);
+            const { kind, code, state } = answer;
+            const known = bytes < 1_000 ? answer.rows : `${answer.rows.length} rows`;
+            record('client.answered', { request: id, kind, code, state, rows: known, bytes });
             resolve(answer);
           };
           timer = setTimeout(close, ANSWER_TIMEOUT_MS);
--- a/review/standIns/startMember.mjs
+++ b/review/standIns/startMember.mjs
@@ -112,7 +112,8 @@
       try {
         if (mode === 'READ') {
           const value = findValue(item);
-          return `${value === undefined ? '' : `DATAROW ${value}\r\n`}${sign(requestId)}`;
+          const rows = service.loadedRows.get(item) ?? (value === undefined ? [] : [value]);
+          return `${rows.map((row) => `DATAROW ${row}\r\n`).join('')}${sign(requestId)}`;
         }
         if (mode === 'WRITE') written.push({ item, data });
         if (mode === 'COMMIT' || state === 'I') {
--- a/review/standIns/startService.mjs
+++ b/review/standIns/startService.mjs
@@ -9,9 +9,18 @@
 const startService = async ({ name, zones, syncReplicas, record, readMs, commitTimeoutMs }) => {
   const members = new Map();
   const entries = new Map();
+  /** Rows of items that the members held before the system was put in front of them. */
+  const loadedRows = new Map();
   /** What the members ran, in order. */
   const runs = [];
-  const service = { name, members, runs, platform: undefined, onPromoted: () => undefined };
+  const service = {
+    name,
+    members,
+    loadedRows,
+    runs,
+    platform: undefined,
+    onPromoted: () => undefined,
+  };
   let primary;
   let term = 1;
 
--- a/review/standIns/startVm.mjs
+++ b/review/standIns/startVm.mjs
@@ -65,6 +65,7 @@
     host: HOST,
     port: front,
     log: () => log,
+    signal: (signal) => child.kill(signal),
     stop: async () => {
       child.kill('SIGKILL');
       await exited;
