--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,57 +1,55 @@
-import { performance } from 'node:perf_hooks';
+import { setTimeout } from 'node:timers';
 import runCase from '../standIns/runCase.mjs';
 import sleep from '../standIns/sleep.mjs';
 
-/** At most 5 s in the site's list of troubles. */
-const CUT_MS = 3_000;
-/** Time limit of the members for a commit: shorter than `TimeoutMs` of the route, 1,000 ms. */
-const COMMIT_TIMEOUT_MS = 600;
-const PAUSE_MS = 50;
-const PROMISES = ['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'];
+const WRITERS = 3;
+const WRITE_PAUSE_MS = 40;
+const DRAIN_MS = 7_000;
+/** At most 6.5 s in the site file. */
+const DEAF_MS = 6_500;
+const CRASH_AFTER_MS = 3_000;
+const RUN_MS = 12_000;
 
-const options = { syncReplicas: 1, commitTimeoutMs: COMMIT_TIMEOUT_MS };
-
-await runCase(import.meta.dirname, options, async (deployment, isTrouble) => {
+await runCase(import.meta.dirname, { syncReplicas: 1 }, async (deployment, isTrouble) => {
   const { record, service, open } = deployment;
-  /** Codes that answered the commit of each transaction, by the request id of the commit. */
-  const codes = new Map();
+  const acknowledged = new Set();
+  const broken = [];
+  let isEnded = false;
 
-  const runTransaction = async (number) => {
-    const session = await open(number);
-    if (!session) return;
-    const id = `t${number}`;
-    await session.query(`${id}b`, 'BEGIN');
-    const written = await session.query(`${id}w`, `WRITE item${number} v${number}`);
-    if (written.kind === 'complete') {
-      const answer = await session.query(`${id}c`, 'COMMIT');
-      codes.set(`${id}c`, answer.kind === 'complete' ? 'COMPLETE' : (answer.code ?? 'closed'));
-    }
-    session.close();
+  service.onPromoted = (member) => {
+    const held = new Set(member.log.map(({ requestId }) => requestId));
+    [...acknowledged]
+      .filter((id) => !held.has(id))
+      .forEach((id) =>
+        broken.push(`LOST: commit ${id} was acknowledged and isn't in the log of ${member.id}`),
+      );
   };
-
-  const runFor = async (durationMs, firstNumber) => {
-    const untilMs = performance.now() + durationMs;
-    let number = firstNumber;
-    while (performance.now() < untilMs) {
-      await runTransaction(number);
-      number += 1;
-      await sleep(PAUSE_MS);
+  const write = async (writer) => {
+    let session;
+    for (let count = 1; !isEnded; count += 1) {
+      if (!session?.isOpen()) session = await open(writer);
+      const id = `w${writer}x${count}`;
+      const answer = await session?.query(id, `WRITE item${writer} v${count}`);
+      if (answer?.kind === 'complete') acknowledged.add(id);
+      await sleep(WRITE_PAUSE_MS);
     }
+    session?.close();
   };
-  await runFor(1_000, 100);
-  // The primary is partitioned from its replicas, which receive nothing meanwhile.
-  if (isTrouble) service.setDeaf(['i-2', 'i-3'], true);
-  await runFor(CUT_MS, 200);
-  if (isTrouble) service.setDeaf(['i-2', 'i-3'], false);
-  await sleep(500);
-  await runFor(1_000, 300);
-  await sleep(500);
 
-  const isKept = (id) =>
-    [...service.members.values()].every(({ log }) => log.some((entry) => entry.requestId === id));
-  record('case.codes', Object.fromEntries(codes));
-  if (![...codes.values()].includes('COMPLETE')) return undefined;
-  return [...codes]
-    .filter(([id, code]) => PROMISES.includes(code) && isKept(id))
-    .map(([id, code]) => `REFUSED: ${id} was answered ${code} and is in the log of each member`);
+  const writers = Array.from({ length: WRITERS }, (_, index) => write(index));
+  await sleep(1_000);
+  // Planned work, in both runs: a replica leaves, and a new one takes its address and its log.
+  service.drain('i-2');
+  setTimeout(() => service.replace('i-2', 'i-4'), DRAIN_MS + 500);
+  if (isTrouble) {
+    // The other replica receives nothing for a while, and the primary crashes meanwhile.
+    service.setDeaf(['i-3'], true);
+    setTimeout(() => service.setDeaf(['i-3'], false), DEAF_MS);
+    setTimeout(() => service.crash('i-1'), CRASH_AFTER_MS);
+  }
+  await sleep(RUN_MS);
+  isEnded = true;
+  await Promise.all(writers);
+  record('case.acknowledged', { count: acknowledged.size });
+  return acknowledged.size > 0 ? broken : undefined;
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,37 +1,57 @@
+import { performance } from 'node:perf_hooks';
 import runCase from '../standIns/runCase.mjs';
 import sleep from '../standIns/sleep.mjs';
 
-const COUNT = 10;
+/** At most 5 s in the site's list of troubles. */
+const CUT_MS = 3_000;
+/** Time limit of the members for a commit: shorter than `TimeoutMs` of the route, 1,000 ms. */
+const COMMIT_TIMEOUT_MS = 600;
 const PAUSE_MS = 50;
+const PROMISES = ['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'];
 
-await runCase(import.meta.dirname, { syncReplicas: 0 }, async (deployment, isTrouble) => {
+const options = { syncReplicas: 1, commitTimeoutMs: COMMIT_TIMEOUT_MS };
+
+await runCase(import.meta.dirname, options, async (deployment, isTrouble) => {
   const { record, service, open } = deployment;
-  /** Text of each statement that a client sent, by its request id. */
-  const sent = new Map();
-  let answered = 0;
+  /** Codes that answered the commit of each transaction, by the request id of the commit. */
+  const codes = new Map();
 
-  // The data of each write holds text of the form of a message, after a line feed or after a blank.
-  const separator = isTrouble ? '\n' : ' ';
-  for (let number = 1; number <= COUNT; number += 1) {
+  const runTransaction = async (number) => {
     const session = await open(number);
-    const id = `n${number}`;
-    const text = `WRITE note${number} first${separator}QUERY s${number} WRITE price${number} 1`;
-    sent.set(id, text);
-    const answer = await session?.query(id, text);
-    if (answer && answer.kind !== 'closed') answered += 1;
-    await sleep(PAUSE_MS);
-    session?.close();
-  }
+    if (!session) return;
+    const id = `t${number}`;
+    await session.query(`${id}b`, 'BEGIN');
+    const written = await session.query(`${id}w`, `WRITE item${number} v${number}`);
+    if (written.kind === 'complete') {
+      const answer = await session.query(`${id}c`, 'COMMIT');
+      codes.set(`${id}c`, answer.kind === 'complete' ? 'COMPLETE' : (answer.code ?? 'closed'));
+    }
+    session.close();
+  };
+
+  const runFor = async (durationMs, firstNumber) => {
+    const untilMs = performance.now() + durationMs;
+    let number = firstNumber;
+    while (performance.now() < untilMs) {
+      await runTransaction(number);
+      number += 1;
+      await sleep(PAUSE_MS);
+    }
+  };
+  await runFor(1_000, 100);
+  // The primary is partitioned from its replicas, which receive nothing meanwhile.
+  if (isTrouble) service.setDeaf(['i-2', 'i-3'], true);
+  await runFor(CUT_MS, 200);
+  if (isTrouble) service.setDeaf(['i-2', 'i-3'], false);
   await sleep(500);
-  record('case.sent', Object.fromEntries(sent));
-  if (answered < COUNT) return undefined;
-  return service.runs.flatMap(({ member, requestId, text }) => {
-    if (requestId.startsWith('a')) return [];
-    const original = sent.get(requestId);
-    if (original === undefined)
-      return [`UNASKED: ${member} ran ${requestId}, which no client sent: ${text}`];
-    return original === text
-      ? []
-      : [`UNASKED: ${member} ran ${requestId} with a changed text: ${text}`];
-  });
+  await runFor(1_000, 300);
+  await sleep(500);
+
+  const isKept = (id) =>
+    [...service.members.values()].every(({ log }) => log.some((entry) => entry.requestId === id));
+  record('case.codes', Object.fromEntries(codes));
+  if (![...codes.values()].includes('COMPLETE')) return undefined;
+  return [...codes]
+    .filter(([id, code]) => PROMISES.includes(code) && isKept(id))
+    .map(([id, code]) => `REFUSED: ${id} was answered ${code} and is in the log of each member`);
 });
--- a/review/standIns/runCase.mjs
+++ b/review/standIns/runCase.mjs
@@ -27,7 +27,7 @@
       process.stdout.write(`${JSON.stringify({ isTrouble, broken: broken?.slice(0, 3) })}\n`);
     } else {
       record('case.notReady');
-      process.stdout.write(`not ready\n${deployment.vms.map((vm) => vm.log()).join('\n')}\n`);
+      process.stdout.write('not ready\n');
     }
   } finally {
     await deployment.stop();
--- a/review/standIns/startDeployment.mjs
+++ b/review/standIns/startDeployment.mjs
@@ -1,4 +1,5 @@
 import { performance } from 'node:perf_hooks';
+import createPartition from './createPartition.mjs';
 import createRecord from './createRecord.mjs';
 import openSession from './openSession.mjs';
 import sleep from './sleep.mjs';
@@ -14,8 +15,11 @@
 const RETRY_MS = 250;
 
 /** A small deployment: three VMs, one service of three members, the platform, and one database. */
-const startDeployment = async ({ recordPath, syncReplicas, commitTimeoutMs = 60_000 }) => {
+const startDeployment = async (options) => {
+  const { recordPath, syncReplicas, commitTimeoutMs = 60_000, vmZones = ZONES } = options;
   const record = createRecord(recordPath);
+  const { sideOfZone, platformZone } = options;
+  const partition = sideOfZone && createPartition({ sideOfZone, record });
   const service = await startService({
     name: SERVICE,
     zones: ZONES,
@@ -23,6 +27,8 @@
     record,
     readMs: 8,
     commitTimeoutMs,
+    platformZone,
+    ...partition,
   });
   const platform = await startPlatform({
     record,
@@ -50,13 +56,22 @@
   });
   service.register(platform);
   const vms = [];
-  for (const [index, zone] of ZONES.entries()) {
+  const zonesByPort = new Map();
+  for (const [index, zone] of vmZones.entries()) {
+    const side = sideOfZone?.(zone) ?? 0;
+    const isFar = partition && side !== sideOfZone(platformZone);
+    const platformAddress = isFar
+      ? await partition.startProxy(platform.ports[side])
+      : `127.0.0.1:${platform.ports[side]}`;
     vms.push(
       await startVm({
         name: `edge-${zone}-${index + 1}`,
         zone,
         zones: ZONES,
-        platformAddress: platform.address,
+        regionOf: options.regionOf,
+        platformAddress,
+        tunnel: await partition?.startTunnel(zone, (port) => zonesByPort.get(port)),
+        onPort: (port) => zonesByPort.set(port, zone),
         record,
       }),
     );
@@ -83,6 +98,7 @@
   };
   return {
     record,
+    partition,
     service,
     platform,
     vms,
--- a/review/standIns/startMember.mjs
+++ b/review/standIns/startMember.mjs
@@ -33,6 +33,7 @@
     log,
     term: 0,
     isAlive: true,
+    isLeader: false,
     /** Whether it receives nothing at present. */
     isDeaf: false,
   };
@@ -84,7 +85,7 @@
       record('member.committed', { member: id, request: requestId, position: positionText() });
       service.replicate();
       const untilMs = performance.now() + commitTimeoutMs;
-      while (!service.isReceived(entry, number)) {
+      while (!service.isReceived(id, entry, number)) {
         if (performance.now() > untilMs) return false;
         await sleep(COMMIT_POLL_MS);
       }
@@ -108,6 +109,7 @@
       if (!(await takeSlot())) return BUSY;
       await sleep(mode === 'COMMIT' ? 1 : readMs);
       service.runs.push({ member: id, requestId, text });
+      service.onRun(member, requestId, mode);
       record('member.ran', { member: id, request: requestId, text });
       try {
         if (mode === 'READ') {
--- a/review/standIns/startPlatform.mjs
+++ b/review/standIns/startPlatform.mjs
@@ -17,9 +17,9 @@
 
   const change = (writes, removedKeys = []) => {
     revision += 1;
-    writes.forEach(({ Key, Value, Lease = 0 }) => {
+    writes.forEach(({ Key, Value, values, Lease = 0 }) => {
       const Created = items.get(Key)?.Created ?? revision;
-      const item = { Key, Value, Revision: revision, Created, Lease };
+      const item = { Key, Value, values, Revision: revision, Created, Lease };
       items.set(Key, item);
       history.push(item);
     });
@@ -103,30 +103,51 @@
     }
   };
 
-  const server = createServer((request, response) => {
-    const chunks = [];
-    request.on('data', (chunk) => chunks.push(chunk));
-    request.on('end', () => {
-      setTimeout(async () => {
-        const url = new URL(request.url, 'http://platform');
-        const text = Buffer.concat(chunks).toString();
-        const { status, body } = await answer(request, url, text === '' ? {} : JSON.parse(text));
-        response.writeHead(status, { 'Content-Type': 'application/json' });
-        response.end(JSON.stringify(body));
-      }, ANSWER_DELAY_MS);
+  /** Members' entries state another address to the machines on the other side of a partition. */
+  const toSeen = (value, side) =>
+    JSON.parse(
+      JSON.stringify(value, (name, field) =>
+        Array.isArray(field?.values)
+          ? { ...field, Value: field.values[side], values: undefined }
+          : field,
+      ),
+    );
+  const listen = async (side) => {
+    const server = createServer((request, response) => {
+      const chunks = [];
+      request.on('data', (chunk) => chunks.push(chunk));
+      request.on('end', () => {
+        setTimeout(async () => {
+          const url = new URL(request.url, 'http://platform');
+          const text = Buffer.concat(chunks).toString();
+          const { status, body } = await answer(request, url, text === '' ? {} : JSON.parse(text));
+          response.writeHead(status, { 'Content-Type': 'application/json' });
+          response.end(JSON.stringify(toSeen(body, side)));
+        }, ANSWER_DELAY_MS);
+      });
     });
-  });
-  await new Promise((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
-  const toWrite = (Key, value) => ({
-    Key,
-    Value: Buffer.from(JSON.stringify(value)).toString('base64'),
-  });
+    await new Promise((resolve) => {
+      server.listen(0, HOST, resolve);
+    });
+    return server.address().port;
+  };
+  const ports = [await listen(0), await listen(1)];
+  const encode = (value) => Buffer.from(JSON.stringify(value)).toString('base64');
   return {
-    address: `${HOST}:${server.address().port}`,
-    put: (key, value) => change([toWrite(key, value)]),
+    address: `${HOST}:${ports[0]}`,
+    ports,
+    /** Writes a value; `toValue` may depend on the side of the reader. */
+    put: (key, toValue) => {
+      const values = [0, 1].map((side) =>
+        encode(typeof toValue === 'function' ? toValue(side) : toValue),
+      );
+      return change([{ Key: key, Value: values[0], values }]);
+    },
     remove: (key) => change([], [key]),
+    read: (key) => {
+      const item = items.get(key);
+      return item && JSON.parse(Buffer.from(item.Value, 'base64').toString());
+    },
   };
 };
 
