--- a/review/standIns/findFreePort.mjs
+++ b/review/standIns/findFreePort.mjs
@@ -1,8 +1,12 @@
 import { createServer } from 'node:net';
+import process from 'node:process';
 
 /** Below the range from which the system takes ports for outgoing connections. */
 const FIRST_PORT = 20_000;
 const PORT_COUNT = 10_000;
+const PORTS_PER_PROCESS = 40;
+
+let lastPort = FIRST_PORT + ((process.pid * PORTS_PER_PROCESS) % PORT_COUNT);
 
 const isFree = (port) =>
   new Promise((resolve) => {
@@ -11,12 +15,11 @@
     server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
-/** Returns a port of the loopback address that nobody listens on, and that no connection is given. */
+/** Returns a port of the loopback address that nobody listens on, another one at each call. */
 const findFreePort = async () => {
-  for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (await isFree(port)) return port;
-  }
+  do lastPort += 1;
+  while (!(await isFree(lastPort)));
+  return lastPort;
 };
 
 export default findFreePort;
--- a/review/standIns/runCase.mjs
+++ b/review/standIns/runCase.mjs
@@ -14,6 +14,13 @@
  */
 const runCase = async (folder, options, run) => {
   setTimeout(() => process.exit(NOT_RUN), LIMIT_MS).unref();
+  ['SIGTERM', 'SIGINT'].forEach((signal) => process.on(signal, () => process.exit(NOT_RUN)));
+  ['uncaughtException', 'unhandledRejection'].forEach((event) =>
+    process.on(event, (error) => {
+      process.stderr.write(`${error?.stack ?? error}\n`);
+      process.exit(NOT_RUN);
+    }),
+  );
   const isTrouble = process.env.TROUBLE !== '0';
   const deployment = await startDeployment({ recordPath: join(folder, 'record.txt'), ...options });
   const { record } = deployment;
@@ -29,9 +36,11 @@
       record('case.notReady');
       process.stdout.write('not ready\n');
     }
-  } finally {
-    await deployment.stop();
+  } catch (error) {
+    record('case.failed', { reason: String(error) });
+    process.stderr.write(`${error?.stack ?? error}\n`);
   }
+  await deployment.stop();
   process.exit(exitCode);
 };
 
--- a/review/standIns/startVm.mjs
+++ b/review/standIns/startVm.mjs
@@ -68,7 +68,10 @@
     record('vm.started', { vm: name, zone });
   };
   start(true);
-  process.on('exit', () => child.kill('SIGKILL'));
+  process.on('exit', () => {
+    child.kill('SIGKILL');
+    rmSync(directory, { recursive: true, force: true });
+  });
   return {
     name,
     zone,
@@ -87,7 +90,6 @@
     stop: async () => {
       child.kill('SIGKILL');
       await exited;
-      rmSync(directory, { recursive: true });
     },
   };
 };
