fix(sessions): promote only a replica that has all acknowledged commits

One replica was leaving and had them all, the other lagged, the primary crashed, and the lagging one was promoted.

Cause: the candidate was the longest log among the endpoints that happened to answer a status command; those that leave were not asked, and SyncReplicas was not read.

An acknowledged commit is on the primary and on SyncReplicas others. A candidate is now safe if no more endpoints than that failed to answer, or if it has received up to the position that the primary last reported to this owner. Else the group waits and primary.waitingForReplica says for whom. A leaving primary stays until a replica that stays has its commits.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -75,6 +75,7 @@
 export { default as shouldReplaceWitnesses } from './witness/shouldReplaceWitnesses';
 export { default as compareLogs } from './promotion/compareLogs';
 export { default as chooseCandidate } from './promotion/chooseCandidate';
+export { default as chooseSynchronousCandidate } from './promotion/chooseSynchronousCandidate';
 export { default as createPromotion } from './promotion/createPromotion';
 export type { default as Promotion } from './promotion/promotion';
 export type { default as PromotionPlan } from './promotion/promotionPlan';
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -223,6 +223,7 @@
         return { primary, term, fence };
       },
       record: (next) => ownership.recordPrimary(group, next),
+      syncReplicas: () => configuration?.groups.get(group)?.syncReplicas ?? 0,
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -103,6 +103,7 @@
       if (ownerState.isRecorded) Object.assign(ownerState, nextRecord);
       return ownerState.isRecorded;
     },
+    syncReplicas: () => 0,
     canReplacePrimary: () => ownerState.mayReplace,
     findTenure: () => ownerState.tenure,
     isAuthoritative: () => ownerState.isCertain,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -15,6 +15,7 @@
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
+import createDepartedEndpoints from './createDepartedEndpoints';
 import createMemberPool from './createMemberPool';
 import createPrimaryManager from './createPrimaryManager';
 import type GroupRecord from './groupRecord';
@@ -60,6 +61,8 @@
   storeEra(): number;
   getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
   record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
+  /** How many replicas receive a commit before it is acknowledged. */
+  syncReplicas(): number;
   /** Whether no earlier owner can still be using another primary. */
   canReplacePrimary(): boolean;
   /** Identifies the uninterrupted service of the group by this VM; undefined while it has none. */
@@ -80,6 +83,7 @@
   const { group, dialer, limiter, log, nowMs } = options;
   const pools = new Map<string, MemberPool>();
   const missingSinceMs = new Map<string, number>();
+  const departed = createDepartedEndpoints(nowMs);
   const positionHistory = createPositionHistory();
   const transactions = new Map<string, OpenTransaction>();
   /** First statements of transactions that are not answered yet, by transaction. */
@@ -106,6 +110,7 @@
   const primaryManager = createPrimaryManager({
     ...options,
     pools,
+    departedEndpoints: departed.list,
     countOpenWork: (endpointId) =>
       [...transactions.values()].filter((transaction) => transaction.endpointId === endpointId)
         .length + (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
@@ -666,6 +671,7 @@
     controlAccount: options.controlAccount,
     onReply: (reply: MemberReply, sentAtMs: number) => {
       if (id !== primaryManager.getKnownPrimary() || !reply.position) return;
+      primaryManager.notePrimaryPosition(reply.position, sentAtMs);
       positionHistory.record(sentAtMs, reply.position);
     },
   });
@@ -674,6 +680,7 @@
     updateEndpoints: (endpoints: readonly GroupEndpoint[], connectionLimit: number): void => {
       maxConnections = Math.max(1, Math.floor(connectionLimit * OWNER_CONNECTION_RATIO));
       for (const endpoint of endpoints) {
+        departed.noteListed(endpoint);
         missingSinceMs.delete(endpoint.id);
         const existingPool = pools.get(endpoint.id);
         const pool = existingPool ?? createMemberPool(endpoint, createPoolOptions(endpoint.id));
@@ -696,6 +703,7 @@
           ) {
             log.info('endpoint.gone', { group, endpoint: id });
             missingSinceMs.delete(id);
+            departed.add(pool.endpoint());
             pools.delete(id);
             pool.close();
           }
--- a/packages/sessions/src/group/createPrimaryManager.spec.ts
+++ b/packages/sessions/src/group/createPrimaryManager.spec.ts
@@ -86,6 +86,8 @@
       return true;
     },
     findTenure: () => 'owner 1',
+    syncReplicas: () => 0,
+    departedEndpoints: () => [],
     canReplacePrimary: () => state.mayReplace,
     countOpenWork: () => 0,
     onPrimaryFound: () => undefined,
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -3,6 +3,8 @@
 import type FailoverClient from '../seams/failoverClient';
 import type EndpointStatus from '../seams/memberStatus';
 import type GroupRecord from './groupRecord';
+import createAcknowledgedPosition from './createAcknowledgedPosition';
+import createCandidateSearch from './createCandidateSearch';
 import type MemberPool from './memberPool';
 import sleep from '../time/sleep';
 
@@ -37,6 +39,10 @@
   findTenure(): string | undefined;
   /** Whether a replacement is safe now: no earlier owner can still be using another primary. */
   canReplacePrimary(): boolean;
+  /** How many replicas receive a commit before it is acknowledged. */
+  syncReplicas(): number;
+  /** Endpoints whose entries are gone, and whose logs no other endpoint has taken over. */
+  departedEndpoints(): readonly string[];
   /** Counts open transactions and in-flight statements at an endpoint. */
   countOpenWork(endpointId: string): number;
   onPrimaryFound(endpointId: string, position: LogPosition, askedAtMs: number): void;
@@ -79,6 +85,7 @@
   let isClosed = false;
   let noPrimarySinceMs: number | undefined;
   let highestSeenTerm = 0;
+  const acknowledged = createAcknowledgedPosition();
 
   const probeEndpoints = async (ids: readonly string[]): Promise<ProbeReply[]> => {
     const replies = await Promise.all(
@@ -93,7 +100,10 @@
   };
 
   /** Believes an endpoint, unless it was asked in an earlier tenure; returns whether it does. */
-  const acceptPrimary = ({ id, askedAtMs, tenure, status }: ProbeReply): boolean => {
+  const acceptPrimary = (
+    { id, askedAtMs, tenure, status }: ProbeReply,
+    isPromoted = false,
+  ): boolean => {
     if (tenure !== options.findTenure()) {
       log.info('primary.answerOutdated', { group, endpoint: id, tenure });
       return false;
@@ -103,6 +113,7 @@
     primaryTerm = status.term;
     highestSeenTerm = Math.max(highestSeenTerm, status.term);
     noPrimarySinceMs = undefined;
+    acknowledged.start({ tenure, position: status.receivedPosition, askedAtMs }, isPromoted);
     const { primary: recorded, term: recordedTerm, fence } = options.getRecordedPrimary();
     log.info('primary.believed', {
       group,
@@ -126,14 +137,20 @@
       await sleep(PROMOTION_POLL_MS / 2);
   };
 
-  const findMostCurrentReplica = async (excludedId: string | undefined) => {
-    const ids = [...pools]
-      .filter(([id, pool]) => id !== excludedId && !pool.isDown() && !pool.endpoint().isLeaving)
-      .map(([id]) => id);
-    const replies = await probeEndpoints(ids);
-    return replies.sort((a, b) =>
-      comparePositions(b.status.receivedPosition, a.status.receivedPosition),
-    )[0];
+  const isSynchronous = (): boolean => options.syncReplicas() > 0;
+  const candidates = createCandidateSearch({
+    ...options,
+    probe: probeEndpoints,
+    acknowledgedUpTo: () => acknowledged.find(options.findTenure()),
+  });
+  const findCandidate = (
+    oldPrimaryId: string | undefined,
+    isPlanned: boolean,
+  ): Promise<ProbeReply | undefined> => {
+    if (!isSynchronous()) return candidates.findMostCurrent(oldPrimaryId);
+    return isPlanned && oldPrimaryId !== undefined
+      ? candidates.findForLeaving(oldPrimaryId)
+      : candidates.findForLost(oldPrimaryId, options.getRecordedPrimary().primary);
   };
 
   /**
@@ -189,13 +206,29 @@
     return false;
   };
 
+  /** Whether commits were acknowledged since the candidate was chosen that it may lack. */
+  const lacksAcknowledged = (
+    { status }: ProbeReply,
+    seenBefore: LogPosition | undefined,
+  ): boolean => {
+    const seen = acknowledged.lastSeen();
+    if (!isSynchronous() || !seen) return false;
+    const hasAdvanced = !seenBefore || comparePositions(seen, seenBefore) > 0;
+    return hasAdvanced && comparePositions(status.receivedPosition, seen) < 0;
+  };
+
   const replacePrimary = async (
     oldPrimaryId: string | undefined,
     reason: string,
   ): Promise<void> => {
     const isPlanned = reason === 'leaving';
+    const seenBefore = acknowledged.lastSeen();
+    let candidate = await findCandidate(oldPrimaryId, isPlanned);
+    if (!candidate && isSynchronous()) {
+      if (isPlanned && oldPrimaryId !== undefined) candidates.logCatchUp(oldPrimaryId);
+      return;
+    }
     log.warn('primary.replacing', { group, endpoint: oldPrimaryId, reason, planned: isPlanned });
-    let candidate = await findMostCurrentReplica(oldPrimaryId);
     if (!candidate) {
       log.warn('primary.noCandidate', { group, endpoint: oldPrimaryId, reason });
       return;
@@ -205,15 +238,17 @@
       await awaitOpenWork(oldPrimaryId);
       const [oldPrimary] = await probeEndpoints([oldPrimaryId]);
       const untilMs = nowMs() + CATCH_UP_TIMEOUT_MS;
-      while (
-        oldPrimary &&
-        candidate &&
-        comparePositions(candidate.status.receivedPosition, oldPrimary.status.receivedPosition) <
-          0 &&
-        nowMs() < untilMs
-      ) {
+      const isBehind = (): boolean =>
+        candidate
+          ? oldPrimary !== undefined &&
+            comparePositions(
+              candidate.status.receivedPosition,
+              oldPrimary.status.receivedPosition,
+            ) < 0
+          : isSynchronous();
+      while (isBehind() && nowMs() < untilMs) {
         await sleep(PROMOTION_POLL_MS / 2);
-        candidate = await findMostCurrentReplica(oldPrimaryId);
+        candidate = await findCandidate(oldPrimaryId, isPlanned);
       }
     }
     if (!candidate) return;
@@ -228,6 +263,13 @@
     primary = undefined;
     isReplacing = true;
     if (oldPrimaryId !== undefined) pools.get(oldPrimaryId)?.closeAll();
+    // Nothing more is acknowledged from here on.
+    if (lacksAcknowledged(candidate, seenBefore)) {
+      log.warn('primary.candidateBehind', { group, endpoint: candidate.id, before: oldPrimaryId });
+      if (oldPrimaryId !== undefined)
+        await recordTerm({ primary: oldPrimaryId, term: oldPrimaryTerm });
+      return;
+    }
     const call = { group, endpoint: candidate.id, before: oldPrimaryId, fence, term, reason };
     log.info('primary.promoting', call);
     const calledAtMs = nowMs();
@@ -251,7 +293,7 @@
       return;
     }
     const promoted = await awaitPromotion(candidate, outcome === 'accepted');
-    if (!promoted || !acceptPrimary(promoted)) return;
+    if (!promoted || !acceptPrimary(promoted, true)) return;
     const { term: ledTerm } = promoted.status;
     if (oldPrimaryId !== undefined) demotePrimary(oldPrimaryId, ledTerm);
     recordTerm({ primary: promoted.id, term: ledTerm }).catch((error) =>
@@ -344,6 +386,8 @@
     /** The primary even while it is being replaced, for transactions that are open there. */
     getKnownPrimary: (): string | undefined => (isPrimaryOfTenure() ? primary : undefined),
     isPrimaryOfTenure,
+    /** Call with each position that the known primary replies. */
+    notePrimaryPosition: acknowledged.record,
     /** In which tenure the known primary was found. */
     primaryTenure: (): string | undefined => primaryTenure,
     isReplacing: (): boolean => isReplacementRunning,
--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -118,6 +118,7 @@
     storeEra: () => 0,
     getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
     record: async () => true,
+    syncReplicas: () => 0,
     canReplacePrimary: () => false,
     findTenure: () => 'owner 1',
     isAuthoritative: () => isCertain,
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -52,6 +52,7 @@
   const heldAccounts = new Map<string, Promise<void>>();
   /** Endpoints at their connection limit. */
   const fullEndpoints = new Set<string>();
+  const busyEndpoints = new Set<string>();
   let openedCount = 0;
   let attemptCount = 0;
   const listPrimaries = (): string[] =>
@@ -175,6 +176,7 @@
           prepared.set(command.name, `${command.isWrite ? 'WRITE' : 'READ'} ${command.shape}`);
           return buildReply();
         default:
+          if (busyEndpoints.has(endpoint.id)) return buildFailure('busy');
           return buildReply({ rows: ['status'] });
       }
     };
@@ -223,6 +225,7 @@
     }
 
     override readStatus(reply: MemberReply) {
+      if (reply.failure) return undefined;
       const position = reply.position ?? { term: 0, number: 0 };
       const member = [...members.values()].find(({ received }) => received === reply.position);
       return {
@@ -235,7 +238,7 @@
   }
 
   return {
-    dialer: new FakeDialer() as MemberDialer,
+    dialer: new FakeDialer(),
     runs,
     committed,
     countOpenedConnections: () => openedCount,
@@ -253,8 +256,9 @@
         .filter(([, id]) => id === endpoint)
         .forEach(([endConnection]) => endConnection()),
     /** Refuses further connections to an endpoint, as one at its connection limit does. */
-    refuseConnections: (endpoint: string): void => {
-      fullEndpoints.add(endpoint);
+    refuseConnections: (endpoint: string, isFull = true): void => {
+      if (isFull) fullEndpoints.add(endpoint);
+      else fullEndpoints.delete(endpoint);
     },
     /** Delays the opening of an account's connections until the returned function is called. */
     holdOpening: (account: string): (() => void) => {
@@ -280,6 +284,17 @@
         if (primary && !member.isPrimary) member.received = { ...primary.received };
       });
     },
+    /** Brings one replica to the primary's log position. */
+    replicateTo: (endpoint: string): void => {
+      const primary = members.get(listPrimaries()[0] ?? '');
+      const member = members.get(endpoint);
+      if (primary && member) member.received = { ...primary.received };
+    },
+    /** Answers status commands with `busy`, as an endpoint does whose slots are taken. */
+    setBusy: (endpoint: string, isBusy: boolean): void => {
+      if (isBusy) busyEndpoints.add(endpoint);
+      else busyEndpoints.delete(endpoint);
+    },
     /** Makes an endpoint primary. One that isn't told, or can't be reached, learns of it by a `demote`. */
     promote: (endpoint: string, areOthersTold = true): void => {
       const newestTerm = Math.max(...[...members.values()].map(({ received }) => received.term));
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -122,6 +122,7 @@
         return { primary, term, fence };
       },
       record: (next) => ownership.recordPrimary(group, next),
+      syncReplicas: () => 0,
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
