fix(sessions): promise "not kept" only for codes that mean "not run"

Cause: what a member's code means was decided anew in each place. In a transaction only FAILED left a commit in doubt; TIMEOUT and unknown codes counted as not run.

One table, complete by type, now gives each kind its verdict, unknown codes "may have run", and all statements, commits and retries use it. A reply without COMPLETE or ERROR is a failure of unknown effect. On the product's own interfaces an error after the commit in the same message counted as not run; only codes that undo a transaction do now.

--- a/packages/auburngrade/src/transactions/createLocalTransaction.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransaction.ts
@@ -22,6 +22,7 @@
 import buildRequestRecordId from '../outcome/buildRequestRecordId';
 import type PooledConnection from '../groups/pooledConnection';
 import type ReadPlan from '../routing/readPlan';
+import isCommitExcluded from './isCommitExcluded';
 import Transaction from './transaction';
 
 interface LocalTransactionOptions {
@@ -121,7 +122,8 @@
     } catch (error) {
       this.isCommitting = false;
       this.abort();
-      if (!request.write || this.isCommitExcluded(error)) throw this.toCommitRefusal(error);
+      if (!request.write || isCommitExcluded(error, STALE_TERM_SQLSTATE))
+        throw this.toCommitRefusal(error);
       return outcomeLookup.resolve(groupClient, toCommitStatement(request));
     }
     if (!request.write) return this.outcome(COMMIT_RESULT);
@@ -216,14 +218,6 @@
     return createNotRunError('transactionAborted', error.message);
   }
 
-  /** Whether the endpoint certainly did not commit: it returned an error, or the commit was not sent. */
-  private isCommitExcluded(error: unknown): boolean {
-    return (
-      error instanceof EndpointError &&
-      (error.kind === 'notSent' || error.kind === 'statementFailed')
-    );
-  }
-
   private toCommitRefusal(error: unknown): RefusalError {
     const isFailed =
       error instanceof EndpointError && error.sqlState === FAILED_TRANSACTION_SQLSTATE;
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -5,6 +5,7 @@
 import type GroupEndpoint from '../seams/groupEndpoint';
 import createFakeMembers from '../standIns/createFakeMembers';
 import createGroupServer from './createGroupServer';
+import memberFailureVerdicts from './memberFailureVerdicts';
 import sleep from '../time/sleep';
 
 const createEndpoint = (id: string, claimsPrimary: boolean): GroupEndpoint => ({
@@ -514,6 +515,50 @@
     });
   });
 
+  // Guards against a promise that nothing is kept for what the endpoint has committed.
+  describe('with each kind of failure that an endpoint reports', () => {
+    const KINDS = Object.keys(memberFailureVerdicts) as (keyof typeof memberFailureVerdicts)[];
+    const isPromise = (outcome: Awaited<ReturnType<typeof fixture.run>>): boolean =>
+      outcome.kind === 'refused' && ['busy', 'aborted'].includes(outcome.code);
+    const expectNoFalsePromise = (outcome: Awaited<ReturnType<typeof fixture.run>>): void => {
+      expect(outcome.kind).to.equal('refused');
+      if (isPromise(outcome)) expect(fixture.committed).to.deep.equal([]);
+    };
+
+    KINDS.forEach((kind) => {
+      const isNotRun = memberFailureVerdicts[kind] === 'notRun';
+      it(`${kind}: ${isNotRun ? 'runs a write again' : 'leaves a write in doubt'}`, async () => {
+        fixture.addFault('p', kind);
+        const outcome = await fixture.run(createWrite());
+        if (isNotRun) expect(outcome.kind).to.equal('complete');
+        else expect(outcome).to.include({ kind: 'refused', code: 'inDoubt' });
+        expect(fixture.committed).to.have.length(1);
+      });
+
+      it(`${kind}: promises nothing for a commit that may be kept`, async () => {
+        await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
+        // A commit that did not run as the endpoint was busy is tried again.
+        for (let count = 0; count < 10; count += 1) fixture.addFault('p', kind);
+        const outcome = await fixture.run(createCommit({ transaction: 9 }));
+        expectNoFalsePromise(outcome);
+        expect(isPromise(outcome)).to.equal(isNotRun);
+      });
+
+      it(`${kind}: promises nothing is kept of a transaction whose first write it answers`, async () => {
+        for (let count = 0; count < 10; count += 1) fixture.addFault('p', kind);
+        const outcome = await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
+        expectNoFalsePromise(outcome);
+        expect(fixture.server.countOpenTransactions()).to.equal(0);
+      });
+    });
+
+    it('leaves a commit in doubt whose answer does not come', async () => {
+      await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
+      fixture.addFault('p', 'noAnswer');
+      expect(await fixture.run(createCommit({ transaction: 9 }))).to.include({ code: 'inDoubt' });
+    });
+  });
+
   describe('when endpoints leave', () => {
     it('replaces a leaving primary without ending its open transactions', async () => {
       await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -20,6 +20,7 @@
 import createPrimaryManager from './createPrimaryManager';
 import type GroupRecord from './groupRecord';
 import type OpenTransaction from './openTransaction';
+import memberFailureVerdicts from './memberFailureVerdicts';
 import type PendingStatement from './pendingStatement';
 import type MemberPool from './memberPool';
 import type PooledConnection from './pooledConnection';
@@ -299,27 +300,17 @@
     const { kind, message } = reply.failure as NonNullable<MemberReply['failure']>;
     const { call } = statement;
     const isRead = call.action === Action.ACTION_READ;
-    switch (kind) {
-      case 'busy':
-        pool.pauseAfterBusy();
-        return undefined;
-      case 'lagging':
-        excludeEndpoint(statement, pool);
-        return undefined;
-      case 'readOnly':
-        primaryManager.invalidatePrimary(pool.endpoint().id);
-        return undefined;
-      case 'noStatement':
-        return undefined;
-      case 'timedOut':
-        return createRefusal(isRead ? 'timedOut' : 'inDoubt', message);
-      default:
-        if (isRead && call.transaction === 0) {
-          excludeEndpoint(statement, pool);
-          return undefined;
-        }
-        return createRefusal(isRead ? 'failed' : 'inDoubt', message);
+    if (memberFailureVerdicts[kind] === 'notRun') {
+      if (kind === 'busy') pool.pauseAfterBusy();
+      else if (kind === 'readOnly') primaryManager.invalidatePrimary(pool.endpoint().id);
+      else if (kind !== 'noStatement') excludeEndpoint(statement, pool);
+      return undefined;
     }
+    if (!isRead) return createRefusal('inDoubt', message);
+    if (kind === 'timedOut') return createRefusal('timedOut', message);
+    if (call.transaction !== 0) return createRefusal('failed', message);
+    excludeEndpoint(statement, pool);
+    return undefined;
   };
 
   /** Call right before a statement is sent: one that meets an ended connection does not leave this VM. */
@@ -451,7 +442,9 @@
         primaryManager.invalidatePrimary(transaction.endpointId);
       endTransaction(transaction, false);
       const mayHaveCommitted =
-        isCommit && transaction.hasWritten && reply.failure.kind === 'failed';
+        isCommit &&
+        transaction.hasWritten &&
+        memberFailureVerdicts[reply.failure.kind] !== 'notRun';
       resolveStatement(
         statement,
         createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', reply.failure.message),
--- a/packages/sessions/src/seams/memberReply.ts
+++ b/packages/sessions/src/seams/memberReply.ts
@@ -1,16 +1,5 @@
 import type { LogPosition } from '@auburngrade/coordination';
-
-/** Failures reported by an endpoint. All but `failed`, `timedOut`, `other` mean nothing ran. */
-type MemberFailure =
-  | 'busy'
-  | 'noStatement'
-  | 'lagging'
-  | 'readOnly'
-  | 'misrouted'
-  | 'connectionLimit'
-  | 'failed'
-  | 'timedOut'
-  | 'other';
+import type MemberFailure from './memberFailure';
 
 /** An endpoint's complete reply to one command. */
 interface MemberReply {
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -19,6 +19,8 @@
   isInTransaction: boolean;
 }
 
+const RUN_FAILURES = ['failed', 'timedOut', 'other'];
+
 /** A fault of an endpoint's next statement: a failure reply, a broken connection or no reply. */
 interface InjectedFault {
   endpoint: string;
@@ -203,9 +205,10 @@
               return;
             }
             const isFailure = fault && !['breakAfter', 'noAnswer'].includes(fault.kind);
-            const answer = isFailure
-              ? buildFailure(fault.kind as FailureKind)
-              : runCommand(command);
+            // An endpoint that reports a failure of a kind that may have run has run the command here.
+            const isRun = isFailure && RUN_FAILURES.includes(fault.kind);
+            const reply = isFailure && !isRun ? undefined : runCommand(command);
+            const answer = isFailure || !reply ? buildFailure(fault?.kind as FailureKind) : reply;
             if (fault?.kind === 'breakAfter') endConnection();
             else if (fault?.kind !== 'noAnswer') resolve(answer);
             pendingRejects.delete(reject);
