--- a/packages/sessions/src/fleet/voterSet.spec.ts
+++ b/packages/sessions/src/fleet/voterSet.spec.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Heartbeat } from '../generated/auburngrade/session/v1/session';
 import createFakeVoters from '../standIns/createFakeVoters';
+import createDocuments from './createDocuments';
+import createFleet from './createFleet';
+import readDocumentOrigin from './readDocumentOrigin';
+import storeKeys from './storeKeys';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const VOTERS = ['a', 'b', 'c', 'd', 'e'];
@@ -140,6 +145,79 @@
     });
   });
 
+  describe('on a VM whose confirmations come from VMs that know a later set', () => {
+    it('holds none until it knows that set', () => {
+      const clock = { ms: 1_000 };
+      const nowMs = (): number => clock.ms;
+      const log = { info: () => undefined, warn: () => undefined };
+      const documents = createDocuments({ nowMs, log, readOrigin: readDocumentOrigin });
+      const heartbeats = new Map<string, (heartbeat: Heartbeat) => void>();
+      const self = { vm: 'a', incarnation: 'a-1', address: 'a', dataCentre: 'x' };
+      const fleet = createFleet({
+        self: { ...self, isObserver: false, isSubscriber: false },
+        documents,
+        log,
+        nowMs,
+        wallMs: nowMs,
+        isStoreReachable: () => true,
+        onRateUsage: () => undefined,
+        onChange: () => undefined,
+        createLink: ({ vm, onHeartbeat }) => {
+          if (onHeartbeat) heartbeats.set(vm, onHeartbeat);
+          return {
+            isUp: () => true,
+            open: () => undefined,
+            call: () => Promise.reject(new Error('no calls here')),
+            endTransaction: () => undefined,
+            endSession: () => undefined,
+            sendDocument: () => undefined,
+            close: () => undefined,
+          };
+        },
+      });
+      const learn = (version: number, vms: string[]): boolean =>
+        documents.putIfNewer({
+          key: storeKeys.voterSet,
+          value: JSON.stringify({ version, vms, era: 1 }),
+          era: 1,
+          revision: version,
+        });
+      const confirm = (vm: string, version: number): void =>
+        heartbeats.get(vm)?.({
+          vm,
+          incarnation: `${vm}-1`,
+          heard: { vms: ['a', 'b', 'c'] },
+          confirmedBeat: fleet.lastHeartbeatNumber(),
+          documents: [{ key: storeKeys.voterSet, version, era: 1, revision: version }],
+          spending: [],
+          isLeaving: false,
+          beat: version,
+          isSettled: true,
+          acting: [],
+          isStoreReachable: true,
+          isStrained: false,
+          serving: [],
+        });
+      const registration = (vm: string) => ({
+        address: vm,
+        dataCentre: 'x',
+        incarnation: `${vm}-1`,
+      });
+      fleet.replaceRegistrations(new Map(['b', 'c'].map((vm) => [vm, registration(vm)])));
+      learn(1, ['a', 'b', 'c']);
+      fleet.nextHeartbeatNumber();
+      confirm('b', 1);
+      expect(fleet.holdsPeerLease()).to.equal(true);
+      confirm('b', 2);
+      expect(fleet.holdsPeerLease()).to.equal(false);
+      learn(2, ['a', 'b', 'c', 'd']);
+      expect(fleet.holdsPeerLease()).to.equal(false);
+      confirm('c', 1);
+      expect(fleet.holdsPeerLease()).to.equal(true);
+      fleet.close();
+    });
+  });
+
   describe('on a lone VM that starts when no registration is left', () => {
     itWithSeeds('counts the voters that it never met', async () => {
       VOTERS.forEach((vm) => fixture.turnedAway.add(vm));
