--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -78,6 +78,8 @@
   wallMs(): number;
 }
 
+/** Stands for any group whose name can be sent. */
+const GROUP_PLACEHOLDER = '-';
 /** Stands for the record of a group whose record is not known. */
 const UNKNOWN_RECORD = { primary: '', term: 0, fence: 0 };
 
@@ -189,7 +191,9 @@
   });
 
   const getControlAccount = (): string =>
-    [...(configuration?.accountsByKey.values() ?? [])][0] ?? settings.vm;
+    [...(configuration?.accountsByKey.values() ?? [])].find((account) =>
+      dialer.canSend(GROUP_PLACEHOLDER, account),
+    ) ?? settings.vm;
 
   const updateGroup = (group: string, server: GroupServer): void => {
     const groupEndpoints = endpoints.filter((endpoint) => endpoint.group === group);
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -559,6 +559,14 @@
     });
   });
 
+  it('refuses at once an account whose name the endpoints cannot be sent', async () => {
+    const startedAtMs = performance.now();
+    const outcome = await fixture.run(createWrite({ account: 'two words' }));
+    expect(outcome).to.include({ kind: 'refused', code: 'malformed' });
+    expect(performance.now() - startedAtMs).to.be.below(50);
+    expect(fixture.runs).to.deep.equal([]);
+  });
+
   describe('when endpoints leave', () => {
     it('replaces a leaving primary without ending its open transactions', async () => {
       await fixture.run(createWrite({ transaction: 9, opensTransaction: true }));
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -47,6 +47,8 @@
 /** Time until an endpoint without an entry is removed; entries return within 2 s of the store. */
 const MISSING_ENTRY_GRACE_MS = 2_500;
 
+const UNSENDABLE_NAMES =
+  "the endpoints' protocol can't carry the name of the group or of the account";
 const ROLLED_BACK = 'the transaction was rolled back: the primary may have been replaced';
 
 interface GroupServerOptions {
@@ -313,6 +315,15 @@
     return undefined;
   };
 
+  /** Refuses a statement that the endpoints' protocol can't carry: nothing of it was sent. */
+  const toUnsendableRefusal = ({
+    reason,
+    message,
+  }: MemberConnectionError): CallOutcome | undefined => {
+    if (reason === 'tooLarge') return createRefusal('tooLarge', message);
+    return reason === 'unsendable' ? createRefusal('malformed', message) : undefined;
+  };
+
   /** Call right before a statement is sent: one that meets an ended connection does not leave this VM. */
   const requireOpen = ({ isEnded }: PooledConnection): void => {
     if (isEnded)
@@ -382,6 +393,11 @@
     } catch (error) {
       if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
+      const unsendable = toUnsendableRefusal(error);
+      if (unsendable) {
+        resolveStatement(statement, unsendable);
+        return;
+      }
       const isRetryable = !isSent || call.action === Action.ACTION_READ;
       const isBeforeDeadline = nowMs() < statement.queueDeadlineMs;
       if (isRetryable && isBeforeDeadline) {
@@ -457,7 +473,8 @@
       const mayHaveCommitted = isCommit && isSent && transaction.hasWritten;
       resolveStatement(
         statement,
-        createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message),
+        toUnsendableRefusal(error) ??
+          createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message),
       );
     }
   };
@@ -499,7 +516,9 @@
     } catch (error) {
       if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
-      requeue(statement);
+      const unsendable = toUnsendableRefusal(error);
+      if (unsendable) resolveStatement(statement, unsendable);
+      else requeue(statement);
       return;
     }
     const transaction: OpenTransaction = {
@@ -712,6 +731,8 @@
     ): Promise<CallOutcome> => {
       const isNewWork = call.transaction === 0 || call.opensTransaction;
       if (isClosed || (isDraining && isNewWork)) return Promise.resolve({ kind: 'notOwner' });
+      if (!dialer.canSend(group, call.account))
+        return Promise.resolve(createRefusal('malformed', UNSENDABLE_NAMES));
       if (isNewWork) {
         const { isAdmitted, retryInMs } = limiter.admit(call.account);
         if (!isAdmitted) {
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -263,6 +263,8 @@
         lastReplyAtMs = nowMs();
         return undefined;
       }
+      // Says nothing about the endpoint: nothing was sent.
+      if (error instanceof MemberConnectionError && error.reason === 'unsendable') return undefined;
       failedProbes += 1;
       const isConfirmedDown =
         error instanceof MemberConnectionError && ['refused', 'misrouted'].includes(error.reason);
--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -68,6 +68,10 @@
     };
   };
   class SlowDialer extends MemberDialer {
+    override canSend() {
+      return true;
+    }
+
     override async open(...parameters: Parameters<MemberDialer['open']>) {
       await sleep(random() < SLOW_OPENING_RATIO ? SLOW_OPENING_MS : random() * REPLY_DELAY_MS);
       return slowDown(await dialer.open(...parameters));
--- a/packages/sessions/src/seams/memberConnectionError.ts
+++ b/packages/sessions/src/seams/memberConnectionError.ts
@@ -1,7 +1,8 @@
-import type MemberReply from './memberReply';
+import type MemberFailure from './memberFailure';
 
+/** `unsendable`, `tooLarge`: the endpoint's protocol can't carry the message, and nothing of it was sent. */
 type MemberLinkErrorReason =
-  'refused' | 'silent' | 'broken' | NonNullable<MemberReply['failure']>['kind'];
+  'refused' | 'silent' | 'broken' | 'unsendable' | 'tooLarge' | MemberFailure;
 
 /** A connection to an endpoint could not be opened, or ended before a reply was complete. */
 class MemberConnectionError extends Error {
--- a/packages/sessions/src/seams/memberDialer.ts
+++ b/packages/sessions/src/seams/memberDialer.ts
@@ -12,6 +12,9 @@
     timeoutMs: number,
   ): Promise<MemberConnection>;
 
+  /** Whether the endpoints' protocol can carry these names. */
+  abstract canSend(group: string, account: string): boolean;
+
   /** Decodes a reply to the `status` command; returns undefined for any other reply. */
   abstract readStatus(reply: MemberReply): EndpointStatus | undefined;
 }
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -227,6 +227,10 @@
       return openConnection(endpoint, account);
     }
 
+    override canSend(_group: string, account: string) {
+      return !account.includes(' ');
+    }
+
     override readStatus(reply: MemberReply) {
       if (reply.failure) return undefined;
       const position = reply.position ?? { term: 0, number: 0 };
--- a/packages/sessions/src/standIns/createSoakWorld.ts
+++ b/packages/sessions/src/standIns/createSoakWorld.ts
@@ -224,6 +224,7 @@
         const error = new MemberConnectionError('silent', 'the endpoint did not answer');
         return wrap(endpoint, await expireAfter(process, ms, opening, error), dialer);
       },
+      canSend: () => true,
       readStatus: (reply) => statusByReply.get(reply),
     };
   };
