feat(sessions): log on whose word a group is served

group.certainty says, when it changes, in which tenure, by the store or by which voters of which version a VM is certain of a group.

--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -159,6 +159,35 @@
         (actingSinceHeartbeat.has(group) &&
           isConfirmedByPeers(group, actingSinceHeartbeat.get(group)));
 
+  type Certainty = 'store' | 'voters' | 'handover' | 'none';
+  /** On whose word this VM is authoritative for the group. */
+  const findCertainty = (group: string): Certainty => {
+    if (!isAuthoritative(group)) return 'none';
+    if (isOwnedHere(group)) return isConfirmedByPeers(group) ? 'voters' : 'store';
+    return isInHandoverGrace(group) ? 'handover' : 'voters';
+  };
+  const loggedCertainties = new Map<string, string>();
+  /** Logs for each served group when the word on which it is served, or the tenure, has changed. */
+  const logCertainties = (groups: readonly string[]): void =>
+    groups.forEach((group) => {
+      const certainty = findCertainty(group);
+      const tenure = findTenure(group);
+      const current = `${certainty} ${tenure}`;
+      const before = loggedCertainties.get(group) ?? 'none undefined';
+      if (current === before) return;
+      loggedCertainties.set(group, current);
+      const known = documents.get(toGroupKey(group));
+      log.info('group.certainty', {
+        group,
+        certainty,
+        tenure,
+        before,
+        era: known?.era,
+        revision: known?.revision,
+        ...(known && fleet.describeMajority(known.key, known)),
+      });
+    });
+
   const isWrittenInEra = ({ value }: StoredItem, era: number): boolean =>
     (readGroupRecord(value)?.era ?? era) === era;
 
@@ -487,6 +516,7 @@
           majorityKnowledge.set(group, { tenure, sinceMs: nowMs() });
       });
       const groups = [...groupNames].sort();
+      logCertainties(groups);
       actingSinceHeartbeat.forEach((_heartbeatNumber, group) => {
         const record = getRecord(group);
         if (record && isOwnerLost(group, record)) return;
