--- a/packages/sessions/src/fleet/voterSet.spec.ts
+++ b/packages/sessions/src/fleet/voterSet.spec.ts
@@ -28,14 +28,14 @@
   /** Revision of the newest record under which the primary could be replaced. */
   let newestReplacing: number;
 
-  const begin = async (seed: number): Promise<void> => {
+  const begin = async (seed: number, voters = VOTERS): Promise<void> => {
     fixture = createFakeVoters(createRandom(seed));
     newestReplacing = 0;
-    [...VOTERS, ...NEWCOMERS].forEach(fixture.start);
-    VOTERS.forEach(fixture.startVoting);
+    [...voters, ...NEWCOMERS].forEach(fixture.start);
+    voters.forEach(fixture.startVoting);
     await fixture.run(6_000);
     owner = fixture.ownerOf();
-    others = VOTERS.filter((vm) => vm !== owner);
+    others = voters.filter((vm) => vm !== owner);
   };
   const itWithSeeds = (title: string, test: () => Promise<void>): void =>
     SEEDS.forEach((seed) =>
@@ -121,6 +121,20 @@
     });
   });
 
+  // docs/incidents/brazos-large-inc1.md: two VMs decided about one group's primary.
+  describe('when nine of twelve voters are cut off, and new VMs take their seats', () => {
+    const TWELVE = Array.from({ length: 12 }, (_none, index) => `v${index}`);
+    SEEDS.forEach((seed) =>
+      it(`gives the new ones no majority (seed ${seed})`, async () => {
+        await begin(seed, TWELVE);
+        splitOff([owner, ...others.slice(0, 8)]);
+        await fixture.run(LAPSE_MS, expectNoOverlap);
+        NEWCOMERS.slice(0, 9).forEach(fixture.startVoting);
+        await fixture.run(8_000, expectNoOverlap);
+      }).timeout(20_000),
+    );
+  });
+
   describe('on a voter that restarts without the store', () => {
     itWithSeeds('lets it confirm nobody while it hears only VMs that lack a record', async () => {
       await fixture.run(1_000, expectNoOverlap);
