--- a/packages/sessions/src/group/synchronousFailover.spec.ts
+++ b/packages/sessions/src/group/synchronousFailover.spec.ts
@@ -128,7 +128,7 @@
 
     const faults: Record<string, (isSilent: boolean) => void> = {
       'does not answer': (isSilent) => fixture.setUnreachable('r', isSilent),
-      'answers status with BUSY': (isBusy) => fixture.setBusy('r', isBusy),
+      'answers status as busy': (isBusy) => fixture.setBusy('r', isBusy),
       'has no connection left': (isFull) => fixture.refuseConnections('r', isFull),
     };
     Object.entries(faults).forEach(([title, setFault]) =>
