--- a/packages/sessions/src/fleet/ownershipSoak.spec.ts
+++ b/packages/sessions/src/fleet/ownershipSoak.spec.ts
@@ -174,7 +174,11 @@
     }, CALL_INTERVAL_MS);
   };
 
+  /** VMs that are removed for good, and don't start again after a fault that stopped them. */
+  const removed = new Set<string>();
+
   const startVm = (vm: string, number: number): void => {
+    if (removed.has(vm)) return;
     const simulated = time.startProcess();
     const self = {
       vm,
@@ -225,6 +229,7 @@
   const removeVm = (vm: string, hasNotice: boolean): void => {
     const running = vms.get(vm);
     vmNames.splice(vmNames.indexOf(vm), 1);
+    removed.add(vm);
     if (!running) return;
     if (hasNotice) time.post(running.process, 0, running.startLeaving);
     time.post(undefined, 3_000, () => {
