--- a/packages/sessions/src/fleet/ownershipSoak.spec.ts
+++ b/packages/sessions/src/fleet/ownershipSoak.spec.ts
@@ -228,8 +228,8 @@
   /** Removes a VM for good, with notice or without. */
   const removeVm = (vm: string, hasNotice: boolean): void => {
     const running = vms.get(vm);
-    vmNames.splice(vmNames.indexOf(vm), 1);
     removed.add(vm);
+    if (vmNames.includes(vm)) vmNames.splice(vmNames.indexOf(vm), 1);
     if (!running) return;
     if (hasNotice) time.post(running.process, 0, running.startLeaving);
     time.post(undefined, 3_000, () => {
@@ -373,6 +373,7 @@
       );
       newcomers.forEach((vm, index) =>
         time.post(undefined, LAPSE_MS + index * 60, () => {
+          if (removed.has(vm)) return;
           vmNames.push(vm);
           startVm(vm, nextId());
         }),
