--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -161,6 +161,7 @@
 export { default as maxPosition } from './position/maxPosition';
 export { default as createPositionHistory } from './freshness/createPositionHistory';
 export { default as createReplicatedBucket } from './rate/createReplicatedBucket';
+export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
 export type { default as VmView } from './ownership/vmView';
 export { default as hasLostOwner } from './ownership/hasLostOwner';
 export { default as countGroupsByDataCentre } from './ownership/countGroupsByDataCentre';
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -20,6 +20,7 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
+  warmupLeftMs: 0,
   isRegisteredAsPrimary: id === 'p',
   startedAtUnixMs: 1,
   sequence: 1,
@@ -42,7 +43,7 @@
   ]),
   accountsByKey: new Map(keys),
   limits: new Map(),
-  groups: new Map([[GROUP, { maxConnections: 21, syncReplicas: 0 }]]),
+  groups: new Map([[GROUP, { maxConnections: 21, syncReplicas: 0, warmupRatePerS: 0 }]]),
   transactionIdleMs: 3_000,
 });
 const versions = [
@@ -111,6 +112,7 @@
         storeAddress: '',
         failoverAddress: '',
         minLeaseMs: 1_000,
+        evacuationBoundMs: 5_000,
         graceMs: 2_000,
         memoryMb: 350,
         dataCentres: ['waco'],
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -221,6 +221,7 @@
       log,
       nowMs,
       controlAccount: getControlAccount,
+      evacuationPhaseOf: () => 'inService',
       storeEra: () => store.era(),
       getRecordedPrimary: () => {
         const { primary, term, fence } = ownership.getRecord(group) ?? UNKNOWN_RECORD;
--- a/packages/sessions/src/fleet/mergeEndpointEntries.spec.ts
+++ b/packages/sessions/src/fleet/mergeEndpointEntries.spec.ts
@@ -9,6 +9,7 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
+  warmupLeftMs: 0,
   isRegisteredAsPrimary: true,
   startedAtUnixMs: 1_000,
   sequence: 5,
--- a/packages/sessions/src/fleet/ownershipSoak.spec.ts
+++ b/packages/sessions/src/fleet/ownershipSoak.spec.ts
@@ -54,6 +54,7 @@
     dataCentre: DATA_CENTRES[(index + offset) % DATA_CENTRES.length] as string,
     slots: 4,
     isLeaving: false,
+    warmupLeftMs: 0,
     isRegisteredAsPrimary: index === 0,
     startedAtUnixMs: 1,
     sequence: 1,
@@ -110,6 +111,7 @@
   const listEndpoints = (): GroupEndpoint[] =>
     [...endpoints.values()].flat().map((endpoint) => ({
       ...endpoint,
+      warmupLeftMs: 0,
       isRegisteredAsPrimary:
         world.members.get(endpoint.group)?.listPrimaries().includes(endpoint.id) ?? false,
     }));
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -22,7 +22,7 @@
   routes: new Map([['lots', route]]),
   accountsByKey: new Map([['k1', 'ranch']]),
   limits: new Map(),
-  groups: new Map([['auctions', { maxConnections: 21, syncReplicas: 0 }]]),
+  groups: new Map([['auctions', { maxConnections: 21, syncReplicas: 0, warmupRatePerS: 0 }]]),
   transactionIdleMs: 3_000,
   ...changes,
 });
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -15,6 +15,7 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
+  warmupLeftMs: 0,
   isRegisteredAsPrimary: claimsPrimary,
   startedAtUnixMs: 1,
   sequence: 1,
@@ -105,6 +106,7 @@
       return ownerState.isRecorded;
     },
     syncReplicas: () => 0,
+    evacuationPhaseOf: () => 'inService',
     canReplacePrimary: () => ownerState.mayReplace,
     findTenure: () => ownerState.tenure,
     isAuthoritative: () => ownerState.isCertain,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -3,6 +3,7 @@
   compareUrgency,
   createPositionHistory,
   maxPosition,
+  type EvacuationPhase,
   type LogPosition,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
@@ -74,6 +75,8 @@
   isAuthoritative(): boolean;
   /** Whether commits under way may still be acknowledged after the handover that ended the tenure. */
   isInHandoverGrace(tenure: string | undefined): boolean;
+  /** How far the evacuation of a data centre is. */
+  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
   /** Client account used for the owner's own commands, such as status. */
   controlAccount(): string;
 }
--- a/packages/sessions/src/group/createPrimaryManager.spec.ts
+++ b/packages/sessions/src/group/createPrimaryManager.spec.ts
@@ -17,6 +17,7 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
+  warmupLeftMs: 0,
   isRegisteredAsPrimary: id === 'p',
   startedAtUnixMs: 1,
   sequence: 1,
--- a/packages/sessions/src/group/synchronousFailover.spec.ts
+++ b/packages/sessions/src/group/synchronousFailover.spec.ts
@@ -14,6 +14,7 @@
   dataCentre: 'waco',
   slots: 3,
   isLeaving: false,
+  warmupLeftMs: 0,
   isRegisteredAsPrimary: id === 'p',
   startedAtUnixMs: 1,
   sequence: 1,
@@ -79,6 +80,7 @@
       return true;
     },
     syncReplicas: () => syncReplicas,
+    evacuationPhaseOf: () => 'inService',
     canReplacePrimary: () => true,
     findTenure: () => 'owner 1',
     isAuthoritative: () => true,
--- a/packages/sessions/src/seams/groupEndpoint.ts
+++ b/packages/sessions/src/seams/groupEndpoint.ts
@@ -10,6 +10,8 @@
   isLeaving: boolean;
   /** Whether it registered itself as primary; its status decides. */
   isRegisteredAsPrimary: boolean;
+  /** How much longer it is cold after its start, when it wrote its entry. */
+  warmupLeftMs: number;
   /** Unix time of its start; a new value means a new process under the same id. */
   startedAtUnixMs: number;
   /** Number of its entry since its start; rises with each one that it writes. */
--- a/packages/sessions/src/seams/nodeSettings.ts
+++ b/packages/sessions/src/seams/nodeSettings.ts
@@ -12,6 +12,8 @@
   storeAddress: string;
   failoverAddress: string;
   minLeaseMs: number;
+  /** Time from the acknowledgement of an evacuation until nothing may reach the endpoints of its data centre. */
+  evacuationBoundMs: number;
   /** Time that a process gets to shut down after it was asked to stop. */
   graceMs: number;
   memoryMb: number;
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -123,6 +123,7 @@
       },
       record: (next) => ownership.recordPrimary(group, next),
       syncReplicas: () => 0,
+      evacuationPhaseOf: () => 'inService',
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
