feat(sessions): VMs learn which data centres operators evacuate

Callers saw nothing of an evacuation so far: no VM read op/evacuate/NAME. The watch of the configuration now covers all keys of the operators, at no further call. The set of evacuated data centres is one document that VMs pass on to each other, so that a VM that the store turns away learns of it too; its position is that of the list or event that it was made from, since a list does not show removals.

A VM in an evacuated data centre owns no group where a VM elsewhere can: it hands its groups over one at a time, once their primaries have moved. It keeps its vote. Endpoints are not treated differently yet.

Tests: known on three VMs, one of them turned away, within 2.6 s, and taken back; a VM that starts meanwhile.

--- a/packages/auburngrade/src/explain/explainRequest.ts
+++ b/packages/auburngrade/src/explain/explainRequest.ts
@@ -11,6 +11,7 @@
   'store',
   'vm',
   'configuration',
+  'evacuation',
   'daemon',
 ];
 
--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -1,10 +1,19 @@
+import type { EvacuationPhase } from '@auburngrade/coordination';
 import { Gauge, type Registry } from 'prom-client';
 
+const PHASE_NUMBERS: Record<EvacuationPhase, number> = {
+  inService: 0,
+  evacuating: 1,
+  evacuated: 2,
+};
+
 interface VmReadings {
   sessions(): number;
   configurationVersion(): number;
   isVoter(): boolean;
   storeEra(): number;
+  /** All data centres of the deployment, by their evacuation. */
+  evacuations(): { dataCentre: string; phase: EvacuationPhase }[];
   groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
 }
 
@@ -31,6 +40,20 @@
     readings.storeEra,
   );
   gauge('auburngrade_vm_voter', '1 on a voter, 0 on an observer', () => Number(readings.isVoter()));
+  const evacuationGauge: Gauge = new Gauge({
+    name: 'auburngrade_evacuation_phase',
+    help: 'Evacuation of a data centre: 0 in service, 1 gets no new work, 2 nothing is sent to it',
+    labelNames: ['data_centre'],
+    registers,
+    collect: () => {
+      evacuationGauge.reset();
+      readings
+        .evacuations()
+        .forEach(({ dataCentre, phase }) =>
+          evacuationGauge.set({ data_centre: dataCentre }, PHASE_NUMBERS[phase]),
+        );
+    },
+  });
   const groupGauge = (
     name: string,
     help: string,
--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -42,6 +42,7 @@
     sessions: daemon.sessionCount,
     isVoter: daemon.isVoter,
     storeEra: () => store.era(),
+    evacuations: daemon.evacuations,
     configurationVersion: () => daemon.configurationVersion() ?? 0,
     groups: () =>
       [...daemon.groups()].map(([group, server]) => ({
--- a/packages/coordination/src/ownership/chooseOwner.spec.ts
+++ b/packages/coordination/src/ownership/chooseOwner.spec.ts
@@ -11,6 +11,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isInEvacuatedDataCentre: false,
   isStoreReachable: true,
   hears: new Set(),
   ...changes,
@@ -52,6 +53,15 @@
     expect(chooseOwner('g', vms.slice(0, 1), new Map(), undefined)).to.equal('a');
   });
 
+  it('chooses a VM in an evacuated data centre only when no other reaches the store', () => {
+    const evacuated = { isInEvacuatedDataCentre: true };
+    const strained = view('b', 'temple', { isStrained: true });
+    const vms = [view('a', 'waco', evacuated), strained];
+    expect(chooseOwner('g', vms, new Map([['b', 3]]), 'temple')).to.equal('b');
+    const cutOff = [view('a', 'waco', evacuated), { ...strained, isStoreReachable: false }];
+    expect(chooseOwner('g', cutOff, new Map(), undefined)).to.equal('a');
+  });
+
   it('chooses a VM that cannot reach the store only when none can', () => {
     const vms = [view('a', 'waco', { isStoreReachable: false }), view('b', 'waco')];
     expect(chooseOwner('g', vms, new Map([['b', 2]]), undefined)).to.equal('b');
--- a/packages/coordination/src/ownership/chooseOwner.ts
+++ b/packages/coordination/src/ownership/chooseOwner.ts
@@ -10,7 +10,7 @@
 
 /**
  * Chooses the VM that should own a group; `undefined` when no VM is available. Prefers, in this order:
- * reach to the store, spare CPU, fewest owned groups, not the primary's data centre, the data centre
+ * reach to the store, a data centre that is not evacuated, spare CPU, fewest owned groups, not the primary's data centre, the data centre
  * with the fewest owned groups, rendezvous hashing. A partition of one data centre then takes few
  * owners, and none together with its primary.
  */
@@ -24,7 +24,11 @@
     ({ hasRecentHeartbeat, isLeaving }) => hasRecentHeartbeat && !isLeaving,
   );
   const storeReachable = preferMatching(available, ({ isStoreReachable }) => isStoreReachable);
-  const unstrained = preferMatching(storeReachable, ({ isStrained }) => !isStrained);
+  const inService = preferMatching(
+    storeReachable,
+    ({ isInEvacuatedDataCentre }) => !isInEvacuatedDataCentre,
+  );
+  const unstrained = preferMatching(inService, ({ isStrained }) => !isStrained);
   const countOf = ({ vm }: VmView): number => ownedCounts.get(vm) ?? 0;
   const fewestOwned = Math.min(...unstrained.map(countOf));
   const leastLoaded = unstrained.filter((view) => countOf(view) === fewestOwned);
--- a/packages/coordination/src/ownership/createPeerLease.spec.ts
+++ b/packages/coordination/src/ownership/createPeerLease.spec.ts
@@ -120,6 +120,7 @@
                 : (reportsByLink.get(linkKey(self, vm))?.isSettled ?? false),
             isLeaving: false,
             isStrained: false,
+            isInEvacuatedDataCentre: false,
             isStoreReachable: true,
             hears:
               vm === self
--- a/packages/coordination/src/ownership/hasLostOwner.spec.ts
+++ b/packages/coordination/src/ownership/hasLostOwner.spec.ts
@@ -11,6 +11,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isInEvacuatedDataCentre: false,
   isStoreReachable: true,
   hears: new Set(hears),
   ...changes,
--- a/packages/coordination/src/ownership/vmView.ts
+++ b/packages/coordination/src/ownership/vmView.ts
@@ -13,6 +13,8 @@
   isLeaving: boolean;
   /** It is short of CPU. */
   isStrained: boolean;
+  /** Operators evacuate its data centre. */
+  isInEvacuatedDataCentre: boolean;
   /** It reaches the platform's store, which it needs to record ownership. */
   isStoreReachable: boolean;
   /** VMs whose heartbeats it reports to receive. */
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -54,7 +54,9 @@
 ];
 
 const decoder: StoredValueDecoder = {
+  operatorPrefix: 'configuration',
   configurationKey: 'configuration',
+  evacuationPrefix: 'configuration/evacuate/',
   endpointPrefix: 'endpoints/',
   configuration: (value) => versions[Number(value) - 1],
   endpoint: (key) => ENDPOINTS.find(({ id }) => key === `endpoints/${id}`),
@@ -235,6 +237,38 @@
     expect(openSessionAt(0, 'k1').answers).to.deep.equal(['refused unauthenticated']);
   });
 
+  describe('when operators evacuate a data centre', () => {
+    const evacuated = createFixture();
+    const EVACUATION_KEY = 'configuration/evacuate/temple';
+    const findPhase = (daemon: Daemon): string | undefined =>
+      daemon.evacuations().find(({ dataCentre }) => dataCentre === 'temple')?.phase;
+    const phases = (): (string | undefined)[] =>
+      evacuated.daemons.map((daemon) => findPhase(daemon));
+    const allHave = (phase: string | undefined) => (): boolean =>
+      phases().every((known) => known === phase);
+
+    before(() => evacuated.startAll(['vm-1', 'vm-2', 'vm-3']));
+    after(() => evacuated.stopAll());
+
+    it('is known on all VMs in time, on one that the store turns away too', async () => {
+      evacuated.turnedAwayVms.add('vm-1');
+      evacuated.store.put(EVACUATION_KEY, '{}');
+      await waitUntil(allHave('evacuating'), 2_600);
+      await waitUntil(allHave('evacuated'), 2_500);
+    });
+
+    it('is known on a VM that starts then', async () => {
+      const started = await evacuated.start('vm-4');
+      await waitUntil(() => findPhase(started) !== undefined, 2_600);
+    });
+
+    it('ends on all VMs when it is taken back, on one that the store turns away too', async () => {
+      evacuated.store.remove(EVACUATION_KEY);
+      await waitUntil(allHave(undefined), 2_600);
+      evacuated.turnedAwayVms.delete('vm-1');
+    });
+  });
+
   describe('when the configuration drops the group', () => {
     const dropped = createFixture();
 
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -1,5 +1,6 @@
 import { countVoterSeats, createStrainDetector } from '@auburngrade/coordination';
 import createDocuments from '../fleet/createDocuments';
+import createEvacuations from '../fleet/createEvacuations';
 import createFleet from '../fleet/createFleet';
 import createObserver from '../fleet/createObserver';
 import createOwnership from '../fleet/createOwnership';
@@ -120,6 +121,13 @@
         ? { version: decodeConfiguration(value)?.version }
         : readDocumentOrigin(key, value),
   });
+  const evacuations = createEvacuations({
+    documents,
+    prefix: decoder.evacuationPrefix,
+    boundMs: settings.evacuationBoundMs,
+    log,
+    nowMs,
+  });
   const limiter = createRateLimiter(nowMs);
   const servers = new Map<string, GroupServer>();
   const retiredServers = new Set<GroupServer>();
@@ -160,11 +168,15 @@
     nowMs,
     wallMs,
     isStoreReachable,
+    isEvacuated: (name) => !evacuations.isInService(name),
     onRateUsage: rateUsage.chargeReport,
     onChange: () => hooks.reconcile(),
   });
   const observer = createObserver({ self, documents, log, nowMs });
   let fleetWatcher: ReturnType<typeof createStoreWatcher> | undefined;
+  const findPrimaryDataCentre = (group: string): string | undefined =>
+    endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
+      ?.dataCentre;
   const ownership = createOwnership({
     self,
     store,
@@ -175,9 +187,13 @@
     wallMs,
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
-    primaryDataCentre: (group) =>
-      endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
-        ?.dataCentre,
+    primaryDataCentre: findPrimaryDataCentre,
+    isPrimaryToBeMoved: (group) => {
+      const primaryDataCentre = findPrimaryDataCentre(group);
+      return (
+        primaryDataCentre !== undefined && evacuations.phaseOf(primaryDataCentre) === 'evacuating'
+      );
+    },
   });
 
   const voterChanges = createVoterChanges({
@@ -221,7 +237,7 @@
       log,
       nowMs,
       controlAccount: getControlAccount,
-      evacuationPhaseOf: () => 'inService',
+      evacuationPhaseOf: evacuations.phaseOf,
       storeEra: () => store.era(),
       getRecordedPrimary: () => {
         const { primary, term, fence } = ownership.getRecord(group) ?? UNKNOWN_RECORD;
@@ -405,6 +421,10 @@
     };
   };
 
+  /** Whether observers need the document: the configuration, or the evacuated data centres. */
+  const isObservedDocument = ({ key }: Pick<KnownDocument, 'key'>): boolean =>
+    key === decoder.configurationKey || key === storeKeys.evacuations;
+
   /** Of voters that opened a stream before this VM was one. */
   const earlyHellos: Hello[] = [];
   const linkServer = await startLinkServer({
@@ -416,7 +436,7 @@
       role.onKnownAsVoter();
     },
     fleetState: describeFleet,
-    observedDocuments: () => documents.all().filter(({ key }) => key === decoder.configurationKey),
+    observedDocuments: () => documents.all().filter(isObservedDocument),
     run: async (origin, call, values) => toCallResult(await runCall(origin, call, values)),
     endTransaction: endTransactionOnServers,
     endOrigin: (origin) =>
@@ -449,7 +469,7 @@
   // Heartbeats report known records at once: an owner waits for a majority before it replaces a primary, and a change
   // of the voters for a majority that knows the one before.
   documents.onChange((document) => {
-    if (document.key === decoder.configurationKey) linkServer.publishDocument(document);
+    if (isObservedDocument(document)) linkServer.publishDocument(document);
     if (!isFleetDocument(document)) return;
     setImmediate(sendHeartbeats);
     if (document.key !== storeKeys.voterSet) setImmediate(linkServer.publishState);
@@ -525,6 +545,10 @@
     if (isFleetDocument(item)) documents.putIfNewer(item);
   };
 
+  const cacheConfiguration = (item: StoredItem): void => {
+    if (item.key === decoder.configurationKey) documents.putIfNewer(item);
+  };
+
   hooks.startVoting = (): void => {
     // Along with the lists of the watchers, since a claimed group needs its endpoints at once.
     pollStore();
@@ -532,7 +556,7 @@
     earlyHellos.splice(0).forEach(fleet.addFromHello);
     configurationWatcher = createStoreWatcher({
       store,
-      prefix: decoder.configurationKey,
+      prefix: decoder.operatorPrefix,
       waitMs: () => {
         const frequentWatchers = fleet.vmsReachingStore(true).slice(0, CONFIGURATION_WATCHERS);
         return frequentWatchers.includes(vm)
@@ -540,9 +564,14 @@
           : DEFAULT_WATCH_TIMEOUT_MS;
       },
       log,
-      onList: (items) => items.forEach((item) => documents.putIfNewer(item)),
-      onEvents: (events) =>
-        events.forEach((event) => 'value' in event && documents.putIfNewer(event)),
+      onList: (items, position) => {
+        items.forEach(cacheConfiguration);
+        evacuations.takeList(items, position);
+      },
+      onEvents: (events, { era }) => {
+        events.forEach((event) => 'value' in event && cacheConfiguration(event));
+        evacuations.takeEvents(events, era);
+      },
     });
     fleetWatcher = createStoreWatcher({
       store,
@@ -604,6 +633,12 @@
     sessionCount: () => sessions.size,
     configurationVersion: () => configuration?.version,
     groups: () => servers,
+    /** The deployment's data centres, and others that are evacuated, with how far their evacuation is. */
+    evacuations: () =>
+      [...new Set([...settings.dataCentres, ...evacuations.dataCentres()])].map((name) => ({
+        dataCentre: name,
+        phase: evacuations.phaseOf(name),
+      })),
     /** Drains the VM: hands its groups over, waits for work in flight up to the grace period, and closes. */
     shutDown: async (): Promise<void> => {
       fleet.startLeaving();
@@ -616,6 +651,7 @@
       fleetWatcher?.close();
       fleet.close();
       observer.close();
+      evacuations.close();
     },
   };
 };
--- a/packages/sessions/src/fleet/createFleet.ts
+++ b/packages/sessions/src/fleet/createFleet.ts
@@ -51,6 +51,7 @@
   nowMs(): number;
   wallMs(): number;
   isStoreReachable(): boolean;
+  isEvacuated(dataCentre: string): boolean;
   onRateUsage(vm: string, incarnation: string, spending: Heartbeat['spending']): void;
   onChange(): void;
   /** Opens the stream to another VM; tests pass their own. */
@@ -385,6 +386,7 @@
         isSettled: isSettled(),
         isLeaving,
         isStrained,
+        isInEvacuatedDataCentre: options.isEvacuated(self.dataCentre),
         isStoreReachable: options.isStoreReachable(),
         hears: new Set(heardVms()),
       },
@@ -397,6 +399,7 @@
         isSettled: peer.isSettled,
         isLeaving: peer.isLeaving,
         isStrained: peer.isStrained,
+        isInEvacuatedDataCentre: options.isEvacuated(peer.registration.dataCentre),
         isStoreReachable: peer.isStoreReachable,
         hears: peer.hears,
       })),
@@ -409,6 +412,7 @@
         isSettled: false,
         isLeaving: false,
         isStrained: false,
+        isInEvacuatedDataCentre: false,
         isStoreReachable: false,
         hears: new Set<string>(),
       })),
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -15,6 +15,7 @@
   isSettled: true,
   isLeaving: false,
   isStrained: false,
+  isInEvacuatedDataCentre: false,
   isStoreReachable: true,
   hears: new Set(),
   ...changes,
@@ -43,6 +44,7 @@
     servedAtMs: undefined as number | undefined,
     primaryDataCentre: undefined as string | undefined,
     isReplacingPrimary: false,
+    isPrimaryToBeMoved: false,
   };
   const fleet = {
     vms: () => state.vms,
@@ -73,6 +75,7 @@
     nowMs,
     wallMs: nowMs,
     primaryDataCentre: () => state.primaryDataCentre,
+    isPrimaryToBeMoved: () => state.isPrimaryToBeMoved,
     isReplacingPrimary: () => state.isReplacingPrimary,
     isStoreViewCurrent: () => state.isStoreViewCurrent,
   });
@@ -595,6 +598,58 @@
       expect(ownership.getRecord('lots')?.owner).to.equal('b');
     });
 
+    describe('in an evacuated data centre', () => {
+      const evacuated = { isInEvacuatedDataCentre: true };
+
+      it('hands its groups to another data centre one at a time, once their primaries have moved', async () => {
+        const { ownership, own, state, waitForStore, clock } = fixture;
+        await own('bids');
+        await own('lots');
+        const elsewhere = createVmView('c', { dataCentre: 'temple' });
+        state.vms = [createVmView('a', evacuated), createVmView('b', evacuated), elsewhere];
+        state.isPrimaryToBeMoved = true;
+        const countOwned = (): number =>
+          ['bids', 'lots'].filter((group) => ownership.isOwnedHere(group)).length;
+        const reconcile = async (): Promise<void> => {
+          ownership.reconcile(['bids', 'lots']);
+          await waitForStore();
+        };
+        clock.ms += 5_000;
+        await reconcile();
+        expect(countOwned()).to.equal(2);
+        state.isPrimaryToBeMoved = false;
+        await reconcile();
+        await reconcile();
+        expect(countOwned()).to.equal(1);
+        clock.ms += 701;
+        await reconcile();
+        expect(countOwned()).to.equal(0);
+        expect(ownership.getRecord('lots')).to.deep.include({ owner: 'c', isHandedOver: true });
+      });
+
+      it('keeps its groups where all others are evacuated too', async () => {
+        const { ownership, own, state, waitForStore, clock } = fixture;
+        await own('lots');
+        const other = createVmView('c', { ...evacuated, dataCentre: 'temple' });
+        state.vms = [createVmView('a', evacuated), other];
+        clock.ms += 5_000;
+        ownership.reconcile(['lots']);
+        await waitForStore();
+        expect(ownership.isOwnedHere('lots')).to.equal(true);
+      });
+    });
+
+    it('does not hand groups to and fro while VMs in an evacuated data centre own none', async () => {
+      const { ownership, own, state, waitForStore, clock } = fixture;
+      await own('bids');
+      await own('lots');
+      state.vms = [createVmView('a'), createVmView('c', { isInEvacuatedDataCentre: true })];
+      clock.ms += 5_000;
+      ownership.reconcile(['bids', 'lots']);
+      await waitForStore();
+      expect(['bids', 'lots'].every((group) => ownership.isOwnedHere(group))).to.equal(true);
+    });
+
     it('hands over a group whose primary has been in its own data centre for 2 s', async () => {
       const { ownership, own, state, waitForStore, clock } = fixture;
       await own('lots');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -36,8 +36,8 @@
 const REBALANCE_SURPLUS_GROUPS = 2;
 /** A misplaced group moves only after this time, since its primary or other owners may change again. */
 const MISPLACED_AFTER_MS = 2_000;
-/** Minimum interval between handovers by a VM that is short of processor time. */
-const STRAIN_HANDOVER_INTERVAL_MS = 700;
+/** Minimum interval between handovers by a VM that is short of processor time, or in an evacuated data centre. */
+const HANDOVER_INTERVAL_MS = 700;
 
 interface OwnershipOptions {
   self: { vm: string; incarnation: string; dataCentre: string };
@@ -48,6 +48,8 @@
   nowMs(): number;
   wallMs(): number;
   primaryDataCentre(group: string): string | undefined;
+  /** Whether the group's primary is in an evacuated data centre and is to be replaced by one elsewhere. */
+  isPrimaryToBeMoved(group: string): boolean;
   /** Whether this VM is replacing the group's primary. */
   isReplacingPrimary(group: string): boolean;
   /** Whether registrations and group records are up to date with the store. */
@@ -400,23 +402,45 @@
     );
   };
 
-  /** Hands over one group if this VM is strained, owns too many groups or owns a misplaced one. */
+  /** Finds a group that this VM, in an evacuated data centre, can leave to a VM elsewhere: its primary moves first. */
+  const findEvacuatedGroup = (
+    ownedGroups: readonly string[],
+    eligibleVms: readonly VmView[],
+  ): string | undefined => {
+    const isDue = nowMs() - lastRebalancedAtMs > HANDOVER_INTERVAL_MS;
+    const hasSuccessor = eligibleVms.some((view) => !view.isInEvacuatedDataCentre);
+    return isDue && hasSuccessor
+      ? ownedGroups.find((group) => !options.isPrimaryToBeMoved(group))
+      : undefined;
+  };
+
+  /**
+   * Hands over one group if this VM is in an evacuated data centre, is strained, owns too many groups or owns a
+   * misplaced one.
+   */
   const rebalance = (groups: readonly string[]): void => {
     const counts = countOwnedGroups(groups);
     const ownedGroups = groups.filter(isOwnedHere);
-    const eligibleVms = fleet
-      .vms()
+    const vms = fleet.vms();
+    const isSelfEvacuated = vms.some(
+      ({ vm, isInEvacuatedDataCentre }) => vm === self.vm && isInEvacuatedDataCentre,
+    );
+    // A VM elsewhere hands no group to an evacuated data centre, whose VMs own none.
+    const eligibleVms = vms
       .filter((view) => view.hasRecentHeartbeat && view.isSettled && !view.isLeaving)
-      .filter((view) => view.isStoreReachable && !view.isStrained);
+      .filter((view) => view.isStoreReachable && !view.isStrained)
+      .filter((view) => isSelfEvacuated || !view.isInEvacuatedDataCentre);
     const leastOwned = Math.min(...eligibleVms.map(({ vm }) => counts.get(vm) ?? 0));
     const isDue = fleet.isStrained()
-      ? eligibleVms.length > 0 && nowMs() - lastRebalancedAtMs > STRAIN_HANDOVER_INTERVAL_MS
+      ? eligibleVms.length > 0 && nowMs() - lastRebalancedAtMs > HANDOVER_INTERVAL_MS
       : ownedGroups.length - leastOwned >= REBALANCE_SURPLUS_GROUPS;
     // The next owner of a group does not wait for a call that promotes its primary.
     const mayHandOver = (group: string): boolean => !options.isReplacingPrimary(group);
-    const groupToHandOver = isDue
-      ? ownedGroups.find(mayHandOver)
-      : findMisplacedGroup(ownedGroups, counts, eligibleVms);
+    const findDueGroup = (): string | undefined =>
+      isDue ? ownedGroups.find(mayHandOver) : findMisplacedGroup(ownedGroups, counts, eligibleVms);
+    const groupToHandOver = isSelfEvacuated
+      ? findEvacuatedGroup(ownedGroups.filter(mayHandOver), eligibleVms)
+      : findDueGroup();
     if (groupToHandOver === undefined || !mayHandOver(groupToHandOver)) return;
     if (groupsBeingRecorded.size > 0) return;
     lastRebalancedAtMs = nowMs();
--- a/packages/sessions/src/fleet/createStoreWatcher.ts
+++ b/packages/sessions/src/fleet/createStoreWatcher.ts
@@ -22,8 +22,9 @@
    * Receives all items under the prefix: once at start, and again after the store compacted its history or
    * came back from a copy.
    */
-  onList(items: StoredItem[]): void;
-  onEvents(events: WatchAnswer['events']): void;
+  onList(items: StoredItem[], position: StorePosition): void;
+  /** Receives changes with the position that the watch began after; their own revisions are later. */
+  onEvents(events: WatchAnswer['events'], after: StorePosition): void;
 }
 
 /** Mirrors all items under a prefix of the store: lists them once, then watches from that revision on. */
@@ -38,8 +39,9 @@
     if (position === undefined) {
       const { items, era, revision } = await store.list(prefix);
       log.info('store.listed', { prefix, era, revision, items: items.length });
-      options.onList(items);
-      position = { era, revision };
+      const listedAt = { era, revision };
+      options.onList(items, listedAt);
+      position = listedAt;
       return;
     }
     const answer = await store.watch(prefix, position, options.waitMs());
@@ -49,7 +51,7 @@
       return;
     }
     if (answer.events.length === 0) return;
-    options.onEvents(answer.events);
+    options.onEvents(answer.events, position);
     // Only received events advance the revision: an empty answer may come from a watch that missed a change.
     const { era, revision } = position;
     position = {
--- a/packages/sessions/src/fleet/storeKeys.ts
+++ b/packages/sessions/src/fleet/storeKeys.ts
@@ -7,6 +7,8 @@
   seatPrefix: 'auburngrade/seats/',
   /** The set of voters that majorities are counted over; without a lease. */
   voterSet: 'auburngrade/voters',
+  /** Names the evacuated data centres among VMs; the store has the operators' own keys instead. */
+  evacuations: 'auburngrade/evacuations',
 };
 
 export default storeKeys;
--- a/packages/sessions/src/fleet/voterSet.spec.ts
+++ b/packages/sessions/src/fleet/voterSet.spec.ts
@@ -174,6 +174,7 @@
         nowMs,
         wallMs: nowMs,
         isStoreReachable: () => true,
+        isEvacuated: () => false,
         onRateUsage: () => undefined,
         onChange: () => undefined,
         createLink: ({ vm, onHeartbeat }) => {
--- a/packages/sessions/src/standIns/createFakeVoters.ts
+++ b/packages/sessions/src/standIns/createFakeVoters.ts
@@ -109,6 +109,7 @@
       nowMs,
       wallMs: nowMs,
       isStoreReachable: () => !turnedAway.has(vm),
+      isEvacuated: () => false,
       onRateUsage: () => undefined,
       onChange: () => undefined,
       createLink: (options) => openLink(voter, options),
@@ -122,6 +123,7 @@
       nowMs,
       wallMs: nowMs,
       primaryDataCentre: () => undefined,
+      isPrimaryToBeMoved: () => false,
       isReplacingPrimary: () => false,
       isStoreViewCurrent: () => listed.has(voter) && !turnedAway.has(vm),
     });
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -72,6 +72,7 @@
     nowMs,
     wallMs,
     isStoreReachable,
+    isEvacuated: () => false,
     onRateUsage: () => undefined,
     onChange: () => hooks.reconcile(),
     createLink: world.createLinkOpener(process),
@@ -84,6 +85,7 @@
     log,
     nowMs,
     wallMs,
+    isPrimaryToBeMoved: () => false,
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => hooks.isStoreViewCurrent(),
     primaryDataCentre: (group) =>
