--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -7,7 +7,6 @@
 import createRegistration from '../fleet/createRegistration';
 import createStoreWatcher from '../fleet/createStoreWatcher';
 import createVoterChanges from '../fleet/createVoterChanges';
-import mergeEndpointEntries from '../fleet/mergeEndpointEntries';
 import parseRegistration from '../fleet/parseRegistration';
 import readDocumentOrigin from '../fleet/readDocumentOrigin';
 import type KnownDocument from '../fleet/knownDocument';
@@ -30,13 +29,13 @@
 import type EventLog from '../seams/eventLog';
 import type FailoverClient from '../seams/failoverClient';
 import type FleetConfiguration from '../seams/fleetConfiguration';
-import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberDialer from '../seams/memberDialer';
 import type MetadataStore from '../seams/metadataStore';
 import type NodeSettings from '../seams/nodeSettings';
 import type StoredValueDecoder from '../seams/storedValueDecoder';
 import type StatementObservation from '../seams/statementObservation';
 import type StoredItem from '../seams/storedItem';
+import createEndpointRegistry from './createEndpointRegistry';
 import createIsolationMonitor from './createIsolationMonitor';
 import createRateUsage from './createRateUsage';
 import createRole from './createRole';
@@ -53,14 +52,8 @@
 const CONFIGURATION_WATCHERS = 2;
 /** Watches of the proxy's own keys may be long, since VMs push changes to each other. */
 const DEFAULT_WATCH_TIMEOUT_MS = 10_000;
-/** Polled: endpoint entries change with each heartbeat, and a leaving endpoint must be left in seconds. */
-const ENDPOINT_POLL_INTERVAL_MS = 1_500;
-/** A VM that serves no group only needs a recent list for when it claims one. */
-const IDLE_ENDPOINT_POLL_INTERVAL_MS = 10_000;
 /** Without a peer lease, a confirmation of the records by the store is valid for 1.2 s. */
 const RECORD_REFRESH_INTERVAL_MS = 400;
-/** After the store came back from a copy, endpoints write their entries anew within about two seconds. */
-const OUTDATED_ENTRY_PERIOD_MS = 4_000;
 const STRAIN_SAMPLE_INTERVAL_MS = 50;
 /** A timer later than this means that the VM was suspended, not that it is short of processor time. */
 const SUSPENSION_LATENESS_MS = 500;
@@ -133,8 +126,6 @@
   const retiredServers = new Set<GroupServer>();
   const sessions = new Set<ReturnType<typeof createSession>>();
   let configuration: FleetConfiguration | undefined;
-  let endpoints: GroupEndpoint[] = [];
-  let hasEndpoints = false;
   let lastId = 0;
   const nextId = (): number => {
     lastId += 1;
@@ -147,6 +138,7 @@
   const hooks = {
     reconcile: (): void => undefined,
     startVoting: (): void => undefined,
+    updateGroups: (): void => undefined,
   };
   const seatCount = (): number =>
     countVoterSeats(settings.dataCentres.length, configuration?.groups.size ?? 0);
@@ -174,9 +166,13 @@
   });
   const observer = createObserver({ self, documents, log, nowMs });
   let fleetWatcher: ReturnType<typeof createStoreWatcher> | undefined;
-  const findPrimaryDataCentre = (group: string): string | undefined =>
-    endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
-      ?.dataCentre;
+  const endpointRegistry = createEndpointRegistry({
+    store,
+    decoder,
+    log,
+    nowMs,
+    onList: () => hooks.updateGroups(),
+  });
   const ownership = createOwnership({
     self,
     store,
@@ -187,9 +183,9 @@
     wallMs,
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
-    primaryDataCentre: findPrimaryDataCentre,
+    primaryDataCentre: endpointRegistry.primaryDataCentre,
     isPrimaryToBeMoved: (group) => {
-      const primaryDataCentre = findPrimaryDataCentre(group);
+      const primaryDataCentre = endpointRegistry.primaryDataCentre(group);
       return (
         primaryDataCentre !== undefined && evacuations.phaseOf(primaryDataCentre) === 'evacuating'
       );
@@ -212,11 +208,11 @@
     ) ?? settings.vm;
 
   const updateGroup = (group: string, server: GroupServer): void => {
-    const groupEndpoints = endpoints.filter((endpoint) => endpoint.group === group);
-    if (hasEndpoints) {
-      server.updateEndpoints(groupEndpoints, configuration?.groups.get(group)?.maxConnections ?? 1);
-    }
+    const endpoints = endpointRegistry.endpointsOf(group);
+    const { maxConnections = 1 } = configuration?.groups.get(group) ?? {};
+    if (endpoints) server.updateEndpoints(endpoints, maxConnections);
   };
+  hooks.updateGroups = (): void => servers.forEach((server, group) => updateGroup(group, server));
 
   const isDropped = (group: string): boolean => configuration?.groups.has(group) === false;
   /** Whether no other VM can replace the primary of a dropped group, whose transactions end here. */
@@ -315,7 +311,7 @@
     configuration = decoded;
     log.info('configuration.applied', { version: decoded.version, era, revision });
     limiter.setLimits(decoded.limits);
-    servers.forEach((server, group) => updateGroup(group, server));
+    hooks.updateGroups();
     sessions.forEach((session) => session.closeIfAccessRevoked());
     reconcile();
   };
@@ -324,46 +320,21 @@
     else reconcile();
   });
 
-  let eraChangedAtMs = Number.NEGATIVE_INFINITY;
-  store.onEraChange(() => {
-    eraChangedAtMs = nowMs();
-  });
-  const readEndpoints = async (): Promise<void> => {
-    const { items } = await store.list(decoder.endpointPrefix);
-    const listed = items.flatMap(({ key, value }) => decoder.endpoint(key, value) ?? []);
-    const isEraYoung = nowMs() - eraChangedAtMs < OUTDATED_ENTRY_PERIOD_MS;
-    endpoints = isEraYoung ? mergeEndpointEntries(endpoints, listed) : listed;
-    hasEndpoints = true;
-    servers.forEach((server, group) => updateGroup(group, server));
-  };
-  let endpointsReadAtMs = Number.NEGATIVE_INFINITY;
   let refreshedAtMs = Number.NEGATIVE_INFINITY;
-  let isReadingEndpoints = false;
   let isRefreshingRecords = false;
-  const isDue = (atMs: number, intervalMs: number): boolean => nowMs() - atMs >= intervalMs;
   const pollStore = (): void => {
-    const needsEndpoints = servers.size > 0 || !hasEndpoints;
-    const intervalMs = needsEndpoints ? ENDPOINT_POLL_INTERVAL_MS : IDLE_ENDPOINT_POLL_INTERVAL_MS;
-    if (!isReadingEndpoints && isDue(endpointsReadAtMs, intervalMs)) {
-      isReadingEndpoints = true;
-      endpointsReadAtMs = nowMs();
-      readEndpoints()
-        .catch((error) => log.info('endpoints.unread', { reason: String(error) }))
-        .finally(() => {
-          isReadingEndpoints = false;
-        });
-    }
+    endpointRegistry.poll(servers.size > 0);
     const needsStore = servers.size > 0 && ownership.needsStoreConfirmation();
-    if (needsStore && !isRefreshingRecords && isDue(refreshedAtMs, RECORD_REFRESH_INTERVAL_MS)) {
-      isRefreshingRecords = true;
-      refreshedAtMs = nowMs();
-      ownership
-        .refreshRecords()
-        .catch((error) => log.info('ownership.unconfirmed', { reason: String(error) }))
-        .finally(() => {
-          isRefreshingRecords = false;
-        });
-    }
+    const isDue = nowMs() - refreshedAtMs >= RECORD_REFRESH_INTERVAL_MS;
+    if (!needsStore || isRefreshingRecords || !isDue) return;
+    isRefreshingRecords = true;
+    refreshedAtMs = nowMs();
+    ownership
+      .refreshRecords()
+      .catch((error) => log.info('ownership.unconfirmed', { reason: String(error) }))
+      .finally(() => {
+        isRefreshingRecords = false;
+      });
   };
 
   const findServer = (call: GroupCall): GroupServer | undefined => servers.get(call.group);
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -1,16 +1,15 @@
 import {
   chooseOwner,
-  countGroupsByDataCentre,
   compareDocumentPositions,
   hasLostOwner,
   type DocumentPosition,
-  type VmView,
 } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
 import type EventLog from '../seams/eventLog';
 import type MetadataStore from '../seams/metadataStore';
 import type StorePosition from '../seams/storePosition';
 import type StoredItem from '../seams/storedItem';
+import createGroupRebalancing from './createGroupRebalancing';
 import type Documents from './documents';
 import type Fleet from './fleet';
 import type KnownDocument from './knownDocument';
@@ -32,12 +31,6 @@
 const RECORD_GRACE_MS = 600;
 /** An owner that is heard but did not serve its group for this long reaches neither store nor majority. */
 const OWNER_STALLED_AFTER_MS = 1_200;
-/** Surplus of groups over the least loaded VM or data centre from which a group is handed over. */
-const REBALANCE_SURPLUS_GROUPS = 2;
-/** A misplaced group moves only after this time, since its primary or other owners may change again. */
-const MISPLACED_AFTER_MS = 2_000;
-/** Minimum interval between handovers by a VM that is short of processor time, or in an evacuated data centre. */
-const HANDOVER_INTERVAL_MS = 700;
 
 interface OwnershipOptions {
   self: { vm: string; incarnation: string; dataCentre: string };
@@ -62,6 +55,7 @@
  */
 const createOwnership = (options: OwnershipOptions) => {
   const { self, store, documents, fleet, log, nowMs, wallMs } = options;
+  const rebalancing = createGroupRebalancing(options);
   const groupsBeingRecorded = new Set<string>();
   /** When the wait of a VM that claimed a group ends, in which tenure. */
   const replacementWaits = new Map<string, { tenure: string | undefined; endsAtMs: number }>();
@@ -79,9 +73,6 @@
   /** Tenures as the acting VM that a claim of this VM continues, by the epoch of the claim. */
   const continuedTenures = new Map<string, { ownerEpoch: number; tenure: string }>();
   let hasListedRecords = false;
-  let lastRebalancedAtMs = Number.NEGATIVE_INFINITY;
-  /** Since when each owned group should belong to another data centre. */
-  const misplacedSinceMs = new Map<string, number>();
 
   /** Records by the document that they were read from: they are needed for each statement. */
   const parsedRecords = new WeakMap<KnownDocument, GroupRecord | undefined>();
@@ -365,86 +356,15 @@
       .finally(() => groupsBeingRecorded.delete(group));
   };
 
-  /**
-   * Finds an owned group that another data centre should own. A partition of this data centre would take away
-   * its owner and its primary at once, or the owners of too many groups.
-   */
-  const findMisplacedGroup = (
-    ownedGroups: readonly string[],
-    counts: ReadonlyMap<string, number>,
-    eligibleVms: readonly VmView[],
-  ): string | undefined => {
-    const now = nowMs();
-    const countByCentre = countGroupsByDataCentre(fleet.vms(), counts);
-    const countInDataCentre = (dataCentre: string): number => countByCentre.get(dataCentre) ?? 0;
-    const isPrimaryInOwnDataCentre = (group: string): boolean =>
-      options.primaryDataCentre(group) === self.dataCentre;
-    const findSuccessor = (group: string): VmView | undefined => {
-      const vm = chooseOwner(group, eligibleVms, counts, options.primaryDataCentre(group));
-      const view = eligibleVms.find((entry) => entry.vm === vm);
-      const isElsewhere = view !== undefined && view.dataCentre !== self.dataCentre;
-      return isElsewhere && (counts.get(view.vm) ?? 0) < ownedGroups.length ? view : undefined;
-    };
-    const misplacedGroups = ownedGroups.filter((group) => {
-      const successor = findSuccessor(group);
-      if (!successor) return false;
-      const surplus = countInDataCentre(self.dataCentre) - countInDataCentre(successor.dataCentre);
-      return isPrimaryInOwnDataCentre(group) || surplus >= REBALANCE_SURPLUS_GROUPS;
-    });
-    [...misplacedSinceMs.keys()]
-      .filter((group) => !misplacedGroups.includes(group))
-      .forEach((group) => misplacedSinceMs.delete(group));
-    misplacedGroups
-      .filter((group) => !misplacedSinceMs.has(group))
-      .forEach((group) => misplacedSinceMs.set(group, now));
-    return misplacedGroups.find(
-      (group) => now - (misplacedSinceMs.get(group) ?? now) >= MISPLACED_AFTER_MS,
-    );
-  };
-
-  /** Finds a group that this VM, in an evacuated data centre, can leave to a VM elsewhere: its primary moves first. */
-  const findEvacuatedGroup = (
-    ownedGroups: readonly string[],
-    eligibleVms: readonly VmView[],
-  ): string | undefined => {
-    const isDue = nowMs() - lastRebalancedAtMs > HANDOVER_INTERVAL_MS;
-    const hasSuccessor = eligibleVms.some((view) => !view.isInEvacuatedDataCentre);
-    return isDue && hasSuccessor
-      ? ownedGroups.find((group) => !options.isPrimaryToBeMoved(group))
-      : undefined;
-  };
-
-  /**
-   * Hands over one group if this VM is in an evacuated data centre, is strained, owns too many groups or owns a
-   * misplaced one.
-   */
+  /** Hands over one group if the rebalancing asks for it. */
   const rebalance = (groups: readonly string[]): void => {
-    const counts = countOwnedGroups(groups);
-    const ownedGroups = groups.filter(isOwnedHere);
-    const vms = fleet.vms();
-    const isSelfEvacuated = vms.some(
-      ({ vm, isInEvacuatedDataCentre }) => vm === self.vm && isInEvacuatedDataCentre,
+    const group = rebalancing.findGroupToHandOver(
+      groups.filter(isOwnedHere),
+      countOwnedGroups(groups),
     );
-    // A VM elsewhere hands no group to an evacuated data centre, whose VMs own none.
-    const eligibleVms = vms
-      .filter((view) => view.hasRecentHeartbeat && view.isSettled && !view.isLeaving)
-      .filter((view) => view.isStoreReachable && !view.isStrained)
-      .filter((view) => isSelfEvacuated || !view.isInEvacuatedDataCentre);
-    const leastOwned = Math.min(...eligibleVms.map(({ vm }) => counts.get(vm) ?? 0));
-    const isDue = fleet.isStrained()
-      ? eligibleVms.length > 0 && nowMs() - lastRebalancedAtMs > HANDOVER_INTERVAL_MS
-      : ownedGroups.length - leastOwned >= REBALANCE_SURPLUS_GROUPS;
-    // The next owner of a group does not wait for a call that promotes its primary.
-    const mayHandOver = (group: string): boolean => !options.isReplacingPrimary(group);
-    const findDueGroup = (): string | undefined =>
-      isDue ? ownedGroups.find(mayHandOver) : findMisplacedGroup(ownedGroups, counts, eligibleVms);
-    const groupToHandOver = isSelfEvacuated
-      ? findEvacuatedGroup(ownedGroups.filter(mayHandOver), eligibleVms)
-      : findDueGroup();
-    if (groupToHandOver === undefined || !mayHandOver(groupToHandOver)) return;
-    if (groupsBeingRecorded.size > 0) return;
-    lastRebalancedAtMs = nowMs();
-    runRecordChange(groupToHandOver, handOver(groupToHandOver), 'group.handOverFailed');
+    if (group === undefined || groupsBeingRecorded.size > 0) return;
+    rebalancing.noteHandover();
+    runRecordChange(group, handOver(group), 'group.handOverFailed');
   };
 
   return {
