refactor(sessions): the group server in modules by concern

The queue stays in createGroupServer. Endpoints' pools, open transactions, the running of statements, the mapping of replies to outcomes and the positions that reads require are modules of their own. Behaviour is unchanged; the specs of the group pass as before.

--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -2,105 +2,46 @@
   chooseStatementEndpoint,
   compareUrgency,
   createPositionHistory,
-  maxPosition,
-  type EvacuationPhase,
-  type LogPosition,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
-import type createRateLimiter from '../limits/createRateLimiter';
-import type EventLog from '../seams/eventLog';
-import type FailoverClient from '../seams/failoverClient';
 import type GroupEndpoint from '../seams/groupEndpoint';
-import type MemberCommand from '../seams/memberCommand';
-import type MemberDialer from '../seams/memberDialer';
-import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
-import createDepartedEndpoints from './createDepartedEndpoints';
-import createMemberPool from './createMemberPool';
+import createGroupEndpoints from './createGroupEndpoints';
+import createOpenTransactions from './createOpenTransactions';
 import createPrimaryManager from './createPrimaryManager';
-import type GroupRecord from './groupRecord';
-import type OpenTransaction from './openTransaction';
-import memberFailureVerdicts from './memberFailureVerdicts';
+import createRefusal from './createRefusal';
+import createReplyOutcomes from './createReplyOutcomes';
+import createRequiredPosition from './createRequiredPosition';
+import createStatementRunner from './createStatementRunner';
+import type GroupServerOptions from './groupServerOptions';
+import isPrimaryOnly from './isPrimaryOnly';
+import logOutcome from './logOutcome';
 import type PendingStatement from './pendingStatement';
+import toTransactionKey from './toTransactionKey';
 import type MemberPool from './memberPool';
-import type PooledConnection from './pooledConnection';
-import prepareConnection from './prepareConnection';
-import createRefusal from './createRefusal';
-import toValuesKey from './toValuesKey';
 
-/** Subtracted from a route's maximum age: covers clock error, network delay and the read itself. */
-const FRESHNESS_MARGIN_MS = 250;
-/** Minimum time between two position samples of the primary while reads wait for one. */
-const POSITION_SAMPLE_INTERVAL_MS = 200;
 /** Fraction of a statement's time limit that it may spend queued; the rest is left to run it. */
 const MAX_QUEUE_TIME_RATIO = 0.85;
 /** Maximum attempts for one statement; only reads and statements that did not run are retried. */
 const MAX_ATTEMPTS = 6;
-/** Fraction of the limit that an owner uses: a crashed owner's connections still count for 3 s. */
-const OWNER_CONNECTION_RATIO = 0.7;
-/** Timeout of a read's first attempts, several times the usual latency; then it runs elsewhere. */
-const SHORT_READ_TIMEOUT_MS = 400;
-/** Read attempts with the short timeout; later ones get the statement's full time limit. */
-const MAX_SHORT_READ_ATTEMPTS = 2;
 /** Connections per endpoint that transactions may not hold, so that single statements can run. */
 const RESERVED_SINGLE_STATEMENT_CONNECTIONS = 4;
-/** Time until an endpoint without an entry is removed; entries return within 2 s of the store. */
-const MISSING_ENTRY_GRACE_MS = 2_500;
 
 const UNSENDABLE_NAMES =
   "the endpoints' protocol can't carry the name of the group or of the account";
-const ROLLED_BACK = 'the transaction was rolled back: the primary may have been replaced';
-
-interface GroupServerOptions {
-  group: string;
-  /** Id of this VM, which owns the group. */
-  ownerVm: string;
-  dialer: MemberDialer;
-  failover: FailoverClient;
-  limiter: ReturnType<typeof createRateLimiter>;
-  log: EventLog;
-  nowMs(): number;
-  /** Era of the platform's store. */
-  storeEra(): number;
-  getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
-  record(next: Pick<GroupRecord, 'primary' | 'term' | 'fence'>): Promise<boolean>;
-  /** How many replicas receive a commit before it is acknowledged. */
-  syncReplicas(): number;
-  /** Whether no earlier owner can still be using another primary. */
-  canReplacePrimary(): boolean;
-  /** Identifies the uninterrupted service of the group by this VM; undefined while it has none. */
-  findTenure(): string | undefined;
-  /** False while another VM may have replaced the primary without this VM knowing. */
-  isAuthoritative(): boolean;
-  /** Whether commits under way may still be acknowledged after the handover that ended the tenure. */
-  isInHandoverGrace(tenure: string | undefined): boolean;
-  /** How far the evacuation of a data centre is. */
-  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
-  /** Client account used for the owner's own commands, such as status. */
-  controlAccount(): string;
-}
-
-const toTransactionKey = (senderId: string, transactionId: number): string =>
-  `${senderId}/${transactionId}`;
 
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
-  const pools = new Map<string, MemberPool>();
-  const missingSinceMs = new Map<string, number>();
-  const departed = createDepartedEndpoints(nowMs);
   const positionHistory = createPositionHistory();
-  const transactions = new Map<string, OpenTransaction>();
+  const transactions = createOpenTransactions({ group, log });
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
   let queue: PendingStatement[] = [];
-  let maxConnections = 1;
   let isClosed = false;
   let isDraining = false;
   let isDispatchScheduled = false;
-  let isSampling = false;
-  let lastSampleAttemptAtMs = Number.NEGATIVE_INFINITY;
 
   /** `dispatch` is assigned below, after the pools and the primary manager that trigger it. */
   const scheduler: { dispatch(): void } = { dispatch: () => undefined };
@@ -113,55 +54,41 @@
     });
   };
 
+  /** Assigned below, after the primary manager, which needs the endpoints' pools. */
+  const replyHooks: { note(endpointId: string, reply: MemberReply, sentAtMs: number): void } = {
+    note: () => undefined,
+  };
+  const endpoints = createGroupEndpoints({
+    ...options,
+    onChange: scheduleDispatch,
+    onReply: (...parameters) => replyHooks.note(...parameters),
+  });
+  const { pools } = endpoints;
   const primaryManager = createPrimaryManager({
     ...options,
     pools,
-    departedEndpoints: departed.list,
+    departedEndpoints: endpoints.listDeparted,
     countOpenWork: (endpointId) =>
-      [...transactions.values()].filter((transaction) => transaction.endpointId === endpointId)
-        .length + (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
+      transactions.countAt(endpointId) +
+      (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
     onPrimaryFound: (_id, position, sentAtMs) => {
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
     },
     onChange: scheduleDispatch,
   });
-
-  const endTransaction = (transaction: OpenTransaction, isEndedAtEndpoint: boolean): void => {
-    if (!transactions.delete(transaction.id)) return;
-    clearTimeout(transaction.idleTimer);
-    const { pool, member: connection } = transaction;
-    if (isEndedAtEndpoint) {
-      pool.release(connection);
-      return;
-    }
-    if (connection.isEnded || transaction.isStatementRunning) {
-      pool.closeConnection(connection);
-      return;
-    }
-    const timeoutTimer = setTimeout(() => pool.closeConnection(connection), FRESHNESS_MARGIN_MS);
-    pool.send(connection, { kind: 'rollback' }).then(
-      (reply) => {
-        clearTimeout(timeoutTimer);
-        if (reply.state === 'idle' && !reply.failure) pool.release(connection);
-        else pool.closeConnection(connection);
-      },
-      () => clearTimeout(timeoutTimer),
-    );
-  };
-
-  const startIdleTimer = (idleTransaction: OpenTransaction): void => {
-    const transaction = idleTransaction;
-    clearTimeout(transaction.idleTimer);
-    transaction.idleTimer = setTimeout(() => {
-      log.info('transaction.idleEnded', {
-        group,
-        transaction: transaction.id,
-        idleMs: transaction.idleMs,
-      });
-      endTransaction(transaction, false);
-    }, transaction.idleMs);
+  replyHooks.note = (id, { position }, sentAtMs) => {
+    if (id !== primaryManager.getKnownPrimary() || !position) return;
+    primaryManager.notePrimaryPosition(position, sentAtMs);
+    positionHistory.record(sentAtMs, position);
   };
+  const requiredPosition = createRequiredPosition({
+    ...options,
+    pools,
+    positionHistory,
+    primaryManager,
+    onChange: scheduleDispatch,
+  });
 
   const resolveStatement = (statement: PendingStatement, outcome: CallOutcome): void => {
     clearTimeout(statement.queueTimer);
@@ -171,94 +98,16 @@
       outcome.kind === 'notOwner' || (outcome.kind === 'refused' && outcome.code === 'busy');
     if (isNotRun && !statement.isInTransaction && !statement.hasBeenSent)
       limiter.refund(statement.call.account);
-    if (outcome.kind === 'refused') {
-      log.info('request.refused', {
-        request: statement.call.requestId,
-        group,
-        code: outcome.code,
-        reason: outcome.message,
-        waitedMs: Math.round(nowMs() - statement.arrivedAtMs),
-        attempts: statement.attempts,
-        primary: primaryManager.getAvailablePrimary(),
-        waiting: queue.length,
-      });
-    } else if (outcome.kind === 'complete' && nowMs() > statement.targetAtMs) {
-      log.info('request.late', {
-        request: statement.call.requestId,
-        group,
-        signature: outcome.signature,
-        waitedMs: Math.round(nowMs() - statement.arrivedAtMs),
-        beforeMs: statement.call.waitedMs,
-        targetMs: statement.call.targetLatencyMs,
-        attempts: statement.attempts,
-        waiting: queue.length,
-      });
-    }
+    logOutcome(statement, outcome, {
+      group,
+      log,
+      nowMs: nowMs(),
+      primary: primaryManager.getAvailablePrimary(),
+      waiting: queue.length,
+    });
     statement.resolve(outcome);
   };
 
-  const isPrimaryOnly = ({ call }: PendingStatement): boolean =>
-    call.maxAgeMs === undefined ||
-    (call.action === Action.ACTION_WRITE && !call.isReadOnly) ||
-    (call.opensTransaction && !call.isReadOnly);
-
-  const getRequiredPosition = (statement: PendingStatement): LogPosition | undefined => {
-    const { maxAgeMs, notBefore } = statement.call;
-    // The positions are those of the primary in the tenure in which it was found.
-    if (maxAgeMs === undefined || !primaryManager.isPrimaryOfTenure()) return undefined;
-    const leastFreshPosition = positionHistory.findMinFreshPosition(
-      nowMs() - Math.max(0, maxAgeMs - FRESHNESS_MARGIN_MS),
-    );
-    return leastFreshPosition && maxPosition(leastFreshPosition, notBefore);
-  };
-
-  const findTransaction = (statement: PendingStatement): OpenTransaction | undefined =>
-    statement.call.transaction === 0
-      ? undefined
-      : transactions.get(toTransactionKey(statement.senderId, statement.call.transaction));
-
-  /**
-   * Acknowledges a write or commit only if it ran at the primary, and while no other VM can have replaced that.
-   * A former primary still commits until it learns of its successor.
-   */
-  const toCallOutcome = (
-    { call }: PendingStatement,
-    reply: MemberReply,
-    endpointId: string,
-  ): CallOutcome => {
-    const isChange = call.action !== Action.ACTION_READ && !call.isReadOnly;
-    const primary = primaryManager.getKnownPrimary();
-    if (isChange && primary !== undefined && endpointId !== primary) {
-      const { requestId: request } = call;
-      log.warn('request.ranAtFormerPrimary', { request, group, endpoint: endpointId, primary });
-    }
-    const isAuthoritative = isDraining
-      ? options.isInHandoverGrace(primaryManager.primaryTenure())
-      : options.isAuthoritative();
-    return isChange && (endpointId !== primary || !isAuthoritative)
-      ? createRefusal(
-          'inDoubt',
-          'outcome unknown: the primary may have been replaced while the statement ran',
-        )
-      : {
-          kind: 'complete',
-          rows: reply.rows,
-          signature: reply.signature ?? '',
-          position: reply.position,
-        };
-  };
-
-  const buildCommand = (
-    { call }: PendingStatement,
-    connection: PooledConnection,
-    notBefore: LogPosition | undefined,
-  ): MemberCommand => {
-    const { requestId, text, prepared } = call;
-    if (!prepared) return { kind: 'forward', requestId, text, notBefore };
-    const name = prepareConnection.getPreparedName(connection, prepared);
-    return { kind: 'execute', requestId, name, argumentsText: prepared.argumentsText, notBefore };
-  };
-
   /** Refuses the first statement of a transaction that was ended before it was open. */
   const resolveEndedOpening = (statement: PendingStatement): void =>
     resolveStatement(statement, createRefusal('aborted', 'the transaction was ended'));
@@ -271,12 +120,15 @@
     resolveEndedOpening(statement);
   };
 
+  const hasAttemptLeft = ({ attempts, queueDeadlineMs }: PendingStatement): boolean =>
+    attempts < MAX_ATTEMPTS && nowMs() < queueDeadlineMs;
+
   const requeue = (statement: PendingStatement): void => {
     if (statement.isTransactionEnded) {
       resolveEndedOpening(statement);
     } else if (isClosed || (isDraining && !statement.isInTransaction)) {
       resolveStatement(statement, { kind: 'notOwner' });
-    } else if (statement.attempts >= MAX_ATTEMPTS || nowMs() >= statement.queueDeadlineMs) {
+    } else if (!hasAttemptLeft(statement)) {
       resolveStatement(
         statement,
         createRefusal(
@@ -290,261 +142,24 @@
     }
   };
 
-  /** Excludes an endpoint from retries; never the primary, since some statements run only there. */
-  const excludeEndpoint = (statement: PendingStatement, pool: MemberPool): void => {
-    const { id } = pool.endpoint();
-    if (id !== primaryManager.getKnownPrimary()) statement.excludedEndpointIds.add(id);
-  };
-
-  /** Maps a failure reply to an outcome; returns undefined when the statement may be retried. */
-  const handleFailure = (
-    statement: PendingStatement,
-    pool: MemberPool,
-    reply: MemberReply,
-  ): CallOutcome | undefined => {
-    const { kind, message } = reply.failure as NonNullable<MemberReply['failure']>;
-    const { call } = statement;
-    const isRead = call.action === Action.ACTION_READ;
-    if (memberFailureVerdicts[kind] === 'notRun') {
-      if (kind === 'busy') pool.pauseAfterBusy();
-      else if (kind === 'readOnly') primaryManager.invalidatePrimary(pool.endpoint().id);
-      else if (kind !== 'noStatement') excludeEndpoint(statement, pool);
-      return undefined;
-    }
-    if (!isRead) return createRefusal('inDoubt', message);
-    if (kind === 'timedOut') return createRefusal('timedOut', message);
-    if (call.transaction !== 0) return createRefusal('failed', message);
-    excludeEndpoint(statement, pool);
-    return undefined;
-  };
-
-  /** Refuses a statement that the endpoints' protocol can't carry: nothing of it was sent. */
-  const toUnsendableRefusal = ({
-    reason,
-    message,
-  }: MemberConnectionError): CallOutcome | undefined => {
-    if (reason === 'tooLarge') return createRefusal('tooLarge', message);
-    return reason === 'unsendable' ? createRefusal('malformed', message) : undefined;
-  };
-
-  /** Call right before a statement is sent: one that meets an ended connection does not leave this VM. */
-  const requireOpen = ({ isEnded }: PooledConnection): void => {
-    if (isEnded)
-      throw new MemberConnectionError(
-        'broken',
-        'the connection ended before the statement was sent',
-      );
-  };
-
-  /** Sends a statement; closes the connection when the full reply takes longer than `timeoutMs`. */
-  const sendWithTimeout = async (
-    pool: MemberPool,
-    connection: PooledConnection,
-    command: MemberCommand,
-    timeoutMs: number,
-  ): Promise<MemberReply> => {
-    const timeoutTimer = setTimeout(() => pool.closeConnection(connection), timeoutMs);
-    const startedAtMs = nowMs();
-    try {
-      const reply = await pool.send(connection, command);
-      if (!reply.failure) pool.recordLatency(nowMs() - startedAtMs);
-      return reply;
-    } finally {
-      clearTimeout(timeoutTimer);
-    }
-  };
-
-  /** Runs a statement outside a transaction. */
-  const runSingle = async (statement: PendingStatement, pool: MemberPool): Promise<void> => {
-    const { call } = statement;
-    const notBefore = isPrimaryOnly(statement) ? undefined : getRequiredPosition(statement);
-    const isReplica = pool.endpoint().id !== primaryManager.getKnownPrimary();
-    const sentStatement = statement;
-    let connection: PooledConnection | undefined;
-    let isSent = false;
-    try {
-      connection = await pool.acquire(call.account, toValuesKey(statement.values));
-      const timeoutTimer = setTimeout(
-        () => connection && pool.closeConnection(connection),
-        call.statementTimeoutMs,
-      );
-      await prepareConnection(pool, connection, statement.values, call.prepared);
-      clearTimeout(timeoutTimer);
-      if (isPrimaryOnly(statement) && primaryManager.getAvailablePrimary() !== pool.endpoint().id) {
-        pool.release(connection);
-        requeue(statement);
-        return;
-      }
-      requireOpen(connection);
-      isSent = true;
-      sentStatement.hasBeenSent = true;
-      const command = buildCommand(statement, connection, isReplica ? notBefore : undefined);
-      const isShortAttempt =
-        call.action === Action.ACTION_READ && statement.attempts <= MAX_SHORT_READ_ATTEMPTS;
-      const timeoutMs = isShortAttempt ? SHORT_READ_TIMEOUT_MS : call.statementTimeoutMs;
-      const reply = await sendWithTimeout(pool, connection, command, timeoutMs);
-      if (reply.failure?.kind === 'noStatement') connection.prepared.clear();
-      if (reply.state === 'idle') pool.release(connection);
-      else pool.closeConnection(connection);
-      if (!reply.failure) {
-        resolveStatement(statement, toCallOutcome(statement, reply, pool.endpoint().id));
-        return;
-      }
-      const outcome = handleFailure(statement, pool, reply);
-      if (outcome) resolveStatement(statement, outcome);
-      else requeue(statement);
-    } catch (error) {
-      if (!(error instanceof MemberConnectionError)) throw error;
-      if (connection) pool.closeConnection(connection);
-      const unsendable = toUnsendableRefusal(error);
-      if (unsendable) {
-        resolveStatement(statement, unsendable);
-        return;
-      }
-      const isRetryable = !isSent || call.action === Action.ACTION_READ;
-      const isBeforeDeadline = nowMs() < statement.queueDeadlineMs;
-      if (isRetryable && isBeforeDeadline) {
-        if (isSent) excludeEndpoint(statement, pool);
-        requeue(statement);
-      } else if (isSent) {
-        const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
-        resolveStatement(statement, createRefusal(code, error.message));
-      } else {
-        resolveStatement(statement, createRefusal('busy', `${error.message}; retry in 200 ms`));
-      }
-    }
-  };
-
-  /** Runs a statement of an open transaction on the transaction's connection. */
-  const runInTransaction = async (
-    statement: PendingStatement,
-    openTransaction: OpenTransaction,
-  ): Promise<void> => {
-    const transaction = openTransaction;
-    const { call } = statement;
-    const { pool, member: connection } = transaction;
-    const isCommit = call.action === Action.ACTION_COMMIT;
-    clearTimeout(transaction.idleTimer);
-    transaction.isStatementRunning = true;
-    let isSent = false;
-    try {
-      const timeoutTimer = setTimeout(
-        () => pool.closeConnection(connection),
-        call.statementTimeoutMs,
-      );
-      await prepareConnection(pool, connection, statement.values, call.prepared);
-      clearTimeout(timeoutTimer);
-      requireOpen(connection);
-      if (call.action === Action.ACTION_WRITE) transaction.hasWritten = true;
-      isSent = true;
-      const command = buildCommand(statement, connection, undefined);
-      const reply = await sendWithTimeout(pool, connection, command, call.statementTimeoutMs);
-      transaction.isStatementRunning = false;
-      if (!reply.failure) {
-        const outcome = toCallOutcome(statement, reply, transaction.endpointId);
-        // What is not committed yet is rolled back, so that nothing of it is in doubt.
-        const isGivenUp = !isCommit && outcome.kind === 'refused';
-        if (isCommit) endTransaction(transaction, reply.state === 'idle');
-        else if (isGivenUp) endTransaction(transaction, false);
-        else startIdleTimer(transaction);
-        resolveStatement(statement, isGivenUp ? createRefusal('aborted', ROLLED_BACK) : outcome);
-        return;
-      }
-      const isRetryable = reply.state === 'open' && reply.failure.kind === 'busy';
-      if (isRetryable && nowMs() < statement.queueDeadlineMs && statement.attempts < MAX_ATTEMPTS) {
-        pool.pauseAfterBusy();
-        startIdleTimer(transaction);
-        queue.push(statement);
-        return;
-      }
-      if (reply.failure.kind === 'readOnly')
-        primaryManager.invalidatePrimary(transaction.endpointId);
-      endTransaction(transaction, false);
-      const mayHaveCommitted =
-        isCommit &&
-        transaction.hasWritten &&
-        memberFailureVerdicts[reply.failure.kind] !== 'notRun';
-      resolveStatement(
-        statement,
-        createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', reply.failure.message),
-      );
-    } catch (error) {
-      if (!(error instanceof MemberConnectionError)) throw error;
-      transaction.isStatementRunning = false;
-      pool.closeConnection(connection);
-      endTransaction(transaction, false);
-      const mayHaveCommitted = isCommit && isSent && transaction.hasWritten;
-      resolveStatement(
-        statement,
-        toUnsendableRefusal(error) ??
-          createRefusal(mayHaveCommitted ? 'inDoubt' : 'aborted', error.message),
-      );
-    }
-  };
-
-  /** Begins a transaction at an endpoint and runs its first statement on the same connection. */
-  const begin = async (statement: PendingStatement, pool: MemberPool): Promise<void> => {
-    const { call } = statement;
-    const endpointId = pool.endpoint().id;
-    const isReplica = endpointId !== primaryManager.getKnownPrimary();
-    const notBefore = isReplica ? getRequiredPosition(statement) : undefined;
-    let connection: PooledConnection | undefined;
-    try {
-      connection = await pool.acquire(call.account, toValuesKey(statement.values));
-      const timeoutTimer = setTimeout(
-        () => connection && pool.closeConnection(connection),
-        call.statementTimeoutMs,
-      );
-      await prepareConnection(pool, connection, statement.values, call.prepared);
-      if (isPrimaryOnly(statement) && primaryManager.getAvailablePrimary() !== endpointId) {
-        clearTimeout(timeoutTimer);
-        pool.release(connection);
-        requeue(statement);
-        return;
-      }
-      const beginReply = await pool.send(connection, {
-        kind: 'begin',
-        isReadOnly: call.isReadOnly,
-        notBefore,
-      });
-      clearTimeout(timeoutTimer);
-      if (beginReply.failure || beginReply.state !== 'open') {
-        if (beginReply.failure?.kind === 'lagging') excludeEndpoint(statement, pool);
-        if (beginReply.failure?.kind === 'readOnly') primaryManager.invalidatePrimary(endpointId);
-        if (beginReply.failure?.kind === 'busy') pool.pauseAfterBusy();
-        pool.closeConnection(connection);
-        requeue(statement);
-        return;
-      }
-    } catch (error) {
-      if (!(error instanceof MemberConnectionError)) throw error;
-      if (connection) pool.closeConnection(connection);
-      const unsendable = toUnsendableRefusal(error);
-      if (unsendable) resolveStatement(statement, unsendable);
-      else requeue(statement);
-      return;
-    }
-    const transaction: OpenTransaction = {
-      id: toTransactionKey(statement.senderId, call.transaction),
-      session: call.session,
-      endpointId,
-      pool,
-      member: connection,
-      hasWritten: false,
-      isStatementRunning: false,
-      idleTimer: undefined,
-      idleMs: call.transactionIdleMs,
-    };
-    if (isClosed || statement.isTransactionEnded) {
-      pool.closeConnection(connection);
-      requeue(statement);
-      return;
-    }
-    transactions.set(transaction.id, transaction);
-    const first = statement;
-    first.isInTransaction = true;
-    await runInTransaction(first, transaction);
-  };
+  const runner = createStatementRunner({
+    primaryManager,
+    transactions,
+    outcomes: createReplyOutcomes({
+      ...options,
+      primaryManager,
+      isDraining: () => isDraining,
+    }),
+    nowMs,
+    isClosed: () => isClosed,
+    getRequiredPosition: requiredPosition.find,
+    resolveStatement,
+    requeue,
+    hasAttemptLeft,
+    retryInTransaction: (statement) => {
+      queue.push(statement);
+    },
+  });
 
   const start = (statement: PendingStatement, pool: MemberPool, run: () => Promise<void>): void => {
     const started = statement;
@@ -567,14 +182,10 @@
       });
   };
 
-  const countTransactionsAt = (endpointId: string): number =>
-    [...transactions.values()].filter((transaction) => transaction.endpointId === endpointId)
-      .length;
-
   /** Starts or refuses a queued statement; returns false when no endpoint can take it yet. */
   const tryStartStatement = (entry: PendingStatement): boolean => {
     const { call } = entry;
-    const transaction = findTransaction(entry);
+    const transaction = transactions.find(entry);
     if (!transaction && entry.isInTransaction) {
       resolveStatement(entry, createRefusal('aborted', 'the transaction has already ended'));
       return true;
@@ -583,7 +194,7 @@
     if (transaction) {
       const load = transaction.pool.getLoad(call.account, true);
       if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
-      start(entry, transaction.pool, () => runInTransaction(entry, transaction));
+      start(entry, transaction.pool, () => runner.runInTransaction(entry, transaction));
       return true;
     }
     if (!options.isAuthoritative()) return false;
@@ -595,10 +206,11 @@
     const eligibleLoads = call.opensTransaction
       ? loads.filter(
           ({ id }) =>
-            countTransactionsAt(id) < maxConnections - RESERVED_SINGLE_STATEMENT_CONNECTIONS,
+            transactions.countAt(id) <
+            endpoints.maxConnections() - RESERVED_SINGLE_STATEMENT_CONNECTIONS,
         )
       : loads;
-    const notBefore = needsPrimary ? undefined : getRequiredPosition(entry);
+    const notBefore = needsPrimary ? undefined : requiredPosition.find(entry);
     const chosenLoad = chooseStatementEndpoint(
       eligibleLoads,
       { needsPrimary, notBefore, excluded: entry.excludedEndpointIds },
@@ -606,45 +218,10 @@
     );
     const pool = chosenLoad && pools.get(chosenLoad.id);
     if (!pool) return false;
-    start(entry, pool, () => (call.opensTransaction ? begin(entry, pool) : runSingle(entry, pool)));
-    return true;
-  };
-
-  /** Queries the primary's log position unless a reply or an attempt is recent enough. */
-  const samplePositionIfStale = (): void => {
-    const primary = primaryManager.getAvailablePrimary();
-    const pool = primary === undefined ? undefined : pools.get(primary);
-    // Failed samples count too: an immediate retry would find the endpoint in the same state.
-    const lastSampleAtMs = Math.max(
-      positionHistory.getLatestAskedAtMs() ?? 0,
-      lastSampleAttemptAtMs,
-    );
-    if (!pool || isSampling || nowMs() - lastSampleAtMs < POSITION_SAMPLE_INTERVAL_MS) return;
-    isSampling = true;
-    lastSampleAttemptAtMs = nowMs();
-    const account = queue[0]?.call.account ?? options.controlAccount();
-    let sampleConnection: PooledConnection | undefined;
-    const timeoutTimer = setTimeout(
-      () => sampleConnection && pool.closeConnection(sampleConnection),
-      POSITION_SAMPLE_INTERVAL_MS * 4,
+    start(entry, pool, () =>
+      call.opensTransaction ? runner.begin(entry, pool) : runner.runSingle(entry, pool),
     );
-    pool
-      .acquire(account, '')
-      .then(async (connection) => {
-        sampleConnection = connection;
-        await pool.send(connection, { kind: 'status' });
-        pool.release(connection);
-      })
-      .catch((error) => {
-        if (sampleConnection) pool.closeConnection(sampleConnection);
-        log.info('position.unknown', { group, endpoint: primary, reason: String(error) });
-        setTimeout(scheduleDispatch, POSITION_SAMPLE_INTERVAL_MS);
-      })
-      .finally(() => {
-        clearTimeout(timeoutTimer);
-        isSampling = false;
-        scheduleDispatch();
-      });
+    return true;
   };
 
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
@@ -661,69 +238,26 @@
     );
     queue = [...notStarted, ...queue];
     if (
-      notStarted.some((statement) => !isPrimaryOnly(statement) && !getRequiredPosition(statement))
+      notStarted.some((statement) => !isPrimaryOnly(statement) && !requiredPosition.find(statement))
     )
-      samplePositionIfStale();
+      requiredPosition.sampleIfStale(queue[0]?.call.account ?? options.controlAccount());
   };
 
   const expireStatement = (statement: PendingStatement): void => {
     const index = queue.indexOf(statement);
     if (index < 0) return;
     queue.splice(index, 1);
-    const transaction = findTransaction(statement);
-    if (transaction) endTransaction(transaction, false);
+    const transaction = transactions.find(statement);
+    if (transaction) transactions.end(transaction, false);
     const reason = primaryManager.getAvailablePrimary()
       ? 'no endpoint slot became free within the queue time limit'
       : 'the group has no available primary';
     resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
   };
 
-  const createPoolOptions = (id: string) => ({
-    dialer,
-    log,
-    nowMs,
-    onChange: scheduleDispatch,
-    controlAccount: options.controlAccount,
-    onReply: (reply: MemberReply, sentAtMs: number) => {
-      if (id !== primaryManager.getKnownPrimary() || !reply.position) return;
-      primaryManager.notePrimaryPosition(reply.position, sentAtMs);
-      positionHistory.record(sentAtMs, reply.position);
-    },
-  });
-
   return {
-    updateEndpoints: (endpoints: readonly GroupEndpoint[], connectionLimit: number): void => {
-      maxConnections = Math.max(1, Math.floor(connectionLimit * OWNER_CONNECTION_RATIO));
-      for (const endpoint of endpoints) {
-        departed.noteListed(endpoint);
-        missingSinceMs.delete(endpoint.id);
-        const existingPool = pools.get(endpoint.id);
-        const pool = existingPool ?? createMemberPool(endpoint, createPoolOptions(endpoint.id));
-        if (!existingPool) {
-          log.info('endpoint.found', { group, endpoint: endpoint.id, address: endpoint.address });
-          pools.set(endpoint.id, pool);
-        } else if (endpoint.isLeaving && !existingPool.endpoint().isLeaving) {
-          log.info('endpoint.leaving', { group, endpoint: endpoint.id });
-        }
-        pool.update(endpoint, maxConnections);
-      }
-      const listedIds = new Set(endpoints.map(({ id }) => id));
-      for (const [id, pool] of pools) {
-        if (!listedIds.has(id)) {
-          const entryMissingSinceMs = missingSinceMs.get(id) ?? nowMs();
-          missingSinceMs.set(id, entryMissingSinceMs);
-          if (
-            nowMs() - entryMissingSinceMs >= MISSING_ENTRY_GRACE_MS ||
-            pool.endpoint().isLeaving
-          ) {
-            log.info('endpoint.gone', { group, endpoint: id });
-            missingSinceMs.delete(id);
-            departed.add(pool.endpoint());
-            pools.delete(id);
-            pool.close();
-          }
-        }
-      }
+    updateEndpoints: (entries: readonly GroupEndpoint[], connectionLimit: number): void => {
+      endpoints.update(entries, connectionLimit);
       if (primaryManager.getKnownPrimary() === undefined) primaryManager.checkNow();
       scheduleDispatch();
     },
@@ -777,19 +311,20 @@
       });
     },
     hasTransaction: (senderId: string, transactionId: number): boolean =>
-      transactions.has(toTransactionKey(senderId, transactionId)),
+      transactions.get(toTransactionKey(senderId, transactionId)) !== undefined,
     endTransaction: (senderId: string, transactionId: number): void => {
       const key = toTransactionKey(senderId, transactionId);
       const transaction = transactions.get(key);
       const opening = openings.get(key);
-      if (transaction) endTransaction(transaction, false);
+      if (transaction) transactions.end(transaction, false);
       if (opening) endOpening(opening);
     },
     /** Rolls back all open transactions of a VM process that is gone. */
     endTransactionsOfSender: (senderId: string): void => {
-      [...transactions.values()]
+      transactions
+        .list()
         .filter(({ id }) => id.startsWith(`${senderId}/`))
-        .forEach((transaction) => endTransaction(transaction, false));
+        .forEach((transaction) => transactions.end(transaction, false));
       [...openings.values()].filter((opening) => opening.senderId === senderId).forEach(endOpening);
     },
     /** Called when another VM has become the owner: only open transactions continue here. */
@@ -804,7 +339,7 @@
       rejected.forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
-    countOpenTransactions: () => transactions.size,
+    countOpenTransactions: () => transactions.count(),
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
     countQueued: () => queue.length,
@@ -814,7 +349,7 @@
       isClosed = true;
       primaryManager.close();
       queue.splice(0).forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
-      [...transactions.values()].forEach((transaction) => endTransaction(transaction, false));
+      transactions.list().forEach((transaction) => transactions.end(transaction, false));
       pools.forEach((pool) => pool.close());
     },
   };
--- /dev/null
+++ b/packages/sessions/src/group/openTransactions.ts
@@ -0,0 +1,5 @@
+import type createOpenTransactions from './createOpenTransactions';
+
+type OpenTransactions = ReturnType<typeof createOpenTransactions>;
+
+export default OpenTransactions;
