--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,6 +1,5 @@
 import {
   chooseStatementEndpoint,
-  compareUrgency,
   createPositionHistory,
   maxPosition,
   type EvacuationPhase,
@@ -27,6 +26,7 @@
 import type PooledConnection from './pooledConnection';
 import prepareConnection from './prepareConnection';
 import createRefusal from './createRefusal';
+import createStatementQueue from './createStatementQueue';
 import toValuesKey from './toValuesKey';
 
 /** Subtracted from a route's maximum age: covers clock error, network delay and the read itself. */
@@ -94,7 +94,7 @@
   const transactions = new Map<string, OpenTransaction>();
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
-  let queue: PendingStatement[] = [];
+  const queue = createStatementQueue(nowMs);
   let maxConnections = 1;
   let isClosed = false;
   let isDraining = false;
@@ -180,7 +180,7 @@
         waitedMs: Math.round(nowMs() - statement.arrivedAtMs),
         attempts: statement.attempts,
         primary: primaryManager.getAvailablePrimary(),
-        waiting: queue.length,
+        waiting: queue.size(),
       });
     } else if (outcome.kind === 'complete' && nowMs() > statement.targetAtMs) {
       log.info('request.late', {
@@ -191,7 +191,7 @@
         beforeMs: statement.call.waitedMs,
         targetMs: statement.call.targetLatencyMs,
         attempts: statement.attempts,
-        waiting: queue.length,
+        waiting: queue.size(),
       });
     }
     statement.resolve(outcome);
@@ -266,9 +266,7 @@
   const endOpening = (opening: PendingStatement): void => {
     const statement = opening;
     statement.isTransactionEnded = true;
-    if (!queue.includes(statement)) return;
-    queue = queue.filter((queued) => queued !== statement);
-    resolveEndedOpening(statement);
+    if (queue.remove(statement)) resolveEndedOpening(statement);
   };
 
   const requeue = (statement: PendingStatement): void => {
@@ -285,7 +283,7 @@
         ),
       );
     } else {
-      queue.push(statement);
+      queue.add(statement);
       scheduleDispatch();
     }
   };
@@ -454,7 +452,7 @@
       if (isRetryable && nowMs() < statement.queueDeadlineMs && statement.attempts < MAX_ATTEMPTS) {
         pool.pauseAfterBusy();
         startIdleTimer(transaction);
-        queue.push(statement);
+        queue.add(statement);
         return;
       }
       if (reply.failure.kind === 'readOnly')
@@ -622,7 +620,7 @@
     if (!pool || isSampling || nowMs() - lastSampleAtMs < POSITION_SAMPLE_INTERVAL_MS) return;
     isSampling = true;
     lastSampleAttemptAtMs = nowMs();
-    const account = queue[0]?.call.account ?? options.controlAccount();
+    const account = queue.first()?.call.account ?? options.controlAccount();
     let sampleConnection: PooledConnection | undefined;
     const timeoutTimer = setTimeout(
       () => sampleConnection && pool.closeConnection(sampleConnection),
@@ -650,16 +648,8 @@
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   scheduler.dispatch = () => {
-    if (isClosed || queue.length === 0) return;
-    const now = nowMs();
-    if (!hasCapacity()) return;
-    queue.sort((a, b) => compareUrgency(a, b, now));
-    const candidates = queue;
-    queue = [];
-    const notStarted = candidates.filter(
-      (statement) => !hasCapacity() || !tryStartStatement(statement),
-    );
-    queue = [...notStarted, ...queue];
+    if (isClosed || queue.size() === 0 || !hasCapacity()) return;
+    const notStarted = queue.start({ hasCapacity, tryStart: tryStartStatement });
     if (
       notStarted.some((statement) => !isPrimaryOnly(statement) && !getRequiredPosition(statement))
     )
@@ -667,9 +657,7 @@
   };
 
   const expireStatement = (statement: PendingStatement): void => {
-    const index = queue.indexOf(statement);
-    if (index < 0) return;
-    queue.splice(index, 1);
+    if (!queue.remove(statement)) return;
     const transaction = findTransaction(statement);
     if (transaction) endTransaction(transaction, false);
     const reason = primaryManager.getAvailablePrimary()
@@ -772,7 +760,7 @@
         );
         if (call.opensTransaction)
           openings.set(toTransactionKey(senderId, call.transaction), statement);
-        queue.push(statement);
+        queue.add(statement);
         scheduler.dispatch();
       });
     },
@@ -796,24 +784,23 @@
     startDraining: (): void => {
       isDraining = true;
       primaryManager.close();
-      const [inTransaction, rejected] = [
-        queue.filter(({ isInTransaction }) => isInTransaction),
-        queue.filter(({ isInTransaction }) => !isInTransaction),
-      ];
-      queue = inTransaction;
-      rejected.forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
+      queue
+        .take(({ isInTransaction }) => !isInTransaction)
+        .forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
     countOpenTransactions: () => transactions.size,
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
-    countQueued: () => queue.length,
+    countQueued: () => queue.size(),
     isReplacingPrimary: primaryManager.isReplacing,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
       isClosed = true;
       primaryManager.close();
-      queue.splice(0).forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
+      queue
+        .take(() => true)
+        .forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       [...transactions.values()].forEach((transaction) => endTransaction(transaction, false));
       pools.forEach((pool) => pool.close());
     },
