fix(sessions): attempts of a statement that did not run are paced

Callers saw 'busy' after 100 ms with seconds of their time limit left: an endpoint that had just refused a statement got it again every 17 ms, until its six attempts were used up.

The delay between attempts at the same endpoint now doubles from 15 ms to 250 ms (100 ms in an open transaction), until the statement's queue deadline. Other endpoints may take it at once, and so may the same endpoint once it is up again or is found to be the primary. Attempts after which the statement may have run are limited to six as before. No idle time-out runs while a statement of the transaction waits for its next attempt.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -161,6 +161,7 @@
 export { default as maxPosition } from './position/maxPosition';
 export { default as createPositionHistory } from './freshness/createPositionHistory';
 export { default as createReplicatedBucket } from './rate/createReplicatedBucket';
+export { default as createAttemptPace } from './admission/createAttemptPace';
 export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
 export { default as applyEvacuationEvents } from './evacuation/applyEvacuationEvents';
 export { default as findEvacuationPhase } from './evacuation/findEvacuationPhase';
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,9 +1,11 @@
 import {
   chooseStatementEndpoint,
+  createAttemptPace,
   createPositionHistory,
   maxPosition,
   type EvacuationPhase,
   type LogPosition,
+  type MemberLoad,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type createRateLimiter from '../limits/createRateLimiter';
@@ -15,6 +17,7 @@
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
+import createAvailableSince from './createAvailableSince';
 import createDepartedEndpoints from './createDepartedEndpoints';
 import createMemberPool from './createMemberPool';
 import createPrimaryManager from './createPrimaryManager';
@@ -35,7 +38,11 @@
 const POSITION_SAMPLE_INTERVAL_MS = 200;
 /** Fraction of a statement's time limit that it may spend queued; the rest is left to run it. */
 const MAX_QUEUE_TIME_RATIO = 0.85;
-/** Maximum attempts for one statement; only reads and statements that did not run are retried. */
+/** Longest delay between two attempts at an endpoint where a statement did not run. */
+const MAX_ATTEMPT_DELAY_MS = 250;
+/** The same in an open transaction, which holds a connection and can't run elsewhere. */
+const MAX_TRANSACTION_ATTEMPT_DELAY_MS = 100;
+/** Maximum attempts for one statement, without those of which it is known that it did not run. */
 const MAX_ATTEMPTS = 6;
 /** Fraction of the limit that an owner uses: a crashed owner's connections still count for 3 s. */
 const OWNER_CONNECTION_RATIO = 0.7;
@@ -89,6 +96,7 @@
   const { group, dialer, limiter, log, nowMs } = options;
   const pools = new Map<string, MemberPool>();
   const missingSinceMs = new Map<string, number>();
+  const availableSince = createAvailableSince(nowMs);
   const departed = createDepartedEndpoints(nowMs);
   const positionHistory = createPositionHistory();
   const transactions = new Map<string, OpenTransaction>();
@@ -120,7 +128,8 @@
     countOpenWork: (endpointId) =>
       [...transactions.values()].filter((transaction) => transaction.endpointId === endpointId)
         .length + (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
-    onPrimaryFound: (_id, position, sentAtMs) => {
+    onPrimaryFound: (id, position, sentAtMs) => {
+      availableSince.noteAvailable(id);
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
     },
@@ -269,12 +278,30 @@
     if (queue.remove(statement)) resolveEndedOpening(statement);
   };
 
+  /** Delays the next attempt at an endpoint where the statement did not run. */
+  const paceAttempts = (statement: PendingStatement, endpointId: string): void => {
+    const paced = statement;
+    paced.notRunAttempts += 1;
+    paced.pace ??= createAttemptPace(
+      statement.isInTransaction ? MAX_TRANSACTION_ATTEMPT_DELAY_MS : MAX_ATTEMPT_DELAY_MS,
+    );
+    setTimeout(scheduleDispatch, paced.pace.noteNotRun(endpointId, nowMs()) + 1);
+  };
+
+  const isPaused = (statement: PendingStatement, load: MemberLoad): boolean =>
+    load.pausedUntilMs > nowMs() ||
+    (statement.pace !== undefined &&
+      statement.pace.pausedUntilMs(load.id, availableSince.sinceMs(load.id)) > nowMs());
+
   const requeue = (statement: PendingStatement): void => {
     if (statement.isTransactionEnded) {
       resolveEndedOpening(statement);
     } else if (isClosed || (isDraining && !statement.isInTransaction)) {
       resolveStatement(statement, { kind: 'notOwner' });
-    } else if (statement.attempts >= MAX_ATTEMPTS || nowMs() >= statement.queueDeadlineMs) {
+    } else if (
+      statement.attempts - statement.notRunAttempts >= MAX_ATTEMPTS ||
+      nowMs() >= statement.queueDeadlineMs
+    ) {
       resolveStatement(
         statement,
         createRefusal(
@@ -304,6 +331,7 @@
     const { call } = statement;
     const isRead = call.action === Action.ACTION_READ;
     if (memberFailureVerdicts[kind] === 'notRun') {
+      if (kind !== 'noStatement') paceAttempts(statement, pool.endpoint().id);
       if (kind === 'busy') pool.pauseAfterBusy();
       else if (kind === 'readOnly') primaryManager.invalidatePrimary(pool.endpoint().id);
       else if (kind !== 'noStatement') excludeEndpoint(statement, pool);
@@ -403,6 +431,7 @@
       const isBeforeDeadline = nowMs() < statement.queueDeadlineMs;
       if (isRetryable && isBeforeDeadline) {
         if (isSent) excludeEndpoint(statement, pool);
+        else paceAttempts(statement, pool.endpoint().id);
         requeue(statement);
       } else if (isSent) {
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
@@ -449,9 +478,10 @@
         return;
       }
       const isRetryable = reply.state === 'open' && reply.failure.kind === 'busy';
-      if (isRetryable && nowMs() < statement.queueDeadlineMs && statement.attempts < MAX_ATTEMPTS) {
+      if (isRetryable && nowMs() < statement.queueDeadlineMs) {
         pool.pauseAfterBusy();
-        startIdleTimer(transaction);
+        // The statement's queue deadline ends the transaction; its caller is not idle meanwhile.
+        paceAttempts(statement, transaction.endpointId);
         queue.add(statement);
         return;
       }
@@ -511,6 +541,7 @@
         if (beginReply.failure?.kind === 'readOnly') primaryManager.invalidatePrimary(endpointId);
         if (beginReply.failure?.kind === 'busy') pool.pauseAfterBusy();
         pool.closeConnection(connection);
+        paceAttempts(statement, endpointId);
         requeue(statement);
         return;
       }
@@ -518,8 +549,12 @@
       if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
       const unsendable = toUnsendableRefusal(error);
-      if (unsendable) resolveStatement(statement, unsendable);
-      else requeue(statement);
+      if (unsendable) {
+        resolveStatement(statement, unsendable);
+        return;
+      }
+      paceAttempts(statement, endpointId);
+      requeue(statement);
       return;
     }
     const transaction: OpenTransaction = {
@@ -580,7 +615,7 @@
     // A first statement that the endpoint refused as busy finds its transaction open.
     if (transaction) {
       const load = transaction.pool.getLoad(call.account, true);
-      if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
+      if (load.activeStatements > load.slots || isPaused(entry, load)) return false;
       start(entry, transaction.pool, () => runInTransaction(entry, transaction));
       return true;
     }
@@ -590,12 +625,15 @@
     const loads = [...pools.values()].map((pool) =>
       pool.getLoad(call.account, pool.endpoint().id === primary),
     );
-    const eligibleLoads = call.opensTransaction
+    const openLoads = call.opensTransaction
       ? loads.filter(
           ({ id }) =>
             countTransactionsAt(id) < maxConnections - RESERVED_SINGLE_STATEMENT_CONNECTIONS,
         )
       : loads;
+    const eligibleLoads = entry.pace
+      ? openLoads.filter((load) => !isPaused(entry, load))
+      : openLoads;
     const notBefore = needsPrimary ? undefined : getRequiredPosition(entry);
     const chosenLoad = chooseStatementEndpoint(
       eligibleLoads,
@@ -660,8 +698,12 @@
     if (!queue.remove(statement)) return;
     const transaction = findTransaction(statement);
     if (transaction) endTransaction(transaction, false);
+    const slotReason =
+      statement.notRunAttempts > 0
+        ? 'no endpoint could run the statement within the queue time limit'
+        : 'no endpoint slot became free within the queue time limit';
     const reason = primaryManager.getAvailablePrimary()
-      ? 'no endpoint slot became free within the queue time limit'
+      ? slotReason
       : 'the group has no available primary';
     resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
   };
@@ -670,7 +712,10 @@
     dialer,
     log,
     nowMs,
-    onChange: scheduleDispatch,
+    onChange: () => {
+      availableSince.noteHealth(id, pools.get(id)?.isDown() ?? false);
+      scheduleDispatch();
+    },
     controlAccount: options.controlAccount,
     onReply: (reply: MemberReply, sentAtMs: number) => {
       if (id !== primaryManager.getKnownPrimary() || !reply.position) return;
@@ -749,6 +794,8 @@
           queueDeadlineMs: now + call.statementTimeoutMs * MAX_QUEUE_TIME_RATIO - call.waitedMs,
           priority: call.priority,
           attempts: 0,
+          notRunAttempts: 0,
+          pace: undefined,
           hasBeenSent: false,
           isTransactionEnded: false,
           queueTimer: undefined,
--- a/packages/sessions/src/group/pendingStatement.ts
+++ b/packages/sessions/src/group/pendingStatement.ts
@@ -1,4 +1,4 @@
-import type { QueuedStatement } from '@auburngrade/coordination';
+import type { createAttemptPace, QueuedStatement } from '@auburngrade/coordination';
 import type { GroupCall } from '../generated/auburngrade/session/v1/session';
 import type CallOutcome from './callOutcome';
 
@@ -13,6 +13,10 @@
   /** Time at which it is refused when still queued. */
   queueDeadlineMs: number;
   attempts: number;
+  /** Attempts of which an endpoint or its connection showed that the statement did not run. */
+  notRunAttempts: number;
+  /** Set with the first of them. */
+  pace: ReturnType<typeof createAttemptPace> | undefined;
   /** Whether it was sent to an endpoint at least once. */
   hasBeenSent: boolean;
   /** Whether the transaction that it opens was ended meanwhile. */
