--- a/packages/sessions/src/group/createGroupEndpoints.ts
+++ b/packages/sessions/src/group/createGroupEndpoints.ts
@@ -16,14 +16,15 @@
   dialer: MemberDialer;
   log: EventLog;
   nowMs(): number;
-  onChange(): void;
+  /** Called when a slot or connection may be free at the endpoint, or its health has changed. */
+  onChange(endpointId: string, isDown: boolean): void;
   onReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
   controlAccount(): string;
 }
 
 /** Keeps a pool of connections to each endpoint of a group, by the entries of the endpoints. */
 const createGroupEndpoints = (options: GroupEndpointsOptions) => {
-  const { group, dialer, log, nowMs, onChange, controlAccount } = options;
+  const { group, dialer, log, nowMs, controlAccount } = options;
   const pools = new Map<string, MemberPool>();
   const missingSinceMs = new Map<string, number>();
   const departed = createDepartedEndpoints(nowMs);
@@ -33,7 +34,7 @@
     dialer,
     log,
     nowMs,
-    onChange,
+    onChange: () => options.onChange(id, pools.get(id)?.isDown() ?? false),
     controlAccount,
     onReply: (reply: MemberReply, sentAtMs: number) => options.onReply(id, reply, sentAtMs),
   });
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,18 +1,21 @@
 import {
   chooseStatementEndpoint,
-  compareUrgency,
+  createAttemptPace,
   createPositionHistory,
+  type MemberLoad,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
+import createAvailableSince from './createAvailableSince';
 import createGroupEndpoints from './createGroupEndpoints';
 import createOpenTransactions from './createOpenTransactions';
 import createPrimaryManager from './createPrimaryManager';
 import createRefusal from './createRefusal';
 import createReplyOutcomes from './createReplyOutcomes';
 import createRequiredPosition from './createRequiredPosition';
+import createStatementQueue from './createStatementQueue';
 import createStatementRunner from './createStatementRunner';
 import type GroupServerOptions from './groupServerOptions';
 import isPrimaryOnly from './isPrimaryOnly';
@@ -23,7 +26,11 @@
 
 /** Fraction of a statement's time limit that it may spend queued; the rest is left to run it. */
 const MAX_QUEUE_TIME_RATIO = 0.85;
-/** Maximum attempts for one statement; only reads and statements that did not run are retried. */
+/** Longest delay between two attempts at an endpoint where a statement did not run. */
+const MAX_ATTEMPT_DELAY_MS = 250;
+/** The same in an open transaction, which holds a connection and can't run elsewhere. */
+const MAX_TRANSACTION_ATTEMPT_DELAY_MS = 100;
+/** Maximum attempts for one statement, without those of which it is known that it did not run. */
 const MAX_ATTEMPTS = 6;
 /** Connections per endpoint that transactions may not hold, so that single statements can run. */
 const RESERVED_SINGLE_STATEMENT_CONNECTIONS = 4;
@@ -34,11 +41,12 @@
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
+  const availableSince = createAvailableSince(nowMs);
   const positionHistory = createPositionHistory();
   const transactions = createOpenTransactions({ group, log });
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
-  let queue: PendingStatement[] = [];
+  const queue = createStatementQueue(nowMs);
   let isClosed = false;
   let isDraining = false;
   let isDispatchScheduled = false;
@@ -60,7 +68,10 @@
   };
   const endpoints = createGroupEndpoints({
     ...options,
-    onChange: scheduleDispatch,
+    onChange: (id, isDown) => {
+      availableSince.noteHealth(id, isDown);
+      scheduleDispatch();
+    },
     onReply: (...parameters) => replyHooks.note(...parameters),
   });
   const { pools } = endpoints;
@@ -71,7 +82,8 @@
     countOpenWork: (endpointId) =>
       transactions.countAt(endpointId) +
       (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
-    onPrimaryFound: (_id, position, sentAtMs) => {
+    onPrimaryFound: (id, position, sentAtMs) => {
+      availableSince.noteAvailable(id);
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
     },
@@ -103,7 +115,7 @@
       log,
       nowMs: nowMs(),
       primary: primaryManager.getAvailablePrimary(),
-      waiting: queue.length,
+      waiting: queue.size(),
     });
     statement.resolve(outcome);
   };
@@ -115,13 +127,30 @@
   const endOpening = (opening: PendingStatement): void => {
     const statement = opening;
     statement.isTransactionEnded = true;
-    if (!queue.includes(statement)) return;
-    queue = queue.filter((queued) => queued !== statement);
-    resolveEndedOpening(statement);
+    if (queue.remove(statement)) resolveEndedOpening(statement);
   };
 
-  const hasAttemptLeft = ({ attempts, queueDeadlineMs }: PendingStatement): boolean =>
-    attempts < MAX_ATTEMPTS && nowMs() < queueDeadlineMs;
+  /** Delays the next attempt at an endpoint where the statement did not run. */
+  const paceAttempts = (statement: PendingStatement, endpointId: string): void => {
+    const paced = statement;
+    paced.notRunAttempts += 1;
+    paced.pace ??= createAttemptPace(
+      statement.isInTransaction ? MAX_TRANSACTION_ATTEMPT_DELAY_MS : MAX_ATTEMPT_DELAY_MS,
+    );
+    setTimeout(scheduleDispatch, paced.pace.noteNotRun(endpointId, nowMs()) + 1);
+  };
+
+  const isPaused = (statement: PendingStatement, load: MemberLoad): boolean =>
+    load.pausedUntilMs > nowMs() ||
+    (statement.pace !== undefined &&
+      statement.pace.pausedUntilMs(load.id, availableSince.sinceMs(load.id)) > nowMs());
+
+  const hasAttemptLeft = ({
+    attempts,
+    notRunAttempts,
+    queueDeadlineMs,
+  }: PendingStatement): boolean =>
+    attempts - notRunAttempts < MAX_ATTEMPTS && nowMs() < queueDeadlineMs;
 
   const requeue = (statement: PendingStatement): void => {
     if (statement.isTransactionEnded) {
@@ -137,7 +166,7 @@
         ),
       );
     } else {
-      queue.push(statement);
+      queue.add(statement);
       scheduleDispatch();
     }
   };
@@ -149,16 +178,15 @@
       ...options,
       primaryManager,
       isDraining: () => isDraining,
+      paceAttempts,
     }),
     nowMs,
     isClosed: () => isClosed,
     getRequiredPosition: requiredPosition.find,
     resolveStatement,
     requeue,
-    hasAttemptLeft,
-    retryInTransaction: (statement) => {
-      queue.push(statement);
-    },
+    paceAttempts,
+    retryInTransaction: queue.add,
   });
 
   const start = (statement: PendingStatement, pool: MemberPool, run: () => Promise<void>): void => {
@@ -193,7 +221,7 @@
     // A first statement that the endpoint refused as busy finds its transaction open.
     if (transaction) {
       const load = transaction.pool.getLoad(call.account, true);
-      if (load.activeStatements > load.slots || load.pausedUntilMs > nowMs()) return false;
+      if (load.activeStatements > load.slots || isPaused(entry, load)) return false;
       start(entry, transaction.pool, () => runner.runInTransaction(entry, transaction));
       return true;
     }
@@ -203,13 +231,16 @@
     const loads = [...pools.values()].map((pool) =>
       pool.getLoad(call.account, pool.endpoint().id === primary),
     );
-    const eligibleLoads = call.opensTransaction
+    const openLoads = call.opensTransaction
       ? loads.filter(
           ({ id }) =>
             transactions.countAt(id) <
             endpoints.maxConnections() - RESERVED_SINGLE_STATEMENT_CONNECTIONS,
         )
       : loads;
+    const eligibleLoads = entry.pace
+      ? openLoads.filter((load) => !isPaused(entry, load))
+      : openLoads;
     const notBefore = needsPrimary ? undefined : requiredPosition.find(entry);
     const chosenLoad = chooseStatementEndpoint(
       eligibleLoads,
@@ -227,30 +258,24 @@
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   scheduler.dispatch = () => {
-    if (isClosed || queue.length === 0) return;
-    const now = nowMs();
-    if (!hasCapacity()) return;
-    queue.sort((a, b) => compareUrgency(a, b, now));
-    const candidates = queue;
-    queue = [];
-    const notStarted = candidates.filter(
-      (statement) => !hasCapacity() || !tryStartStatement(statement),
-    );
-    queue = [...notStarted, ...queue];
+    if (isClosed || queue.size() === 0 || !hasCapacity()) return;
+    const notStarted = queue.start({ hasCapacity, tryStart: tryStartStatement });
     if (
       notStarted.some((statement) => !isPrimaryOnly(statement) && !requiredPosition.find(statement))
     )
-      requiredPosition.sampleIfStale(queue[0]?.call.account ?? options.controlAccount());
+      requiredPosition.sampleIfStale(queue.first()?.call.account ?? options.controlAccount());
   };
 
   const expireStatement = (statement: PendingStatement): void => {
-    const index = queue.indexOf(statement);
-    if (index < 0) return;
-    queue.splice(index, 1);
+    if (!queue.remove(statement)) return;
     const transaction = transactions.find(statement);
     if (transaction) transactions.end(transaction, false);
+    const slotReason =
+      statement.notRunAttempts > 0
+        ? 'no endpoint could run the statement within the queue time limit'
+        : 'no endpoint slot became free within the queue time limit';
     const reason = primaryManager.getAvailablePrimary()
-      ? 'no endpoint slot became free within the queue time limit'
+      ? slotReason
       : 'the group has no available primary';
     resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
   };
@@ -295,6 +320,8 @@
           queueDeadlineMs: now + call.statementTimeoutMs * MAX_QUEUE_TIME_RATIO - call.waitedMs,
           priority: call.priority,
           attempts: 0,
+          notRunAttempts: 0,
+          pace: undefined,
           hasBeenSent: false,
           isTransactionEnded: false,
           queueTimer: undefined,
@@ -306,7 +333,7 @@
         );
         if (call.opensTransaction)
           openings.set(toTransactionKey(senderId, call.transaction), statement);
-        queue.push(statement);
+        queue.add(statement);
         scheduler.dispatch();
       });
     },
@@ -331,24 +358,23 @@
     startDraining: (): void => {
       isDraining = true;
       primaryManager.close();
-      const [inTransaction, rejected] = [
-        queue.filter(({ isInTransaction }) => isInTransaction),
-        queue.filter(({ isInTransaction }) => !isInTransaction),
-      ];
-      queue = inTransaction;
-      rejected.forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
+      queue
+        .take(({ isInTransaction }) => !isInTransaction)
+        .forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
     countOpenTransactions: () => transactions.count(),
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
-    countQueued: () => queue.length,
+    countQueued: () => queue.size(),
     isReplacingPrimary: primaryManager.isReplacing,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
       isClosed = true;
       primaryManager.close();
-      queue.splice(0).forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
+      queue
+        .take(() => true)
+        .forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       transactions.list().forEach((transaction) => transactions.end(transaction, false));
       pools.forEach((pool) => pool.close());
     },
--- a/packages/sessions/src/group/createReplyOutcomes.ts
+++ b/packages/sessions/src/group/createReplyOutcomes.ts
@@ -13,6 +13,8 @@
   primaryManager: PrimaryManager;
   log: EventLog;
   isDraining(): boolean;
+  /** Delays the next attempt at an endpoint where the statement did not run. */
+  paceAttempts(statement: PendingStatement, endpointId: string): void;
   /** False while another VM may have replaced the primary without this VM knowing. */
   isAuthoritative(): boolean;
   /** Whether commits under way may still be acknowledged after the handover that ended the tenure. */
@@ -70,6 +72,7 @@
     const { call } = statement;
     const isRead = call.action === Action.ACTION_READ;
     if (memberFailureVerdicts[kind] === 'notRun') {
+      if (kind !== 'noStatement') options.paceAttempts(statement, pool.endpoint().id);
       if (kind === 'busy') pool.pauseAfterBusy();
       else if (kind === 'readOnly') primaryManager.invalidatePrimary(pool.endpoint().id);
       else if (kind !== 'noStatement') excludeEndpoint(statement, pool);
--- a/packages/sessions/src/group/createStatementRunner.ts
+++ b/packages/sessions/src/group/createStatementRunner.ts
@@ -36,8 +36,8 @@
   resolveStatement(statement: PendingStatement, outcome: CallOutcome): void;
   /** Queues a statement that did not run again, or refuses it. */
   requeue(statement: PendingStatement): void;
-  /** Whether the attempts and the queue time of a statement allow another attempt. */
-  hasAttemptLeft(statement: PendingStatement): boolean;
+  /** Delays the next attempt at an endpoint where the statement did not run. */
+  paceAttempts(statement: PendingStatement, endpointId: string): void;
   /** Queues a statement of an open transaction again that the endpoint refused as busy. */
   retryInTransaction(statement: PendingStatement): void;
 }
@@ -135,6 +135,7 @@
       const isBeforeDeadline = nowMs() < statement.queueDeadlineMs;
       if (isRetryable && isBeforeDeadline) {
         if (isSent) outcomes.excludeEndpoint(statement, pool);
+        else options.paceAttempts(statement, pool.endpoint().id);
         options.requeue(statement);
       } else if (isSent) {
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
@@ -187,9 +188,10 @@
         return;
       }
       const isRetryable = reply.state === 'open' && reply.failure.kind === 'busy';
-      if (isRetryable && options.hasAttemptLeft(statement)) {
+      if (isRetryable && nowMs() < statement.queueDeadlineMs) {
         pool.pauseAfterBusy();
-        transactions.startIdleTimer(transaction);
+        // The statement's queue deadline ends the transaction; its caller is not idle meanwhile.
+        options.paceAttempts(statement, transaction.endpointId);
         options.retryInTransaction(statement);
         return;
       }
@@ -249,6 +251,7 @@
         if (beginReply.failure?.kind === 'readOnly') primaryManager.invalidatePrimary(endpointId);
         if (beginReply.failure?.kind === 'busy') pool.pauseAfterBusy();
         pool.closeConnection(connection);
+        options.paceAttempts(statement, endpointId);
         options.requeue(statement);
         return;
       }
@@ -256,8 +259,12 @@
       if (!(error instanceof MemberConnectionError)) throw error;
       if (connection) pool.closeConnection(connection);
       const unsendable = toUnsendableRefusal(error);
-      if (unsendable) options.resolveStatement(statement, unsendable);
-      else options.requeue(statement);
+      if (unsendable) {
+        options.resolveStatement(statement, unsendable);
+        return;
+      }
+      options.paceAttempts(statement, endpointId);
+      options.requeue(statement);
       return;
     }
     const transaction: OpenTransaction = {
