--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -8,6 +8,9 @@
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type EndpointStatus from '../seams/memberStatus';
+import createConnectionOpenings from './createConnectionOpenings';
+import createIdleConnections from './createIdleConnections';
+import createPooledConnection from './createPooledConnection';
 import type PooledConnection from './pooledConnection';
 
 /** Opening takes two round trips and 12 ms of a slot, which may be busy for some 100 ms before. */
@@ -50,9 +53,7 @@
   let endpoint = initialEndpoint;
   let maxConnections = 1;
   let inFlightStatements = 0;
-  let openingConnections = 0;
   const connections = new Set<PooledConnection>();
-  const idleConnections = new Set<PooledConnection>();
   const pendingSentAtMs = new Map<object, number>();
   let lastReplyAtMs = nowMs();
   let pausedUntilMs = 0;
@@ -65,10 +66,6 @@
   let latencyMs = INITIAL_LATENCY_MS;
   let isClosed = false;
   let isReusingConnections = true;
-  /** Identifies the last closing of all connections. */
-  let lastClosedAll = {};
-  /** Each fails an opening that is under way. */
-  const abandonOpenings = new Set<() => void>();
 
   const createClosedError = (): MemberConnectionError =>
     new MemberConnectionError(
@@ -76,17 +73,19 @@
       `the connections to endpoint ${endpoint.id} were closed meanwhile`,
     );
 
+  const openings = createConnectionOpenings({ onChange, createClosedError });
+
+  const idle = createIdleConnections();
   const closeConnection = (connection: PooledConnection): void => {
     connections.delete(connection);
-    idleConnections.delete(connection);
+    idle.delete(connection);
     connection.memberConnection.close();
   };
 
   /** Closes all connections, also those that are being opened; commands pending on them fail. */
   const closeAll = (): void => {
-    lastClosedAll = {};
     [...connections].forEach(closeConnection);
-    abandonOpenings.forEach((abandon) => abandon());
+    openings.abandonAll();
   };
 
   const setDown = (next: boolean, reason: string): void => {
@@ -128,69 +127,31 @@
     }
   };
 
-  /** Counts an opening that nobody waits for, and closes its connection if it still succeeds. */
-  const closeWhenOpened = async (opening: Promise<MemberConnection>): Promise<void> => {
-    openingConnections += 1;
-    try {
-      (await opening).close();
-    } catch {
-      // It was not opened, as is wanted.
+  const addConnection = (opened: MemberConnection, account: string): PooledConnection => {
+    if (isClosed) {
+      opened.close();
+      throw createClosedError();
     }
-    openingConnections -= 1;
-    onChange();
-  };
-
-  /** Waits for an opening, but not beyond the next closing of all connections. */
-  const waitUnlessAllClosed = async (
-    opening: Promise<MemberConnection>,
-  ): Promise<MemberConnection> => {
-    const hooks = { abandon: (): void => undefined };
-    const abandoned = new Promise<never>((_resolve, reject) => {
-      hooks.abandon = () => {
-        closeWhenOpened(opening);
-        reject(createClosedError());
-      };
+    const connection = createPooledConnection(opened, account, nowMs());
+    lastReplyAtMs = nowMs();
+    connections.add(connection);
+    opened.onEnd(() => {
+      connection.isEnded = true;
+      connections.delete(connection);
+      idle.delete(connection);
+      onChange();
     });
-    abandonOpenings.add(hooks.abandon);
-    try {
-      return await Promise.race([opening, abandoned]);
-    } finally {
-      abandonOpenings.delete(hooks.abandon);
-    }
+    position = maxPosition(position, opened.initialPosition);
+    return connection;
   };
 
   const openConnection = async (account: string): Promise<PooledConnection> => {
-    openingConnections += 1;
     const sentAtMs = nowMs();
-    const closedAllBefore = lastClosedAll;
     try {
-      const memberConnection = await waitUnlessAllClosed(
-        dialer.open(endpoint, account, OPEN_TIMEOUT_MS),
+      return await openings.run(
+        () => dialer.open(endpoint, account, OPEN_TIMEOUT_MS),
+        (opened) => addConnection(opened, account),
       );
-      const connection: PooledConnection = {
-        memberConnection,
-        account,
-        values: new Map(),
-        valuesKey: '',
-        prepared: new Map(),
-        lastUsedAtMs: nowMs(),
-        isEnded: false,
-      };
-      if (isClosed || lastClosedAll !== closedAllBefore) {
-        memberConnection.close();
-        throw createClosedError();
-      }
-      lastReplyAtMs = nowMs();
-      connections.add(connection);
-      memberConnection.onEnd(() => {
-        connection.isEnded = true;
-        connections.delete(connection);
-        idleConnections.delete(connection);
-        onChange();
-      });
-      if (memberConnection.initialPosition)
-        position = maxPosition(position, memberConnection.initialPosition);
-      return connection;
     } catch (error) {
       if (error instanceof MemberConnectionError) {
         log.info('member.refused', {
@@ -211,28 +172,15 @@
         }
       }
       throw error;
-    } finally {
-      openingConnections -= 1;
     }
   };
 
-  const findIdleConnection = (account: string, valuesKey: string): PooledConnection | undefined => {
-    let bestMatch: PooledConnection | undefined;
-    for (const connection of idleConnections) {
-      if (connection.account === account) {
-        if (connection.valuesKey === valuesKey) return connection;
-        if (!bestMatch || connection.valuesKey === '') bestMatch = connection;
-      }
-    }
-    return bestMatch;
-  };
-
   const canOpenConnection = (): boolean =>
-    connections.size + openingConnections < maxConnections && nowMs() >= connectPausedUntilMs;
+    connections.size + openings.count() < maxConnections && nowMs() >= connectPausedUntilMs;
 
   /** Makes room by closing the connection idle for longest; returns false when none is idle. */
   const evictOldestIdle = (): boolean => {
-    const [oldest] = [...idleConnections].sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs);
+    const [oldest] = idle.listOldestFirst();
     if (!oldest) return false;
     closeConnection(oldest);
     return true;
@@ -245,15 +193,7 @@
     try {
       const account = options.controlAccount();
       const memberConnection = await dialer.open(endpoint, account, PROBE_TIMEOUT_MS);
-      connection = {
-        memberConnection,
-        account,
-        values: new Map(),
-        valuesKey: '',
-        prepared: new Map(),
-        lastUsedAtMs: nowMs(),
-        isEnded: false,
-      };
+      connection = createPooledConnection(memberConnection, account, nowMs());
       const replyTimer = setTimeout(() => memberConnection.close(), PROBE_TIMEOUT_MS);
       const reply = await send(connection, { kind: 'status' });
       clearTimeout(replyTimer);
@@ -296,7 +236,7 @@
       maxConnections = connectionLimit;
     },
     getLoad: (account: string, isPrimary: boolean) => {
-      const hasIdleConnection = findIdleConnection(account, '') !== undefined;
+      const hasIdleConnection = idle.find(account, '') !== undefined;
       return {
         id: endpoint.id,
         isPrimary,
@@ -304,7 +244,7 @@
         isDown,
         activeStatements: inFlightStatements,
         slots: endpoint.slots,
-        canConnect: hasIdleConnection || canOpenConnection() || idleConnections.size > 0,
+        canConnect: hasIdleConnection || canOpenConnection() || idle.count() > 0,
         hasIdleConnection,
         position,
         latencyMs,
@@ -315,7 +255,7 @@
     hasCapacity: (): boolean => !isDown && inFlightStatements <= endpoint.slots,
     isDown: () => isDown,
     position: () => position,
-    connectionCount: () => connections.size + openingConnections,
+    connectionCount: () => connections.size + openings.count(),
     acquireSlot: (): void => {
       inFlightStatements += 1;
     },
@@ -324,9 +264,9 @@
     },
     /** Acquires an idle or new connection for an account. @throws MemberLinkError */
     acquire: async (account: string, valuesKey: string): Promise<PooledConnection> => {
-      const idleConnection = findIdleConnection(account, valuesKey);
+      const idleConnection = idle.find(account, valuesKey);
       if (idleConnection) {
-        idleConnections.delete(idleConnection);
+        idle.delete(idleConnection);
         return idleConnection;
       }
       if (!canOpenConnection() && !evictOldestIdle()) {
@@ -341,9 +281,7 @@
       if (connection.isEnded || isClosed || !isReusingConnections || endpoint.isLeaving) {
         closeConnection(connection);
       } else {
-        const reusableConnection = connection;
-        reusableConnection.lastUsedAtMs = nowMs();
-        idleConnections.add(connection);
+        idle.add(connection, nowMs());
       }
       onChange();
     },
@@ -360,12 +298,10 @@
     /** Closes surplus idle connections, since those of a crashed VM count for 3 s. */
     closeExcessIdle: (): void => {
       const unusedSinceMs = nowMs() - EXCESS_IDLE_TIMEOUT_MS;
-      [...idleConnections]
-        .sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)
-        .slice(
-          0,
-          Math.max(0, connections.size - Math.floor(maxConnections * KEPT_CONNECTION_RATIO)),
-        )
+      const keptCount = Math.floor(maxConnections * KEPT_CONNECTION_RATIO);
+      idle
+        .listOldestFirst()
+        .slice(0, Math.max(0, connections.size - keptCount))
         .filter(({ lastUsedAtMs }) => lastUsedAtMs < unusedSinceMs)
         .forEach(closeConnection);
     },
@@ -382,7 +318,7 @@
     /** Closes idle connections now, and others when they are released. */
     stopReusingConnections: (): void => {
       isReusingConnections = false;
-      [...idleConnections].forEach(closeConnection);
+      idle.listOldestFirst().forEach(closeConnection);
     },
     close: (): void => {
       isClosed = true;
