feat(sessions): the owner of a group applies evacuations

While a data centre is being evacuated, its replicas get no new work and a primary there is replaced by a planned replacement outside all evacuated data centres. In the last phase nothing is sent to its endpoints: open transactions end as aborted, a commit that was sent stays in doubt, and what only the primary can run is refused at once where nothing can replace it. On return an endpoint is probed before it is used.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -163,6 +163,9 @@
 export { default as createReplicatedBucket } from './rate/createReplicatedBucket';
 export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
 export { default as applyEvacuationEvents } from './evacuation/applyEvacuationEvents';
+export type { default as EndpointUse } from './evacuation/endpointUse';
+export { default as decideEndpointUse } from './evacuation/decideEndpointUse';
+export { default as decideQueuedStatement } from './evacuation/decideQueuedStatement';
 export { default as findEvacuationPhase } from './evacuation/findEvacuationPhase';
 export { default as updateEvacuationStarts } from './evacuation/updateEvacuationStarts';
 export type { default as VmView } from './ownership/vmView';
--- a/packages/coordination/src/placement/memberLoad.ts
+++ b/packages/coordination/src/placement/memberLoad.ts
@@ -4,6 +4,7 @@
 interface MemberLoad {
   id: string;
   isPrimary: boolean;
+  /** Gets no new work unless it is the primary: it leaves, or its data centre is evacuated. */
   isLeaving: boolean;
   isDown: boolean;
   /** Statements sent and not yet answered, and how many the endpoint executes concurrently. */
--- a/packages/sessions/src/group/createCandidateSearch.ts
+++ b/packages/sessions/src/group/createCandidateSearch.ts
@@ -31,7 +31,9 @@
   const { group, pools, log, nowMs } = options;
   let lastWaiting: { key: string; loggedAtMs: number } | undefined;
 
-  const isLeaving = (id: string): boolean => pools.get(id)?.endpoint().isLeaving ?? false;
+  const isCandidate = (id: string): boolean => pools.get(id)?.use().isCandidate ?? true;
+  const isInService = (id: string): boolean =>
+    (pools.get(id)?.phase() ?? 'inService') === 'inService';
   const idsWithout = (excludedId: string | undefined): string[] =>
     [...pools.keys()].filter((id) => id !== excludedId);
   const findLongestLog = (replies: readonly Reply[]): Reply | undefined =>
@@ -50,7 +52,7 @@
 
   /** The replica with the longest log of those that stay; where commits do not wait for replicas. */
   const findMostCurrent = async (excludedId: string | undefined): Promise<Reply | undefined> => {
-    const ids = idsWithout(excludedId).filter((id) => !pools.get(id)?.isDown() && !isLeaving(id));
+    const ids = idsWithout(excludedId).filter((id) => !pools.get(id)?.isDown() && isCandidate(id));
     return findLongestLog(await options.probe(ids));
   };
 
@@ -69,13 +71,22 @@
       answered: replies.map(({ id, status: { receivedPosition } }) => ({
         id,
         receivedPosition,
-        isLeaving: isLeaving(id),
+        isLeaving: !isCandidate(id),
       })),
       unanswered,
       syncReplicas: options.syncReplicas(),
       acknowledgedUpTo,
     });
-    if (chosen === undefined) {
+    const chosenReply = replies.find(({ id }) => id === chosen);
+    // One that is being evacuated tells how long the log is, but does not lead.
+    const eligible =
+      chosenReply &&
+      [chosenReply, ...replies].find(
+        ({ id, status }) =>
+          isInService(id) &&
+          comparePositions(status.receivedPosition, chosenReply.status.receivedPosition) >= 0,
+      );
+    if (!eligible) {
       const best = findLongestLog(replies);
       logWaiting(lostId, {
         waitingFor: unanswered,
@@ -84,12 +95,12 @@
         acknowledgedUpTo,
       });
     }
-    return replies.find(({ id }) => id === chosen);
+    return eligible;
   };
 
   /** A replica that stays and has all that the present primary acknowledged up to now. */
   const findForLeaving = async (leavingId: string): Promise<Reply | undefined> => {
-    const ids = idsWithout(leavingId).filter((id) => !isLeaving(id));
+    const ids = idsWithout(leavingId).filter(isCandidate);
     // The primary's answer tells its position, also where no statements do.
     const [, replies] = await Promise.all([options.probe([leavingId]), options.probe(ids)]);
     const acknowledgedUpTo = options.acknowledgedUpTo();
@@ -107,7 +118,7 @@
     /** Tells that a leaving primary is kept until a replica that stays has received all of its commits. */
     logCatchUp: (leavingId: string): void =>
       logWaiting(leavingId, {
-        waitingFor: idsWithout(leavingId).filter((id) => !isLeaving(id)),
+        waitingFor: idsWithout(leavingId).filter(isCandidate),
         acknowledgedUpTo: options.acknowledgedUpTo(),
       }),
   };
--- a/packages/sessions/src/group/createGroupEndpoints.ts
+++ b/packages/sessions/src/group/createGroupEndpoints.ts
@@ -1,3 +1,4 @@
+import type { EvacuationPhase } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberDialer from '../seams/memberDialer';
@@ -18,6 +19,10 @@
   nowMs(): number;
   onChange(): void;
   onReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
+  /** How far the evacuation of a data centre is. */
+  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
+  /** Whether an endpoint is the primary, even while that is being replaced. */
+  isPrimary(endpointId: string): boolean;
   controlAccount(): string;
 }
 
@@ -35,6 +40,8 @@
     nowMs,
     onChange,
     controlAccount,
+    evacuationPhaseOf: options.evacuationPhaseOf,
+    isPrimary: () => options.isPrimary(id),
     onReply: (reply: MemberReply, sentAtMs: number) => options.onReply(id, reply, sentAtMs),
   });
 
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,12 +1,14 @@
 import {
   chooseStatementEndpoint,
   compareUrgency,
+  decideQueuedStatement,
   createPositionHistory,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
+import createEndpointPhases from './createEndpointPhases';
 import createGroupEndpoints from './createGroupEndpoints';
 import createOpenTransactions from './createOpenTransactions';
 import createPrimaryManager from './createPrimaryManager';
@@ -31,6 +33,9 @@
 const UNSENDABLE_NAMES =
   "the endpoints' protocol can't carry the name of the group or of the account";
 
+const PRIMARY_EVACUATED =
+  "the primary's data centre is evacuated, and no other endpoint can replace it; retry in 1000 ms";
+
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
@@ -55,15 +60,19 @@
   };
 
   /** Assigned below, after the primary manager, which needs the endpoints' pools. */
-  const replyHooks: { note(endpointId: string, reply: MemberReply, sentAtMs: number): void } = {
-    note: () => undefined,
-  };
+  const primaryHooks: {
+    noteReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
+    isPrimary(endpointId: string): boolean;
+  } = { noteReply: () => undefined, isPrimary: () => false };
+  const isPrimary = (endpointId: string): boolean => primaryHooks.isPrimary(endpointId);
   const endpoints = createGroupEndpoints({
     ...options,
     onChange: scheduleDispatch,
-    onReply: (...parameters) => replyHooks.note(...parameters),
+    isPrimary,
+    onReply: (...parameters) => primaryHooks.noteReply(...parameters),
   });
   const { pools } = endpoints;
+  const phases = createEndpointPhases({ ...options, pools, transactions, isPrimary });
   const primaryManager = createPrimaryManager({
     ...options,
     pools,
@@ -77,7 +86,8 @@
     },
     onChange: scheduleDispatch,
   });
-  replyHooks.note = (id, { position }, sentAtMs) => {
+  primaryHooks.isPrimary = (id) => id === primaryManager.getKnownPrimary();
+  primaryHooks.noteReply = (id, { position }, sentAtMs) => {
     if (id !== primaryManager.getKnownPrimary() || !position) return;
     primaryManager.notePrimaryPosition(position, sentAtMs);
     positionHistory.record(sentAtMs, position);
@@ -224,11 +234,45 @@
     return true;
   };
 
+  const isUnservable = (statement: PendingStatement): boolean => {
+    const usable = [...pools.values()].filter((pool) => !pool.isDown());
+    return (
+      decideQueuedStatement({
+        needsPrimary: isPrimaryOnly(statement),
+        isPrimaryEvacuated: primaryManager.isPrimaryEvacuated(),
+        hasCandidate: usable.some((pool) => pool.use().isCandidate),
+        isReplacementBlocked: primaryManager.isReplacementBlocked(),
+        canReadAtReplica:
+          requiredPosition.find(statement) !== undefined &&
+          usable.some((pool) => pool.use().acceptsNewWork),
+      }) === 'refuse'
+    );
+  };
+
+  /** Refuses at once what only an evacuated primary can serve, and what is left of transactions there. */
+  const refuseUnservable = (): void => {
+    if (!primaryManager.isPrimaryEvacuated()) return;
+    const refused = queue.filter(
+      (statement) =>
+        !transactions.find(statement) && (statement.isInTransaction || isUnservable(statement)),
+    );
+    queue = queue.filter((statement) => !refused.includes(statement));
+    refused.forEach((statement) =>
+      resolveStatement(
+        statement,
+        statement.isInTransaction
+          ? createRefusal('aborted', 'the transaction has already ended')
+          : createRefusal('busy', PRIMARY_EVACUATED),
+      ),
+    );
+  };
+
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   scheduler.dispatch = () => {
     if (isClosed || queue.length === 0) return;
     const now = nowMs();
+    refuseUnservable();
     if (!hasCapacity()) return;
     queue.sort((a, b) => compareUrgency(a, b, now));
     const candidates = queue;
@@ -258,6 +302,7 @@
   return {
     updateEndpoints: (entries: readonly GroupEndpoint[], connectionLimit: number): void => {
       endpoints.update(entries, connectionLimit);
+      phases.update();
       if (primaryManager.getKnownPrimary() === undefined) primaryManager.checkNow();
       scheduleDispatch();
     },
@@ -339,6 +384,14 @@
       rejected.forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
+    /** Call when the evacuation of a data centre has begun, entered its last phase, or ended. */
+    noteEvacuationsChanged: (): void => {
+      phases.update();
+      primaryManager.noteEvacuationsChanged();
+      scheduleDispatch();
+    },
+    /** How many endpoints are in each phase of an evacuation. */
+    endpointPhases: phases.count,
     countOpenTransactions: () => transactions.count(),
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -1,5 +1,10 @@
-import type { LogPosition } from '@auburngrade/coordination';
-import { maxPosition } from '@auburngrade/coordination';
+import {
+  decideEndpointUse,
+  maxPosition,
+  type EndpointUse,
+  type EvacuationPhase,
+  type LogPosition,
+} from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberConnection from '../seams/memberConnection';
@@ -43,6 +48,10 @@
   /** Called when a slot or connection may be free, or the endpoint's health has changed. */
   onChange(): void;
   onReply(reply: MemberReply, sentAtMs: number): void;
+  /** How far the evacuation of a data centre is. */
+  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
+  /** Whether the endpoint is the primary, even while that is being replaced. */
+  isPrimary(): boolean;
   /** Client account used for status commands. */
   controlAccount(): string;
 }
@@ -60,6 +69,8 @@
   let connectPausedUntilMs = 0;
   let failedProbes = 0;
   let isDown = false;
+  /** Whether it is back from an evacuation and has not answered since. */
+  let isUnproven = false;
   let isProbing = false;
   let lastProbeAtMs = 0;
   let position: LogPosition | undefined;
@@ -67,6 +78,18 @@
   let isClosed = false;
   let isReusingConnections = true;
 
+  const getPhase = (): EvacuationPhase => options.evacuationPhaseOf(endpoint.dataCentre);
+  const getUse = (isPrimary = options.isPrimary()): EndpointUse =>
+    decideEndpointUse({ phase: getPhase(), isLeaving: endpoint.isLeaving, isPrimary });
+  /** Call right before anything is sent. @throws MemberConnectionError */
+  const requireContact = (): void => {
+    if (!getUse().isContacted)
+      throw new MemberConnectionError(
+        'broken',
+        `the data centre of endpoint ${endpoint.id} is evacuated`,
+      );
+  };
+
   const createClosedError = (): MemberConnectionError =>
     new MemberConnectionError(
       'broken',
@@ -105,6 +128,10 @@
   const handleReply = (reply: MemberReply, sentAtMs: number): void => {
     lastReplyAtMs = nowMs();
     failedProbes = 0;
+    if (isUnproven) {
+      isUnproven = false;
+      onChange();
+    }
     setDown(false, 'endpoint replied');
     position = maxPosition(position, reply.position);
     onReply(reply, sentAtMs);
@@ -115,6 +142,7 @@
     connection: PooledConnection,
     command: MemberCommand,
   ): Promise<MemberReply> => {
+    requireContact();
     const requestToken = {};
     const sentAtMs = nowMs();
     pendingSentAtMs.set(requestToken, sentAtMs);
@@ -128,7 +156,7 @@
   };
 
   const addConnection = (opened: MemberConnection, account: string): PooledConnection => {
-    if (isClosed) {
+    if (isClosed || !getUse().isContacted) {
       opened.close();
       throw createClosedError();
     }
@@ -146,10 +174,13 @@
   };
 
   const openConnection = async (account: string): Promise<PooledConnection> => {
+    requireContact();
     const sentAtMs = nowMs();
+    // An opening must not outlast what the last phase leaves for requests that are under way.
+    const timeoutMs = getPhase() === 'inService' ? OPEN_TIMEOUT_MS : PROBE_TIMEOUT_MS;
     try {
       return await openings.run(
-        () => dialer.open(endpoint, account, OPEN_TIMEOUT_MS),
+        () => dialer.open(endpoint, account, timeoutMs),
         (opened) => addConnection(opened, account),
       );
     } catch (error) {
@@ -188,6 +219,7 @@
 
   /** Requests the endpoint's status on a new connection; returns undefined on failure. */
   const probe = async (): Promise<EndpointStatus | undefined> => {
+    if (!getUse().isContacted) return undefined;
     lastProbeAtMs = nowMs();
     let connection: PooledConnection | undefined;
     try {
@@ -199,6 +231,8 @@
       clearTimeout(replyTimer);
       return dialer.readStatus(reply);
     } catch (error) {
+      // Says nothing about the endpoint: the data centre was evacuated meanwhile.
+      if (!getUse().isContacted) return undefined;
       if (error instanceof MemberConnectionError && error.reason === 'connectionLimit') {
         lastReplyAtMs = nowMs();
         return undefined;
@@ -227,6 +261,8 @@
 
   return {
     endpoint: () => endpoint,
+    phase: getPhase,
+    use: () => getUse(),
     update: (next: GroupEndpoint, connectionLimit: number): void => {
       if (next.startedAtUnixMs !== endpoint.startedAtUnixMs || next.address !== endpoint.address) {
         failedProbes = 0;
@@ -240,8 +276,8 @@
       return {
         id: endpoint.id,
         isPrimary,
-        isLeaving: endpoint.isLeaving,
-        isDown,
+        isLeaving: !getUse(isPrimary).acceptsNewWork,
+        isDown: isDown || isUnproven || !getUse().isContacted,
         activeStatements: inFlightStatements,
         slots: endpoint.slots,
         canConnect: hasIdleConnection || canOpenConnection() || idle.count() > 0,
@@ -252,7 +288,8 @@
       };
     },
     /** Whether another statement may be sent: one per slot, plus one to hide network latency. */
-    hasCapacity: (): boolean => !isDown && inFlightStatements <= endpoint.slots,
+    hasCapacity: (): boolean =>
+      !isDown && !isUnproven && getUse().isContacted && inFlightStatements <= endpoint.slots,
     isDown: () => isDown,
     position: () => position,
     connectionCount: () => connections.size + openings.count(),
@@ -278,7 +315,13 @@
       return openConnection(account);
     },
     release: (connection: PooledConnection): void => {
-      if (connection.isEnded || isClosed || !isReusingConnections || endpoint.isLeaving) {
+      if (
+        connection.isEnded ||
+        isClosed ||
+        !isReusingConnections ||
+        endpoint.isLeaving ||
+        !getUse().acceptsNewWork
+      ) {
         closeConnection(connection);
       } else {
         idle.add(connection, nowMs());
@@ -307,14 +350,24 @@
     },
     /** Probes the endpoint when a reply is overdue, an earlier probe failed or it is down. */
     probeIfOverdue: (): void => {
+      if (!getUse().isContacted) return;
       const now = nowMs();
       const oldestSentAtMs = Math.min(...pendingSentAtMs.values(), now);
       const isOverdue = now - Math.max(oldestSentAtMs, lastReplyAtMs) > OVERDUE_REPLY_MS;
-      if ((isOverdue || isDown || failedProbes > 0) && now - lastProbeAtMs > PROBE_INTERVAL_MS) {
+      if (
+        (isOverdue || isDown || isUnproven || failedProbes > 0) &&
+        now - lastProbeAtMs > PROBE_INTERVAL_MS
+      ) {
         startProbe();
       }
     },
     closeAll,
+    closeIdle: (): void => idle.listOldestFirst().forEach(closeConnection),
+    /** Call when the evacuation of its data centre has ended: it is used once it has answered a probe. */
+    noteReturned: (): void => {
+      isUnproven = true;
+      startProbe();
+    },
     /** Closes idle connections now, and others when they are released. */
     stopReusingConnections: (): void => {
       isReusingConnections = false;
--- a/packages/sessions/src/group/createOpenTransactions.ts
+++ b/packages/sessions/src/group/createOpenTransactions.ts
@@ -67,6 +67,18 @@
     list: (): OpenTransaction[] => [...transactions.values()],
     /** Ends a transaction; rolls it back unless the endpoint has ended it already. */
     end: endTransaction,
+    /** Ends all at an endpoint without a command to it, which rolls them back by itself; returns how many. */
+    endAllAt: (endpointId: string): number => {
+      const ended = [...transactions.values()].filter(
+        (transaction) => transaction.endpointId === endpointId,
+      );
+      ended.forEach(({ id, idleTimer, pool, member }) => {
+        transactions.delete(id);
+        clearTimeout(idleTimer);
+        pool.closeConnection(member);
+      });
+      return ended.length;
+    },
     startIdleTimer,
   };
 };
--- a/packages/sessions/src/group/createPrimaryManager.spec.ts
+++ b/packages/sessions/src/group/createPrimaryManager.spec.ts
@@ -69,6 +69,8 @@
         nowMs,
         onChange: () => undefined,
         onReply: () => undefined,
+        evacuationPhaseOf: () => 'inService',
+        isPrimary: () => false,
         controlAccount,
       }),
     ]),
--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -1,9 +1,11 @@
 import createAcknowledgedPosition from './createAcknowledgedPosition';
 import createReplacement from './createReplacement';
 import type GroupRecord from './groupRecord';
+import type MemberPool from './memberPool';
 import type PrimaryManagerOptions from './primaryManagerOptions';
 import type PrimaryState from './primaryState';
 import type ProbeReply from './probeReply';
+import type ReplacementReason from './replacementReason';
 
 /** Interval between two checks of the primary. */
 const CHECK_INTERVAL_MS = 100;
@@ -22,6 +24,14 @@
   term > recorded.term ||
   (term === recorded.term && (recorded.primary === '' || recorded.primary === id));
 
+/** Why a primary is to be replaced; undefined if it is not. */
+const findReplacementReason = (pool: MemberPool): ReplacementReason | undefined => {
+  if (pool.isDown()) return 'lost';
+  const phase = pool.phase();
+  if (phase !== 'inService') return phase;
+  return pool.endpoint().isLeaving ? 'leaving' : undefined;
+};
+
 /** Tracks a group's primary, and promotes a replica when the primary is down or leaving. */
 const createPrimaryManager = (options: PrimaryManagerOptions) => {
   const { group, pools, log, nowMs } = options;
@@ -31,6 +41,8 @@
     term: 0,
     highestSeenTerm: 0,
     isReplacing: false,
+    isReplacementBlocked: false,
+    evacuatedSinceMs: undefined,
     isClosed: false,
   };
   /** Whether a replacement runs, from the search for a candidate to its end. */
@@ -63,6 +75,7 @@
     Object.assign(state, { id, tenure, term: status.term });
     state.highestSeenTerm = Math.max(state.highestSeenTerm, status.term);
     noPrimarySinceMs = undefined;
+    state.isReplacementBlocked = false;
     acknowledged.start({ tenure, position: status.receivedPosition, askedAtMs }, isPromoted);
     const { primary: recorded, term: recordedTerm, fence } = options.getRecordedPrimary();
     log.info('primary.believed', {
@@ -87,6 +100,15 @@
     probe: probeEndpoints,
     acceptPrimary,
   });
+  /** The primary, or the one to be expected if none is known, if nothing may be sent to it. */
+  const findEvacuatedPrimary = (): string | undefined => {
+    const { primary: recorded } = options.getRecordedPrimary();
+    const registered = [...pools].find(([, pool]) => pool.endpoint().isRegisteredAsPrimary)?.[0];
+    const expected = state.id ?? (recorded === '' ? registered : recorded);
+    const pool = expected === undefined ? undefined : pools.get(expected);
+    return pool?.use().isContacted === false ? expected : undefined;
+  };
+
   const runReplacement = async (
     ...parameters: Parameters<typeof replacement.replacePrimary>
   ): Promise<void> => {
@@ -95,13 +117,14 @@
       await replacement.replacePrimary(...parameters);
     } finally {
       isReplacementRunning = false;
+      state.isReplacementBlocked = findEvacuatedPrimary() !== undefined;
     }
   };
 
   /** Accepts the endpoint that reports itself as primary with the highest term, or promotes one. */
   const findPrimary = async (): Promise<void> => {
     const recorded = options.getRecordedPrimary();
-    const reachable = [...pools].filter(([, pool]) => !pool.isDown());
+    const reachable = [...pools].filter(([, pool]) => !pool.isDown() && pool.use().isContacted);
     const claimants = reachable.filter(
       ([id, pool]) => pool.endpoint().isRegisteredAsPrimary || id === recorded.primary,
     );
@@ -117,12 +140,15 @@
     noPrimarySinceMs ??= nowMs();
     const isGracePeriodElapsed = nowMs() - noPrimarySinceMs > NO_PRIMARY_GRACE_MS;
     if (isGracePeriodElapsed && pools.size > 1 && options.canReplacePrimary())
-      await runReplacement(undefined, 'none');
+      await runReplacement(undefined, findEvacuatedPrimary() === undefined ? 'none' : 'evacuated');
   };
 
   /** Whether the primary was found in the present tenure, or in the last one of a server that is drained. */
   const isPrimaryOfTenure = (): boolean => state.isClosed || options.findTenure() === state.tenure;
 
+  const isContacted = (id: string | undefined): boolean =>
+    id === undefined || pools.get(id)?.use().isContacted !== false;
+
   const checkPrimary = async (): Promise<void> => {
     if (state.id !== undefined && !isPrimaryOfTenure()) {
       log.warn('primary.doubted', {
@@ -138,10 +164,11 @@
       log.warn('primary.gone', { group, endpoint: state.id });
       state.id = undefined;
     }
+    if (findEvacuatedPrimary() === undefined) state.evacuatedSinceMs = undefined;
+    else state.evacuatedSinceMs ??= nowMs();
     if (pool && state.id !== undefined) {
-      if (pool.isDown() && options.canReplacePrimary()) await runReplacement(state.id, 'lost');
-      else if (pool.endpoint().isLeaving && options.canReplacePrimary())
-        await runReplacement(state.id, 'leaving');
+      const reason = findReplacementReason(pool);
+      if (reason && options.canReplacePrimary()) await runReplacement(state.id, reason);
     } else {
       await findPrimary();
     }
@@ -172,7 +199,7 @@
     checkNow: runCheck,
     /** The primary for new statements; undefined when unknown or while it is being replaced. */
     getAvailablePrimary: (): string | undefined =>
-      state.isReplacing || !isPrimaryOfTenure() ? undefined : state.id,
+      state.isReplacing || !isPrimaryOfTenure() || !isContacted(state.id) ? undefined : state.id,
     /** The primary even while it is being replaced, for transactions that are open there. */
     getKnownPrimary: (): string | undefined => (isPrimaryOfTenure() ? state.id : undefined),
     isPrimaryOfTenure,
@@ -181,6 +208,15 @@
     /** In which tenure the known primary was found. */
     primaryTenure: (): string | undefined => state.tenure,
     isReplacing: (): boolean => isReplacementRunning,
+    /** Call when evacuations have changed: what they ask for starts at once. */
+    noteEvacuationsChanged: (): void => {
+      state.isReplacementBlocked = false;
+      runCheck();
+    },
+    /** Whether nothing may be sent to the primary, or to the one to be expected if none is known. */
+    isPrimaryEvacuated: (): boolean => findEvacuatedPrimary() !== undefined,
+    /** Whether the last attempt to replace an evacuated primary failed or waits for a replica. */
+    isReplacementBlocked: (): boolean => state.isReplacementBlocked,
     /** Forgets a primary that reported to be read-only; the next check searches again. */
     invalidatePrimary: (id: string): void => {
       if (state.id !== id) return;
--- a/packages/sessions/src/group/createPromotion.ts
+++ b/packages/sessions/src/group/createPromotion.ts
@@ -53,7 +53,7 @@
 
   const demotePrimary = async (id: string, term: number): Promise<void> => {
     const pool = pools.get(id);
-    if (!pool || pool.isDown()) return;
+    if (!pool || pool.isDown() || !pool.use().isContacted) return;
     try {
       const connection = await pool.acquire(options.controlAccount(), '');
       const timeoutTimer = setTimeout(() => pool.closeConnection(connection), DEMOTE_TIMEOUT_MS);
--- a/packages/sessions/src/group/createStatementRunner.ts
+++ b/packages/sessions/src/group/createStatementRunner.ts
@@ -54,8 +54,8 @@
 };
 
 /** Call right before a statement is sent: one that meets an ended connection does not leave this VM. */
-const requireOpen = ({ isEnded }: PooledConnection): void => {
-  if (isEnded)
+const requireOpen = (pool: MemberPool, { isEnded }: PooledConnection): void => {
+  if (isEnded || !pool.use().isContacted)
     throw new MemberConnectionError('broken', 'the connection ended before the statement was sent');
 };
 
@@ -102,7 +102,7 @@
         options.requeue(statement);
         return;
       }
-      requireOpen(connection);
+      requireOpen(pool, connection);
       isSent = true;
       sentStatement.hasBeenSent = true;
       const command = buildCommand(statement, connection, isReplica ? notBefore : undefined);
@@ -167,7 +167,7 @@
       );
       await prepareConnection(pool, connection, statement.values, call.prepared);
       clearTimeout(timeoutTimer);
-      requireOpen(connection);
+      requireOpen(pool, connection);
       if (call.action === Action.ACTION_WRITE) transaction.hasWritten = true;
       isSent = true;
       const command = buildCommand(statement, connection, undefined);
--- a/packages/sessions/src/group/primaryState.ts
+++ b/packages/sessions/src/group/primaryState.ts
@@ -10,6 +10,10 @@
   highestSeenTerm: number;
   /** Whether new statements wait for the next primary. */
   isReplacing: boolean;
+  /** Whether the last attempt to replace an evacuated primary failed or waits for a replica. */
+  isReplacementBlocked: boolean;
+  /** Since when nothing may be sent to the primary. */
+  evacuatedSinceMs: number | undefined;
   isClosed: boolean;
 }
 
