--- a/packages/sessions/src/group/createGroupEndpoints.ts
+++ b/packages/sessions/src/group/createGroupEndpoints.ts
@@ -1,3 +1,4 @@
+import type { EvacuationPhase } from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberDialer from '../seams/memberDialer';
@@ -19,6 +20,10 @@
   /** Called when a slot or connection may be free at the endpoint, or its health has changed. */
   onChange(endpointId: string, isDown: boolean): void;
   onReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
+  /** How far the evacuation of a data centre is. */
+  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
+  /** Whether an endpoint is the primary, even while that is being replaced. */
+  isPrimary(endpointId: string): boolean;
   controlAccount(): string;
 }
 
@@ -36,6 +41,8 @@
     nowMs,
     onChange: () => options.onChange(id, pools.get(id)?.isDown() ?? false),
     controlAccount,
+    evacuationPhaseOf: options.evacuationPhaseOf,
+    isPrimary: () => options.isPrimary(id),
     onReply: (reply: MemberReply, sentAtMs: number) => options.onReply(id, reply, sentAtMs),
   });
 
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -2,6 +2,7 @@
   chooseStatementEndpoint,
   createAttemptPace,
   createPositionHistory,
+  decideQueuedStatement,
   type MemberLoad,
 } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
@@ -9,6 +10,7 @@
 import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
 import createAvailableSince from './createAvailableSince';
+import createEndpointPhases from './createEndpointPhases';
 import createGroupEndpoints from './createGroupEndpoints';
 import createOpenTransactions from './createOpenTransactions';
 import createPrimaryManager from './createPrimaryManager';
@@ -38,6 +40,9 @@
 const UNSENDABLE_NAMES =
   "the endpoints' protocol can't carry the name of the group or of the account";
 
+const PRIMARY_EVACUATED =
+  "the primary's data centre is evacuated, and no other endpoint can replace it; retry in 1000 ms";
+
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
@@ -63,18 +68,22 @@
   };
 
   /** Assigned below, after the primary manager, which needs the endpoints' pools. */
-  const replyHooks: { note(endpointId: string, reply: MemberReply, sentAtMs: number): void } = {
-    note: () => undefined,
-  };
+  const primaryHooks: {
+    noteReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
+    isPrimary(endpointId: string): boolean;
+  } = { noteReply: () => undefined, isPrimary: () => false };
+  const isPrimary = (endpointId: string): boolean => primaryHooks.isPrimary(endpointId);
   const endpoints = createGroupEndpoints({
     ...options,
     onChange: (id, isDown) => {
       availableSince.noteHealth(id, isDown);
       scheduleDispatch();
     },
-    onReply: (...parameters) => replyHooks.note(...parameters),
+    isPrimary,
+    onReply: (...parameters) => primaryHooks.noteReply(...parameters),
   });
   const { pools } = endpoints;
+  const phases = createEndpointPhases({ ...options, pools, transactions, isPrimary });
   const primaryManager = createPrimaryManager({
     ...options,
     pools,
@@ -89,7 +98,8 @@
     },
     onChange: scheduleDispatch,
   });
-  replyHooks.note = (id, { position }, sentAtMs) => {
+  primaryHooks.isPrimary = (id) => id === primaryManager.getKnownPrimary();
+  primaryHooks.noteReply = (id, { position }, sentAtMs) => {
     if (id !== primaryManager.getKnownPrimary() || !position) return;
     primaryManager.notePrimaryPosition(position, sentAtMs);
     positionHistory.record(sentAtMs, position);
@@ -255,10 +265,44 @@
     return true;
   };
 
+  const isUnservable = (statement: PendingStatement): boolean => {
+    const usable = [...pools.values()].filter((pool) => !pool.isDown());
+    return (
+      decideQueuedStatement({
+        needsPrimary: isPrimaryOnly(statement),
+        isPrimaryEvacuated: primaryManager.isPrimaryEvacuated(),
+        hasCandidate: usable.some((pool) => pool.use().isCandidate),
+        isReplacementBlocked: primaryManager.isReplacementBlocked(),
+        canReadAtReplica:
+          requiredPosition.find(statement) !== undefined &&
+          usable.some((pool) => pool.use().acceptsNewWork),
+      }) === 'refuse'
+    );
+  };
+
+  /** Refuses at once what only an evacuated primary can serve, and what is left of transactions there. */
+  const refuseUnservable = (): void => {
+    if (!primaryManager.isPrimaryEvacuated()) return;
+    const refused = queue.take(
+      (statement) =>
+        !transactions.find(statement) && (statement.isInTransaction || isUnservable(statement)),
+    );
+    refused.forEach((statement) =>
+      resolveStatement(
+        statement,
+        statement.isInTransaction
+          ? createRefusal('aborted', 'the transaction has already ended')
+          : createRefusal('busy', PRIMARY_EVACUATED),
+      ),
+    );
+  };
+
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   scheduler.dispatch = () => {
-    if (isClosed || queue.size() === 0 || !hasCapacity()) return;
+    if (isClosed || queue.size() === 0) return;
+    refuseUnservable();
+    if (!hasCapacity()) return;
     const notStarted = queue.start({ hasCapacity, tryStart: tryStartStatement });
     if (
       notStarted.some((statement) => !isPrimaryOnly(statement) && !requiredPosition.find(statement))
@@ -283,6 +327,7 @@
   return {
     updateEndpoints: (entries: readonly GroupEndpoint[], connectionLimit: number): void => {
       endpoints.update(entries, connectionLimit);
+      phases.update();
       if (primaryManager.getKnownPrimary() === undefined) primaryManager.checkNow();
       scheduleDispatch();
     },
@@ -363,6 +408,14 @@
         .forEach((statement) => resolveStatement(statement, { kind: 'notOwner' }));
       pools.forEach((pool) => pool.stopReusingConnections());
     },
+    /** Call when the evacuation of a data centre has begun, entered its last phase, or ended. */
+    noteEvacuationsChanged: (): void => {
+      phases.update();
+      primaryManager.noteEvacuationsChanged();
+      scheduleDispatch();
+    },
+    /** How many endpoints are in each phase of an evacuation. */
+    endpointPhases: phases.count,
     countOpenTransactions: () => transactions.count(),
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -1,5 +1,10 @@
-import type { LogPosition } from '@auburngrade/coordination';
-import { maxPosition } from '@auburngrade/coordination';
+import {
+  decideEndpointUse,
+  maxPosition,
+  type EndpointUse,
+  type EvacuationPhase,
+  type LogPosition,
+} from '@auburngrade/coordination';
 import type EventLog from '../seams/eventLog';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberConnection from '../seams/memberConnection';
@@ -8,6 +13,9 @@
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
 import type EndpointStatus from '../seams/memberStatus';
+import createConnectionOpenings from './createConnectionOpenings';
+import createIdleConnections from './createIdleConnections';
+import createPooledConnection from './createPooledConnection';
 import type PooledConnection from './pooledConnection';
 
 /** Opening takes two round trips and 12 ms of a slot, which may be busy for some 100 ms before. */
@@ -40,6 +48,10 @@
   /** Called when a slot or connection may be free, or the endpoint's health has changed. */
   onChange(): void;
   onReply(reply: MemberReply, sentAtMs: number): void;
+  /** How far the evacuation of a data centre is. */
+  evacuationPhaseOf(dataCentre: string): EvacuationPhase;
+  /** Whether the endpoint is the primary, even while that is being replaced. */
+  isPrimary(): boolean;
   /** Client account used for status commands. */
   controlAccount(): string;
 }
@@ -50,25 +62,33 @@
   let endpoint = initialEndpoint;
   let maxConnections = 1;
   let inFlightStatements = 0;
-  let openingConnections = 0;
   const connections = new Set<PooledConnection>();
-  const idleConnections = new Set<PooledConnection>();
   const pendingSentAtMs = new Map<object, number>();
   let lastReplyAtMs = nowMs();
   let pausedUntilMs = 0;
   let connectPausedUntilMs = 0;
   let failedProbes = 0;
   let isDown = false;
+  /** Whether it is back from an evacuation and has not answered since. */
+  let isUnproven = false;
   let isProbing = false;
   let lastProbeAtMs = 0;
   let position: LogPosition | undefined;
   let latencyMs = INITIAL_LATENCY_MS;
   let isClosed = false;
   let isReusingConnections = true;
-  /** Identifies the last closing of all connections. */
-  let lastClosedAll = {};
-  /** Each fails an opening that is under way. */
-  const abandonOpenings = new Set<() => void>();
+
+  const getPhase = (): EvacuationPhase => options.evacuationPhaseOf(endpoint.dataCentre);
+  const getUse = (isPrimary = options.isPrimary()): EndpointUse =>
+    decideEndpointUse({ phase: getPhase(), isLeaving: endpoint.isLeaving, isPrimary });
+  /** Call right before anything is sent. @throws MemberConnectionError */
+  const requireContact = (): void => {
+    if (!getUse().isContacted)
+      throw new MemberConnectionError(
+        'broken',
+        `the data centre of endpoint ${endpoint.id} is evacuated`,
+      );
+  };
 
   const createClosedError = (): MemberConnectionError =>
     new MemberConnectionError(
@@ -76,17 +96,19 @@
       `the connections to endpoint ${endpoint.id} were closed meanwhile`,
     );
 
+  const openings = createConnectionOpenings({ onChange, createClosedError });
+
+  const idle = createIdleConnections();
   const closeConnection = (connection: PooledConnection): void => {
     connections.delete(connection);
-    idleConnections.delete(connection);
+    idle.delete(connection);
     connection.memberConnection.close();
   };
 
   /** Closes all connections, also those that are being opened; commands pending on them fail. */
   const closeAll = (): void => {
-    lastClosedAll = {};
     [...connections].forEach(closeConnection);
-    abandonOpenings.forEach((abandon) => abandon());
+    openings.abandonAll();
   };
 
   const setDown = (next: boolean, reason: string): void => {
@@ -106,6 +128,10 @@
   const handleReply = (reply: MemberReply, sentAtMs: number): void => {
     lastReplyAtMs = nowMs();
     failedProbes = 0;
+    if (isUnproven) {
+      isUnproven = false;
+      onChange();
+    }
     setDown(false, 'endpoint replied');
     position = maxPosition(position, reply.position);
     onReply(reply, sentAtMs);
@@ -116,6 +142,7 @@
     connection: PooledConnection,
     command: MemberCommand,
   ): Promise<MemberReply> => {
+    requireContact();
     const requestToken = {};
     const sentAtMs = nowMs();
     pendingSentAtMs.set(requestToken, sentAtMs);
@@ -128,69 +155,34 @@
     }
   };
 
-  /** Counts an opening that nobody waits for, and closes its connection if it still succeeds. */
-  const closeWhenOpened = async (opening: Promise<MemberConnection>): Promise<void> => {
-    openingConnections += 1;
-    try {
-      (await opening).close();
-    } catch {
-      // It was not opened, as is wanted.
+  const addConnection = (opened: MemberConnection, account: string): PooledConnection => {
+    if (isClosed || !getUse().isContacted) {
+      opened.close();
+      throw createClosedError();
     }
-    openingConnections -= 1;
-    onChange();
-  };
-
-  /** Waits for an opening, but not beyond the next closing of all connections. */
-  const waitUnlessAllClosed = async (
-    opening: Promise<MemberConnection>,
-  ): Promise<MemberConnection> => {
-    const hooks = { abandon: (): void => undefined };
-    const abandoned = new Promise<never>((_resolve, reject) => {
-      hooks.abandon = () => {
-        closeWhenOpened(opening);
-        reject(createClosedError());
-      };
+    const connection = createPooledConnection(opened, account, nowMs());
+    lastReplyAtMs = nowMs();
+    connections.add(connection);
+    opened.onEnd(() => {
+      connection.isEnded = true;
+      connections.delete(connection);
+      idle.delete(connection);
+      onChange();
     });
-    abandonOpenings.add(hooks.abandon);
-    try {
-      return await Promise.race([opening, abandoned]);
-    } finally {
-      abandonOpenings.delete(hooks.abandon);
-    }
+    position = maxPosition(position, opened.initialPosition);
+    return connection;
   };
 
   const openConnection = async (account: string): Promise<PooledConnection> => {
-    openingConnections += 1;
+    requireContact();
     const sentAtMs = nowMs();
-    const closedAllBefore = lastClosedAll;
+    // An opening must not outlast what the last phase leaves for requests that are under way.
+    const timeoutMs = getPhase() === 'inService' ? OPEN_TIMEOUT_MS : PROBE_TIMEOUT_MS;
     try {
-      const memberConnection = await waitUnlessAllClosed(
-        dialer.open(endpoint, account, OPEN_TIMEOUT_MS),
+      return await openings.run(
+        () => dialer.open(endpoint, account, timeoutMs),
+        (opened) => addConnection(opened, account),
       );
-      const connection: PooledConnection = {
-        memberConnection,
-        account,
-        values: new Map(),
-        valuesKey: '',
-        prepared: new Map(),
-        lastUsedAtMs: nowMs(),
-        isEnded: false,
-      };
-      if (isClosed || lastClosedAll !== closedAllBefore) {
-        memberConnection.close();
-        throw createClosedError();
-      }
-      lastReplyAtMs = nowMs();
-      connections.add(connection);
-      memberConnection.onEnd(() => {
-        connection.isEnded = true;
-        connections.delete(connection);
-        idleConnections.delete(connection);
-        onChange();
-      });
-      if (memberConnection.initialPosition)
-        position = maxPosition(position, memberConnection.initialPosition);
-      return connection;
     } catch (error) {
       if (error instanceof MemberConnectionError) {
         log.info('member.refused', {
@@ -211,28 +203,15 @@
         }
       }
       throw error;
-    } finally {
-      openingConnections -= 1;
     }
   };
 
-  const findIdleConnection = (account: string, valuesKey: string): PooledConnection | undefined => {
-    let bestMatch: PooledConnection | undefined;
-    for (const connection of idleConnections) {
-      if (connection.account === account) {
-        if (connection.valuesKey === valuesKey) return connection;
-        if (!bestMatch || connection.valuesKey === '') bestMatch = connection;
-      }
-    }
-    return bestMatch;
-  };
-
   const canOpenConnection = (): boolean =>
-    connections.size + openingConnections < maxConnections && nowMs() >= connectPausedUntilMs;
+    connections.size + openings.count() < maxConnections && nowMs() >= connectPausedUntilMs;
 
   /** Makes room by closing the connection idle for longest; returns false when none is idle. */
   const evictOldestIdle = (): boolean => {
-    const [oldest] = [...idleConnections].sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs);
+    const [oldest] = idle.listOldestFirst();
     if (!oldest) return false;
     closeConnection(oldest);
     return true;
@@ -240,25 +219,20 @@
 
   /** Requests the endpoint's status on a new connection; returns undefined on failure. */
   const probe = async (): Promise<EndpointStatus | undefined> => {
+    if (!getUse().isContacted) return undefined;
     lastProbeAtMs = nowMs();
     let connection: PooledConnection | undefined;
     try {
       const account = options.controlAccount();
       const memberConnection = await dialer.open(endpoint, account, PROBE_TIMEOUT_MS);
-      connection = {
-        memberConnection,
-        account,
-        values: new Map(),
-        valuesKey: '',
-        prepared: new Map(),
-        lastUsedAtMs: nowMs(),
-        isEnded: false,
-      };
+      connection = createPooledConnection(memberConnection, account, nowMs());
       const replyTimer = setTimeout(() => memberConnection.close(), PROBE_TIMEOUT_MS);
       const reply = await send(connection, { kind: 'status' });
       clearTimeout(replyTimer);
       return dialer.readStatus(reply);
     } catch (error) {
+      // Says nothing about the endpoint: the data centre was evacuated meanwhile.
+      if (!getUse().isContacted) return undefined;
       if (error instanceof MemberConnectionError && error.reason === 'connectionLimit') {
         lastReplyAtMs = nowMs();
         return undefined;
@@ -287,6 +261,8 @@
 
   return {
     endpoint: () => endpoint,
+    phase: getPhase,
+    use: () => getUse(),
     update: (next: GroupEndpoint, connectionLimit: number): void => {
       if (next.startedAtUnixMs !== endpoint.startedAtUnixMs || next.address !== endpoint.address) {
         failedProbes = 0;
@@ -296,15 +272,15 @@
       maxConnections = connectionLimit;
     },
     getLoad: (account: string, isPrimary: boolean) => {
-      const hasIdleConnection = findIdleConnection(account, '') !== undefined;
+      const hasIdleConnection = idle.find(account, '') !== undefined;
       return {
         id: endpoint.id,
         isPrimary,
-        isLeaving: endpoint.isLeaving,
-        isDown,
+        isLeaving: !getUse(isPrimary).acceptsNewWork,
+        isDown: isDown || isUnproven || !getUse().isContacted,
         activeStatements: inFlightStatements,
         slots: endpoint.slots,
-        canConnect: hasIdleConnection || canOpenConnection() || idleConnections.size > 0,
+        canConnect: hasIdleConnection || canOpenConnection() || idle.count() > 0,
         hasIdleConnection,
         position,
         latencyMs,
@@ -312,10 +288,11 @@
       };
     },
     /** Whether another statement may be sent: one per slot, plus one to hide network latency. */
-    hasCapacity: (): boolean => !isDown && inFlightStatements <= endpoint.slots,
+    hasCapacity: (): boolean =>
+      !isDown && !isUnproven && getUse().isContacted && inFlightStatements <= endpoint.slots,
     isDown: () => isDown,
     position: () => position,
-    connectionCount: () => connections.size + openingConnections,
+    connectionCount: () => connections.size + openings.count(),
     acquireSlot: (): void => {
       inFlightStatements += 1;
     },
@@ -324,9 +301,9 @@
     },
     /** Acquires an idle or new connection for an account. @throws MemberLinkError */
     acquire: async (account: string, valuesKey: string): Promise<PooledConnection> => {
-      const idleConnection = findIdleConnection(account, valuesKey);
+      const idleConnection = idle.find(account, valuesKey);
       if (idleConnection) {
-        idleConnections.delete(idleConnection);
+        idle.delete(idleConnection);
         return idleConnection;
       }
       if (!canOpenConnection() && !evictOldestIdle()) {
@@ -338,12 +315,16 @@
       return openConnection(account);
     },
     release: (connection: PooledConnection): void => {
-      if (connection.isEnded || isClosed || !isReusingConnections || endpoint.isLeaving) {
+      if (
+        connection.isEnded ||
+        isClosed ||
+        !isReusingConnections ||
+        endpoint.isLeaving ||
+        !getUse().acceptsNewWork
+      ) {
         closeConnection(connection);
       } else {
-        const reusableConnection = connection;
-        reusableConnection.lastUsedAtMs = nowMs();
-        idleConnections.add(connection);
+        idle.add(connection, nowMs());
       }
       onChange();
     },
@@ -360,29 +341,37 @@
     /** Closes surplus idle connections, since those of a crashed VM count for 3 s. */
     closeExcessIdle: (): void => {
       const unusedSinceMs = nowMs() - EXCESS_IDLE_TIMEOUT_MS;
-      [...idleConnections]
-        .sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)
-        .slice(
-          0,
-          Math.max(0, connections.size - Math.floor(maxConnections * KEPT_CONNECTION_RATIO)),
-        )
+      const keptCount = Math.floor(maxConnections * KEPT_CONNECTION_RATIO);
+      idle
+        .listOldestFirst()
+        .slice(0, Math.max(0, connections.size - keptCount))
         .filter(({ lastUsedAtMs }) => lastUsedAtMs < unusedSinceMs)
         .forEach(closeConnection);
     },
     /** Probes the endpoint when a reply is overdue, an earlier probe failed or it is down. */
     probeIfOverdue: (): void => {
+      if (!getUse().isContacted) return;
       const now = nowMs();
       const oldestSentAtMs = Math.min(...pendingSentAtMs.values(), now);
       const isOverdue = now - Math.max(oldestSentAtMs, lastReplyAtMs) > OVERDUE_REPLY_MS;
-      if ((isOverdue || isDown || failedProbes > 0) && now - lastProbeAtMs > PROBE_INTERVAL_MS) {
+      if (
+        (isOverdue || isDown || isUnproven || failedProbes > 0) &&
+        now - lastProbeAtMs > PROBE_INTERVAL_MS
+      ) {
         startProbe();
       }
     },
     closeAll,
+    closeIdle: (): void => idle.listOldestFirst().forEach(closeConnection),
+    /** Call when the evacuation of its data centre has ended: it is used once it has answered a probe. */
+    noteReturned: (): void => {
+      isUnproven = true;
+      startProbe();
+    },
     /** Closes idle connections now, and others when they are released. */
     stopReusingConnections: (): void => {
       isReusingConnections = false;
-      [...idleConnections].forEach(closeConnection);
+      idle.listOldestFirst().forEach(closeConnection);
     },
     close: (): void => {
       isClosed = true;
