feat(auburngrade): commands that evacuate and restore a data centre

Operators had no way to say that a data centre is about to go. The document kind dataCentre holds its state, at /auburngrade/dataCentre/NAME; changes are sent to followers at once. data-centre evacuate and restore write it at the revision that was read, under a change id. A data centre without a document is in service. A name that no VM and no endpoint has is reported with the change.

--- a/packages/auburngrade/src/commands/commandRegistry.ts
+++ b/packages/auburngrade/src/commands/commandRegistry.ts
@@ -1,9 +1,11 @@
 import type { Command } from '@oclif/core';
 import ConfigCheckCommand from './configCheckCommand';
+import createDataCentreCommand from './createDataCentreCommand';
 import createDocumentDeleteCommand from './createDocumentDeleteCommand';
 import createDocumentListCommand from './createDocumentListCommand';
 import createDocumentPutCommand from './createDocumentPutCommand';
 import createDocumentShowCommand from './createDocumentShowCommand';
+import DataCentreShowCommand from './dataCentreShowCommand';
 import EndpointDrainCommand from './endpointDrainCommand';
 import EndpointJoinCommand from './endpointJoinCommand';
 import ExplainCommand from './explainCommand';
@@ -35,6 +37,16 @@
   'key list': KeyListCommand,
   'endpoint join': EndpointJoinCommand,
   'endpoint drain': EndpointDrainCommand,
+  'data-centre evacuate': createDataCentreCommand(
+    'evacuated',
+    'Evacuate a data centre: its endpoints get no statements until it is restored.',
+  ),
+  'data-centre restore': createDataCentreCommand(
+    'inService',
+    'Put a data centre back into service.',
+  ),
+  'data-centre list': createDocumentListCommand('dataCentre', 'data centre with a document'),
+  'data-centre show': DataCentreShowCommand,
   status: StatusCommand,
   query: QueryCommand,
   'config check': ConfigCheckCommand,
--- a/packages/auburngrade/src/commands/createDocumentListCommand.ts
+++ b/packages/auburngrade/src/commands/createDocumentListCommand.ts
@@ -3,10 +3,10 @@
 import ProgramCommand from './programCommand';
 import withOperatorClient from './withOperatorClient';
 
-/** Creates the command that lists documents of one kind. */
-const createDocumentListCommand = (kind: string) =>
+/** Creates the command that lists documents of one kind, which its help calls `label`. */
+const createDocumentListCommand = (kind: string, label = kind) =>
   class DocumentListCommand extends ProgramCommand {
-    static override description = `List each ${kind} that the VM knows.`;
+    static override description = `List each ${label} that the VM knows.`;
 
     static override flags = operatorFlags;
 
--- a/packages/auburngrade/src/configuration/findUnknownReferences.ts
+++ b/packages/auburngrade/src/configuration/findUnknownReferences.ts
@@ -1,17 +1,27 @@
 import type { ConfigurationState, DocumentKind, Profile } from '@auburngrade/coordination';
 
-/** Lists accounts and groups that a profile names but that do not exist yet; callers only warn. */
+/** Whether a VM or an endpoint is in the data centre, so that a misspelt name is noticed. */
+const isDataCentreKnown = (configuration: ConfigurationState, dataCentre: string): boolean =>
+  [...configuration.list('vm').values()].some((vm) => vm.dataCentre === dataCentre) ||
+  [...configuration.list('group').values()].some(({ members }) =>
+    members.some((member) => member.dataCentre === dataCentre),
+  );
+
+/** Lists what a document refers to but does not exist yet; callers only warn. */
 const findUnknownReferences = (
   configuration: ConfigurationState,
   kind: DocumentKind,
+  name: string,
   document: unknown,
 ): string[] => {
+  if (kind === 'dataCentre')
+    return isDataCentreKnown(configuration, name) ? [] : [`data centre ${name}`];
   if (kind !== 'profile') return [];
   const { accounts, groups } = document as Profile;
   const listMissing = (referencedKind: 'account' | 'group', names: string[]): string[] =>
     names
-      .filter((name) => !configuration.get(referencedKind, name))
-      .map((name) => `${referencedKind} ${name}`);
+      .filter((referenced) => !configuration.get(referencedKind, referenced))
+      .map((referenced) => `${referencedKind} ${referenced}`);
   return [...listMissing('account', accounts), ...listMissing('group', groups)];
 };
 
--- a/packages/auburngrade/src/integration/commandLine.spec.ts
+++ b/packages/auburngrade/src/integration/commandLine.spec.ts
@@ -126,6 +126,29 @@
       expect(run('key', 'withdraw', issued.keyId, '-a', address).status).to.equal(exitCodes.ok);
     });
 
+    it('evacuates a data centre and restores it; a data centre without a document is in service', async () => {
+      const show = () => run('data-centre', 'show', 'waco', '-a', address, '--json').stdout;
+      expect(JSON.parse(show())).to.deep.include({ revision: 0, document: { state: 'inService' } });
+      const evacuate = (...flags: string[]) =>
+        run('data-centre', 'evacuate', 'waco', '-a', address, '--json', ...flags);
+      const first = evacuate('--change-id', 'fire');
+      expect(first.status, first.stderr).to.equal(exitCodes.ok);
+      await fleet.settle();
+      const repeated = JSON.parse(evacuate('--change-id', 'fire').stdout) as object;
+      expect(repeated).to.deep.equal(JSON.parse(first.stdout));
+      expect(JSON.parse(show())).to.deep.include({ document: { state: 'evacuated' } });
+      expect(run('data-centre', 'list', '-a', address).stdout).to.include('evacuated');
+      const restored = run('data-centre', 'restore', 'waco', '-a', address);
+      expect(restored.status, restored.stderr).to.equal(exitCodes.ok);
+      await fleet.settle();
+      expect(JSON.parse(show())).to.deep.include({ document: { state: 'inService' } });
+    });
+
+    it('is told when no VM and no endpoint is in the data centre', () => {
+      const evacuated = run('data-centre', 'evacuate', 'wacco', '-a', address);
+      expect(evacuated.stdout).to.include('not defined yet: data centre wacco');
+    });
+
     it('drains an endpoint and takes it back', async () => {
       const drain = run('endpoint', 'drain', 'auctions', 'auctions-m3', '-a', address);
       expect(drain.status, drain.stderr).to.equal(exitCodes.ok);
--- a/packages/auburngrade/src/serving/createOperatorHandler.ts
+++ b/packages/auburngrade/src/serving/createOperatorHandler.ts
@@ -86,7 +86,7 @@
     const change = await this.change(() =>
       writer.write({ kind, name, document, expectedRevision, changeId }),
     );
-    const missing = findUnknownReferences(configuration, kind, document);
+    const missing = findUnknownReferences(configuration, kind, name, document);
     if (change.verdict !== 'ran' || missing.length === 0) return change;
     return { ...change, message: `referenced but not defined yet: ${missing.join(', ')}` };
   }
--- a/packages/coordination/src/configuration/documentKinds.ts
+++ b/packages/coordination/src/configuration/documentKinds.ts
@@ -1,4 +1,5 @@
 import accountSchema from './accountSchema';
+import dataCentreSchema from './dataCentreSchema';
 import groupSchema from './groupSchema';
 import keySchema from './keySchema';
 import profileSchema from './profileSchema';
@@ -40,6 +41,12 @@
     writable: false,
     urgent: true,
   },
+  dataCentre: {
+    prefix: '/auburngrade/dataCentre/',
+    schema: dataCentreSchema,
+    writable: true,
+    urgent: true,
+  },
   vm: { prefix: '/platform/vms/', schema: vmSchema, writable: false, urgent: true },
 } as const;
 
