feat(auburngrade): primaries and reads leave an evacuated data centre

A primary in an evacuated data centre is replaced by a planned change of term with the reason evacuated, once a member elsewhere answers and is close to its log position. Members there stay voters and are polled, but none is eligible. Without an eligible member nothing is claimed, so that the primary serves on. A run that has no candidate yet starts again when the eligible members change; otherwise an evacuation that is revoked would leave the group without a primary. Reads go to replicas elsewhere.

--- a/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.spec.ts
@@ -31,7 +31,7 @@
   history: [{ term, startPosition: 0 }],
 });
 
-const createFixture = () => {
+const createFixture = (dataCentres = ['waco', 'waco', 'waco']) => {
   const clock = { ms: 100_000 };
   const nowMs = (): number => clock.ms;
   const silentMembers = new Map<string, number>();
@@ -47,6 +47,14 @@
     configuration.applyChanges(revision, [store.record]);
   };
 
+  const setState = (dataCentre: string, state: 'evacuated' | 'inService'): void => {
+    revision += 1;
+    const key = documentKinds.dataCentre.prefix + dataCentre;
+    configuration.applyChanges(revision, [
+      { key, valueJson: JSON.stringify({ state }), modRevision: revision },
+    ]);
+  };
+
   const platform = {
     range: async () => {
       if (store.isAway) throw new Error('away');
@@ -70,7 +78,7 @@
   const group = groupSchema.parse({
     members: VOTERS.map((name, index) => ({
       name,
-      dataCentre: 'waco',
+      dataCentre: dataCentres[index],
       host: '127.0.0.1',
       port: 1 + index,
       replicationPort: 10 + index,
@@ -139,6 +147,7 @@
     written,
     publish,
     tickFor,
+    setState,
     silence: (member: string): void => {
       silentMembers.set(member, nowMs());
     },
@@ -203,6 +212,56 @@
     promoter.close();
   });
 
+  describe('with the primary in an evacuated data centre', () => {
+    const DATA_CENTRES = ['waco', 'temple', 'waco'];
+
+    it('replaces it, though it answers', async () => {
+      const { setState, tickFor, written, promoter } = createFixture(DATA_CENTRES);
+      setState('waco', 'evacuated');
+      tickFor(TICK_MS);
+      await sleep(0);
+      expect(written.map(({ term, state }) => ({ term, state }))).to.deep.equal([
+        { term: 2, state: 'promoting' },
+      ]);
+      promoter.close();
+    });
+
+    it('claims nothing while no member elsewhere can be promoted', async () => {
+      const { setState, silence, tickFor, agree, written, promoter } = createFixture(DATA_CENTRES);
+      setState('waco', 'evacuated');
+      setState('temple', 'evacuated');
+      tickFor(SILENCE_MS);
+      silence('m1');
+      tickFor(SILENCE_MS);
+      await agree();
+      expect(written).to.deep.equal([]);
+      promoter.close();
+    });
+
+    it('waits for a member elsewhere that does not answer', async () => {
+      const { setState, silence, tickFor, written, promoter } = createFixture(DATA_CENTRES);
+      silence('m2');
+      tickFor(2 * SILENCE_MS);
+      setState('waco', 'evacuated');
+      tickFor(TICK_MS);
+      await sleep(0);
+      expect(written).to.deep.equal([]);
+      promoter.close();
+    });
+
+    it('starts again, with members that are back in service, when it has found no candidate', async () => {
+      const { setState, tickFor, written, promoter } = createFixture(DATA_CENTRES);
+      setState('waco', 'evacuated');
+      tickFor(TICK_MS);
+      await sleep(0);
+      setState('waco', 'inService');
+      tickFor(RETRIES_MS);
+      await sleep(0);
+      expect(written.map(({ term }) => term)).to.deep.equal([2, 3]);
+      promoter.close();
+    });
+  });
+
   it('gives other VMs no view of a term that it formed in an earlier one', async () => {
     const { silence, tickFor, publish, promoter } = createFixture();
     silence('m1');
--- a/packages/auburngrade/src/promotion/createGroupPromoter.ts
+++ b/packages/auburngrade/src/promotion/createGroupPromoter.ts
@@ -8,6 +8,7 @@
   type TermRecord,
 } from '@auburngrade/coordination';
 import type { ConfigurationStore } from '@auburngrade/platform';
+import eligibleMemberNames from '../evacuation/eligibleMemberNames';
 import type GroupClient from '../groups/groupClient';
 import type Logger from '../log/logger';
 import sleep from '../time/sleep';
@@ -79,6 +80,8 @@
     nextAttemptAtMs = nowMs() + ATTEMPT_INTERVAL_MS;
   };
 
+  const eligibleNames = (): string[] => eligibleMemberNames(groupClient.group, configuration);
+
   const isMajorityAnswering = (record: TermRecord): boolean => {
     const voters = groupClient.voters();
     const answering = groupClient
@@ -146,7 +149,7 @@
   };
 
   const startDuePlannedChange = (record: TermRecord): void => {
-    const reason = findPlannedChangeReason(groupClient, record);
+    const reason = findPlannedChangeReason(groupClient, configuration, record, nowMs());
     if (!reason) {
       measureChangeDueMs('none');
       return;
@@ -167,6 +170,7 @@
     }
     const elapsedMs = measureChangeDueMs(`gone/${record.term}`);
     if (elapsedMs < options.rank() * REPLACEMENT_DELAY_PER_RANK_MS) return;
+    if (eligibleNames().length === 0) return;
     if (isCollectingViews || nowMs() < nextAttemptAtMs || !isMajorityAnswering(record)) return;
     startIfPeersAgree(record, judgement.reason, outageStartMs(record));
   };
@@ -190,6 +194,13 @@
     activeRun.promotion.phase() === 'claiming' &&
     failureDetector.assess(record).view === 'present';
 
+  /** Whether a run without a candidate was planned with other members than may be promoted now. */
+  const isPlanOutdated = (): boolean => {
+    const phase = activeRun.promotion.phase();
+    if (phase !== 'claiming' && phase !== 'fencing') return false;
+    return activeRun.eligible.join() !== eligibleNames().join();
+  };
+
   const isRunActive = (): boolean => activeRun !== undefined && !activeRun.promotion.isFinished();
 
   /** Polls the primary before answering, since an idle group's last poll may be old. */
@@ -215,13 +226,13 @@
       if (!record) return;
       failureDetector.observe(groupClient.views(), nowMs());
       if (isRunActive()) {
-        const isOver = isSuperseded(record) || isNoLongerNeeded(record);
+        const isOver = isSuperseded(record) || isNoLongerNeeded(record) || isPlanOutdated();
         activeRun.driver.dispatch(isOver ? { kind: 'lost' } : { kind: 'tick' });
         return;
       }
       if (record.state === 'promoting') {
         setView(record, 'gone');
-        startDueTakeOver(record);
+        if (eligibleNames().length > 0) startDueTakeOver(record);
         return;
       }
       startDueReplacement(record);
--- a/packages/auburngrade/src/promotion/createPromotionPlan.ts
+++ b/packages/auburngrade/src/promotion/createPromotionPlan.ts
@@ -1,4 +1,5 @@
-import type { PromotionPlan, TermRecord } from '@auburngrade/coordination';
+import type { ConfigurationState, PromotionPlan, TermRecord } from '@auburngrade/coordination';
+import eligibleMemberNames from '../evacuation/eligibleMemberNames';
 import activeMemberNames from '../groups/activeMemberNames';
 import type GroupClient from '../groups/groupClient';
 import type PromotionReason from './promotionReason';
@@ -6,6 +7,7 @@
 /** Plans one promotion attempt under a term above the record's and every fence seen so far. */
 const createPromotionPlan = (
   groupClient: GroupClient,
+  configuration: Pick<ConfigurationState, 'list'>,
   record: TermRecord,
   revision: number,
   promoter: string,
@@ -13,7 +15,8 @@
 ): PromotionPlan => {
   const fencedTerms = groupClient.statuses().map(({ fencedTerm }) => fencedTerm);
   const members = activeMemberNames(groupClient.group);
-  const isPrimaryKept = reason === 'members' && record.primary !== undefined;
+  const keptPrimary = reason === 'members' ? record.primary : undefined;
+  const eligible = eligibleMemberNames(groupClient.group, configuration);
   return {
     promoter,
     term: Math.max(record.term, ...fencedTerms) + 1,
@@ -21,11 +24,12 @@
     baseRevision: revision,
     voters: [...groupClient.voters()],
     members,
-    eligible: isPrimaryKept
-      ? members.toSorted((a, b) => Number(b === record.primary) - Number(a === record.primary))
-      : members,
-    avoided: isPrimaryKept ? undefined : record.primary,
-    isPlanned: reason === 'leaving',
+    eligible:
+      keptPrimary === undefined
+        ? eligible
+        : [...new Set([keptPrimary, ...eligible])].filter((name) => members.includes(name)),
+    avoided: keptPrimary === undefined ? record.primary : undefined,
+    isPlanned: reason === 'leaving' || reason === 'evacuated',
   };
 };
 
--- a/packages/auburngrade/src/promotion/createPromotionRun.ts
+++ b/packages/auburngrade/src/promotion/createPromotionRun.ts
@@ -4,6 +4,7 @@
   type Promotion,
   type TermRecord,
 } from '@auburngrade/coordination';
+import eligibleMemberNames from '../evacuation/eligibleMemberNames';
 import type GroupClient from '../groups/groupClient';
 import type Logger from '../log/logger';
 import createTraceRecorder from '../traces/createTraceRecorder';
@@ -32,6 +33,8 @@
 interface PromotionRun {
   promotion: Promotion;
   driver: ReturnType<typeof createPromotionDriver>;
+  /** Members that could become primary when the attempt was planned. */
+  eligible: readonly string[];
 }
 
 /** Prepares one promotion attempt of a group; reports its outcome to log, metrics and trace. */
@@ -43,7 +46,7 @@
 ): PromotionRun => {
   const { groupClient, promoter, configuration, control, writer, logger, nowMs } = options;
   const revision = configuration.getDocumentRevision('term', groupClient.name) ?? 0;
-  const plan = createPromotionPlan(groupClient, record, revision, promoter, reason);
+  const plan = createPromotionPlan(groupClient, configuration, record, revision, promoter, reason);
   const startedAtMs = nowMs();
   const trace = `${groupClient.name}/${plan.term}/${promoter}`;
   const recorder = createTraceRecorder({ logger, decision: 'promotion', trace, startedAtMs });
@@ -76,7 +79,7 @@
     nowMs,
     onFinished,
   });
-  return { promotion, driver };
+  return { promotion, driver, eligible: eligibleMemberNames(groupClient.group, configuration) };
 };
 
 export default createPromotionRun;
--- a/packages/auburngrade/src/promotion/findPlannedChangeReason.ts
+++ b/packages/auburngrade/src/promotion/findPlannedChangeReason.ts
@@ -1,4 +1,6 @@
-import type { MemberView, TermRecord } from '@auburngrade/coordination';
+import type { ConfigurationState, MemberView, TermRecord } from '@auburngrade/coordination';
+import eligibleMemberNames from '../evacuation/eligibleMemberNames';
+import listCandidates from '../evacuation/listCandidates';
 import activeMemberNames from '../groups/activeMemberNames';
 import type GroupClient from '../groups/groupClient';
 import type PromotionReason from './promotionReason';
@@ -12,17 +14,25 @@
   view.status.position >= primary.status.position - MAX_CATCH_UP_ENTRIES;
 
 /**
- * Returns why the group's document requires a change of primary or voters, if it does. Added
- * voters must first be close to the primary's log position.
+ * Returns why the configuration requires a change of primary or voters, if it does. A member that
+ * is to replace a primary in an evacuated data centre, and added voters, must first be close to
+ * the primary's log position.
  */
 const findPlannedChangeReason = (
   groupClient: GroupClient,
+  configuration: Pick<ConfigurationState, 'list'>,
   record: TermRecord,
+  nowMs: number,
 ): PromotionReason | undefined => {
   const activeNames = activeMemberNames(groupClient.group);
+  const eligibleNames = eligibleMemberNames(groupClient.group, configuration);
   const views = groupClient.views();
   const primary = views.find(({ member }) => member === record.primary);
-  if (record.primary !== undefined && !activeNames.includes(record.primary)) return 'leaving';
+  if (record.primary !== undefined && !activeNames.includes(record.primary))
+    return eligibleNames.length > 0 ? 'leaving' : undefined;
+  const isEvacuated = record.primary !== undefined && !eligibleNames.includes(record.primary);
+  const candidates = isEvacuated ? listCandidates(groupClient, configuration, nowMs) : [];
+  if (candidates.some((candidate) => isCaughtUp(candidate, primary))) return 'evacuated';
   const voters = groupClient.voters();
   const addedNames = activeNames.filter((name) => !voters.includes(name));
   const hasVoterChanges =
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -9,6 +9,7 @@
   type ReadTarget,
   type TransactionRequest,
 } from '@auburngrade/coordination';
+import listEvacuatedDataCentres from '../evacuation/listEvacuatedDataCentres';
 import type GroupClient from '../groups/groupClient';
 import type FreshnessTracker from './freshnessTracker';
 import type ReadPlan from './readPlan';
@@ -67,6 +68,7 @@
       maxLagPositions: endpoints.joinMaxLagPositions,
       dataCentre: options.dataCentre,
       avoided: options.avoided(),
+      evacuatedDataCentres: listEvacuatedDataCentres(configuration),
       nowMs: nowMs(),
       random: Math.random(),
     };
--- a/packages/coordination/src/routing/chooseEndpoint.spec.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.spec.ts
@@ -175,6 +175,7 @@
       maxLagPositions: 1_000,
       dataCentre: 'a',
       avoided: new Set(),
+      evacuatedDataCentres: new Set(),
       nowMs,
       random: 0,
     });
@@ -272,6 +273,7 @@
   maxLagPositions: 1_000,
   dataCentre: 'm2',
   avoided: new Set(),
+  evacuatedDataCentres: new Set(),
   nowMs: 0,
   random: 0,
   ...changes,
@@ -289,6 +291,11 @@
       expect(chooseMembers({ avoided: new Set(['m2']) })).to.deep.equal(['m1', 'm2']);
     });
 
+    it('omits members in evacuated data centres', () => {
+      const evacuatedDataCentres = new Set(['m2']);
+      expect(chooseMembers({ evacuatedDataCentres })).to.deep.equal(['m1']);
+    });
+
     it('omits a leaving member and a replica that exceeds the maximum lag', () => {
       const [first, second, third] = createReadState({}).members;
       const members = [first!, second!, { ...third!, state: 'leaving' as const }];
--- a/packages/coordination/src/routing/chooseEndpoint.ts
+++ b/packages/coordination/src/routing/chooseEndpoint.ts
@@ -25,7 +25,8 @@
 const isFreshReplica = (status: MemberStatus, context: ReadContext): boolean =>
   status.member !== context.record.primary &&
   context.members.some(
-    ({ name, state: memberState }) => name === status.member && memberState === 'active',
+    ({ name, state, dataCentre }) =>
+      name === status.member && state === 'active' && !context.evacuatedDataCentres.has(dataCentre),
   ) &&
   isFreshForToken(status, context.sessionPosition, context.record) &&
   isWithinMaxLag(status, context) &&
--- a/packages/coordination/src/routing/readContext.ts
+++ b/packages/coordination/src/routing/readContext.ts
@@ -21,6 +21,8 @@
   dataCentre: string;
   /** Members that failed recently; they are tried last. */
   avoided: ReadonlySet<string>;
+  /** Members there are not chosen. */
+  evacuatedDataCentres: ReadonlySet<string>;
   nowMs: number;
   /** Random number in [0, 1); spreads reads over members of equal rank. */
   random: number;
