feat(auburngrade): nothing is sent to an evacuated data centre after the drain time

A primary that nothing could replace went on serving, and open transactions on replicas in the data centre stayed open. Once evacuation.drainTimeoutMs is over, open transactions there are rolled back and the connections for callers are closed. Statements that need the primary wait for a candidate to be promoted; without one they are refused at once as not run, with the code dataCentreEvacuated. The connections open again when the data centre is restored. The gauge auburngrade_data_centre_evacuated and the log event dataCentre.changed show the state on each VM.

--- a/packages/auburngrade/src/daemon/createStatementService.ts
+++ b/packages/auburngrade/src/daemon/createStatementService.ts
@@ -8,6 +8,7 @@
 import addKeyCheck from '../authentication/addKeyCheck';
 import createReadExecutor from '../execution/createReadExecutor';
 import createWriteExecutor from '../execution/createWriteExecutor';
+import type DataCentres from '../evacuation/dataCentres';
 import type createTermRecordInitializer from '../groups/createTermRecordInitializer';
 import type GroupClient from '../groups/groupClient';
 import type GroupRegistry from '../groups/groupRegistry';
@@ -24,6 +25,7 @@
 interface StatementServiceOptions {
   settings: Settings;
   configuration: ConfigurationState;
+  dataCentres: DataCentres;
   groups: GroupRegistry;
   terms: ReturnType<typeof createTermRecordInitializer>;
   membership: Membership;
@@ -40,27 +42,30 @@
   const {
     settings,
     configuration,
+    dataCentres,
     groups,
     terms: termRecordInitialiser,
     leavingNotices,
     metrics,
     nowMs,
   } = options;
+  const primaryWaiter = createPrimaryWaiter({ configuration, dataCentres, nowMs });
   const readExecutor = createReadExecutor({
     ...settings,
     ...settings.reads,
     configuration,
+    dataCentres,
+    primaryWaiter,
     listGroupClients: groups.listClients,
     nowMs,
   });
-  const primaryWaiter = createPrimaryWaiter(configuration, nowMs);
   const writeExecutor = createWriteExecutor(settings.vm, nowMs);
 
   const getGroupClient = async (request: TransactionRequest): Promise<GroupClient> => {
     await options.awaitConfiguration(request.deadlineAtMs);
     const groupClient = groups.get(request.group);
     await termRecordInitialiser.ensureTermRecord(groupClient);
-    if (request.write) await primaryWaiter.wait(request.group, request.deadlineAtMs);
+    if (request.write) await primaryWaiter.wait(groupClient, request.deadlineAtMs);
     return addKeyCheck(groupClient, () => options.recheckKey(request.keyHash));
   };
   const transactions = createLocalTransactions({
@@ -82,6 +87,14 @@
     return outcome;
   };
 
+  // Transactions first, so that they end as rolled back and not by a lost connection.
+  dataCentres.onChange(() => {
+    transactions.abortInDataCentres(
+      (dataCentre) => dataCentres.phaseOf(dataCentre) === 'evacuated',
+    );
+    groups.closeEvacuated();
+  });
+
   let isEnding = false;
 
   const router = createRouter({
--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -6,6 +6,7 @@
 import createConfigurationMetrics from '../configuration/createConfigurationMetrics';
 import createConfigurationDistribution from '../configuration/createConfigurationDistribution';
 import createDocumentWriter from '../configuration/createDocumentWriter';
+import createDataCentres from '../evacuation/createDataCentres';
 import createGroupRegistry from '../groups/createGroupRegistry';
 import createTermRecordInitializer from '../groups/createTermRecordInitializer';
 import createKeyFreshness from '../keys/createKeyFreshness';
@@ -39,6 +40,13 @@
   const tls = loadTls(settings, logger);
   const metrics = createMetrics();
   const configuration = createConfigurationState();
+  const dataCentres = createDataCentres({
+    configuration,
+    drainTimeoutMs: settings.evacuation.drainTimeoutMs,
+    registry: metrics.registry,
+    logger,
+    nowMs,
+  });
   const platform = createEtcdConfigurationStore(settings.platform.address);
   const { timeoutMs } = settings.platform;
   const addresses = createAddressBook(settings);
@@ -82,6 +90,7 @@
     nowMs,
     settings.pools,
     slotController.isUsable,
+    dataCentres.phaseOf,
   );
   const termRecordInitialiser = createTermRecordInitializer(
     platform,
@@ -119,6 +128,7 @@
   const statements = createStatementService({
     settings,
     configuration,
+    dataCentres,
     groups,
     terms: termRecordInitialiser,
     membership,
--- a/packages/auburngrade/src/execution/createReadExecutor.ts
+++ b/packages/auburngrade/src/execution/createReadExecutor.ts
@@ -9,10 +9,12 @@
   type TransactionRequest,
 } from '@auburngrade/coordination';
 import { EndpointError, type QueryResult } from '@auburngrade/endpoint';
+import type DataCentres from '../evacuation/dataCentres';
 import type GroupClient from '../groups/groupClient';
 import createFreshnessTracker from '../routing/createFreshnessTracker';
 import createReadPlanner from '../routing/createReadPlanner';
 import createRecentFailures from '../routing/createRecentFailures';
+import type PrimaryWaiter from '../routing/primaryWaiter';
 import type ReadPlan from '../routing/readPlan';
 import sleep from '../time/sleep';
 import createReadHedge from './createReadHedge';
@@ -23,6 +25,8 @@
   dataCentre: string;
   catchUpWaitMs: number;
   configuration: ConfigurationState;
+  dataCentres: Pick<DataCentres, 'evacuated'>;
+  primaryWaiter: PrimaryWaiter;
   listGroupClients(): GroupClient[];
   nowMs(): number;
 }
--- a/packages/auburngrade/src/groups/createConnectionPool.spec.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.spec.ts
@@ -96,6 +96,27 @@
     });
   });
 
+  describe('when withdrawn', () => {
+    it('refuses queued requests, and ends those that run only when told to', async () => {
+      const { connection, release } = await pool.acquire('a', nowMs() + TIMEOUT_MS);
+      const waiting = runStatement(pool, 'b', TIMEOUT_MS);
+      pool.withdraw(false);
+      expect((await waiting).code).to.equal('noConnection');
+      expect(connection.isUsable()).to.equal(true);
+      pool.withdraw(true);
+      expect(connection.isUsable()).to.equal(false);
+      release();
+    });
+
+    it('closes idle connections and opens new ones afterwards', async () => {
+      await runStatement(pool, 'a', TIMEOUT_MS);
+      pool.withdraw(false);
+      expect(pool.openCount()).to.equal(0);
+      expect((await runStatement(pool, 'a', TIMEOUT_MS)).code).to.equal(undefined);
+      expect(endpoint.connects).to.equal(2);
+    });
+  });
+
   describe('when closed', () => {
     it('refuses queued requests and opens no more connections', async () => {
       const running = runStatement(pool, 'a', TIMEOUT_MS);
--- a/packages/auburngrade/src/groups/createConnectionPool.ts
+++ b/packages/auburngrade/src/groups/createConnectionPool.ts
@@ -25,6 +25,7 @@
 /** Queue shared by requests without an account: open routes and the VM's own statements. */
 const SHARED_QUEUE_KEY = '';
 const CLOSED_MESSAGE = 'the connection pool is closed';
+const WITHDRAWN_MESSAGE = 'the data centre of the endpoint is evacuated';
 const DEFAULT_OPTIONS: PoolOptions = {
   order: 'fair',
   maxQueuedPerAccount: 256,
@@ -251,6 +252,15 @@
       const weight = account === undefined ? 1 : options.weightOf(account);
       return enqueue(queueKeyOf(account), weight, deadlineAtMs, drainTimeoutMs);
     },
+    /**
+     * Refuses queued requests and closes idle connections at once; with `isInUseClosed` those in
+     * use too. Unlike a closed pool, it opens connections again when `mayOpen` allows it.
+     */
+    withdraw: (isInUseClosed: boolean): void => {
+      idle.splice(0).forEach(closeConnection);
+      while (queue.size() > 0) refuseNext(WITHDRAWN_MESSAGE);
+      if (isInUseClosed) drainTimeoutMsByConnection.forEach((_, connection) => connection.close());
+    },
     queued: () => queue.size(),
     /** Monotonic time at which a connection was last released. */
     lastReleasedAtMs: () => lastReleasedAtMs,
--- a/packages/auburngrade/src/groups/createGroupClient.ts
+++ b/packages/auburngrade/src/groups/createGroupClient.ts
@@ -1,6 +1,7 @@
 import {
   listMembersToPoll,
   type ConfigurationState,
+  type EvacuationPhase,
   type Group,
   type Member,
   type MemberStatus,
@@ -36,13 +37,20 @@
   mayOpen: () => boolean = () => true,
   /** Takes over a member's handle from the client of the group's previous document. */
   takeOverHandle: (member: Member) => MemberHandle | undefined = () => undefined,
+  phaseOf: (dataCentre: string) => EvacuationPhase = () => 'inService',
 ) => {
   const poolOptions = {
     ...poolSettings,
     mayOpen,
     weightOf: (account: string): number => configuration.get('account', account)?.weight ?? 1,
   };
-  const handleOptions = { vm, group, addresses, poolOptions, nowMs };
+  const record = (): TermRecord | undefined => configuration.get('term', name);
+  /** A primary in an evacuated data centre is used until it is replaced or the drain time is over. */
+  const isInUse = (member: Member): boolean => {
+    const phase = phaseOf(member.dataCentre);
+    return phase === 'inService' || (phase === 'evacuating' && member.name === record()?.primary);
+  };
+  const handleOptions = { vm, group, addresses, poolOptions, isInUse, nowMs };
 
   const handles = new Map(
     group.members.map((member) => [
@@ -53,7 +61,6 @@
   /** Members whose handles now belong to the client of the group's next document. */
   const handedOverMembers = new Set<string>();
   const pollers = new Map([...handles].map(([member, { poller }]) => [member, poller]));
-  const record = (): TermRecord | undefined => configuration.get('term', name);
   const voters = (): readonly string[] => record()?.voters ?? [...handles.keys()];
   const acknowledger = createAcknowledgementWaiter(pollers, voters, nowMs);
 
@@ -109,9 +116,16 @@
       handleOf(member.name).data.close();
     });
 
+  /** Closes data connections to evacuated data centres: idle ones, and all once the drain time is over. */
+  const closeEvacuated = (): void =>
+    handles.forEach(({ member, data }) => {
+      if (!isInUse(member)) data.withdraw(phaseOf(member.dataCentre) === 'evacuated');
+    });
+
   const unsubscribe = configuration.onChange(() => {
     acknowledger.failBeforeTerm(record()?.term ?? 0);
     drainLeavingMembers();
+    closeEvacuated();
   });
   const pollTimer = setInterval(pollDueMembers, POLL_CHECK_INTERVAL_MS);
   poll();
@@ -223,6 +237,7 @@
         await sleep(DRAIN_CHECK_INTERVAL_MS);
       }
     },
+    closeEvacuated,
     /** Closes idle connections now, and those in use on release or after `forceCloseAfterMs`. */
     close,
   };
--- a/packages/auburngrade/src/groups/createGroupRegistry.ts
+++ b/packages/auburngrade/src/groups/createGroupRegistry.ts
@@ -1,4 +1,8 @@
-import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
+import {
+  createNotRunError,
+  type ConfigurationState,
+  type EvacuationPhase,
+} from '@auburngrade/coordination';
 import type AddressBook from '../settings/addressBook';
 import createGroupClient from './createGroupClient';
 import type GroupClient from './groupClient';
@@ -16,6 +20,7 @@
   nowMs: () => number,
   poolSettings: PoolSettings | undefined,
   mayHold: (group: string) => boolean,
+  phaseOf: (dataCentre: string) => EvacuationPhase,
 ) => {
   const clients = new Map<string, GroupClient>();
 
@@ -71,6 +76,7 @@
       poolSettings,
       () => mayHold(name) || drainingClients.has(name),
       (member) => existing?.handOverMember(member, group),
+      phaseOf,
     );
     if (existing) drainClient(name, existing, REPLACED_DRAIN_TIMEOUT_MS);
     clients.set(name, created);
@@ -83,6 +89,11 @@
     mayHold: (name: string): boolean => !isEnded && mayHold(name),
     release: closeGroup,
     drainGroup,
+    /** Closes what must no longer be open to evacuated data centres. */
+    closeEvacuated: (): void =>
+      [...clients.values(), ...[...drainingClients.values()].flatMap((set) => [...set])].forEach(
+        (groupClient) => groupClient.closeEvacuated(),
+      ),
     /** Refuses further use, and ends what runs or waits by closing its connections. */
     endAll: (): void => {
       isEnded = true;
--- a/packages/auburngrade/src/groups/createMemberHandle.ts
+++ b/packages/auburngrade/src/groups/createMemberHandle.ts
@@ -17,6 +17,8 @@
   group: Group;
   addresses: AddressBook;
   poolOptions: Partial<PoolOptions> & Pick<PoolOptions, 'mayOpen'>;
+  /** Whether statements of callers may run on the member now. */
+  isInUse(member: Member): boolean;
   nowMs(): number;
 }
 
@@ -26,7 +28,7 @@
 /** Creates the control and data connection pools and the status poller of one group member. */
 const createMemberHandle = (
   member: Member,
-  { vm, group, addresses, poolOptions, nowMs }: MemberHandleOptions,
+  { vm, group, addresses, poolOptions, isInUse, nowMs }: MemberHandleOptions,
 ): MemberHandle => {
   const createEndpoint = (purpose: string): Endpoint =>
     createPgEndpoint({
@@ -41,7 +43,10 @@
     mayOpen: poolOptions.mayOpen,
   });
   const maxDataConnections = connectionsPerMember(group);
-  const data = createConnectionPool(createEndpoint('data'), maxDataConnections, nowMs, poolOptions);
+  const data = createConnectionPool(createEndpoint('data'), maxDataConnections, nowMs, {
+    ...poolOptions,
+    mayOpen: () => poolOptions.mayOpen() && isInUse(member),
+  });
   const poller = createStatusPoller(member.name, control, nowMs);
   return { group, member, control, data, poller };
 };
--- a/packages/auburngrade/src/groups/isHandleReusable.ts
+++ b/packages/auburngrade/src/groups/isHandleReusable.ts
@@ -5,6 +5,7 @@
 const isHandleReusable = (handle: MemberHandle, member: Member, group: Group): boolean =>
   handle.member.host === member.host &&
   handle.member.port === member.port &&
+  handle.member.dataCentre === member.dataCentre &&
   handle.group.database === group.database &&
   handle.group.user === group.user &&
   connectionsPerMember(handle.group) === connectionsPerMember(group) &&
--- a/packages/auburngrade/src/routing/createPrimaryWaiter.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.ts
@@ -1,27 +1,40 @@
 import { createNotRunError, type ConfigurationState } from '@auburngrade/coordination';
+import type DataCentres from '../evacuation/dataCentres';
+import findPrimaryAccess from '../evacuation/findPrimaryAccess';
+import type GroupClient from '../groups/groupClient';
+
+interface PrimaryWaiterOptions {
+  configuration: ConfigurationState;
+  dataCentres: Pick<DataCentres, 'phaseOf' | 'onChange'>;
+  nowMs(): number;
+}
+
+type WaitedGroup = Pick<GroupClient, 'name' | 'group' | 'record' | 'views'>;
 
 /** Limit of requests of one VM that wait for a promotion; more are refused at once. */
 const MAX_WAITING_REQUESTS = 10_000;
 const RETRY_AFTER_MS = 500;
+/** Longer, since only a change by operators or an endpoint that comes up ends the refusals. */
+const EVACUATED_RETRY_AFTER_MS = 1_000;
 
-/** Delays requests while their group has no primary, so that clients need not retry them. */
-const createPrimaryWaiter = (configuration: ConfigurationState, nowMs: () => number) => {
-  const waiting = new Set<{ group: string; resume(): void }>();
-  const hasPrimary = (group: string): boolean => {
-    const record = configuration.get('term', group);
-    return record?.state === 'active' && record.primary !== undefined;
-  };
+/** Delays requests while their group has no primary to use, so that clients need not retry them. */
+const createPrimaryWaiter = ({ configuration, dataCentres, nowMs }: PrimaryWaiterOptions) => {
+  const waiting = new Set<{ groupClient: WaitedGroup; resume(): void }>();
 
-  configuration.onChange(() => {
-    waiting.forEach(({ group, resume }) => {
-      if (hasPrimary(group)) resume();
+  const accessOf = (groupClient: WaitedGroup) =>
+    findPrimaryAccess(groupClient, configuration, dataCentres, nowMs());
+
+  const resumeDecided = (): void =>
+    waiting.forEach(({ groupClient, resume }) => {
+      if (accessOf(groupClient) !== 'wait') resume();
     });
-  });
+  configuration.onChange(resumeDecided);
+  dataCentres.onChange(resumeDecided);
 
-  const waitForPrimary = (group: string, waitMs: number): Promise<void> =>
+  const waitForPrimary = (groupClient: WaitedGroup, waitMs: number): Promise<void> =>
     new Promise((resolve) => {
       const waiter = {
-        group,
+        groupClient,
         resume: () => {
           waiting.delete(waiter);
           resolve();
@@ -31,18 +44,30 @@
       setTimeout(waiter.resume, waitMs).unref();
     });
 
+  /** Whether statements may go to the primary. @throws RefusalError `dataCentreEvacuated` */
+  const isUsable = (groupClient: WaitedGroup): boolean => {
+    const access = accessOf(groupClient);
+    if (access !== 'refused') return access === 'allowed';
+    throw createNotRunError(
+      'dataCentreEvacuated',
+      `group ${groupClient.name} has no primary outside evacuated data centres, and no member that could become it`,
+      EVACUATED_RETRY_AFTER_MS,
+    );
+  };
+
   return {
-    /** @throws RefusalError `noPrimary` when the group has no primary before the deadline. */
-    wait: async (group: string, deadlineAtMs: number): Promise<void> => {
-      if (hasPrimary(group)) return;
+    isUsable,
+    /** @throws RefusalError `noPrimary` when the group has no primary to use before the deadline, or `dataCentreEvacuated`. */
+    wait: async (groupClient: WaitedGroup, deadlineAtMs: number): Promise<void> => {
+      if (isUsable(groupClient)) return;
       const refusal = createNotRunError(
         'noPrimary',
-        `group ${group} has no primary`,
+        `group ${groupClient.name} has no primary`,
         RETRY_AFTER_MS,
       );
       if (waiting.size >= MAX_WAITING_REQUESTS) throw refusal;
-      await waitForPrimary(group, deadlineAtMs - nowMs());
-      if (!hasPrimary(group)) throw refusal;
+      await waitForPrimary(groupClient, deadlineAtMs - nowMs());
+      if (!isUsable(groupClient)) throw refusal;
     },
   };
 };
--- a/packages/auburngrade/src/routing/createReadPlanner.ts
+++ b/packages/auburngrade/src/routing/createReadPlanner.ts
@@ -9,9 +9,10 @@
   type ReadTarget,
   type TransactionRequest,
 } from '@auburngrade/coordination';
-import listEvacuatedDataCentres from '../evacuation/listEvacuatedDataCentres';
+import type DataCentres from '../evacuation/dataCentres';
 import type GroupClient from '../groups/groupClient';
 import type FreshnessTracker from './freshnessTracker';
+import type PrimaryWaiter from './primaryWaiter';
 import type ReadPlan from './readPlan';
 import sleep from '../time/sleep';
 
@@ -20,6 +21,8 @@
   /** How long a read waits for a replica to catch up before it goes to the primary. */
   catchUpWaitMs: number;
   configuration: ConfigurationState;
+  dataCentres: Pick<DataCentres, 'evacuated'>;
+  primaryWaiter: PrimaryWaiter;
   freshnessTracker: FreshnessTracker;
   avoided(): ReadonlySet<string>;
   nowMs(): number;
@@ -44,7 +47,7 @@
 
 /** Chooses the member for a read: a fresh replica, at once or after a short wait, else the primary. */
 const createReadPlanner = (options: ReadPlannerOptions) => {
-  const { configuration, freshnessTracker, nowMs } = options;
+  const { configuration, freshnessTracker, primaryWaiter, nowMs } = options;
 
   const readStateOf = (
     groupClient: GroupClient,
@@ -68,7 +71,7 @@
       maxLagPositions: endpoints.joinMaxLagPositions,
       dataCentre: options.dataCentre,
       avoided: options.avoided(),
-      evacuatedDataCentres: listEvacuatedDataCentres(configuration),
+      evacuatedDataCentres: options.dataCentres.evacuated(),
       nowMs: nowMs(),
       random: Math.random(),
     };
@@ -126,46 +129,51 @@
     if (latestAgeMs > Math.max(MIN_WATERMARK_SPACING_MS, spacingMs)) groupClient.poll();
   };
 
-  return {
-    /** @throws RefusalError `noFreshEndpoint` or `noPrimary`. */
-    plan: async (
-      groupClient: GroupClient,
-      request: TransactionRequest,
-      isPrimaryOnly: boolean,
-    ): Promise<ReadPlan> => {
-      const profile = configuration.get('profile', request.profile) ?? MISSING_PROFILE_POLICY;
-      const policy: ReadPolicy = isPrimaryOnly
-        ? { ...profile, freshness: { kind: 'primary' } }
-        : profile;
-      const { target, state } = await waitForTarget(groupClient, request, policy);
-      refreshWatermarks(groupClient, state);
-      if (target.kind === 'recordBehind') {
-        throw createNotRunError(
-          'noFreshEndpoint',
-          'the session token has a later term than this VM knows',
-          RETRY_AFTER_MS,
-        );
-      }
-      if (target.kind === 'notFresh') {
-        if (target.primary !== undefined) return planOnPrimary(state, target.primary);
-        throw createNotRunError(
-          'noFreshEndpoint',
-          'no endpoint is fresh enough for the request',
-          RETRY_AFTER_MS,
-        );
+  /** @throws RefusalError `noFreshEndpoint`, `noPrimary` or `dataCentreEvacuated`. */
+  const plan = async (
+    groupClient: GroupClient,
+    request: TransactionRequest,
+    isPrimaryOnly: boolean,
+  ): Promise<ReadPlan> => {
+    const profile = configuration.get('profile', request.profile) ?? MISSING_PROFILE_POLICY;
+    const policy: ReadPolicy = isPrimaryOnly
+      ? { ...profile, freshness: { kind: 'primary' } }
+      : profile;
+    const { target, state } = await waitForTarget(groupClient, request, policy);
+    refreshWatermarks(groupClient, state);
+    if (target.kind === 'recordBehind') {
+      throw createNotRunError(
+        'noFreshEndpoint',
+        'the session token has a later term than this VM knows',
+        RETRY_AFTER_MS,
+      );
+    }
+    if (target.kind === 'notFresh') {
+      const isUsable = primaryWaiter.isUsable(groupClient);
+      if (target.primary !== undefined && isUsable) return planOnPrimary(state, target.primary);
+      if (target.primary !== undefined) {
+        await primaryWaiter.wait(groupClient, request.deadlineAtMs);
+        return plan(groupClient, request, isPrimaryOnly);
       }
-      const [member] = target.members;
-      if (member === undefined)
-        throw new Error('chooseEndpoint returned a serve target without members');
-      return {
-        member,
-        role: 'replica',
-        term: state.record.term,
-        freshUntilMs: freshUntilMs(state, member),
-        isConfirmationRequired: false,
-      };
-    },
+      throw createNotRunError(
+        'noFreshEndpoint',
+        'no endpoint is fresh enough for the request',
+        RETRY_AFTER_MS,
+      );
+    }
+    const [member] = target.members;
+    if (member === undefined)
+      throw new Error('chooseEndpoint returned a serve target without members');
+    return {
+      member,
+      role: 'replica',
+      term: state.record.term,
+      freshUntilMs: freshUntilMs(state, member),
+      isConfirmationRequired: false,
+    };
   };
+
+  return { plan };
 };
 
 export default createReadPlanner;
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -41,6 +41,12 @@
         takeOverAfterMs: z.number().int().min(500).max(60_000).default(2_000),
       })
       .default({ suspectAfterMs: 600, stallAfterMs: 3_000, takeOverAfterMs: 2_000 }),
+    evacuation: z
+      .strictObject({
+        /** How long open transactions, and a primary, are used in a data centre that is evacuated. */
+        drainTimeoutMs: z.number().int().min(0).max(600_000).default(2_000),
+      })
+      .default({ drainTimeoutMs: 2_000 }),
     heap: z
       .strictObject({
         /** `small` collects garbage more often, for less memory after a peak; `default` leaves that to Node. */
--- a/packages/auburngrade/src/transactions/createLocalTransactions.ts
+++ b/packages/auburngrade/src/transactions/createLocalTransactions.ts
@@ -35,7 +35,7 @@
   reads,
   nowMs,
 }: LocalTransactionsOptions) => {
-  const openTransactions = new Set<Transaction>();
+  const openTransactions = new Map<Transaction, { dataCentre: string | undefined }>();
   const outcomeLookup = createOutcomeLookup(vm, nowMs);
 
   return {
@@ -66,7 +66,8 @@
       });
       const timer = setTimeout(() => transaction.abort(), request.deadlineAtMs - nowMs());
       timer.unref();
-      openTransactions.add(transaction);
+      const member = groupClient.group.members.find(({ name }) => name === plan.member);
+      openTransactions.set(transaction, { dataCentre: member?.dataCentre });
       removeTransaction = () => {
         clearTimeout(timer);
         openTransactions.delete(transaction);
@@ -75,7 +76,12 @@
     },
     openCount: () => openTransactions.size,
     /** Rolls back all open transactions. */
-    abortAll: (): void => openTransactions.forEach((transaction) => transaction.abort()),
+    abortAll: (): void => openTransactions.forEach((_, transaction) => transaction.abort()),
+    /** Rolls back the open transactions on endpoints in the data centres that `isEnded` names. */
+    abortInDataCentres: (isEnded: (dataCentre: string) => boolean): void =>
+      openTransactions.forEach(({ dataCentre }, transaction) => {
+        if (dataCentre !== undefined && isEnded(dataCentre)) transaction.abort();
+      }),
   };
 };
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -17,6 +17,7 @@
 export { default as accountSchema } from './configuration/accountSchema';
 export type { default as Account } from './configuration/account';
 export { default as keySchema } from './configuration/keySchema';
+export { default as decidePrimaryAccess } from './evacuation/decidePrimaryAccess';
 export { default as dataCentreSchema } from './configuration/dataCentreSchema';
 export { default as groupSchema } from './configuration/groupSchema';
 export type { default as Group } from './configuration/group';
--- a/packages/coordination/src/verdict/refusalSchema.ts
+++ b/packages/coordination/src/verdict/refusalSchema.ts
@@ -18,6 +18,7 @@
   'deadlineExceeded',
   'noFreshEndpoint',
   'noPrimary',
+  'dataCentreEvacuated',
   'noConnection',
   'keyNotVouched',
   'configurationMissing',
