feat(auburngrade): a VM that starts during an evacuation uses the data centre for no time

The drain time lets what runs in the data centre end, but nothing of a VM that has just started runs there.

The new test of createDataCentres.spec.ts failed before; the spec passes.

--- a/packages/auburngrade/src/daemon/startDaemon.ts
+++ b/packages/auburngrade/src/daemon/startDaemon.ts
@@ -180,6 +180,7 @@
       configuration: configurationDistribution.describe(),
       areKeysVouched: keyFreshness.areKeysFresh(),
       outageAgeMs: keyFreshness.outageAgeMs(),
+      evacuatedDataCentres: [...dataCentres.evacuated()],
       slots: slotController.describe(),
       liveVms: membership.live().map(({ id }) => id),
       terms: Object.fromEntries(configuration.list('term')),
--- a/packages/auburngrade/src/evacuation/createDataCentres.spec.ts
+++ b/packages/auburngrade/src/evacuation/createDataCentres.spec.ts
@@ -5,8 +5,13 @@
 import createDataCentres from './createDataCentres';
 
 const DRAIN_TIMEOUT_MS = 60;
+const LOADED = {
+  key: `${documentKinds.account.prefix}ranch`,
+  valueJson: JSON.stringify({ limit: { ratePerS: 1, burst: 1 } }),
+};
 
-const createFixture = () => {
+/** A VM that has loaded its configuration, unless it starts while the data centre is evacuated. */
+const createFixture = (isStarting = false) => {
   const clock = { ms: 0 };
   const configuration = createConfigurationState();
   const registry = new Registry();
@@ -21,7 +26,8 @@
     logger: { debug: () => {}, info, warn: () => {}, error: () => {} },
     nowMs: () => clock.ms,
   });
-  let revision = 0;
+  let revision = 1;
+  if (!isStarting) configuration.applyChanges(1, [{ ...LOADED, modRevision: 1 }]);
   return {
     clock,
     dataCentres,
@@ -47,6 +53,12 @@
     expect(dataCentres.phaseOf('waco')).to.equal('evacuated');
   });
 
+  it('leaves no time to drain on a VM that starts meanwhile: nothing of it runs there', () => {
+    const { dataCentres, put } = createFixture(true);
+    put('evacuated');
+    expect(dataCentres.phaseOf('waco')).to.equal('evacuated');
+  });
+
   it('keeps the start of an evacuation that is repeated, and forgets it once it is over', () => {
     const { clock, dataCentres, put } = createFixture();
     put('evacuated');
@@ -75,7 +87,7 @@
     put('evacuated');
     put('evacuated');
     expect(logged).to.deep.equal([
-      { event: 'dataCentre.changed', dataCentre: 'waco', state: 'evacuated', revision: 1 },
+      { event: 'dataCentre.changed', dataCentre: 'waco', state: 'evacuated', revision: 2 },
     ]);
     expect(await registry.metrics()).to.include(
       'auburngrade_data_centre_evacuated{data_centre="waco"} 1',
--- a/packages/auburngrade/src/evacuation/createDataCentres.ts
+++ b/packages/auburngrade/src/evacuation/createDataCentres.ts
@@ -26,6 +26,8 @@
   const { configuration, drainTimeoutMs, logger, nowMs } = options;
   const listeners = new Set<() => void>();
   let evacuated: ReadonlySet<string> = new Set();
+  /** Whether this VM has loaded its configuration; until then nothing of it runs anywhere. */
+  let isLoaded = false;
   let startsMs: ReadonlyMap<string, number> = new Map();
 
   const notify = (): void => listeners.forEach((listener) => listener());
@@ -40,7 +42,8 @@
   const update = (): void => {
     const before = evacuated;
     evacuated = listEvacuatedDataCentres(configuration);
-    startsMs = updateEvacuationStarts(startsMs, [...evacuated], nowMs());
+    const startMs = isLoaded ? nowMs() : Number.NEGATIVE_INFINITY;
+    startsMs = updateEvacuationStarts(startsMs, [...evacuated], startMs);
     const begun = [...evacuated].filter((name) => !before.has(name));
     const ended = [...before].filter((name) => !evacuated.has(name));
     begun.forEach((name) => logChange(name, 'evacuated'));
@@ -52,6 +55,7 @@
 
   configuration.onChange((changed) => {
     if (changed.some(({ key }) => key.startsWith(prefix))) update();
+    isLoaded = true;
   });
 
   const gauge: Gauge = new Gauge({
