--- a/packages/auburngrade/src/integration/evacuation.spec.ts
+++ b/packages/auburngrade/src/integration/evacuation.spec.ts
@@ -36,6 +36,41 @@
     .filter(({ outcome }) => outcome.verdict !== Verdict.RAN)
     .map(({ outcome }) => outcome.refusal?.code);
 
+describe('an evacuation that the store has lost', () => {
+  let fleet: Fleet;
+
+  after(() => fleet.stop());
+
+  it('is in force until operators restore the data centre', async () => {
+    fleet = await startFleet({ dataCentres: ['waco', 'temple'], groups: [] });
+    await fleet.settle();
+    const { revision } = await fleet.platform.counts();
+    const run = async (action: string): Promise<void> => {
+      const address = `127.0.0.1:${fleet.vms.get('temple-1')?.ports.operatorPort}`;
+      const args = [PROGRAM, 'data-centre', action, 'waco', '-a', address];
+      await promisify(execFile)(process.execPath, args);
+    };
+    const awaitState = (evacuated: string[]) =>
+      waitFor(
+        `evacuated everywhere: ${evacuated.join()}`,
+        async () => {
+          const found = await Promise.all(fleet.names.map(({ vm }) => fleet.statusOf(vm)));
+          return found.every(
+            ({ evacuatedDataCentres }) => String(evacuatedDataCentres) === evacuated.join(),
+          );
+        },
+        SPREAD_MS,
+      );
+    await run('evacuate');
+    await awaitState(['waco']);
+    await fleet.platform.restore(revision ?? 0);
+    await sleep(MARGIN_MS);
+    await awaitState(['waco']);
+    await run('restore');
+    await awaitState([]);
+  });
+});
+
 describe('evacuation of data centres', () => {
   let fleet: Fleet;
   let key: string;
