test(auburngrade): evacuation of a data centre with most members of a group

Guards against a replacement that needs a member of the data centre as candidate, and against callers that wait for a primary that nothing can replace: the one member elsewhere becomes primary, and when it dies writes are refused at once until the data centre is restored.

--- a/packages/auburngrade/src/integration/evacuation.spec.ts
+++ b/packages/auburngrade/src/integration/evacuation.spec.ts
@@ -279,3 +279,58 @@
     });
   });
 });
+
+describe('evacuation of a data centre with most members of a group', () => {
+  let fleet: Fleet;
+
+  after(() => fleet.stop());
+
+  it('moves the primary to the one member elsewhere, which then runs all statements', async () => {
+    fleet = await startFleet({ dataCentres: ['waco', 'temple'], connectionBudget: 60 });
+    await fleet.put('account', 'ranch', { limit: { ratePerS: 100_000, burst: 100_000 } });
+    await fleet.put('profile', 'bids', { accounts: ['ranch'], groups: [GROUP] });
+    const { key } = await fleet.issueKey('ranch');
+    await fleet.settle();
+    const vms = fleet.names.map(({ vm }) => vm);
+    const stream = createWriteStream({ fleet, key, group: GROUP, vms });
+    await waitFor('writes', () => stream.ranCount() > 50);
+    await fleet.put('dataCentre', 'waco', { state: 'evacuated' });
+    const staying = fleet.members.find(({ dataCentre }) => dataCentre === 'temple')?.name ?? '';
+    const isMoved = async () => (await readTerm(fleet, GROUP))?.primary === staying;
+    await waitFor('the primary elsewhere', isMoved, SPREAD_MS + MARGIN_MS);
+    await sleep(DRAIN_TIMEOUT_MS + MARGIN_MS);
+    const ranBefore = stream.ranCount();
+    await waitFor('writes under the new term', () => stream.ranCount() > ranBefore + 100);
+    const callers = vms.map((vm) => fleet.caller(vm, key));
+    const statement = { profile: 'bids', group: GROUP, accessMode: AccessMode.READ, sql: READ };
+    const reads = await Promise.all(
+      callers.map((caller) => caller.execute({ ...statement, timeoutMs: TIMEOUT_MS })),
+    );
+    callers.forEach((caller) => caller.close());
+    expect(reads.map(({ servedBy }) => servedBy?.endpoint)).to.deep.equal(vms.map(() => staying));
+    const tally = await expectOneEffect(fleet, GROUP, stream);
+    expect(tally.mayHaveRunCount).to.equal(0);
+    const record = await readTerm(fleet, GROUP);
+    expect(record?.voters).to.have.length(fleet.members.length);
+  });
+
+  it('keeps its callers waiting no longer than the drain time when that member dies', async () => {
+    const staying = fleet.members.find(({ dataCentre }) => dataCentre === 'temple');
+    await staying?.kill();
+    const caller = fleet.caller('waco-1', (await fleet.issueKey('ranch')).key);
+    const statement = { profile: 'bids', group: GROUP, accessMode: AccessMode.WRITE, sql: ADD };
+    await waitFor('a refusal for the evacuation', async () => {
+      const startedAtMs = performance.now();
+      const { verdict, refusal } = await caller.execute({ ...statement, timeoutMs: TIMEOUT_MS });
+      expect(verdict).not.to.equal(Verdict.RAN);
+      const isAtOnce = performance.now() - startedAtMs < AT_ONCE_MS;
+      return refusal?.code === 'dataCentreEvacuated' && verdict === Verdict.NOT_RUN && isAtOnce;
+    });
+    await fleet.put('dataCentre', 'waco', { state: 'inService' });
+    await waitFor('writes again', async () => {
+      const { verdict } = await caller.execute({ ...statement, timeoutMs: TIMEOUT_MS });
+      return verdict === Verdict.RAN;
+    });
+    caller.close();
+  });
+});
