perf(auburngrade): waiting requests of one group are decided together

Each change of the configuration decided for each of up to 10,000 waiting requests whether its primary may be used.

--- a/packages/auburngrade/src/routing/createPrimaryWaiter.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.ts
@@ -24,10 +24,15 @@
   const accessOf = (groupClient: WaitedGroup) =>
     findPrimaryAccess(groupClient, configuration, dataCentres, nowMs());
 
-  const resumeDecided = (): void =>
+  /** Decides once for each group: thousands of requests may wait for the same one. */
+  const resumeDecided = (): void => {
+    const isDecided = new Map<string, boolean>();
     waiting.forEach(({ groupClient, resume }) => {
-      if (accessOf(groupClient) !== 'wait') resume();
+      const { name } = groupClient;
+      if (!isDecided.has(name)) isDecided.set(name, accessOf(groupClient) !== 'wait');
+      if (isDecided.get(name)) resume();
     });
+  };
   configuration.onChange(resumeDecided);
   dataCentres.onChange(resumeDecided);
 
