fix(auburngrade): requests that wait for a candidate are refused once it stops answering

They waited until their deadline, since only a change of the configuration decided about them again. They are decided again every 250 ms.

The new test of createPrimaryWaiter.spec.ts failed before; the spec passes.

--- a/packages/auburngrade/src/routing/createPrimaryWaiter.spec.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.spec.ts
@@ -91,5 +91,13 @@
       expect(await waiting).to.deep.equal({ result: 'dataCentreEvacuated', isEarly: true });
       expect(await wait()).to.deep.equal({ result: 'dataCentreEvacuated', isEarly: true });
     });
+
+    it('refuses those that wait once the only candidate stops answering', async () => {
+      const { setPhase, state, wait } = createFixture();
+      setPhase('waco', 'evacuated');
+      const waiting = wait();
+      state.unansweredSinceMs = Number.NEGATIVE_INFINITY;
+      expect(await waiting).to.deep.equal({ result: 'dataCentreEvacuated', isEarly: true });
+    });
   });
 });
--- a/packages/auburngrade/src/routing/createPrimaryWaiter.ts
+++ b/packages/auburngrade/src/routing/createPrimaryWaiter.ts
@@ -13,6 +13,8 @@
 
 /** Limit of requests of one VM that wait for a promotion; more are refused at once. */
 const MAX_WAITING_REQUESTS = 10_000;
+/** A candidate may stop answering without a change of the configuration. */
+const CHECK_INTERVAL_MS = 250;
 const RETRY_AFTER_MS = 500;
 /** Longer, since only a change by operators or an endpoint that comes up ends the refusals. */
 const EVACUATED_RETRY_AFTER_MS = 1_000;
@@ -20,6 +22,7 @@
 /** Delays requests while their group has no primary to use, so that clients need not retry them. */
 const createPrimaryWaiter = ({ configuration, dataCentres, nowMs }: PrimaryWaiterOptions) => {
   const waiting = new Set<{ groupClient: WaitedGroup; resume(): void }>();
+  let checkTimer: NodeJS.Timeout | undefined;
 
   const accessOf = (groupClient: WaitedGroup) =>
     findPrimaryAccess(groupClient, configuration, dataCentres, nowMs());
@@ -42,9 +45,11 @@
         groupClient,
         resume: () => {
           waiting.delete(waiter);
+          if (waiting.size === 0) clearInterval(checkTimer);
           resolve();
         },
       };
+      if (waiting.size === 0) checkTimer = setInterval(resumeDecided, CHECK_INTERVAL_MS).unref();
       waiting.add(waiter);
       setTimeout(waiter.resume, waitMs).unref();
     });
