feat(coordination): decisions on the memory and connections that callers take

A budget counts what callers make a process hold: input, statements without an answer, unread answers, calls of other VMs. When it is used up, the account that holds most is closed first, and in it what has been held for the longest, so that a message that has just arrived passes. shouldRead states when a caller's socket is read, mayConnect what part of the connections one account or address gets once they are short. All are pure; nothing uses them yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -180,3 +180,7 @@
 export type { default as VoterSet } from './voters/voterSet';
 export { default as isMajority } from './voters/isMajority';
 export { default as planVoterChange } from './voters/planVoterChange';
+export type { default as MemoryUse } from './memory/memoryUse';
+export { default as createMemoryBudget } from './memory/createMemoryBudget';
+export { default as mayConnect } from './memory/mayConnect';
+export { default as shouldRead } from './memory/shouldRead';
