feat(platform): callers are read no further than their statements and the memory allow

One caller's input was read without end: 60 writes of 32 KiB ahead from 80 callers, or 8 writes of 900 KB from 40 in small pieces, ended a VM with a heap of 125 MB; 300 connections that said nothing stayed open for good.

A caller's socket is now paused while its own statement runs and 64 KiB or 16 statements have been read ahead, while it has more than 64 KiB of answers unread, or, with a statement under way, while the memory budget (15 % of Limits.MemoryMb) is nearly used up. The budget closes the largest holders when it is exceeded. There are time limits until STARTUP, between the bytes of a message and until an answer is read, counted in checks and not in time, so that a VM that stood still does not take its own delay for the caller's; idle sessions have none. Connections are bounded by 80 % of Limits.MaxFds less 32; a caller beyond is refused with BUSY, and from three quarters on each address and account gets a share. A connection that this side has ended is closed after 2 s, also if the caller never closes it.

--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -1,6 +1,12 @@
 import { randomBytes } from 'node:crypto';
 import { Registry } from 'prom-client';
-import { createSessionDaemon, type EventLog, type NodeSettings } from '@auburngrade/sessions';
+import {
+  createCallerGuard,
+  createSessionDaemon,
+  deriveCallerLimits,
+  type EventLog,
+  type NodeSettings,
+} from '@auburngrade/sessions';
 import {
   createFailoverClient,
   createMemberDialer,
@@ -26,6 +32,10 @@
   const registry = new Registry();
   const requestMetrics = createRequestMetrics(registry);
   const store = createMetadataStore(settings.storeAddress, log);
+  const { memoryMb, maxDescriptors, callerLimits } = settings;
+  const limits = deriveCallerLimits({ memoryMb, maxDescriptors, ...callerLimits });
+  log.info('daemon.callerLimits', { ...limits });
+  const guard = createCallerGuard(limits, log);
   const daemon = await createSessionDaemon({
     settings,
     incarnation,
@@ -56,7 +66,7 @@
     text: () => registry.metrics(),
     json: () => registry.getMetricsAsJSON(),
   });
-  const callers = await startCallerListener(settings.callerAddress, daemon.openSession);
+  const callers = await startCallerListener(settings.callerAddress, daemon.openSession, guard);
   log.info('daemon.started', { tookMs: Math.round(nowMs()) });
   return async () => {
     await daemon.shutDown();
--- a/packages/coordination/src/memory/createMemoryBudget.spec.ts
+++ b/packages/coordination/src/memory/createMemoryBudget.spec.ts
@@ -8,10 +8,7 @@
   let closed: string[];
   let budget: ReturnType<typeof createMemoryBudget>;
   const hold = (name: string, account: string, bytes: number) => {
-    const holder = budget.open(account, () => {
-      closed.push(name);
-      holder.release();
-    });
+    const holder = budget.open(account, () => closed.push(name));
     holder.set('input', bytes);
     return holder;
   };
--- a/packages/coordination/src/memory/createMemoryBudget.ts
+++ b/packages/coordination/src/memory/createMemoryBudget.ts
@@ -7,7 +7,7 @@
 const SHORT_RATIO = 0.75;
 
 interface Holder extends MemoryHolder {
-  onReclaim(): void;
+  reclaim(): void;
 }
 
 /** Accounts for the memory that callers make this process hold. Closes the largest holders when it runs short. */
@@ -30,19 +30,33 @@
     // Calls of other VMs are not reclaimed: they are refused when they come.
     const connectionBudgetBytes = Math.max(0, budgetBytes - bytesByUse.forwarded);
     chooseReclaimed({ budgetBytes: connectionBudgetBytes, holders: [...holders] }).forEach(
-      (holder) => holder.onReclaim(),
+      (holder) => holder.reclaim(),
     );
     isReclaiming = false;
   };
 
+  /** Holds what cannot be refused any more, such as a result, until the returned function is called. */
+  const holdForwarded = (account: string, heldBytes: number): (() => void) => {
+    const add = (bytes: number): void => {
+      const sum = (forwardedByAccount.get(account) ?? 0) + bytes;
+      if (sum > 0) forwardedByAccount.set(account, sum);
+      else forwardedByAccount.delete(account);
+      bytesByUse.forwarded += bytes;
+      usedBytes += bytes;
+    };
+    add(heldBytes);
+    reclaim();
+    return () => add(-heldBytes);
+  };
+
   return {
     budgetBytes,
     usedBytes: (): number => usedBytes,
     bytesByUse: (): Readonly<Record<MemoryUse, number>> => bytesByUse,
     isShort: (): boolean => usedBytes > SHORT_RATIO * budgetBytes,
-    /** `onReclaim` closes the connection; it must end with `release`. */
-    open: (account: string, onReclaim: () => void) => {
-      const holder: Holder = { account, heldBytes: 0, since: 0, onReclaim };
+    /** Once `onReclaim` is called, the holder is released; its connection must be closed soon. */
+    open: (account: string, onReclaim: (heldBytes: number) => void) => {
+      const holder: Holder = { account, heldBytes: 0, since: 0, reclaim: () => undefined };
       const own = { input: 0, statements: 0, answers: 0 };
       holders.add(holder);
       const set = (use: keyof typeof own, bytes: number): void => {
@@ -58,18 +72,23 @@
         usedBytes += addedBytes;
         if (addedBytes > 0) reclaim();
       };
+      const release = (): void => {
+        set('input', 0);
+        set('statements', 0);
+        set('answers', 0);
+        holders.delete(holder);
+      };
+      holder.reclaim = () => {
+        const { heldBytes } = holder;
+        release();
+        onReclaim(heldBytes);
+      };
       return {
         set,
-        heldBytes: (): number => holder.heldBytes,
+        release,
         setAccount: (name: string): void => {
           holder.account = name;
         },
-        release: (): void => {
-          set('input', 0);
-          set('statements', 0);
-          set('answers', 0);
-          holders.delete(holder);
-        },
       };
     },
     /** Holds a call of another VM until the returned function is called; undefined if it must be refused. */
@@ -77,18 +96,9 @@
       const accountBytes = forwardedByAccount.get(account) ?? 0;
       const accountCount = forwardedByAccount.size;
       const input = { budgetBytes, usedBytes, accountBytes, accountCount, callBytes };
-      if (!mayForward(input)) return undefined;
-      const add = (bytes: number): void => {
-        const sum = (forwardedByAccount.get(account) ?? 0) + bytes;
-        if (sum > 0) forwardedByAccount.set(account, sum);
-        else forwardedByAccount.delete(account);
-        bytesByUse.forwarded += bytes;
-        usedBytes += bytes;
-      };
-      add(callBytes);
-      reclaim();
-      return () => add(-callBytes);
+      return mayForward(input) ? holdForwarded(account, callBytes) : undefined;
     },
+    holdForwarded,
   };
 };
 
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -388,7 +388,7 @@
       account = caller.account;
       isStarted = true;
       lastActiveAtMs = nowMs();
-      connection.accept();
+      connection.accept(account);
       runPendingStatements();
     }
   };
--- /dev/null
+++ b/packages/sessions/src/limits/callerGuard.ts
@@ -0,0 +1,5 @@
+import type createCallerGuard from './createCallerGuard';
+
+type CallerGuard = ReturnType<typeof createCallerGuard>;
+
+export default CallerGuard;
--- a/packages/sessions/src/seams/callerConnection.ts
+++ b/packages/sessions/src/seams/callerConnection.ts
@@ -4,7 +4,7 @@
 
 /** A caller's open connection, on which its session sends results. */
 interface CallerConnection {
-  accept(): void;
+  accept(account: string): void;
   /** Refuses the session before it has started, or after a protocol error, and closes the connection. */
   refuse(code: RefusalCode, message: string): void;
   sendResult(result: StatementResult, state: TransactionState): void;
--- a/packages/sessions/src/seams/nodeSettings.ts
+++ b/packages/sessions/src/seams/nodeSettings.ts
@@ -1,3 +1,5 @@
+import type CallerLimits from '../limits/callerLimits';
+
 /** Start-up settings of a VM. Addresses are `host:port`. */
 interface NodeSettings {
   vm: string;
@@ -17,6 +19,10 @@
   /** Time that a process gets to shut down after it was asked to stop. */
   graceMs: number;
   memoryMb: number;
+  /** Open descriptors that the process may have; undefined if the settings state none. */
+  maxDescriptors?: number;
+  /** Bounds on callers that the settings state; the others are derived. */
+  callerLimits?: Partial<CallerLimits>;
   /** Processor time in cores. */
   cores: number;
   /** Whether all VMs of the deployment start for the first time. */
