feat(sessions): calls of other VMs, and results that they leave unread, count as memory

An owner held whatever other VMs forwarded to it, and their results until they read them, without a bound. Both now count in the memory budget, by account. Once it is used up, a call of an account with more than its equal part is refused as not run (busy), and those of others pass.

--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -44,6 +44,7 @@
     dialer: createMemberDialer(),
     failover: createFailoverClient(settings.failoverAddress),
     log,
+    guard,
     onStatement: (observation) => observeStatement(requestMetrics, observation),
     nowMs,
     wallMs: Date.now,
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -10,6 +10,8 @@
 import findFreePort from '../standIns/findFreePort';
 import readGroupRecord from '../fleet/readGroupRecord';
 import sleep from '../time/sleep';
+import createCallerGuard from '../limits/createCallerGuard';
+import deriveCallerLimits from '../limits/deriveCallerLimits';
 import createSessionDaemon from './createSessionDaemon';
 
 const GROUP = 'auctions';
@@ -103,7 +105,9 @@
     });
 
   const start = async (vm: string, incarnation = `${vm}-1`): Promise<Daemon> => {
+    const log = { info: () => undefined, warn: () => undefined };
     const daemon = await createSessionDaemon({
+      guard: createCallerGuard(deriveCallerLimits({ memoryMb: 350 }), log),
       settings: {
         vm,
         dataCentre: 'waco',
@@ -126,7 +130,7 @@
       decoder,
       dialer: members.dialer,
       failover,
-      log: { info: () => undefined, warn: () => undefined },
+      log,
       onStatement: () => undefined,
       nowMs: () => performance.now(),
       wallMs: Date.now,
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -26,6 +26,7 @@
 import startLinkServer from '../link/startLinkServer';
 import type CallerConnection from '../seams/callerConnection';
 import type CallerSession from '../seams/callerSession';
+import type CallerGuard from '../limits/callerGuard';
 import type EventLog from '../seams/eventLog';
 import type FailoverClient from '../seams/failoverClient';
 import type FleetConfiguration from '../seams/fleetConfiguration';
@@ -65,6 +66,7 @@
   decoder: StoredValueDecoder;
   dialer: MemberDialer;
   failover: FailoverClient;
+  guard: CallerGuard;
   log: EventLog;
   /** Called with the result of each statement for a group; not for statements of the session itself. */
   onStatement(observation: StatementObservation): void;
@@ -95,7 +97,8 @@
 
 /** Runs one VM of the proxy: caller sessions, the groups that it serves, and its links to other VMs. */
 const createSessionDaemon = async (options: SessionDaemonOptions) => {
-  const { settings, incarnation, store, decoder, dialer, failover, log, nowMs, wallMs } = options;
+  const { settings, incarnation, store, decoder, dialer, failover, guard, log, nowMs, wallMs } =
+    options;
   const address = `${settings.ip}:${settings.internalPort}`;
   const { vm, dataCentre } = settings;
   const self = { vm, incarnation, address, dataCentre, isObserver: false, isSubscriber: false };
@@ -409,6 +412,12 @@
     fleetState: describeFleet,
     observedDocuments: () => documents.all().filter(isObservedDocument),
     run: async (origin, call, values) => toCallResult(await runCall(origin, call, values)),
+    holdCall: (account, byteCount) => {
+      const release = guard.memory.forward(account, byteCount);
+      if (!release) guard.note('forwarded', account, byteCount);
+      return release;
+    },
+    holdResult: guard.memory.holdForwarded,
     endTransaction: endTransactionOnServers,
     endOrigin: (origin) =>
       [...servers.values(), ...retiredServers].forEach((server) =>
--- a/packages/sessions/src/link/createPeerLink.spec.ts
+++ b/packages/sessions/src/link/createPeerLink.spec.ts
@@ -36,6 +36,8 @@
   const server = await startLinkServer({
     address,
     log,
+    holdCall: () => () => undefined,
+    holdResult: () => () => undefined,
     run: (_origin, call) => {
       started.push(call.requestId);
       return answer();
--- a/packages/sessions/src/link/startLinkServer.spec.ts
+++ b/packages/sessions/src/link/startLinkServer.spec.ts
@@ -17,6 +17,7 @@
 
 const RAW_RUNS = 60;
 const MESSAGE_RUNS = 150;
+const MAX_CALL_BYTES = 10_000;
 const STATE = {
   isFull: true,
   routes: [],
@@ -77,12 +78,21 @@
   let port = 0;
   let server: Awaited<ReturnType<typeof startLinkServer>>;
   const warnings: string[] = [];
+  let heldCount = 0;
+  const hold = () => {
+    heldCount += 1;
+    return () => {
+      heldCount -= 1;
+    };
+  };
 
   before(async () => {
     port = await findFreePort();
     server = await startLinkServer({
       address: `127.0.0.1:${port}`,
       log: { info: () => undefined, warn: (event) => warnings.push(event) },
+      holdCall: (_account, byteCount) => (byteCount > MAX_CALL_BYTES ? undefined : hold()),
+      holdResult: hold,
       run: async (_origin, call) => {
         if (call.group === 'broken') throw new Error('unexpected');
         return CallResult.create({ signature: 's' });
@@ -142,6 +152,15 @@
     expect(await refusalsOf(callOf('lots', Action.ACTION_READ))).to.deep.equal(['']);
   });
 
+  // Guards against an owner that runs out of memory by what other VMs send it, or leave unread.
+  it('refuses a call that finds no memory as not run, and holds nothing in the end', async () => {
+    const call = GroupCall.create({ call: 1, group: 'lots', text: 'x'.repeat(MAX_CALL_BYTES + 1) });
+    const request: LinkRequest = { body: { $case: 'groupCall', groupCall: call } };
+    expect(await refusalsOf(request)).to.deep.equal(['busy']);
+    await sleep(20);
+    expect(heldCount).to.equal(0);
+  });
+
   it('answers a call that fails unexpectedly: a write may have run, a read did not succeed', async () => {
     expect(await refusalsOf(callOf('broken', Action.ACTION_WRITE))).to.deep.equal(['inDoubt']);
     expect(await refusalsOf(callOf('broken', Action.ACTION_READ))).to.deep.equal(['failed']);
--- a/packages/sessions/src/link/startLinkServer.ts
+++ b/packages/sessions/src/link/startLinkServer.ts
@@ -33,6 +33,10 @@
   fleetState(): FleetState;
   /** Documents that observers need, sent when they subscribe. */
   observedDocuments(): readonly FleetDocument[];
+  /** Takes up memory for a call of the account until the returned function is called; undefined without room. */
+  holdCall(account: string, byteCount: number): (() => void) | undefined;
+  /** The same for a result, which is always held. */
+  holdResult(account: string, byteCount: number): () => void;
   /** Builds a heartbeat for a stream of the VM `receiver`; `isFirst` for the first on that stream. */
   heartbeat(stream: object, receiver: string, heartbeatNumber: number, isFirst: boolean): Heartbeat;
 }
@@ -53,9 +57,22 @@
 const CLOSING_POLL_INTERVAL_MS = 5;
 /** Answers a call that came after this VM began to close. */
 const NOT_RUN = CallResult.create({ isNotOwner: true });
+const NO_MEMORY = CallResult.create({
+  refusalCode: 'busy',
+  message:
+    'calls of other VMs hold too much of the memory of the VM that serves the group; retry in 200 ms',
+});
 const CLOSING: LinkReply = { body: { $case: 'closing', closing: {} } };
 const EMPTY_VALUES: ReadonlyMap<string, string> = new Map();
 
+const countCallBytes = ({ text, requestId, prepared }: GroupCall): number =>
+  text.length +
+  requestId.length +
+  (prepared ? prepared.shape.length + prepared.argumentsText.length : 0);
+
+const countResultBytes = ({ rows, signature, message }: CallResult): number =>
+  rows.reduce((sum, row) => sum + row.length, signature.length + message.length);
+
 /** Serves the streams that other VMs open to this one; rejects if the address cannot be bound. */
 const startLinkServer = async (options: LinkServerOptions) => {
   const peerStreams = new Map<Stream, PeerStream>();
@@ -124,8 +141,13 @@
   const isOpen = (stream: Stream): boolean =>
     peerStreams.has(stream) || observerStreams.has(stream);
 
-  const sendResult = (stream: Stream, { call }: GroupCall, result: CallResult): void => {
-    if (isOpen(stream)) stream.write({ body: { $case: 'result', result: { ...result, call } } });
+  const sendResult = (
+    stream: Stream,
+    { call }: GroupCall,
+    result: CallResult,
+    onSent?: () => void,
+  ): void => {
+    stream.write({ body: { $case: 'result', result: { ...result, call } } }, onSent);
   };
 
   const sendClosingIfAnswered = (stream: Stream): void => {
@@ -135,10 +157,21 @@
   const serveStream = (stream: Stream): void => {
     const sessionValues = new Map<number, ReadonlyMap<string, string>>();
     let origin = '';
+    const unsentResults = new Set<() => void>();
+
+    /** A VM that does not read leaves its results here. The stream calls back for none once it was cut. */
+    const sendHeldResult = (call: GroupCall, result: CallResult): void => {
+      const releaseResult = options.holdResult(call.account, countResultBytes(result));
+      const onSent = (): void => {
+        if (unsentResults.delete(onSent)) releaseResult();
+      };
+      unsentResults.add(onSent);
+      sendResult(stream, call, result, onSent);
+    };
 
     const onGroupCall = (call: GroupCall): void => {
       if (isClosing) {
-        sendResult(stream, call, NOT_RUN);
+        if (isOpen(stream)) sendResult(stream, call, NOT_RUN);
         return;
       }
       if (call.hasValues) {
@@ -148,10 +181,16 @@
         );
       }
       const values = call.valuesVersion === 0 ? EMPTY_VALUES : sessionValues.get(call.session);
+      const releaseCall = options.holdCall(call.account, countCallBytes(call));
+      if (!releaseCall) {
+        if (isOpen(stream)) sendResult(stream, call, NO_MEMORY);
+        return;
+      }
       runningCounts.set(stream, (runningCounts.get(stream) ?? 0) + 1);
       runSafely(origin, call, values ?? EMPTY_VALUES).then((result) => {
         runningCounts.set(stream, (runningCounts.get(stream) ?? 1) - 1);
-        sendResult(stream, call, result);
+        releaseCall();
+        if (isOpen(stream)) sendHeldResult(call, result);
         if (isClosing) sendClosingIfAnswered(stream);
       });
     };
@@ -197,6 +236,7 @@
     };
 
     const close = (): void => {
+      unsentResults.forEach((onSent) => onSent());
       subscribers.delete(stream);
       runningCounts.delete(stream);
       const wasOpen = peerStreams.delete(stream) || observerStreams.delete(stream);
