feat(auburngrade): metrics of what callers hold, and how many were limited

auburngrade_caller_connections, auburngrade_caller_memory_bytes by use and auburngrade_caller_limited_total by reason on the readiness address.

--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -1,5 +1,5 @@
 import type { EvacuationPhase } from '@auburngrade/coordination';
-import { Gauge, type Registry } from 'prom-client';
+import { Counter, Gauge, type Registry } from 'prom-client';
 
 const PHASE_NUMBERS: Record<EvacuationPhase, number> = {
   inService: 0,
@@ -14,6 +14,11 @@
   storeEra(): number;
   /** All data centres of the deployment, by their evacuation. */
   evacuations(): { dataCentre: string; phase: EvacuationPhase }[];
+  callerConnections(): number;
+  /** Bytes that callers make this VM hold, by use. */
+  callerMemory(): Readonly<Record<string, number>>;
+  /** Callers and forwarded calls that were refused, by reason. */
+  callerRefusals(): ReadonlyMap<string, number>;
   groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
 }
 
@@ -54,6 +59,31 @@
         );
     },
   });
+  gauge(
+    'auburngrade_caller_connections',
+    'Open connections of callers',
+    readings.callerConnections,
+  );
+  const memoryGauge: Gauge = new Gauge({
+    name: 'auburngrade_caller_memory_bytes',
+    help: 'Memory held for callers, and for calls of other VMs',
+    labelNames: ['use'],
+    registers,
+    collect: () =>
+      Object.entries(readings.callerMemory()).forEach(([use, bytes]) =>
+        memoryGauge.set({ use }, bytes),
+      ),
+  });
+  const refusalCounter: Counter = new Counter({
+    name: 'auburngrade_caller_limited_total',
+    help: 'Callers that were refused or disconnected, and calls of other VMs that were refused',
+    labelNames: ['reason'],
+    registers,
+    collect: () => {
+      refusalCounter.reset();
+      readings.callerRefusals().forEach((count, reason) => refusalCounter.inc({ reason }, count));
+    },
+  });
   const groupGauge = (
     name: string,
     help: string,
--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -54,6 +54,9 @@
     isVoter: daemon.isVoter,
     storeEra: () => store.era(),
     evacuations: daemon.evacuations,
+    callerConnections: guard.connectionCount,
+    callerMemory: guard.memory.bytesByUse,
+    callerRefusals: guard.refusals,
     configurationVersion: () => daemon.configurationVersion() ?? 0,
     groups: () =>
       [...daemon.groups()].map(([group, server]) => ({
