docs: limits on callers, their settings, what to look at and why

The last tenth of the connections goes to addresses and accounts with less than an equal part, and the rest to anybody: an account with thousands of idle sessions keeps its room beside a few others.

--- a/packages/auburngrade/src/settings/renderSettingsReference.ts
+++ b/packages/auburngrade/src/settings/renderSettingsReference.ts
@@ -6,6 +6,9 @@
 Unknown fields, wrong types and clashes are refused with their path before anything starts;
 \`auburngrade config check FILE\` shows the effective settings. Made from the schema by
 \`npm run settings-reference\`.
+
+On the users' platform the settings come from the platform's own file; the limits on callers that it
+may state are in [Callers that misbehave](operations/callers.md#settings).
 `;
 
 const escapeCell = (text: string): string => text.replaceAll('|', String.raw`\|`);
--- a/packages/coordination/src/memory/mayConnect.ts
+++ b/packages/coordination/src/memory/mayConnect.ts
@@ -8,10 +8,8 @@
   partyCount: number;
 }
 
-/** From here on, connections are short, and each party gets its share. */
-const SHORT_RATIO = 0.75;
-/** A single party gets no more, so that another one that comes then still finds room. */
-const MAX_PARTY_RATIO = 0.9;
+/** The rest is for parties that have less than an equal part, so that one party alone never takes up all. */
+const COMMON_RATIO = 0.9;
 
 /** Decides whether a caller's new connection, or its new session, is within the bound and its party's share. */
 const mayConnect = ({
@@ -21,9 +19,8 @@
   partyCount,
 }: ConnectionInput): 'yes' | 'full' | 'overShare' => {
   if (count >= maxConnections) return 'full';
-  if (count < SHORT_RATIO * maxConnections) return 'yes';
-  const share = Math.min(MAX_PARTY_RATIO, 1 / partyCount) * maxConnections;
-  return ownCount < Math.max(1, share) ? 'yes' : 'overShare';
+  if (count < COMMON_RATIO * maxConnections) return 'yes';
+  return ownCount < maxConnections / Math.max(2, partyCount) ? 'yes' : 'overShare';
 };
 
 export default mayConnect;
