feat(sessions): statements that cannot start in time are refused at once

Callers whose statement had no chance waited for 0.85 of its time limit before the refusal. The owner now learns the service time of primary-only statements and of reads for each endpoint, and refuses an arriving statement as 'busy' (not run) when it can start neither on time nor late within its queue deadline. Waiting statements are reviewed four times a second.

Nothing is evaluated while no statement waits.

--- /dev/null
+++ b/packages/coordination/src/admission/arrivalCounts.ts
@@ -0,0 +1,5 @@
+import type createArrivalCounts from './createArrivalCounts';
+
+type ArrivalCounts = ReturnType<typeof createArrivalCounts>;
+
+export default ArrivalCounts;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -162,6 +162,8 @@
 export { default as createPositionHistory } from './freshness/createPositionHistory';
 export { default as createReplicatedBucket } from './rate/createReplicatedBucket';
 export { default as createAttemptPace } from './admission/createAttemptPace';
+export { default as createServiceTimes } from './admission/createServiceTimes';
+export { default as createStartForecast } from './admission/createStartForecast';
 export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
 export { default as applyEvacuationEvents } from './evacuation/applyEvacuationEvents';
 export { default as findEvacuationPhase } from './evacuation/findEvacuationPhase';
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -23,12 +23,14 @@
 import createPrimaryManager from './createPrimaryManager';
 import type GroupRecord from './groupRecord';
 import type OpenTransaction from './openTransaction';
+import isPrimaryOnly from './isPrimaryOnly';
 import memberFailureVerdicts from './memberFailureVerdicts';
 import type PendingStatement from './pendingStatement';
 import type MemberPool from './memberPool';
 import type PooledConnection from './pooledConnection';
 import prepareConnection from './prepareConnection';
 import createRefusal from './createRefusal';
+import createStatementAdmission from './createStatementAdmission';
 import createStatementQueue from './createStatementQueue';
 import toValuesKey from './toValuesKey';
 
@@ -102,7 +104,6 @@
   const transactions = new Map<string, OpenTransaction>();
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
-  const queue = createStatementQueue(nowMs);
   let maxConnections = 1;
   let isClosed = false;
   let isDraining = false;
@@ -110,8 +111,15 @@
   let isSampling = false;
   let lastSampleAttemptAtMs = Number.NEGATIVE_INFINITY;
 
-  /** `dispatch` is assigned below, after the pools and the primary manager that trigger it. */
-  const scheduler: { dispatch(): void } = { dispatch: () => undefined };
+  /** Both are assigned below, after the pools and the primary manager that they use. */
+  const scheduler: Pick<Parameters<typeof createStatementAdmission>[0], 'findUsableEndpoints'> & {
+    dispatch(): void;
+  } = { dispatch: () => undefined, findUsableEndpoints: () => [] };
+  const admission = createStatementAdmission({
+    nowMs,
+    findUsableEndpoints: (isPrimaryOnlyClass) => scheduler.findUsableEndpoints(isPrimaryOnlyClass),
+  });
+  const queue = createStatementQueue(nowMs, admission);
   const scheduleDispatch = (): void => {
     if (isDispatchScheduled || isClosed) return;
     isDispatchScheduled = true;
@@ -130,12 +138,24 @@
         .length + (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
     onPrimaryFound: (id, position, sentAtMs) => {
       availableSince.noteAvailable(id);
+      admission.forgetServiceTimes(id);
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
     },
     onChange: scheduleDispatch,
   });
 
+  /** Endpoints that could run statements of a class if they had a free slot; one that is down may return. */
+  scheduler.findUsableEndpoints = (isPrimaryOnlyClass) => {
+    const primary = primaryManager.getAvailablePrimary();
+    if (!options.isAuthoritative() || primary === undefined || pools.get(primary)?.isDown())
+      return [];
+    return [...pools.values()]
+      .map((pool) => pool.endpoint())
+      .filter(({ id, isLeaving }) => id === primary || (!isPrimaryOnlyClass && !isLeaving))
+      .map(({ id, slots }) => ({ id, concurrency: slots + 1 }));
+  };
+
   const endTransaction = (transaction: OpenTransaction, isEndedAtEndpoint: boolean): void => {
     if (!transactions.delete(transaction.id)) return;
     clearTimeout(transaction.idleTimer);
@@ -206,11 +226,6 @@
     statement.resolve(outcome);
   };
 
-  const isPrimaryOnly = ({ call }: PendingStatement): boolean =>
-    call.maxAgeMs === undefined ||
-    (call.action === Action.ACTION_WRITE && !call.isReadOnly) ||
-    (call.opensTransaction && !call.isReadOnly);
-
   const getRequiredPosition = (statement: PendingStatement): LogPosition | undefined => {
     const { maxAgeMs, notBefore } = statement.call;
     // The positions are those of the primary in the tenure in which it was found.
@@ -408,11 +423,13 @@
       const isShortAttempt =
         call.action === Action.ACTION_READ && statement.attempts <= MAX_SHORT_READ_ATTEMPTS;
       const timeoutMs = isShortAttempt ? SHORT_READ_TIMEOUT_MS : call.statementTimeoutMs;
+      const sentAtMs = nowMs();
       const reply = await sendWithTimeout(pool, connection, command, timeoutMs);
       if (reply.failure?.kind === 'noStatement') connection.prepared.clear();
       if (reply.state === 'idle') pool.release(connection);
       else pool.closeConnection(connection);
       if (!reply.failure) {
+        admission.noteServed(statement, pool.endpoint().id, nowMs() - sentAtMs);
         resolveStatement(statement, toCallOutcome(statement, reply, pool.endpoint().id));
         return;
       }
@@ -685,6 +702,15 @@
 
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
+  const refuseHopeless = (statement: PendingStatement): void =>
+    resolveStatement(
+      statement,
+      createRefusal(
+        'busy',
+        'no endpoint slot will become free within the queue time limit; retry in 200 ms',
+      ),
+    );
+
   scheduler.dispatch = () => {
     if (isClosed || queue.size() === 0 || !hasCapacity()) return;
     const notStarted = queue.start({ hasCapacity, tryStart: tryStartStatement });
@@ -692,6 +718,7 @@
       notStarted.some((statement) => !isPrimaryOnly(statement) && !getRequiredPosition(statement))
     )
       samplePositionIfStale();
+    admission.findHopeless().filter(queue.remove).forEach(refuseHopeless);
   };
 
   const expireStatement = (statement: PendingStatement): void => {
@@ -801,6 +828,10 @@
           queueTimer: undefined,
           resolve,
         };
+        if (!admission.admit(statement)) {
+          refuseHopeless(statement);
+          return;
+        }
         statement.queueTimer = setTimeout(
           () => expireStatement(statement),
           Math.max(1, statement.queueDeadlineMs - now),
--- /dev/null
+++ b/packages/sessions/src/group/createStatementAdmission.ts
@@ -0,0 +1,103 @@
+import { createServiceTimes, createStartForecast } from '@auburngrade/coordination';
+import isPrimaryOnly from './isPrimaryOnly';
+import type PendingStatement from './pendingStatement';
+
+/** Minimum time between two reviews of the statements that wait. */
+const REVIEW_INTERVAL_MS = 250;
+
+interface UsableEndpoint {
+  id: string;
+  /** Statements in progress there while others wait. */
+  concurrency: number;
+}
+
+interface StatementAdmissionOptions {
+  nowMs(): number;
+  /** Endpoints that run primary-only statements, or reads, now or soon; none while this is unsure. */
+  findUsableEndpoints(isPrimaryOnlyClass: boolean): readonly UsableEndpoint[];
+}
+
+/**
+ * Forecasts for a group's statements, primary-only ones and reads apart, whether they can start before
+ * their queue deadline. Statements of open transactions and those that are tried again are left out.
+ * All that it has learned is lost when the group changes its owner; until it has learned again, it
+ * refuses nothing.
+ */
+const createStatementAdmission = ({ nowMs, findUsableEndpoints }: StatementAdmissionOptions) => {
+  const createClass = (isPrimaryOnlyClass: boolean) => {
+    const serviceTimes = createServiceTimes();
+    return {
+      serviceTimes,
+      forecast: createStartForecast(),
+      /** Queued statements of the class that the forecast counts. */
+      counted: new Set<PendingStatement>(),
+      findStartIntervalMs: () =>
+        serviceTimes.findStartIntervalMs(findUsableEndpoints(isPrimaryOnlyClass), nowMs()),
+    };
+  };
+  const primaryOnly = createClass(true);
+  const reads = createClass(false);
+  let lastReviewAtMs = nowMs();
+
+  const classOf = (statement: PendingStatement) => (isPrimaryOnly(statement) ? primaryOnly : reads);
+
+  const canStart = (statement: PendingStatement): boolean => {
+    const { forecast, findStartIntervalMs } = classOf(statement);
+    if (statement.isInTransaction || forecast.total() === 0) return true;
+    const startIntervalMs = findStartIntervalMs();
+    if (startIntervalMs === undefined) return true;
+    return forecast.find(statement, { startIntervalMs, nowMs: nowMs(), isArriving: true }).canStart;
+  };
+
+  const findHopeless = ({ forecast, counted, findStartIntervalMs }: typeof reads) => {
+    const startIntervalMs = counted.size === 0 ? undefined : findStartIntervalMs();
+    if (startIntervalMs === undefined) return [];
+    const state = { startIntervalMs, nowMs: nowMs(), isArriving: false };
+    // The insertion order is that of the arrival, so those behind a hopeless one are forecast without it.
+    return [...counted].filter((statement) => {
+      if (forecast.find(statement, state).canStart) return false;
+      counted.delete(statement);
+      forecast.remove(statement);
+      return true;
+    });
+  };
+
+  return {
+    noteServed: (statement: PendingStatement, endpointId: string, tookMs: number): void =>
+      classOf(statement).serviceTimes.note(endpointId, tookMs, nowMs()),
+    /** Call when an endpoint has become the primary: it served other statements before. */
+    forgetServiceTimes: (endpointId: string): void =>
+      [primaryOnly, reads].forEach(({ serviceTimes }) => serviceTimes.forget(endpointId)),
+    noteQueued: (statement: PendingStatement): void => {
+      if (statement.isInTransaction || statement.attempts > 0) return;
+      const { forecast, counted } = classOf(statement);
+      counted.add(statement);
+      forecast.add(statement);
+    },
+    noteDequeued: (statement: PendingStatement): void => {
+      const { forecast, counted } = classOf(statement);
+      if (counted.delete(statement)) forecast.remove(statement);
+    },
+    /** Whether an arriving statement may wait, as far as is known. */
+    admit: (statement: PendingStatement): boolean => {
+      const isAdmitted = canStart(statement);
+      if (isAdmitted) classOf(statement).forecast.noteArrival(statement);
+      return isAdmitted;
+    },
+    /** Waiting statements that cannot start any more, at most once in each interval; they are to be refused. */
+    findHopeless: (): PendingStatement[] => {
+      if (nowMs() - lastReviewAtMs < REVIEW_INTERVAL_MS) return [];
+      lastReviewAtMs = nowMs();
+      return [primaryOnly, reads].flatMap(findHopeless);
+    },
+    /** Forecast time until all that waits has started, in ms; 0 while nothing waits or it is unsure. */
+    forecastWaitMs: (): number =>
+      Math.max(
+        ...[primaryOnly, reads].map(({ forecast, findStartIntervalMs }) =>
+          forecast.total() === 0 ? 0 : forecast.total() * (findStartIntervalMs() ?? 0),
+        ),
+      ),
+  };
+};
+
+export default createStatementAdmission;
--- a/packages/sessions/src/group/createStatementQueue.ts
+++ b/packages/sessions/src/group/createStatementQueue.ts
@@ -1,4 +1,5 @@
 import { compareUrgency } from '@auburngrade/coordination';
+import type createStatementAdmission from './createStatementAdmission';
 import type PendingStatement from './pendingStatement';
 
 interface StartAttempt {
@@ -9,7 +10,10 @@
 }
 
 /** Creates the queue of a group's statements that wait for an endpoint, most urgent first. */
-const createStatementQueue = (nowMs: () => number) => {
+const createStatementQueue = (
+  nowMs: () => number,
+  admission: ReturnType<typeof createStatementAdmission>,
+) => {
   let entries: PendingStatement[] = [];
 
   return {
@@ -17,18 +21,21 @@
     first: () => entries[0],
     add: (statement: PendingStatement): void => {
       entries.push(statement);
+      admission.noteQueued(statement);
     },
     /** Removes a statement; returns false when it is not queued. */
     remove: (statement: PendingStatement): boolean => {
       const index = entries.indexOf(statement);
       if (index < 0) return false;
       entries.splice(index, 1);
+      admission.noteDequeued(statement);
       return true;
     },
     /** Removes the statements for which `isTaken` is true, and returns them. */
     take: (isTaken: (statement: PendingStatement) => boolean): PendingStatement[] => {
       const taken = entries.filter(isTaken);
       entries = entries.filter((statement) => !isTaken(statement));
+      taken.forEach(admission.noteDequeued);
       return taken;
     },
     /** Starts what can start, in order of urgency; returns the statements that go on waiting. */
@@ -37,7 +44,12 @@
       entries.sort((a, b) => compareUrgency(a, b, now));
       const candidates = entries;
       entries = [];
-      const waiting = candidates.filter((statement) => !hasCapacity() || !tryStart(statement));
+      const waiting = candidates.filter((statement) => {
+        if (!hasCapacity()) return true;
+        const isStarted = tryStart(statement);
+        if (isStarted) admission.noteDequeued(statement);
+        return !isStarted;
+      });
       entries = [...waiting, ...entries];
       return waiting;
     },
--- a/packages/sessions/src/group/statementAdmission.spec.ts
+++ b/packages/sessions/src/group/statementAdmission.spec.ts
@@ -2,9 +2,12 @@
 import { Action, GroupCall } from '../generated/auburngrade/session/v1/session';
 import createRateLimiter from '../limits/createRateLimiter';
 import type GroupEndpoint from '../seams/groupEndpoint';
+import type MemberCommand from '../seams/memberCommand';
+import MemberDialer from '../seams/memberDialer';
 import createFakeMembers from '../standIns/createFakeMembers';
 import type CallOutcome from './callOutcome';
 import createGroupServer from './createGroupServer';
+import sleep from '../time/sleep';
 
 const PRIMARY: GroupEndpoint = {
   id: 'p',
@@ -19,13 +22,40 @@
   sequence: 1,
 };
 
+const SERVICE_MS = 10;
+
 const createFixture = () => {
   const members = createFakeMembers([PRIMARY]);
+  let slot = Promise.resolve();
+  const occupySlot = (): Promise<void> => {
+    slot = slot.then(() => sleep(SERVICE_MS));
+    return slot;
+  };
+  class SlowDialer extends MemberDialer {
+    override async open(...parameters: Parameters<MemberDialer['open']>) {
+      const connection = await members.dialer.open(...parameters);
+      return {
+        ...connection,
+        send: async (command: MemberCommand) => {
+          if (command.kind === 'forward') await occupySlot();
+          return connection.send(command);
+        },
+      };
+    }
+
+    override canSend(...parameters: Parameters<MemberDialer['canSend']>) {
+      return members.dialer.canSend(...parameters);
+    }
+
+    override readStatus(...parameters: Parameters<MemberDialer['readStatus']>) {
+      return members.dialer.readStatus(...parameters);
+    }
+  }
   const nowMs = (): number => performance.now();
   const server = createGroupServer({
     group: 'lots',
     ownerVm: 'vm-1',
-    dialer: members.dialer,
+    dialer: new SlowDialer(),
     failover: { promote: async () => 'rejected' },
     limiter: createRateLimiter(nowMs),
     log: { info: () => undefined, warn: () => undefined },
@@ -58,7 +88,23 @@
     });
     return server.run('vm-2', call, new Map());
   };
-  return { ...members, server, write };
+  /** Writes until the forecast has learned the service time while statements wait. */
+  const learn = async (): Promise<void> => {
+    await Promise.all(Array.from({ length: 40 }, () => write()));
+  };
+  const writeAtOnce = (
+    count: number,
+    changes: Partial<GroupCall>,
+  ): Promise<{ outcome: CallOutcome; tookMs: number }[]> => {
+    const startedAtMs = nowMs();
+    return Promise.all(
+      Array.from({ length: count }, async () => {
+        const outcome = await write(changes);
+        return { outcome, tookMs: nowMs() - startedAtMs };
+      }),
+    );
+  };
+  return { ...members, server, write, learn, writeAtOnce };
 };
 
 describe('createGroupServer under load', () => {
@@ -86,4 +132,25 @@
       expect((await fixture.write(commit)).kind).to.equal('complete');
     });
   });
+
+  describe('with a crowd of 200 writes, of which some 50 can run within the time limit', () => {
+    const crowd = { statementTimeoutMs: 600, targetLatencyMs: 100 };
+    const isRefused = ({ outcome }: { outcome: CallOutcome }): boolean =>
+      outcome.kind === 'refused' && outcome.code === 'busy';
+
+    // Guards against refusals after 0.85 of the time limit that could have been given at once.
+    it('refuses at once most of those that cannot start, and nothing that could have run', async () => {
+      await fixture.learn();
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      expect(refused.filter(({ tookMs }) => tookMs < 100).length).to.be.above(40);
+      // It errs on the side of waiting: some of those that it lets wait are refused in the end.
+      expect(Math.max(...refused.map(({ tookMs }) => tookMs))).to.be.above(400);
+      expect(fixture.committed).to.have.length(41 + 200 - refused.length);
+    });
+
+    it('refuses none of them at once while the service time is unknown', async () => {
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      expect(Math.min(...refused.map(({ tookMs }) => tookMs))).to.be.above(150);
+    });
+  });
 });
