feat(sessions): refused callers are asked to return at different times

All callers refused for load were told to retry in 200, 300 or 500 ms, so that a crowd came back together and was refused together. Each now gets the next start that no other refused caller was given, by the learned service time, with a quarter of jitter; more urgent ones go first. The delay is between 50 ms and the statement's remaining time. Where nothing is learned, it is 300 ms with the same jitter; for a group without a reachable owner 500 ms, without any reachable group 1,000 ms, as before but with jitter.

The form of the message, 'retry in N ms', stays.

--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -232,6 +232,7 @@
       limiter,
       log,
       nowMs,
+      random: Math.random,
       controlAccount: getControlAccount,
       evacuationPhaseOf: evacuations.phaseOf,
       storeEra: () => store.era(),
@@ -503,6 +504,7 @@
     self: settings.vm,
     log,
     nowMs,
+    random: Math.random,
     findServingVm: (group) =>
       role.isVoter() ? ownership.findServingVm(group) : observer.findServingVm(group),
     link: findLink,
--- a/packages/sessions/src/front/createGroupRouter.spec.ts
+++ b/packages/sessions/src/front/createGroupRouter.spec.ts
@@ -31,6 +31,7 @@
     self: 'a',
     log: { info: () => undefined, warn: () => undefined },
     nowMs: () => performance.now(),
+    random: Math.random,
     findServingVm: () => state.owner,
     link: () => undefined,
     runLocally: async () => {
@@ -77,6 +78,7 @@
         self: 'a',
         log: { info: unused, warn: unused },
         nowMs: () => performance.now(),
+        random: Math.random,
         findServingVm: () => state.owner,
         link: (vm) => ({
           isUp: () => true,
--- a/packages/sessions/src/front/createGroupRouter.ts
+++ b/packages/sessions/src/front/createGroupRouter.ts
@@ -1,3 +1,4 @@
+import { spreadRetryDelay } from '@auburngrade/coordination';
 import {
   Action,
   type CallResult,
@@ -18,6 +19,10 @@
 const OWNER_POLL_MS = 25;
 /** A group that was not served for this long has no reachable owner; statements are refused at once. */
 const UNSERVED_AFTER_MS = 2_500;
+/** When callers are asked to return while no VM serves the group, before the spread. */
+const NO_OWNER_RETRY_MS = 500;
+/** The same while this VM reaches no group. */
+const CUT_OFF_RETRY_MS = 1_000;
 /** A call times out this long after the other VM must have answered, at twice the statement's time limit. */
 const ANSWER_MARGIN_MS = 300;
 
@@ -25,6 +30,8 @@
   self: string;
   log: EventLog;
   nowMs(): number;
+  /** Random number in [0, 1), which spreads the return of refused callers. */
+  random(): number;
   findServingVm(group: string): string | undefined;
   link(vm: string): PeerLink | undefined;
   runLocally(
@@ -48,12 +55,18 @@
 
 /** Sends the statements of sessions to the VM that serves their group, and follows changes of that VM. */
 const createGroupRouter = (options: GroupRouterOptions) => {
-  const { self, log, nowMs } = options;
+  const { self, log, nowMs, random } = options;
   /** Since when each group has had no reachable VM that serves it. */
   const unservedSinceMs = new Map<string, number>();
   /** The VM and the group of each open transaction. */
   const openTransactions = new Map<number, { vm: string; group: string }>();
 
+  /** Refuses a statement that did not run; its caller's next one has a time limit of its own. */
+  const refuseAsBusy = (reason: string, dueInMs: number): StatementResult => {
+    const retryInMs = spreadRetryDelay({ dueInMs, remainingMs: Number.POSITIVE_INFINITY }, random);
+    return createRefusal('busy', `${reason}; retry in ${retryInMs} ms`);
+  };
+
   const callVm = async (
     vm: string,
     call: GroupCall,
@@ -105,7 +118,7 @@
     const isContinuation = call.transaction !== 0 && !call.opensTransaction;
     if (!isContinuation && options.hasNoReachableGroup()) {
       log.info('request.cutOff', { request: call.requestId, group: call.group });
-      return createRefusal('busy', 'this VM can reach no group; retry in 1000 ms');
+      return refuseAsBusy('this VM can reach no group', CUT_OFF_RETRY_MS);
     }
     let owner: string | undefined;
     do {
@@ -148,7 +161,7 @@
       owner,
       waitedMs: Math.round(nowMs() - startedAtMs),
     });
-    return createRefusal('busy', 'no reachable VM serves the group; retry in 500 ms');
+    return refuseAsBusy('no reachable VM serves the group', NO_OWNER_RETRY_MS);
   };
 
   return {
--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -95,6 +95,7 @@
     limiter,
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
+    random: Math.random,
     storeEra: () => 0,
     getRecordedPrimary: () => ({
       primary: ownerState.primary,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -70,6 +70,8 @@
   limiter: ReturnType<typeof createRateLimiter>;
   log: EventLog;
   nowMs(): number;
+  /** Random number in [0, 1), which spreads the return of refused callers. */
+  random(): number;
   /** Era of the platform's store. */
   storeEra(): number;
   getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
@@ -117,6 +119,7 @@
   } = { dispatch: () => undefined, findUsableEndpoints: () => [] };
   const admission = createStatementAdmission({
     nowMs,
+    random: options.random,
     findUsableEndpoints: (isPrimaryOnlyClass) => scheduler.findUsableEndpoints(isPrimaryOnlyClass),
   });
   const queue = createStatementQueue(nowMs, admission);
@@ -226,6 +229,12 @@
     statement.resolve(outcome);
   };
 
+  /** Refuses a statement that did not run, and says when its caller should try again. */
+  const refuseAsBusy = (statement: PendingStatement, reason: string): void => {
+    const retryInMs = admission.findRetryDelayMs(statement);
+    resolveStatement(statement, createRefusal('busy', `${reason}; retry in ${retryInMs} ms`));
+  };
+
   const getRequiredPosition = (statement: PendingStatement): LogPosition | undefined => {
     const { maxAgeMs, notBefore } = statement.call;
     // The positions are those of the primary in the tenure in which it was found.
@@ -317,12 +326,9 @@
       statement.attempts - statement.notRunAttempts >= MAX_ATTEMPTS ||
       nowMs() >= statement.queueDeadlineMs
     ) {
-      resolveStatement(
+      refuseAsBusy(
         statement,
-        createRefusal(
-          'busy',
-          'no endpoint could run the statement within its attempts or queue time; retry in 200 ms',
-        ),
+        'no endpoint could run the statement within its attempts or queue time',
       );
     } else {
       queue.add(statement);
@@ -454,7 +460,7 @@
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
         resolveStatement(statement, createRefusal(code, error.message));
       } else {
-        resolveStatement(statement, createRefusal('busy', `${error.message}; retry in 200 ms`));
+        refuseAsBusy(statement, error.message);
       }
     }
   };
@@ -703,13 +709,7 @@
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   const refuseHopeless = (statement: PendingStatement): void =>
-    resolveStatement(
-      statement,
-      createRefusal(
-        'busy',
-        'no endpoint slot will become free within the queue time limit; retry in 200 ms',
-      ),
-    );
+    refuseAsBusy(statement, 'no endpoint slot will become free within the queue time limit');
 
   scheduler.dispatch = () => {
     if (isClosed || queue.size() === 0 || !hasCapacity()) return;
@@ -732,7 +732,7 @@
     const reason = primaryManager.getAvailablePrimary()
       ? slotReason
       : 'the group has no available primary';
-    resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
+    refuseAsBusy(statement, reason);
   };
 
   const createPoolOptions = (id: string) => ({
--- a/packages/sessions/src/group/createStatementAdmission.ts
+++ b/packages/sessions/src/group/createStatementAdmission.ts
@@ -1,7 +1,14 @@
-import { createServiceTimes, createStartForecast } from '@auburngrade/coordination';
+import {
+  createReturnLine,
+  createServiceTimes,
+  createStartForecast,
+  spreadRetryDelay,
+} from '@auburngrade/coordination';
 import isPrimaryOnly from './isPrimaryOnly';
 import type PendingStatement from './pendingStatement';
 
+/** When refused callers are asked to return while nothing is known of the next starts. */
+const UNKNOWN_RETRY_MS = 300;
 /** Minimum time between two reviews of the statements that wait. */
 const REVIEW_INTERVAL_MS = 250;
 
@@ -13,6 +20,8 @@
 
 interface StatementAdmissionOptions {
   nowMs(): number;
+  /** Random number in [0, 1). */
+  random(): number;
   /** Endpoints that run primary-only statements, or reads, now or soon; none while this is unsure. */
   findUsableEndpoints(isPrimaryOnlyClass: boolean): readonly UsableEndpoint[];
 }
@@ -23,12 +32,17 @@
  * All that it has learned is lost when the group changes its owner; until it has learned again, it
  * refuses nothing.
  */
-const createStatementAdmission = ({ nowMs, findUsableEndpoints }: StatementAdmissionOptions) => {
+const createStatementAdmission = ({
+  nowMs,
+  random,
+  findUsableEndpoints,
+}: StatementAdmissionOptions) => {
   const createClass = (isPrimaryOnlyClass: boolean) => {
     const serviceTimes = createServiceTimes();
     return {
       serviceTimes,
       forecast: createStartForecast(),
+      returnLine: createReturnLine(),
       /** Queued statements of the class that the forecast counts. */
       counted: new Set<PendingStatement>(),
       findStartIntervalMs: () =>
@@ -90,6 +104,18 @@
       lastReviewAtMs = nowMs();
       return [primaryOnly, reads].flatMap(findHopeless);
     },
+    /** When the caller of a refused statement should try again, in ms. */
+    findRetryDelayMs: (statement: PendingStatement): number => {
+      const { returnLine, findStartIntervalMs } = classOf(statement);
+      const { call, arrivedAtMs, priority } = statement;
+      const startIntervalMs = findStartIntervalMs();
+      const dueInMs =
+        startIntervalMs === undefined
+          ? UNKNOWN_RETRY_MS
+          : returnLine.enter(priority, startIntervalMs, nowMs());
+      const remainingMs = call.statementTimeoutMs - call.waitedMs - (nowMs() - arrivedAtMs);
+      return spreadRetryDelay({ dueInMs, remainingMs }, random);
+    },
     /** Forecast time until all that waits has started, in ms; 0 while nothing waits or it is unsure. */
     forecastWaitMs: (): number =>
       Math.max(
--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -120,6 +120,7 @@
       warn: () => undefined,
     },
     nowMs,
+    random: Math.random,
     storeEra: () => 0,
     getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
     record: async () => true,
--- a/packages/sessions/src/group/statementAdmission.spec.ts
+++ b/packages/sessions/src/group/statementAdmission.spec.ts
@@ -60,6 +60,7 @@
     limiter: createRateLimiter(nowMs),
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
+    random: Math.random,
     storeEra: () => 0,
     getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
     record: async () => true,
@@ -148,6 +149,17 @@
       expect(fixture.committed).to.have.length(41 + 200 - refused.length);
     });
 
+    // Guards against a crowd that is told to return at the same moment.
+    it('asks the refused callers to return at different times within their time limit', async () => {
+      await fixture.learn();
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      const delaysMs = refused.map(({ outcome }) =>
+        outcome.kind === 'refused' ? Number(/retry in (\d+) ms$/.exec(outcome.message)?.[1]) : 0,
+      );
+      delaysMs.forEach((delayMs) => expect(delayMs).to.be.within(50, 600));
+      expect(new Set(delaysMs).size).to.be.above(30);
+    });
+
     it('refuses none of them at once while the service time is unknown', async () => {
       const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
       expect(Math.min(...refused.map(({ tookMs }) => tookMs))).to.be.above(150);
--- a/packages/sessions/src/group/synchronousFailover.spec.ts
+++ b/packages/sessions/src/group/synchronousFailover.spec.ts
@@ -73,6 +73,7 @@
     limiter: createRateLimiter(nowMs),
     log: { info: log, warn: log },
     nowMs,
+    random: Math.random,
     storeEra: () => 0,
     getRecordedPrimary: () => recorded,
     record: async (next) => {
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -117,6 +117,7 @@
       limiter,
       log,
       nowMs,
+      random: Math.random,
       controlAccount: () => 'control',
       storeEra: () => store.era(),
       getRecordedPrimary: () => {
