feat(sessions): the queue of a group is bounded in entries and bytes

While nothing could start and no forecast was known, the queue grew with what the callers sent. It now holds at most 8,000 statements and 32 MiB of text; statements of open transactions do not count. Beyond a bound, the newest statements of the account that holds most are refused as 'busy' (not run), so that the other accounts keep their places.

40 writes of 1 MB and one of another account, sent to a group without a primary: 34 wait, among them the other account's, and all of these run once the primary is back.

--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -317,6 +317,13 @@
     (statement.pace !== undefined &&
       statement.pace.pausedUntilMs(load.id, availableSince.sinceMs(load.id)) > nowMs());
 
+  const refuseExcess = (): void =>
+    queue
+      .takeExcess()
+      .forEach((statement) =>
+        refuseAsBusy(statement, 'the queue is full, and the account holds most of it'),
+      );
+
   const requeue = (statement: PendingStatement): void => {
     if (statement.isTransactionEnded) {
       resolveEndedOpening(statement);
@@ -332,6 +339,7 @@
       );
     } else {
       queue.add(statement);
+      refuseExcess();
       scheduleDispatch();
     }
   };
@@ -840,6 +848,7 @@
           openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.add(statement);
         scheduler.dispatch();
+        refuseExcess();
       });
     },
     hasTransaction: (senderId: string, transactionId: number): boolean =>
--- a/packages/sessions/src/group/createStatementQueue.ts
+++ b/packages/sessions/src/group/createStatementQueue.ts
@@ -1,7 +1,12 @@
-import { compareUrgency } from '@auburngrade/coordination';
+import { compareUrgency, createQueueBound } from '@auburngrade/coordination';
 import type createStatementAdmission from './createStatementAdmission';
 import type PendingStatement from './pendingStatement';
 
+/** Several times what arrives at a busy group within a time limit; some 20 MB with what they refer to. */
+const MAX_ENTRIES = 8_000;
+/** Thirty-two statements of the largest size; a tenth of the memory of a small VM. */
+const MAX_BYTES = 32 * 1024 * 1024;
+
 interface StartAttempt {
   /** Whether any endpoint can take a statement. */
   hasCapacity(): boolean;
@@ -9,12 +14,28 @@
   tryStart(statement: PendingStatement): boolean;
 }
 
+const sizeOf = ({ call }: PendingStatement): number =>
+  call.text.length + (call.prepared?.argumentsText.length ?? 0);
+
 /** Creates the queue of a group's statements that wait for an endpoint, most urgent first. */
 const createStatementQueue = (
   nowMs: () => number,
   admission: ReturnType<typeof createStatementAdmission>,
 ) => {
   let entries: PendingStatement[] = [];
+  const bound = createQueueBound<PendingStatement>({ entries: MAX_ENTRIES, bytes: MAX_BYTES });
+
+  const noteDequeued = (statement: PendingStatement): void => {
+    admission.noteDequeued(statement);
+    bound.remove(statement);
+  };
+  const remove = (statement: PendingStatement): boolean => {
+    const index = entries.indexOf(statement);
+    if (index < 0) return false;
+    entries.splice(index, 1);
+    noteDequeued(statement);
+    return true;
+  };
 
   return {
     size: () => entries.length,
@@ -22,22 +43,21 @@
     add: (statement: PendingStatement): void => {
       entries.push(statement);
       admission.noteQueued(statement);
+      // Open transactions are bounded by the connections that they hold.
+      if (!statement.isInTransaction)
+        bound.add(statement, statement.call.account, sizeOf(statement));
     },
     /** Removes a statement; returns false when it is not queued. */
-    remove: (statement: PendingStatement): boolean => {
-      const index = entries.indexOf(statement);
-      if (index < 0) return false;
-      entries.splice(index, 1);
-      admission.noteDequeued(statement);
-      return true;
-    },
+    remove,
     /** Removes the statements for which `isTaken` is true, and returns them. */
     take: (isTaken: (statement: PendingStatement) => boolean): PendingStatement[] => {
       const taken = entries.filter(isTaken);
       entries = entries.filter((statement) => !isTaken(statement));
-      taken.forEach(admission.noteDequeued);
+      taken.forEach(noteDequeued);
       return taken;
     },
+    /** Removes and returns what is beyond the bounds of the queue. */
+    takeExcess: (): PendingStatement[] => bound.takeExcess().filter(remove),
     /** Starts what can start, in order of urgency; returns the statements that go on waiting. */
     start: ({ hasCapacity, tryStart }: StartAttempt): PendingStatement[] => {
       const now = nowMs();
@@ -47,7 +67,7 @@
       const waiting = candidates.filter((statement) => {
         if (!hasCapacity()) return true;
         const isStarted = tryStart(statement);
-        if (isStarted) admission.noteDequeued(statement);
+        if (isStarted) noteDequeued(statement);
         return !isStarted;
       });
       entries = [...waiting, ...entries];
--- a/packages/sessions/src/group/statementAdmission.spec.ts
+++ b/packages/sessions/src/group/statementAdmission.spec.ts
@@ -134,6 +134,22 @@
     });
   });
 
+  // Guards against memory that grows with what one account sends while nothing can start.
+  describe('with an account whose statements fill the queue while the group has no primary', () => {
+    it('refuses its newest at once, and keeps those of another account', async () => {
+      fixture.setUnreachable('p', true);
+      fixture.endConnections('p');
+      const other = fixture.write({ account: 'farm', text: 'WRITE other' });
+      const text = `WRITE ${'x'.repeat(1_000_000)}`;
+      const crowd = Promise.all(Array.from({ length: 40 }, () => fixture.write({ text })));
+      await sleep(20);
+      expect(fixture.server.countQueued()).to.equal(34);
+      fixture.setUnreachable('p', false);
+      expect((await other).kind).to.equal('complete');
+      expect((await crowd).filter(({ kind }) => kind === 'complete')).to.have.length(33);
+    });
+  });
+
   describe('with a crowd of 200 writes, of which some 50 can run within the time limit', () => {
     const crowd = { statementTimeoutMs: 600, targetLatencyMs: 100 };
     const isRefused = ({ outcome }: { outcome: CallOutcome }): boolean =>
