--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -17,6 +17,7 @@
 import createRefusal from './createRefusal';
 import createReplyOutcomes from './createReplyOutcomes';
 import createRequiredPosition from './createRequiredPosition';
+import createStatementAdmission from './createStatementAdmission';
 import createStatementQueue from './createStatementQueue';
 import createStatementRunner from './createStatementRunner';
 import type GroupServerOptions from './groupServerOptions';
@@ -51,13 +52,20 @@
   const transactions = createOpenTransactions({ group, log });
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
-  const queue = createStatementQueue(nowMs);
   let isClosed = false;
   let isDraining = false;
   let isDispatchScheduled = false;
 
-  /** `dispatch` is assigned below, after the pools and the primary manager that trigger it. */
-  const scheduler: { dispatch(): void } = { dispatch: () => undefined };
+  /** Both are assigned below, after the pools and the primary manager that they use. */
+  const scheduler: Pick<Parameters<typeof createStatementAdmission>[0], 'findUsableEndpoints'> & {
+    dispatch(): void;
+  } = { dispatch: () => undefined, findUsableEndpoints: () => [] };
+  const admission = createStatementAdmission({
+    nowMs,
+    random: options.random,
+    findUsableEndpoints: (isPrimaryOnlyClass) => scheduler.findUsableEndpoints(isPrimaryOnlyClass),
+  });
+  const queue = createStatementQueue(nowMs, admission);
   const scheduleDispatch = (): void => {
     if (isDispatchScheduled || isClosed) return;
     isDispatchScheduled = true;
@@ -93,6 +101,7 @@
       (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
     onPrimaryFound: (id, position, sentAtMs) => {
       availableSince.noteAvailable(id);
+      admission.forgetServiceTimes(id);
       positionHistory.clear();
       positionHistory.record(sentAtMs, position);
     },
@@ -112,6 +121,18 @@
     onChange: scheduleDispatch,
   });
 
+  /** Endpoints that could run statements of a class if they had a free slot; one that is down may return. */
+  scheduler.findUsableEndpoints = (isPrimaryOnlyClass) => {
+    const primary = primaryManager.getAvailablePrimary();
+    if (!options.isAuthoritative() || primary === undefined || pools.get(primary)?.isDown())
+      return [];
+    return [...pools.values()]
+      .filter((pool) => pool.use().acceptsNewWork)
+      .map((pool) => pool.endpoint())
+      .filter(({ id }) => id === primary || !isPrimaryOnlyClass)
+      .map(({ id, slots }) => ({ id, concurrency: slots + 1 }));
+  };
+
   const resolveStatement = (statement: PendingStatement, outcome: CallOutcome): void => {
     clearTimeout(statement.queueTimer);
     const { senderId, call } = statement;
@@ -130,6 +151,12 @@
     statement.resolve(outcome);
   };
 
+  /** Refuses a statement that did not run, and says when its caller should try again. */
+  const refuseAsBusy = (statement: PendingStatement, reason: string): void => {
+    const retryInMs = admission.findRetryDelayMs(statement);
+    resolveStatement(statement, createRefusal('busy', `${reason}; retry in ${retryInMs} ms`));
+  };
+
   /** Refuses the first statement of a transaction that was ended before it was open. */
   const resolveEndedOpening = (statement: PendingStatement): void =>
     resolveStatement(statement, createRefusal('aborted', 'the transaction was ended'));
@@ -162,21 +189,26 @@
   }: PendingStatement): boolean =>
     attempts - notRunAttempts < MAX_ATTEMPTS && nowMs() < queueDeadlineMs;
 
+  const refuseExcess = (): void =>
+    queue
+      .takeExcess()
+      .forEach((statement) =>
+        refuseAsBusy(statement, 'the queue is full, and the account holds most of it'),
+      );
+
   const requeue = (statement: PendingStatement): void => {
     if (statement.isTransactionEnded) {
       resolveEndedOpening(statement);
     } else if (isClosed || (isDraining && !statement.isInTransaction)) {
       resolveStatement(statement, { kind: 'notOwner' });
     } else if (!hasAttemptLeft(statement)) {
-      resolveStatement(
+      refuseAsBusy(
         statement,
-        createRefusal(
-          'busy',
-          'no endpoint could run the statement within its attempts or queue time; retry in 200 ms',
-        ),
+        'no endpoint could run the statement within its attempts or queue time',
       );
     } else {
       queue.add(statement);
+      refuseExcess();
       scheduleDispatch();
     }
   };
@@ -195,6 +227,8 @@
     getRequiredPosition: requiredPosition.find,
     resolveStatement,
     requeue,
+    refuseAsBusy,
+    noteServed: admission.noteServed,
     paceAttempts,
     retryInTransaction: queue.add,
   });
@@ -299,6 +333,9 @@
 
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
+  const refuseHopeless = (statement: PendingStatement): void =>
+    refuseAsBusy(statement, 'no endpoint slot will become free within the queue time limit');
+
   scheduler.dispatch = () => {
     if (isClosed || queue.size() === 0) return;
     refuseUnservable();
@@ -308,6 +345,7 @@
       notStarted.some((statement) => !isPrimaryOnly(statement) && !requiredPosition.find(statement))
     )
       requiredPosition.sampleIfStale(queue.first()?.call.account ?? options.controlAccount());
+    admission.findHopeless().filter(queue.remove).forEach(refuseHopeless);
   };
 
   const expireStatement = (statement: PendingStatement): void => {
@@ -321,7 +359,7 @@
     const reason = primaryManager.getAvailablePrimary()
       ? slotReason
       : 'the group has no available primary';
-    resolveStatement(statement, createRefusal('busy', `${reason}; retry in 300 ms`));
+    refuseAsBusy(statement, reason);
   };
 
   return {
@@ -372,6 +410,10 @@
           queueTimer: undefined,
           resolve,
         };
+        if (!admission.admit(statement)) {
+          refuseHopeless(statement);
+          return;
+        }
         statement.queueTimer = setTimeout(
           () => expireStatement(statement),
           Math.max(1, statement.queueDeadlineMs - now),
@@ -380,6 +422,7 @@
           openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.add(statement);
         scheduler.dispatch();
+        refuseExcess();
       });
     },
     hasTransaction: (senderId: string, transactionId: number): boolean =>
--- a/packages/sessions/src/group/createStatementRunner.ts
+++ b/packages/sessions/src/group/createStatementRunner.ts
@@ -36,6 +36,9 @@
   resolveStatement(statement: PendingStatement, outcome: CallOutcome): void;
   /** Queues a statement that did not run again, or refuses it. */
   requeue(statement: PendingStatement): void;
+  /** Refuses a statement that did not run, and says when its caller should try again. */
+  refuseAsBusy(statement: PendingStatement, reason: string): void;
+  noteServed(statement: PendingStatement, endpointId: string, tookMs: number): void;
   /** Delays the next attempt at an endpoint where the statement did not run. */
   paceAttempts(statement: PendingStatement, endpointId: string): void;
   /** Queues a statement of an open transaction again that the endpoint refused as busy. */
@@ -109,11 +112,13 @@
       const isShortAttempt =
         call.action === Action.ACTION_READ && statement.attempts <= MAX_SHORT_READ_ATTEMPTS;
       const timeoutMs = isShortAttempt ? SHORT_READ_TIMEOUT_MS : call.statementTimeoutMs;
+      const sentAtMs = nowMs();
       const reply = await sendWithTimeout(pool, connection, command, timeoutMs);
       if (reply.failure?.kind === 'noStatement') connection.prepared.clear();
       if (reply.state === 'idle') pool.release(connection);
       else pool.closeConnection(connection);
       if (!reply.failure) {
+        options.noteServed(statement, pool.endpoint().id, nowMs() - sentAtMs);
         options.resolveStatement(
           statement,
           outcomes.toCallOutcome(statement, reply, pool.endpoint().id),
@@ -141,10 +146,7 @@
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
         options.resolveStatement(statement, createRefusal(code, error.message));
       } else {
-        options.resolveStatement(
-          statement,
-          createRefusal('busy', `${error.message}; retry in 200 ms`),
-        );
+        options.refuseAsBusy(statement, error.message);
       }
     }
   };
--- a/packages/sessions/src/group/groupEvacuation.spec.ts
+++ b/packages/sessions/src/group/groupEvacuation.spec.ts
@@ -87,6 +87,7 @@
     limiter: createRateLimiter(nowMs),
     log: { info: log, warn: log },
     nowMs,
+    random: () => 0.5,
     storeEra: () => 0,
     getRecordedPrimary: () => recorded,
     record: async (next) => {
--- a/packages/sessions/src/group/groupServerOptions.ts
+++ b/packages/sessions/src/group/groupServerOptions.ts
@@ -14,6 +14,8 @@
   limiter: ReturnType<typeof createRateLimiter>;
   log: EventLog;
   nowMs(): number;
+  /** Random number in [0, 1), which spreads the return of refused callers. */
+  random(): number;
   /** Era of the platform's store. */
   storeEra(): number;
   getRecordedPrimary(): Pick<GroupRecord, 'primary' | 'term' | 'fence'>;
--- a/packages/sessions/src/group/statementAdmission.spec.ts
+++ b/packages/sessions/src/group/statementAdmission.spec.ts
@@ -2,9 +2,12 @@
 import { Action, GroupCall } from '../generated/auburngrade/session/v1/session';
 import createRateLimiter from '../limits/createRateLimiter';
 import type GroupEndpoint from '../seams/groupEndpoint';
+import type MemberCommand from '../seams/memberCommand';
+import MemberDialer from '../seams/memberDialer';
 import createFakeMembers from '../standIns/createFakeMembers';
 import type CallOutcome from './callOutcome';
 import createGroupServer from './createGroupServer';
+import sleep from '../time/sleep';
 
 const PRIMARY: GroupEndpoint = {
   id: 'p',
@@ -19,17 +22,45 @@
   sequence: 1,
 };
 
+const SERVICE_MS = 10;
+
 const createFixture = () => {
   const members = createFakeMembers([PRIMARY]);
+  let slot = Promise.resolve();
+  const occupySlot = (): Promise<void> => {
+    slot = slot.then(() => sleep(SERVICE_MS));
+    return slot;
+  };
+  class SlowDialer extends MemberDialer {
+    override async open(...parameters: Parameters<MemberDialer['open']>) {
+      const connection = await members.dialer.open(...parameters);
+      return {
+        ...connection,
+        send: async (command: MemberCommand) => {
+          if (command.kind === 'forward') await occupySlot();
+          return connection.send(command);
+        },
+      };
+    }
+
+    override canSend(...parameters: Parameters<MemberDialer['canSend']>) {
+      return members.dialer.canSend(...parameters);
+    }
+
+    override readStatus(...parameters: Parameters<MemberDialer['readStatus']>) {
+      return members.dialer.readStatus(...parameters);
+    }
+  }
   const nowMs = (): number => performance.now();
   const server = createGroupServer({
     group: 'lots',
     ownerVm: 'vm-1',
-    dialer: members.dialer,
+    dialer: new SlowDialer(),
     failover: { promote: async () => 'rejected' },
     limiter: createRateLimiter(nowMs),
     log: { info: () => undefined, warn: () => undefined },
     nowMs,
+    random: Math.random,
     storeEra: () => 0,
     getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
     record: async () => true,
@@ -58,7 +89,23 @@
     });
     return server.run('vm-2', call, new Map());
   };
-  return { ...members, server, write };
+  /** Writes until the forecast has learned the service time while statements wait. */
+  const learn = async (): Promise<void> => {
+    await Promise.all(Array.from({ length: 40 }, () => write()));
+  };
+  const writeAtOnce = (
+    count: number,
+    changes: Partial<GroupCall>,
+  ): Promise<{ outcome: CallOutcome; tookMs: number }[]> => {
+    const startedAtMs = nowMs();
+    return Promise.all(
+      Array.from({ length: count }, async () => {
+        const outcome = await write(changes);
+        return { outcome, tookMs: nowMs() - startedAtMs };
+      }),
+    );
+  };
+  return { ...members, server, write, learn, writeAtOnce };
 };
 
 describe('createGroupServer under load', () => {
@@ -86,4 +133,52 @@
       expect((await fixture.write(commit)).kind).to.equal('complete');
     });
   });
+
+  // Guards against memory that grows with what one account sends while nothing can start.
+  describe('with an account whose statements fill the queue while the group has no primary', () => {
+    it('refuses its newest at once, and keeps those of another account', async () => {
+      fixture.setUnreachable('p', true);
+      fixture.endConnections('p');
+      const other = fixture.write({ account: 'farm', text: 'WRITE other' });
+      const text = `WRITE ${'x'.repeat(1_000_000)}`;
+      const crowd = Promise.all(Array.from({ length: 40 }, () => fixture.write({ text })));
+      await sleep(20);
+      expect(fixture.server.countQueued()).to.equal(34);
+      fixture.setUnreachable('p', false);
+      expect((await other).kind).to.equal('complete');
+      expect((await crowd).filter(({ kind }) => kind === 'complete')).to.have.length(33);
+    });
+  });
+
+  describe('with a crowd of 200 writes, of which some 50 can run within the time limit', () => {
+    const crowd = { statementTimeoutMs: 600, targetLatencyMs: 100 };
+    const isRefused = ({ outcome }: { outcome: CallOutcome }): boolean =>
+      outcome.kind === 'refused' && outcome.code === 'busy';
+
+    // Guards against refusals after 0.85 of the time limit that could have been given at once.
+    it('refuses at once most of those that cannot start, and nothing that could have run', async () => {
+      await fixture.learn();
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      expect(refused.filter(({ tookMs }) => tookMs < 100).length).to.be.above(40);
+      // It errs on the side of waiting: some of those that it lets wait are refused in the end.
+      expect(Math.max(...refused.map(({ tookMs }) => tookMs))).to.be.above(400);
+      expect(fixture.committed).to.have.length(41 + 200 - refused.length);
+    });
+
+    // Guards against a crowd that is told to return at the same moment.
+    it('asks the refused callers to return at different times within their time limit', async () => {
+      await fixture.learn();
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      const delaysMs = refused.map(({ outcome }) =>
+        outcome.kind === 'refused' ? Number(/retry in (\d+) ms$/.exec(outcome.message)?.[1]) : 0,
+      );
+      delaysMs.forEach((delayMs) => expect(delayMs).to.be.within(50, 600));
+      expect(new Set(delaysMs).size).to.be.above(30);
+    });
+
+    it('refuses none of them at once while the service time is unknown', async () => {
+      const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
+      expect(Math.min(...refused.map(({ tookMs }) => tookMs))).to.be.above(150);
+    });
+  });
 });
