test(sessions): evacuations among the seeded faults of the ownership soak

The soak's VMs take evacuations from its store by the watch that they have for the operators' keys, with the real createEvacuations. Data centres are evacuated at random for 1 to 14 s beside all other faults. What a VM that is in touch with the store sends to their endpoints after the bound is a violation.

--- a/packages/sessions/src/fleet/ownershipSoak.spec.ts
+++ b/packages/sessions/src/fleet/ownershipSoak.spec.ts
@@ -37,6 +37,9 @@
   'ownerSuspended',
 ];
 const MAIN_FAULT_INTERVAL_MS = 5_000;
+const EVACUATION_COUNT = 3;
+const MIN_EVACUATION_MS = 1_000;
+const MAX_EVACUATION_MS = 14_000;
 
 type SoakVm = ReturnType<typeof createSoakVm>;
 
@@ -398,6 +401,12 @@
       if (leaving) Object.assign(leaving, { isLeaving: true });
       return () => leaving && Object.assign(leaving, { isLeaving: false });
     },
+    evacuation: () => world.evacuations.begin(pick(DATA_CENTRES)) ?? doNothing,
+    evacuationOfPrimary: () => {
+      const primary = primaryOf(pick(GROUPS));
+      const evacuated = [...endpoints.values()].flat().find(({ id }) => id === primary);
+      return (evacuated && world.evacuations.begin(evacuated.dataCentre)) ?? doNothing;
+    },
     promotionSlow: () => {
       world.state.isPromotionSlow = true;
       return () => {
@@ -430,6 +439,11 @@
     const startsAtMs = FAULTS_FROM_MS + random() * (latestMs - FAULTS_FROM_MS);
     schedule(pick(Object.keys(faults)), startsAtMs, lengthMs);
   }
+  for (let count = 0; count < EVACUATION_COUNT; count += 1) {
+    const lengthMs = MIN_EVACUATION_MS + random() * (MAX_EVACUATION_MS - MIN_EVACUATION_MS);
+    const startsAtMs = FAULTS_FROM_MS + random() * (faultsUntilMs - lengthMs - FAULTS_FROM_MS);
+    schedule(pick(['evacuation', 'evacuationOfPrimary']), startsAtMs, lengthMs);
+  }
   const endMs = faultsUntilMs + RECOVERY_MS + RECENT_MS;
   await time.run(endMs);
   vmNames.forEach((vm) =>
@@ -440,7 +454,8 @@
     }),
   );
   const { promotions, formerRuns } = world.state;
-  return { violations, ...counts, promotions, formerRuns };
+  const evacuations = world.evacuations.count();
+  return { violations, ...counts, promotions, formerRuns, evacuations };
 };
 
 describe('ownership and promotion of a whole fleet under seeded faults', () => {
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -1,4 +1,5 @@
 import createDocuments from '../fleet/createDocuments';
+import createEvacuations from '../fleet/createEvacuations';
 import createFleet from '../fleet/createFleet';
 import createOwnership from '../fleet/createOwnership';
 import createStoreWatcher from '../fleet/createStoreWatcher';
@@ -16,12 +17,15 @@
 
 type GroupServer = ReturnType<typeof createGroupServer>;
 
+interface EvacuationListener {
+  noteEvacuationsChanged(): void;
+}
+
 const HEARTBEAT_INTERVAL_MS = 250;
 const RECORD_REFRESH_INTERVAL_MS = 400;
 const ENDPOINT_POLL_INTERVAL_MS = 1_500;
 const CONFIGURATION_WATCH_TIMEOUT_MS = 1_500;
 const FLEET_WATCH_TIMEOUT_MS = 10_000;
-const CONFIGURATION_KEY = 'configuration';
 const REGISTRATION_INTERVAL_MS = 1_300;
 const MAX_CONNECTIONS = 30;
 const LEAVE_LIMIT_MS = 6_000;
@@ -56,14 +60,24 @@
   let endpointsReadAtMs = Number.NEGATIVE_INFINITY;
   let isRefreshing = false;
   const hooks = { reconcile: (): void => undefined, isStoreViewCurrent: (): boolean => false };
+  const evacuations = createEvacuations({
+    documents,
+    prefix: world.evacuations.prefix,
+    boundMs: world.evacuations.boundMs,
+    log,
+    nowMs,
+  });
   const { isReachable: isStoreReachable } = createStoreWatcher({
     store,
-    prefix: CONFIGURATION_KEY,
+    prefix: world.evacuations.operatorPrefix,
     waitMs: () => CONFIGURATION_WATCH_TIMEOUT_MS,
     log,
-    onList: () => undefined,
-    onEvents: () => undefined,
+    onList: evacuations.takeList,
+    onEvents: (events, { era }) => evacuations.takeEvents(events, era),
   });
+  const findPrimaryDataCentre = (group: string): string | undefined =>
+    endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
+      ?.dataCentre;
 
   const fleet = createFleet({
     self,
@@ -72,7 +86,7 @@
     nowMs,
     wallMs,
     isStoreReachable,
-    isEvacuated: () => false,
+    isEvacuated: (name) => !evacuations.isInService(name),
     onRateUsage: () => undefined,
     onChange: () => hooks.reconcile(),
     createLink: world.createLinkOpener(process),
@@ -85,12 +99,13 @@
     log,
     nowMs,
     wallMs,
-    isPrimaryToBeMoved: () => false,
+    isPrimaryToBeMoved: (group) => {
+      const dataCentre = findPrimaryDataCentre(group);
+      return dataCentre !== undefined && evacuations.phaseOf(dataCentre) === 'evacuating';
+    },
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => hooks.isStoreViewCurrent(),
-    primaryDataCentre: (group) =>
-      endpoints.find((endpoint) => endpoint.group === group && endpoint.isRegisteredAsPrimary)
-        ?.dataCentre,
+    primaryDataCentre: findPrimaryDataCentre,
   });
 
   const voterChanges = createVoterChanges({
@@ -125,7 +140,7 @@
       },
       record: (next) => ownership.recordPrimary(group, next),
       syncReplicas: () => 0,
-      evacuationPhaseOf: () => 'inService',
+      evacuationPhaseOf: evacuations.phaseOf,
       canReplacePrimary: () => ownership.mayReplacePrimary(group),
       findTenure: () => ownership.findTenure(group),
       isAuthoritative: () => ownership.isAuthoritative(group),
@@ -160,6 +175,11 @@
     voterChanges.update();
   };
   hooks.reconcile = reconcile;
+  evacuations.onChange(() =>
+    [...servers.values(), ...retiredServers].forEach((server) =>
+      (server as GroupServer & Partial<EvacuationListener>).noteEvacuationsChanged?.(),
+    ),
+  );
 
   const buildHeartbeat = (receiver: string, beat: number): Heartbeat => ({
     vm,
--- a/packages/sessions/src/standIns/createSoakWorld.ts
+++ b/packages/sessions/src/standIns/createSoakWorld.ts
@@ -12,6 +12,7 @@
 import storeKeys from '../fleet/storeKeys';
 import createFakeMembers from './createFakeMembers';
 import createFakeStore from './createFakeStore';
+import createSoakEvacuations from './createSoakEvacuations';
 import createVirtualTime from './createVirtualTime';
 
 type Process = ReturnType<ReturnType<typeof createVirtualTime>['startProcess']>;
@@ -59,9 +60,23 @@
   const watchesMissing = new Set<string>();
   const registrationLapses = new Map<string, number>();
   const violations: string[] = [];
-  const state = { isStoreSlow: false, isPromotionSlow: false, promotions: 0, formerRuns: 0 };
+  const state = {
+    isStoreSlow: false,
+    isPromotionSlow: false,
+    promotions: 0,
+    formerRuns: 0,
+    evacuations: 0,
+  };
 
   const isCut = (from: string, to: string): boolean => (cuts.get(`${from}>${to}`) ?? 0) > 0;
+  const evacuations = createSoakEvacuations({
+    time,
+    store: storeStandIn,
+    processes: () => new Map([...linkTargets].map(([vm, { process }]) => [vm, process])),
+    isApart: (vm) =>
+      isCut(vm, 'store') || isCut('store', vm) || watchesMissing.has(vm) || state.isStoreSlow,
+    onViolation: (violation) => violations.push(violation),
+  });
   const latencyMs = (): number => 1 + random() * (random() < 0.03 ? 300 : 15);
   const between = (minMs: number, maxMs: number): number => minMs + random() * (maxMs - minMs);
 
@@ -177,14 +192,16 @@
   const createDialer = (name: string, process: Process): MemberDialer => {
     const statusByReply = new WeakMap<MemberReply, ReturnType<MemberDialer['readStatus']>>();
     const wrap = (
-      { group, id }: GroupEndpoint,
+      endpoint: GroupEndpoint,
       inner: MemberConnection,
       dialer: MemberDialer,
     ): MemberConnection => {
+      const { group, id } = endpoint;
       const pendingRejects = new Set<(error: Error) => void>();
       let isClosed = false;
       const broken = () => new MemberConnectionError('broken', 'the connection was closed');
       const act = async (command: MemberCommand): Promise<MemberReply> => {
+        evacuations.checkArrival(name, process, endpoint, command.kind);
         await waitInWorld(between(1, random() < 0.1 ? 1_500 : 30));
         const isCommit = command.kind === 'forward' && command.text === 'COMMIT';
         if (isCommit && !members.get(group)?.listPrimaries().includes(id))
@@ -218,9 +235,10 @@
     return {
       open: async (endpoint, account, ms) => {
         const { dialer } = members.get(endpoint.group) as ReturnType<typeof createFakeMembers>;
-        const opening = ask({ name, process }, endpoint.id, () =>
-          dialer.open(endpoint, account, ms),
-        );
+        const opening = ask({ name, process }, endpoint.id, () => {
+          evacuations.checkArrival(name, process, endpoint, 'opening');
+          return dialer.open(endpoint, account, ms);
+        });
         const error = new MemberConnectionError('silent', 'the endpoint did not answer');
         return wrap(endpoint, await expireAfter(process, ms, opening, error), dialer);
       },
@@ -359,6 +377,7 @@
       return () => cuts.set(path, (cuts.get(path) ?? 1) - 1);
     },
     isCut,
+    evacuations,
   };
 };
 
