test(sessions): evacuations among the random faults of the group soak

The group's endpoints are in three data centres now, which are evacuated at random: beside the faults that the soak had, and in longer runs where the group may replace its primary. Anything that is sent to an endpoint in the last phase is a fault, also a probe or a rollback; so is a new primary that lacks an acknowledged write, and a group that serves no write afterwards.

--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -1,3 +1,4 @@
+import { maxPosition, type EvacuationPhase, type LogPosition } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Action, GroupCall } from '../generated/auburngrade/session/v1/session';
@@ -16,6 +17,15 @@
 const CALLERS = 6;
 const RUNS_FOR_MS = 1_200;
 const DRAINS_FROM_MS = 800;
+const EVACUATION_SEEDS = 40;
+const EVACUATIONS_FOR_MS = 4_000;
+const MAX_PHASE_MS = 900;
+const MAX_EVACUATION_INTERVAL_MS = 1_000;
+const REPLICATION_INTERVAL_MS = 20;
+const MAX_PROMOTION_MS = 200;
+/** After all faults a write completes within this time. */
+const RECOVERY_MS = 6_000;
+const DATA_CENTRES = ['waco', 'lubbock', 'temple'];
 const STATEMENT_TIMEOUT_MS = 300;
 /** After the server has closed all is answered at once, also what waits for an endpoint. */
 const ANSWERED_AFTER_CLOSE_MS = 150;
@@ -24,11 +34,11 @@
 const REPLY_DELAY_MS = 30;
 const NOT_RUN_CODES: readonly string[] = ['busy', 'aborted'];
 
-const ENDPOINTS = ['p', 'r', 's'].map((id): GroupEndpoint => ({
+const ENDPOINTS = ['p', 'r', 's'].map((id, index): GroupEndpoint => ({
   id,
   group: 'lots',
   address: `${id}:1`,
-  dataCentre: 'waco',
+  dataCentre: DATA_CENTRES[index] ?? '',
   slots: 3,
   isLeaving: false,
   warmupLeftMs: 0,
@@ -43,13 +53,22 @@
   return () => (generator.next() >>> 0) / 0x1_0000_0000;
 };
 
-/** Delays openings and replies. A reply that a connection's end overtakes is lost, though the command has run. */
-const createSlowDialer = (
-  dialer: MemberDialer,
-  random: () => number,
-  onSent: (requestId: string) => void,
-): MemberDialer => {
-  const slowDown = (connection: MemberConnection): MemberConnection => {
+interface SlowDialerOptions {
+  dialer: MemberDialer;
+  random(): number;
+  onSent(requestId: string): void;
+  /** Called with all that is sent to an endpoint. */
+  onContact(endpoint: GroupEndpoint, what: string): void;
+  isPrimary(endpoint: string): boolean;
+}
+
+/**
+ * Delays openings and replies. A reply that a connection's end overtakes is lost, though the command has run. A former
+ * primary commits nothing.
+ */
+const createSlowDialer = (options: SlowDialerOptions): MemberDialer => {
+  const { dialer, random, onSent, onContact, isPrimary } = options;
+  const slowDown = (endpoint: GroupEndpoint, connection: MemberConnection): MemberConnection => {
     let isEnded = false;
     connection.onEnd(() => {
       isEnded = true;
@@ -58,9 +77,14 @@
       ...connection,
       send: (command) =>
         new Promise((resolve, reject) => {
+          if (!isEnded) onContact(endpoint, command.kind);
           if (!isEnded && 'requestId' in command) onSent(command.requestId);
           connection.onEnd(() => reject(new MemberConnectionError('broken', 'ended')));
           const delayMs = random() * REPLY_DELAY_MS;
+          if ('text' in command && command.text === 'COMMIT' && !isPrimary(endpoint.id)) {
+            resolve({ rows: [], state: 'failed', failure: { kind: 'readOnly', message: '' } });
+            return;
+          }
           connection
             .send(command)
             .then((reply) => setTimeout(() => resolve(reply), delayMs))
@@ -74,8 +98,9 @@
     }
 
     override async open(...parameters: Parameters<MemberDialer['open']>) {
+      onContact(parameters[0], 'opening');
       await sleep(random() < SLOW_OPENING_RATIO ? SLOW_OPENING_MS : random() * REPLY_DELAY_MS);
-      return slowDown(await dialer.open(...parameters));
+      return slowDown(parameters[0], await dialer.open(...parameters));
     }
 
     override readStatus(...parameters: Parameters<MemberDialer['readStatus']>) {
@@ -89,8 +114,11 @@
   outcome.kind === 'notOwner' ||
   (outcome.kind === 'refused' && NOT_RUN_CODES.includes(outcome.code));
 
-/** A group of one server under random calls, faults and ends; `finish` closes it and checks all answers. */
-const createWorld = (seed: number) => {
+/**
+ * A group of one server under random calls, faults and ends, whose primary it may replace or not; `findFaults` checks
+ * all answers.
+ */
+const createWorld = (seed: number, mayReplacePrimary = false) => {
   const random = createRandom(seed);
   const pick = <T>(entries: readonly T[]): T => entries[Math.floor(random() * entries.length)] as T;
   const members = createFakeMembers(ENDPOINTS);
@@ -103,15 +131,38 @@
   /** Statements in doubt of transactions whose commit was not asked for. */
   const uncommitted = new Set<string>();
   const sent = new Set<string>();
+  const phases = new Map<string, EvacuationPhase>();
+  const violations: string[] = [];
+  let recorded = { primary: '', term: 0, fence: 0 };
+  let acknowledged: LogPosition | undefined;
   let isCertain = true;
   let isOver = false;
   let lastId = 0;
   const nowMs = (): number => performance.now();
+  const promote = async (endpoint: string): Promise<'accepted'> => {
+    await sleep(random() * MAX_PROMOTION_MS);
+    const received = members.receivedBy(endpoint);
+    if (acknowledged && (received?.number ?? 0) < acknowledged.number)
+      violations.push(`${endpoint} leads without ${acknowledged.number}, which is acknowledged`);
+    members.promote(endpoint);
+    return 'accepted';
+  };
+  const phaseOf = (dataCentre: string): EvacuationPhase => phases.get(dataCentre) ?? 'inService';
   const server = createGroupServer({
     group: 'lots',
     ownerVm: 'vm-1',
-    dialer: createSlowDialer(members.dialer, random, (requestId) => sent.add(requestId)),
-    failover: { promote: async () => 'rejected' },
+    dialer: createSlowDialer({
+      dialer: members.dialer,
+      random,
+      onSent: (requestId) => sent.add(requestId),
+      onContact: ({ id, dataCentre }, what) => {
+        if (phaseOf(dataCentre) === 'evacuated') violations.push(`${what} is sent to ${id}`);
+      },
+      isPrimary: (id) => members.listPrimaries()[0] === id,
+    }),
+    failover: {
+      promote: async (_group, endpoint) => (mayReplacePrimary ? promote(endpoint) : 'rejected'),
+    },
     limiter: createRateLimiter(nowMs),
     log: {
       info: (event, fields) => {
@@ -121,17 +172,41 @@
     },
     nowMs,
     storeEra: () => 0,
-    getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
-    record: async () => true,
+    getRecordedPrimary: () => recorded,
+    record: async (next) => {
+      recorded = next;
+      return true;
+    },
     syncReplicas: () => 0,
-    evacuationPhaseOf: () => 'inService',
-    canReplacePrimary: () => false,
+    evacuationPhaseOf: phaseOf,
+    canReplacePrimary: () => mayReplacePrimary,
     findTenure: () => 'owner 1',
     isAuthoritative: () => isCertain,
     isInHandoverGrace: () => true,
     controlAccount: () => 'ranch',
   });
-  server.updateEndpoints(ENDPOINTS, 12);
+  const listEndpoints = (): GroupEndpoint[] =>
+    ENDPOINTS.map((endpoint) => ({
+      ...endpoint,
+      isRegisteredAsPrimary: members.listPrimaries().includes(endpoint.id),
+    }));
+  server.updateEndpoints(listEndpoints(), 12);
+  const enterPhase = (dataCentre: string, phase: EvacuationPhase): void => {
+    phases.set(dataCentre, phase);
+    (server as { noteEvacuationsChanged?(): void }).noteEvacuationsChanged?.();
+  };
+  /** Evacuates a data centre for a while; some evacuations end in their first phase. */
+  const evacuate = async (): Promise<void> => {
+    const dataCentre = pick(DATA_CENTRES);
+    if (phaseOf(dataCentre) !== 'inService') return;
+    enterPhase(dataCentre, 'evacuating');
+    await sleep(random() * MAX_PHASE_MS);
+    if (random() < 0.8) {
+      enterPhase(dataCentre, 'evacuated');
+      await sleep(random() * MAX_PHASE_MS);
+    }
+    enterPhase(dataCentre, 'inService');
+  };
 
   const run = async (sender: string, changes: Partial<GroupCall>): Promise<CallOutcome> => {
     lastId += 1;
@@ -150,6 +225,8 @@
     });
     const outcome = await server.run(sender, call, new Map());
     unanswered.delete(requestId);
+    if (outcome.kind === 'complete' && call.action !== Action.ACTION_READ && !call.transaction)
+      acknowledged = maxPosition(acknowledged, outcome.position);
     if (outcome.kind === 'complete') completed.add(requestId);
     else if (outcome.kind === 'refused' && outcome.code === 'inDoubt') {
       inDoubt.add(requestId);
@@ -196,6 +273,12 @@
     conclude(outcome, texts);
     if (outcome.kind !== 'complete') server.endTransaction(sender, transaction);
   };
+  const isServed = async (): Promise<boolean> => {
+    const write = createWrite();
+    const outcome = await run('vm-1', write);
+    conclude(outcome, [write.text]);
+    return outcome.kind === 'complete';
+  };
   const runCaller = async (sender: string): Promise<void> => {
     while (!isOver) {
       await (random() < 0.5 ? runSingle(sender) : runTransaction(sender));
@@ -220,12 +303,15 @@
     () => {
       // A leaving endpoint that is not listed any more is removed at once.
       server.updateEndpoints(
-        ENDPOINTS.map((endpoint) => ({ ...endpoint, isLeaving: endpoint.id === 's' })),
+        listEndpoints().map((endpoint) => ({ ...endpoint, isLeaving: endpoint.id === 's' })),
         12,
       );
-      server.updateEndpoints(ENDPOINTS.slice(0, 2), 12);
+      server.updateEndpoints(listEndpoints().slice(0, 2), 12);
     },
     () => server.endTransactionsOfSender(pick(['vm-1', 'vm-2'])),
+    () => {
+      evacuate();
+    },
   ];
   const runEvents = async (): Promise<void> => {
     while (!isOver) {
@@ -249,11 +335,38 @@
       server.close();
       await Promise.race([running, sleep(ANSWERED_AFTER_CLOSE_MS)]);
     },
+    /** Evacuates and replicates all the time; after the last evacuation writes are served again. */
+    runWithEvacuations: async (): Promise<void> => {
+      const replicationTimer = setInterval(() => {
+        members.replicate();
+        server.updateEndpoints(listEndpoints(), 12);
+      }, REPLICATION_INTERVAL_MS);
+      const evacuateInTurn = async (): Promise<void> => {
+        while (!isOver) {
+          await Promise.race([evacuate(), sleep(random() * MAX_EVACUATION_INTERVAL_MS)]);
+          await sleep(random() * MAX_EVACUATION_INTERVAL_MS);
+        }
+      };
+      const callers = Array.from({ length: CALLERS }, (_, index) =>
+        runCaller(`vm-${1 + (index % 2)}`),
+      );
+      const running = Promise.all([...callers, runEvents(), evacuateInTurn()]);
+      await sleep(EVACUATIONS_FOR_MS);
+      isOver = true;
+      await running;
+      await sleep(2 * MAX_PHASE_MS);
+      const deadlineMs = nowMs() + RECOVERY_MS;
+      while (!(await isServed()) && nowMs() < deadlineMs) await sleep(REPLY_DELAY_MS);
+      if (nowMs() >= deadlineMs) violations.push('no write is served after the last evacuation');
+      clearInterval(replicationTimer);
+      server.close();
+    },
     /** What is wrong with the answers, after `run`. */
     findFaults: (): string[] => {
       const countOf = (text: string): number =>
         members.committed.filter((other) => other === text).length;
       return [
+        ...new Set(violations),
         ...[...unanswered].map((request) => `${request} is unanswered`),
         ...refusals
           .filter((request, index) => refusals.indexOf(request) !== index || completed.has(request))
@@ -278,4 +391,13 @@
     expect(worlds.flatMap(({ findFaults }) => findFaults())).to.deep.equal([]);
     expect(worlds.reduce((sum, { knownCount }) => sum + knownCount(), 0)).to.be.above(SEEDS);
   });
+
+  // Guards against contacts with evacuated data centres, and against acknowledged commits that are lost by them.
+  it('leaves evacuated data centres alone, loses nothing by it, and serves again', async () => {
+    const worlds = Array.from({ length: EVACUATION_SEEDS }, (_, index) =>
+      createWorld(FIRST_SEED + index, true),
+    );
+    await Promise.all(worlds.map(({ runWithEvacuations }) => runWithEvacuations()));
+    expect(worlds.flatMap(({ findFaults }) => findFaults()).join('\n')).to.equal('');
+  });
 });
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -283,6 +283,8 @@
     },
     /** Endpoints that take themselves for the primary; the one that leads the newest term comes first. */
     listPrimaries,
+    /** The log position up to which an endpoint has received. */
+    receivedBy: (endpoint: string): LogPosition | undefined => members.get(endpoint)?.received,
     /** Brings all replicas to the primary's log position. */
     replicate: (): void => {
       const primary = members.get(listPrimaries()[0] ?? '');
