feat(sessions): evacuations reach the owners of groups, and a gauge shows their endpoints

The daemon passes each change on to the group servers, retired ones included. auburngrade_group_endpoints counts the endpoints of the groups that this VM owns, by phase.

--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -14,7 +14,14 @@
   storeEra(): number;
   /** All data centres of the deployment, by their evacuation. */
   evacuations(): { dataCentre: string; phase: EvacuationPhase }[];
-  groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
+  groups(): {
+    group: string;
+    waiting: number;
+    underWay: number;
+    transactions: number;
+    /** How many of its endpoints are in each phase of an evacuation. */
+    endpointPhases: Record<EvacuationPhase, number>;
+  }[];
 }
 
 /** Registers gauges for sessions, configuration version and group load of a VM on the platform. */
@@ -54,6 +61,22 @@
         );
     },
   });
+  const endpointGauge: Gauge = new Gauge({
+    name: 'auburngrade_group_endpoints',
+    help: 'Endpoints of a group owned by this VM, by the phase of their evacuation',
+    labelNames: ['group', 'phase'],
+    registers,
+    collect: () => {
+      endpointGauge.reset();
+      readings
+        .groups()
+        .forEach(({ group, endpointPhases }) =>
+          Object.entries(endpointPhases).forEach(([phase, count]) =>
+            endpointGauge.set({ group, phase }, count),
+          ),
+        );
+    },
+  });
   const groupGauge = (
     name: string,
     help: string,
--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -50,6 +50,7 @@
         waiting: server.countQueued(),
         underWay: server.countInFlight(),
         transactions: server.countOpenTransactions(),
+        endpointPhases: server.endpointPhases(),
       })),
   });
   await startReadinessServer(settings.readinessAddress, daemon.isReady, {
--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -213,6 +213,9 @@
     if (endpoints) server.updateEndpoints(endpoints, maxConnections);
   };
   hooks.updateGroups = (): void => servers.forEach((server, group) => updateGroup(group, server));
+  evacuations.onChange(() =>
+    [...servers.values(), ...retiredServers].forEach((server) => server.noteEvacuationsChanged()),
+  );
 
   const isDropped = (group: string): boolean => configuration?.groups.has(group) === false;
   /** Whether no other VM can replace the primary of a dropped group, whose transactions end here. */
--- a/packages/sessions/src/group/createEndpointPhases.ts
+++ b/packages/sessions/src/group/createEndpointPhases.ts
@@ -20,7 +20,7 @@
   const known = new Map<string, { phase: EvacuationPhase; sinceMs: number }>();
 
   const change = (id: string, pool: MemberPool, phase: EvacuationPhase): void => {
-    const fields = { group, endpoint: id, dataCentre: pool.endpoint().dataCentre };
+    const { dataCentre } = pool.endpoint();
     const sinceMs = known.get(id)?.sinceMs ?? nowMs();
     if (phase === 'inService') {
       known.delete(id);
@@ -32,13 +32,15 @@
       const isPrimary = options.isPrimary(id);
       // The primary serves until it is replaced; then all its connections are closed.
       if (!isPrimary) pool.closeIdle();
-      log.info('group.evacuating', { ...fields, isPrimary });
+      log.info('group.evacuating', { group, endpoint: id, dataCentre, isPrimary });
       return;
     }
     const ended = transactions.endAllAt(id);
     pool.closeAll();
     log.info('group.evacuated', {
-      ...fields,
+      group,
+      endpoint: id,
+      dataCentre,
       tookMs: Math.round(nowMs() - sinceMs),
       transactions: ended,
     });
