fix(sessions): a check of the primary that is asked for during another one runs after it

A group server checked for the primary before it knew of endpoints, and then only 100 ms later, since a check that was asked for while one was under way was skipped.

--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -48,6 +48,8 @@
   /** Whether a replacement runs, from the search for a candidate to its end. */
   let isReplacementRunning = false;
   let isChecking = false;
+  /** Whether a check was asked for while one was under way, which may have read an earlier state. */
+  let isCheckDue = false;
   let noPrimarySinceMs: number | undefined;
   const acknowledged = createAcknowledgedPosition();
 
@@ -185,18 +187,24 @@
       .catch((error) => log.warn('primary.checkFailed', { group, reason: String(error) }))
       .finally(() => {
         isChecking = false;
+        if (isCheckDue) setImmediate(runCheck);
+        isCheckDue = false;
         if (state.isReplacing) {
           state.isReplacing = false;
           options.onChange();
         }
       });
   };
+  const checkNow = (): void => {
+    isCheckDue = isChecking;
+    runCheck();
+  };
   const timer = setInterval(runCheck, CHECK_INTERVAL_MS);
   runCheck();
 
   return {
     /** Runs a check at once, for example after endpoints were added. */
-    checkNow: runCheck,
+    checkNow,
     /** The primary for new statements; undefined when unknown or while it is being replaced. */
     getAvailablePrimary: (): string | undefined =>
       state.isReplacing || !isPrimaryOfTenure() || !isContacted(state.id) ? undefined : state.id,
@@ -211,7 +219,7 @@
     /** Call when evacuations have changed: what they ask for starts at once. */
     noteEvacuationsChanged: (): void => {
       state.isReplacementBlocked = false;
-      runCheck();
+      checkNow();
     },
     /** Whether nothing may be sent to the primary, or to the one to be expected if none is known. */
     isPrimaryEvacuated: (): boolean => findEvacuatedPrimary() !== undefined,
