--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -178,6 +178,7 @@
 export { default as createStrainDetector } from './load/createStrainDetector';
 export type { default as MemberLoad } from './placement/memberLoad';
 export { default as chooseStatementEndpoint } from './placement/chooseStatementEndpoint';
+export { default as createWarmupLimiter } from './placement/createWarmupLimiter';
 export type { default as QueuedStatement } from './placement/queuedStatement';
 export { default as compareUrgency } from './placement/compareUrgency';
 export type { default as VoterSet } from './voters/voterSet';
