--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -163,6 +163,9 @@
 export { default as createReplicatedBucket } from './rate/createReplicatedBucket';
 export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
 export { default as applyEvacuationEvents } from './evacuation/applyEvacuationEvents';
+export type { default as EndpointUse } from './evacuation/endpointUse';
+export { default as decideEndpointUse } from './evacuation/decideEndpointUse';
+export { default as decideQueuedStatement } from './evacuation/decideQueuedStatement';
 export { default as findEvacuationPhase } from './evacuation/findEvacuationPhase';
 export { default as updateEvacuationStarts } from './evacuation/updateEvacuationStarts';
 export type { default as VmView } from './ownership/vmView';
@@ -175,6 +178,7 @@
 export { default as createStrainDetector } from './load/createStrainDetector';
 export type { default as MemberLoad } from './placement/memberLoad';
 export { default as chooseStatementEndpoint } from './placement/chooseStatementEndpoint';
+export { default as createWarmupLimiter } from './placement/createWarmupLimiter';
 export type { default as QueuedStatement } from './placement/queuedStatement';
 export { default as compareUrgency } from './placement/compareUrgency';
 export type { default as VoterSet } from './voters/voterSet';
