--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -193,7 +193,7 @@
   server.updateEndpoints(listEndpoints(), 12);
   const enterPhase = (dataCentre: string, phase: EvacuationPhase): void => {
     phases.set(dataCentre, phase);
-    (server as { noteEvacuationsChanged?(): void }).noteEvacuationsChanged?.();
+    server.noteEvacuationsChanged();
   };
   /** Evacuates a data centre for a while; some evacuations end in their first phase. */
   const evacuate = async (): Promise<void> => {
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -17,10 +17,6 @@
 
 type GroupServer = ReturnType<typeof createGroupServer>;
 
-interface EvacuationListener {
-  noteEvacuationsChanged(): void;
-}
-
 const HEARTBEAT_INTERVAL_MS = 250;
 const RECORD_REFRESH_INTERVAL_MS = 400;
 const ENDPOINT_POLL_INTERVAL_MS = 1_500;
@@ -176,9 +172,7 @@
   };
   hooks.reconcile = reconcile;
   evacuations.onChange(() =>
-    [...servers.values(), ...retiredServers].forEach((server) =>
-      (server as GroupServer & Partial<EvacuationListener>).noteEvacuationsChanged?.(),
-    ),
+    [...servers.values(), ...retiredServers].forEach((server) => server.noteEvacuationsChanged()),
   );
 
   const buildHeartbeat = (receiver: string, beat: number): Heartbeat => ({
