test(sessions): a write that runs while ownership becomes uncertain is in doubt

The test changed ownership after one turn of the event loop, when the write was still queued, since the primary was found only 100 ms later; it passed without running the write. Now that the primary is found at once the write could complete first, and the test failed. It holds the write's connection back instead, and requires that the write has run and is reported as in doubt.

--- a/packages/sessions/src/group/createGroupServer.spec.ts
+++ b/packages/sessions/src/group/createGroupServer.spec.ts
@@ -187,12 +187,14 @@
     });
 
     it('does not acknowledge a write when ownership becomes uncertain while it runs', async () => {
-      const running = fixture.run(createWrite());
+      await fixture.run(createWrite());
+      const release = fixture.holdOpening('farm');
+      const running = fixture.run(createWrite({ account: 'farm' }));
       await sleep(0);
-      const result = running.then((outcome) => outcome);
       fixture.state.isCertain = false;
-      const outcome = await result;
-      expect(outcome.kind).to.equal('refused');
+      release();
+      expect(await running).to.deep.include({ kind: 'refused', code: 'inDoubt' });
+      expect(fixture.committed).to.have.length(2);
     });
 
     it('refuses a write as busy and refunds its token while ownership is uncertain', async () => {
