feat(sessions): cold endpoints are sent no more than the group's warm-up rate

An endpoint is cold for the time that its entry states, and from its return from an evacuation until it has written another entry. Statements count when they get their slot, other commands when they are sent; probes can't be held back, so that later statements wait for longer. The position of a cold primary is sampled only with a token left. The soak test of a group server evacuates its data centres at random.

--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -209,8 +209,8 @@
 
   const updateGroup = (group: string, server: GroupServer): void => {
     const endpoints = endpointRegistry.endpointsOf(group);
-    const { maxConnections = 1 } = configuration?.groups.get(group) ?? {};
-    if (endpoints) server.updateEndpoints(endpoints, maxConnections);
+    const { maxConnections = 1, warmupRatePerS = 0 } = configuration?.groups.get(group) ?? {};
+    if (endpoints) server.updateEndpoints(endpoints, maxConnections, warmupRatePerS);
   };
   hooks.updateGroups = (): void => servers.forEach((server, group) => updateGroup(group, server));
   evacuations.onChange(() =>
--- a/packages/sessions/src/group/createGroupEndpoints.ts
+++ b/packages/sessions/src/group/createGroupEndpoints.ts
@@ -50,7 +50,11 @@
     listDeparted: departed.list,
     /** How many connections this VM may open to each endpoint. */
     maxConnections: (): number => maxConnections,
-    update: (endpoints: readonly GroupEndpoint[], connectionLimit: number): void => {
+    update: (
+      endpoints: readonly GroupEndpoint[],
+      connectionLimit: number,
+      warmupRatePerS: number,
+    ): void => {
       maxConnections = Math.max(1, Math.floor(connectionLimit * OWNER_CONNECTION_RATIO));
       for (const endpoint of endpoints) {
         departed.noteListed(endpoint);
@@ -63,7 +67,7 @@
         } else if (endpoint.isLeaving && !existingPool.endpoint().isLeaving) {
           log.info('endpoint.leaving', { group, endpoint: endpoint.id });
         }
-        pool.update(endpoint, maxConnections);
+        pool.update(endpoint, maxConnections, warmupRatePerS);
       }
       const listedIds = new Set(endpoints.map(({ id }) => id));
       for (const [id, pool] of pools) {
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -300,8 +300,13 @@
   };
 
   return {
-    updateEndpoints: (entries: readonly GroupEndpoint[], connectionLimit: number): void => {
-      endpoints.update(entries, connectionLimit);
+    /** `warmupRatePerS`: statements a second that a cold endpoint is sent at most; 0 for no limit. */
+    updateEndpoints: (
+      entries: readonly GroupEndpoint[],
+      connectionLimit: number,
+      warmupRatePerS = 0,
+    ): void => {
+      endpoints.update(entries, connectionLimit, warmupRatePerS);
       phases.update();
       if (primaryManager.getKnownPrimary() === undefined) primaryManager.checkNow();
       scheduleDispatch();
--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -14,6 +14,7 @@
 import type MemberReply from '../seams/memberReply';
 import type EndpointStatus from '../seams/memberStatus';
 import createConnectionOpenings from './createConnectionOpenings';
+import createEndpointWarmup from './createEndpointWarmup';
 import createIdleConnections from './createIdleConnections';
 import createPooledConnection from './createPooledConnection';
 import type PooledConnection from './pooledConnection';
@@ -71,6 +72,7 @@
   let isDown = false;
   /** Whether it is back from an evacuation and has not answered since. */
   let isUnproven = false;
+  const warmup = createEndpointWarmup({ nowMs, onChange });
   let isProbing = false;
   let lastProbeAtMs = 0;
   let position: LogPosition | undefined;
@@ -143,6 +145,8 @@
     command: MemberCommand,
   ): Promise<MemberReply> => {
     requireContact();
+    // Statements were counted when they got their slot.
+    if (command.kind !== 'forward' && command.kind !== 'execute') warmup.noteSent();
     const requestToken = {};
     const sentAtMs = nowMs();
     pendingSentAtMs.set(requestToken, sentAtMs);
@@ -263,7 +267,8 @@
     endpoint: () => endpoint,
     phase: getPhase,
     use: () => getUse(),
-    update: (next: GroupEndpoint, connectionLimit: number): void => {
+    update: (next: GroupEndpoint, connectionLimit: number, warmupRatePerS: number): void => {
+      warmup.update(next, warmupRatePerS);
       if (next.startedAtUnixMs !== endpoint.startedAtUnixMs || next.address !== endpoint.address) {
         failedProbes = 0;
         setDown(false, 'endpoint restarted or changed its address');
@@ -284,17 +289,22 @@
         hasIdleConnection,
         position,
         latencyMs,
-        pausedUntilMs,
+        pausedUntilMs: Math.max(pausedUntilMs, warmup.nextSendAtMs()),
       };
     },
     /** Whether another statement may be sent: one per slot, plus one to hide network latency. */
     hasCapacity: (): boolean =>
-      !isDown && !isUnproven && getUse().isContacted && inFlightStatements <= endpoint.slots,
+      !isDown &&
+      !isUnproven &&
+      getUse().isContacted &&
+      inFlightStatements <= endpoint.slots &&
+      warmup.nextSendAtMs() <= nowMs(),
     isDown: () => isDown,
     position: () => position,
     connectionCount: () => connections.size + openings.count(),
     acquireSlot: (): void => {
       inFlightStatements += 1;
+      warmup.noteSent();
     },
     releaseSlot: (): void => {
       inFlightStatements -= 1;
@@ -366,6 +376,7 @@
     /** Call when the evacuation of its data centre has ended: it is used once it has answered a probe. */
     noteReturned: (): void => {
       isUnproven = true;
+      warmup.noteReturned();
       startProbe();
     },
     /** Closes idle connections now, and others when they are released. */
@@ -375,6 +386,7 @@
     },
     close: (): void => {
       isClosed = true;
+      warmup.close();
       closeAll();
     },
   };
--- a/packages/sessions/src/group/createRequiredPosition.ts
+++ b/packages/sessions/src/group/createRequiredPosition.ts
@@ -50,6 +50,8 @@
       lastSampleAttemptAtMs,
     );
     if (!pool || isSampling || nowMs() - lastSampleAtMs < POSITION_SAMPLE_INTERVAL_MS) return;
+    // The statements of a cold primary report its position too, and a sample would take the place of one.
+    if (pool.getLoad(account, true).pausedUntilMs > nowMs()) return;
     isSampling = true;
     lastSampleAttemptAtMs = nowMs();
     let sampleConnection: PooledConnection | undefined;
--- a/packages/sessions/src/group/groupEvacuation.spec.ts
+++ b/packages/sessions/src/group/groupEvacuation.spec.ts
@@ -124,7 +124,13 @@
   const awaitPromotions = async (count: number): Promise<void> => {
     while (promoted.length < count) await sleep(POLL_MS);
   };
-  return { ...members, server, contacts, promoted, events, setPhase, run, awaitPromotions };
+  const list = (changes: Partial<GroupEndpoint>, warmupRatePerS: number): void =>
+    server.updateEndpoints(
+      endpoints.map((endpoint) => ({ ...endpoint, ...changes })),
+      21,
+      warmupRatePerS,
+    );
+  return { ...members, server, contacts, promoted, events, setPhase, run, awaitPromotions, list };
 };
 
 const COMMIT = { action: Action.ACTION_COMMIT, text: 'COMMIT', transaction: 5 };
@@ -342,5 +348,39 @@
       await Promise.all(Array.from({ length: 6 }, () => fixture.run({ ...READ, maxAgeMs: 2_000 })));
       expect(fixture.runs.filter(({ endpoint }) => endpoint === 'q')).to.deep.equal([]);
     });
+
+    describe('and a warm-up rate', () => {
+      const RATE_PER_S = 20;
+      const MEASURED_MS = 1_000;
+      /** Starts more reads than the rate allows, and counts the requests of the next second. */
+      const countRequests = async (): Promise<number> => {
+        const before = fixture.contacts.length;
+        for (let count = 0; count < 60; count += 1)
+          fixture.run({ ...READ, statementTimeoutMs: 2_000 });
+        await sleep(MEASURED_MS);
+        return fixture.contacts.slice(before).filter(({ kind }) => kind !== 'open').length;
+      };
+      const returnToService = (): void => {
+        fixture.list({}, RATE_PER_S);
+        fixture.setPhase('waco', 'evacuated');
+        fixture.setPhase('waco', 'inService');
+      };
+
+      it('keeps to the rate until an entry is read that calls it warm', async () => {
+        returnToService();
+        fixture.list({}, RATE_PER_S);
+        expect(await countRequests()).to.be.within(10, 1.5 * RATE_PER_S);
+        fixture.list({ sequence: 2 }, RATE_PER_S);
+        expect(await countRequests()).to.be.above(2 * RATE_PER_S);
+      });
+
+      it('keeps to the rate for as long as its entry says that it is cold', async () => {
+        returnToService();
+        fixture.list({ sequence: 2, warmupLeftMs: 1_200 }, RATE_PER_S);
+        expect(await countRequests()).to.be.within(10, 1.5 * RATE_PER_S);
+        await sleep(MEASURED_MS);
+        expect(await countRequests()).to.be.above(2 * RATE_PER_S);
+      });
+    });
   });
 });
--- a/packages/sessions/src/group/groupServerSoak.spec.ts
+++ b/packages/sessions/src/group/groupServerSoak.spec.ts
@@ -1,3 +1,4 @@
+import type { EvacuationPhase } from '@auburngrade/coordination';
 import { expect } from 'chai';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Action, GroupCall } from '../generated/auburngrade/session/v1/session';
@@ -28,7 +29,7 @@
   id,
   group: 'lots',
   address: `${id}:1`,
-  dataCentre: 'waco',
+  dataCentre: id === 'r' ? 'temple' : 'waco',
   slots: 3,
   isLeaving: false,
   warmupLeftMs: 0,
@@ -103,6 +104,7 @@
   /** Statements in doubt of transactions whose commit was not asked for. */
   const uncommitted = new Set<string>();
   const sent = new Set<string>();
+  const phases = new Map<string, EvacuationPhase>();
   let isCertain = true;
   let isOver = false;
   let lastId = 0;
@@ -124,7 +126,7 @@
     getRecordedPrimary: () => ({ primary: '', term: 0, fence: 0 }),
     record: async () => true,
     syncReplicas: () => 0,
-    evacuationPhaseOf: () => 'inService',
+    evacuationPhaseOf: (dataCentre) => phases.get(dataCentre) ?? 'inService',
     canReplacePrimary: () => false,
     findTenure: () => 'owner 1',
     isAuthoritative: () => isCertain,
@@ -226,6 +228,16 @@
       server.updateEndpoints(ENDPOINTS.slice(0, 2), 12);
     },
     () => server.endTransactionsOfSender(pick(['vm-1', 'vm-2'])),
+    () => {
+      const dataCentre = pick(['waco', 'temple']);
+      const setPhase = (phase: EvacuationPhase): void => {
+        phases.set(dataCentre, phase);
+        server.noteEvacuationsChanged();
+      };
+      setPhase('evacuating');
+      setTimeout(() => setPhase('evacuated'), random() * 100);
+      setTimeout(() => setPhase('inService'), 100 + random() * 100);
+    },
   ];
   const runEvents = async (): Promise<void> => {
     while (!isOver) {
