fix(sessions): an evacuation waits for what was acknowledged while its replacement was recorded

A transaction that is still open when the primary is replaced could commit after the candidate was compared, and its acknowledged commit was lost.

--- a/packages/sessions/src/group/createPrimaryManager.ts
+++ b/packages/sessions/src/group/createPrimaryManager.ts
@@ -102,11 +102,14 @@
     probe: probeEndpoints,
     acceptPrimary,
   });
+  const findExpectedPrimary = (): string | undefined => {
+    const { primary: recorded } = options.getRecordedPrimary();
+    if (recorded !== '') return recorded;
+    return [...pools].find(([, pool]) => pool.endpoint().isRegisteredAsPrimary)?.[0];
+  };
   /** The primary, or the one to be expected if none is known, if nothing may be sent to it. */
   const findEvacuatedPrimary = (): string | undefined => {
-    const { primary: recorded } = options.getRecordedPrimary();
-    const registered = [...pools].find(([, pool]) => pool.endpoint().isRegisteredAsPrimary)?.[0];
-    const expected = state.id ?? (recorded === '' ? registered : recorded);
+    const expected = state.id ?? findExpectedPrimary();
     const pool = expected === undefined ? undefined : pools.get(expected);
     return pool?.use().isContacted === false ? expected : undefined;
   };
--- a/packages/sessions/src/group/createReplacement.ts
+++ b/packages/sessions/src/group/createReplacement.ts
@@ -89,22 +89,41 @@
     state.isReplacing = true;
     await awaitOpenWork(oldPrimaryId);
     const [oldPrimary] = await options.probe([oldPrimaryId]);
-    const target = oldPrimary?.status.receivedPosition;
+    const stoppedAt = oldPrimary?.status.receivedPosition;
+    // Transactions that are still open may commit meanwhile. An evacuation loses nothing that was acknowledged while
+    // the primary still replicates.
+    const getTarget = (): LogPosition | undefined =>
+      reason === 'leaving' ? stoppedAt : maxPosition(stoppedAt, acknowledged.lastSeen());
     const untilMs = nowMs() + CATCH_UP_TIMEOUT_MS;
     let candidate: ProbeReply | undefined = first;
-    const isWaiting = (): boolean => (candidate ? isBehind(candidate, target) : isSynchronous());
+    const isWaiting = (): boolean =>
+      candidate ? isBehind(candidate, getTarget()) : isSynchronous();
     while (isWaiting() && nowMs() < untilMs) {
       await sleep(CATCH_UP_POLL_MS);
       candidate = await findCandidate(oldPrimaryId, true);
     }
     if (reason === 'leaving' || !candidate) return candidate;
-    // An evacuation loses nothing that was acknowledged while the primary still replicates.
-    missedPosition = maxPosition(target, acknowledged.lastSeen());
+    missedPosition = getTarget();
     if (!isBehind(candidate, missedPosition)) return candidate;
     logBlocked(oldPrimaryId, { id: candidate.id, reason: 'candidateBehind' });
     return undefined;
   };
 
+  /** Waits for what was acknowledged since the candidate was chosen, which the former primary still replicates. */
+  const awaitReceived = async (
+    candidate: ProbeReply,
+    before: string | undefined,
+  ): Promise<void> => {
+    const untilMs = nowMs() + CATCH_UP_TIMEOUT_MS;
+    let latest: ProbeReply | undefined = candidate;
+    while (latest && isBehind(latest, acknowledged.lastSeen()) && nowMs() < untilMs) {
+      await sleep(CATCH_UP_POLL_MS);
+      [latest] = await options.probe([candidate.id]);
+    }
+    if (latest && isBehind(latest, acknowledged.lastSeen()))
+      log.warn('primary.candidateBehind', { group, endpoint: candidate.id, before });
+  };
+
   /** Whether a replica that may be behind is waited for longer, since the primary was evacuated only now. */
   const waitsInLastPhase = (candidate: ProbeReply, oldPrimaryId: string | undefined): boolean => {
     if (isSynchronous() || !isBehind(candidate, acknowledged.lastSeen())) return false;
@@ -176,6 +195,7 @@
         await promotion.recordTerm({ primary: oldPrimaryId, term: oldPrimaryTerm });
       return;
     }
+    if (reason === 'evacuating' && !isSynchronous()) await awaitReceived(candidate, oldPrimaryId);
     await promotion.promote(
       candidate,
       { id: oldPrimaryId, term: oldPrimaryTerm },
--- a/packages/sessions/src/group/groupEvacuation.spec.ts
+++ b/packages/sessions/src/group/groupEvacuation.spec.ts
@@ -66,6 +66,7 @@
   const contacts: { endpoint: string; kind: string }[] = [];
   const promoted: string[] = [];
   const events: string[] = [];
+  const hooks = { whileRecording: async (): Promise<void> => undefined };
   const recorded = { primary: '', term: 0, fence: 0 };
   const nowMs = (): number => performance.now();
   const log = (event: string): void => {
@@ -90,6 +91,7 @@
     storeEra: () => 0,
     getRecordedPrimary: () => recorded,
     record: async (next) => {
+      await hooks.whileRecording();
       Object.assign(recorded, next);
       return true;
     },
@@ -106,7 +108,7 @@
     phases.set(dataCentre, phase);
     server.noteEvacuationsChanged();
   };
-  const run = (changes: Partial<GroupCall> = {}) =>
+  const runCall = (changes: Partial<GroupCall> = {}) =>
     server.run(
       'vm-2',
       GroupCall.create({
@@ -130,7 +132,21 @@
       21,
       warmupRatePerS,
     );
-  return { ...members, server, contacts, promoted, events, setPhase, run, awaitPromotions, list };
+  const whileRecording = (run: () => Promise<void>): void => {
+    hooks.whileRecording = run;
+  };
+  return {
+    ...members,
+    server,
+    contacts,
+    promoted,
+    events,
+    setPhase,
+    run: runCall,
+    awaitPromotions,
+    list,
+    whileRecording,
+  };
 };
 
 const COMMIT = { action: Action.ACTION_COMMIT, text: 'COMMIT', transaction: 5 };
@@ -185,6 +201,22 @@
       expect(endpoints).to.have.length(6).and.to.not.include('q');
     });
 
+    // Guards against the loss of a commit that is acknowledged while the replacement is being recorded.
+    it('promotes no replica that lacks a commit of a transaction that outlasts the wait', async () => {
+      fixture.replicate();
+      await fixture.run(OPENING);
+      fixture.setPhase('waco', 'evacuating');
+      fixture.whileRecording(async () => {
+        expect((await fixture.run(COMMIT)).kind).to.equal('complete');
+        setTimeout(() => {
+          expect(fixture.promoted).to.deep.equal([]);
+          fixture.replicate();
+        }, 200);
+      });
+      await fixture.awaitPromotions(1);
+      expect(fixture.findPosition(fixture.promoted[0] as string)).to.be.at.least(3);
+    });
+
     it('lets an open transaction continue for a while', async () => {
       fixture.replicate();
       await fixture.run(OPENING);
--- a/packages/sessions/src/standIns/createFakeMembers.ts
+++ b/packages/sessions/src/standIns/createFakeMembers.ts
@@ -315,6 +315,8 @@
         }
       });
     },
+    /** How many commits an endpoint has received. */
+    findPosition: (endpoint: string): number => members.get(endpoint)?.received.number ?? 0,
     /** Makes a former primary a replica, as when it learns of its successor. */
     stepDown: (endpoint: string): void => {
       const member = members.get(endpoint);
