--- a/packages/sessions/src/group/groupEvacuation.spec.ts
+++ b/packages/sessions/src/group/groupEvacuation.spec.ts
@@ -66,6 +66,7 @@
   const contacts: { endpoint: string; kind: string }[] = [];
   const promoted: string[] = [];
   const events: string[] = [];
+  const hooks = { whileRecording: async (): Promise<void> => undefined };
   const recorded = { primary: '', term: 0, fence: 0 };
   const nowMs = (): number => performance.now();
   const log = (event: string): void => {
@@ -91,6 +92,7 @@
     storeEra: () => 0,
     getRecordedPrimary: () => recorded,
     record: async (next) => {
+      await hooks.whileRecording();
       Object.assign(recorded, next);
       return true;
     },
@@ -107,7 +109,7 @@
     phases.set(dataCentre, phase);
     server.noteEvacuationsChanged();
   };
-  const run = (changes: Partial<GroupCall> = {}) =>
+  const runCall = (changes: Partial<GroupCall> = {}) =>
     server.run(
       'vm-2',
       GroupCall.create({
@@ -125,7 +127,27 @@
   const awaitPromotions = async (count: number): Promise<void> => {
     while (promoted.length < count) await sleep(POLL_MS);
   };
-  return { ...members, server, contacts, promoted, events, setPhase, run, awaitPromotions };
+  const list = (changes: Partial<GroupEndpoint>, warmupRatePerS: number): void =>
+    server.updateEndpoints(
+      endpoints.map((endpoint) => ({ ...endpoint, ...changes })),
+      21,
+      warmupRatePerS,
+    );
+  const whileRecording = (run: () => Promise<void>): void => {
+    hooks.whileRecording = run;
+  };
+  return {
+    ...members,
+    server,
+    contacts,
+    promoted,
+    events,
+    setPhase,
+    run: runCall,
+    awaitPromotions,
+    list,
+    whileRecording,
+  };
 };
 
 const COMMIT = { action: Action.ACTION_COMMIT, text: 'COMMIT', transaction: 5 };
@@ -180,6 +202,22 @@
       expect(endpoints).to.have.length(6).and.to.not.include('q');
     });
 
+    // Guards against the loss of a commit that is acknowledged while the replacement is being recorded.
+    it('promotes no replica that lacks a commit of a transaction that outlasts the wait', async () => {
+      fixture.replicate();
+      await fixture.run(OPENING);
+      fixture.setPhase('waco', 'evacuating');
+      fixture.whileRecording(async () => {
+        expect((await fixture.run(COMMIT)).kind).to.equal('complete');
+        setTimeout(() => {
+          expect(fixture.promoted).to.deep.equal([]);
+          fixture.replicate();
+        }, 200);
+      });
+      await fixture.awaitPromotions(1);
+      expect(fixture.findPosition(fixture.promoted[0] as string)).to.be.at.least(3);
+    });
+
     it('lets an open transaction continue for a while', async () => {
       fixture.replicate();
       await fixture.run(OPENING);
@@ -343,5 +381,39 @@
       await Promise.all(Array.from({ length: 6 }, () => fixture.run({ ...READ, maxAgeMs: 2_000 })));
       expect(fixture.runs.filter(({ endpoint }) => endpoint === 'q')).to.deep.equal([]);
     });
+
+    describe('and a warm-up rate', () => {
+      const RATE_PER_S = 20;
+      const MEASURED_MS = 1_000;
+      /** Starts more reads than the rate allows, and counts the requests of the next second. */
+      const countRequests = async (): Promise<number> => {
+        const before = fixture.contacts.length;
+        for (let count = 0; count < 60; count += 1)
+          fixture.run({ ...READ, statementTimeoutMs: 2_000 });
+        await sleep(MEASURED_MS);
+        return fixture.contacts.slice(before).filter(({ kind }) => kind !== 'open').length;
+      };
+      const returnToService = (): void => {
+        fixture.list({}, RATE_PER_S);
+        fixture.setPhase('waco', 'evacuated');
+        fixture.setPhase('waco', 'inService');
+      };
+
+      it('keeps to the rate until an entry is read that calls it warm', async () => {
+        returnToService();
+        fixture.list({}, RATE_PER_S);
+        expect(await countRequests()).to.be.within(10, 1.5 * RATE_PER_S);
+        fixture.list({ sequence: 2 }, RATE_PER_S);
+        expect(await countRequests()).to.be.above(2 * RATE_PER_S);
+      });
+
+      it('keeps to the rate for as long as its entry says that it is cold', async () => {
+        returnToService();
+        fixture.list({ sequence: 2, warmupLeftMs: 1_200 }, RATE_PER_S);
+        expect(await countRequests()).to.be.within(10, 1.5 * RATE_PER_S);
+        await sleep(MEASURED_MS);
+        expect(await countRequests()).to.be.above(2 * RATE_PER_S);
+      });
+    });
   });
 });
