fix(auburngrade): the log shortens texts that callers choose

A request id may be as long as a message, and each event that names one wrote it in full: six lines of request.late had 4 MB. Texts of a field end after 4,000 characters.

--- a/packages/auburngrade/src/log/createEventLog.spec.ts
+++ b/packages/auburngrade/src/log/createEventLog.spec.ts
@@ -36,6 +36,15 @@
     });
   });
 
+  // Guards against callers that fill the log with request ids of a megabyte.
+  it('shortens long texts, also in lists', () => {
+    const { lines, log } = createFixture();
+    const longText = 'x'.repeat(1_000_000);
+    log.info('session.cut', { request: longText, pending: ['n1', longText] });
+    const shortText = `${'x'.repeat(4_000)}…`;
+    expect(lines[0]).to.deep.include({ request: shortText, pending: ['n1', shortText] });
+  });
+
   it('does not throw when the output rejects lines', () => {
     const { lines, log } = createFixture(() => false);
     log.info('daemon.stopping');
--- a/packages/auburngrade/src/log/createEventLog.ts
+++ b/packages/auburngrade/src/log/createEventLog.ts
@@ -3,6 +3,8 @@
 import createEventBudget from './createEventBudget';
 
 const SUMMARY_INTERVAL_MS = 1_000;
+/** Longest text of a field, in characters: a caller chooses its request ids, which may be as long as a message. */
+const MAX_TEXT_LENGTH = 4_000;
 
 interface EventLogOptions {
   vm: string;
@@ -10,6 +12,11 @@
   write(line: string): boolean;
 }
 
+const shortenText = (_key: string, value: unknown): unknown =>
+  typeof value === 'string' && value.length > MAX_TEXT_LENGTH
+    ? `${value.slice(0, MAX_TEXT_LENGTH)}…`
+    : value;
+
 /** Creates a rate-limited log with one JSON object per line; suppressed and dropped lines are counted. */
 const createEventLog = ({ vm, nowMs, write }: EventLogOptions) => {
   const budget = createEventBudget();
@@ -19,7 +26,7 @@
   const writeLine = (level: string, event: string, fields?: Record<string, unknown>): void => {
     const at = new Date().toISOString();
     const line = { at, ageMs: Math.round(nowMs()), level, vm, event, ...fields };
-    if (!write(`${JSON.stringify(line)}\n`)) dropped += 1;
+    if (!write(`${JSON.stringify(line, shortenText)}\n`)) dropped += 1;
   };
   target.methodFactory = (level) => (event: string, fields?: Record<string, unknown>) => {
     const { isAdmitted, leftOutBefore } = budget.admit(event, nowMs());
