feat(sessions): metrics of refusals by reason and of the forecast wait

auburngrade_group_refusals_total by group and reason, and auburngrade_group_forecast_wait_seconds by group; request.refused logs forecastWaitMs.

--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -1,5 +1,5 @@
 import type { EvacuationPhase } from '@auburngrade/coordination';
-import { Gauge, type Registry } from 'prom-client';
+import { Counter, Gauge, type Registry } from 'prom-client';
 
 const PHASE_NUMBERS: Record<EvacuationPhase, number> = {
   inService: 0,
@@ -14,7 +14,14 @@
   storeEra(): number;
   /** All data centres of the deployment, by their evacuation. */
   evacuations(): { dataCentre: string; phase: EvacuationPhase }[];
-  groups(): { group: string; waiting: number; underWay: number; transactions: number }[];
+  groups(): {
+    group: string;
+    waiting: number;
+    underWay: number;
+    transactions: number;
+    forecastWaitS: number;
+    refusals: ReadonlyMap<string, number>;
+  }[];
 }
 
 /** Registers gauges for sessions, configuration version and group load of a VM on the platform. */
@@ -57,7 +64,7 @@
   const groupGauge = (
     name: string,
     help: string,
-    field: 'waiting' | 'underWay' | 'transactions',
+    field: 'waiting' | 'underWay' | 'transactions' | 'forecastWaitS',
   ): void => {
     const created: Gauge = new Gauge({
       name,
@@ -73,6 +80,23 @@
   groupGauge('auburngrade_group_waiting', 'Statements that wait for a slot', 'waiting');
   groupGauge('auburngrade_group_under_way', 'Statements under way at endpoints', 'underWay');
   groupGauge('auburngrade_group_transactions', 'Open transactions', 'transactions');
+  groupGauge(
+    'auburngrade_group_forecast_wait_seconds',
+    'Forecast time until all that waits has started; 0 while it is unsure',
+    'forecastWaitS',
+  );
+  const refusalCounter: Counter = new Counter({
+    name: 'auburngrade_group_refusals_total',
+    help: 'Statements refused as busy by the owner of their group, by reason',
+    labelNames: ['group', 'reason'],
+    registers,
+    collect: () => {
+      refusalCounter.reset();
+      readings.groups().forEach(({ group, refusals }) => {
+        refusals.forEach((count, reason) => refusalCounter.inc({ group, reason }, count));
+      });
+    },
+  });
 };
 
 export default addSiteGauges;
--- a/packages/auburngrade/src/site/startVm.ts
+++ b/packages/auburngrade/src/site/startVm.ts
@@ -14,6 +14,7 @@
 import observeStatement from './observeStatement';
 
 const INCARNATION_BYTES = 6;
+const MS_PER_S = 1_000;
 
 /** Starts a VM of the proxy; resolves with a function that answers what is under way and shuts it down. */
 const startVm = async (
@@ -50,6 +51,8 @@
         waiting: server.countQueued(),
         underWay: server.countInFlight(),
         transactions: server.countOpenTransactions(),
+        forecastWaitS: server.forecastWaitMs() / MS_PER_S,
+        refusals: server.refusalCounts(),
       })),
   });
   await startReadinessServer(settings.readinessAddress, daemon.isReady, {
--- a/packages/coordination/src/admission/createStartForecast.spec.ts
+++ b/packages/coordination/src/admission/createStartForecast.spec.ts
@@ -31,6 +31,11 @@
 const replay = (arrivals: readonly Arrival[], isForecastUsed: boolean, startsAtMs = 0) => {
   const forecast = createStartForecast();
   let waiting: Statement[] = [];
+  const flows = new Map<Statement, ReturnType<typeof forecast.add>>();
+  const removeFromForecast = (statement: Statement): void => {
+    const flow = flows.get(statement);
+    if (flow) forecast.remove(flow, statement.arrivedAtMs);
+  };
   const waitsOfRefused: number[] = [];
   const remaining = [...arrivals].sort((a, b) => a.atMs - b.atMs);
   let ran = 0;
@@ -41,7 +46,7 @@
     const expired = waiting.filter(({ queueDeadlineMs }) => queueDeadlineMs <= nowMs);
     waiting = waiting.filter(({ queueDeadlineMs }) => queueDeadlineMs > nowMs);
     expired.forEach((statement) => {
-      forecast.remove(statement);
+      removeFromForecast(statement);
       waitsOfRefused.push(nowMs - statement.arrivedAtMs);
     });
     while (remaining[0] && remaining[0].atMs <= nowMs) {
@@ -50,7 +55,7 @@
         waitsOfRefused.push(0);
       } else {
         forecast.noteArrival(statement);
-        forecast.add(statement);
+        flows.set(statement, forecast.add(statement));
         waiting.push(statement);
       }
     }
@@ -59,7 +64,7 @@
         .sort((a, b) => a.arrivedAtMs - b.arrivedAtMs)
         .filter((statement) => {
           const isHopeless = !forecast.find(statement, { ...state, isArriving: false }).canStart;
-          if (isHopeless) forecast.remove(statement);
+          if (isHopeless) removeFromForecast(statement);
           return isHopeless;
         });
       waitsOfRefused.push(...hopeless.map(({ arrivedAtMs }) => state.nowMs - arrivedAtMs));
@@ -70,7 +75,7 @@
       waiting.sort((a, b) => compareUrgency(a, b, now));
       const next = waiting.shift();
       if (next) {
-        forecast.remove(next);
+        removeFromForecast(next);
         ran += 1;
         freeAtMs = nowMs + SERVICE_MS;
       }
--- a/packages/coordination/src/admission/createStartForecast.ts
+++ b/packages/coordination/src/admission/createStartForecast.ts
@@ -3,6 +3,7 @@
 import createArrivalCounts from './createArrivalCounts';
 import createSustainedRate from './createSustainedRate';
 import findBacklogEndMs from './findBacklogEndMs';
+import type StatementFlow from './statementFlow';
 
 /** Share of the learned interval and rate that is assumed: a forecast that is off refuses too little. */
 const OPTIMISM_RATIO = 0.7;
@@ -30,12 +31,6 @@
   startsInMs: number;
 }
 
-interface Flow {
-  targetMs: number;
-  limitMs: number;
-  counts: ReturnType<typeof createArrivalCounts>;
-}
-
 /**
  * Forecasts whether a statement of one class can start before its queue deadline. It can if it can
  * start on time, after the earlier ones with the same target and limit, or late, after all that
@@ -48,7 +43,7 @@
  */
 const createStartForecast = () => {
   const onTimeArrivals = createSustainedRate();
-  const flows = new Map<string, Flow>();
+  const flows = new Map<string, StatementFlow>();
   let total = 0;
 
   const toFlowKey = ({ arrivedAtMs, targetAtMs, queueDeadlineMs, priority }: WaitingStatement) =>
@@ -59,24 +54,26 @@
     noteArrival: ({ arrivedAtMs, targetAtMs }: WaitingStatement): void => {
       if (targetAtMs - arrivedAtMs > LATE_BEFORE_TARGET_MS) onTimeArrivals.note(arrivedAtMs);
     },
-    add: (statement: WaitingStatement): void => {
-      const { arrivedAtMs, targetAtMs, queueDeadlineMs } = statement;
+    /** Counts a statement; returns the group of equal ones to pass to `remove`. */
+    add: (statement: WaitingStatement): StatementFlow => {
+      const { arrivedAtMs, queueDeadlineMs } = statement;
       const key = toFlowKey(statement);
-      const flow = flows.get(key) ?? {
-        targetMs: targetAtMs - arrivedAtMs,
-        limitMs: queueDeadlineMs - arrivedAtMs,
-        counts: createArrivalCounts(),
-      };
-      flows.set(key, flow);
+      let flow = flows.get(key);
+      if (!flow) {
+        flow = {
+          key,
+          limitMs: queueDeadlineMs - arrivedAtMs,
+          counts: createArrivalCounts(),
+        };
+        flows.set(key, flow);
+      }
       flow.counts.add(arrivedAtMs);
       total += 1;
+      return flow;
     },
-    remove: (statement: WaitingStatement): void => {
-      const key = toFlowKey(statement);
-      const flow = flows.get(key);
-      if (!flow) return;
-      flow.counts.remove(statement.arrivedAtMs);
-      if (flow.counts.total() === 0) flows.delete(key);
+    remove: (flow: StatementFlow, arrivedAtMs: number): void => {
+      flow.counts.remove(arrivedAtMs);
+      if (flow.counts.total() === 0) flows.delete(flow.key);
       total -= 1;
     },
     /** How many statements wait. */
@@ -96,14 +93,16 @@
       // All that an arriving statement finds in its own step has arrived before it.
       const untilStep = isArriving ? ownStep : ownStep - 1;
       const backlog = { untilStep, nowMs, startIntervalMs: intervalMs };
-      const own = flows.get(toFlowKey(statement));
       const onTimeUntilMs = targetAtMs - LATE_BEFORE_TARGET_MS;
-      const onTimeAtMs = findBacklogEndMs(own ? [own.counts] : [], {
-        ...backlog,
-        limitMs: onTimeUntilMs - arrivedAtMs,
-      });
-      if (onTimeAtMs + ARRIVAL_STEP_MS < onTimeUntilMs)
-        return { canStart: true, startsInMs: onTimeAtMs - nowMs };
+      if (onTimeUntilMs > nowMs) {
+        const own = flows.get(toFlowKey(statement));
+        const onTimeAtMs = findBacklogEndMs(own ? [own.counts] : [], {
+          ...backlog,
+          limitMs: onTimeUntilMs - arrivedAtMs,
+        });
+        if (onTimeAtMs + ARRIVAL_STEP_MS < onTimeUntilMs)
+          return { canStart: true, startsInMs: onTimeAtMs - nowMs };
+      }
       const ahead = [...flows.values()].filter((flow) => flow.limitMs >= limitMs - 1);
       const lateRatio = isArriving ? 1 - onTimeArrivals.findPerMs(nowMs) * intervalMs : 1;
       const lateAtMs = findBacklogEndMs(
--- /dev/null
+++ b/packages/coordination/src/admission/statementFlow.ts
@@ -0,0 +1,10 @@
+import type ArrivalCounts from './arrivalCounts';
+
+/** Waiting statements with the same target, time limit and priority. */
+interface StatementFlow {
+  key: string;
+  limitMs: number;
+  counts: ArrivalCounts;
+}
+
+export default StatementFlow;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -165,6 +165,8 @@
 export { default as createServiceTimes } from './admission/createServiceTimes';
 export { default as createStartForecast } from './admission/createStartForecast';
 export { default as createQueueBound } from './admission/createQueueBound';
+export { default as ARRIVAL_STEP_MS } from './admission/arrivalStepMs';
+export type { default as StatementFlow } from './admission/statementFlow';
 export { default as createReturnLine } from './admission/createReturnLine';
 export { default as spreadRetryDelay } from './admission/spreadRetryDelay';
 export type { default as EvacuationPhase } from './evacuation/evacuationPhase';
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -16,6 +16,7 @@
 import type MemberDialer from '../seams/memberDialer';
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
+import type AdmissionRefusal from './admissionRefusal';
 import type CallOutcome from './callOutcome';
 import createAvailableSince from './createAvailableSince';
 import createDepartedEndpoints from './createDepartedEndpoints';
@@ -100,6 +101,7 @@
   const { group, dialer, limiter, log, nowMs } = options;
   const pools = new Map<string, MemberPool>();
   const missingSinceMs = new Map<string, number>();
+  const refusalCounts = new Map<AdmissionRefusal, number>();
   const availableSince = createAvailableSince(nowMs);
   const departed = createDepartedEndpoints(nowMs);
   const positionHistory = createPositionHistory();
@@ -213,6 +215,7 @@
         attempts: statement.attempts,
         primary: primaryManager.getAvailablePrimary(),
         waiting: queue.size(),
+        forecastWaitMs: Math.round(admission.forecastWaitMs()),
       });
     } else if (outcome.kind === 'complete' && nowMs() > statement.targetAtMs) {
       log.info('request.late', {
@@ -230,7 +233,12 @@
   };
 
   /** Refuses a statement that did not run, and says when its caller should try again. */
-  const refuseAsBusy = (statement: PendingStatement, reason: string): void => {
+  const refuseAsBusy = (
+    statement: PendingStatement,
+    kind: AdmissionRefusal,
+    reason: string,
+  ): void => {
+    refusalCounts.set(kind, (refusalCounts.get(kind) ?? 0) + 1);
     const retryInMs = admission.findRetryDelayMs(statement);
     resolveStatement(statement, createRefusal('busy', `${reason}; retry in ${retryInMs} ms`));
   };
@@ -317,11 +325,12 @@
     (statement.pace !== undefined &&
       statement.pace.pausedUntilMs(load.id, availableSince.sinceMs(load.id)) > nowMs());
 
-  const refuseExcess = (): void =>
+  /** Call for a statement that was added to the queue and may still wait there. */
+  const refuseExcess = (added: PendingStatement): void =>
     queue
-      .takeExcess()
+      .settle(added)
       .forEach((statement) =>
-        refuseAsBusy(statement, 'the queue is full, and the account holds most of it'),
+        refuseAsBusy(statement, 'queueFull', 'the queue is full, and the account holds most of it'),
       );
 
   const requeue = (statement: PendingStatement): void => {
@@ -335,11 +344,12 @@
     ) {
       refuseAsBusy(
         statement,
+        'attempts',
         'no endpoint could run the statement within its attempts or queue time',
       );
     } else {
       queue.add(statement);
-      refuseExcess();
+      refuseExcess(statement);
       scheduleDispatch();
     }
   };
@@ -468,7 +478,7 @@
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
         resolveStatement(statement, createRefusal(code, error.message));
       } else {
-        refuseAsBusy(statement, error.message);
+        refuseAsBusy(statement, 'attempts', error.message);
       }
     }
   };
@@ -717,7 +727,11 @@
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   const refuseHopeless = (statement: PendingStatement): void =>
-    refuseAsBusy(statement, 'no endpoint slot will become free within the queue time limit');
+    refuseAsBusy(
+      statement,
+      'forecast',
+      'no endpoint slot will become free within the queue time limit',
+    );
 
   scheduler.dispatch = () => {
     if (isClosed || queue.size() === 0 || !hasCapacity()) return;
@@ -740,7 +754,7 @@
     const reason = primaryManager.getAvailablePrimary()
       ? slotReason
       : 'the group has no available primary';
-    refuseAsBusy(statement, reason);
+    refuseAsBusy(statement, primaryManager.getAvailablePrimary() ? 'expired' : 'noPrimary', reason);
   };
 
   const createPoolOptions = (id: string) => ({
@@ -807,6 +821,7 @@
       if (isNewWork) {
         const { isAdmitted, retryInMs } = limiter.admit(call.account);
         if (!isAdmitted) {
+          refusalCounts.set('overRate', (refusalCounts.get('overRate') ?? 0) + 1);
           const message = `the account is over its rate limit; retry in ${Math.ceil(retryInMs)} ms`;
           log.info('request.overRate', {
             request: call.requestId,
@@ -848,7 +863,7 @@
           openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.add(statement);
         scheduler.dispatch();
-        refuseExcess();
+        refuseExcess(statement);
       });
     },
     hasTransaction: (senderId: string, transactionId: number): boolean =>
@@ -880,6 +895,9 @@
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
     countQueued: () => queue.size(),
+    /** Statements refused as `busy`, by reason, since the group is served here. */
+    refusalCounts: (): ReadonlyMap<AdmissionRefusal, number> => refusalCounts,
+    forecastWaitMs: admission.forecastWaitMs,
     isReplacingPrimary: primaryManager.isReplacing,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
--- a/packages/sessions/src/group/createStatementAdmission.ts
+++ b/packages/sessions/src/group/createStatementAdmission.ts
@@ -1,8 +1,10 @@
 import {
+  ARRIVAL_STEP_MS,
   createReturnLine,
   createServiceTimes,
   createStartForecast,
   spreadRetryDelay,
+  type StatementFlow,
 } from '@auburngrade/coordination';
 import isPrimaryOnly from './isPrimaryOnly';
 import type PendingStatement from './pendingStatement';
@@ -44,7 +46,7 @@
       forecast: createStartForecast(),
       returnLine: createReturnLine(),
       /** Queued statements of the class that the forecast counts. */
-      counted: new Set<PendingStatement>(),
+      counted: new Map<PendingStatement, StatementFlow>(),
       findStartIntervalMs: () =>
         serviceTimes.findStartIntervalMs(findUsableEndpoints(isPrimaryOnlyClass), nowMs()),
     };
@@ -67,13 +69,20 @@
     const startIntervalMs = counted.size === 0 ? undefined : findStartIntervalMs();
     if (startIntervalMs === undefined) return [];
     const state = { startIntervalMs, nowMs: nowMs(), isArriving: false };
+    let last: { flow: StatementFlow; step: number; canStart: boolean } | undefined;
     // The insertion order is that of the arrival, so those behind a hopeless one are forecast without it.
-    return [...counted].filter((statement) => {
-      if (forecast.find(statement, state).canStart) return false;
-      counted.delete(statement);
-      forecast.remove(statement);
-      return true;
-    });
+    return [...counted]
+      .filter(([statement, flow]) => {
+        const step = Math.floor(statement.arrivedAtMs / ARRIVAL_STEP_MS);
+        // Equal statements that arrived in one step have the same ones ahead.
+        if (last?.flow !== flow || last.step !== step)
+          last = { flow, step, canStart: forecast.find(statement, state).canStart };
+        if (last.canStart) return false;
+        counted.delete(statement);
+        forecast.remove(flow, statement.arrivedAtMs);
+        return true;
+      })
+      .map(([statement]) => statement);
   };
 
   return {
@@ -85,12 +94,14 @@
     noteQueued: (statement: PendingStatement): void => {
       if (statement.isInTransaction || statement.attempts > 0) return;
       const { forecast, counted } = classOf(statement);
-      counted.add(statement);
-      forecast.add(statement);
+      counted.set(statement, forecast.add(statement));
     },
     noteDequeued: (statement: PendingStatement): void => {
       const { forecast, counted } = classOf(statement);
-      if (counted.delete(statement)) forecast.remove(statement);
+      const flow = counted.get(statement);
+      if (!flow) return;
+      counted.delete(statement);
+      forecast.remove(flow, statement.arrivedAtMs);
     },
     /** Whether an arriving statement may wait, as far as is known. */
     admit: (statement: PendingStatement): boolean => {
--- a/packages/sessions/src/group/createStatementQueue.ts
+++ b/packages/sessions/src/group/createStatementQueue.ts
@@ -23,9 +23,11 @@
   admission: ReturnType<typeof createStatementAdmission>,
 ) => {
   let entries: PendingStatement[] = [];
+  const queued = new Set<PendingStatement>();
   const bound = createQueueBound<PendingStatement>({ entries: MAX_ENTRIES, bytes: MAX_BYTES });
 
   const noteDequeued = (statement: PendingStatement): void => {
+    queued.delete(statement);
     admission.noteDequeued(statement);
     bound.remove(statement);
   };
@@ -42,10 +44,19 @@
     first: () => entries[0],
     add: (statement: PendingStatement): void => {
       entries.push(statement);
+      queued.add(statement);
+    },
+    /**
+     * Counts a statement that could not start when it was added; removes and returns what is beyond
+     * the bounds of the queue. Statements that start at once need no count.
+     */
+    settle: (statement: PendingStatement): PendingStatement[] => {
+      if (!queued.has(statement)) return [];
       admission.noteQueued(statement);
       // Open transactions are bounded by the connections that they hold.
       if (!statement.isInTransaction)
         bound.add(statement, statement.call.account, sizeOf(statement));
+      return bound.takeExcess().filter(remove);
     },
     /** Removes a statement; returns false when it is not queued. */
     remove,
@@ -56,8 +67,6 @@
       taken.forEach(noteDequeued);
       return taken;
     },
-    /** Removes and returns what is beyond the bounds of the queue. */
-    takeExcess: (): PendingStatement[] => bound.takeExcess().filter(remove),
     /** Starts what can start, in order of urgency; returns the statements that go on waiting. */
     start: ({ hasCapacity, tryStart }: StartAttempt): PendingStatement[] => {
       const now = nowMs();
--- a/packages/sessions/src/group/statementAdmission.spec.ts
+++ b/packages/sessions/src/group/statementAdmission.spec.ts
@@ -160,6 +160,7 @@
       await fixture.learn();
       const refused = (await fixture.writeAtOnce(200, crowd)).filter(isRefused);
       expect(refused.filter(({ tookMs }) => tookMs < 100).length).to.be.above(40);
+      expect(fixture.server.refusalCounts().get('forecast')).to.be.above(40);
       // It errs on the side of waiting: some of those that it lets wait are refused in the end.
       expect(Math.max(...refused.map(({ tookMs }) => tookMs))).to.be.above(400);
       expect(fixture.committed).to.have.length(41 + 200 - refused.length);
