--- a/packages/coordination/src/admission/createStartForecast.spec.ts
+++ b/packages/coordination/src/admission/createStartForecast.spec.ts
@@ -11,14 +11,21 @@
 interface Arrival {
   atMs: number;
   limitMs?: number;
+  targetMs?: number;
+  priority?: number;
 }
 
-const createStatement = ({ atMs, limitMs = LIMIT_MS }: Arrival) => ({
+const createStatement = ({
+  atMs,
+  limitMs = LIMIT_MS,
+  targetMs = TARGET_MS,
+  priority = 1,
+}: Arrival) => ({
   isInTransaction: false,
   arrivedAtMs: atMs,
-  targetAtMs: atMs + TARGET_MS,
+  targetAtMs: atMs + targetMs,
   queueDeadlineMs: atMs + limitMs,
-  priority: 1,
+  priority,
 });
 type Statement = ReturnType<typeof createStatement>;
 
@@ -111,6 +118,8 @@
       const arrival = fc.record({
         atMs: fc.nat(3_000),
         limitMs: fc.constantFrom(200, 900, LIMIT_MS, 4_000),
+        targetMs: fc.constantFrom(30, 200, TARGET_MS, 2_000),
+        priority: fc.constantFrom(0, 1, 5),
       });
       const crowd = fc
         .tuple(arrival, fc.integer({ min: 1, max: 60 }))
