fix(coordination): the forecast refuses nothing that could start late

The forecast took what is ahead in the order of arrival, but statements that are on time start before late ones, and the late ones may expire meanwhile without a start.

--- a/packages/coordination/src/admission/createStartForecast.ts
+++ b/packages/coordination/src/admission/createStartForecast.ts
@@ -9,6 +9,11 @@
 const OPTIMISM_RATIO = 0.7;
 /** Share of the starts that late statements are at least assumed to get, whatever goes on arriving. */
 const MIN_LATE_RATIO = 0.1;
+/**
+ * Of the statements that are on time, some start before all that is late, and late ones that are counted as
+ * ahead leave meanwhile. How many do is not known, so the most favourable of these shares is assumed.
+ */
+const ON_TIME_SHARES = [0, 0.25, 0.5, 0.75, 1];
 /** With less time left before its target, a statement counts as late, and runs after all that is not. */
 const LATE_BEFORE_TARGET_MS = 50;
 
@@ -49,6 +54,23 @@
   const toFlowKey = ({ arrivedAtMs, targetAtMs, queueDeadlineMs, priority }: WaitingStatement) =>
     `${Math.round(targetAtMs - arrivedAtMs)}/${Math.round(queueDeadlineMs - arrivedAtMs)}/${priority}`;
 
+  /** How many of the waiting statements can start on time. */
+  const countOnTime = (nowMs: number, intervalMs: number): number => {
+    let count = 0;
+    let lastUntilMs = nowMs;
+    flows.forEach(({ targetMs, counts }) => {
+      const onTimeMs = targetMs - LATE_BEFORE_TARGET_MS;
+      const lastStep = Math.floor(nowMs / ARRIVAL_STEP_MS);
+      for (let step = lastStep; (step + 1) * ARRIVAL_STEP_MS + onTimeMs > nowMs; step -= 1) {
+        const arrivals = counts.countIn(step);
+        count += arrivals;
+        if (arrivals > 0)
+          lastUntilMs = Math.max(lastUntilMs, (step + 1) * ARRIVAL_STEP_MS + onTimeMs);
+      }
+    });
+    return Math.min(count, Math.floor((lastUntilMs - nowMs) / intervalMs));
+  };
+
   return {
     /** Call for each arrival that is not refused. */
     noteArrival: ({ arrivedAtMs, targetAtMs }: WaitingStatement): void => {
@@ -56,12 +78,13 @@
     },
     /** Counts a statement; returns the group of equal ones to pass to `remove`. */
     add: (statement: WaitingStatement): StatementFlow => {
-      const { arrivedAtMs, queueDeadlineMs } = statement;
+      const { arrivedAtMs, targetAtMs, queueDeadlineMs } = statement;
       const key = toFlowKey(statement);
       let flow = flows.get(key);
       if (!flow) {
         flow = {
           key,
+          targetMs: targetAtMs - arrivedAtMs,
           limitMs: queueDeadlineMs - arrivedAtMs,
           counts: createArrivalCounts(),
         };
@@ -92,7 +115,7 @@
       const ownStep = Math.floor(arrivedAtMs / ARRIVAL_STEP_MS);
       // All that an arriving statement finds in its own step has arrived before it.
       const untilStep = isArriving ? ownStep : ownStep - 1;
-      const backlog = { untilStep, nowMs, startIntervalMs: intervalMs };
+      const backlog = { untilStep, fromMs: nowMs, skippedCount: 0, startIntervalMs: intervalMs };
       const onTimeUntilMs = targetAtMs - LATE_BEFORE_TARGET_MS;
       if (onTimeUntilMs > nowMs) {
         const own = flows.get(toFlowKey(statement));
@@ -105,13 +128,19 @@
       }
       const ahead = [...flows.values()].filter((flow) => flow.limitMs >= limitMs - 1);
       const lateRatio = isArriving ? 1 - onTimeArrivals.findPerMs(nowMs) * intervalMs : 1;
-      const lateAtMs = findBacklogEndMs(
-        ahead.map(({ counts }) => counts),
-        {
-          ...backlog,
-          limitMs,
-          startIntervalMs: intervalMs / Math.max(MIN_LATE_RATIO, lateRatio),
-        },
+      const onTimeCount = countOnTime(nowMs, intervalMs) * Math.max(0, lateRatio);
+      const aheadCounts = ahead.map(({ counts }) => counts);
+      const lateAtMs = Math.min(
+        ...ON_TIME_SHARES.map((share) => {
+          const skippedCount = Math.floor(onTimeCount * share);
+          return findBacklogEndMs(aheadCounts, {
+            ...backlog,
+            fromMs: nowMs + skippedCount * intervalMs,
+            skippedCount,
+            limitMs,
+            startIntervalMs: intervalMs / Math.max(MIN_LATE_RATIO, lateRatio),
+          });
+        }),
       );
       return {
         canStart: lateAtMs + ARRIVAL_STEP_MS < queueDeadlineMs,
