--- a/packages/auburngrade/src/site/addSiteGauges.ts
+++ b/packages/auburngrade/src/site/addSiteGauges.ts
@@ -26,6 +26,8 @@
     transactions: number;
     /** How many of its endpoints are in each phase of an evacuation. */
     endpointPhases: Record<EvacuationPhase, number>;
+    forecastWaitS: number;
+    refusals: ReadonlyMap<string, number>;
   }[];
 }
 
@@ -81,14 +83,14 @@
         memoryGauge.set({ use }, bytes),
       ),
   });
-  const refusalCounter: Counter = new Counter({
+  const limitedCounter: Counter = new Counter({
     name: 'auburngrade_caller_limited_total',
     help: 'Callers that were refused or disconnected, and calls of other VMs that were refused',
     labelNames: ['reason'],
     registers,
     collect: () => {
-      refusalCounter.reset();
-      readings.callerRefusals().forEach((count, reason) => refusalCounter.inc({ reason }, count));
+      limitedCounter.reset();
+      readings.callerRefusals().forEach((count, reason) => limitedCounter.inc({ reason }, count));
     },
   });
   const endpointGauge: Gauge = new Gauge({
@@ -110,7 +112,7 @@
   const groupGauge = (
     name: string,
     help: string,
-    field: 'waiting' | 'underWay' | 'transactions',
+    field: 'waiting' | 'underWay' | 'transactions' | 'forecastWaitS',
   ): void => {
     const created: Gauge = new Gauge({
       name,
@@ -126,6 +128,23 @@
   groupGauge('auburngrade_group_waiting', 'Statements that wait for a slot', 'waiting');
   groupGauge('auburngrade_group_under_way', 'Statements under way at endpoints', 'underWay');
   groupGauge('auburngrade_group_transactions', 'Open transactions', 'transactions');
+  groupGauge(
+    'auburngrade_group_forecast_wait_seconds',
+    'Forecast time until all that waits has started; 0 while it is unsure',
+    'forecastWaitS',
+  );
+  const refusalCounter: Counter = new Counter({
+    name: 'auburngrade_group_refusals_total',
+    help: 'Statements refused as busy by the owner of their group, by reason',
+    labelNames: ['group', 'reason'],
+    registers,
+    collect: () => {
+      refusalCounter.reset();
+      readings.groups().forEach(({ group, refusals }) => {
+        refusals.forEach((count, reason) => refusalCounter.inc({ group, reason }, count));
+      });
+    },
+  });
 };
 
 export default addSiteGauges;
--- a/packages/coordination/src/admission/createStartForecast.ts
+++ b/packages/coordination/src/admission/createStartForecast.ts
@@ -3,11 +3,17 @@
 import createArrivalCounts from './createArrivalCounts';
 import createSustainedRate from './createSustainedRate';
 import findBacklogEndMs from './findBacklogEndMs';
+import type StatementFlow from './statementFlow';
 
 /** Share of the learned interval and rate that is assumed: a forecast that is off refuses too little. */
 const OPTIMISM_RATIO = 0.7;
 /** Share of the starts that late statements are at least assumed to get, whatever goes on arriving. */
 const MIN_LATE_RATIO = 0.1;
+/**
+ * Of the statements that are on time, some start before all that is late, and late ones that are counted as
+ * ahead leave meanwhile. How many do is not known, so the most favourable of these shares is assumed.
+ */
+const ON_TIME_SHARES = [0, 0.25, 0.5, 0.75, 1];
 /** With less time left before its target, a statement counts as late, and runs after all that is not. */
 const LATE_BEFORE_TARGET_MS = 50;
 
@@ -30,12 +36,6 @@
   startsInMs: number;
 }
 
-interface Flow {
-  targetMs: number;
-  limitMs: number;
-  counts: ReturnType<typeof createArrivalCounts>;
-}
-
 /**
  * Forecasts whether a statement of one class can start before its queue deadline. It can if it can
  * start on time, after the earlier ones with the same target and limit, or late, after all that
@@ -48,35 +48,55 @@
  */
 const createStartForecast = () => {
   const onTimeArrivals = createSustainedRate();
-  const flows = new Map<string, Flow>();
+  const flows = new Map<string, StatementFlow>();
   let total = 0;
 
   const toFlowKey = ({ arrivedAtMs, targetAtMs, queueDeadlineMs, priority }: WaitingStatement) =>
     `${Math.round(targetAtMs - arrivedAtMs)}/${Math.round(queueDeadlineMs - arrivedAtMs)}/${priority}`;
 
+  /** How many of the waiting statements can start on time. */
+  const countOnTime = (nowMs: number, intervalMs: number): number => {
+    let count = 0;
+    let lastUntilMs = nowMs;
+    flows.forEach(({ targetMs, counts }) => {
+      const onTimeMs = targetMs - LATE_BEFORE_TARGET_MS;
+      const lastStep = Math.floor(nowMs / ARRIVAL_STEP_MS);
+      for (let step = lastStep; (step + 1) * ARRIVAL_STEP_MS + onTimeMs > nowMs; step -= 1) {
+        const arrivals = counts.countIn(step);
+        count += arrivals;
+        if (arrivals > 0)
+          lastUntilMs = Math.max(lastUntilMs, (step + 1) * ARRIVAL_STEP_MS + onTimeMs);
+      }
+    });
+    return Math.min(count, Math.floor((lastUntilMs - nowMs) / intervalMs));
+  };
+
   return {
     /** Call for each arrival that is not refused. */
     noteArrival: ({ arrivedAtMs, targetAtMs }: WaitingStatement): void => {
       if (targetAtMs - arrivedAtMs > LATE_BEFORE_TARGET_MS) onTimeArrivals.note(arrivedAtMs);
     },
-    add: (statement: WaitingStatement): void => {
+    /** Counts a statement; returns the group of equal ones to pass to `remove`. */
+    add: (statement: WaitingStatement): StatementFlow => {
       const { arrivedAtMs, targetAtMs, queueDeadlineMs } = statement;
       const key = toFlowKey(statement);
-      const flow = flows.get(key) ?? {
-        targetMs: targetAtMs - arrivedAtMs,
-        limitMs: queueDeadlineMs - arrivedAtMs,
-        counts: createArrivalCounts(),
-      };
-      flows.set(key, flow);
+      let flow = flows.get(key);
+      if (!flow) {
+        flow = {
+          key,
+          targetMs: targetAtMs - arrivedAtMs,
+          limitMs: queueDeadlineMs - arrivedAtMs,
+          counts: createArrivalCounts(),
+        };
+        flows.set(key, flow);
+      }
       flow.counts.add(arrivedAtMs);
       total += 1;
+      return flow;
     },
-    remove: (statement: WaitingStatement): void => {
-      const key = toFlowKey(statement);
-      const flow = flows.get(key);
-      if (!flow) return;
-      flow.counts.remove(statement.arrivedAtMs);
-      if (flow.counts.total() === 0) flows.delete(key);
+    remove: (flow: StatementFlow, arrivedAtMs: number): void => {
+      flow.counts.remove(arrivedAtMs);
+      if (flow.counts.total() === 0) flows.delete(flow.key);
       total -= 1;
     },
     /** How many statements wait. */
@@ -95,24 +115,32 @@
       const ownStep = Math.floor(arrivedAtMs / ARRIVAL_STEP_MS);
       // All that an arriving statement finds in its own step has arrived before it.
       const untilStep = isArriving ? ownStep : ownStep - 1;
-      const backlog = { untilStep, nowMs, startIntervalMs: intervalMs };
-      const own = flows.get(toFlowKey(statement));
+      const backlog = { untilStep, fromMs: nowMs, skippedCount: 0, startIntervalMs: intervalMs };
       const onTimeUntilMs = targetAtMs - LATE_BEFORE_TARGET_MS;
-      const onTimeAtMs = findBacklogEndMs(own ? [own.counts] : [], {
-        ...backlog,
-        limitMs: onTimeUntilMs - arrivedAtMs,
-      });
-      if (onTimeAtMs + ARRIVAL_STEP_MS < onTimeUntilMs)
-        return { canStart: true, startsInMs: onTimeAtMs - nowMs };
+      if (onTimeUntilMs > nowMs) {
+        const own = flows.get(toFlowKey(statement));
+        const onTimeAtMs = findBacklogEndMs(own ? [own.counts] : [], {
+          ...backlog,
+          limitMs: onTimeUntilMs - arrivedAtMs,
+        });
+        if (onTimeAtMs + ARRIVAL_STEP_MS < onTimeUntilMs)
+          return { canStart: true, startsInMs: onTimeAtMs - nowMs };
+      }
       const ahead = [...flows.values()].filter((flow) => flow.limitMs >= limitMs - 1);
       const lateRatio = isArriving ? 1 - onTimeArrivals.findPerMs(nowMs) * intervalMs : 1;
-      const lateAtMs = findBacklogEndMs(
-        ahead.map(({ counts }) => counts),
-        {
-          ...backlog,
-          limitMs,
-          startIntervalMs: intervalMs / Math.max(MIN_LATE_RATIO, lateRatio),
-        },
+      const onTimeCount = countOnTime(nowMs, intervalMs) * Math.max(0, lateRatio);
+      const aheadCounts = ahead.map(({ counts }) => counts);
+      const lateAtMs = Math.min(
+        ...ON_TIME_SHARES.map((share) => {
+          const skippedCount = Math.floor(onTimeCount * share);
+          return findBacklogEndMs(aheadCounts, {
+            ...backlog,
+            fromMs: nowMs + skippedCount * intervalMs,
+            skippedCount,
+            limitMs,
+            startIntervalMs: intervalMs / Math.max(MIN_LATE_RATIO, lateRatio),
+          });
+        }),
       );
       return {
         canStart: lateAtMs + ARRIVAL_STEP_MS < queueDeadlineMs,
--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -8,6 +8,7 @@
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type GroupEndpoint from '../seams/groupEndpoint';
 import type MemberReply from '../seams/memberReply';
+import type AdmissionRefusal from './admissionRefusal';
 import type CallOutcome from './callOutcome';
 import createAvailableSince from './createAvailableSince';
 import createEndpointPhases from './createEndpointPhases';
@@ -47,6 +48,7 @@
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
+  const refusalCounts = new Map<AdmissionRefusal, number>();
   const availableSince = createAvailableSince(nowMs);
   const positionHistory = createPositionHistory();
   const transactions = createOpenTransactions({ group, log });
@@ -147,12 +149,18 @@
       nowMs: nowMs(),
       primary: primaryManager.getAvailablePrimary(),
       waiting: queue.size(),
+      forecastWaitMs: admission.forecastWaitMs,
     });
     statement.resolve(outcome);
   };
 
   /** Refuses a statement that did not run, and says when its caller should try again. */
-  const refuseAsBusy = (statement: PendingStatement, reason: string): void => {
+  const refuseAsBusy = (
+    statement: PendingStatement,
+    kind: AdmissionRefusal,
+    reason: string,
+  ): void => {
+    refusalCounts.set(kind, (refusalCounts.get(kind) ?? 0) + 1);
     const retryInMs = admission.findRetryDelayMs(statement);
     resolveStatement(statement, createRefusal('busy', `${reason}; retry in ${retryInMs} ms`));
   };
@@ -189,11 +197,12 @@
   }: PendingStatement): boolean =>
     attempts - notRunAttempts < MAX_ATTEMPTS && nowMs() < queueDeadlineMs;
 
-  const refuseExcess = (): void =>
+  /** Call for a statement that was added to the queue and may still wait there. */
+  const refuseExcess = (added: PendingStatement): void =>
     queue
-      .takeExcess()
+      .settle(added)
       .forEach((statement) =>
-        refuseAsBusy(statement, 'the queue is full, and the account holds most of it'),
+        refuseAsBusy(statement, 'queueFull', 'the queue is full, and the account holds most of it'),
       );
 
   const requeue = (statement: PendingStatement): void => {
@@ -204,11 +213,12 @@
     } else if (!hasAttemptLeft(statement)) {
       refuseAsBusy(
         statement,
+        'attempts',
         'no endpoint could run the statement within its attempts or queue time',
       );
     } else {
       queue.add(statement);
-      refuseExcess();
+      refuseExcess(statement);
       scheduleDispatch();
     }
   };
@@ -334,7 +344,11 @@
   const hasCapacity = (): boolean => [...pools.values()].some((pool) => pool.hasCapacity());
 
   const refuseHopeless = (statement: PendingStatement): void =>
-    refuseAsBusy(statement, 'no endpoint slot will become free within the queue time limit');
+    refuseAsBusy(
+      statement,
+      'forecast',
+      'no endpoint slot will become free within the queue time limit',
+    );
 
   scheduler.dispatch = () => {
     if (isClosed || queue.size() === 0) return;
@@ -359,7 +373,7 @@
     const reason = primaryManager.getAvailablePrimary()
       ? slotReason
       : 'the group has no available primary';
-    refuseAsBusy(statement, reason);
+    refuseAsBusy(statement, primaryManager.getAvailablePrimary() ? 'expired' : 'noPrimary', reason);
   };
 
   return {
@@ -386,6 +400,7 @@
       if (isNewWork) {
         const { isAdmitted, retryInMs } = limiter.admit(call.account);
         if (!isAdmitted) {
+          refusalCounts.set('overRate', (refusalCounts.get('overRate') ?? 0) + 1);
           const message = `the account is over its rate limit; retry in ${Math.ceil(retryInMs)} ms`;
           log.info('request.overRate', {
             request: call.requestId,
@@ -427,7 +442,7 @@
           openings.set(toTransactionKey(senderId, call.transaction), statement);
         queue.add(statement);
         scheduler.dispatch();
-        refuseExcess();
+        refuseExcess(statement);
       });
     },
     hasTransaction: (senderId: string, transactionId: number): boolean =>
@@ -468,6 +483,9 @@
     countInFlight: () =>
       [...pools.values()].reduce((sum, pool) => sum + pool.getLoad('', false).activeStatements, 0),
     countQueued: () => queue.size(),
+    /** Statements refused as `busy`, by reason, since the group is served here. */
+    refusalCounts: (): ReadonlyMap<AdmissionRefusal, number> => refusalCounts,
+    forecastWaitMs: admission.forecastWaitMs,
     isReplacingPrimary: primaryManager.isReplacing,
     primary: () => primaryManager.getAvailablePrimary(),
     close: (): void => {
--- a/packages/sessions/src/group/createStatementRunner.ts
+++ b/packages/sessions/src/group/createStatementRunner.ts
@@ -3,6 +3,7 @@
 import type MemberCommand from '../seams/memberCommand';
 import MemberConnectionError from '../seams/memberConnectionError';
 import type MemberReply from '../seams/memberReply';
+import type AdmissionRefusal from './admissionRefusal';
 import type CallOutcome from './callOutcome';
 import createRefusal from './createRefusal';
 import type createReplyOutcomes from './createReplyOutcomes';
@@ -37,7 +38,7 @@
   /** Queues a statement that did not run again, or refuses it. */
   requeue(statement: PendingStatement): void;
   /** Refuses a statement that did not run, and says when its caller should try again. */
-  refuseAsBusy(statement: PendingStatement, reason: string): void;
+  refuseAsBusy(statement: PendingStatement, kind: AdmissionRefusal, reason: string): void;
   noteServed(statement: PendingStatement, endpointId: string, tookMs: number): void;
   /** Delays the next attempt at an endpoint where the statement did not run. */
   paceAttempts(statement: PendingStatement, endpointId: string): void;
@@ -146,7 +147,7 @@
         const code = call.action === Action.ACTION_READ ? 'timedOut' : 'inDoubt';
         options.resolveStatement(statement, createRefusal(code, error.message));
       } else {
-        options.refuseAsBusy(statement, error.message);
+        options.refuseAsBusy(statement, 'attempts', error.message);
       }
     }
   };
--- a/packages/sessions/src/group/logOutcome.ts
+++ b/packages/sessions/src/group/logOutcome.ts
@@ -10,13 +10,15 @@
   primary: string | undefined;
   /** How many statements wait for a slot. */
   waiting: number;
+  /** Forecast time until all that waits has started. */
+  forecastWaitMs(): number;
 }
 
 /** Logs a statement that is refused, or that completes after its target. */
 const logOutcome = (
   statement: PendingStatement,
   outcome: CallOutcome,
-  { group, log, nowMs, primary, waiting }: OutcomeContext,
+  { group, log, nowMs, primary, waiting, forecastWaitMs }: OutcomeContext,
 ): void => {
   if (outcome.kind === 'refused') {
     log.info('request.refused', {
@@ -28,6 +30,7 @@
       attempts: statement.attempts,
       primary,
       waiting,
+      forecastWaitMs: Math.round(forecastWaitMs()),
     });
   } else if (outcome.kind === 'complete' && nowMs > statement.targetAtMs) {
     log.info('request.late', {
