feat(sessions): values and prepared statements of sessions count as memory

A session kept whatever its caller SET or PREPAREd, without a bound. Their bytes now count in the memory budget of callers (use: state), so that the account that holds most is closed first when it is used up. The copies of the values at the VMs that serve the groups are not counted.

--- a/packages/coordination/src/memory/createMemoryBudget.spec.ts
+++ b/packages/coordination/src/memory/createMemoryBudget.spec.ts
@@ -40,7 +40,7 @@
     holder.release();
     holder.set('answers', 40);
     expect([before, budget.usedBytes()]).to.deep.equal([
-      { input: 10, statements: 20, answers: 30, forwarded: 0 },
+      { input: 10, statements: 20, answers: 30, state: 0, forwarded: 0 },
       0,
     ]);
   });
--- a/packages/coordination/src/memory/createMemoryBudget.ts
+++ b/packages/coordination/src/memory/createMemoryBudget.ts
@@ -17,6 +17,7 @@
     input: 0,
     statements: 0,
     answers: 0,
+    state: 0,
     forwarded: 0,
   };
   const forwardedByAccount = new Map<string, number>();
@@ -57,7 +58,7 @@
     /** Once `onReclaim` is called, the holder is released; its connection must be closed soon. */
     open: (account: string, onReclaim: (heldBytes: number) => void) => {
       const holder: Holder = { account, heldBytes: 0, since: 0, reclaim: () => undefined };
-      const own = { input: 0, statements: 0, answers: 0 };
+      const own = { input: 0, statements: 0, answers: 0, state: 0 };
       holders.add(holder);
       const set = (use: keyof typeof own, bytes: number): void => {
         const addedBytes = bytes - own[use];
@@ -76,6 +77,7 @@
         set('input', 0);
         set('statements', 0);
         set('answers', 0);
+        set('state', 0);
         holders.delete(holder);
       };
       holder.reclaim = () => {
--- a/packages/sessions/src/daemon/createSessionDaemon.spec.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.spec.ts
@@ -164,6 +164,7 @@
         session?.end();
       },
       completeAnnouncedRefusal: (state) => answers.push(`completed ${state}`),
+      holdState: () => undefined,
       close: () => answers.push('closed'),
     });
     session?.start('lots', key);
--- a/packages/sessions/src/front/createSession.spec.ts
+++ b/packages/sessions/src/front/createSession.spec.ts
@@ -70,6 +70,7 @@
     forgetTransaction: () => undefined,
   };
   const observed: string[][] = [];
+  const heldStates: number[] = [];
   const created = createSession({
     connection: {
       accept: () => answers.push('accepted'),
@@ -80,6 +81,7 @@
         ),
       announceClose: (code) => answers.push(`closing ${code}`),
       completeAnnouncedRefusal: (transactionState) => answers.push(`completed ${transactionState}`),
+      holdState: (byteCount) => heldStates.push(byteCount),
       close: () => answers.push('closed'),
     },
     router,
@@ -106,6 +108,7 @@
   };
   return {
     answers,
+    heldStates,
     calls,
     endedTransactions,
     observed,
@@ -122,6 +125,19 @@
   });
   const start = (): void => fixture.session.start('lots', 'k1');
 
+  // Guards against sessions whose values or prepared statements take a VM's memory.
+  it('tells the bytes of its values and prepared statements, also of replaced ones', async () => {
+    start();
+    await fixture.run(
+      { kind: 'setValue', name: 'zone', value: 'waco' },
+      { kind: 'setValue', name: 'zone', value: 'x' },
+      { kind: 'prepare', name: 's1', isWrite: false, shape: 'q2' },
+      { kind: 'deallocate', name: 's1' },
+      { kind: 'deallocate', name: 's1' },
+    );
+    expect(fixture.heldStates).to.deep.equal([8, 5, 9, 5, 5]);
+  });
+
   describe('when it starts', () => {
     it('accepts a known key and refuses unknown keys and databases', () => {
       start();
--- a/packages/sessions/src/front/createSession.ts
+++ b/packages/sessions/src/front/createSession.ts
@@ -65,6 +65,7 @@
   const values = new Map<string, string>();
   const preparedStatements = new Map<string, { isWrite: boolean; shape: string }>();
   let valuesVersion = 0;
+  let stateBytes = 0;
   let database = '';
   let key: string | undefined;
   let account = '';
@@ -234,6 +235,18 @@
     answer(result, 'idle');
   };
 
+  /** Accounts for a value or prepared statement that is set, replaced or removed. */
+  const noteState = (
+    name: string,
+    text: string | undefined,
+    replaced: string | undefined,
+  ): void => {
+    const sizeOf = (kept: string | undefined): number =>
+      kept === undefined ? 0 : name.length + kept.length;
+    stateBytes += sizeOf(text) - sizeOf(replaced);
+    connection.holdState(stateBytes);
+  };
+
   const runSessionStatement = (statement: SessionStatement, route: DatabaseRoute): void => {
     switch (statement.kind) {
       case 'begin':
@@ -250,16 +263,19 @@
         answer(COMPLETE, 'open');
         return;
       case 'setValue':
+        noteState(statement.name, statement.value, values.get(statement.name));
         values.set(statement.name, statement.value);
         valuesVersion += 1;
         break;
       case 'prepare':
+        noteState(statement.name, statement.shape, preparedStatements.get(statement.name)?.shape);
         preparedStatements.set(statement.name, {
           isWrite: statement.isWrite,
           shape: statement.shape,
         });
         break;
       case 'deallocate':
+        noteState(statement.name, undefined, preparedStatements.get(statement.name)?.shape);
         preparedStatements.delete(statement.name);
         break;
       default:
--- a/packages/sessions/src/seams/callerConnection.ts
+++ b/packages/sessions/src/seams/callerConnection.ts
@@ -15,6 +15,8 @@
   announceClose(code: RefusalCode, message: string): void;
   /** Ends the answer of a statement whose refusal was the announced close. */
   completeAnnouncedRefusal(state: TransactionState): void;
+  /** Tells how many bytes of values and prepared statements the session keeps for its caller. */
+  holdState(byteCount: number): void;
   close(): void;
 }
 
