feat(auburngrade): a bound on the calls that one connection of callers has under way

A connection could have any number of requests and transactions under way. Clients are now told callers.maxStreamsPerConnection, 1,000 by default, and hold further ones back themselves. Messages were bounded already, by requests.maxStatementBytes.

--- a/packages/auburngrade/src/daemon/startServers.ts
+++ b/packages/auburngrade/src/daemon/startServers.ts
@@ -46,15 +46,18 @@
     port: number,
     credentials: ServerCredentials,
     register: (to: Server) => void,
-    maxMessageBytes?: number,
-  ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, maxMessageBytes);
+    limits?: Parameters<typeof startGrpcServer>[3],
+  ) => startGrpcServer(`${settings.host}:${port}`, register, credentials, limits);
   let endFollowSessions = (): void => {};
   const servers = await Promise.all([
     listen(
       settings.callerPort,
       tls.callers,
       (server) => server.addService(proxyServiceDefinition, createCallerService(callerHandler)),
-      settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
+      {
+        maxMessageBytes: settings.requests.maxStatementBytes + MESSAGE_MARGIN_BYTES,
+        maxStreams: settings.callers.maxStreamsPerConnection,
+      },
     ),
     listen(
       settings.vmPort,
@@ -62,7 +65,7 @@
       (server) => {
         endFollowSessions = addPeerServices(server, peerHandler);
       },
-      UNLIMITED_MESSAGE_BYTES,
+      { maxMessageBytes: UNLIMITED_MESSAGE_BYTES },
     ),
     listen(settings.operatorPort, tls.operators, (server) => {
       server.addService(OperatorService, createOperatorService(operatorHandler));
--- a/packages/auburngrade/src/settings/settingsSchema.ts
+++ b/packages/auburngrade/src/settings/settingsSchema.ts
@@ -56,6 +56,12 @@
         maxTimeoutMs: z.number().int().min(1).max(600_000).default(30_000),
       })
       .default({ maxStatementBytes: 1_048_576, maxTimeoutMs: 30_000 }),
+    callers: z
+      .strictObject({
+        /** Requests and transactions under way on one connection; a client holds back further ones. */
+        maxStreamsPerConnection: z.number().int().min(1).max(100_000).default(1_000),
+      })
+      .default({ maxStreamsPerConnection: 1_000 }),
     reads: z
       .strictObject({
         /** How long a read waits for a replica to catch up before it loads the primary. */
