--- a/packages/sessions/src/group/createGroupServer.ts
+++ b/packages/sessions/src/group/createGroupServer.ts
@@ -1,21 +1,13 @@
-import {
-  chooseStatementEndpoint,
-  compareUrgency,
-  decideQueuedStatement,
-  createPositionHistory,
-} from '@auburngrade/coordination';
+import { chooseStatementEndpoint, compareUrgency } from '@auburngrade/coordination';
 import { Action, type GroupCall } from '../generated/auburngrade/session/v1/session';
 import type GroupEndpoint from '../seams/groupEndpoint';
-import type MemberReply from '../seams/memberReply';
 import type CallOutcome from './callOutcome';
-import createEndpointPhases from './createEndpointPhases';
-import createGroupEndpoints from './createGroupEndpoints';
+import createGroupMembers from './createGroupMembers';
 import createOpenTransactions from './createOpenTransactions';
-import createPrimaryManager from './createPrimaryManager';
 import createRefusal from './createRefusal';
 import createReplyOutcomes from './createReplyOutcomes';
-import createRequiredPosition from './createRequiredPosition';
 import createStatementRunner from './createStatementRunner';
+import createUnservableCheck from './createUnservableCheck';
 import type GroupServerOptions from './groupServerOptions';
 import isPrimaryOnly from './isPrimaryOnly';
 import logOutcome from './logOutcome';
@@ -39,7 +31,6 @@
 /** Queues and runs the statements of one group on its owner, which holds all its connections. */
 const createGroupServer = (options: GroupServerOptions) => {
   const { group, dialer, limiter, log, nowMs } = options;
-  const positionHistory = createPositionHistory();
   const transactions = createOpenTransactions({ group, log });
   /** First statements of transactions that are not answered yet, by transaction. */
   const openings = new Map<string, PendingStatement>();
@@ -59,46 +50,11 @@
     });
   };
 
-  /** Assigned below, after the primary manager, which needs the endpoints' pools. */
-  const primaryHooks: {
-    noteReply(endpointId: string, reply: MemberReply, sentAtMs: number): void;
-    isPrimary(endpointId: string): boolean;
-  } = { noteReply: () => undefined, isPrimary: () => false };
-  const isPrimary = (endpointId: string): boolean => primaryHooks.isPrimary(endpointId);
-  const endpoints = createGroupEndpoints({
-    ...options,
-    onChange: scheduleDispatch,
-    isPrimary,
-    onReply: (...parameters) => primaryHooks.noteReply(...parameters),
-  });
-  const { pools } = endpoints;
-  const phases = createEndpointPhases({ ...options, pools, transactions, isPrimary });
-  const primaryManager = createPrimaryManager({
-    ...options,
-    pools,
-    departedEndpoints: endpoints.listDeparted,
-    countOpenWork: (endpointId) =>
-      transactions.countAt(endpointId) +
-      (pools.get(endpointId)?.getLoad('', true).activeStatements ?? 0),
-    onPrimaryFound: (_id, position, sentAtMs) => {
-      positionHistory.clear();
-      positionHistory.record(sentAtMs, position);
-    },
-    onChange: scheduleDispatch,
-  });
-  primaryHooks.isPrimary = (id) => id === primaryManager.getKnownPrimary();
-  primaryHooks.noteReply = (id, { position }, sentAtMs) => {
-    if (id !== primaryManager.getKnownPrimary() || !position) return;
-    primaryManager.notePrimaryPosition(position, sentAtMs);
-    positionHistory.record(sentAtMs, position);
-  };
-  const requiredPosition = createRequiredPosition({
-    ...options,
-    pools,
-    positionHistory,
-    primaryManager,
-    onChange: scheduleDispatch,
-  });
+  const { pools, endpoints, phases, primaryManager, requiredPosition } = createGroupMembers(
+    { ...options, onChange: scheduleDispatch },
+    transactions,
+  );
+  const isUnservable = createUnservableCheck({ pools, primaryManager, requiredPosition });
 
   const resolveStatement = (statement: PendingStatement, outcome: CallOutcome): void => {
     clearTimeout(statement.queueTimer);
@@ -234,21 +190,6 @@
     return true;
   };
 
-  const isUnservable = (statement: PendingStatement): boolean => {
-    const usable = [...pools.values()].filter((pool) => !pool.isDown());
-    return (
-      decideQueuedStatement({
-        needsPrimary: isPrimaryOnly(statement),
-        isPrimaryEvacuated: primaryManager.isPrimaryEvacuated(),
-        hasCandidate: usable.some((pool) => pool.use().isCandidate),
-        isReplacementBlocked: primaryManager.isReplacementBlocked(),
-        canReadAtReplica:
-          requiredPosition.find(statement) !== undefined &&
-          usable.some((pool) => pool.use().acceptsNewWork),
-      }) === 'refuse'
-    );
-  };
-
   /** Refuses at once what only an evacuated primary can serve, and what is left of transactions there. */
   const refuseUnservable = (): void => {
     if (!primaryManager.isPrimaryEvacuated()) return;
