--- a/packages/sessions/src/group/createMemberPool.ts
+++ b/packages/sessions/src/group/createMemberPool.ts
@@ -14,6 +14,7 @@
 import type MemberReply from '../seams/memberReply';
 import type EndpointStatus from '../seams/memberStatus';
 import createConnectionOpenings from './createConnectionOpenings';
+import createEndpointHealth from './createEndpointHealth';
 import createEndpointWarmup from './createEndpointWarmup';
 import createIdleConnections from './createIdleConnections';
 import createPooledConnection from './createPooledConnection';
@@ -31,8 +32,6 @@
 const PROBE_INTERVAL_MS = 300;
 /** An endpoint with pending commands that has not replied for this long is probed. */
 const OVERDUE_REPLY_MS = 300;
-/** Consecutive failed probes or connection attempts after which an endpoint counts as down. */
-const MAX_FAILED_PROBES = 2;
 /** Weight of the newest sample in the moving average of the reply latency. */
 const LATENCY_WEIGHT = 0.1;
 /** Fraction of the limit that may stay open idle; the rest is left to a VM that takes over. */
@@ -68,10 +67,6 @@
   let lastReplyAtMs = nowMs();
   let pausedUntilMs = 0;
   let connectPausedUntilMs = 0;
-  let failedProbes = 0;
-  let isDown = false;
-  /** Whether it is back from an evacuation and has not answered since. */
-  let isUnproven = false;
   const warmup = createEndpointWarmup({ nowMs, onChange });
   let isProbing = false;
   let lastProbeAtMs = 0;
@@ -113,28 +108,19 @@
     openings.abandonAll();
   };
 
-  const setDown = (next: boolean, reason: string): void => {
-    if (isDown === next) return;
-    isDown = next;
-    log.warn(next ? 'endpoint.down' : 'endpoint.up', {
-      group: endpoint.group,
-      endpoint: endpoint.id,
-      reason,
-      failedProbes,
-    });
-    // Pending statements fail at once, to be retried elsewhere or reported to the caller.
-    if (next) closeAll();
-    onChange();
-  };
+  const health = createEndpointHealth({
+    log,
+    endpoint: () => endpoint,
+    onChange: (isDown) => {
+      // Pending statements fail at once, to be retried elsewhere or reported to the caller.
+      if (isDown) closeAll();
+      onChange();
+    },
+  });
 
   const handleReply = (reply: MemberReply, sentAtMs: number): void => {
     lastReplyAtMs = nowMs();
-    failedProbes = 0;
-    if (isUnproven) {
-      isUnproven = false;
-      onChange();
-    }
-    setDown(false, 'endpoint replied');
+    health.noteAnswer('endpoint replied');
     position = maxPosition(position, reply.position);
     onReply(reply, sentAtMs);
   };
@@ -201,9 +187,7 @@
         }
         if (error.reason === 'busy') pausedUntilMs = nowMs() + BUSY_BACKOFF_MS;
         if (['refused', 'silent', 'misrouted'].includes(error.reason)) {
-          failedProbes += 1;
-          const isConfirmedDown = error.reason !== 'silent' || failedProbes >= MAX_FAILED_PROBES;
-          if (isConfirmedDown) setDown(true, error.reason);
+          health.noteFailure(error.reason, error.reason !== 'silent');
         }
       }
       throw error;
@@ -239,16 +223,13 @@
       if (!getUse().isContacted) return undefined;
       if (error instanceof MemberConnectionError && error.reason === 'connectionLimit') {
         lastReplyAtMs = nowMs();
+        health.noteProven();
         return undefined;
       }
       // Says nothing about the endpoint: nothing was sent.
       if (error instanceof MemberConnectionError && error.reason === 'unsendable') return undefined;
-      failedProbes += 1;
-      const isConfirmedDown =
-        error instanceof MemberConnectionError && ['refused', 'misrouted'].includes(error.reason);
-      if (isConfirmedDown || failedProbes >= MAX_FAILED_PROBES) {
-        setDown(true, error instanceof MemberConnectionError ? error.reason : String(error));
-      }
+      const reason = error instanceof MemberConnectionError ? error.reason : String(error);
+      health.noteFailure(reason, ['refused', 'misrouted'].includes(reason));
       return undefined;
     } finally {
       connection?.memberConnection.close();
@@ -270,8 +251,7 @@
     update: (next: GroupEndpoint, connectionLimit: number, warmupRatePerS: number): void => {
       warmup.update(next, warmupRatePerS);
       if (next.startedAtUnixMs !== endpoint.startedAtUnixMs || next.address !== endpoint.address) {
-        failedProbes = 0;
-        setDown(false, 'endpoint restarted or changed its address');
+        health.noteRestart('endpoint restarted or changed its address');
       }
       endpoint = next;
       maxConnections = connectionLimit;
@@ -282,7 +262,7 @@
         id: endpoint.id,
         isPrimary,
         isLeaving: !getUse(isPrimary).acceptsNewWork,
-        isDown: isDown || isUnproven || !getUse().isContacted,
+        isDown: !health.isUsable() || !getUse().isContacted,
         activeStatements: inFlightStatements,
         slots: endpoint.slots,
         canConnect: hasIdleConnection || canOpenConnection() || idle.count() > 0,
@@ -294,12 +274,11 @@
     },
     /** Whether another statement may be sent: one per slot, plus one to hide network latency. */
     hasCapacity: (): boolean =>
-      !isDown &&
-      !isUnproven &&
+      health.isUsable() &&
       getUse().isContacted &&
       inFlightStatements <= endpoint.slots &&
       warmup.nextSendAtMs() <= nowMs(),
-    isDown: () => isDown,
+    isDown: health.isDown,
     position: () => position,
     connectionCount: () => connections.size + openings.count(),
     acquireSlot: (): void => {
@@ -364,10 +343,7 @@
       const now = nowMs();
       const oldestSentAtMs = Math.min(...pendingSentAtMs.values(), now);
       const isOverdue = now - Math.max(oldestSentAtMs, lastReplyAtMs) > OVERDUE_REPLY_MS;
-      if (
-        (isOverdue || isDown || isUnproven || failedProbes > 0) &&
-        now - lastProbeAtMs > PROBE_INTERVAL_MS
-      ) {
+      if ((isOverdue || health.isSuspect()) && now - lastProbeAtMs > PROBE_INTERVAL_MS) {
         startProbe();
       }
     },
@@ -375,7 +351,7 @@
     closeIdle: (): void => idle.listOldestFirst().forEach(closeConnection),
     /** Call when the evacuation of its data centre has ended: it is used once it has answered a probe. */
     noteReturned: (): void => {
-      isUnproven = true;
+      health.noteReturned();
       warmup.noteReturned();
       startProbe();
     },
