--- a/packages/sessions/src/group/groupEvacuation.spec.ts
+++ b/packages/sessions/src/group/groupEvacuation.spec.ts
@@ -59,10 +59,16 @@
   return new ObservedDialer();
 };
 
-const createFixture = (dataCentres: Record<string, string>, syncReplicas = 0) => {
+const createFixture = (
+  dataCentres: Record<string, string>,
+  syncReplicas = 0,
+  evacuated: readonly string[] = [],
+) => {
   const endpoints = createEndpoints(dataCentres);
   const members = createFakeMembers(endpoints);
-  const phases = new Map<string, EvacuationPhase>();
+  const phases = new Map<string, EvacuationPhase>(
+    evacuated.map((dataCentre) => [dataCentre, 'evacuated']),
+  );
   const contacts: { endpoint: string; kind: string }[] = [];
   const promoted: string[] = [];
   const events: string[] = [];
@@ -333,6 +339,25 @@
     expect((await fixture.run()).kind).to.equal('complete');
   });
 
+  describe('that a new owner of the group finds in its last phase', () => {
+    it('has the primary replaced without contact', async () => {
+      fixture = createFixture({ p: 'waco', q: 'waco', r: 'temple' }, 0, ['waco']);
+      await fixture.awaitPromotions(1);
+      await sleep(SETTLE_MS);
+      expect((await fixture.run()).kind).to.equal('complete');
+      expect(new Set(fixture.contacts.map(({ endpoint }) => endpoint))).to.deep.equal(
+        new Set(['r']),
+      );
+    });
+
+    it('has statements refused at once where nothing can replace the primary', async () => {
+      fixture = createFixture({ p: 'waco', q: 'waco' }, 0, ['waco']);
+      await expectAtOnce(fixture.run(), 'busy');
+      await sleep(SETTLE_MS);
+      expect(fixture.contacts).to.deep.equal([]);
+    });
+  });
+
   describe('with all endpoints there', () => {
     beforeEach(() => begin({ p: 'waco', q: 'waco' }));
 
@@ -347,6 +372,18 @@
       expect(fixture.events).to.include('group.evacuationBlocked');
     });
 
+    it('serves again after each of two evacuations of the same data centre', async () => {
+      for (let count = 0; count < 2; count += 1) {
+        fixture.setPhase('waco', 'evacuating');
+        fixture.setPhase('waco', 'evacuated');
+        await expectAtOnce(fixture.run(), 'busy');
+        await expectNoContact('p');
+        fixture.setPhase('waco', 'inService');
+        expect((await fixture.run()).kind).to.equal('complete');
+      }
+      expect(fixture.promoted).to.deep.equal([]);
+    });
+
     it('ends open transactions as aborted with the last phase', async () => {
       await fixture.run(OPENING);
       fixture.setPhase('waco', 'evacuating');
