fix(sessions): a VM that the store turns away leaves evacuated primaries to others

Callers saw BUSY for as long as the store turned away the owner of a group whose primary was in an evacuated data centre: over 20 s in the test. The owner held the group on the word of the voters, but could not record the replacement (kv-txn answered 503), nor hand the group over.

While another VM reaches the store, such an owner no longer reports that it serves the group. A VM that reaches the store then claims it, as it claims that of a stalled owner, with the same waits.

--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -175,6 +175,15 @@
     [...servers.values(), ...retiredServers].forEach((server) => server.noteEvacuationsChanged()),
   );
 
+  const isLeftToOthers = (group: string): boolean => {
+    const dataCentre = findPrimaryDataCentre(group);
+    return (
+      dataCentre !== undefined &&
+      !evacuations.isInService(dataCentre) &&
+      !isStoreReachable() &&
+      fleet.vms().some((view) => view.vm !== vm && view.isStoreReachable)
+    );
+  };
   const buildHeartbeat = (receiver: string, beat: number): Heartbeat => ({
     vm,
     incarnation,
@@ -190,7 +199,9 @@
     isStrained: fleet.isStrained(),
     spending: [],
     isLeaving: fleet.isLeaving(),
-    serving: [...servers.keys()].filter(ownership.isAuthoritativeBeyondPeerLease),
+    serving: [...servers.keys()]
+      .filter(ownership.isAuthoritativeBeyondPeerLease)
+      .filter((group) => !isLeftToOthers(group)),
   });
   const sendHeartbeats = (): void => {
     const beat = fleet.nextHeartbeatNumber();
