--- a/packages/sessions/src/daemon/createSessionDaemon.ts
+++ b/packages/sessions/src/daemon/createSessionDaemon.ts
@@ -187,11 +187,9 @@
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => fleetWatcher?.isReachable() ?? false,
     primaryDataCentre: endpointRegistry.primaryDataCentre,
-    isPrimaryToBeMoved: (group) => {
+    primaryPhase: (group) => {
       const primaryDataCentre = endpointRegistry.primaryDataCentre(group);
-      return (
-        primaryDataCentre !== undefined && evacuations.phaseOf(primaryDataCentre) === 'evacuating'
-      );
+      return primaryDataCentre === undefined ? 'inService' : evacuations.phaseOf(primaryDataCentre);
     },
   });
 
@@ -367,19 +365,6 @@
 
   const listServedGroups = (): string[] =>
     [...servers.keys()].filter((group) => ownership.isAuthoritativeBeyondPeerLease(group));
-  /**
-   * Whether this VM can't record the replacement of an evacuated primary, since the store turns it away, and others can:
-   * they claim a group that its owner does not report to serve.
-   */
-  const isLeftToOthers = (group: string): boolean => {
-    const primaryDataCentre = endpointRegistry.primaryDataCentre(group);
-    return (
-      primaryDataCentre !== undefined &&
-      !evacuations.isInService(primaryDataCentre) &&
-      !isStoreReachable() &&
-      fleet.vms().some((view) => view.vm !== vm && view.isStoreReachable)
-    );
-  };
   const listReachableGroups = (): Set<string> =>
     new Set([...listServedGroups(), ...fleet.groupsServedByReachablePeers()]);
   const isolationMonitor = createIsolationMonitor({
@@ -459,7 +444,7 @@
       spending: rateUsage.report(stream, isFirst),
       // An observer leaves the voters of whom it was one before it restarted.
       isLeaving: fleet.isLeaving() || role.isObserver(),
-      serving: listServedGroups().filter((group) => !isLeftToOthers(group)),
+      serving: listServedGroups().filter((group) => !ownership.isLeftToOthers(group)),
     }),
   });
   const sendHeartbeats = (): void => linkServer.beat(fleet.nextHeartbeatNumber());
--- a/packages/sessions/src/fleet/createOwnership.spec.ts
+++ b/packages/sessions/src/fleet/createOwnership.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { VmView } from '@auburngrade/coordination';
+import type { EvacuationPhase, VmView } from '@auburngrade/coordination';
 import createFakeStore from '../standIns/createFakeStore';
 import createDocuments from './createDocuments';
 import createOwnership from './createOwnership';
@@ -44,7 +44,7 @@
     servedAtMs: undefined as number | undefined,
     primaryDataCentre: undefined as string | undefined,
     isReplacingPrimary: false,
-    isPrimaryToBeMoved: false,
+    primaryPhase: 'inService' as EvacuationPhase,
   };
   const fleet = {
     vms: () => state.vms,
@@ -75,7 +75,7 @@
     nowMs,
     wallMs: nowMs,
     primaryDataCentre: () => state.primaryDataCentre,
-    isPrimaryToBeMoved: () => state.isPrimaryToBeMoved,
+    primaryPhase: () => state.primaryPhase,
     isReplacingPrimary: () => state.isReplacingPrimary,
     isStoreViewCurrent: () => state.isStoreViewCurrent,
   });
@@ -607,7 +607,7 @@
         await own('lots');
         const elsewhere = createVmView('c', { dataCentre: 'temple' });
         state.vms = [createVmView('a', evacuated), createVmView('b', evacuated), elsewhere];
-        state.isPrimaryToBeMoved = true;
+        state.primaryPhase = 'evacuating';
         const countOwned = (): number =>
           ['bids', 'lots'].filter((group) => ownership.isOwnedHere(group)).length;
         const reconcile = async (): Promise<void> => {
@@ -617,7 +617,7 @@
         clock.ms += 5_000;
         await reconcile();
         expect(countOwned()).to.equal(2);
-        state.isPrimaryToBeMoved = false;
+        state.primaryPhase = 'inService';
         await reconcile();
         await reconcile();
         expect(countOwned()).to.equal(1);
@@ -639,6 +639,20 @@
       });
     });
 
+    it('leaves a group with an evacuated primary to VMs that reach the store, if it does not', async () => {
+      const { ownership, own, state } = fixture;
+      await own('lots');
+      const turnedAway = createVmView('a', { isStoreReachable: false });
+      state.vms = [turnedAway, createVmView('b')];
+      expect(ownership.isLeftToOthers('lots')).to.equal(false);
+      state.primaryPhase = 'evacuating';
+      expect(ownership.isLeftToOthers('lots')).to.equal(true);
+      state.vms = [turnedAway, createVmView('b', { isStoreReachable: false })];
+      expect(ownership.isLeftToOthers('lots')).to.equal(false);
+      state.vms = [createVmView('a'), createVmView('b')];
+      expect(ownership.isLeftToOthers('lots')).to.equal(false);
+    });
+
     it('does not hand groups to and fro while VMs in an evacuated data centre own none', async () => {
       const { ownership, own, state, waitForStore, clock } = fixture;
       await own('bids');
--- a/packages/sessions/src/fleet/createOwnership.ts
+++ b/packages/sessions/src/fleet/createOwnership.ts
@@ -2,6 +2,7 @@
   chooseOwner,
   compareDocumentPositions,
   hasLostOwner,
+  type EvacuationPhase,
   type DocumentPosition,
 } from '@auburngrade/coordination';
 import type GroupRecord from '../group/groupRecord';
@@ -41,8 +42,8 @@
   nowMs(): number;
   wallMs(): number;
   primaryDataCentre(group: string): string | undefined;
-  /** Whether the group's primary is in an evacuated data centre and is to be replaced by one elsewhere. */
-  isPrimaryToBeMoved(group: string): boolean;
+  /** How far the evacuation of the data centre of the group's primary is; in service if that is not known. */
+  primaryPhase(group: string): EvacuationPhase;
   /** Whether this VM is replacing the group's primary. */
   isReplacingPrimary(group: string): boolean;
   /** Whether registrations and group records are up to date with the store. */
@@ -55,7 +56,10 @@
  */
 const createOwnership = (options: OwnershipOptions) => {
   const { self, store, documents, fleet, log, nowMs, wallMs } = options;
-  const rebalancing = createGroupRebalancing(options);
+  const rebalancing = createGroupRebalancing({
+    ...options,
+    isPrimaryToBeMoved: (group) => options.primaryPhase(group) === 'evacuating',
+  });
   const groupsBeingRecorded = new Set<string>();
   /** When the wait of a VM that claimed a group ends, in which tenure. */
   const replacementWaits = new Map<string, { tenure: string | undefined; endsAtMs: number }>();
@@ -386,6 +390,15 @@
     /** Whether this VM is authoritative for the group and likely stays so when its peer lease ends. */
     isAuthoritativeBeyondPeerLease: (group: string): boolean =>
       isAuthoritative(group) && (isConfirmedByStore(group) || fleet.reachesMajority()),
+    /**
+     * Whether this VM leaves the group to a VM that reaches the store: the store turns this one away, so that it can't
+     * record the replacement of an evacuated primary. Its heartbeats then don't name the group as served.
+     */
+    isLeftToOthers: (group: string): boolean => {
+      if (options.primaryPhase(group) === 'inService') return false;
+      const reaching = fleet.vms().filter(({ isStoreReachable }) => isStoreReachable);
+      return reaching.length > 0 && !reaching.some(({ vm }) => vm === self.vm);
+    },
     /** Whether this VM owns the group and no previous owner or acting VM can still use the old primary. */
     mayReplacePrimary: (group: string): boolean => {
       // The next owner of a group does not wait for a call of a VM that stops.
--- a/packages/sessions/src/standIns/createFakeVoters.ts
+++ b/packages/sessions/src/standIns/createFakeVoters.ts
@@ -123,7 +123,7 @@
       nowMs,
       wallMs: nowMs,
       primaryDataCentre: () => undefined,
-      isPrimaryToBeMoved: () => false,
+      primaryPhase: () => 'inService',
       isReplacingPrimary: () => false,
       isStoreViewCurrent: () => listed.has(voter) && !turnedAway.has(vm),
     });
--- a/packages/sessions/src/standIns/createSoakVm.ts
+++ b/packages/sessions/src/standIns/createSoakVm.ts
@@ -95,9 +95,9 @@
     log,
     nowMs,
     wallMs,
-    isPrimaryToBeMoved: (group) => {
+    primaryPhase: (group) => {
       const dataCentre = findPrimaryDataCentre(group);
-      return dataCentre !== undefined && evacuations.phaseOf(dataCentre) === 'evacuating';
+      return dataCentre === undefined ? 'inService' : evacuations.phaseOf(dataCentre);
     },
     isReplacingPrimary: (group) => servers.get(group)?.isReplacingPrimary() ?? false,
     isStoreViewCurrent: () => hooks.isStoreViewCurrent(),
@@ -176,15 +176,6 @@
     [...servers.values(), ...retiredServers].forEach((server) => server.noteEvacuationsChanged()),
   );
 
-  const isLeftToOthers = (group: string): boolean => {
-    const dataCentre = findPrimaryDataCentre(group);
-    return (
-      dataCentre !== undefined &&
-      !evacuations.isInService(dataCentre) &&
-      !isStoreReachable() &&
-      fleet.vms().some((view) => view.vm !== vm && view.isStoreReachable)
-    );
-  };
   const buildHeartbeat = (receiver: string, beat: number): Heartbeat => ({
     vm,
     incarnation,
@@ -202,7 +193,7 @@
     isLeaving: fleet.isLeaving(),
     serving: [...servers.keys()]
       .filter(ownership.isAuthoritativeBeyondPeerLease)
-      .filter((group) => !isLeftToOthers(group)),
+      .filter((group) => !ownership.isLeftToOthers(group)),
   });
   const sendHeartbeats = (): void => {
     const beat = fleet.nextHeartbeatNumber();
