--- a/review/harness/startWorld.mjs
+++ b/review/harness/startWorld.mjs
@@ -116,6 +116,7 @@
     rmSync(directory, { recursive: true, force: true });
   };
   process.on('exit', () => vms.forEach((vm) => vm.stop()));
+  ['SIGTERM', 'SIGINT'].forEach((signal) => process.on(signal, () => process.exit(2)));
   const untilReady = async (limitMs) => {
     const untilMs = performance.now() + limitMs;
     while (performance.now() < untilMs) {
